--- /dev/null
+++ b/crates/sillpin-bundle/src/signed.rs
@@ -0,0 +1,171 @@
+//! Digest, signature and acceptance of a bundle.
+
+use crate::bundle::{Bundle, BundleFault};
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use derive_more::{Display, Error, From};
+use ed25519_dalek::pkcs8::spki::der::pem::LineEnding;
+use ed25519_dalek::pkcs8::{DecodePrivateKey, EncodePrivateKey};
+use ed25519_dalek::{Signature, Signer, SigningKey, VerifyingKey};
+use serde::{Deserialize, Serialize};
+use sillpin_core::Revision;
+use std::str::FromStr;
+
+/// Prefix of the log of accepted bundles in the platform's service.
+pub const REVISION_PREFIX: &str = "bundles/";
+
+/// Key of a revision in the platform's service; keys sort as revisions do.
+pub fn revision_key(revision: Revision) -> String {
+    format!("{REVISION_PREFIX}{:020}", revision.0)
+}
+
+/// BLAKE3 of a bundle's JSON text, in hexadecimal: the bundle's name.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Digest(String);
+
+impl Digest {
+    /// The digest of `text`.
+    pub fn of(text: &str) -> Self {
+        Self(blake3::hash(text.as_bytes()).to_hex().to_string())
+    }
+
+    /// The first digits, for people.
+    pub fn short(&self) -> &str {
+        self.0.get(..12).unwrap_or(&self.0)
+    }
+}
+
+/// Why a bundle is not accepted.
+#[derive(Debug, Display, Error, From)]
+pub enum SignError {
+    /// A key is unreadable.
+    #[display("key is unreadable")]
+    #[from(skip)]
+    Key,
+    /// The signature is not by the key that it names, or not over this text.
+    #[display("signature does not verify")]
+    #[from(skip)]
+    Signature,
+    /// The key that signed is not trusted.
+    #[display("signed by a key that is not trusted: {_0}")]
+    #[from(skip)]
+    Untrusted(#[error(not(source))] String),
+    /// The digest is not that of the text.
+    #[display("digest does not fit the text")]
+    #[from(skip)]
+    Digest,
+    /// The text is no bundle.
+    #[display("{_0}")]
+    Bundle(BundleFault),
+}
+
+/// An operator's private key.
+pub struct SignerKey(SigningKey);
+
+impl SignerKey {
+    /// A new key.
+    pub fn generate() -> Self {
+        let seed: [u8; 32] = rand::random();
+        Self(SigningKey::from_bytes(&seed))
+    }
+
+    /// Reads a key in PKCS#8 PEM.
+    pub fn from_pem(pem: &str) -> Result<Self, SignError> {
+        let key = SigningKey::from_pkcs8_pem(pem);
+        key.map(Self).map_err(|_| SignError::Key)
+    }
+
+    /// The key in PKCS#8 PEM.
+    pub fn to_pem(&self) -> Result<String, SignError> {
+        let pem = self.0.to_pkcs8_pem(LineEnding::LF);
+        pem.map(|pem| pem.to_string()).map_err(|_| SignError::Key)
+    }
+
+    /// The public half, as settings list it.
+    pub fn public(&self) -> TrustedKey {
+        TrustedKey(self.0.verifying_key())
+    }
+}
+
+/// An operator's public key, in base64.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TrustedKey(VerifyingKey);
+
+impl std::fmt::Display for TrustedKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&BASE64.encode(self.0.as_bytes()))
+    }
+}
+
+impl FromStr for TrustedKey {
+    type Err = SignError;
+
+    fn from_str(s: &str) -> Result<Self, SignError> {
+        let bytes = BASE64.decode(s).map_err(|_| SignError::Key)?;
+        let bytes = bytes.try_into().map_err(|_| SignError::Key)?;
+        let key = VerifyingKey::from_bytes(&bytes);
+        key.map(Self).map_err(|_| SignError::Key)
+    }
+}
+
+/// A bundle's text with its digest and signature.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SignedBundle {
+    /// The bundle as JSON, to the letter as it was signed.
+    pub text: String,
+    /// Its digest.
+    pub digest: Digest,
+    /// The signer's public key, in base64.
+    pub signer: String,
+    /// The signature over the text, in base64.
+    pub signature: String,
+}
+
+impl SignedBundle {
+    /// Signs a bundle that passes its checks.
+    pub fn sign(text: &str, key: &SignerKey) -> Result<Self, SignError> {
+        let bundle = Bundle::from_json(text)?;
+        if let Some(fault) = bundle.check().into_iter().next() {
+            return Err(fault.into());
+        }
+        Ok(Self {
+            text: text.to_owned(),
+            digest: Digest::of(text),
+            signer: key.public().to_string(),
+            signature: BASE64.encode(key.0.sign(text.as_bytes()).to_bytes()),
+        })
+    }
+
+    /// Checks digest and signature against the trusted keys and reads the bundle.
+    pub fn verify(&self, trusted: &[TrustedKey]) -> Result<Bundle, SignError> {
+        let signer: TrustedKey = self.signer.parse()?;
+        if !trusted.contains(&signer) {
+            return Err(SignError::Untrusted(self.signer.clone()));
+        }
+        if Digest::of(&self.text) != self.digest {
+            return Err(SignError::Digest);
+        }
+        let signature = BASE64.decode(&self.signature);
+        let signature = signature.map_err(|_| SignError::Signature)?;
+        let signature = Signature::from_slice(&signature).map_err(|_| SignError::Signature)?;
+        signer
+            .0
+            .verify_strict(self.text.as_bytes(), &signature)
+            .map_err(|_| SignError::Signature)?;
+        Ok(Bundle::from_json(&self.text)?)
+    }
+}
+
+/// A revision as it stands in the platform's service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// Its place in the log.
+    pub revision: Revision,
+    /// The bundle.
+    pub bundle: SignedBundle,
+    /// Who accepted it, as they name themselves.
+    pub operator: String,
+    /// Unique to the act, so that a lost answer can be settled by reading back.
+    pub token: String,
+}
--- /dev/null
+++ b/crates/sillpin-core/src/block.rs
@@ -0,0 +1,179 @@
+//! Prompt identity: a prompt is cut into blocks and each block's name chains over the one before.
+//!
+//! A name is a keyed hash over the [`PromptScope`] (organisation, model, adapter, weight version),
+//! the name of the block before it, and the block's text. So the name of another organisation's
+//! block, or of a block of other weights, cannot be formed from one's own prompt; no look-up has to
+//! remember to filter them out. Two prompts that begin alike share the names of their common
+//! blocks, and only those.
+//!
+//! Sillpin holds no tokenizer: a block is a fixed number of bytes of text, moved back to a
+//! character boundary, and [`BYTES_PER_TOKEN`] turns bytes into an estimate of tokens. The engine
+//! reports the true counts in its answers.
+
+use crate::ids::{AdapterId, ModelId, OrgId, WeightVersion};
+use crate::units::Tokens;
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+use std::str::FromStr;
+
+/// Tokens in one block; the engines of both users work in pieces of about a thousand.
+pub const BLOCK_TOKENS: u64 = 1_000;
+
+/// Estimated bytes of text in one token.
+pub const BYTES_PER_TOKEN: u64 = 4;
+
+/// Bytes of text in one block.
+pub const BLOCK_BYTES: usize = (BLOCK_TOKENS * BYTES_PER_TOKEN) as usize;
+
+/// Length of a block name in bytes.
+pub const BLOCK_NAME_LEN: usize = 16;
+
+/// Separates the derived key of block names from any other use of the fleet's secret.
+const KEY_CONTEXT: &str = "sillpin 2026 block names";
+
+/// The name of one block: 128 bits of a keyed hash.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct BlockName([u8; BLOCK_NAME_LEN]);
+
+/// Text that is not a block name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("invalid block name: {} hexadecimal digits", BLOCK_NAME_LEN * 2)]
+pub struct InvalidBlockName;
+
+impl BlockName {
+    /// The name's first eight bytes, for placement.
+    pub fn placement_hash(&self) -> u64 {
+        let (head, _) = self.0.split_at(8);
+        u64::from_le_bytes(head.try_into().unwrap_or_default())
+    }
+}
+
+impl std::fmt::Display for BlockName {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0.iter().try_for_each(|b| write!(f, "{b:02x}"))
+    }
+}
+
+impl std::fmt::Debug for BlockName {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "BlockName({self})")
+    }
+}
+
+impl FromStr for BlockName {
+    type Err = InvalidBlockName;
+
+    fn from_str(s: &str) -> Result<Self, InvalidBlockName> {
+        if s.len() != BLOCK_NAME_LEN * 2 || !s.is_ascii() {
+            return Err(InvalidBlockName);
+        }
+        let mut name = [0; BLOCK_NAME_LEN];
+        for (byte, digits) in name.iter_mut().zip(s.as_bytes().chunks(2)) {
+            let digits = std::str::from_utf8(digits).map_err(|_| InvalidBlockName)?;
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| InvalidBlockName)?;
+        }
+        Ok(BlockName(name))
+    }
+}
+
+impl TryFrom<String> for BlockName {
+    type Error = InvalidBlockName;
+
+    fn try_from(s: String) -> Result<Self, InvalidBlockName> {
+        s.parse()
+    }
+}
+
+impl From<BlockName> for String {
+    fn from(name: BlockName) -> String {
+        name.to_string()
+    }
+}
+
+/// The secret that keys block names, shared by every box of one user.
+#[derive(Clone)]
+pub struct BlockKey([u8; 32]);
+
+impl BlockKey {
+    /// Derives the key from the fleet's secret.
+    pub fn derive(fleet_secret: &str) -> Self {
+        Self(blake3::derive_key(KEY_CONTEXT, fleet_secret.as_bytes()))
+    }
+}
+
+/// What a block belongs to besides its text. Blocks of different scopes never share a name.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct PromptScope {
+    /// Organisation that sent the prompt.
+    pub org: OrgId,
+    /// Model that reads it.
+    pub model: ModelId,
+    /// Adapter beside the model, if any.
+    pub adapter: Option<AdapterId>,
+    /// Version of the model's weights.
+    pub version: WeightVersion,
+}
+
+impl PromptScope {
+    /// Hash of the scope, the name "before" the first block.
+    fn root(&self, key: &BlockKey) -> blake3::Hash {
+        let mut hasher = blake3::Hasher::new_keyed(&key.0);
+        let adapter = self.adapter.as_ref().map_or("", AdapterId::as_str);
+        for part in [self.org.as_str(), self.model.as_str(), adapter] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part.as_bytes());
+        }
+        hasher.update(&self.version.0.to_le_bytes());
+        hasher.finalize()
+    }
+
+    /// Names of the whole blocks of `prompt`, in order. The rest behind the last whole block has
+    /// no name, as engines cache whole blocks only.
+    pub fn block_names(&self, key: &BlockKey, prompt: &str) -> Vec<BlockName> {
+        let mut before = self.root(key);
+        let mut names = Vec::with_capacity(prompt.len() / BLOCK_BYTES);
+        let mut rest = prompt;
+        while rest.len() >= BLOCK_BYTES {
+            let (text, tail) = rest.split_at(rest.floor_char_boundary(BLOCK_BYTES));
+            before = chain(key, &before, text);
+            names.push(truncate(&before));
+            rest = tail;
+        }
+        names
+    }
+
+    /// Where an unversioned placement decision hashes this prompt to: stable across weight
+    /// versions, so that a prompt keeps its home when weights are swapped.
+    pub fn home_hash(&self, key: &BlockKey, prompt: &str, home_blocks: usize) -> u64 {
+        let unversioned = PromptScope {
+            version: WeightVersion(0),
+            ..self.clone()
+        };
+        let end = prompt.floor_char_boundary(prompt.len().min(home_blocks * BLOCK_BYTES));
+        let hash = chain(key, &unversioned.root(key), &prompt[..end]);
+        truncate(&hash).placement_hash()
+    }
+}
+
+fn chain(key: &BlockKey, before: &blake3::Hash, text: &str) -> blake3::Hash {
+    let mut hasher = blake3::Hasher::new_keyed(&key.0);
+    hasher.update(before.as_bytes());
+    hasher.update(text.as_bytes());
+    hasher.finalize()
+}
+
+fn truncate(hash: &blake3::Hash) -> BlockName {
+    let mut name = [0; BLOCK_NAME_LEN];
+    name.copy_from_slice(&hash.as_bytes()[..BLOCK_NAME_LEN]);
+    BlockName(name)
+}
+
+/// Estimated tokens in `text`.
+pub fn estimate_tokens(text: &str) -> Tokens {
+    Tokens((text.len() as u64).div_ceil(BYTES_PER_TOKEN))
+}
+
+#[cfg(test)]
+#[path = "block_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/sillpin-core/src/run.rs
@@ -0,0 +1,44 @@
+//! What a caller asks for, apart from the prompt itself.
+
+use derive_more::{Display, FromStr};
+use serde::{Deserialize, Serialize};
+
+/// Priority class of a request, most urgent first.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Display,
+    FromStr,
+    Serialize,
+    Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum PriorityClass {
+    /// Somebody waits at the kerb or the counter.
+    #[display("urgent")]
+    Urgent,
+    /// Somebody waits at a desk.
+    #[default]
+    #[display("normal")]
+    Normal,
+    /// Nobody waits.
+    #[display("batch")]
+    Batch,
+}
+
+impl PriorityClass {
+    /// All classes, most urgent first.
+    pub const ALL: [PriorityClass; 3] = [Self::Urgent, Self::Normal, Self::Batch];
+
+    /// Position among the classes; 0 is the most urgent.
+    pub fn rank(self) -> u8 {
+        self as u8
+    }
+}
--- /dev/null
+++ b/crates/sillpin-core/src/units.rs
@@ -0,0 +1,153 @@
+//! Newtypes for sizes, rates and shares.
+
+use derive_more::{Add, AddAssign, Display, Error, From, FromStr, Sub, Sum};
+use serde::{Deserialize, Serialize};
+use std::str::FromStr;
+use std::time::Duration;
+
+/// A number of tokens.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Display,
+    FromStr,
+    From,
+    Add,
+    AddAssign,
+    Sub,
+    Sum,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Tokens(pub u64);
+
+/// A size in bytes.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Display,
+    FromStr,
+    From,
+    Add,
+    AddAssign,
+    Sub,
+    Sum,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Bytes(pub u64);
+
+/// A rate in bytes per second.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Display,
+    FromStr,
+    From,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct BytesPerSec(pub u64);
+
+impl BytesPerSec {
+    /// Time to move `size` at this rate; `None` when the rate is zero.
+    pub fn time_for(self, size: Bytes) -> Option<Duration> {
+        if self.0 == 0 {
+            return None;
+        }
+        Some(Duration::from_secs_f64(size.0 as f64 / self.0 as f64))
+    }
+}
+
+/// A share of a whole, in hundredths of a percent (0 to 10,000).
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Display,
+    Serialize,
+    Deserialize,
+)]
+#[serde(try_from = "u16", into = "u16")]
+#[display("{}.{:02}%", _0 / 100, _0 % 100)]
+pub struct Share(u16);
+
+/// A share above the whole, or text that is no share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("invalid share: a whole number of hundredths of a percent from 0 to 10000")]
+pub struct InvalidShare;
+
+impl Share {
+    /// Hundredths of a percent in the whole.
+    pub const WHOLE_UNITS: u16 = 10_000;
+    /// All of it.
+    pub const WHOLE: Share = Share(Self::WHOLE_UNITS);
+    /// None of it.
+    pub const NONE: Share = Share(0);
+
+    /// The share in hundredths of a percent.
+    pub fn units(self) -> u16 {
+        self.0
+    }
+
+    /// The share as a fraction from 0 to 1.
+    pub fn fraction(self) -> f64 {
+        f64::from(self.0) / f64::from(Self::WHOLE_UNITS)
+    }
+}
+
+impl TryFrom<u16> for Share {
+    type Error = InvalidShare;
+
+    fn try_from(units: u16) -> Result<Self, InvalidShare> {
+        if units > Self::WHOLE_UNITS {
+            return Err(InvalidShare);
+        }
+        Ok(Share(units))
+    }
+}
+
+impl From<Share> for u16 {
+    fn from(share: Share) -> u16 {
+        share.0
+    }
+}
+
+impl FromStr for Share {
+    type Err = InvalidShare;
+
+    fn from_str(s: &str) -> Result<Self, InvalidShare> {
+        let units: u16 = s.parse().map_err(|_| InvalidShare)?;
+        Share::try_from(units)
+    }
+}
--- /dev/null
+++ b/crates/sillpin-http/src/client.rs
@@ -0,0 +1,204 @@
+//! A pooled HTTP/1.1 client whose errors say how far the send got.
+//!
+//! What may be told to a caller about a failed request hangs on whether its bytes can have reached
+//! the peer, so [`CallError`] carries [`Sent`] beside step and peer. The client never sends a
+//! request a second time by itself.
+
+use crate::body::{Body, ReadError, read_json};
+use derive_more::{Display, Error};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode, header};
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time to open a connection before the peer counts as out of reach.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long an unused connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Idle connections kept for one peer.
+const MAX_IDLE_PER_PEER: usize = 64;
+
+/// Longest JSON answer read.
+const MAX_JSON_LEN: usize = 4 << 20;
+
+/// Whether the peer can have received any of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Sent {
+    /// No byte of it left this process.
+    #[display("not sent")]
+    No,
+    /// Some or all of it may have arrived.
+    #[display("maybe sent")]
+    Maybe,
+}
+
+/// What went wrong in a call.
+#[derive(Debug, Display, Error)]
+pub enum CallFault {
+    /// The connection could not be opened or broke.
+    #[display("connection failed: {_0}")]
+    Connection(#[error(not(source))] String),
+    /// No answer in time.
+    #[display("no answer within {} ms", _0.as_millis())]
+    Timeout(#[error(not(source))] Duration),
+    /// The peer answered with another status than asked for.
+    #[display("answered with status {_0}")]
+    Status(#[error(not(source))] StatusCode),
+    /// The answer's body could not be read.
+    #[display("answer unreadable: {_0}")]
+    Answer(ReadError),
+    /// The request could not be built.
+    #[display("invalid request: {_0}")]
+    Request(hyper::http::Error),
+}
+
+/// A call that failed, with its step and peer.
+#[derive(Debug, Display, Error)]
+#[display("{step} at {peer}: {fault} ({sent})")]
+pub struct CallError {
+    /// What was being done.
+    pub step: &'static str,
+    /// Who was asked.
+    pub peer: SocketAddr,
+    /// Whether the peer can have received the request.
+    pub sent: Sent,
+    /// What went wrong.
+    #[error(source)]
+    pub fault: CallFault,
+}
+
+impl CallError {
+    /// The status that the peer answered with, if it answered.
+    pub fn status(&self) -> Option<StatusCode> {
+        match &self.fault {
+            CallFault::Status(status) => Some(*status),
+            _ => None,
+        }
+    }
+}
+
+/// A pool of connections to many peers; clones share it.
+#[derive(Clone)]
+pub struct Client {
+    pool: legacy::Client<HttpConnector, Body>,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let pool = legacy::Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(MAX_IDLE_PER_PEER)
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { pool }
+    }
+}
+
+impl Client {
+    /// Sends a request and waits for the head of the answer.
+    pub async fn send(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+        req: Request<Body>,
+    ) -> Result<Response<Incoming>, CallError> {
+        self.pool.request(req).await.map_err(|e| CallError {
+            step,
+            peer,
+            sent: how_far(&e),
+            fault: CallFault::Connection(describe(&e)),
+        })
+    }
+
+    /// Sends `doc` as JSON and reads a JSON answer; any status but 2xx is an error.
+    pub async fn call_json<T: Serialize, R: DeserializeOwned>(
+        &self,
+        call: Call<'_>,
+        doc: Option<&T>,
+    ) -> Result<R, CallError> {
+        let (step, peer) = (call.step, call.peer);
+        let resp = self.call(call, doc).await?;
+        read_json(resp.into_body(), MAX_JSON_LEN)
+            .await
+            .map_err(|e| CallError {
+                step,
+                peer,
+                sent: Sent::Maybe,
+                fault: CallFault::Answer(e),
+            })
+    }
+
+    /// Sends `doc` as JSON and waits for the head of a 2xx answer; any other status is an error.
+    pub async fn call<T: Serialize>(
+        &self,
+        call: Call<'_>,
+        doc: Option<&T>,
+    ) -> Result<Response<Incoming>, CallError> {
+        let (step, peer) = (call.step, call.peer);
+        let failed = |sent, fault| CallError {
+            step,
+            peer,
+            sent,
+            fault,
+        };
+        let body = doc.map_or_else(Vec::new, |doc| serde_json::to_vec(doc).unwrap_or_default());
+        let req = Request::builder()
+            .method(call.method)
+            .uri(format!("http://{peer}{}", call.path))
+            .header(header::CONTENT_TYPE, crate::JSON_MEDIA_TYPE)
+            .body(Body::full(body))
+            .map_err(|e| failed(Sent::No, CallFault::Request(e)))?;
+        let resp = tokio::time::timeout(call.timeout, self.send(step, peer, req))
+            .await
+            .map_err(|_| failed(Sent::Maybe, CallFault::Timeout(call.timeout)))??;
+        if !resp.status().is_success() {
+            return Err(failed(Sent::Maybe, CallFault::Status(resp.status())));
+        }
+        Ok(resp)
+    }
+}
+
+/// One call of a peer.
+pub struct Call<'a> {
+    /// What is being done, for errors.
+    pub step: &'static str,
+    /// Who is asked.
+    pub peer: SocketAddr,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: &'a str,
+    /// Longest wait for the head of the answer.
+    pub timeout: Duration,
+}
+
+fn how_far(e: &legacy::Error) -> Sent {
+    let cancelled = std::error::Error::source(e)
+        .and_then(|source| source.downcast_ref::<hyper::Error>())
+        .is_some_and(hyper::Error::is_canceled);
+    if e.is_connect() || cancelled {
+        return Sent::No;
+    }
+    Sent::Maybe
+}
+
+fn describe(e: &legacy::Error) -> String {
+    let mut text = e.to_string();
+    let mut source = std::error::Error::source(e);
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/sillpin-http/src/lib.rs
@@ -0,0 +1,39 @@
+//! The few pieces of HTTP that every program of sillpin needs, over `hyper`.
+//!
+//! - [`body`]: one body type without dynamic dispatch,
+//! - [`client`]: a pooled client whose errors say how far the send got,
+//! - [`lines`]: JSON documents, one a line, out of a streamed body,
+//! - [`server`]: a listener that drains.
+
+pub mod body;
+pub mod client;
+pub mod lines;
+pub mod server;
+
+pub use body::{Body, BodySender, ReadError, read_limited};
+pub use client::{CallError, Client, Sent};
+pub use lines::JsonLines;
+pub use server::Server;
+
+use hyper::{Response, StatusCode, header};
+use serde::Serialize;
+
+/// Media type of JSON.
+pub const JSON_MEDIA_TYPE: &str = "application/json";
+
+/// An answer with a JSON document.
+pub fn json_response<T: Serialize>(status: StatusCode, doc: &T) -> Response<Body> {
+    let text = serde_json::to_vec(doc).unwrap_or_default();
+    let mut resp = Response::new(Body::full(text));
+    *resp.status_mut() = status;
+    let media_type = header::HeaderValue::from_static(JSON_MEDIA_TYPE);
+    resp.headers_mut().insert(header::CONTENT_TYPE, media_type);
+    resp
+}
+
+/// An answer without a body.
+pub fn empty_response(status: StatusCode) -> Response<Body> {
+    let mut resp = Response::new(Body::empty());
+    *resp.status_mut() = status;
+    resp
+}
--- /dev/null
+++ b/crates/sillpin-http/src/lines.rs
@@ -0,0 +1,72 @@
+//! JSON documents, one a line, out of a streamed body.
+
+use bytes::{Buf, Bytes, BytesMut};
+use derive_more::{Display, Error};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
+
+/// Longest line accepted, in bytes.
+pub const MAX_LINE_LEN: usize = 1 << 20;
+
+/// Why the next document could not be read.
+#[derive(Debug, Display, Error)]
+pub enum LineError {
+    /// The connection broke.
+    #[display("stream was cut")]
+    Cut,
+    /// A line is too long.
+    #[display("line is longer than {MAX_LINE_LEN} bytes")]
+    TooLong,
+    /// A line is not the expected document.
+    #[display("line is not the expected JSON: {_0}")]
+    Json(serde_json::Error),
+}
+
+/// Reads documents out of a body. Dropping it before the end closes the connection.
+pub struct JsonLines {
+    body: Incoming,
+    buf: BytesMut,
+}
+
+impl JsonLines {
+    /// Reads from `body`.
+    pub fn new(body: Incoming) -> Self {
+        Self {
+            body,
+            buf: BytesMut::new(),
+        }
+    }
+
+    /// The next document; `None` at the end of the body. Cancelling the call loses nothing.
+    pub async fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>, LineError> {
+        loop {
+            if let Some(line) = self.take_line() {
+                let doc = serde_json::from_slice(&line).map_err(LineError::Json)?;
+                return Ok(Some(doc));
+            }
+            if self.buf.len() > MAX_LINE_LEN {
+                return Err(LineError::TooLong);
+            }
+            match self.body.frame().await {
+                None if self.buf.is_empty() => return Ok(None),
+                None => return Err(LineError::Cut),
+                Some(Err(_)) => return Err(LineError::Cut),
+                Some(Ok(frame)) => self.append(frame.into_data().ok()),
+            }
+        }
+    }
+
+    fn append(&mut self, data: Option<Bytes>) {
+        if let Some(data) = data {
+            self.buf.extend_from_slice(&data);
+        }
+    }
+
+    fn take_line(&mut self) -> Option<BytesMut> {
+        let end = self.buf.iter().position(|b| *b == b'\n')?;
+        let line = self.buf.split_to(end);
+        self.buf.advance(1);
+        Some(line)
+    }
+}
--- /dev/null
+++ b/crates/sillpin-http/src/server.rs
@@ -0,0 +1,120 @@
+//! A listener for HTTP/1.1 and HTTP/2 without TLS that drains: after the stop it lets every open
+//! request finish.
+
+use crate::body::Body;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Limits on what a peer may send before its request reaches a handler.
+#[derive(Debug, Clone, Copy)]
+pub struct HeadLimits {
+    /// Longest head of a request, in bytes.
+    pub max_len: usize,
+    /// Longest time for the head to arrive.
+    pub timeout: Duration,
+}
+
+impl Default for HeadLimits {
+    fn default() -> Self {
+        Self {
+            max_len: 16 << 10,
+            timeout: Duration::from_secs(10),
+        }
+    }
+}
+
+/// hyper refuses smaller buffers.
+const MIN_HEAD_BUF: usize = 8 << 10;
+
+/// Wait after a failed accept, such as for want of file descriptors.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+
+/// A bound listener.
+pub struct Server {
+    listener: TcpListener,
+    limits: HeadLimits,
+}
+
+impl Server {
+    /// Binds to `addr`; port 0 lets the kernel choose.
+    pub async fn bind(addr: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(addr).await?;
+        let limits = HeadLimits::default();
+        Ok(Self { listener, limits })
+    }
+
+    /// Sets the limits on request heads.
+    pub fn limits(mut self, limits: HeadLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// The address bound to.
+    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves until `stop`, then closes the listener, lets every open request finish and returns.
+    pub async fn run<H, F>(self, stop: CancellationToken, handler: H)
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<Body>> + Send + 'static,
+    {
+        let tracker = TaskTracker::new();
+        loop {
+            let accepted = tokio::select! {
+                () = stop.cancelled() => break,
+                accepted = self.listener.accept() => accepted,
+            };
+            match accepted {
+                Ok((tcp, _)) => {
+                    tracker.spawn(connection(tcp, self.limits, stop.clone(), handler.clone()));
+                }
+                Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
+            }
+        }
+        drop(self.listener);
+        tracker.close();
+        tracker.wait().await;
+    }
+}
+
+async fn connection<H, F>(tcp: TcpStream, limits: HeadLimits, stop: CancellationToken, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let _ = tcp.set_nodelay(true);
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.timeout)
+        .max_buf_size(limits.max_len.max(MIN_HEAD_BUF));
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(u32::try_from(limits.max_len).unwrap_or(u32::MAX));
+    let service = service_fn(move |req| {
+        let answer = handler(req);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut conn = pin!(builder.serve_connection(TokioIo::new(tcp), service));
+    tokio::select! {
+        _ = conn.as_mut() => return,
+        () = stop.cancelled() => conn.as_mut().graceful_shutdown(),
+    }
+    let _ = conn.await;
+}
--- /dev/null
+++ b/crates/sillpin-platform/src/lib.rs
@@ -0,0 +1,156 @@
+//! The platform as sillpin sees it: a key-value service and the list of boxes and targets.
+//!
+//! [`Platform`] is the one interface; [`http`] is the one adapter. Another wire format costs one
+//! file. The service counts each call, and a waiting watch as one, so callers state in
+//! `docs/CAPACITY.md` how often they call.
+
+pub mod http;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+use sillpin_core::target::BoxList;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+pub use http::HttpPlatform;
+
+/// Longest value the service holds, in bytes.
+pub const MAX_VALUE_LEN: usize = 1 << 20;
+
+/// Number of a change of the service; each change takes the next. Zero: the key does not exist.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Display,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct KvRevision(pub u64);
+
+impl KvRevision {
+    /// Expected by a write that creates its key.
+    pub const ABSENT: KvRevision = KvRevision(0);
+}
+
+/// A lease granted by the service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct LeaseId(pub u64);
+
+/// One key with its value.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KvEntry {
+    /// The key.
+    pub key: String,
+    /// The value; `None` in a watch when the key was deleted.
+    pub value: Option<String>,
+    /// The change that wrote it.
+    pub revision: KvRevision,
+}
+
+/// What a watch saw.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WatchReply {
+    /// Keys changed since, each once, in its newest state.
+    pub changed: Vec<KvEntry>,
+    /// Ask for changes after this one next time.
+    pub revision: KvRevision,
+}
+
+/// What went wrong at the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum PlatformFault {
+    /// It could not be reached; nothing took effect.
+    #[display("out of reach")]
+    Unreachable,
+    /// It refused for now (rate or outage); nothing took effect.
+    #[display("refused for now")]
+    Refused,
+    /// The answer was lost: a write may have taken effect.
+    #[display("answer lost")]
+    AnswerLost,
+    /// A write's expectation did not hold; nothing took effect.
+    #[display("changed by somebody else")]
+    Conflict,
+    /// The lease does not exist (any more).
+    #[display("lease lapsed")]
+    LeaseLapsed,
+    /// The service did not understand.
+    #[display("request not accepted")]
+    Invalid,
+}
+
+/// A call of the platform that failed, with its step and peer.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+#[display("{step} at platform {peer}: {fault}")]
+pub struct PlatformError {
+    /// What was being done.
+    pub step: &'static str,
+    /// The platform's address.
+    pub peer: SocketAddr,
+    /// What went wrong.
+    #[error(not(source))]
+    pub fault: PlatformFault,
+}
+
+/// The platform's key-value service and box list.
+pub trait Platform: Clone + Send + Sync + 'static {
+    /// The value of a key, if it exists.
+    fn get(&self, key: &str)
+    -> impl Future<Output = Result<Option<KvEntry>, PlatformError>> + Send;
+
+    /// Keys with a prefix, in order, at most `limit`, after `after`.
+    fn list(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        limit: usize,
+    ) -> impl Future<Output = Result<Vec<KvEntry>, PlatformError>> + Send;
+
+    /// Writes a key if its revision is `expect` ([`KvRevision::ABSENT`]: create), under a lease if
+    /// one is given.
+    fn put(
+        &self,
+        key: &str,
+        value: &str,
+        expect: KvRevision,
+        lease: Option<LeaseId>,
+    ) -> impl Future<Output = Result<KvRevision, PlatformError>> + Send;
+
+    /// Deletes a key if its revision is `expect`.
+    fn delete(
+        &self,
+        key: &str,
+        expect: KvRevision,
+    ) -> impl Future<Output = Result<(), PlatformError>> + Send;
+
+    /// Asks for a lease; its keys vanish when it lapses.
+    fn grant_lease(
+        &self,
+        ttl: Duration,
+    ) -> impl Future<Output = Result<LeaseId, PlatformError>> + Send;
+
+    /// Renews a lease for its whole time.
+    fn renew_lease(&self, lease: LeaseId)
+    -> impl Future<Output = Result<(), PlatformError>> + Send;
+
+    /// Waits up to `wait` for changes below `prefix` after `after`.
+    fn watch(
+        &self,
+        prefix: &str,
+        after: KvRevision,
+        wait: Duration,
+    ) -> impl Future<Output = Result<WatchReply, PlatformError>> + Send;
+
+    /// The list of boxes and targets.
+    fn box_list(&self) -> impl Future<Output = Result<BoxList, PlatformError>> + Send;
+}
--- /dev/null
+++ b/crates/sillpin-policy/src/placement.rs
@@ -0,0 +1,218 @@
+//! Which engine takes a request.
+//!
+//! The cost of an engine is the time a request would wait there, the time to compute the blocks
+//! that it does not hold, and the time to fetch kept ones, each with the bundle's weight. Loads are
+//! stale, so the caller adds what it sent itself since the report; and only homes, holders and a
+//! few sampled engines are candidates, or all boxes would send to the same idle one.
+
+use crate::rendezvous::{self, CandidateHash};
+use crate::set::{PlacementKind, PlacementPolicy};
+use rand::seq::index;
+use rand::{Rng, RngExt};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// What is known of an engine that could take the request.
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    /// Hash of its name.
+    pub hash: CandidateHash,
+    /// Time that a request sent now would wait, own sends since the report included.
+    pub wait: Duration,
+    /// Time to compute a block.
+    pub block_time: Duration,
+    /// Added for being in another zone.
+    pub distance: Duration,
+}
+
+/// What a hint says of an engine and the request's blocks.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Holding {
+    /// Leading blocks that it holds.
+    pub blocks: u32,
+}
+
+/// What stores hold of the request's blocks.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Kept {
+    /// Leading blocks that stores hold.
+    pub blocks: u32,
+    /// Time to fetch one of them.
+    pub fetch_time: Duration,
+}
+
+/// A request to place.
+#[derive(Debug, Clone, Copy)]
+pub struct Request<'a> {
+    /// Where its prompt hashes to.
+    pub home: u64,
+    /// Blocks of its prompt, the broken one at the end included.
+    pub blocks: u32,
+    /// Engines that hold leading blocks, by index into the candidates.
+    pub holders: &'a [(usize, Holding)],
+    /// What stores hold.
+    pub kept: Kept,
+    /// Counts requests, for [`PlacementKind::RoundRobin`].
+    pub turn: usize,
+}
+
+/// Why an engine was a candidate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, Serialize, Deserialize)]
+pub enum Reason {
+    /// It is a home of the prompt.
+    #[display("home")]
+    Home,
+    /// A hint says that it holds blocks.
+    #[display("holder")]
+    Holder,
+    /// It was sampled, or the policy looks at all.
+    #[display("sample")]
+    Sample,
+}
+
+/// The cost of one candidate.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Scored {
+    /// Index into the candidates.
+    pub index: usize,
+    /// Why it was a candidate.
+    pub reason: Reason,
+    /// Wait before the engine begins.
+    pub wait: Duration,
+    /// Time to compute what it neither holds nor fetches.
+    pub compute: Duration,
+    /// Time to fetch.
+    pub fetch: Duration,
+    /// Leading blocks that it holds already.
+    pub held: u32,
+    /// Blocks to fetch from stores after those.
+    pub fetched: u32,
+    /// Weighted cost; the lowest wins.
+    pub cost: f64,
+}
+
+/// Cost of a candidate that is not a home, in percent of the prompt's whole compute time: a prompt
+/// that nobody holds goes home, where it is found again even when hints are lost.
+const STRAY_PERCENT: f64 = 10.0;
+
+/// Scores the candidates of a request, the best first. Empty if there is none.
+pub fn rank<R: Rng>(
+    policy: &PlacementPolicy,
+    candidates: &[Candidate],
+    req: &Request<'_>,
+    rng: &mut R,
+) -> Vec<Scored> {
+    let chosen = choose_candidates(policy, candidates, req, rng);
+    let mut scored: Vec<Scored> = chosen
+        .into_iter()
+        .map(|(index, reason)| score(policy, candidates, req, index, reason))
+        .collect();
+    scored.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+    scored
+}
+
+fn choose_candidates<R: Rng>(
+    policy: &PlacementPolicy,
+    candidates: &[Candidate],
+    req: &Request<'_>,
+    rng: &mut R,
+) -> Vec<(usize, Reason)> {
+    if candidates.is_empty() {
+        return Vec::new();
+    }
+    match policy.kind {
+        PlacementKind::RoundRobin => vec![(req.turn % candidates.len(), Reason::Sample)],
+        PlacementKind::LeastLoaded => least_loaded(candidates, rng),
+        PlacementKind::Rendezvous => with_reason(homes(candidates, req, 1), Reason::Home),
+        PlacementKind::Scored => scored_candidates(policy, candidates, req, rng),
+    }
+}
+
+fn least_loaded<R: Rng>(candidates: &[Candidate], rng: &mut R) -> Vec<(usize, Reason)> {
+    let offset = rng.random_range(0..candidates.len());
+    let rotated = (0..candidates.len()).map(|i| (i + offset) % candidates.len());
+    let least = rotated.min_by_key(|index| candidates[*index].wait);
+    with_reason(least.into_iter().collect(), Reason::Sample)
+}
+
+fn homes(candidates: &[Candidate], req: &Request<'_>, count: usize) -> Vec<usize> {
+    let all = candidates.iter().enumerate();
+    rendezvous::top(req.home, all.map(|(i, c)| (i, c.hash, 1.0)), count)
+}
+
+fn with_reason(indices: Vec<usize>, reason: Reason) -> Vec<(usize, Reason)> {
+    indices.into_iter().map(|index| (index, reason)).collect()
+}
+
+fn scored_candidates<R: Rng>(
+    policy: &PlacementPolicy,
+    candidates: &[Candidate],
+    req: &Request<'_>,
+    rng: &mut R,
+) -> Vec<(usize, Reason)> {
+    let mut chosen = with_reason(homes(candidates, req, policy.homes.into()), Reason::Home);
+    let holders = req
+        .holders
+        .iter()
+        .map(|(index, _)| (*index, Reason::Holder));
+    add_new(&mut chosen, holders);
+    let samples = usize::from(policy.samples).min(candidates.len());
+    let sampled = index::sample(rng, candidates.len(), samples);
+    add_new(
+        &mut chosen,
+        sampled.into_iter().map(|i| (i, Reason::Sample)),
+    );
+    chosen
+}
+
+fn add_new(chosen: &mut Vec<(usize, Reason)>, more: impl Iterator<Item = (usize, Reason)>) {
+    for (index, reason) in more {
+        if chosen.iter().all(|(other, _)| *other != index) {
+            chosen.push((index, reason));
+        }
+    }
+}
+
+fn score(
+    policy: &PlacementPolicy,
+    candidates: &[Candidate],
+    req: &Request<'_>,
+    index: usize,
+    reason: Reason,
+) -> Scored {
+    let candidate = &candidates[index];
+    let holding = req.holders.iter().find(|(holder, _)| *holder == index);
+    let held = holding
+        .map_or(0, |(_, holding)| holding.blocks)
+        .min(req.blocks);
+    let fetched = blocks_to_fetch(candidate, req, held);
+    let compute = candidate.block_time * (req.blocks - held - fetched);
+    let fetch = req.kept.fetch_time * fetched;
+    let wait = candidate.wait + candidate.distance;
+    let first_token = (wait + compute + fetch).as_secs_f64();
+    let mut cost = f64::from(policy.first_token_weight) * first_token
+        + f64::from(policy.recompute_weight) * compute.as_secs_f64()
+        + f64::from(policy.link_weight) * fetch.as_secs_f64();
+    if reason != Reason::Home {
+        let whole = (candidate.block_time * req.blocks).as_secs_f64();
+        cost += f64::from(policy.first_token_weight) * whole * STRAY_PERCENT / 100.0;
+    }
+    Scored {
+        index,
+        reason,
+        wait,
+        compute,
+        fetch,
+        held,
+        fetched,
+        cost,
+    }
+}
+
+/// Kept blocks behind the held ones, if fetching one is quicker than computing it.
+fn blocks_to_fetch(candidate: &Candidate, req: &Request<'_>, held: u32) -> u32 {
+    if req.kept.fetch_time >= candidate.block_time {
+        return 0;
+    }
+    req.kept.blocks.min(req.blocks).saturating_sub(held)
+}
--- /dev/null
+++ b/crates/sillpin-rpc/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/sillpin-standin/src/engine/batch.rs
@@ -0,0 +1,192 @@
+//! Continuous batching: each step computes one block of one prompt and one token of every run.
+
+use super::cache::Cache;
+use super::{EngineShape, Progress};
+use sillpin_core::{AttemptId, BlockName};
+use sillpin_targets::{RunOrder, RunSummary};
+use std::collections::HashMap;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// One run at the engine.
+pub(super) struct Run {
+    pub(super) order: RunOrder,
+    pub(super) progress: watch::Sender<Progress>,
+    pub(super) prompt_blocks: u32,
+    phase: Phase,
+    arrived: u64,
+    finished: Option<Instant>,
+    pub(super) summary: RunSummary,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Waiting,
+    Prefill { left: u32 },
+    Decode { produced: u32 },
+    Done,
+}
+
+/// All runs of the engine and its cache.
+pub(super) struct Batch {
+    pub(super) shape: EngineShape,
+    pub(super) cache: Cache,
+    pub(super) runs: HashMap<AttemptId, Run>,
+    arrivals: u64,
+}
+
+impl Batch {
+    pub(super) fn new(shape: EngineShape) -> Self {
+        Self {
+            shape,
+            cache: Cache::new(shape.cache_blocks, shape.gap_every),
+            runs: HashMap::new(),
+            arrivals: 0,
+        }
+    }
+
+    pub(super) fn add(
+        &mut self,
+        order: RunOrder,
+        summary: RunSummary,
+    ) -> watch::Receiver<Progress> {
+        let (progress, rx) = watch::channel(Progress::new(order.start_index));
+        self.arrivals += 1;
+        let prompt_blocks = summary
+            .prompt_tokens
+            .0
+            .div_ceil(sillpin_core::block::BLOCK_TOKENS);
+        let run = Run {
+            prompt_blocks: prompt_blocks as u32,
+            progress,
+            phase: Phase::Waiting,
+            arrived: self.arrivals,
+            finished: None,
+            summary,
+            order,
+        };
+        self.runs.insert(run.order.attempt, run);
+        rx
+    }
+
+    pub(super) fn waiting(&self) -> impl Iterator<Item = &Run> {
+        self.runs.values().filter(|r| r.phase == Phase::Waiting)
+    }
+
+    pub(super) fn running(&self) -> usize {
+        let active = |r: &&Run| !matches!(r.phase, Phase::Waiting | Phase::Done);
+        self.runs.values().filter(active).count()
+    }
+
+    /// Blocks of waiting and begun prompts that are still to be computed.
+    pub(super) fn blocks_to_compute(&self) -> u64 {
+        let left = |r: &Run| match r.phase {
+            Phase::Waiting => self.uncached_blocks(r),
+            Phase::Prefill { left } => left,
+            Phase::Decode { .. } | Phase::Done => 0,
+        };
+        self.runs.values().map(|r| u64::from(left(r))).sum()
+    }
+
+    fn uncached_blocks(&self, run: &Run) -> u32 {
+        let names = &run.order.blocks;
+        let cached = names.iter().take_while(|b| self.cache.contains(b)).count();
+        run.prompt_blocks - (cached as u32).min(run.prompt_blocks)
+    }
+
+    /// Takes waiting runs into the batch, the most urgent and then the earliest first.
+    pub(super) fn admit(&mut self) {
+        while self.running() < self.shape.max_batch {
+            let next = self.waiting().min_by_key(|r| (r.order.priority, r.arrived));
+            let Some(attempt) = next.map(|r| r.order.attempt) else {
+                return;
+            };
+            self.begin(attempt);
+        }
+    }
+
+    fn begin(&mut self, attempt: AttemptId) {
+        let Some(run) = self.runs.get_mut(&attempt) else {
+            return;
+        };
+        let cached = self.cache.touch_prefix(&run.order.blocks) as u32;
+        let cached_tokens = u64::from(cached) * sillpin_core::block::BLOCK_TOKENS;
+        let imported = run.summary.imported_tokens;
+        run.summary.cached_tokens = sillpin_core::Tokens(cached_tokens.saturating_sub(imported.0));
+        let left = run.prompt_blocks - cached.min(run.prompt_blocks);
+        run.phase = Phase::Prefill { left };
+    }
+
+    /// The run whose prompt is computed next: the most urgent, then the earliest.
+    fn next_prefill(&self) -> Option<AttemptId> {
+        let in_prefill = |r: &&Run| matches!(r.phase, Phase::Prefill { .. });
+        let runs = self.runs.values().filter(in_prefill);
+        let next = runs.min_by_key(|r| (r.order.priority, r.arrived));
+        next.map(|r| r.order.attempt)
+    }
+
+    /// Does the work of one step and says how many blocks it computed.
+    pub(super) fn step(&mut self) -> u32 {
+        let mut computed = 0;
+        if let Some(attempt) = self.next_prefill() {
+            computed = self.prefill(attempt);
+        }
+        for run in self.runs.values_mut() {
+            run.decode();
+        }
+        computed
+    }
+
+    fn prefill(&mut self, attempt: AttemptId) -> u32 {
+        let Some(run) = self.runs.get_mut(&attempt) else {
+            return 0;
+        };
+        let Phase::Prefill { left } = run.phase else {
+            return 0;
+        };
+        if left > 1 {
+            run.phase = Phase::Prefill { left: left - 1 };
+            return 1;
+        }
+        let produced = run.order.start_index;
+        run.phase = Phase::Decode { produced };
+        let blocks: Vec<BlockName> = run.order.blocks.clone();
+        for block in blocks {
+            self.cache.insert(block);
+        }
+        left
+    }
+
+    /// Forgets runs that ended, or lost their last reader, long enough ago.
+    pub(super) fn forget(&mut self, now: Instant) {
+        let keep = self.shape.keep_finished;
+        self.runs.retain(|_, run| {
+            if run.phase != Phase::Done && run.progress.receiver_count() > 0 {
+                run.finished = None;
+                return true;
+            }
+            let since = *run.finished.get_or_insert(now);
+            now - since < keep
+        });
+    }
+}
+
+impl Run {
+    fn decode(&mut self) {
+        let Phase::Decode { produced } = self.phase else {
+            return;
+        };
+        let last = self.order.max_tokens.max(self.order.start_index);
+        let produced = (produced + 1).min(last);
+        self.phase = Phase::Decode { produced };
+        if produced == last {
+            self.phase = Phase::Done;
+            self.summary.tokens = last;
+        }
+        let ended = (self.phase == Phase::Done).then_some(self.summary);
+        self.progress.send_modify(|p| {
+            p.produced = produced;
+            p.ended = ended;
+        });
+    }
+}
--- /dev/null
+++ b/crates/sillpin-standin/src/engine/mod.rs
@@ -0,0 +1,390 @@
+//! A model engine: continuous batching, a limited prefix cache, priorities, resume, cancel,
+//! export and import of blocks, late and gapped cache events, lagged loads, fenced orders.
+
+mod batch;
+mod cache;
+mod transfer;
+
+use crate::query::param;
+use crate::{Response, ok, status};
+use batch::Batch;
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use serde::{Deserialize, Serialize};
+use sillpin_core::target::LoadReport;
+use sillpin_core::{AttemptId, Fence, ModelId, Presence, Tokens, WeightVersion};
+use sillpin_http::body::read_json;
+use sillpin_http::{Body, BodySender, Client};
+use sillpin_load::oracle::ExpectedAnswer;
+use sillpin_targets::{ExportOrder, LoadOrder, RunEvent, RunOrder, RunSummary};
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+
+/// Longest order accepted: a prompt with its block names.
+const MAX_ORDER_LEN: usize = 16 << 20;
+
+/// Size and speed of an engine.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineShape {
+    /// Time of one step without prompt work.
+    pub step: Duration,
+    /// Time to compute one block of a prompt.
+    pub block: Duration,
+    /// Runs in the batch.
+    pub max_batch: usize,
+    /// Runs that may wait.
+    pub max_waiting: usize,
+    /// Blocks that the cache holds.
+    pub cache_blocks: usize,
+    /// Bytes of one block when exported.
+    pub block_len: usize,
+    /// How old a load report is.
+    pub load_lag: Duration,
+    /// How late cache events are.
+    pub event_lag: Duration,
+    /// Each such cache event is lost (0: none).
+    pub gap_every: u64,
+    /// How long a run without a reader is kept for a resume.
+    pub keep_finished: Duration,
+    /// Whether orders below the highest fence seen are refused.
+    pub check_fence: bool,
+}
+
+impl Default for EngineShape {
+    fn default() -> Self {
+        Self {
+            step: Duration::from_millis(10),
+            block: Duration::from_millis(20),
+            max_batch: 16,
+            max_waiting: 256,
+            cache_blocks: 64,
+            block_len: 16 << 10,
+            load_lag: Duration::from_millis(200),
+            event_lag: Duration::from_millis(100),
+            gap_every: 0,
+            keep_finished: Duration::from_secs(3),
+            check_fence: true,
+        }
+    }
+}
+
+/// How far a run has come.
+#[derive(Debug, Clone, Copy)]
+struct Progress {
+    produced: u32,
+    ended: Option<RunSummary>,
+}
+
+impl Progress {
+    fn new(produced: u32) -> Self {
+        Self {
+            produced,
+            ended: None,
+        }
+    }
+}
+
+/// Faults set at run time.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct EngineFaults {
+    /// Take no new work, and say so in the load report.
+    pub leaving: bool,
+    /// Answer for another attempt than the one sent.
+    pub crossed: bool,
+    /// Break every answer at this token.
+    pub cut_at: Option<u32>,
+    /// Leave the end mark off.
+    pub no_end_mark: bool,
+}
+
+struct State {
+    batch: Batch,
+    version: WeightVersion,
+    fence: Fence,
+    faults: EngineFaults,
+    reports: VecDeque<(Instant, LoadReport)>,
+    sequence: u64,
+}
+
+/// The stand-in; clones share it.
+#[derive(Clone)]
+pub struct EngineStandin {
+    shape: EngineShape,
+    model: ModelId,
+    epoch: u64,
+    state: Arc<Mutex<State>>,
+    work: Arc<Notify>,
+    client: Client,
+}
+
+impl EngineStandin {
+    /// An engine that serves `version` of `model`; its steps run in a task of their own.
+    pub fn start(shape: EngineShape, model: ModelId, version: WeightVersion, epoch: u64) -> Self {
+        let state = State {
+            batch: Batch::new(shape),
+            version,
+            fence: Fence(0),
+            faults: EngineFaults::default(),
+            reports: VecDeque::new(),
+            sequence: 0,
+        };
+        let this = Self {
+            shape,
+            model,
+            epoch,
+            state: Arc::new(Mutex::new(state)),
+            work: Arc::default(),
+            client: Client::default(),
+        };
+        tokio::spawn(this.clone().run_steps());
+        this
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    async fn run_steps(self) {
+        loop {
+            let idle = {
+                let mut state = self.lock();
+                state.batch.forget(Instant::now());
+                state.batch.admit();
+                state.batch.running() == 0
+            };
+            if idle {
+                let _ = tokio::time::timeout(Duration::from_secs(1), self.work.notified()).await;
+                continue;
+            }
+            let begun = Instant::now();
+            let computed = self.lock().batch.step();
+            tokio::time::sleep_until(begun + self.shape.step + self.shape.block * computed).await;
+        }
+    }
+
+    /// Answers one request.
+    pub async fn handle(self, req: Request<Incoming>) -> Response {
+        let path = req.uri().path().to_owned();
+        let query = req.uri().query().map(str::to_owned);
+        if let Some(attempt) = path.strip_prefix("/v1/runs/") {
+            let cursor = param(query.as_deref(), "cursor").unwrap_or(0);
+            return self.open_run(req.method(), attempt.parse().ok(), cursor);
+        }
+        match path.as_str() {
+            "/v1/runs" => match read_json(req.into_body(), MAX_ORDER_LEN).await {
+                Ok(order) => self.start_run(order).await,
+                Err(_) => status(StatusCode::BAD_REQUEST),
+            },
+            "/v1/load" => ok(&self.load()),
+            "/v1/events" => self.events(query.as_deref()).await,
+            "/v1/blocks/export" => {
+                match read_json::<ExportOrder, _>(req.into_body(), MAX_ORDER_LEN).await {
+                    Ok(order) => ok(&self.export(order).await),
+                    Err(_) => status(StatusCode::BAD_REQUEST),
+                }
+            }
+            "/v1/orders/load" => match read_json(req.into_body(), MAX_ORDER_LEN).await {
+                Ok(order) => self.load_weights(order).await,
+                Err(_) => status(StatusCode::BAD_REQUEST),
+            },
+            "/admin/faults" => match read_json(req.into_body(), MAX_ORDER_LEN).await {
+                Ok(faults) => {
+                    self.lock().faults = faults;
+                    status(StatusCode::OK)
+                }
+                Err(_) => status(StatusCode::BAD_REQUEST),
+            },
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn refuses(&self, order: &RunOrder) -> Option<StatusCode> {
+        let state = self.lock();
+        if state.faults.leaving || state.batch.waiting().count() >= self.shape.max_waiting {
+            return Some(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let serves = order.model == self.model && order.version == state.version;
+        (!serves).then_some(StatusCode::CONFLICT)
+    }
+
+    async fn start_run(&self, order: RunOrder) -> Response {
+        if let Some(refusal) = self.refuses(&order) {
+            return status(refusal);
+        }
+        let (tx, body) = Body::channel();
+        tokio::spawn(self.clone().serve_run(order, tx));
+        hyper::Response::new(body)
+    }
+
+    async fn serve_run(self, order: RunOrder, tx: BodySender) {
+        let prompt_len = order.prompt.len() + order.delivered.len();
+        let prompt_tokens = (prompt_len as u64).div_ceil(sillpin_core::block::BYTES_PER_TOKEN);
+        let fetched = self.import(&order).await;
+        let summary = RunSummary {
+            tokens: 0,
+            prompt_tokens: Tokens(prompt_tokens),
+            cached_tokens: Tokens(0),
+            imported_tokens: Tokens(fetched.blocks * sillpin_core::block::BLOCK_TOKENS),
+            imported_bytes: fetched.bytes,
+        };
+        let answer = ExpectedAnswer::of(&order.prompt);
+        let (attempt, cursor) = (order.attempt, order.start_index);
+        let progress = self.lock().batch.add(order, summary);
+        self.work.notify_one();
+        self.stream(attempt, cursor, answer, progress, tx).await;
+    }
+
+    fn open_run(&self, method: &Method, attempt: Option<AttemptId>, cursor: u32) -> Response {
+        let Some(attempt) = attempt else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let mut state = self.lock();
+        if *method == Method::DELETE {
+            state.batch.runs.remove(&attempt);
+            return status(StatusCode::OK);
+        }
+        let Some(run) = state.batch.runs.get(&attempt) else {
+            return status(StatusCode::NOT_FOUND);
+        };
+        let answer = ExpectedAnswer::of(&run.order.prompt);
+        let progress = run.progress.subscribe();
+        drop(state);
+        let (tx, body) = Body::channel();
+        let this = self.clone();
+        tokio::spawn(async move { this.stream(attempt, cursor, answer, progress, tx).await });
+        hyper::Response::new(body)
+    }
+
+    async fn stream(
+        &self,
+        attempt: AttemptId,
+        mut cursor: u32,
+        answer: ExpectedAnswer,
+        mut progress: watch::Receiver<Progress>,
+        tx: BodySender,
+    ) {
+        loop {
+            let now = *progress.borrow_and_update();
+            let faults = self.lock().faults;
+            let attempt = if faults.crossed {
+                AttemptId::generate()
+            } else {
+                attempt
+            };
+            let cut = faults
+                .cut_at
+                .is_some_and(|at| cursor < at && now.produced >= at);
+            let mut lines = String::new();
+            let until = if cut {
+                faults.cut_at.unwrap_or(now.produced)
+            } else {
+                now.produced
+            };
+            for index in cursor..until {
+                let text = answer.token(index);
+                let token = RunEvent::Token {
+                    attempt,
+                    index,
+                    text,
+                };
+                push_line(&mut lines, &token);
+            }
+            cursor = cursor.max(until);
+            if let Some(summary) = now.ended.filter(|_| !cut && !faults.no_end_mark) {
+                push_line(&mut lines, &RunEvent::End { attempt, summary });
+            }
+            if !lines.is_empty() && tx.send(lines).await.is_err() {
+                return;
+            }
+            if cut {
+                return tx.abort("told to cut").await;
+            }
+            let changed = tokio::select! {
+                () = tx.closed() => return,
+                changed = progress.changed(), if now.ended.is_none() => changed.is_ok(),
+                () = std::future::ready(()), if now.ended.is_some() => return,
+            };
+            if !changed {
+                return tx.abort("run was cancelled").await;
+            }
+        }
+    }
+
+    /// The newest report that is at least as old as the lag.
+    fn load(&self) -> LoadReport {
+        let mut state = self.lock();
+        let now = Instant::now();
+        let report = self.report(&mut state);
+        state.reports.push_back((now, report));
+        while state.reports.len() > 1 && state.reports[1].0 + self.shape.load_lag <= now {
+            state.reports.pop_front();
+        }
+        let (_, lagged) = &state.reports[0];
+        lagged.clone()
+    }
+
+    fn report(&self, state: &mut State) -> LoadReport {
+        state.sequence += 1;
+        let leaving = state.faults.leaving;
+        LoadReport {
+            sequence: state.sequence,
+            presence: if leaving {
+                Presence::Leaving
+            } else {
+                Presence::Live
+            },
+            running: state.batch.running() as u32,
+            waiting: state.batch.waiting().count() as u32,
+            waiting_tokens: Tokens(
+                state.batch.blocks_to_compute() * sillpin_core::block::BLOCK_TOKENS,
+            ),
+            version: Some(state.version),
+            block_micros: self.shape.block.as_micros() as u64,
+            cache_blocks: self.shape.cache_blocks as u32,
+        }
+    }
+
+    async fn events(&self, query: Option<&str>) -> Response {
+        let epoch = param(query, "epoch").unwrap_or(0);
+        let after = param(query, "after").unwrap_or(0);
+        let after = if epoch == self.epoch { after } else { 0 };
+        let wait = Duration::from_millis(param(query, "wait_ms").unwrap_or(0));
+        let deadline = Instant::now() + wait;
+        loop {
+            tokio::time::sleep(self.shape.event_lag).await;
+            let events = self.lock().batch.cache.events_after(self.epoch, after);
+            if events.sequence > after || Instant::now() >= deadline {
+                return ok(&events);
+            }
+        }
+    }
+
+    async fn load_weights(&self, order: LoadOrder) -> Response {
+        {
+            let mut state = self.lock();
+            if self.shape.check_fence && order.fence < state.fence {
+                return status(StatusCode::CONFLICT);
+            }
+            state.fence = state.fence.max(order.fence);
+        }
+        if !self.fetch_weights(&order).await {
+            return status(StatusCode::BAD_GATEWAY);
+        }
+        let mut state = self.lock();
+        if self.shape.check_fence && order.fence < state.fence {
+            return status(StatusCode::CONFLICT);
+        }
+        state.version = order.version;
+        state.batch.cache.clear();
+        status(StatusCode::OK)
+    }
+}
+
+fn push_line(lines: &mut String, event: &RunEvent) {
+    lines.push_str(&serde_json::to_string(event).unwrap_or_default());
+    lines.push('\n');
+}
--- /dev/null
+++ b/crates/sillpin-standin/src/fault.rs
@@ -0,0 +1,157 @@
+//! A TCP proxy that injects faults set at run time.
+
+use crate::{Response, ok, status};
+use hyper::body::Incoming;
+use hyper::{Request, StatusCode};
+use serde::{Deserialize, Serialize};
+use sillpin_http::body::read_json;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Bytes forwarded at once.
+const CHUNK_LEN: usize = 16 << 10;
+
+/// How the proxy treats its connections.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Faults {
+    /// Refuse new connections and close open ones.
+    pub cut: bool,
+    /// Delay of each chunk, in milliseconds.
+    pub delay_ms: u64,
+    /// Drop what callers send (one-way loss).
+    pub lose_requests: bool,
+    /// Drop what the target sends (one-way loss).
+    pub lose_answers: bool,
+    /// Bytes a second in each direction (0: no limit).
+    pub rate: u64,
+    /// Close a connection after this many bytes of the answer.
+    pub cut_answer_at: Option<u64>,
+    /// Close a connection after this many bytes of the request.
+    pub cut_request_at: Option<u64>,
+}
+
+/// The proxy; clones share it.
+#[derive(Clone)]
+pub struct FaultProxy {
+    target: SocketAddr,
+    faults: Arc<watch::Sender<Faults>>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Direction {
+    Request,
+    Answer,
+}
+
+impl FaultProxy {
+    /// A proxy before `target`, without faults.
+    pub fn new(target: SocketAddr) -> Self {
+        Self {
+            target,
+            faults: Arc::new(watch::Sender::new(Faults::default())),
+        }
+    }
+
+    /// Sets the faults, also for open connections.
+    pub fn set(&self, faults: Faults) {
+        self.faults.send_replace(faults);
+    }
+
+    /// Answers one request of the control interface.
+    pub async fn handle(self, req: Request<Incoming>) -> Response {
+        match read_json(req.into_body(), 4096).await {
+            Ok(faults) => {
+                self.set(faults);
+                ok(&())
+            }
+            Err(_) => status(StatusCode::BAD_REQUEST),
+        }
+    }
+
+    /// Forwards the connections of `listener` without end.
+    pub async fn run(self, listener: TcpListener) {
+        loop {
+            if let Ok((caller, _)) = listener.accept().await {
+                tokio::spawn(self.clone().forward(caller));
+            }
+        }
+    }
+
+    async fn forward(self, caller: TcpStream) {
+        if self.faults.borrow().cut {
+            return;
+        }
+        let Ok(target) = TcpStream::connect(self.target).await else {
+            return;
+        };
+        let _ = caller.set_nodelay(true);
+        let _ = target.set_nodelay(true);
+        let (caller_rx, caller_tx) = caller.into_split();
+        let (target_rx, target_tx) = target.into_split();
+        let mut cut = self.faults.subscribe();
+        tokio::select! {
+            () = self.copy(Direction::Request, caller_rx, target_tx) => {}
+            () = self.copy(Direction::Answer, target_rx, caller_tx) => {}
+            _ = cut.wait_for(|faults| faults.cut) => {}
+        }
+    }
+
+    async fn copy(&self, direction: Direction, mut rx: OwnedReadHalf, mut tx: OwnedWriteHalf) {
+        let mut buf = vec![0; CHUNK_LEN];
+        let mut copied = 0;
+        while let Ok(len @ 1..) = rx.read(&mut buf).await {
+            let faults = self.faults.borrow().clone();
+            tokio::time::sleep(faults.time_for(len)).await;
+            if faults.loses(direction) {
+                continue;
+            }
+            let len = faults.allowed(direction, copied, len);
+            if tx.write_all(&buf[..len]).await.is_err() {
+                return;
+            }
+            copied += len as u64;
+            if faults.limit(direction).is_some_and(|limit| copied >= limit) {
+                return;
+            }
+        }
+        let _ = tx.shutdown().await;
+        if direction == Direction::Request {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+impl Faults {
+    fn time_for(&self, len: usize) -> Duration {
+        let delay = Duration::from_millis(self.delay_ms);
+        if self.rate == 0 {
+            return delay;
+        }
+        delay + Duration::from_secs_f64(len as f64 / self.rate as f64)
+    }
+
+    fn loses(&self, direction: Direction) -> bool {
+        match direction {
+            Direction::Request => self.lose_requests,
+            Direction::Answer => self.lose_answers,
+        }
+    }
+
+    fn limit(&self, direction: Direction) -> Option<u64> {
+        match direction {
+            Direction::Request => self.cut_request_at,
+            Direction::Answer => self.cut_answer_at,
+        }
+    }
+
+    fn allowed(&self, direction: Direction, copied: u64, len: usize) -> usize {
+        let limit = self.limit(direction).unwrap_or(u64::MAX);
+        len.min(limit.saturating_sub(copied) as usize)
+    }
+}
--- /dev/null
+++ b/crates/sillpin-standin/src/store.rs
@@ -0,0 +1,235 @@
+//! A store box: objects that are written, sealed, read and freed, within a capacity and a rate.
+
+use crate::{Response, ok, status};
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use serde::{Deserialize, Serialize};
+use sillpin_http::body::read_json;
+use sillpin_http::{Body, read_limited};
+use sillpin_targets::store::Seal;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Longest object.
+const MAX_OBJECT_LEN: usize = 16 << 20;
+
+/// Size and speed of a store box.
+#[derive(Debug, Clone, Copy)]
+pub struct StoreShape {
+    /// Bytes that the memory tier holds; older objects go to disk.
+    pub memory: usize,
+    /// Bytes that both tiers hold; a write beyond is refused.
+    pub capacity: usize,
+    /// Bytes a second over the link, both ways together.
+    pub link_rate: u64,
+    /// Added to a read from disk.
+    pub disk_delay: Duration,
+}
+
+/// Faults set at run time.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct StoreFaults {
+    /// Flip a bit in every object read.
+    pub flip_bit: bool,
+    /// Cut every object read to half its length.
+    pub truncate: bool,
+    /// Serve objects that are not sealed or freed, as a careless store would.
+    pub careless: bool,
+}
+
+/// What the store counted.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreCounters {
+    /// Objects held.
+    pub objects: u64,
+    /// Bytes held.
+    pub held: u64,
+    /// Bytes in and out over the link.
+    pub link_bytes: u64,
+}
+
+struct Object {
+    data: Bytes,
+    sealed: bool,
+    used: u64,
+}
+
+#[derive(Default)]
+struct State {
+    objects: BTreeMap<String, Object>,
+    freed: BTreeMap<String, Bytes>,
+    faults: StoreFaults,
+    counters: StoreCounters,
+    clock: u64,
+    link_free: Option<Instant>,
+}
+
+/// The stand-in; clones share it.
+#[derive(Clone)]
+pub struct StoreStandin {
+    shape: StoreShape,
+    state: Arc<Mutex<State>>,
+}
+
+impl StoreStandin {
+    /// An empty store box.
+    pub fn new(shape: StoreShape) -> Self {
+        Self {
+            shape,
+            state: Arc::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Answers one request.
+    pub async fn handle(self, req: Request<Incoming>) -> Response {
+        let path = req.uri().path().to_owned();
+        match path.as_str() {
+            "/admin/faults" => match read_json(req.into_body(), 4096).await {
+                Ok(faults) => {
+                    self.lock().faults = faults;
+                    status(StatusCode::OK)
+                }
+                Err(_) => status(StatusCode::BAD_REQUEST),
+            },
+            "/admin/counters" => ok(&self.lock().counters),
+            _ => self.object(&path, req).await,
+        }
+    }
+
+    async fn object(&self, path: &str, req: Request<Incoming>) -> Response {
+        let Some(name) = path.strip_prefix("/v1/objects/") else {
+            return status(StatusCode::NOT_FOUND);
+        };
+        match (req.method().clone(), name.strip_suffix("/seal")) {
+            (Method::POST, Some(name)) => self.seal(name, req).await,
+            (Method::PUT, None) => self.write(name, req).await,
+            (Method::GET, None) => self.read(name).await,
+            (Method::DELETE, None) => self.free(name),
+            _ => status(StatusCode::METHOD_NOT_ALLOWED),
+        }
+    }
+
+    async fn write(&self, name: &str, req: Request<Incoming>) -> Response {
+        let Ok(data) = read_limited(req.into_body(), MAX_OBJECT_LEN).await else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        self.use_link(data.len()).await;
+        let mut state = self.lock();
+        if state.counters.held as usize + data.len() > self.shape.capacity {
+            return status(StatusCode::INSUFFICIENT_STORAGE);
+        }
+        if state.objects.contains_key(name) || state.freed.contains_key(name) {
+            return status(StatusCode::CONFLICT);
+        }
+        state.counters.held += data.len() as u64;
+        state.counters.objects += 1;
+        state.clock += 1;
+        let used = state.clock;
+        let object = Object {
+            data,
+            sealed: false,
+            used,
+        };
+        state.objects.insert(name.to_owned(), object);
+        status(StatusCode::OK)
+    }
+
+    async fn seal(&self, name: &str, req: Request<Incoming>) -> Response {
+        let Ok(seal) = read_json::<Seal, _>(req.into_body(), 4096).await else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let mut state = self.lock();
+        let Some(object) = state.objects.get_mut(name) else {
+            return status(StatusCode::NOT_FOUND);
+        };
+        let checksum = blake3::hash(&object.data).to_hex();
+        if seal.len.0 != object.data.len() as u64 || seal.checksum != checksum.as_str() {
+            return status(StatusCode::CONFLICT);
+        }
+        object.sealed = true;
+        status(StatusCode::OK)
+    }
+
+    async fn read(&self, name: &str) -> Response {
+        let Some((data, faults, on_disk)) = self.look_up(name) else {
+            return status(StatusCode::NOT_FOUND);
+        };
+        if on_disk {
+            tokio::time::sleep(self.shape.disk_delay).await;
+        }
+        self.use_link(data.len()).await;
+        hyper::Response::new(Body::full(spoil(data, &faults)))
+    }
+
+    fn look_up(&self, name: &str) -> Option<(Bytes, StoreFaults, bool)> {
+        let mut state = self.lock();
+        let faults = state.faults.clone();
+        let Some(object) = state.objects.get(name) else {
+            let freed = state.freed.get(name).cloned();
+            return freed
+                .filter(|_| faults.careless)
+                .map(|data| (data, faults, false));
+        };
+        if !object.sealed && !faults.careless {
+            return None;
+        }
+        let data = object.data.clone();
+        let on_disk = self.is_on_disk(&state, object.used);
+        state.clock += 1;
+        let now = state.clock;
+        if let Some(object) = state.objects.get_mut(name) {
+            object.used = now;
+        }
+        Some((data, faults, on_disk))
+    }
+
+    /// The memory tier holds what was used last; what lies beyond its size is on disk.
+    fn is_on_disk(&self, state: &State, used: u64) -> bool {
+        let newer = state.objects.values().filter(|o| o.used > used);
+        let newer_len: usize = newer.map(|o| o.data.len()).sum();
+        newer_len > self.shape.memory
+    }
+
+    fn free(&self, name: &str) -> Response {
+        let mut state = self.lock();
+        let Some(object) = state.objects.remove(name) else {
+            return status(StatusCode::NOT_FOUND);
+        };
+        state.counters.held -= object.data.len() as u64;
+        state.counters.objects -= 1;
+        state.freed.insert(name.to_owned(), object.data);
+        status(StatusCode::OK)
+    }
+
+    /// Waits for the link's turn: transfers go one behind the other at the link's rate.
+    async fn use_link(&self, len: usize) {
+        let done = {
+            let mut state = self.lock();
+            state.counters.link_bytes += len as u64;
+            let now = Instant::now();
+            let start = state.link_free.filter(|free| *free > now).unwrap_or(now);
+            let time = Duration::from_secs_f64(len as f64 / self.shape.link_rate as f64);
+            *state.link_free.insert(start + time)
+        };
+        tokio::time::sleep_until(done).await;
+    }
+}
+
+fn spoil(data: Bytes, faults: &StoreFaults) -> Bytes {
+    let mut data = data.to_vec();
+    if faults.truncate {
+        data.truncate(data.len() / 2);
+    }
+    if let Some(byte) = data.first_mut().filter(|_| faults.flip_bit) {
+        *byte ^= 1;
+    }
+    data.into()
+}
--- /dev/null
+++ b/tests/testsuite/src/lib.rs
@@ -0,0 +1,1 @@
+//! Integration tests.
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,2 @@
+//! Chores of the workspace.
+fn main() {}
