--- a/crates/sillpin-core/src/block.rs
+++ b/crates/sillpin-core/src/block.rs
@@ -13,7 +13,8 @@
 use crate::ids::{AdapterId, ModelId, OrgId, WeightVersion};
 use crate::units::Tokens;
 use derive_more::{Display, Error};
-use serde::{Deserialize, Serialize};
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::str::FromStr;
 
 /// Tokens in one block; the engines of both users work in pieces of about a thousand.
@@ -32,8 +33,9 @@
 const KEY_CONTEXT: &str = "sillpin 2026 block names";
 
 /// The name of one block: 128 bits of a keyed hash.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(try_from = "String", into = "String")]
+///
+/// It is text in documents that people read, and bytes between the system's own processes.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct BlockName([u8; BLOCK_NAME_LEN]);
 
 /// Text that is not a block name.
@@ -77,17 +79,22 @@
     }
 }
 
-impl TryFrom<String> for BlockName {
-    type Error = InvalidBlockName;
-
-    fn try_from(s: String) -> Result<Self, InvalidBlockName> {
-        s.parse()
+impl Serialize for BlockName {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        if to.is_human_readable() {
+            return to.collect_str(self);
+        }
+        self.0.serialize(to)
     }
 }
 
-impl From<BlockName> for String {
-    fn from(name: BlockName) -> String {
-        name.to_string()
+impl<'de> Deserialize<'de> for BlockName {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        if !from.is_human_readable() {
+            return Deserialize::deserialize(from).map(BlockName);
+        }
+        let text: String = Deserialize::deserialize(from)?;
+        text.parse().map_err(D::Error::custom)
     }
 }
 
--- a/crates/sillpin-core/src/target.rs
+++ b/crates/sillpin-core/src/target.rs
@@ -1,7 +1,7 @@
 //! What is known of the targets and boxes: the box list and the targets' own load reports.
 
 use crate::ids::{BoxId, ModelId, PoolId, TargetId, WeightVersion, ZoneId};
-use crate::units::{BytesPerSec, Tokens};
+use crate::units::{BytesPerSec, Share, Tokens};
 use derive_more::{Display, FromStr};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -114,6 +114,8 @@
     pub presence: Presence,
     /// Requests running.
     pub running: u32,
+    /// Requests that it runs at once, or 0 if that is not limited.
+    pub slots: u32,
     /// Requests waiting.
     pub waiting: u32,
     /// Prompt tokens of waiting requests that are still to be computed.
@@ -124,4 +126,6 @@
     pub block_micros: u64,
     /// Blocks its cache can hold, if it is an engine.
     pub cache_blocks: u32,
+    /// Part of its capacity in use, if it is a store.
+    pub fill: Share,
 }
--- /dev/null
+++ b/crates/sillpin-entry/src/arms.rs
@@ -0,0 +1,173 @@
+//! What each arm of a rollout measures in this entry, and its guard.
+//!
+//! The guard compares each arm with the control arm over the last windows and, on a breach, tells
+//! the keeper to stop the arm in this zone: its prompts go back to the control arm.
+
+use crate::keeper_link::{KeeperLink, News};
+use crate::snapshot::Snapshot;
+use hdrhistogram::Histogram;
+use sillpin_bundle::bundle::CONTROL_ARM;
+use sillpin_core::{ArmName, Revision};
+use sillpin_policy::guard::ArmSample;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+
+/// Samples that may wait; more are dropped.
+const QUEUE_LEN: usize = 4_096;
+
+/// Length of a window; an arm is judged over the current one and the one before.
+const WINDOW: Duration = Duration::from_secs(20);
+
+/// Time between two looks of the guard.
+const JUDGE_EVERY: Duration = Duration::from_millis(500);
+
+/// Significant digits of the histograms.
+const DIGITS: u8 = 2;
+
+/// One request of an arm.
+#[derive(Debug, Clone)]
+pub struct Sample {
+    /// The bundle's revision.
+    pub revision: Revision,
+    /// The arm.
+    pub arm: ArmName,
+    /// Time to first token; `None` if the request got no whole answer.
+    pub first_token: Option<Duration>,
+}
+
+/// Takes samples.
+#[derive(Clone)]
+pub struct ArmsHandle {
+    tx: mpsc::Sender<Sample>,
+}
+
+impl ArmsHandle {
+    /// Counts a request; dropped when too many wait.
+    pub fn count(&self, sample: Sample) {
+        let _ = self.tx.try_send(sample);
+    }
+}
+
+/// Starts the task.
+pub fn start(snapshots: watch::Receiver<Arc<Snapshot>>, keeper: KeeperLink) -> ArmsHandle {
+    let (tx, rx) = mpsc::channel(QUEUE_LEN);
+    let task = Task {
+        snapshots,
+        keeper,
+        revision: Revision(0),
+        now: HashMap::new(),
+        before: HashMap::new(),
+    };
+    tokio::spawn(task.run(rx));
+    ArmsHandle { tx }
+}
+
+struct Window {
+    first_tokens: Histogram<u64>,
+    failed: u32,
+}
+
+impl Default for Window {
+    fn default() -> Self {
+        Self {
+            first_tokens: micros_histogram(),
+            failed: 0,
+        }
+    }
+}
+
+/// A histogram of microseconds up to ten minutes.
+fn micros_histogram() -> Histogram<u64> {
+    const LONGEST: u64 = 600_000_000;
+    let mut histogram = Histogram::new_with_bounds(1, LONGEST, DIGITS);
+    if let Ok(histogram) = &mut histogram {
+        histogram.auto(false);
+    }
+    histogram.unwrap_or_else(|_| unreachable!("the bounds are constant and valid"))
+}
+
+struct Task {
+    snapshots: watch::Receiver<Arc<Snapshot>>,
+    keeper: KeeperLink,
+    revision: Revision,
+    now: HashMap<ArmName, Window>,
+    before: HashMap<ArmName, Window>,
+}
+
+impl Task {
+    async fn run(mut self, mut rx: mpsc::Receiver<Sample>) {
+        let mut judge = tokio::time::interval(JUDGE_EVERY);
+        let mut turn = tokio::time::interval(WINDOW);
+        loop {
+            tokio::select! {
+                sample = rx.recv() => match sample {
+                    Some(sample) => self.count(sample),
+                    None => return,
+                },
+                _ = judge.tick() => self.judge(),
+                _ = turn.tick() => self.before = std::mem::take(&mut self.now),
+            }
+        }
+    }
+
+    fn count(&mut self, sample: Sample) {
+        if sample.revision > self.revision {
+            self.revision = sample.revision;
+            self.now.clear();
+            self.before.clear();
+        }
+        if sample.revision < self.revision {
+            return;
+        }
+        let window = self.now.entry(sample.arm).or_default();
+        match sample.first_token {
+            Some(after) => window
+                .first_tokens
+                .saturating_record(after.as_micros() as u64),
+            None => window.failed += 1,
+        }
+    }
+
+    fn sample(&self, arm: &ArmName) -> ArmSample {
+        let mut all = micros_histogram();
+        let mut failed = 0;
+        for window in [self.now.get(arm), self.before.get(arm)]
+            .into_iter()
+            .flatten()
+        {
+            let _ = all.add(&window.first_tokens);
+            failed += window.failed;
+        }
+        ArmSample {
+            answered: all.len() as u32,
+            failed,
+            first_token_p95: Duration::from_micros(all.value_at_quantile(0.95)),
+        }
+    }
+
+    fn judge(&self) {
+        let snapshot = self.snapshots.borrow().clone();
+        let Some(in_force) = snapshot.in_force.as_ref() else {
+            return;
+        };
+        let Ok(control) = CONTROL_ARM.parse() else {
+            return;
+        };
+        if in_force.revision != self.revision || in_force.bundle.arms.is_empty() {
+            return;
+        }
+        let control = self.sample(&control);
+        for arm in &in_force.bundle.arms {
+            if in_force.stopped.contains(&arm.name) {
+                continue;
+            }
+            let sample = self.sample(&arm.name);
+            if let Some(breach) = in_force.bundle.guard.breach(&sample, &control) {
+                let news = News::StopArm(self.revision, arm.name.clone(), breach);
+                self.keeper.tell(news);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sillpin-entry/src/front/headers.rs
@@ -0,0 +1,79 @@
+//! Headers of callers and targets.
+
+use super::Failure;
+use hyper::HeaderMap;
+use sillpin_core::PriorityClass;
+use std::str::FromStr;
+use std::time::Duration;
+
+/// Names the request in every answer.
+pub const REQUEST_ID: &str = "sillpin-request-id";
+
+/// Class of a request: `urgent`, `normal` or `batch`.
+pub const PRIORITY: &str = "sillpin-priority";
+
+/// Longest wait for the first token, in milliseconds; shortens the bundle's.
+pub const DEADLINE: &str = "sillpin-deadline-ms";
+
+/// Makes a call run at most once.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Names one sending to a target, which may echo it.
+pub const ATTEMPT: &str = "sillpin-attempt";
+
+/// Tells a plain service whose call it is.
+pub const ORGANISATION: &str = "sillpin-organisation";
+
+/// Longest idempotency key.
+const MAX_KEY_LEN: usize = 256;
+
+/// A header's value as text; `None` if it is absent.
+pub fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Failure> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str();
+    let text = text.map_err(|_| Failure::bad_request(format!("header {name} is not text")))?;
+    Ok(Some(text))
+}
+
+fn parsed<T: FromStr>(
+    headers: &HeaderMap,
+    name: &'static str,
+    accepted: &str,
+) -> Result<Option<T>, Failure> {
+    let Some(text) = text(headers, name)? else {
+        return Ok(None);
+    };
+    let refused = || Failure::bad_request(format!("header {name} is not {accepted}"));
+    text.parse().map(Some).map_err(|_| refused())
+}
+
+/// The class that a request asks for.
+pub fn class(headers: &HeaderMap) -> Result<PriorityClass, Failure> {
+    let class = parsed(headers, PRIORITY, "urgent, normal or batch")?;
+    Ok(class.unwrap_or_default())
+}
+
+/// The longest wait for the first token that a request asks for.
+pub fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, Failure> {
+    let millis: Option<u64> = parsed(headers, DEADLINE, "a whole number of milliseconds")?;
+    if millis == Some(0) {
+        return Err(Failure::bad_request(format!(
+            "header {DEADLINE} must be above 0"
+        )));
+    }
+    Ok(millis.map(Duration::from_millis))
+}
+
+/// The idempotency key of a call that runs at most once.
+pub fn idempotency_key(headers: &HeaderMap) -> Result<Option<String>, Failure> {
+    let Some(key) = text(headers, IDEMPOTENCY_KEY)? else {
+        return Ok(None);
+    };
+    if key.is_empty() || key.len() > MAX_KEY_LEN {
+        let detail = format!("header {IDEMPOTENCY_KEY} must have 1 to {MAX_KEY_LEN} characters");
+        return Err(Failure::bad_request(detail));
+    }
+    Ok(Some(key.to_owned()))
+}
--- /dev/null
+++ b/crates/sillpin-entry/src/front/route.rs
@@ -0,0 +1,119 @@
+//! From a request's path to what serves it.
+
+use super::documents::{Dialect, ModelRequest};
+use super::{Failure, auth, body, headers};
+use crate::app::App;
+use crate::{runs, services};
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{Method, Request, Response, StatusCode};
+use opentelemetry::KeyValue;
+use opentelemetry::trace::{Span, SpanKind};
+use sillpin_core::{OrgId, RequestId};
+use sillpin_http::{Body, empty_response};
+use sillpin_targets::Engine;
+use sillpin_telemetry::traces::{self, ActiveSpan, TRACEPARENT};
+use sillpin_telemetry::{event, events};
+
+/// Path below which plain services are.
+const SERVICES: &str = "/services/";
+
+/// Answers one request of a caller.
+pub async fn handle<E: Engine>(app: App<E>, req: Request<Incoming>) -> Response<Body> {
+    match req.uri().path() {
+        "/healthz" => return empty_response(StatusCode::OK),
+        "/readyz" => return ready(&app),
+        _ => {}
+    }
+    let request = RequestId::generate();
+    let parent = req.headers().get(TRACEPARENT);
+    let parent = parent
+        .and_then(|v| v.to_str().ok())
+        .and_then(traces::parse_traceparent);
+    let mut span = app.traces.span("entry", SpanKind::Server, parent.as_ref());
+    span.set_attribute(KeyValue::new("request", request.to_string()));
+    let answer = serve(&app, request, span, req).await;
+    let mut resp = answer.unwrap_or_else(|failure| {
+        event!(app.log, events::REQUEST_FAILED, "request" => %request,
+            "outcome" => %failure.outcome, "error" => %failure);
+        failure.response(request)
+    });
+    if let Ok(value) = HeaderValue::from_str(&request.to_string()) {
+        resp.headers_mut().insert(headers::REQUEST_ID, value);
+    }
+    resp
+}
+
+/// What the balancer asks.
+fn ready<E: Engine>(app: &App<E>) -> Response<Body> {
+    let status = if app.is_ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    empty_response(status)
+}
+
+async fn serve<E: Engine>(
+    app: &App<E>,
+    request: RequestId,
+    span: ActiveSpan,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, Failure> {
+    let snapshot = app.snapshot();
+    if snapshot.in_force.is_none() {
+        let detail = "this box has no accepted bundle yet";
+        return Err(Failure::unavailable(
+            detail,
+            std::time::Duration::from_secs(1),
+        ));
+    }
+    let org = auth::organisation(req.headers(), &snapshot)?;
+    let path = req.uri().path();
+    if let Some(rest) = path.strip_prefix(SERVICES) {
+        let rest = rest.to_owned();
+        return services::pass_on(app, request, span, org, &rest, req).await;
+    }
+    let dialect = match (req.method(), path) {
+        (&Method::POST, "/v1/completions") => Dialect::Completions,
+        (&Method::POST, "/v1/chat/completions") => Dialect::Chat,
+        (_, "/v1/completions" | "/v1/chat/completions") => {
+            let detail = "only POST is served here";
+            let status = StatusCode::METHOD_NOT_ALLOWED;
+            return Err(Failure::refused(
+                status,
+                "method",
+                "Method not allowed",
+                detail,
+            ));
+        }
+        _ => return Err(Failure::not_found(format!("nothing is served at {path}"))),
+    };
+    run_model(app, request, span, org, dialect, req).await
+}
+
+async fn run_model<E: Engine>(
+    app: &App<E>,
+    request: RequestId,
+    span: ActiveSpan,
+    org: OrgId,
+    dialect: Dialect,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, Failure> {
+    let limits = app.cfg.limits;
+    let class = headers::class(req.headers())?;
+    let deadline = headers::deadline(req.headers())?;
+    let once_key = headers::idempotency_key(req.headers())?;
+    let bytes = body::read(req.into_body(), limits.body_len, limits.body_time).await?;
+    let asked = ModelRequest::parse(dialect, &bytes, limits.max_tokens)?;
+    let call = runs::Call {
+        request,
+        org,
+        class,
+        deadline,
+        once_key,
+        digest: blake3::hash(&bytes).to_hex().to_string(),
+        asked,
+    };
+    runs::serve(app.clone(), call, span).await
+}
--- /dev/null
+++ b/crates/sillpin-entry/src/ops.rs
@@ -0,0 +1,164 @@
+//! Runs an entry: starts its tasks, serves, and drains on the stop.
+
+use crate::app::App;
+use crate::metrics::EntryMetrics;
+use crate::settings::EntryConfig;
+use crate::{arms, front, keeper_link, place};
+use derive_more::{Display, Error};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use sillpin_http::server::HeadLimits;
+use sillpin_http::{Body, Client, Server, empty_response};
+use sillpin_targets::HttpEngine;
+use sillpin_telemetry::metrics::Metrics;
+use sillpin_telemetry::traces::Traces;
+use sillpin_telemetry::{event, events};
+use slog::Logger;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio_util::sync::CancellationToken;
+
+/// Why an entry could not start.
+#[derive(Debug, Display, Error)]
+#[display("cannot {step} {addr}")]
+pub struct StartError {
+    /// What was being done.
+    pub step: &'static str,
+    /// The address concerned.
+    pub addr: SocketAddr,
+    /// Why.
+    #[error(source)]
+    pub cause: io::Error,
+}
+
+/// Where an entry listens.
+#[derive(Debug, Clone, Copy)]
+pub struct Listening {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For health and metrics.
+    pub http: SocketAddr,
+}
+
+async fn bind(addr: SocketAddr) -> Result<(Server, SocketAddr), StartError> {
+    let failed = |cause| StartError {
+        step: "listen at",
+        addr,
+        cause,
+    };
+    let server = Server::bind(addr).await.map_err(failed)?;
+    let at = server.local_addr().map_err(failed)?;
+    Ok((server, at))
+}
+
+/// What an entry shows of itself.
+pub struct Telemetry {
+    /// Log.
+    pub log: Logger,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Spans.
+    pub traces: Traces,
+}
+
+/// Runs an entry until `stop`, then drains it: it says that it is not ready, accepts on for the
+/// balancer's lag, and ends when its last request has ended.
+pub async fn run(
+    cfg: EntryConfig,
+    telemetry: Telemetry,
+    stop: CancellationToken,
+    ready: impl FnOnce(Listening),
+) -> Result<(), StartError> {
+    let Telemetry {
+        log,
+        metrics,
+        traces,
+    } = telemetry;
+    let (callers, callers_at) = bind(cfg.listen).await?;
+    let (http, http_at) = bind(cfg.http_listen).await?;
+    let app = start_tasks(cfg, &log, &metrics, traces.clone(), stop.clone());
+    event!(log, events::ENTRY_STARTED, "callers" => %callers_at, "http" => %http_at);
+    ready(Listening {
+        callers: callers_at,
+        http: http_at,
+    });
+    tokio::spawn(log_readiness(app.clone()));
+
+    let closed = CancellationToken::new();
+    let limits = HeadLimits {
+        max_len: app.cfg.limits.head_len,
+        timeout: app.cfg.limits.head_time,
+    };
+    let serving = app.clone();
+    let callers = callers.limits(limits).run(closed.clone(), move |req| {
+        front::handle(serving.clone(), req)
+    });
+    let callers = tokio::spawn(callers);
+    let metrics = Arc::new(metrics);
+    let watched = app.clone();
+    tokio::spawn(http.run(CancellationToken::new(), move |req| {
+        operators(watched.clone(), metrics.clone(), req)
+    }));
+
+    stop.cancelled().await;
+    event!(log, events::ENTRY_DRAINING);
+    tokio::time::sleep(app.cfg.drain_lag).await;
+    closed.cancel();
+    let _ = callers.await;
+    traces.shutdown();
+    event!(log, events::ENTRY_STOPPED);
+    Ok(())
+}
+
+fn start_tasks(
+    cfg: EntryConfig,
+    log: &Logger,
+    metrics: &Metrics,
+    traces: Traces,
+    draining: CancellationToken,
+) -> App<HttpEngine> {
+    let client = Client::default();
+    let (keeper, snapshot) = keeper_link::start(cfg.keeper, log.clone());
+    let placer = place::start(cfg.zone.clone(), snapshot.clone(), cfg.limits.waiting);
+    let arms = arms::start(snapshot.clone(), keeper.clone());
+    App {
+        cfg: Arc::new(cfg),
+        snapshot,
+        placer,
+        keeper,
+        engine: HttpEngine::new(client.clone()),
+        client,
+        arms,
+        metrics: EntryMetrics::new(&metrics.meter()),
+        traces,
+        log: log.clone(),
+        draining,
+    }
+}
+
+async fn log_readiness(mut app: App<HttpEngine>) {
+    let ready = app
+        .snapshot
+        .wait_for(|snapshot| snapshot.in_force.is_some());
+    let revision = match ready.await {
+        Ok(snapshot) => snapshot.in_force.as_ref().map(|f| f.revision),
+        Err(_) => return,
+    };
+    let revision = revision.unwrap_or_default();
+    event!(app.log, events::ENTRY_READY, "revision" => %revision);
+}
+
+async fn operators(
+    app: App<HttpEngine>,
+    metrics: Arc<Metrics>,
+    req: Request<Incoming>,
+) -> Response<Body> {
+    match req.uri().path() {
+        "/healthz" => empty_response(StatusCode::OK),
+        "/readyz" if app.is_ready() => empty_response(StatusCode::OK),
+        "/readyz" => empty_response(StatusCode::SERVICE_UNAVAILABLE),
+        "/metrics" => Response::new(Body::full(metrics.page())),
+        _ => empty_response(StatusCode::NOT_FOUND),
+    }
+}
--- /dev/null
+++ b/crates/sillpin-entry/src/place/task.rs
@@ -0,0 +1,299 @@
+//! The task that places requests and holds back those for which no engine is free.
+
+use super::placer::{Choice, Placer};
+use crate::snapshot::Snapshot;
+use sillpin_core::{OrgId, PoolId, PriorityClass, TargetId, WeightVersion, ZoneId};
+use sillpin_policy::PolicySet;
+use sillpin_policy::admission::{Cost, FairQueue};
+use sillpin_rpc::directory::{BlockHints, KeptObject};
+use sillpin_rpc::records::CandidateRecord;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
+
+/// Messages that may wait.
+const QUEUE_LEN: usize = 4_096;
+
+/// Time between two looks whether waiting requests can go.
+const DRAIN_EVERY: Duration = Duration::from_millis(5);
+
+/// Retries saved up at the most, and had at first.
+const RETRY_RESERVE: f64 = 20.0;
+
+/// When to ask again after a deadline passed while waiting.
+const LATE_RETRY: Duration = Duration::from_secs(1);
+
+/// A request to place.
+pub struct PlaceRequest {
+    /// Its organisation.
+    pub org: OrgId,
+    /// Its class.
+    pub class: PriorityClass,
+    /// Its pool.
+    pub pool: PoolId,
+    /// Weight version that it is pinned to.
+    pub version: WeightVersion,
+    /// Where its prompt hashes to.
+    pub home: u64,
+    /// Blocks of its prompt, the broken one at the end included.
+    pub blocks: u32,
+    /// Who holds them.
+    pub hints: BlockHints,
+    /// Engines that have failed it.
+    pub excluded: Vec<TargetId>,
+    /// Whether it was placed before.
+    pub is_retry: bool,
+    /// Its arm's policy.
+    pub policy: Arc<PolicySet>,
+    /// When its first token is due.
+    pub deadline: Instant,
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone)]
+pub struct Placed {
+    /// The engine.
+    pub target: TargetId,
+    /// Where the engine listens.
+    pub addr: SocketAddr,
+    /// Kept objects to fetch.
+    pub imports: Vec<KeptObject>,
+    /// Candidates, the best first.
+    pub candidates: Vec<CandidateRecord>,
+}
+
+/// Why a request is not placed. It was not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum Refusal {
+    /// No engine serves what it asks for now.
+    #[display("no engine can take the request now")]
+    NoEngine,
+    /// Its first token would come too late.
+    #[display("the request cannot begin before its deadline")]
+    TooLate {
+        /// When to ask again.
+        retry_after: Duration,
+    },
+    /// Too many requests wait.
+    #[display("too many requests wait")]
+    Full,
+    /// Too many requests were retried lately.
+    #[display("too many retries")]
+    NoRetries,
+}
+
+type Reply = oneshot::Sender<Result<Placed, Refusal>>;
+
+enum Msg {
+    Place(Box<PlaceRequest>, Reply),
+    Done {
+        target: TargetId,
+        took: Duration,
+        answered: bool,
+    },
+}
+
+/// Speaks to the placing task.
+#[derive(Clone)]
+pub struct PlacerHandle {
+    tx: mpsc::Sender<Msg>,
+}
+
+impl PlacerHandle {
+    /// Places a request; waits while no engine is free and its deadline can be met.
+    pub async fn place(&self, req: PlaceRequest) -> Result<Placed, Refusal> {
+        let (tx, rx) = oneshot::channel();
+        let deadline = req.deadline;
+        let sent = self.tx.send(Msg::Place(Box::new(req), tx)).await;
+        if sent.is_err() {
+            return Err(Refusal::NoEngine);
+        }
+        match tokio::time::timeout_at(deadline, rx).await {
+            Ok(placed) => placed.unwrap_or(Err(Refusal::NoEngine)),
+            Err(_) => Err(Refusal::TooLate {
+                retry_after: LATE_RETRY,
+            }),
+        }
+    }
+
+    /// Tells that a placed request ended.
+    pub fn done(&self, target: TargetId, took: Duration, answered: bool) {
+        let msg = Msg::Done {
+            target,
+            took,
+            answered,
+        };
+        let _ = self.tx.try_send(msg);
+    }
+}
+
+/// Starts the task of an entry in `zone`; at most `max_waiting` requests wait.
+pub fn start(
+    zone: ZoneId,
+    snapshots: watch::Receiver<Arc<Snapshot>>,
+    max_waiting: usize,
+) -> PlacerHandle {
+    let (tx, rx) = mpsc::channel(QUEUE_LEN);
+    let task = Task {
+        placer: Placer::new(zone),
+        snapshots,
+        waiting: HashMap::new(),
+        max_waiting,
+        retries: RETRY_RESERVE,
+    };
+    tokio::spawn(task.run(rx));
+    PlacerHandle { tx }
+}
+
+struct Waiting {
+    req: Box<PlaceRequest>,
+    reply: Reply,
+}
+
+struct Task {
+    placer: Placer,
+    snapshots: watch::Receiver<Arc<Snapshot>>,
+    waiting: HashMap<PoolId, FairQueue<Waiting>>,
+    max_waiting: usize,
+    retries: f64,
+}
+
+impl Task {
+    async fn run(mut self, mut rx: mpsc::Receiver<Msg>) {
+        let mut drain = tokio::time::interval(DRAIN_EVERY);
+        drain.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            let waits = self.waiting.values().any(|queue| !queue.is_empty());
+            tokio::select! {
+                msg = rx.recv() => match msg {
+                    Some(Msg::Place(req, reply)) => self.place(req, reply),
+                    Some(Msg::Done { target, took, answered }) => {
+                        self.placer.done(&target, took, answered, Instant::now());
+                    }
+                    None => return,
+                },
+                changed = self.snapshots.changed() => match changed {
+                    Ok(()) => {
+                        let snapshot = self.snapshots.borrow_and_update().clone();
+                        self.placer.update(snapshot, Instant::now());
+                    }
+                    Err(_) => return,
+                },
+                _ = drain.tick(), if waits => {}
+            }
+            if waits {
+                self.drain();
+            }
+        }
+    }
+
+    fn place(&mut self, req: Box<PlaceRequest>, reply: Reply) {
+        if let Err(refusal) = self.take_retry(&req) {
+            let _ = reply.send(Err(refusal));
+            return;
+        }
+        let now = Instant::now();
+        let Some(choice) = self.placer.choose(&req, now) else {
+            let _ = reply.send(Err(Refusal::NoEngine));
+            return;
+        };
+        let queue_free = self.waiting.get(&req.pool).is_none_or(FairQueue::is_empty);
+        if queue_free && is_short(&choice, &req) {
+            self.send(choice, reply, now);
+            return;
+        }
+        self.hold_back(choice, req, reply, now);
+    }
+
+    fn take_retry(&mut self, req: &PlaceRequest) -> Result<(), Refusal> {
+        if !req.is_retry {
+            let gained = f64::from(req.policy.limits.retry_percent) / 100.0;
+            self.retries = (self.retries + gained).min(RETRY_RESERVE);
+            return Ok(());
+        }
+        if self.retries < 1.0 {
+            return Err(Refusal::NoRetries);
+        }
+        self.retries -= 1.0;
+        Ok(())
+    }
+
+    fn send(&mut self, choice: Choice, reply: Reply, now: Instant) {
+        let Choice { placed, work, .. } = choice;
+        let target = placed.target.clone();
+        if reply.send(Ok(placed)).is_ok() {
+            self.placer.sent(&target, work, now);
+        }
+    }
+
+    /// Queues a request, or refuses it at once if it could not begin in time.
+    fn hold_back(&mut self, choice: Choice, req: Box<PlaceRequest>, reply: Reply, now: Instant) {
+        let waiting: usize = self.waiting.values().map(FairQueue::len).sum();
+        if waiting >= self.max_waiting {
+            let _ = reply.send(Err(Refusal::Full));
+            return;
+        }
+        let engines = self.placer.capacity(&req.pool, req.version).max(1);
+        let queue = self.waiting.entry(req.pool.clone()).or_default();
+        let before = Duration::from_micros(queue.cost_before(req.class, &req.org).0) / engines;
+        let begins = now + choice.wait + before;
+        if begins > req.deadline {
+            let retry_after = begins - req.deadline;
+            let _ = reply.send(Err(Refusal::TooLate { retry_after }));
+            return;
+        }
+        let weight = req.policy.limits.weight(&req.org);
+        let cost = Cost(choice.work.as_micros().max(1) as u64);
+        let (class, org) = (req.class, req.org.clone());
+        queue.push(class, org, weight, cost, Waiting { req, reply });
+    }
+
+    /// Sends what can go, and refuses what has run out of time.
+    fn drain(&mut self) {
+        let now = Instant::now();
+        let pools: Vec<PoolId> = self.waiting.keys().cloned().collect();
+        for pool in pools {
+            while let Some(next) = self.next_of(&pool, now) {
+                let Some((choice, waiting)) = next else {
+                    continue;
+                };
+                self.send(choice, waiting.reply, now);
+            }
+        }
+    }
+
+    /// Takes the next request of a pool: `None` if it has to wait on; `Some(None)` if it was dropped.
+    fn next_of(&mut self, pool: &PoolId, now: Instant) -> Option<Option<(Choice, Waiting)>> {
+        let queue = self.waiting.get_mut(pool)?;
+        let head = queue.peek()?;
+        if head.reply.is_closed() {
+            queue.pop();
+            return Some(None);
+        }
+        if now >= head.req.deadline {
+            let retry_after = LATE_RETRY;
+            let late = queue.pop()?;
+            let _ = late.reply.send(Err(Refusal::TooLate { retry_after }));
+            return Some(None);
+        }
+        let choice = self.placer.choose(&head.req, now);
+        let queue = self.waiting.get_mut(pool)?;
+        let Some(choice) = choice else {
+            let stranded = queue.pop()?;
+            let _ = stranded.reply.send(Err(Refusal::NoEngine));
+            return Some(None);
+        };
+        let head = queue.peek()?;
+        if !is_short(&choice, &head.req) {
+            return None;
+        }
+        Some(Some((choice, queue.pop()?)))
+    }
+}
+
+fn is_short(choice: &Choice, req: &PlaceRequest) -> bool {
+    choice.wait <= Duration::from_millis(req.policy.limits.engine_queue_ms)
+}
--- /dev/null
+++ b/crates/sillpin-entry/src/runs/attempt.rs
@@ -0,0 +1,90 @@
+//! One sending of a request to an engine, and its answer.
+
+use sillpin_core::AttemptId;
+use sillpin_targets::{Engine, EngineError, EngineFault, RunEvent, RunOrder, RunStream};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A run at an engine. Dropped before its end, it cancels the run there.
+pub(super) struct Attempt<E: Engine> {
+    engine: E,
+    peer: SocketAddr,
+    id: AttemptId,
+    stream: Option<E::Stream>,
+    silence: Duration,
+    over: bool,
+}
+
+impl<E: Engine> Attempt<E> {
+    /// Sends an order.
+    pub(super) async fn start(
+        engine: E,
+        peer: SocketAddr,
+        order: &RunOrder,
+        accept: Duration,
+        silence: Duration,
+    ) -> Result<Self, EngineError> {
+        let mut attempt = Self {
+            engine,
+            peer,
+            id: order.attempt,
+            stream: None,
+            silence,
+            over: false,
+        };
+        match attempt.engine.run(peer, order, accept).await {
+            Ok(stream) => {
+                attempt.stream = Some(stream);
+                Ok(attempt)
+            }
+            Err(e) => {
+                attempt.over = e.outcome == sillpin_core::Outcome::NotRun;
+                Err(e)
+            }
+        }
+    }
+
+    /// The next event; `None` after the end mark.
+    pub(super) async fn next(&mut self) -> Result<Option<RunEvent>, EngineError> {
+        let Some(stream) = &mut self.stream else {
+            return Ok(None);
+        };
+        let next = tokio::time::timeout(self.silence, stream.next()).await;
+        let next = next.unwrap_or_else(|_| {
+            Err(EngineError {
+                step: "wait for a token",
+                peer: self.peer,
+                fault: EngineFault::Timeout,
+                outcome: sillpin_core::Outcome::Unknown,
+            })
+        });
+        if let Ok(Some(RunEvent::End { .. })) = next {
+            self.over = true;
+        }
+        next
+    }
+
+    /// Takes the answer up again at `cursor`, at the same engine.
+    pub(super) async fn resume(
+        &mut self,
+        cursor: u32,
+        accept: Duration,
+    ) -> Result<(), EngineError> {
+        self.stream = None;
+        let resumed = self.engine.resume(self.peer, self.id, cursor, accept).await;
+        self.stream = Some(resumed?);
+        Ok(())
+    }
+}
+
+impl<E: Engine> Drop for Attempt<E> {
+    fn drop(&mut self) {
+        if self.over {
+            return;
+        }
+        let (engine, peer, id) = (self.engine.clone(), self.peer, self.id);
+        tokio::spawn(async move {
+            let _ = engine.cancel(peer, id).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/sillpin-entry/src/runs/call.rs
@@ -0,0 +1,145 @@
+//! From a parsed request to its answer.
+
+use super::drive::{Delivery, Driver};
+use super::prompt::{Plan, plan};
+use crate::app::App;
+use crate::front::Failure;
+use crate::front::documents::{ModelRequest, Provenance, Writer};
+use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+use sillpin_core::{OrgId, PriorityClass, RequestId};
+use sillpin_http::{Body, BodySender, JSON_MEDIA_TYPE};
+use sillpin_targets::{Engine, RunSummary};
+use sillpin_telemetry::traces::ActiveSpan;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Deliveries that may wait for the caller before the engine's answer is read on.
+const DELIVERIES: usize = 64;
+
+/// A request for a model.
+pub struct Call {
+    /// The request.
+    pub request: RequestId,
+    /// Its organisation.
+    pub org: OrgId,
+    /// Its class.
+    pub class: PriorityClass,
+    /// Longest wait for the first token that the caller asks for.
+    pub deadline: Option<Duration>,
+    /// Its idempotency key, if it runs at most once.
+    pub once_key: Option<String>,
+    /// BLAKE3 of its body, in hexadecimal.
+    pub digest: String,
+    /// What it asks for.
+    pub asked: ModelRequest,
+}
+
+/// Serves a request for a model.
+pub async fn serve<E: Engine>(
+    app: App<E>,
+    call: Call,
+    span: ActiveSpan,
+) -> Result<Response<Body>, Failure> {
+    let plan = plan(&app, &call)?;
+    let writer = Writer {
+        request: call.request,
+        dialect: call.asked.dialect,
+        model: call.asked.model.clone(),
+    };
+    let stream = call.asked.stream;
+    let (tx, mut rx) = mpsc::channel(DELIVERIES);
+    let provenance = provenance(&plan);
+    tokio::spawn(Driver::new(app, call, plan, tx, span).run());
+    if !stream {
+        return whole(&writer, provenance, &mut rx).await;
+    }
+    let first = match rx.recv().await {
+        Some(Delivery::Failed(failure)) => return Err(failure),
+        Some(delivery) => delivery,
+        None => return Err(lost_driver()),
+    };
+    let (body_tx, body) = Body::channel();
+    tokio::spawn(forward(writer, provenance, first, rx, body_tx));
+    let mut resp = Response::new(body);
+    let headers = resp.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    Ok(resp)
+}
+
+fn provenance(plan: &Plan) -> Provenance {
+    Provenance {
+        weight_version: plan.version,
+        revision: plan.revision,
+    }
+}
+
+fn lost_driver() -> Failure {
+    Failure::unknown("the request's task ended")
+}
+
+/// Gathers the whole answer.
+async fn whole(
+    writer: &Writer,
+    provenance: Provenance,
+    rx: &mut mpsc::Receiver<Delivery>,
+) -> Result<Response<Body>, Failure> {
+    let mut text = String::new();
+    while let Some(delivery) = rx.recv().await {
+        match delivery {
+            Delivery::Token(token) => text.push_str(&token),
+            Delivery::Failed(failure) => return Err(failure),
+            Delivery::End(summary) => return Ok(document(writer, provenance, &text, summary)),
+        }
+    }
+    Err(lost_driver())
+}
+
+fn document(
+    writer: &Writer,
+    provenance: Provenance,
+    text: &str,
+    summary: RunSummary,
+) -> Response<Body> {
+    let mut resp = Response::new(Body::full(writer.whole(text, summary, provenance)));
+    *resp.status_mut() = StatusCode::OK;
+    let media_type = HeaderValue::from_static(JSON_MEDIA_TYPE);
+    resp.headers_mut().insert(CONTENT_TYPE, media_type);
+    resp
+}
+
+/// Writes deliveries as server-sent events. An answer that fails after its head ends with an error
+/// event and a broken body, never with the end mark.
+async fn forward(
+    writer: Writer,
+    provenance: Provenance,
+    first: Delivery,
+    mut rx: mpsc::Receiver<Delivery>,
+    tx: BodySender,
+) {
+    let mut next = Some(first);
+    while let Some(delivery) = next {
+        let chunk = match delivery {
+            Delivery::Token(text) => writer.token_event(&text),
+            Delivery::End(summary) => {
+                let _ = tx.send(writer.end_events(summary, provenance)).await;
+                return;
+            }
+            Delivery::Failed(failure) => {
+                let problem = failure.problem(writer.request);
+                let text = serde_json::to_string(&problem).unwrap_or_default();
+                let _ = tx.send(format!("event: error\ndata: {text}\n\n")).await;
+                return tx.abort("the answer did not come whole").await;
+            }
+        };
+        if tx.send(chunk).await.is_err() {
+            return;
+        }
+        next = tokio::select! {
+            () = tx.closed() => return,
+            next = rx.recv() => next,
+        };
+    }
+    tx.abort("the request's task ended").await;
+}
--- /dev/null
+++ b/crates/sillpin-entry/src/runs/drive.rs
@@ -0,0 +1,421 @@
+//! The task that carries one request through its attempts.
+
+use super::Call;
+use super::attempt::Attempt;
+use super::once::{self, Claim};
+use super::prompt::Plan;
+use crate::app::App;
+use crate::arms::Sample;
+use crate::front::Failure;
+use crate::keeper_link::News;
+use crate::metrics::PromptWork;
+use crate::place::{PlaceRequest, Placed};
+use opentelemetry::KeyValue;
+use opentelemetry::trace::{Span, SpanKind};
+use sillpin_core::{AttemptId, Outcome, TargetId, Tokens};
+use sillpin_rpc::directory::{BlockHints, KeptObject, PromptUse};
+use sillpin_rpc::records::{AttemptRecord, DecisionRecord};
+use sillpin_targets::{
+    Engine, EngineError, EngineFault, ObjectRef, RunEvent, RunOrder, RunSummary,
+};
+use sillpin_telemetry::traces::ActiveSpan;
+use sillpin_telemetry::{event, events};
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+/// Part of an answer on its way to the caller.
+#[derive(Debug)]
+pub(super) enum Delivery {
+    /// A token's text.
+    Token(String),
+    /// The answer is whole.
+    End(RunSummary),
+    /// The answer will not come whole.
+    Failed(Failure),
+}
+
+/// Why an attempt ended without the end mark.
+enum Broken {
+    /// The engine failed.
+    Engine(EngineError),
+    /// The caller has gone.
+    CallerGone,
+}
+
+/// Carries one request through its attempts.
+pub(super) struct Driver<E: Engine> {
+    app: App<E>,
+    call: Call,
+    plan: Plan,
+    tx: mpsc::Sender<Delivery>,
+    span: ActiveSpan,
+    delivered: String,
+    tokens: u32,
+    first_token: Option<Duration>,
+    last_token: Option<Instant>,
+    excluded: Vec<TargetId>,
+    attempts: Vec<AttemptRecord>,
+    ran: Outcome,
+}
+
+impl<E: Engine> Driver<E> {
+    pub(super) fn new(
+        app: App<E>,
+        call: Call,
+        plan: Plan,
+        tx: mpsc::Sender<Delivery>,
+        span: ActiveSpan,
+    ) -> Self {
+        Self {
+            app,
+            call,
+            plan,
+            tx,
+            span,
+            delivered: String::new(),
+            tokens: 0,
+            first_token: None,
+            last_token: None,
+            excluded: Vec::new(),
+            attempts: Vec::new(),
+            ran: Outcome::NotRun,
+        }
+    }
+
+    /// Carries the request out and tells what became of it.
+    pub(super) async fn run(mut self) {
+        let gone = self.tx.clone();
+        let result = tokio::select! {
+            result = self.carry_out() => Some(result),
+            () = gone.closed() => None,
+        };
+        match result {
+            Some(Ok(summary)) => self.answered(summary).await,
+            Some(Err(failure)) => self.failed(failure).await,
+            None => self.caller_gone(),
+        }
+    }
+
+    async fn carry_out(&mut self) -> Result<RunSummary, Failure> {
+        let mut claim = once::claim(&self.app, &self.call).await?;
+        let hints = self.look_up().await;
+        loop {
+            let placed = self.place(&hints).await?;
+            let begun = Instant::now();
+            let target = placed.target.clone();
+            let result = self.attempt(&placed, claim.as_mut()).await;
+            self.app
+                .placer
+                .done(target.clone(), begun.elapsed(), result.is_ok());
+            match result {
+                Ok(summary) => {
+                    self.note_use(&placed);
+                    return Ok(summary);
+                }
+                Err(Broken::CallerGone) => return Err(Failure::unknown("the caller has gone")),
+                Err(Broken::Engine(e)) => self.after_failure(target, e)?,
+            }
+        }
+    }
+
+    async fn look_up(&mut self) -> BlockHints {
+        if self.plan.blocks.is_empty() {
+            return BlockHints::default();
+        }
+        let mut span = self.child_span("look up", SpanKind::Client);
+        let wait = self.app.cfg.look_up;
+        let hints = self
+            .app
+            .keeper
+            .find_blocks(self.plan.blocks.clone(), wait)
+            .await;
+        span.set_attribute(KeyValue::new("holders", hints.holders.len() as i64));
+        span.set_attribute(KeyValue::new("kept", hints.kept.len() as i64));
+        hints
+    }
+
+    fn child_span(&self, name: &'static str, kind: SpanKind) -> ActiveSpan {
+        self.app
+            .traces
+            .span(name, kind, Some(self.span.span_context()))
+    }
+
+    async fn place(&mut self, hints: &BlockHints) -> Result<Placed, Failure> {
+        let is_retry = !self.attempts.is_empty();
+        let allowed = usize::from(self.plan.policy.limits.max_attempts);
+        if self.attempts.len() >= allowed {
+            return Err(self.give_up(format!("{allowed} attempts failed")));
+        }
+        let deadline = if self.first_token.is_some() {
+            Instant::now() + self.app.cfg.limits.silence
+        } else {
+            self.plan.deadline
+        };
+        let req = PlaceRequest {
+            org: self.call.org.clone(),
+            class: self.call.class,
+            pool: self.plan.pool.clone(),
+            version: self.plan.version,
+            home: self.plan.home,
+            blocks: self.plan.block_count,
+            hints: hints.clone(),
+            excluded: self.excluded.clone(),
+            is_retry,
+            policy: self.plan.policy.clone(),
+            deadline,
+        };
+        match self.app.placer.place(req).await {
+            Ok(placed) => Ok(placed),
+            Err(refusal) if self.ran == Outcome::NotRun => Err(refusal.into()),
+            Err(refusal) => Err(self.give_up(refusal.to_string())),
+        }
+    }
+
+    /// The failure of a request that has run out of ways.
+    fn give_up(&self, detail: String) -> Failure {
+        if self.ran == Outcome::NotRun {
+            return Failure::unavailable(detail, Duration::from_secs(1));
+        }
+        Failure::unknown(detail)
+    }
+
+    fn order(&self, placed: &Placed) -> RunOrder {
+        let asked = &self.call.asked;
+        RunOrder {
+            attempt: AttemptId::generate(),
+            model: asked.model.clone(),
+            version: self.plan.version,
+            adapter: asked.adapter.clone(),
+            blocks: self.plan.blocks.clone(),
+            prompt: asked.prompt.clone(),
+            delivered: self.delivered.clone(),
+            start_index: self.tokens,
+            max_tokens: asked.max_tokens,
+            priority: self.plan.policy.priorities.engine_priority(self.call.class),
+            imports: placed.imports.iter().map(object).collect(),
+            parameters: asked.parameters.clone(),
+        }
+    }
+
+    async fn attempt(
+        &mut self,
+        placed: &Placed,
+        claim: Option<&mut Claim>,
+    ) -> Result<RunSummary, Broken> {
+        let mut span = self.child_span("target", SpanKind::Client);
+        span.set_attribute(KeyValue::new("target", placed.target.to_string()));
+        let order = self.order(placed);
+        let result = self.send_and_read(placed, &order, claim).await;
+        let said = match &result {
+            Ok(_) => "answered".to_owned(),
+            Err(Broken::CallerGone) => "caller gone".to_owned(),
+            Err(Broken::Engine(e)) => e.to_string(),
+        };
+        span.set_attribute(KeyValue::new("result", said.clone()));
+        self.attempts.push(AttemptRecord {
+            target: placed.target.clone(),
+            version: Some(self.plan.version),
+            candidates: placed.candidates.clone(),
+            result: said,
+        });
+        result
+    }
+
+    async fn send_and_read(
+        &mut self,
+        placed: &Placed,
+        order: &RunOrder,
+        mut claim: Option<&mut Claim>,
+    ) -> Result<RunSummary, Broken> {
+        let limits = self.app.cfg.limits;
+        if let Some(claim) = claim.as_deref_mut() {
+            claim.may_have_run();
+        }
+        let engine = self.app.engine.clone();
+        let started = Attempt::start(engine, placed.addr, order, limits.attempt, limits.silence);
+        let mut attempt = match started.await {
+            Ok(attempt) => attempt,
+            Err(e) => {
+                if let Some(claim) = claim.filter(|_| e.outcome == Outcome::NotRun) {
+                    claim.was_not_sent();
+                }
+                self.ran = self.ran.max(e.outcome);
+                return Err(Broken::Engine(e));
+            }
+        };
+        self.ran = Outcome::Unknown;
+        let read = self.read_with_resume(&mut attempt).await;
+        if let (Ok(_), Some(claim)) = (&read, claim) {
+            claim.ran();
+        }
+        read
+    }
+
+    /// Reads an answer; one that breaks off is taken up again once at the same engine, which holds
+    /// it for a while.
+    async fn read_with_resume(&mut self, attempt: &mut Attempt<E>) -> Result<RunSummary, Broken> {
+        let mut resumed_at = None;
+        loop {
+            let broken = match self.read(attempt).await {
+                Err(Broken::Engine(e)) => e,
+                done => return done,
+            };
+            let made_progress = resumed_at != Some(self.tokens);
+            let can_resume = matches!(broken.fault, EngineFault::Cut | EngineFault::Timeout);
+            if !can_resume || !made_progress {
+                return Err(Broken::Engine(broken));
+            }
+            resumed_at = Some(self.tokens);
+            let accept = self.app.cfg.limits.attempt;
+            if attempt.resume(self.tokens, accept).await.is_err() {
+                return Err(Broken::Engine(broken));
+            }
+        }
+    }
+
+    async fn read(&mut self, attempt: &mut Attempt<E>) -> Result<RunSummary, Broken> {
+        loop {
+            match attempt.next().await.map_err(Broken::Engine)? {
+                Some(RunEvent::Token { text, .. }) => self.deliver(text).await?,
+                Some(RunEvent::End { summary, .. }) => return Ok(summary),
+                None => return Err(Broken::CallerGone),
+            }
+        }
+    }
+
+    async fn deliver(&mut self, text: String) -> Result<(), Broken> {
+        let now = Instant::now();
+        if self.first_token.is_none() {
+            let after = now - self.plan.began;
+            self.first_token = Some(after);
+            self.app.metrics.first_token(&self.plan.labels, after);
+        }
+        self.last_token = Some(now);
+        self.tokens += 1;
+        self.delivered.push_str(&text);
+        let sent = self.tx.send(Delivery::Token(text)).await;
+        sent.map_err(|_| Broken::CallerGone)
+    }
+
+    /// Whether another attempt may follow; otherwise the request's failure.
+    fn after_failure(&mut self, target: TargetId, e: EngineError) -> Result<(), Failure> {
+        event!(self.app.log, events::ATTEMPT_FAILED, "request" => %self.call.request,
+            "target" => %target, "error" => %e);
+        if e.fault == EngineFault::Crossed {
+            event!(self.app.log, events::ANSWER_CROSSED, "target" => %target);
+        }
+        if matches!(e.fault, EngineFault::Unreachable | EngineFault::Cut) {
+            self.app.keeper.tell(News::Suspect(target.clone()));
+        }
+        self.excluded.push(target);
+        if self.call.once_key.is_some() && self.ran != Outcome::NotRun {
+            let detail = format!("the call was sent once and its answer did not come whole: {e}");
+            return Err(Failure::unknown(detail));
+        }
+        Ok(())
+    }
+
+    fn note_use(&self, placed: &Placed) {
+        if self.plan.blocks.is_empty() {
+            return;
+        }
+        self.app.keeper.tell(News::Used(PromptUse {
+            blocks: self.plan.blocks.clone(),
+            target: placed.target.clone(),
+            addr: placed.addr,
+            arm: self.plan.arm.clone(),
+        }));
+    }
+
+    async fn answered(mut self, summary: RunSummary) {
+        self.ran = Outcome::Ran;
+        let labels = &self.plan.labels;
+        self.app.metrics.ended(labels, Outcome::Ran, true);
+        self.app.metrics.prompt_work(labels, prompt_work(&summary));
+        self.record_pace();
+        self.count_in_arm(self.first_token);
+        event!(self.app.log, events::REQUEST_DONE, "request" => %self.call.request,
+            "tokens" => summary.tokens, "cached" => %summary.cached_tokens);
+        self.record(Outcome::Ran);
+        let _ = self.tx.send(Delivery::End(summary)).await;
+    }
+
+    fn record_pace(&self) {
+        let (Some(first), Some(last)) = (self.first_token, self.last_token) else {
+            return;
+        };
+        let gaps = self.tokens.saturating_sub(1);
+        if gaps > 0 {
+            let whole = last - (self.plan.began + first);
+            self.app
+                .metrics
+                .between_tokens(&self.plan.labels, whole / gaps);
+        }
+    }
+
+    async fn failed(mut self, failure: Failure) {
+        self.app
+            .metrics
+            .ended(&self.plan.labels, failure.outcome, false);
+        self.count_in_arm(None);
+        event!(self.app.log, events::REQUEST_FAILED, "request" => %self.call.request,
+            "outcome" => %failure.outcome, "error" => %failure);
+        self.record(failure.outcome);
+        let _ = self.tx.send(Delivery::Failed(failure)).await;
+    }
+
+    fn caller_gone(mut self) {
+        self.app.metrics.ended(&self.plan.labels, self.ran, false);
+        self.record(self.ran);
+    }
+
+    fn count_in_arm(&self, first_token: Option<Duration>) {
+        self.app.arms.count(Sample {
+            revision: self.plan.revision,
+            arm: self.plan.arm.clone(),
+            first_token,
+        });
+    }
+
+    fn record(&mut self, outcome: Outcome) {
+        self.span
+            .set_attribute(KeyValue::new("outcome", outcome.to_string()));
+        self.app.keeper.tell(News::Record(Box::new(DecisionRecord {
+            request: self.call.request,
+            by: self.app.cfg.box_id.clone(),
+            zone: self.app.cfg.zone.clone(),
+            org: self.call.org.clone(),
+            pool: Some(self.plan.pool.clone()),
+            model: Some(self.call.asked.model.clone()),
+            class: self.call.class,
+            revision: self.plan.revision,
+            arm: self.plan.arm.clone(),
+            blocks: self.plan.block_count,
+            attempts: std::mem::take(&mut self.attempts),
+            outcome,
+            first_token_us: self.first_token.map(|after| after.as_micros() as u64),
+        })));
+    }
+}
+
+fn prompt_work(summary: &RunSummary) -> PromptWork {
+    let reused = summary.cached_tokens.0 + summary.imported_tokens.0;
+    PromptWork {
+        computed: Tokens(summary.prompt_tokens.0.saturating_sub(reused)),
+        cached: summary.cached_tokens,
+        imported: summary.imported_tokens,
+        link_bytes: summary.imported_bytes,
+    }
+}
+
+fn object(kept: &KeptObject) -> ObjectRef {
+    ObjectRef {
+        block: kept.block,
+        generation: kept.generation,
+        store: kept.store.clone(),
+        addr: kept.addr,
+        len: kept.len,
+        checksum: kept.checksum.clone(),
+    }
+}
--- /dev/null
+++ b/crates/sillpin-entry/src/runs/once.rs
@@ -0,0 +1,123 @@
+//! Claims of calls that run at most once.
+
+use super::Call;
+use crate::app::App;
+use crate::front::Failure;
+use crate::keeper_link::News;
+use hyper::StatusCode;
+use sillpin_core::{OrgId, Outcome, RequestId};
+use sillpin_rpc::claims::{ClaimEnd, ClaimKey, ClaimReply, ClaimRequest};
+use sillpin_targets::Engine;
+use std::time::Duration;
+
+/// When to ask again after a claim could not be made.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// The right to send a call once. Dropping it unused releases it.
+pub struct Claim {
+    key: ClaimKey,
+    request: RequestId,
+    keeper: crate::keeper_link::KeeperLink,
+    outcome: Outcome,
+}
+
+/// What a claim is for.
+pub struct Claimed<'a> {
+    /// The organisation.
+    pub org: &'a OrgId,
+    /// The idempotency key.
+    pub key: &'a str,
+    /// The request.
+    pub request: RequestId,
+    /// BLAKE3 of the call, in hexadecimal.
+    pub digest: &'a str,
+}
+
+impl Claim {
+    /// Claims a call, before anything of it is sent.
+    pub async fn make<E: Engine>(app: &App<E>, call: Claimed<'_>) -> Result<Self, Failure> {
+        let key = ClaimKey {
+            org: call.org.clone(),
+            key_hash: blake3::hash(call.key.as_bytes()).to_hex().to_string(),
+        };
+        let request = call.request;
+        let claim = Self {
+            key: key.clone(),
+            request,
+            keeper: app.keeper.clone(),
+            outcome: Outcome::NotRun,
+        };
+        let req = ClaimRequest {
+            key,
+            request,
+            digest: call.digest.to_owned(),
+        };
+        match app.keeper.claim(req).await {
+            ClaimReply::Granted => Ok(claim),
+            ClaimReply::Unavailable => {
+                let detail = "the call could not be claimed";
+                Err(Failure::unavailable(detail, RETRY_AFTER))
+            }
+            ClaimReply::Taken(outcome) => {
+                claim.forget();
+                Err(Failure::taken(outcome))
+            }
+            ClaimReply::OtherCall => {
+                claim.forget();
+                let detail = "this idempotency key was used for another call";
+                let status = StatusCode::UNPROCESSABLE_ENTITY;
+                Err(Failure::refused(
+                    status,
+                    "other-call",
+                    "Key used before",
+                    detail,
+                ))
+            }
+        }
+    }
+
+    fn forget(mut self) {
+        self.outcome = Outcome::Unknown;
+    }
+
+    /// From now on the call may have been carried out.
+    pub fn may_have_run(&mut self) {
+        self.outcome = Outcome::Unknown;
+    }
+
+    /// The call was not sent after all: the target was not reached, or refused it.
+    pub fn was_not_sent(&mut self) {
+        self.outcome = Outcome::NotRun;
+    }
+
+    /// The call was carried out.
+    pub fn ran(&mut self) {
+        self.outcome = Outcome::Ran;
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        if self.outcome != Outcome::Unknown {
+            self.keeper.tell(News::EndClaim(ClaimEnd {
+                key: self.key.clone(),
+                request: self.request,
+                outcome: self.outcome,
+            }));
+        }
+    }
+}
+
+/// Claims a model request that carries an idempotency key.
+pub(super) async fn claim<E: Engine>(app: &App<E>, call: &Call) -> Result<Option<Claim>, Failure> {
+    let Some(key) = &call.once_key else {
+        return Ok(None);
+    };
+    let claimed = Claimed {
+        org: &call.org,
+        key,
+        request: call.request,
+        digest: &call.digest,
+    };
+    Claim::make(app, claimed).await.map(Some)
+}
--- /dev/null
+++ b/crates/sillpin-entry/src/services.rs
@@ -0,0 +1,303 @@
+//! Passes calls on to plain services, bodies streamed with back-pressure both ways.
+//!
+//! A call with an idempotency key runs at most once: its body is read whole first, so that the
+//! claim can be made over it, and it is sent at most once. Any other call is sent a second time
+//! only when the first sending did not reach its target, and only if its body is short enough to
+//! be held.
+
+use crate::app::App;
+use crate::front::{Failure, body, headers};
+use crate::keeper_link::News;
+use crate::runs::once::{Claim, Claimed};
+use crate::snapshot::Target;
+use bytes::Bytes;
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Request, Response, Uri};
+use opentelemetry::KeyValue;
+use opentelemetry::trace::{Span, SpanKind};
+use rand::seq::IndexedRandom;
+use sillpin_core::{AttemptId, OrgId, PoolId, RequestId, TargetKind};
+use sillpin_http::{Body, CallError, Sent};
+use sillpin_targets::Engine;
+use sillpin_telemetry::traces::{ActiveSpan, TRACEPARENT, traceparent};
+use sillpin_telemetry::{event, events};
+use std::time::Duration;
+
+/// Longest body held for a second sending.
+const HELD_BODY_LEN: u64 = 64 << 10;
+
+/// Sendings of one call.
+const MAX_ATTEMPTS: usize = 3;
+
+/// Headers that belong to one connection, and the caller's key.
+const NOT_PASSED_ON: &[HeaderName] = &[
+    header::AUTHORIZATION,
+    header::CONNECTION,
+    header::HOST,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// A call on its way.
+struct Passing<'a> {
+    pool: PoolId,
+    path: String,
+    org: &'a OrgId,
+    parts: Parts,
+    span: ActiveSpan,
+}
+
+/// A call's body: held, or streamed once.
+enum CallBody {
+    Held(Bytes),
+    Streamed(Option<Incoming>),
+}
+
+impl CallBody {
+    fn take(&mut self) -> Option<Body> {
+        match self {
+            CallBody::Held(bytes) => Some(Body::full(bytes.clone())),
+            CallBody::Streamed(body) => body.take().map(Body::Incoming),
+        }
+    }
+}
+
+/// Passes a call on; `rest` is its path behind the prefix: pool and the service's own path.
+pub async fn pass_on<E: Engine>(
+    app: &App<E>,
+    request: RequestId,
+    span: ActiveSpan,
+    org: OrgId,
+    rest: &str,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, Failure> {
+    let (pool, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let pool: PoolId = pool
+        .parse()
+        .map_err(|e| Failure::not_found(format!("{e}")))?;
+    let query = req
+        .uri()
+        .query()
+        .map(|q| format!("?{q}"))
+        .unwrap_or_default();
+    let path = format!("/{path}{query}");
+    require_pool(app, &pool)?;
+    let once_key = headers::idempotency_key(req.headers())?;
+    let (parts, incoming) = req.into_parts();
+    let mut passing = Passing {
+        pool,
+        path,
+        org: &org,
+        parts,
+        span,
+    };
+    match once_key {
+        Some(key) => run_once(app, request, &mut passing, &key, incoming).await,
+        None => run_any(app, &mut passing, incoming).await,
+    }
+}
+
+fn require_pool<E: Engine>(app: &App<E>, pool: &PoolId) -> Result<(), Failure> {
+    let snapshot = app.snapshot();
+    let bundle = snapshot.in_force.as_ref().map(|f| f.bundle.clone());
+    let known = bundle.and_then(|bundle| bundle.pools.get(pool).map(|p| p.kind));
+    if known == Some(TargetKind::Service) {
+        return Ok(());
+    }
+    Err(Failure::not_found(format!(
+        "no pool of services is named {pool}"
+    )))
+}
+
+async fn run_once<E: Engine>(
+    app: &App<E>,
+    request: RequestId,
+    passing: &mut Passing<'_>,
+    key: &str,
+    incoming: Incoming,
+) -> Result<Response<Body>, Failure> {
+    let limits = app.cfg.limits;
+    let bytes = body::read(incoming, limits.once_body_len, limits.body_time).await?;
+    let digest = digest(passing, &bytes);
+    let claimed = Claimed {
+        org: passing.org,
+        key,
+        request,
+        digest: &digest,
+    };
+    let mut claim = Claim::make(app, claimed).await?;
+    claim.may_have_run();
+    let result = send(app, passing, CallBody::Held(bytes)).await;
+    match &result {
+        Ok(_) => claim.ran(),
+        Err(failure) if failure.outcome == sillpin_core::Outcome::NotRun => claim.was_not_sent(),
+        Err(_) => {}
+    }
+    result
+}
+
+fn digest(passing: &Passing<'_>, bytes: &[u8]) -> String {
+    let mut hasher = blake3::Hasher::new();
+    for part in [
+        passing.parts.method.as_str(),
+        passing.pool.as_str(),
+        &passing.path,
+    ] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    hasher.update(bytes);
+    hasher.finalize().to_hex().to_string()
+}
+
+async fn run_any<E: Engine>(
+    app: &App<E>,
+    passing: &mut Passing<'_>,
+    incoming: Incoming,
+) -> Result<Response<Body>, Failure> {
+    let is_short = incoming
+        .size_hint()
+        .upper()
+        .is_some_and(|len| len <= HELD_BODY_LEN);
+    let call_body = if is_short {
+        let limit = HELD_BODY_LEN as usize;
+        CallBody::Held(body::read(incoming, limit, app.cfg.limits.body_time).await?)
+    } else {
+        CallBody::Streamed(Some(incoming))
+    };
+    send(app, passing, call_body).await
+}
+
+/// Sends a call to one target after the other until one is reached.
+async fn send<E: Engine>(
+    app: &App<E>,
+    passing: &mut Passing<'_>,
+    mut call_body: CallBody,
+) -> Result<Response<Body>, Failure> {
+    let mut tried = Vec::new();
+    let unreached = |detail: String| Failure::unavailable(detail, Duration::from_secs(1));
+    while tried.len() < MAX_ATTEMPTS {
+        let Some(target) = choose(app, &passing.pool, &tried) else {
+            break;
+        };
+        let Some(out) = call_body.take() else {
+            return Err(unreached("the target was not reached".to_owned()));
+        };
+        let attempt = AttemptId::generate();
+        match send_to(app, passing, &target, attempt, out).await {
+            Ok(resp) => return check(app, &target, attempt, resp),
+            Err(e) => {
+                event!(app.log, events::ATTEMPT_FAILED,
+                    "target" => %target.entry.id, "error" => %e);
+                app.keeper.tell(News::Suspect(target.entry.id.clone()));
+                if e.sent == Sent::Maybe {
+                    return Err(Failure::unknown(e.to_string()));
+                }
+            }
+        }
+        tried.push(target.entry.id.clone());
+    }
+    Err(unreached(format!(
+        "no target of pool {} is in reach",
+        passing.pool
+    )))
+}
+
+/// The less busy of two random targets that were not tried, of this zone if it has any.
+fn choose<E: Engine>(
+    app: &App<E>,
+    pool: &PoolId,
+    tried: &[sillpin_core::TargetId],
+) -> Option<Target> {
+    let snapshot = app.snapshot();
+    let usable = snapshot.usable(pool, TargetKind::Service);
+    let untried: Vec<&Target> = usable.filter(|t| !tried.contains(&t.entry.id)).collect();
+    let near: Vec<&Target> = untried
+        .iter()
+        .copied()
+        .filter(|t| t.entry.zone == app.cfg.zone)
+        .collect();
+    let among = if near.is_empty() { untried } else { near };
+    let running = |t: &Target| t.load.as_ref().map_or(0, |load| load.running);
+    let two = among.sample(&mut rand::rng(), 2);
+    two.min_by_key(|t| running(t)).map(|t| (*t).clone())
+}
+
+async fn send_to<E: Engine>(
+    app: &App<E>,
+    passing: &mut Passing<'_>,
+    target: &Target,
+    attempt: AttemptId,
+    out: Body,
+) -> Result<Response<Incoming>, CallError> {
+    let parent = passing.span.span_context().clone();
+    let mut span = app.traces.span("target", SpanKind::Client, Some(&parent));
+    span.set_attribute(KeyValue::new("target", target.entry.id.to_string()));
+    let req = outgoing(passing, target, attempt, &span, out);
+    let peer = target.entry.addr;
+    let step = "pass a call on";
+    let silence = app.cfg.limits.silence;
+    let sent = tokio::time::timeout(silence, app.client.send(step, peer, req)).await;
+    sent.unwrap_or_else(|_| {
+        Err(CallError {
+            step,
+            peer,
+            sent: Sent::Maybe,
+            fault: sillpin_http::client::CallFault::Timeout(silence),
+        })
+    })
+}
+
+fn outgoing(
+    passing: &Passing<'_>,
+    target: &Target,
+    attempt: AttemptId,
+    span: &ActiveSpan,
+    out: Body,
+) -> Request<Body> {
+    let mut req = Request::new(out);
+    *req.method_mut() = passing.parts.method.clone();
+    let uri = format!("http://{}{}", target.entry.addr, passing.path);
+    *req.uri_mut() = uri.parse::<Uri>().unwrap_or_default();
+    let passed = passing.parts.headers.iter();
+    for (name, value) in passed.filter(|(name, _)| !NOT_PASSED_ON.contains(name)) {
+        req.headers_mut().append(name.clone(), value.clone());
+    }
+    let set = [
+        (headers::ATTEMPT, attempt.to_string()),
+        (headers::ORGANISATION, passing.org.to_string()),
+        (TRACEPARENT, traceparent(span)),
+    ];
+    for (name, value) in set {
+        if let Ok(value) = HeaderValue::from_str(&value) {
+            req.headers_mut().insert(name, value);
+        }
+    }
+    req
+}
+
+/// Passes an answer back, unless it says that it belongs to another sending.
+fn check<E: Engine>(
+    app: &App<E>,
+    target: &Target,
+    attempt: AttemptId,
+    resp: Response<Incoming>,
+) -> Result<Response<Body>, Failure> {
+    let echoed = resp.headers().get(headers::ATTEMPT);
+    if echoed.is_some_and(|echoed| echoed.as_bytes() != attempt.to_string().as_bytes()) {
+        event!(app.log, events::ANSWER_CROSSED, "target" => %target.entry.id);
+        return Err(Failure::unknown("the target answered for another call"));
+    }
+    let (mut parts, incoming) = resp.into_parts();
+    for name in NOT_PASSED_ON {
+        parts.headers.remove(name);
+    }
+    parts.version = hyper::Version::HTTP_11;
+    Ok(Response::from_parts(parts, Body::Incoming(incoming)))
+}
--- /dev/null
+++ b/crates/sillpin-entry/src/settings.rs
@@ -0,0 +1,266 @@
+//! The entry's settings.
+
+use sillpin_core::block::BlockKey;
+use sillpin_core::{BoxId, ZoneId};
+use sillpin_settings::{Faults, Key, Kind, Loaded, Schema, Section};
+use sillpin_telemetry::logs;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What the entry reads.
+pub const SCHEMA: Schema = &[
+    Section {
+        name: "box",
+        keys: &[
+            Key::required("id", Kind::Name, "Name of this box"),
+            Key::required("zone", Kind::Name, "Availability zone of this box"),
+        ],
+    },
+    Section {
+        name: "fleet",
+        keys: &[Key::required(
+            "secret",
+            Kind::Text,
+            "Secret that keys block names; the same on all boxes",
+        )
+        .secret()],
+    },
+    Section {
+        name: "entry",
+        keys: &[
+            Key::optional("listen", Kind::Addr, "127.0.0.1:0", "Listener for callers"),
+            Key::optional(
+                "http-listen",
+                Kind::Addr,
+                "127.0.0.1:0",
+                "Listener for health and metrics",
+            ),
+            Key::required("keeper", Kind::Addr, "The keeper of this box"),
+            Key::optional(
+                "drain-lag-ms",
+                Kind::Number {
+                    min: 0,
+                    max: 600_000,
+                },
+                "5000",
+                "How long a stopping entry still accepts, for the balancer's lag",
+            ),
+            Key::optional(
+                "look-up-ms",
+                Kind::Number { min: 0, max: 1_000 },
+                "5",
+                "Longest wait for hints of who holds a prompt's blocks",
+            ),
+        ],
+    },
+    Section {
+        name: "limits",
+        keys: &[
+            Key::optional(
+                "head-bytes",
+                Kind::Number {
+                    min: 8_192,
+                    max: 1_048_576,
+                },
+                "16384",
+                "Longest head of a request",
+            ),
+            Key::optional(
+                "head-ms",
+                Kind::Number {
+                    min: 100,
+                    max: 600_000,
+                },
+                "10000",
+                "Longest time for a request's head to arrive",
+            ),
+            Key::optional(
+                "body-bytes",
+                Kind::Number {
+                    min: 1_024,
+                    max: 67_108_864,
+                },
+                "8388608",
+                "Longest body of a request for a model",
+            ),
+            Key::optional(
+                "body-ms",
+                Kind::Number {
+                    min: 100,
+                    max: 600_000,
+                },
+                "15000",
+                "Longest time for a request's body to arrive",
+            ),
+            Key::optional(
+                "blocks",
+                Kind::Number {
+                    min: 1,
+                    max: 100_000,
+                },
+                "2000",
+                "Most blocks in a prompt",
+            ),
+            Key::optional(
+                "max-tokens",
+                Kind::Number {
+                    min: 1,
+                    max: 1_000_000,
+                },
+                "8192",
+                "Most tokens generated for a request",
+            ),
+            Key::optional(
+                "waiting",
+                Kind::Number {
+                    min: 1,
+                    max: 1_000_000,
+                },
+                "2000",
+                "Most requests that wait in this entry",
+            ),
+            Key::optional(
+                "attempt-ms",
+                Kind::Number {
+                    min: 100,
+                    max: 600_000,
+                },
+                "2000",
+                "Longest wait for a target to accept a request",
+            ),
+            Key::optional(
+                "silence-ms",
+                Kind::Number {
+                    min: 100,
+                    max: 600_000,
+                },
+                "30000",
+                "Longest silence of a target during an answer",
+            ),
+            Key::optional(
+                "once-body-bytes",
+                Kind::Number {
+                    min: 1_024,
+                    max: 16_777_216,
+                },
+                "1048576",
+                "Longest body of a call that runs at most once",
+            ),
+        ],
+    },
+    Section {
+        name: "telemetry",
+        keys: &[Key::optional(
+            "collector",
+            Kind::AddrList,
+            "",
+            "Collector of traces (OTLP over HTTP); empty: none",
+        )],
+    },
+    Section {
+        name: "log",
+        keys: &[
+            Key::optional(
+                "format",
+                Kind::OneOf(logs::FORMATS),
+                "json",
+                "Form of the log",
+            ),
+            Key::optional(
+                "level",
+                Kind::OneOf(logs::LEVELS),
+                "info",
+                "Lowest level logged",
+            ),
+        ],
+    },
+];
+
+/// Limits on what callers may ask and targets may take.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Longest head of a request, in bytes.
+    pub head_len: usize,
+    /// Longest time for a request's head.
+    pub head_time: Duration,
+    /// Longest body of a request for a model, in bytes.
+    pub body_len: usize,
+    /// Longest time for a request's body.
+    pub body_time: Duration,
+    /// Most blocks in a prompt.
+    pub blocks: u64,
+    /// Most tokens generated for a request.
+    pub max_tokens: u32,
+    /// Most requests that wait here.
+    pub waiting: usize,
+    /// Longest wait for a target to accept a request.
+    pub attempt: Duration,
+    /// Longest silence of a target during an answer.
+    pub silence: Duration,
+    /// Longest body of a call that runs at most once, in bytes.
+    pub once_body_len: usize,
+}
+
+/// The entry's settings.
+#[derive(Clone)]
+pub struct EntryConfig {
+    /// This box.
+    pub box_id: BoxId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Keys block names.
+    pub block_key: BlockKey,
+    /// Listener for callers.
+    pub listen: SocketAddr,
+    /// Listener for health and metrics.
+    pub http_listen: SocketAddr,
+    /// The keeper of this box.
+    pub keeper: SocketAddr,
+    /// How long a stopping entry still accepts.
+    pub drain_lag: Duration,
+    /// Longest wait for hints.
+    pub look_up: Duration,
+    /// Limits.
+    pub limits: Limits,
+    /// Collector of traces.
+    pub collector: Option<SocketAddr>,
+}
+
+impl EntryConfig {
+    /// Takes the values out of checked settings.
+    pub fn from_loaded(loaded: &Loaded) -> Result<Self, Faults> {
+        let secret: String = loaded.get("fleet", "secret")?;
+        let collectors: Vec<SocketAddr> = loaded.list("telemetry", "collector")?;
+        Ok(Self {
+            box_id: loaded.get("box", "id")?,
+            zone: loaded.get("box", "zone")?,
+            block_key: BlockKey::derive(&secret),
+            listen: loaded.get("entry", "listen")?,
+            http_listen: loaded.get("entry", "http-listen")?,
+            keeper: loaded.get("entry", "keeper")?,
+            drain_lag: millis(loaded, "entry", "drain-lag-ms")?,
+            look_up: millis(loaded, "entry", "look-up-ms")?,
+            limits: limits(loaded)?,
+            collector: collectors.first().copied(),
+        })
+    }
+}
+
+fn millis(loaded: &Loaded, section: &str, key: &str) -> Result<Duration, Faults> {
+    loaded.get(section, key).map(Duration::from_millis)
+}
+
+fn limits(loaded: &Loaded) -> Result<Limits, Faults> {
+    Ok(Limits {
+        head_len: loaded.get("limits", "head-bytes")?,
+        head_time: millis(loaded, "limits", "head-ms")?,
+        body_len: loaded.get("limits", "body-bytes")?,
+        body_time: millis(loaded, "limits", "body-ms")?,
+        blocks: loaded.get("limits", "blocks")?,
+        max_tokens: loaded.get("limits", "max-tokens")?,
+        waiting: loaded.get("limits", "waiting")?,
+        attempt: millis(loaded, "limits", "attempt-ms")?,
+        silence: millis(loaded, "limits", "silence-ms")?,
+        once_body_len: loaded.get("limits", "once-body-bytes")?,
+    })
+}
--- /dev/null
+++ b/crates/sillpin-keeper/src/api/entry.rs
@@ -0,0 +1,145 @@
+//! The service for the entry of this box.
+
+use crate::claims::Journal;
+use crate::directory::{DirectoryHandle, DirectoryMsg};
+use crate::fleet::{FleetHandle, FleetMsg, Published, TargetReading};
+use crate::peers::Peers;
+use crate::records::RecordsHandle;
+use crate::router::RouterHandle;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use sillpin_core::{ArmName, BlockName, BoxId, Revision, TargetId};
+use sillpin_platform::Platform;
+use sillpin_policy::guard::Breach;
+use sillpin_rpc::claims::{ClaimEnd, ClaimReply, ClaimRequest};
+use sillpin_rpc::directory::{BlockHints, DirectoryNews, PromptUse};
+use sillpin_rpc::entry_link::{EntryLink, FleetUpdate, Known};
+use sillpin_rpc::records::DecisionRecord;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tarpc::context::Context;
+use tokio::time::Instant;
+
+/// Longest wait for something to change.
+const MAX_WAIT: Duration = Duration::from_secs(10);
+
+/// How long changes are gathered before they are sent.
+const GATHER: Duration = Duration::from_millis(100);
+
+/// Serves the entry.
+#[derive(Clone)]
+pub struct EntryApi<P> {
+    /// This box.
+    pub me: BoxId,
+    /// The fleet task.
+    pub fleet: FleetHandle,
+    /// What it publishes.
+    pub published: Published,
+    /// This keeper's part of the directory.
+    pub directory: DirectoryHandle,
+    /// Carries news to the owners of roots.
+    pub router: RouterHandle,
+    /// Other keepers.
+    pub peers: Peers,
+    /// Run-once calls.
+    pub journal: Journal<P>,
+    /// Decision records.
+    pub records: RecordsHandle,
+}
+
+impl<P: Platform> EntryApi<P> {
+    async fn ask_owner(
+        &self,
+        owner: Option<SocketAddr>,
+        blocks: Vec<BlockName>,
+        wait: Duration,
+    ) -> BlockHints {
+        let Some(owner) = owner else {
+            let asked = self.directory.ask(|tx| DirectoryMsg::LookUp(blocks, tx));
+            return asked.await.unwrap_or_default();
+        };
+        let step = "look up blocks";
+        let call = self.peers.call(step, owner, wait, |client, cx| async move {
+            client.look_up(cx, blocks).await
+        });
+        call.await.unwrap_or_default()
+    }
+}
+
+impl<P: Platform> EntryLink for EntryApi<P> {
+    async fn fleet(self, _: Context, known: Known, wait_ms: u64) -> FleetUpdate {
+        let deadline = Instant::now() + Duration::from_millis(wait_ms).min(MAX_WAIT);
+        let mut stamp = self.published.stamp.clone();
+        loop {
+            stamp.mark_unchanged();
+            let update = self.fleet.ask(|tx| FleetMsg::Update(known, tx)).await;
+            let update = update.unwrap_or_default();
+            if has_news(&update) || Instant::now() >= deadline {
+                return update;
+            }
+            let _ = tokio::time::timeout_at(deadline, stamp.changed()).await;
+            tokio::time::sleep(GATHER).await;
+        }
+    }
+
+    async fn find_blocks(self, _: Context, blocks: Vec<BlockName>, deadline_ms: u64) -> BlockHints {
+        let wait = Duration::from_millis(deadline_ms);
+        let view = self.published.view.borrow().clone();
+        let Some(root) = blocks.first() else {
+            return BlockHints::default();
+        };
+        let owners = view.owners(root);
+        let mut asked: FuturesUnordered<_> = owners
+            .iter()
+            .map(|owner| {
+                let addr = (owner.id != self.me).then_some(owner.addr);
+                self.ask_owner(addr, blocks.clone(), wait)
+            })
+            .collect();
+        let mut hints = BlockHints::default();
+        let deadline = Instant::now() + wait;
+        while let Ok(Some(more)) = tokio::time::timeout_at(deadline, asked.next()).await {
+            hints = hints.join(more);
+            if !hints.is_empty() {
+                break;
+            }
+        }
+        hints
+    }
+
+    async fn used(self, _: Context, prompts: Vec<PromptUse>) {
+        for prompt in prompts {
+            self.router.send(DirectoryNews::Used(prompt)).await;
+        }
+    }
+
+    async fn claim(self, _: Context, req: ClaimRequest) -> ClaimReply {
+        self.journal.claim(req).await
+    }
+
+    async fn end_claim(self, _: Context, end: ClaimEnd) {
+        self.journal.end(end);
+    }
+
+    async fn record(self, _: Context, records: Vec<DecisionRecord>) {
+        self.records.add(records).await;
+    }
+
+    async fn stop_arm(self, _: Context, revision: Revision, arm: ArmName, breach: Breach) {
+        let msg = FleetMsg::StopArm(revision, arm, breach);
+        self.fleet.tell(msg).await;
+    }
+
+    async fn suspect(self, _: Context, target: TargetId) {
+        let msg = FleetMsg::Target(target, TargetReading::Failed);
+        self.fleet.tell(msg).await;
+    }
+}
+
+fn has_news(update: &FleetUpdate) -> bool {
+    update.complete
+        || !update.targets.is_empty()
+        || update.bundle.is_some()
+        || update.organisations.is_some()
+        || update.stopped_arms.is_some()
+}
--- /dev/null
+++ b/crates/sillpin-keeper/src/fleet/items.rs
@@ -0,0 +1,125 @@
+//! Versioned items with their digests.
+
+use sillpin_core::ZoneId;
+use sillpin_policy::rendezvous;
+use sillpin_rpc::gossip::{Digest, Exchange, Item, ItemKey, ItemValue, ItemVersion};
+use std::collections::HashMap;
+use tokio::time::Instant;
+
+/// An item and when it last changed here.
+pub(super) struct Stored {
+    pub(super) version: ItemVersion,
+    pub(super) value: ItemValue,
+    pub(super) changed: Instant,
+    pub(super) stamp: u64,
+    hash: u64,
+}
+
+/// All items.
+#[derive(Default)]
+pub(super) struct Items {
+    by_key: HashMap<ItemKey, Stored>,
+    by_hash: HashMap<u64, ItemKey>,
+    stamp: u64,
+}
+
+/// Hash of an item's name, the same in every process.
+fn hash_of(key: &ItemKey) -> u64 {
+    rendezvous::key_of(&format!("{key:?}"))
+}
+
+impl Items {
+    pub(super) fn get(&self, key: &ItemKey) -> Option<&Stored> {
+        self.by_key.get(key)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&ItemKey, &Stored)> {
+        self.by_key.iter()
+    }
+
+    pub(super) fn stamp(&self) -> u64 {
+        self.stamp
+    }
+
+    /// The version after the one known, and not below `floor`.
+    pub(super) fn next_version(&self, key: &ItemKey, floor: u64) -> ItemVersion {
+        let known = self.by_key.get(key).map_or(0, |stored| stored.version.0);
+        ItemVersion((known + 1).max(floor))
+    }
+
+    /// Takes an item if it is newer; says whether it was.
+    pub(super) fn put(&mut self, item: Item, now: Instant) -> bool {
+        let known = self.by_key.get(&item.key);
+        if known.is_some_and(|stored| stored.version >= item.version) {
+            return false;
+        }
+        self.stamp += 1;
+        let hash = known.map_or_else(|| hash_of(&item.key), |stored| stored.hash);
+        self.by_hash.entry(hash).or_insert_with(|| item.key.clone());
+        let stored = Stored {
+            version: item.version,
+            value: item.value,
+            changed: now,
+            stamp: self.stamp,
+            hash,
+        };
+        self.by_key.insert(item.key, stored);
+        true
+    }
+
+    pub(super) fn remove(&mut self, key: &ItemKey) {
+        if let Some(stored) = self.by_key.remove(key) {
+            self.by_hash.remove(&stored.hash);
+            self.stamp += 1;
+        }
+    }
+
+    /// Names and versions of the items that a keeper of `peer_zone` may have, as this keeper of
+    /// `zone` tells them. Heartbeats stay in their zone.
+    pub(super) fn digest(&self, zone: &ZoneId, peer_zone: &ZoneId) -> Digest {
+        let in_scope = |key: &ItemKey| !matches!(key, ItemKey::Box(_)) || zone == peer_zone;
+        let known = self.by_key.iter().filter(|(key, _)| in_scope(key));
+        let mut versions: Vec<_> = known.map(|(_, s)| (s.hash, s.version)).collect();
+        versions.sort_unstable();
+        Digest {
+            zone: Some(zone.clone()),
+            versions,
+        }
+    }
+
+    /// What a peer that sent `digest` lacks, and what it has newer.
+    pub(super) fn exchange(&self, zone: &ZoneId, digest: &Digest) -> Exchange {
+        let same_zone = digest.zone.as_ref() == Some(zone);
+        let theirs: HashMap<u64, ItemVersion> = digest.versions.iter().copied().collect();
+        let in_scope = |key: &ItemKey| !matches!(key, ItemKey::Box(_)) || same_zone;
+        let mut exchange = Exchange::default();
+        for (key, stored) in self.by_key.iter().filter(|(key, _)| in_scope(key)) {
+            let known = theirs.get(&stored.hash);
+            if known.is_none_or(|version| *version < stored.version) {
+                exchange.newer.push(item(key, stored));
+            }
+        }
+        for (hash, version) in &digest.versions {
+            let ours = self.by_hash.get(hash).and_then(|key| self.by_key.get(key));
+            if ours.is_none_or(|stored| stored.version < *version) {
+                exchange.wanted.push(*hash);
+            }
+        }
+        exchange
+    }
+
+    /// The items with these hashes.
+    pub(super) fn wanted(&self, hashes: &[u64]) -> Vec<Item> {
+        let keys = hashes.iter().filter_map(|hash| self.by_hash.get(hash));
+        let found = keys.filter_map(|key| Some((key, self.by_key.get(key)?)));
+        found.map(|(key, stored)| item(key, stored)).collect()
+    }
+}
+
+fn item(key: &ItemKey, stored: &Stored) -> Item {
+    Item {
+        key: key.clone(),
+        version: stored.version,
+        value: stored.value.clone(),
+    }
+}
--- /dev/null
+++ b/crates/sillpin-keeper/src/main.rs
@@ -0,0 +1,71 @@
+//! `sillpin-keeper`: the control side of a box.
+
+use clap::Command;
+use sillpin_keeper::ops;
+use sillpin_keeper::settings::{KeeperConfig, SCHEMA};
+use sillpin_settings::args::{Asked, read, with_settings};
+use sillpin_telemetry::logs;
+use sillpin_telemetry::metrics::Metrics;
+use std::error::Error;
+use std::process::ExitCode;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+const PROGRAM: &str = "sillpin-keeper";
+
+fn main() -> ExitCode {
+    let matches = with_settings(Command::new(PROGRAM).about("The control side of a sillpin box"))
+        .get_matches();
+    let loaded = match read(SCHEMA, &matches) {
+        Ok(Asked::Run(loaded)) => loaded,
+        Ok(Asked::Print(text)) => {
+            print!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Err(e) => return fail(&e),
+    };
+    match start(&loaded) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => fail(e.as_ref()),
+    }
+}
+
+fn start(loaded: &sillpin_settings::Loaded) -> Result<(), Box<dyn Error>> {
+    let cfg = KeeperConfig::from_loaded(loaded)?;
+    let level = loaded.get("log", "level")?;
+    let (log, _guard) = logs::logger(loaded.get("log", "format")?, level, PROGRAM);
+    let log = log.new(slog::o!("box" => cfg.box_id.to_string(), "zone" => cfg.zone.to_string()));
+    let metrics = Metrics::new(PROGRAM, cfg.box_id.as_str())?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let stop = CancellationToken::new();
+        let mut term = signal(SignalKind::terminate())?;
+        let stopping = stop.clone();
+        tokio::spawn(async move {
+            term.recv().await;
+            stopping.cancel();
+        });
+        ops::run(cfg, log, metrics, stop, |at| {
+            println!("listening entry {}", at.entry);
+            println!("listening peer {}", at.peer);
+            println!("listening http {}", at.http);
+        })
+        .await?;
+        Ok(())
+    })
+}
+
+fn fail(e: &dyn Error) -> ExitCode {
+    eprintln!("error: {e}");
+    let mut cause = e.source();
+    if cause.is_some() {
+        eprintln!("Caused by:");
+    }
+    while let Some(source) = cause {
+        eprintln!("    {source}");
+        cause = source.source();
+    }
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/sillpin-keeper/src/records.rs
@@ -0,0 +1,76 @@
+//! The last decision records of this box's entry.
+
+use sillpin_core::RequestId;
+use sillpin_rpc::records::DecisionRecord;
+use std::collections::{HashMap, VecDeque};
+use tokio::sync::{mpsc, oneshot};
+
+/// Records kept.
+const KEPT: usize = 2_000;
+
+/// Messages that may wait.
+const QUEUE_LEN: usize = 256;
+
+enum RecordMsg {
+    Add(Vec<DecisionRecord>),
+    Find(RequestId, oneshot::Sender<Option<DecisionRecord>>),
+}
+
+/// Speaks to the task that owns the records.
+#[derive(Clone)]
+pub struct RecordsHandle {
+    tx: mpsc::Sender<RecordMsg>,
+}
+
+impl RecordsHandle {
+    /// Adds records.
+    pub async fn add(&self, records: Vec<DecisionRecord>) {
+        let _ = self.tx.send(RecordMsg::Add(records)).await;
+    }
+
+    /// The record of a request, if it is still kept.
+    pub async fn find(&self, request: RequestId) -> Option<DecisionRecord> {
+        let (tx, rx) = oneshot::channel();
+        self.tx.send(RecordMsg::Find(request, tx)).await.ok()?;
+        rx.await.ok().flatten()
+    }
+}
+
+/// Starts the task; it ends with its last handle.
+pub fn start() -> RecordsHandle {
+    let (tx, mut rx) = mpsc::channel(QUEUE_LEN);
+    tokio::spawn(async move {
+        let mut records = Records::default();
+        while let Some(msg) = rx.recv().await {
+            match msg {
+                RecordMsg::Add(added) => records.add(added),
+                RecordMsg::Find(request, tx) => drop(tx.send(records.find(request))),
+            }
+        }
+    });
+    RecordsHandle { tx }
+}
+
+#[derive(Default)]
+struct Records {
+    by_request: HashMap<RequestId, DecisionRecord>,
+    order: VecDeque<RequestId>,
+}
+
+impl Records {
+    fn add(&mut self, added: Vec<DecisionRecord>) {
+        for record in added {
+            self.order.push_back(record.request);
+            self.by_request.insert(record.request, record);
+        }
+        while self.order.len() > KEPT {
+            if let Some(oldest) = self.order.pop_front() {
+                self.by_request.remove(&oldest);
+            }
+        }
+    }
+
+    fn find(&self, request: RequestId) -> Option<DecisionRecord> {
+        self.by_request.get(&request).cloned()
+    }
+}
--- /dev/null
+++ b/crates/sillpin-settings/src/args.rs
@@ -0,0 +1,75 @@
+//! The arguments that every program with settings takes.
+
+use crate::load::Sources;
+use crate::{Fault, Faults, Loaded, Schema, load};
+use clap::{Arg, ArgAction, ArgMatches, Command};
+
+/// Adds `--config`, `--set`, `--check` and `--print-settings`.
+pub fn with_settings(command: Command) -> Command {
+    command
+        .arg(
+            Arg::new("config")
+                .long("config")
+                .required(true)
+                .value_name("FILE")
+                .help("Settings in INI"),
+        )
+        .arg(
+            Arg::new("set")
+                .long("set")
+                .action(ArgAction::Append)
+                .value_name("SECTION.KEY=VALUE")
+                .help("Set one value, above file and environment"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings, print every fault, and end"),
+        )
+        .arg(
+            Arg::new("print-settings")
+                .long("print-settings")
+                .action(ArgAction::SetTrue)
+                .help("Print the effective settings with their sources, and end"),
+        )
+}
+
+/// What the arguments ask for.
+pub enum Asked {
+    /// Run with these settings.
+    Run(Loaded),
+    /// Print this and end.
+    Print(String),
+}
+
+/// Reads the settings that the arguments name.
+pub fn read(schema: Schema, args: &ArgMatches) -> Result<Asked, Faults> {
+    let file = args
+        .get_one::<String>("config")
+        .cloned()
+        .unwrap_or_default();
+    let text = std::fs::read_to_string(&file).map_err(|e| {
+        let what = format!("cannot be read: {e}");
+        let place = file.clone();
+        Faults(vec![Fault { place, what }])
+    })?;
+    let flags: Vec<String> = args
+        .get_many::<String>("set")
+        .map(|flags| flags.cloned().collect())
+        .unwrap_or_default();
+    let sources = Sources {
+        file: &file,
+        text: &text,
+        flags: &flags,
+        env: &|name| std::env::var(name).ok(),
+    };
+    let loaded = load(schema, &sources)?;
+    if args.get_flag("print-settings") {
+        return Ok(Asked::Print(loaded.render()));
+    }
+    if args.get_flag("check") {
+        return Ok(Asked::Print(format!("{file}: settings are accepted\n")));
+    }
+    Ok(Asked::Run(loaded))
+}
--- a/crates/sillpin-standin/src/engine/batch.rs
+++ b/crates/sillpin-standin/src/engine/batch.rs
@@ -151,8 +151,8 @@
         let produced = run.order.start_index;
         run.phase = Phase::Decode { produced };
         let blocks: Vec<BlockName> = run.order.blocks.clone();
-        for block in blocks {
-            self.cache.insert(block);
+        for block in &blocks {
+            self.cache.insert(*block, blocks[0]);
         }
         left
     }
--- a/crates/sillpin-standin/src/engine/cache.rs
+++ b/crates/sillpin-standin/src/engine/cache.rs
@@ -10,9 +10,16 @@
 /// Events in one answer.
 const EVENTS_PER_ANSWER: usize = 512;
 
+/// When a block was used last, and the prompt that brought it in.
+#[derive(Clone, Copy)]
+struct Use {
+    at: u64,
+    root: BlockName,
+}
+
 pub(super) struct Cache {
     capacity: usize,
-    used: HashMap<BlockName, u64>,
+    used: HashMap<BlockName, Use>,
     oldest: BTreeMap<u64, BlockName>,
     clock: u64,
     events: VecDeque<(u64, CacheChange)>,
@@ -39,7 +46,7 @@
         let hits = blocks.iter().take_while(|b| self.used.contains_key(b));
         let hits = hits.count();
         for block in &blocks[..hits] {
-            self.touch(*block);
+            self.touch(*block, blocks[0]);
         }
         hits
     }
@@ -48,15 +55,16 @@
         self.used.contains_key(block)
     }
 
-    /// Adds a block, evicting the least recently used ones beyond the capacity.
-    pub(super) fn insert(&mut self, block: BlockName) {
+    /// Adds a block of the prompt that begins with `root`, evicting the least recently used ones
+    /// beyond the capacity.
+    pub(super) fn insert(&mut self, block: BlockName, root: BlockName) {
         if self.capacity == 0 {
             return;
         }
         if !self.used.contains_key(&block) {
-            self.publish(CacheChange::Stored(block));
+            self.publish(root, block, true);
         }
-        self.touch(block);
+        self.touch(block, root);
         while self.used.len() > self.capacity {
             self.evict();
         }
@@ -69,22 +77,31 @@
         }
     }
 
-    fn touch(&mut self, block: BlockName) {
+    fn touch(&mut self, block: BlockName, root: BlockName) {
         self.clock += 1;
-        if let Some(before) = self.used.insert(block, self.clock) {
-            self.oldest.remove(&before);
+        let at = self.clock;
+        let root = self.used.get(&block).map_or(root, |before| before.root);
+        if let Some(before) = self.used.insert(block, Use { at, root }) {
+            self.oldest.remove(&before.at);
         }
-        self.oldest.insert(self.clock, block);
+        self.oldest.insert(at, block);
     }
 
     fn evict(&mut self) {
-        if let Some((_, block)) = self.oldest.pop_first() {
-            self.used.remove(&block);
-            self.publish(CacheChange::Removed(block));
+        let Some((_, block)) = self.oldest.pop_first() else {
+            return;
+        };
+        if let Some(last) = self.used.remove(&block) {
+            self.publish(last.root, block, false);
         }
     }
 
-    fn publish(&mut self, change: CacheChange) {
+    fn publish(&mut self, root: BlockName, block: BlockName, stored: bool) {
+        let change = CacheChange {
+            root,
+            block,
+            stored,
+        };
         self.sequence += 1;
         let lost = self.gap_every > 0 && self.sequence.is_multiple_of(self.gap_every);
         if !lost {
--- a/crates/sillpin-standin/src/engine/mod.rs
+++ b/crates/sillpin-standin/src/engine/mod.rs
@@ -12,7 +12,7 @@
 use hyper::{Method, Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use sillpin_core::target::LoadReport;
-use sillpin_core::{AttemptId, Fence, ModelId, Presence, Tokens, WeightVersion};
+use sillpin_core::{AttemptId, Fence, ModelId, Presence, Share, Tokens, WeightVersion};
 use sillpin_http::body::read_json;
 use sillpin_http::{Body, BodySender, Client};
 use sillpin_load::oracle::ExpectedAnswer;
@@ -338,6 +338,7 @@
                 Presence::Live
             },
             running: state.batch.running() as u32,
+            slots: self.shape.max_batch as u32,
             waiting: state.batch.waiting().count() as u32,
             waiting_tokens: Tokens(
                 state.batch.blocks_to_compute() * sillpin_core::block::BLOCK_TOKENS,
@@ -345,6 +346,7 @@
             version: Some(state.version),
             block_micros: self.shape.block.as_micros() as u64,
             cache_blocks: self.shape.cache_blocks as u32,
+            fill: Share::NONE,
         }
     }
 
--- a/crates/sillpin-standin/src/engine/transfer.rs
+++ b/crates/sillpin-standin/src/engine/transfer.rs
@@ -48,7 +48,10 @@
             }
             fetched.blocks += 1;
             fetched.bytes += object.len.0;
-            self.lock().batch.cache.insert(object.block);
+            self.lock()
+                .batch
+                .cache
+                .insert(object.block, order.blocks[0]);
         }
         fetched
     }
@@ -96,7 +99,7 @@
                 len: Bytes(data.len() as u64),
                 checksum: blake3::hash(&data).to_hex().to_string(),
             };
-            if self.write(&object, data).await.is_none() {
+            if self.write(&object, order.root, data).await.is_none() {
                 break;
             }
             exported.objects.push(object);
@@ -104,7 +107,7 @@
         exported
     }
 
-    async fn write(&self, object: &ObjectRef, data: Vec<u8>) -> Option<()> {
+    async fn write(&self, object: &ObjectRef, root: BlockName, data: Vec<u8>) -> Option<()> {
         let path = format!("/v1/objects/{}.{}", object.block, object.generation);
         let req = Request::builder()
             .method(Method::PUT)
@@ -122,6 +125,7 @@
         let seal = Seal {
             len: object.len,
             checksum: object.checksum.clone(),
+            root,
         };
         self.post_seal(object.addr, &format!("{path}/seal"), &seal)
             .await
--- a/crates/sillpin-standin/src/service.rs
+++ b/crates/sillpin-standin/src/service.rs
@@ -4,8 +4,8 @@
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
-use sillpin_core::Presence;
 use sillpin_core::target::LoadReport;
+use sillpin_core::{Presence, Share};
 use sillpin_http::read_limited;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -73,11 +73,13 @@
                 Presence::Live
             },
             running: state.running,
+            slots: 0,
             waiting: 0,
             waiting_tokens: Default::default(),
             version: None,
             block_micros: 0,
             cache_blocks: 0,
+            fill: Share::NONE,
         }
     }
 
--- a/crates/sillpin-standin/src/store.rs
+++ b/crates/sillpin-standin/src/store.rs
@@ -1,13 +1,15 @@
 //! A store box: objects that are written, sealed, read and freed, within a capacity and a rate.
 
+use crate::query::param;
 use crate::{Response, ok, status};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use serde::{Deserialize, Serialize};
+use sillpin_core::{LoadReport, Presence, Share, Tokens};
 use sillpin_http::body::read_json;
 use sillpin_http::{Body, read_limited};
-use sillpin_targets::store::Seal;
+use sillpin_targets::store::{Seal, SealedObject};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -54,7 +56,7 @@
 
 struct Object {
     data: Bytes,
-    sealed: bool,
+    seal: Option<Seal>,
     used: u64,
 }
 
@@ -66,6 +68,7 @@
     counters: StoreCounters,
     clock: u64,
     link_free: Option<Instant>,
+    reports: u64,
 }
 
 /// The stand-in; clones share it.
@@ -100,6 +103,8 @@
                 Err(_) => status(StatusCode::BAD_REQUEST),
             },
             "/admin/counters" => ok(&self.lock().counters),
+            "/v1/load" => ok(&self.load()),
+            "/v1/objects" => ok(&self.list(req.uri().query())),
             _ => self.object(&path, req).await,
         }
     }
@@ -117,6 +122,33 @@
         }
     }
 
+    fn load(&self) -> LoadReport {
+        let mut state = self.lock();
+        state.reports += 1;
+        let used = state.counters.held as f64 / self.shape.capacity.max(1) as f64;
+        let units = (used * f64::from(Share::WHOLE_UNITS)) as u16;
+        LoadReport {
+            sequence: state.reports,
+            presence: Presence::Live,
+            running: 0,
+            slots: 0,
+            waiting: 0,
+            waiting_tokens: Tokens(0),
+            version: None,
+            block_micros: 0,
+            cache_blocks: 0,
+            fill: Share::try_from(units).unwrap_or(Share::WHOLE),
+        }
+    }
+
+    fn list(&self, query: Option<&str>) -> Vec<SealedObject> {
+        let after: String = param(query, "after").unwrap_or_default();
+        let limit = param(query, "limit").unwrap_or(usize::MAX);
+        let state = self.lock();
+        let behind = state.objects.iter().filter(|(name, _)| **name > after);
+        behind.filter_map(sealed_object).take(limit).collect()
+    }
+
     async fn write(&self, name: &str, req: Request<Incoming>) -> Response {
         let Ok(data) = read_limited(req.into_body(), MAX_OBJECT_LEN).await else {
             return status(StatusCode::BAD_REQUEST);
@@ -135,7 +167,7 @@
         let used = state.clock;
         let object = Object {
             data,
-            sealed: false,
+            seal: None,
             used,
         };
         state.objects.insert(name.to_owned(), object);
@@ -154,7 +186,7 @@
         if seal.len.0 != object.data.len() as u64 || seal.checksum != checksum.as_str() {
             return status(StatusCode::CONFLICT);
         }
-        object.sealed = true;
+        object.seal = Some(seal);
         status(StatusCode::OK)
     }
 
@@ -178,7 +210,7 @@
                 .filter(|_| faults.careless)
                 .map(|data| (data, faults, false));
         };
-        if !object.sealed && !faults.careless {
+        if object.seal.is_none() && !faults.careless {
             return None;
         }
         let data = object.data.clone();
@@ -223,6 +255,15 @@
     }
 }
 
+fn sealed_object((name, object): (&String, &Object)) -> Option<SealedObject> {
+    let (block, generation) = name.split_once('.')?;
+    Some(SealedObject {
+        block: block.parse().ok()?,
+        generation: generation.parse().ok()?,
+        seal: object.seal.clone()?,
+    })
+}
+
 fn spoil(data: Bytes, faults: &StoreFaults) -> Bytes {
     let mut data = data.to_vec();
     if faults.truncate {
--- a/crates/sillpin-targets/src/engine.rs
+++ b/crates/sillpin-targets/src/engine.rs
@@ -37,6 +37,9 @@
     pub priority: u8,
     /// Kept blocks to fetch before computing.
     pub imports: Vec<ObjectRef>,
+    /// Further fields of the caller's request, such as sampling parameters, passed on as they are.
+    #[serde(default)]
+    pub parameters: serde_json::Map<String, serde_json::Value>,
 }
 
 /// What an engine says at a run's end.
@@ -116,12 +119,13 @@
 
 /// A change of an engine's cache.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum CacheChange {
-    /// The block is cached now.
-    Stored(BlockName),
-    /// The block is cached no more.
-    Removed(BlockName),
+pub struct CacheChange {
+    /// First block of the prompt that brought the block in.
+    pub root: BlockName,
+    /// The block.
+    pub block: BlockName,
+    /// Whether it is cached now, or no more.
+    pub stored: bool,
 }
 
 /// Cache events after a given one. A first sequence above the one asked for means a gap.
@@ -138,6 +142,8 @@
 /// An order to write blocks to a store box.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ExportOrder {
+    /// First block of the prompt, written into the seals.
+    pub root: BlockName,
     /// Blocks to write, each with the generation of its writing.
     pub blocks: Vec<(BlockName, Generation)>,
     /// The store box.
--- /dev/null
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -0,0 +1,96 @@
+//! The catalogue of log events. A code is never reused.
+
+use slog::Level;
+
+/// A kind of log event.
+#[derive(Debug, Clone, Copy)]
+pub struct Event {
+    /// Its number.
+    pub code: u16,
+    /// How grave it is.
+    pub level: Level,
+    /// What happened.
+    pub text: &'static str,
+    /// What an operator may do.
+    pub advice: &'static str,
+}
+
+macro_rules! catalogue {
+    ($($(#[$doc:meta])* $name:ident = $code:literal, $level:ident, $text:literal, $advice:literal;)*) => {
+        $(
+            $(#[$doc])*
+            pub const $name: Event = Event {
+                code: $code,
+                level: Level::$level,
+                text: $text,
+                advice: $advice,
+            };
+        )*
+
+        /// Every event, by code.
+        pub const CATALOGUE: &[Event] = &[$($name),*];
+    };
+}
+
+catalogue! {
+    /// The entry listens.
+    ENTRY_STARTED = 100, Info, "entry started", "Nothing to do.";
+    /// The entry has a bundle and takes requests.
+    ENTRY_READY = 101, Info, "entry ready", "Nothing to do.";
+    /// The entry was told to stop.
+    ENTRY_DRAINING = 102, Info, "entry drains", "Wait: it ends when its last request has ended.";
+    /// The entry has ended.
+    ENTRY_STOPPED = 103, Info, "entry stopped", "Nothing to do.";
+    /// The entry lost its keeper.
+    KEEPER_LOST = 104, Warning, "keeper out of reach", "Start the keeper again; the entry serves with its last snapshot.";
+    /// The entry has its keeper again.
+    KEEPER_BACK = 105, Info, "keeper back", "Nothing to do.";
+    /// A request ended.
+    REQUEST_DONE = 110, Debug, "request done", "Nothing to do.";
+    /// A request did not get its whole answer.
+    REQUEST_FAILED = 111, Info, "request failed", "Look at its decision with `sillpin explain`.";
+    /// An attempt at a target failed and another follows.
+    ATTEMPT_FAILED = 112, Info, "attempt failed", "Look at the target if one name recurs.";
+    /// A target answered for another attempt.
+    ANSWER_CROSSED = 113, Error, "answer of another attempt", "Take the target out: it mixes up answers.";
+    /// An arm was stopped by its guard.
+    ARM_STOPPED = 120, Warning, "arm stopped by its guard", "Compare the arms; accept a bundle without it.";
+    /// The keeper listens.
+    KEEPER_STARTED = 200, Info, "keeper started", "Nothing to do.";
+    /// The keeper ended.
+    KEEPER_STOPPED = 201, Info, "keeper stopped", "Nothing to do.";
+    /// A bundle came into force.
+    BUNDLE_IN_FORCE = 210, Info, "bundle in force", "Nothing to do.";
+    /// A revision was refused.
+    BUNDLE_REFUSED = 211, Error, "revision refused", "Find out who wrote it: it is not signed by a trusted key or not readable.";
+    /// The platform's service failed.
+    PLATFORM_FAILED = 220, Warning, "platform call failed", "Look at the platform; the fleet goes on with what it has.";
+    /// The platform's service answers again.
+    PLATFORM_BACK = 221, Info, "platform answers again", "Nothing to do.";
+    /// A box is dead or left.
+    BOX_GONE = 230, Warning, "box out of use", "Replace the box if it was not stopped on purpose.";
+    /// A box is there.
+    BOX_SEEN = 231, Info, "box in use", "Nothing to do.";
+    /// A target is out of reach.
+    TARGET_LOST = 232, Warning, "target out of reach", "Replace the target if it was not stopped on purpose.";
+    /// A target is back.
+    TARGET_BACK = 233, Info, "target back", "Nothing to do.";
+    /// A target leaves.
+    TARGET_LEAVING = 234, Info, "target leaves", "Nothing to do.";
+    /// Cache events were lost.
+    CACHE_EVENTS_LOST = 240, Debug, "cache events lost", "Nothing to do: answers correct the hints.";
+    /// Blocks were written to a store.
+    BLOCKS_KEPT = 241, Debug, "blocks kept", "Nothing to do.";
+    /// Blocks were freed in a store.
+    BLOCKS_FREED = 242, Debug, "blocks freed", "Nothing to do.";
+    /// An export failed.
+    EXPORT_FAILED = 243, Info, "export failed", "Look at the store if one name recurs.";
+    /// A weight version is being loaded.
+    WEIGHTS_ORDERED = 250, Info, "load of weights ordered", "Nothing to do.";
+    /// A weight version was loaded.
+    WEIGHTS_LOADED = 251, Info, "weights loaded", "Nothing to do.";
+    /// A load failed.
+    WEIGHTS_FAILED = 252, Warning, "load of weights failed", "It is tried again; look at the weight store if it recurs.";
+    /// A claim was given up and released.
+    CLAIM_RELEASED = 260, Info, "claim released", "Nothing to do: its call was not run.";
+}
