Thin whole path: caller to engine and back, over real processes

Cause: the issue asks for the thin path first. Conclusion: the interfaces carry a request end to end; deepen from here.

--- a/crates/sillpin-cli/src/lib.rs
+++ b/crates/sillpin-cli/src/lib.rs
@@ -1,1 +1,10 @@
-//! Placeholder.
+//! What the operators' command line does, apart from its arguments.
+//!
+//! - [`ops::bundle`]: new, check, sign, accept,
+//! - [`ops::fleet`]: status and explain,
+//! - [`ops::organisation`]: organisations and their keys.
+
+pub mod error;
+pub mod ops;
+
+pub use error::{CliError, ExitStatus};
--- /dev/null
+++ b/crates/sillpin-cli/src/main.rs
@@ -0,0 +1,41 @@
+//! `sillpin`: the operators' command line.
+//!
+//! Exit codes: 0 done; 1 something could not be read, written or reached; 2 wrong arguments;
+//! 3 refused as it stands; 4 somebody else was first; 5 does not exist; 6 may have taken effect.
+
+mod commands;
+
+use sillpin_cli::{CliError, ExitStatus};
+use std::error::Error;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = commands::cli().get_matches();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            let what = "cannot start";
+            return fail(&CliError::caused(ExitStatus::Failed, what, e));
+        }
+    };
+    match runtime.block_on(commands::run(&matches)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => fail(&e),
+    }
+}
+
+fn fail(e: &CliError) -> ExitCode {
+    eprintln!("error: {e}");
+    let mut cause = e.source();
+    if cause.is_some() {
+        eprintln!("Caused by:");
+    }
+    while let Some(source) = cause {
+        eprintln!("    {source}");
+        cause = source.source();
+    }
+    e.status.into()
+}
--- /dev/null
+++ b/crates/sillpin-cli/src/ops/fleet.rs
@@ -0,0 +1,55 @@
+//! Asking keepers for what they see.
+
+use crate::{CliError, ExitStatus};
+use sillpin_core::RequestId;
+use sillpin_rpc::peer_link::{FleetStatus, PeerLinkClient};
+use sillpin_rpc::records::DecisionRecord;
+use sillpin_rpc::transport::{connect, within};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tarpc::client::Config;
+
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+async fn open(keeper: SocketAddr) -> Result<PeerLinkClient, CliError> {
+    let failed = |e| {
+        let what = format!("cannot reach keeper {keeper}");
+        CliError::caused(ExitStatus::Failed, what, e)
+    };
+    let transport = connect(keeper).await.map_err(failed)?;
+    Ok(PeerLinkClient::new(Config::default(), transport).spawn())
+}
+
+/// What a keeper sees of the fleet.
+pub async fn status(keeper: SocketAddr) -> Result<FleetStatus, CliError> {
+    let client = open(keeper).await?;
+    let status = client.status(within(TIMEOUT)).await;
+    status.map_err(|e| CliError::caused(ExitStatus::Failed, "the keeper did not answer", e))
+}
+
+/// The decision record of a request: asked of the keeper, then of all boxes it knows.
+pub async fn explain(keeper: SocketAddr, request: RequestId) -> Result<DecisionRecord, CliError> {
+    let status = status(keeper).await?;
+    let others = status.boxes.iter().map(|b| b.state.peer_addr);
+    let mut keepers = vec![keeper];
+    keepers.extend(others.filter(|addr| *addr != keeper));
+    let mut unreached = 0;
+    for keeper in keepers {
+        match ask_record(keeper, request).await {
+            Ok(Some(record)) => return Ok(record),
+            Ok(None) => {}
+            Err(_) => unreached += 1,
+        }
+    }
+    let what = format!("no box has a record of {request} ({unreached} not reached)");
+    Err(CliError::new(ExitStatus::NotFound, what))
+}
+
+async fn ask_record(
+    keeper: SocketAddr,
+    request: RequestId,
+) -> Result<Option<DecisionRecord>, CliError> {
+    let client = open(keeper).await?;
+    let record = client.explain(within(TIMEOUT), request).await;
+    record.map_err(|e| CliError::caused(ExitStatus::Failed, "the keeper did not answer", e))
+}
--- a/crates/sillpin-http/src/lib.rs
+++ b/crates/sillpin-http/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! - [`body`]: one body type without dynamic dispatch,
 //! - [`client`]: a pooled client whose errors say how far the send got,
-//! - [`lines`]: JSON documents, one a line, out of a streamed body,
+//! - [`lines`]: lines and JSON documents out of a streamed body,
 //! - [`server`]: a listener that drains.
 
 pub mod body;
@@ -12,7 +12,7 @@
 
 pub use body::{Body, BodySender, ReadError, read_limited};
 pub use client::{CallError, Client, Sent};
-pub use lines::JsonLines;
+pub use lines::{JsonLines, Lines};
 pub use server::Server;
 
 use hyper::{Response, StatusCode, header};
--- a/crates/sillpin-http/src/lines.rs
+++ b/crates/sillpin-http/src/lines.rs
@@ -1,4 +1,4 @@
-//! JSON documents, one a line, out of a streamed body.
+//! Lines out of a streamed body, and JSON documents one a line.
 
 use bytes::{Buf, Bytes, BytesMut};
 use derive_more::{Display, Error};
@@ -9,10 +9,10 @@
 /// Longest line accepted, in bytes.
 pub const MAX_LINE_LEN: usize = 1 << 20;
 
-/// Why the next document could not be read.
+/// Why the next line could not be read.
 #[derive(Debug, Display, Error)]
 pub enum LineError {
-    /// The connection broke.
+    /// The connection broke, or the body ended within a line.
     #[display("stream was cut")]
     Cut,
     /// A line is too long.
@@ -23,13 +23,13 @@
     Json(serde_json::Error),
 }
 
-/// Reads documents out of a body. Dropping it before the end closes the connection.
-pub struct JsonLines {
+/// Reads lines out of a body. Dropping it before the end closes the connection.
+pub struct Lines {
     body: Incoming,
     buf: BytesMut,
 }
 
-impl JsonLines {
+impl Lines {
     /// Reads from `body`.
     pub fn new(body: Incoming) -> Self {
         Self {
@@ -38,12 +38,12 @@
         }
     }
 
-    /// The next document; `None` at the end of the body. Cancelling the call loses nothing.
-    pub async fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>, LineError> {
+    /// The next line without its end; `None` at the end of the body. Cancelling the call loses
+    /// nothing.
+    pub async fn next(&mut self) -> Result<Option<BytesMut>, LineError> {
         loop {
             if let Some(line) = self.take_line() {
-                let doc = serde_json::from_slice(&line).map_err(LineError::Json)?;
-                return Ok(Some(doc));
+                return Ok(Some(line));
             }
             if self.buf.len() > MAX_LINE_LEN {
                 return Err(LineError::TooLong);
@@ -70,3 +70,26 @@
         Some(line)
     }
 }
+
+/// Reads documents out of a body, one a line.
+pub struct JsonLines {
+    lines: Lines,
+}
+
+impl JsonLines {
+    /// Reads from `body`.
+    pub fn new(body: Incoming) -> Self {
+        let lines = Lines::new(body);
+        Self { lines }
+    }
+
+    /// The next document; `None` at the end of the body. Cancelling the call loses nothing.
+    pub async fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>, LineError> {
+        let Some(line) = self.lines.next().await? else {
+            return Ok(None);
+        };
+        serde_json::from_slice(&line)
+            .map(Some)
+            .map_err(LineError::Json)
+    }
+}
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Integration tests over real processes.
+
+mod path;
--- /dev/null
+++ b/tests/testsuite/path.rs
@@ -0,0 +1,42 @@
+//! The whole path: caller, entry, decision, engine, streamed answer.
+
+use sillpin_core::Outcome;
+use sillpin_load::caller::{Ask, Got, call};
+use sillpin_testsuite::fleet::{MODEL, key_of};
+use sillpin_testsuite::{Fleet, FleetShape};
+
+#[tokio::test]
+async fn an_answer_streams_from_engine_to_caller() {
+    let fleet = Fleet::start(FleetShape::default()).await;
+    let prompt = "The rider says the battery swap failed. ".repeat(400);
+    let ask = Ask::new(&key_of("riders"), MODEL, prompt, 20);
+    let got = call(&fleet.client, fleet.boxes[0].callers(), &ask).await;
+    let Got::Answered { usage, request, .. } = got else {
+        panic!("{got:?}");
+    };
+    assert_eq!(usage.completion_tokens, 20);
+    assert_eq!(usage.prompt_tokens, 4_000);
+    assert!(request.is_some());
+}
+
+#[tokio::test]
+async fn a_whole_answer_comes_as_one_document() {
+    let fleet = Fleet::start(FleetShape::default()).await;
+    let ask = Ask {
+        stream: false,
+        ..Ask::new(&key_of("riders"), MODEL, "Is the fee paid?", 7)
+    };
+    let got = call(&fleet.client, fleet.boxes[0].callers(), &ask).await;
+    assert!(got.is_answered(), "{got:?}");
+}
+
+#[tokio::test]
+async fn an_unknown_key_is_refused_as_not_run() {
+    let fleet = Fleet::start(FleetShape::default()).await;
+    let ask = Ask::new("key-nobody", MODEL, "hello", 7);
+    let got = call(&fleet.client, fleet.boxes[0].callers(), &ask).await;
+    let Got::Refused { problem, .. } = got else {
+        panic!("{got:?}");
+    };
+    assert_eq!((problem.status, problem.outcome), (401, Outcome::NotRun));
+}
--- /dev/null
+++ b/tests/testsuite/src/fleet.rs
@@ -0,0 +1,554 @@
+//! All processes of a fleet.
+
+use crate::process::{Process, program};
+use crate::wait::until;
+use hyper::Method;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use sillpin_bundle::{Accepted, Bundle, PoolPolicy, SignedBundle, SignerKey};
+use sillpin_cli::ops;
+use sillpin_core::target::{BoxEntry, BoxList, Presence, TargetEntry, TargetKind};
+use sillpin_core::{BytesPerSec, Revision, TargetId, WeightVersion, ZoneId};
+use sillpin_http::Client;
+use sillpin_http::client::Call;
+use sillpin_load::caller::{self, Ask, Got};
+use sillpin_platform::HttpPlatform;
+use sillpin_rpc::gossip::Organisation;
+use sillpin_rpc::peer_link::FleetStatus;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tempfile::TempDir;
+
+/// Model that the fleet's engines serve.
+pub const MODEL: &str = "mfano";
+
+/// Pool of the engines.
+pub const ENGINE_POOL: &str = "mfano-llm";
+
+/// Pool of the plain services.
+pub const SERVICE_POOL: &str = "safari-app";
+
+/// Secret of the fleet.
+const SECRET: &str = "fleet-secret-of-tests";
+
+/// Longest wait for an administrative call of a stand-in.
+const ADMIN_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How many of each kind, and how they are set up.
+#[derive(Debug, Clone)]
+pub struct FleetShape {
+    /// Availability zones.
+    pub zones: Vec<&'static str>,
+    /// Entry boxes a zone.
+    pub boxes: usize,
+    /// Engines a zone.
+    pub engines: usize,
+    /// Plain services in all, spread over the zones.
+    pub services: usize,
+    /// Stores in all, spread over the zones.
+    pub stores: usize,
+    /// Organisations; each one's key is `key-NAME`.
+    pub organisations: Vec<&'static str>,
+    /// Further arguments of each engine.
+    pub engine_args: Vec<String>,
+    /// Further arguments of each store.
+    pub store_args: Vec<String>,
+    /// Rate of each store's link, in bytes a second, as the box list gives it.
+    pub link_rate: u64,
+    /// Values of the entries' settings.
+    pub entry_settings: Vec<&'static str>,
+    /// Values of the keepers' settings.
+    pub keeper_settings: Vec<&'static str>,
+    /// Whether each target stands behind a fault proxy.
+    pub proxies: bool,
+}
+
+impl Default for FleetShape {
+    fn default() -> Self {
+        Self {
+            zones: vec!["kariakoo"],
+            boxes: 1,
+            engines: 2,
+            services: 1,
+            stores: 1,
+            organisations: vec!["riders", "mechanics"],
+            engine_args: Vec::new(),
+            store_args: Vec::new(),
+            link_rate: 50_000_000,
+            entry_settings: vec!["entry.drain-lag-ms=200"],
+            keeper_settings: vec![
+                "keeper.gossip-ms=200",
+                "keeper.load-ms=100",
+                "keeper.list-ms=200",
+            ],
+            proxies: false,
+        }
+    }
+}
+
+/// An entry box: its keeper and its entry.
+pub struct EntryBox {
+    /// Its name.
+    pub id: String,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// The keeper.
+    pub keeper: Process,
+    /// The entry.
+    pub entry: Process,
+}
+
+impl EntryBox {
+    /// Where it takes callers.
+    pub fn callers(&self) -> SocketAddr {
+        self.entry.addr("callers")
+    }
+
+    /// Where its keeper answers peers and operators.
+    pub fn peer(&self) -> SocketAddr {
+        self.keeper.addr("peer")
+    }
+}
+
+/// A target's process, and the fault proxy before it, if there is one.
+pub struct TargetProcess {
+    /// As the box list has it.
+    pub entry: TargetEntry,
+    /// The stand-in.
+    pub process: Process,
+    /// The fault proxy.
+    pub proxy: Option<Process>,
+}
+
+/// A fleet of processes; all end with it.
+pub struct Fleet {
+    /// How it is set up.
+    pub shape: FleetShape,
+    /// The platform's stand-in.
+    pub platform: Process,
+    /// Targets by name.
+    pub targets: BTreeMap<TargetId, TargetProcess>,
+    /// Entry boxes.
+    pub boxes: Vec<EntryBox>,
+    /// Connections of the tests themselves.
+    pub client: Client,
+    key: SignerKey,
+    dir: TempDir,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until each entry answers a request.
+    pub async fn start(shape: FleetShape) -> Self {
+        let fleet = Self::start_unready(shape).await;
+        fleet.accept(&fleet.bundle("first")).await;
+        for entry_box in &fleet.boxes {
+            fleet.wait_ready(entry_box).await;
+        }
+        fleet
+    }
+
+    /// Starts a fleet that has no bundle yet.
+    pub async fn start_unready(shape: FleetShape) -> Self {
+        let dir = tempfile::tempdir().expect("a temporary directory can be made");
+        let standin = program("sillpin-standin");
+        let platform = Process::start(
+            dir.path(),
+            "platform",
+            &standin,
+            ["platform"],
+            &["platform"],
+        );
+        let targets = start_targets(&shape, dir.path(), &standin);
+        let mut fleet = Self {
+            shape,
+            platform,
+            targets,
+            boxes: Vec::new(),
+            client: Client::default(),
+            key: SignerKey::generate(),
+            dir,
+        };
+        fleet.write_organisations().await;
+        fleet.publish().await;
+        for zone in fleet.shape.zones.clone() {
+            for number in 0..fleet.shape.boxes {
+                fleet.start_box(&format!("{zone}-{number}"), zone);
+            }
+        }
+        fleet.publish().await;
+        fleet
+    }
+
+    /// Starts an entry box; the box list is not changed.
+    pub fn start_box(&mut self, id: &str, zone: &str) {
+        let keeper = self.start_keeper(id, zone, "127.0.0.1:0");
+        let entry = self.start_entry(id, zone, keeper.addr("entry"), "127.0.0.1:0");
+        self.boxes.push(EntryBox {
+            id: id.to_owned(),
+            zone: zone.parse().expect("zone names are valid"),
+            keeper,
+            entry,
+        });
+    }
+
+    /// Starts a keeper that listens for peers at `peer`.
+    pub fn start_keeper(&self, id: &str, zone: &str, peer: &str) -> Process {
+        self.start_keeper_at(id, zone, peer, "127.0.0.1:0")
+    }
+
+    /// Starts a keeper that listens for peers at `peer` and for its entry at `entry`.
+    pub fn start_keeper_at(&self, id: &str, zone: &str, peer: &str, entry: &str) -> Process {
+        let seeds: Vec<String> = self.boxes.iter().map(|b| b.peer().to_string()).collect();
+        let text = format!(
+            "[box]\nid = {id}\nzone = {zone}\n[platform]\naddr = {}\n[keeper]\nsigners = {}\nseeds = {}\n",
+            self.platform.addr("platform"),
+            self.key.public(),
+            seeds.join(","),
+        );
+        let peer = format!("keeper.peer-listen={peer}");
+        let entry = format!("keeper.entry-listen={entry}");
+        let mut settings = self.shape.keeper_settings.clone();
+        settings.extend([peer.as_str(), entry.as_str()]);
+        let name = format!("keeper-{id}");
+        let listeners = ["entry", "peer", "http"];
+        self.start_program("sillpin-keeper", &name, &text, &settings, &listeners)
+    }
+
+    /// Starts an entry that listens for callers at `listen`.
+    pub fn start_entry(&self, id: &str, zone: &str, keeper: SocketAddr, listen: &str) -> Process {
+        let text = format!(
+            "[box]\nid = {id}\nzone = {zone}\n[fleet]\nsecret = {SECRET}\n[entry]\nkeeper = {keeper}\n"
+        );
+        let listen = format!("entry.listen={listen}");
+        let mut settings = self.shape.entry_settings.clone();
+        settings.push(&listen);
+        let name = format!("entry-{id}");
+        self.start_program(
+            "sillpin-entry",
+            &name,
+            &text,
+            &settings,
+            &["callers", "http"],
+        )
+    }
+
+    fn start_program(
+        &self,
+        bin: &str,
+        name: &str,
+        text: &str,
+        settings: &[&str],
+        listeners: &[&str],
+    ) -> Process {
+        let file = self.dir.path().join(format!("{name}.ini"));
+        std::fs::write(&file, text).expect("the test directory is writable");
+        let mut args = vec!["--config".to_owned(), file.display().to_string()];
+        for setting in settings {
+            args.extend(["--set".to_owned(), (*setting).to_owned()]);
+        }
+        Process::start(self.dir.path(), name, &program(bin), &args, listeners)
+    }
+
+    /// Directory of logs and settings.
+    pub fn dir(&self) -> &Path {
+        self.dir.path()
+    }
+
+    /// Writes a file into the fleet's directory.
+    pub fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.dir.path().join(name);
+        std::fs::write(&path, text).expect("the test directory is writable");
+        path
+    }
+
+    /// The platform's client.
+    pub fn platform_client(&self) -> HttpPlatform {
+        HttpPlatform::new(self.client.clone(), self.platform.addr("platform"))
+    }
+
+    /// The box list, all live.
+    pub fn box_list(&self) -> BoxList {
+        let boxes = self.boxes.iter().map(|b| BoxEntry {
+            id: b.id.parse().expect("box names are valid"),
+            zone: b.zone.clone(),
+            peer_addr: b.peer(),
+            presence: Presence::Live,
+        });
+        BoxList {
+            boxes: boxes.collect(),
+            targets: self.targets.values().map(|t| t.entry.clone()).collect(),
+        }
+    }
+
+    /// Writes the box list as it is.
+    pub async fn publish(&self) {
+        self.publish_list(&self.box_list()).await;
+    }
+
+    /// Writes a box list.
+    pub async fn publish_list(&self, list: &BoxList) {
+        let platform = self.platform.addr("platform");
+        let _: Option<()> = self.admin(platform, "/admin/boxes", Some(list)).await;
+    }
+
+    async fn write_organisations(&self) {
+        let orgs = self.shape.organisations.iter().map(|name| Organisation {
+            id: name.parse().expect("organisation names are valid"),
+            key_hashes: vec![ops::organisation::hash_key(&key_of(name))],
+        });
+        let orgs: Vec<Organisation> = orgs.collect();
+        for org in orgs {
+            let hash = org.key_hashes[0].clone();
+            ops::organisation::add_key(&self.platform_client(), org.id, hash)
+                .await
+                .expect("the platform is up");
+        }
+    }
+
+    /// Calls a stand-in's control interface; `None` if it fails.
+    pub async fn admin<T: Serialize, R: DeserializeOwned>(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        doc: Option<&T>,
+    ) -> Option<R> {
+        let call = Call {
+            step: "administer a stand-in",
+            peer,
+            method: Method::POST,
+            path,
+            timeout: ADMIN_TIMEOUT,
+        };
+        self.client.call_json(call, doc).await.ok()
+    }
+
+    /// Sets the platform's faults.
+    pub async fn platform_faults(&self, faults: &sillpin_standin::platform::Faults) {
+        let platform = self.platform.addr("platform");
+        let _: Option<()> = self.admin(platform, "/admin/faults", Some(faults)).await;
+    }
+
+    /// Sets a target's own faults.
+    pub async fn target_faults<T: Serialize>(&self, target: &str, faults: &T) {
+        let process = &self.target(target).process;
+        let kind = self.target(target).entry.kind.to_string();
+        let _: Option<()> = self
+            .admin(process.addr(&kind), "/admin/faults", Some(faults))
+            .await;
+    }
+
+    /// Sets the faults of the proxy before a target.
+    pub async fn proxy_faults(&self, target: &str, faults: &sillpin_standin::fault::Faults) {
+        let proxy = self
+            .target(target)
+            .proxy
+            .as_ref()
+            .expect("the target has a proxy");
+        let _: Option<()> = self.admin(proxy.addr("fault"), "/", Some(faults)).await;
+    }
+
+    /// A target by its name.
+    pub fn target(&self, name: &str) -> &TargetProcess {
+        let id: TargetId = name.parse().expect("target names are valid");
+        &self.targets[&id]
+    }
+
+    /// Executions that a plain service counted, by idempotency key.
+    pub async fn executions(&self, service: &str) -> BTreeMap<String, u32> {
+        let addr = self.target(service).process.addr("service");
+        let counted = self.admin(addr, "/admin/executions", None::<&()>).await;
+        counted.unwrap_or_default()
+    }
+
+    /// Executions counted at all plain services, by idempotency key.
+    pub async fn all_executions(&self) -> BTreeMap<String, u32> {
+        let mut all = BTreeMap::new();
+        for target in self
+            .targets
+            .values()
+            .filter(|t| t.entry.kind == TargetKind::Service)
+        {
+            for (key, count) in self.executions(target.entry.id.as_str()).await {
+                *all.entry(key).or_default() += count;
+            }
+        }
+        all
+    }
+
+    /// A bundle with default policies for the fleet's pools.
+    pub fn bundle(&self, name: &str) -> Bundle {
+        let mut bundle = Bundle {
+            name: name.to_owned(),
+            ..Bundle::default()
+        };
+        let engines = PoolPolicy {
+            kind: TargetKind::Engine,
+            model: MODEL.parse().ok(),
+            version: None,
+            floor: 1,
+        };
+        let services = PoolPolicy {
+            kind: TargetKind::Service,
+            model: None,
+            version: None,
+            floor: 0,
+        };
+        bundle.pools.extend([
+            (ENGINE_POOL.parse().expect("valid"), engines),
+            (SERVICE_POOL.parse().expect("valid"), services),
+        ]);
+        bundle
+    }
+
+    /// A bundle that has the fleet's engines load a weight version.
+    pub fn bundle_with_version(&self, name: &str, version: u64) -> Bundle {
+        let mut bundle = self.bundle(name);
+        for pool in bundle
+            .pools
+            .values_mut()
+            .filter(|p| p.kind == TargetKind::Engine)
+        {
+            pool.version = Some(WeightVersion(version));
+        }
+        bundle
+    }
+
+    /// Signs a bundle with the key that the keepers trust.
+    pub fn sign(&self, bundle: &Bundle) -> SignedBundle {
+        let text = serde_json::to_string(bundle).expect("bundles are JSON");
+        SignedBundle::sign(&text, &self.key).expect("the bundle passes its checks")
+    }
+
+    /// Accepts a bundle as the next revision.
+    pub async fn accept(&self, bundle: &Bundle) -> Accepted {
+        let signed = self.sign(bundle);
+        ops::bundle::accept(&self.platform_client(), signed, "tests", None)
+            .await
+            .expect("nobody else accepts")
+    }
+
+    /// What a box's keeper sees.
+    pub async fn status(&self, entry_box: &EntryBox) -> Option<FleetStatus> {
+        ops::fleet::status(entry_box.peer()).await.ok()
+    }
+
+    /// Waits until `revision` is in force on a box.
+    pub async fn wait_revision(&self, entry_box: &EntryBox, revision: Revision) {
+        until("the revision to be in force", || async {
+            let status = self.status(entry_box).await?;
+            (status.revision >= revision).then_some(())
+        })
+        .await;
+    }
+
+    /// Waits until a box answers a request.
+    pub async fn wait_ready(&self, entry_box: &EntryBox) {
+        until("the entry to answer", || async {
+            let got = self.ask(entry_box, "is anybody there").await;
+            got.is_answered().then_some(())
+        })
+        .await;
+    }
+
+    /// Sends a short request to a box.
+    pub async fn ask(&self, entry_box: &EntryBox, prompt: &str) -> Got {
+        let key = key_of(self.shape.organisations[0]);
+        let ask = Ask::new(&key, MODEL, prompt, 4);
+        caller::call(&self.client, entry_box.callers(), &ask).await
+    }
+}
+
+/// Key of an organisation of the fleet.
+pub fn key_of(organisation: &str) -> String {
+    format!("key-{organisation}")
+}
+
+fn start_targets(
+    shape: &FleetShape,
+    dir: &Path,
+    standin: &Path,
+) -> BTreeMap<TargetId, TargetProcess> {
+    let mut targets = BTreeMap::new();
+    let mut add = |kind: TargetKind, name: String, zone: &str, args: &[String]| {
+        let target = start_target(shape, dir, standin, kind, &name, zone, args);
+        targets.insert(target.entry.id.clone(), target);
+    };
+    let zone_of = |number: usize| shape.zones[number % shape.zones.len()];
+    for zone in &shape.zones {
+        for number in 0..shape.engines {
+            add(
+                TargetKind::Engine,
+                format!("engine-{zone}-{number}"),
+                zone,
+                &shape.engine_args,
+            );
+        }
+    }
+    for number in 0..shape.services {
+        add(
+            TargetKind::Service,
+            format!("service-{number}"),
+            zone_of(number),
+            &[],
+        );
+    }
+    for number in 0..shape.stores {
+        add(
+            TargetKind::Store,
+            format!("store-{number}"),
+            zone_of(number),
+            &shape.store_args,
+        );
+    }
+    add(TargetKind::Weights, "weights-0".to_owned(), zone_of(0), &[]);
+    targets
+}
+
+fn start_target(
+    shape: &FleetShape,
+    dir: &Path,
+    standin: &Path,
+    kind: TargetKind,
+    name: &str,
+    zone: &str,
+    args: &[String],
+) -> TargetProcess {
+    let kind_name = kind.to_string();
+    let mut all = vec![kind_name.clone()];
+    all.extend_from_slice(args);
+    let process = Process::start(dir, name, standin, &all, &[&kind_name]);
+    let addr = process.addr(&kind_name);
+    let proxy = shape.proxies.then(|| {
+        let args = ["fault".to_owned(), "--target".to_owned(), addr.to_string()];
+        Process::start(
+            dir,
+            &format!("proxy-{name}"),
+            standin,
+            args,
+            &["proxy", "fault"],
+        )
+    });
+    let pool = match kind {
+        TargetKind::Engine => ENGINE_POOL,
+        TargetKind::Service => SERVICE_POOL,
+        TargetKind::Store => "prompt-vault",
+        TargetKind::Weights => "weights",
+    };
+    let entry = TargetEntry {
+        id: name.parse().expect("target names are valid"),
+        kind,
+        pool: pool.parse().expect("pool names are valid"),
+        zone: zone.parse().expect("zone names are valid"),
+        addr: proxy.as_ref().map_or(addr, |proxy| proxy.addr("proxy")),
+        presence: Presence::Live,
+        model: (kind == TargetKind::Engine).then(|| MODEL.parse().expect("valid")),
+        link_rate: (kind == TargetKind::Store).then_some(BytesPerSec(shape.link_rate)),
+    };
+    TargetProcess {
+        entry,
+        process,
+        proxy,
+    }
+}
