--- a/crates/sillpin-entry/src/lib.rs
+++ b/crates/sillpin-entry/src/lib.rs
@@ -7,7 +7,7 @@
 //! - [`services`]: passes calls on to plain services,
 //! - [`keeper_link`]: what the keeper of this box tells; the entry goes on without it,
 //! - [`arms`]: what each arm of a rollout measures, and its guard,
-//! - [`metrics`]: instruments.
+//! - [`metrics`]: the instruments.
 
 pub mod app;
 pub mod arms;
--- a/crates/sillpin-entry/src/place/placer.rs
+++ b/crates/sillpin-entry/src/place/placer.rs
@@ -20,6 +20,9 @@
 /// Assumed rate of a store's link when the box list does not give it, in bytes a second.
 const DEFAULT_LINK_RATE: f64 = 50e6;
 
+/// How long an engine's own word on its version counts for more than its load reports.
+const TRUST_SAID: Duration = Duration::from_secs(3);
+
 /// Candidates kept in a decision record.
 const RECORDED: usize = 6;
 
@@ -28,6 +31,7 @@
     pub(super) snapshot: Arc<Snapshot>,
     zone: ZoneId,
     backlogs: HashMap<TargetId, Backlog>,
+    said_versions: HashMap<TargetId, (WeightVersion, Instant)>,
     rng: SmallRng,
     turn: usize,
 }
@@ -45,6 +49,7 @@
             snapshot: Arc::default(),
             zone,
             backlogs: HashMap::new(),
+            said_versions: HashMap::new(),
             rng: SmallRng::from_rng(&mut rng()),
             turn: 0,
         }
@@ -62,6 +67,18 @@
         self.snapshot = snapshot;
     }
 
+    /// An engine itself said which version it serves.
+    pub(super) fn serves(&mut self, target: TargetId, version: WeightVersion, now: Instant) {
+        self.said_versions.insert(target, (version, now));
+    }
+
+    /// The version that an engine serves: its own word while that is fresh, else its last report.
+    fn version(&self, target: &Target, now: Instant) -> Option<WeightVersion> {
+        let said = self.said_versions.get(&target.entry.id);
+        let fresh = said.filter(|(_, at)| now - *at < TRUST_SAID);
+        fresh.map_or_else(|| target.version(), |(version, _)| Some(*version))
+    }
+
     fn backlog(&mut self, id: &TargetId, now: Instant) -> &mut Backlog {
         self.backlogs
             .entry(id.clone())
@@ -73,7 +90,8 @@
         let resting = |id: &TargetId| self.backlogs.get(id).is_some_and(|b| b.is_resting(now));
         let usable = self.snapshot.usable(&req.pool, TargetKind::Engine);
         let fitting = usable.filter(|target| {
-            target.version() == Some(req.version) && !req.excluded.contains(&target.entry.id)
+            self.version(target, now) == Some(req.version)
+                && !req.excluded.contains(&target.entry.id)
         });
         let mut engines: Vec<(Target, LoadReport)> = fitting
             .filter_map(|target| Some((target.clone(), target.load.clone()?)))
--- a/crates/sillpin-entry/src/place/task.rs
+++ b/crates/sillpin-entry/src/place/task.rs
@@ -94,6 +94,7 @@
         took: Duration,
         answered: bool,
     },
+    Serves(TargetId, WeightVersion),
 }
 
 /// Speaks to the placing task.
@@ -128,6 +129,11 @@
         };
         let _ = self.tx.try_send(msg);
     }
+
+    /// Tells that an engine itself said which version it serves: load reports lag behind.
+    pub fn serves(&self, target: TargetId, version: WeightVersion) {
+        let _ = self.tx.try_send(Msg::Serves(target, version));
+    }
 }
 
 /// Starts the task of an entry in `zone`; at most `max_waiting` requests wait.
@@ -173,6 +179,9 @@
                     Some(Msg::Done { target, took, answered }) => {
                         self.placer.done(&target, took, answered, Instant::now());
                     }
+                    Some(Msg::Serves(target, version)) => {
+                        self.placer.serves(target, version, Instant::now());
+                    }
                     None => return,
                 },
                 changed = self.snapshots.changed() => match changed {
--- a/crates/sillpin-entry/src/runs/attempt.rs
+++ b/crates/sillpin-entry/src/runs/attempt.rs
@@ -50,14 +50,13 @@
             return Ok(None);
         };
         let next = tokio::time::timeout(self.silence, stream.next()).await;
-        let next = next.unwrap_or_else(|_| {
-            Err(EngineError {
-                step: "wait for a token",
-                peer: self.peer,
-                fault: EngineFault::Timeout,
-                outcome: sillpin_core::Outcome::Unknown,
-            })
-        });
+        let silent = EngineError {
+            step: "wait for a token",
+            peer: self.peer,
+            fault: EngineFault::Timeout,
+            outcome: sillpin_core::Outcome::Unknown,
+        };
+        let next = next.unwrap_or(Err(silent));
         if let Ok(Some(RunEvent::End { .. })) = next {
             self.over = true;
         }
--- a/crates/sillpin-entry/src/runs/call.rs
+++ b/crates/sillpin-entry/src/runs/call.rs
@@ -1,7 +1,7 @@
 //! From a parsed request to its answer.
 
 use super::drive::{Delivery, Driver};
-use super::prompt::{Plan, plan};
+use super::prompt::plan;
 use crate::app::App;
 use crate::front::Failure;
 use crate::front::documents::{ModelRequest, Provenance, Writer};
@@ -41,7 +41,7 @@
     call: Call,
     span: ActiveSpan,
 ) -> Result<Response<Body>, Failure> {
-    let plan = plan(&app, &call)?;
+    let plan = plan(&app, &call, None)?;
     let writer = Writer {
         request: call.request,
         dialect: call.asked.dialect,
@@ -49,10 +49,9 @@
     };
     let stream = call.asked.stream;
     let (tx, mut rx) = mpsc::channel(DELIVERIES);
-    let provenance = provenance(&plan);
     tokio::spawn(Driver::new(app, call, plan, tx, span).run());
     if !stream {
-        return whole(&writer, provenance, &mut rx).await;
+        return whole(&writer, &mut rx).await;
     }
     let first = match rx.recv().await {
         Some(Delivery::Failed(failure)) => return Err(failure),
@@ -60,7 +59,7 @@
         None => return Err(lost_driver()),
     };
     let (body_tx, body) = Body::channel();
-    tokio::spawn(forward(writer, provenance, first, rx, body_tx));
+    tokio::spawn(forward(writer, first, rx, body_tx));
     let mut resp = Response::new(body);
     let headers = resp.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
@@ -68,13 +67,6 @@
     Ok(resp)
 }
 
-fn provenance(plan: &Plan) -> Provenance {
-    Provenance {
-        weight_version: plan.version,
-        revision: plan.revision,
-    }
-}
-
 fn lost_driver() -> Failure {
     Failure::unknown("the request's task ended")
 }
@@ -82,7 +74,6 @@
 /// Gathers the whole answer.
 async fn whole(
     writer: &Writer,
-    provenance: Provenance,
     rx: &mut mpsc::Receiver<Delivery>,
 ) -> Result<Response<Body>, Failure> {
     let mut text = String::new();
@@ -90,7 +81,9 @@
         match delivery {
             Delivery::Token(token) => text.push_str(&token),
             Delivery::Failed(failure) => return Err(failure),
-            Delivery::End(summary) => return Ok(document(writer, provenance, &text, summary)),
+            Delivery::End(summary, provenance) => {
+                return Ok(document(writer, provenance, &text, summary));
+            }
         }
     }
     Err(lost_driver())
@@ -113,7 +106,6 @@
 /// event and a broken body, never with the end mark.
 async fn forward(
     writer: Writer,
-    provenance: Provenance,
     first: Delivery,
     mut rx: mpsc::Receiver<Delivery>,
     tx: BodySender,
@@ -122,7 +114,7 @@
     while let Some(delivery) = next {
         let chunk = match delivery {
             Delivery::Token(text) => writer.token_event(&text),
-            Delivery::End(summary) => {
+            Delivery::End(summary, provenance) => {
                 let _ = tx.send(writer.end_events(summary, provenance)).await;
                 return;
             }
--- a/crates/sillpin-entry/src/runs/drive.rs
+++ b/crates/sillpin-entry/src/runs/drive.rs
@@ -3,16 +3,17 @@
 use super::Call;
 use super::attempt::Attempt;
 use super::once::{self, Claim};
-use super::prompt::Plan;
+use super::prompt::{Plan, plan};
 use crate::app::App;
 use crate::arms::Sample;
 use crate::front::Failure;
+use crate::front::documents::Provenance;
 use crate::keeper_link::News;
 use crate::metrics::PromptWork;
 use crate::place::{PlaceRequest, Placed};
 use opentelemetry::KeyValue;
 use opentelemetry::trace::{Span, SpanKind};
-use sillpin_core::{AttemptId, Outcome, TargetId, Tokens};
+use sillpin_core::{AttemptId, Outcome, TargetId, Tokens, WeightVersion};
 use sillpin_rpc::directory::{BlockHints, KeptObject, PromptUse};
 use sillpin_rpc::records::{AttemptRecord, DecisionRecord};
 use sillpin_targets::{
@@ -24,13 +25,17 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+/// Times that a request that found no engine is planned anew, and the wait for news each time.
+const MAX_REPLANS: u32 = 3;
+const REPLAN_WAIT: Duration = Duration::from_millis(400);
+
 /// Part of an answer on its way to the caller.
 #[derive(Debug)]
 pub(super) enum Delivery {
     /// A token's text.
     Token(String),
     /// The answer is whole.
-    End(RunSummary),
+    End(RunSummary, Provenance),
     /// The answer will not come whole.
     Failed(Failure),
 }
@@ -57,6 +62,7 @@
     excluded: Vec<TargetId>,
     attempts: Vec<AttemptRecord>,
     ran: Outcome,
+    replans: u32,
 }
 
 impl<E: Engine> Driver<E> {
@@ -80,6 +86,7 @@
             excluded: Vec::new(),
             attempts: Vec::new(),
             ran: Outcome::NotRun,
+            replans: 0,
         }
     }
 
@@ -99,9 +106,15 @@
 
     async fn carry_out(&mut self) -> Result<RunSummary, Failure> {
         let mut claim = once::claim(&self.app, &self.call).await?;
-        let hints = self.look_up().await;
+        let mut hints = self.look_up().await;
         loop {
-            let placed = self.place(&hints).await?;
+            let placed = match self.place(&hints).await {
+                Err(e) if self.is_unplaced(&e) && self.plan_again().await => {
+                    hints = self.look_up().await;
+                    continue;
+                }
+                placed => placed?,
+            };
             let begun = Instant::now();
             let target = placed.target.clone();
             let result = self.attempt(&placed, claim.as_mut()).await;
@@ -114,11 +127,69 @@
                     return Ok(summary);
                 }
                 Err(Broken::CallerGone) => return Err(Failure::unknown("the caller has gone")),
+                Err(Broken::Engine(EngineError {
+                    fault: EngineFault::OtherVersion(version),
+                    ..
+                })) => {
+                    self.follow_version(target, version);
+                    hints = self.look_up().await;
+                }
                 Err(Broken::Engine(e)) => self.after_failure(target, e)?,
             }
         }
     }
 
+    /// Whether a refused request can still be planned anew: nothing of it was sent.
+    fn is_unplaced(&self, failure: &Failure) -> bool {
+        failure.kind == "unavailable" && self.ran == Outcome::NotRun
+    }
+
+    /// Waits for news of the fleet and plans the request anew, as when its weight version has been
+    /// swapped away under it. False when there is no news, or was too often.
+    async fn plan_again(&mut self) -> bool {
+        self.replans += 1;
+        if self.replans > MAX_REPLANS {
+            return false;
+        }
+        let mut snapshot = self.app.snapshot.clone();
+        let wait = REPLAN_WAIT.min(self.plan.deadline.saturating_duration_since(Instant::now()));
+        let news = tokio::time::timeout(wait, snapshot.changed()).await;
+        let Some(plan) = news
+            .ok()
+            .and_then(|_| plan(&self.app, &self.call, None).ok())
+        else {
+            return false;
+        };
+        self.adopt(plan);
+        true
+    }
+
+    /// An engine refused the run because it serves another version. A run that has not begun is
+    /// planned for that one; a run that has begun stays with its own.
+    fn follow_version(&mut self, target: TargetId, version: WeightVersion) {
+        self.app.placer.serves(target.clone(), version);
+        let has_begun = self.ran != Outcome::NotRun;
+        self.replans += 1;
+        let plan = plan(&self.app, &self.call, Some(version)).ok();
+        match plan.filter(|_| !has_begun && self.replans <= MAX_REPLANS) {
+            Some(plan) => {
+                self.attempts.pop();
+                self.adopt(plan);
+            }
+            None => self.excluded.push(target),
+        }
+    }
+
+    fn adopt(&mut self, plan: Plan) {
+        let (began, deadline) = (self.plan.began, self.plan.deadline);
+        self.plan = Plan {
+            began,
+            deadline,
+            ..plan
+        };
+        self.excluded.clear();
+    }
+
     async fn look_up(&mut self) -> BlockHints {
         if self.plan.blocks.is_empty() {
             return BlockHints::default();
@@ -338,7 +409,11 @@
         event!(self.app.log, events::REQUEST_DONE, "request" => %self.call.request,
             "tokens" => summary.tokens, "cached" => %summary.cached_tokens);
         self.record(Outcome::Ran);
-        let _ = self.tx.send(Delivery::End(summary)).await;
+        let provenance = Provenance {
+            weight_version: self.plan.version,
+            revision: self.plan.revision,
+        };
+        let _ = self.tx.send(Delivery::End(summary, provenance)).await;
     }
 
     fn record_pace(&self) {
--- a/crates/sillpin-entry/src/runs/prompt.rs
+++ b/crates/sillpin-entry/src/runs/prompt.rs
@@ -32,8 +32,12 @@
     pub(super) labels: Labels,
 }
 
-/// Fixes what a run is pinned to.
-pub(super) fn plan<E: Engine>(app: &App<E>, call: &Call) -> Result<Plan, Failure> {
+/// Fixes what a run is pinned to; `version` if an engine has named the weight version it serves.
+pub(super) fn plan<E: Engine>(
+    app: &App<E>,
+    call: &Call,
+    version: Option<WeightVersion>,
+) -> Result<Plan, Failure> {
     let began = Instant::now();
     let snapshot = app.snapshot();
     let in_force = snapshot.in_force.as_ref();
@@ -67,7 +71,7 @@
     };
     let home_blocks = usize::from(policy.placement.home_blocks);
     let home = scope.home_hash(key, &asked.prompt, home_blocks);
-    let version = version_for(&snapshot, pool, home);
+    let version = version.or_else(|| version_for(&snapshot, pool, home));
     let version = version.ok_or_else(|| {
         let detail = format!("no engine of pool {pool} is in reach");
         Failure::unavailable(detail, Duration::from_secs(1))
--- a/crates/sillpin-http/src/client.rs
+++ b/crates/sillpin-http/src/client.rs
@@ -1,13 +1,14 @@
 //! A pooled HTTP/1.1 client whose errors say how far the send got.
 //!
 //! What may be told to a caller about a failed request hangs on whether its bytes can have reached
-//! the peer, so [`CallError`] carries [`Sent`] beside step and peer. The client never sends a
-//! request a second time by itself.
+//! the peer, so [`CallError`] carries [`Sent`] beside step and peer. The library takes a request that
+//! met an idle connection just closed by the peer to another connection, but only when it gets the
+//! request back unsent; nothing of which a byte left is ever sent again here.
 
 use crate::body::{Body, ReadError, read_json};
 use derive_more::{Display, Error};
 use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode, header};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, header};
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -49,8 +50,13 @@
     #[display("no answer within {} ms", _0.as_millis())]
     Timeout(#[error(not(source))] Duration),
     /// The peer answered with another status than asked for.
-    #[display("answered with status {_0}")]
-    Status(#[error(not(source))] StatusCode),
+    #[display("answered with status {status}")]
+    Status {
+        /// The status.
+        status: StatusCode,
+        /// The answer's headers.
+        headers: Box<HeaderMap>,
+    },
     /// The answer's body could not be read.
     #[display("answer unreadable: {_0}")]
     Answer(ReadError),
@@ -78,7 +84,15 @@
     /// The status that the peer answered with, if it answered.
     pub fn status(&self) -> Option<StatusCode> {
         match &self.fault {
-            CallFault::Status(status) => Some(*status),
+            CallFault::Status { status, .. } => Some(*status),
+            _ => None,
+        }
+    }
+
+    /// A header of the answer with another status, as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        match &self.fault {
+            CallFault::Status { headers, .. } => headers.get(name)?.to_str().ok(),
             _ => None,
         }
     }
@@ -99,7 +113,7 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(MAX_IDLE_PER_PEER)
-            .retry_canceled_requests(false)
+            .retry_canceled_requests(true)
             .build(connector);
         Self { pool }
     }
@@ -163,7 +177,9 @@
             .await
             .map_err(|_| failed(Sent::Maybe, CallFault::Timeout(call.timeout)))??;
         if !resp.status().is_success() {
-            return Err(failed(Sent::Maybe, CallFault::Status(resp.status())));
+            let status = resp.status();
+            let headers = Box::new(resp.headers().clone());
+            return Err(failed(Sent::Maybe, CallFault::Status { status, headers }));
         }
         Ok(resp)
     }
--- a/crates/sillpin-keeper/src/claims.rs
+++ b/crates/sillpin-keeper/src/claims.rs
@@ -152,7 +152,7 @@
                 }
                 return;
             }
-            tokio::time::sleep(backoff.next()).await;
+            tokio::time::sleep(backoff.next_wait()).await;
         }
     }
 
--- a/crates/sillpin-keeper/src/directory/task.rs
+++ b/crates/sillpin-keeper/src/directory/task.rs
@@ -116,10 +116,10 @@
             .blocks
             .first()
             .is_some_and(|root| self.is_first(&view, root));
-        if let Some(job) = self.table.used(used, &policy, mine, now) {
-            if let Err(e) = self.exports.try_send(job) {
-                self.table.export_ended(&e.into_inner());
-            }
+        if let Some(job) = self.table.used(used, &policy, mine, now)
+            && let Err(e) = self.exports.try_send(job)
+        {
+            self.table.export_ended(&e.into_inner());
         }
     }
 
--- a/crates/sillpin-keeper/src/platform.rs
+++ b/crates/sillpin-keeper/src/platform.rs
@@ -36,7 +36,7 @@
 
 impl Backoff {
     /// The wait after one more failure: between half and the whole of a doubling bound.
-    pub fn next(&mut self) -> Duration {
+    pub fn next_wait(&mut self) -> Duration {
         let doubled = MIN_BACKOFF * 2u32.pow(self.failures.min(10));
         self.failures += 1;
         let most = doubled.min(MAX_BACKOFF);
@@ -130,7 +130,7 @@
                 if !backoff.is_failing() {
                     event!(self.log, events::PLATFORM_FAILED, "error" => %e);
                 }
-                backoff.next()
+                backoff.next_wait()
             }
         }
     }
--- a/crates/sillpin-keeper/src/view.rs
+++ b/crates/sillpin-keeper/src/view.rs
@@ -62,12 +62,7 @@
         self.boxes.iter().filter(move |b| b.live && b.zone == *zone)
     }
 
-    fn top<'a>(
-        &'a self,
-        key: u64,
-        count: usize,
-        wanted: impl Fn(&PeerView) -> bool,
-    ) -> Vec<&'a PeerView> {
+    fn top(&self, key: u64, count: usize, wanted: impl Fn(&PeerView) -> bool) -> Vec<&PeerView> {
         let boxes = self.boxes.iter().enumerate().filter(|(_, b)| wanted(b));
         let best = rendezvous::top(key, boxes.map(|(i, b)| (i, b.hash, 1.0)), count);
         best.into_iter().map(|index| &self.boxes[index]).collect()
--- a/crates/sillpin-keeper/src/weights.rs
+++ b/crates/sillpin-keeper/src/weights.rs
@@ -12,14 +12,14 @@
 use crate::view::View;
 use sillpin_bundle::PoolPolicy;
 use sillpin_core::target::TargetEntry;
-use sillpin_core::{Fence, TargetKind, WeightVersion};
+use sillpin_core::{Fence, TargetId, TargetKind, WeightVersion};
 use sillpin_http::Client;
 use sillpin_platform::{KvRevision, Platform, PlatformError};
 use sillpin_rpc::entry_link::TargetView;
 use sillpin_targets::{Engine, HttpEngine, LoadOrder};
 use sillpin_telemetry::{event, events};
 use slog::Logger;
-use std::net::SocketAddr;
+use std::collections::HashMap;
 use std::time::Duration;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -36,6 +36,12 @@
 /// Prefix of the slots in the platform's service.
 const SLOT_PREFIX: &str = "loads/";
 
+/// How long an engine's word that it has loaded counts for more than its load reports, which lag.
+const TRUST_LOADED: Duration = Duration::from_secs(10);
+
+/// Engines that said that they have loaded a version, and when.
+type Loaded = HashMap<TargetId, (WeightVersion, Instant)>;
+
 /// What the orderer of loads needs.
 #[derive(Clone)]
 pub struct Weights<P> {
@@ -65,19 +71,21 @@
     /// Runs until `stop`.
     pub async fn run(self, stop: CancellationToken) {
         let mut look = tokio::time::interval(LOOK_EVERY);
+        let mut loaded = Loaded::new();
         look.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
                 _ = look.tick() => {}
             }
-            if let Some(behind) = self.find_behind().await {
-                self.bring_up(behind).await;
+            loaded.retain(|_, (_, at)| at.elapsed() < TRUST_LOADED);
+            if let Some(behind) = self.find_behind(&loaded).await {
+                self.bring_up(behind, &mut loaded).await;
             }
         }
     }
 
-    async fn find_behind(&self) -> Option<Behind> {
+    async fn find_behind(&self, loaded: &Loaded) -> Option<Behind> {
         let view = self.published.view.borrow().clone();
         let bundle = &view.in_force.as_ref()?.bundle;
         if bundle.pools.values().all(|pool| pool.version.is_none()) {
@@ -87,6 +95,10 @@
         let mine = |t: &&TargetView| self.is_mine(&view, t);
         status.targets.iter().filter(mine).find_map(|target| {
             let pool = bundle.pools.get(&target.entry.pool)?;
+            let done = loaded.get(&target.entry.id).map(|(version, _)| *version);
+            if done.is_some() && done == pool.version {
+                return None;
+            }
             behind(&view, &status.targets, target, pool)
         })
     }
@@ -99,13 +111,14 @@
         first && target.entry.kind == TargetKind::Engine
     }
 
-    async fn bring_up(&self, behind: Behind) {
+    async fn bring_up(&self, behind: Behind, loaded: &mut Loaded) {
         let begun = Instant::now();
         let Ok(Some((slot, fence))) = self.take_slot(&behind).await else {
             return;
         };
-        if begun.elapsed() < LEASE_TTL / 2 {
-            self.order(&behind, fence).await;
+        if begun.elapsed() < LEASE_TTL / 2 && self.order(&behind, fence).await {
+            let done = (behind.version, Instant::now());
+            loaded.insert(behind.engine.id.clone(), done);
         }
         let _ = self.platform.delete(&slot, KvRevision(fence.0)).await;
     }
@@ -128,10 +141,11 @@
         Ok(Some((slot, Fence(written.0))))
     }
 
-    async fn order(&self, behind: &Behind, fence: Fence) {
+    /// Orders a load; says whether the engine has loaded.
+    async fn order(&self, behind: &Behind, fence: Fence) -> bool {
         let engine = &behind.engine;
         let Some(model) = engine.model.clone() else {
-            return;
+            return false;
         };
         event!(self.log, events::WEIGHTS_ORDERED,
             "engine" => %engine.id, "version" => %behind.version, "fence" => %fence);
@@ -147,25 +161,18 @@
             Ok(Ok(())) => {
                 event!(self.log, events::WEIGHTS_LOADED,
                     "engine" => %engine.id, "version" => %behind.version);
-                self.read_now(engine.addr, engine).await;
+                true
             }
             Ok(Err(e)) => {
                 event!(self.log, events::WEIGHTS_FAILED, "engine" => %engine.id, "error" => %e);
+                false
             }
             Err(_) => {
                 event!(self.log, events::WEIGHTS_FAILED, "engine" => %engine.id, "error" => "timeout");
+                false
             }
         }
     }
-
-    /// Reads the engine's load at once, so that the fleet learns of its new version.
-    async fn read_now(&self, addr: SocketAddr, engine: &TargetEntry) {
-        if let Ok(load) = HttpEngine::new(self.client.clone()).load(addr).await {
-            let reading = crate::fleet::TargetReading::Load(load);
-            let msg = FleetMsg::Target(engine.id.clone(), reading);
-            self.fleet.tell(msg).await;
-        }
-    }
 }
 
 fn version_of(target: &TargetView) -> Option<WeightVersion> {
--- a/crates/sillpin-platform/src/http.rs
+++ b/crates/sillpin-platform/src/http.rs
@@ -80,7 +80,7 @@
 
 fn classify(e: &CallError) -> PlatformFault {
     match (&e.fault, e.sent) {
-        (CallFault::Status(status), _) => classify_status(*status),
+        (CallFault::Status { status, .. }, _) => classify_status(*status),
         (_, Sent::No) => PlatformFault::Unreachable,
         (_, Sent::Maybe) => PlatformFault::AnswerLost,
     }
--- a/crates/sillpin-standin/src/engine/mod.rs
+++ b/crates/sillpin-standin/src/engine/mod.rs
@@ -9,6 +9,7 @@
 use crate::{Response, ok, status};
 use batch::Batch;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{Method, Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use sillpin_core::target::LoadReport;
@@ -16,6 +17,7 @@
 use sillpin_http::body::read_json;
 use sillpin_http::{Body, BodySender, Client};
 use sillpin_load::oracle::ExpectedAnswer;
+use sillpin_targets::engine_http::VERSION_HEADER;
 use sillpin_targets::{ExportOrder, LoadOrder, RunEvent, RunOrder, RunSummary};
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -202,18 +204,23 @@
         }
     }
 
-    fn refuses(&self, order: &RunOrder) -> Option<StatusCode> {
+    fn refuses(&self, order: &RunOrder) -> Option<Response> {
         let state = self.lock();
         if state.faults.leaving || state.batch.waiting().count() >= self.shape.max_waiting {
-            return Some(StatusCode::SERVICE_UNAVAILABLE);
+            return Some(status(StatusCode::SERVICE_UNAVAILABLE));
         }
-        let serves = order.model == self.model && order.version == state.version;
-        (!serves).then_some(StatusCode::CONFLICT)
+        if order.model == self.model && order.version == state.version {
+            return None;
+        }
+        let mut refusal = status(StatusCode::CONFLICT);
+        let version = HeaderValue::from(state.version.0);
+        refusal.headers_mut().insert(VERSION_HEADER, version);
+        Some(refusal)
     }
 
     async fn start_run(&self, order: RunOrder) -> Response {
         if let Some(refusal) = self.refuses(&order) {
-            return status(refusal);
+            return refusal;
         }
         let (tx, body) = Body::channel();
         tokio::spawn(self.clone().serve_run(order, tx));
--- a/crates/sillpin-targets/src/engine.rs
+++ b/crates/sillpin-targets/src/engine.rs
@@ -88,6 +88,9 @@
     /// It refused the work: leaving, full, or of another weight version.
     #[display("refused")]
     Refused,
+    /// It refused the work because it serves another weight version.
+    #[display("serves weight version {_0}")]
+    OtherVersion(WeightVersion),
     /// It answered for another attempt.
     #[display("answer of another attempt")]
     Crossed,
--- a/crates/sillpin-targets/src/engine_http.rs
+++ b/crates/sillpin-targets/src/engine_http.rs
@@ -20,6 +20,9 @@
 /// Longest wait for an export or a load of weights.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Names the weight version that an engine serves, when it refuses a run of another one.
+pub const VERSION_HEADER: &str = "sillpin-weight-version";
+
 const NO_BODY: Option<&()> = None;
 
 /// Client of engines; one serves for all of them.
@@ -66,7 +69,7 @@
 /// What a failed call means. A refusal's status is the engine's own word that it did not begin.
 fn classify(e: &CallError) -> EngineError {
     let (fault, outcome) = match (&e.fault, e.sent) {
-        (CallFault::Status(status), _) => classify_status(*status),
+        (CallFault::Status { status, .. }, _) => classify_refusal(e, *status),
         (_, Sent::No) => (EngineFault::Unreachable, Outcome::NotRun),
         (CallFault::Timeout(_), _) => (EngineFault::Timeout, Outcome::Unknown),
         _ => (EngineFault::Cut, Outcome::Unknown),
@@ -79,6 +82,16 @@
     }
 }
 
+fn classify_refusal(e: &CallError, status: StatusCode) -> (EngineFault, Outcome) {
+    let version = e.header(VERSION_HEADER).and_then(|text| text.parse().ok());
+    match version {
+        Some(version) if status == StatusCode::CONFLICT => {
+            (EngineFault::OtherVersion(version), Outcome::NotRun)
+        }
+        _ => classify_status(status),
+    }
+}
+
 fn classify_status(status: StatusCode) -> (EngineFault, Outcome) {
     let refused = [
         StatusCode::CONFLICT,
--- /dev/null
+++ b/tests/testsuite/answers.rs
@@ -0,0 +1,138 @@
+//! Each caller receives the whole answer to its own request.
+
+use futures::future::join_all;
+use rstest::rstest;
+use sillpin_core::Outcome;
+use sillpin_load::caller::{Ask, Got, call};
+use sillpin_standin::engine::EngineFaults;
+use sillpin_standin::fault::Faults;
+use sillpin_testsuite::fleet::{MODEL, key_of};
+use sillpin_testsuite::wait::until;
+use sillpin_testsuite::{Fleet, FleetShape};
+
+fn ask(prompt: &str, tokens: u32) -> Ask {
+    Ask::new(&key_of("riders"), MODEL, prompt, tokens)
+}
+
+/// A fault of one of two engines: callers still get whole answers, by resumption or from the other.
+#[rstest]
+#[case::cut_in_the_middle(EngineFaults { cut_at: Some(5), ..EngineFaults::default() })]
+#[case::cut_before_the_first_token(EngineFaults { cut_at: Some(0), ..EngineFaults::default() })]
+#[case::no_end_mark(EngineFaults { no_end_mark: true, ..EngineFaults::default() })]
+#[case::answers_for_another(EngineFaults { crossed: true, ..EngineFaults::default() })]
+#[case::leaving(EngineFaults { leaving: true, ..EngineFaults::default() })]
+#[tokio::test]
+async fn a_faulty_engine_costs_no_answer(#[case] faults: EngineFaults) {
+    let fleet = Fleet::start(FleetShape::default()).await;
+    fleet.target_faults("engine-kariakoo-0", &faults).await;
+    let asks: Vec<Ask> = (0..12).map(|i| ask(&format!("prompt {i}"), 12)).collect();
+    let entry = fleet.boxes[0].callers();
+    let calls = asks.iter().map(|ask| call(&fleet.client, entry, ask));
+    for got in join_all(calls).await {
+        assert!(got.is_answered(), "{got:?}");
+    }
+}
+
+/// The connection to every engine breaks at a byte: the answer is whole or its lack is told.
+#[rstest]
+#[case::in_the_request(Faults { cut_request_at: Some(40), ..Faults::default() }, &[Outcome::Unknown, Outcome::NotRun])]
+#[case::in_the_head(Faults { cut_answer_at: Some(10), ..Faults::default() }, &[Outcome::Unknown])]
+#[case::after_the_head(Faults { cut_answer_at: Some(150), ..Faults::default() }, &[Outcome::Unknown])]
+#[case::in_a_token(Faults { cut_answer_at: Some(400), ..Faults::default() }, &[Outcome::Unknown])]
+#[case::no_connection(Faults { cut: true, ..Faults::default() }, &[Outcome::Unknown, Outcome::NotRun])]
+#[tokio::test]
+async fn a_break_at_each_byte_class_is_told_truly(
+    #[case] faults: Faults,
+    #[case] allowed: &[Outcome],
+) {
+    let fleet = Fleet::start(FleetShape {
+        proxies: true,
+        ..FleetShape::default()
+    })
+    .await;
+    for engine in ["engine-kariakoo-0", "engine-kariakoo-1"] {
+        fleet.proxy_faults(engine, &faults).await;
+    }
+    let got = call(&fleet.client, fleet.boxes[0].callers(), &ask("break", 40)).await;
+    match &got {
+        Got::Answered { .. } => {}
+        Got::Refused { problem, .. } => assert!(allowed.contains(&problem.outcome), "{got:?}"),
+        Got::Lost(_) | Got::Mixed(_) => panic!("{got:?}"),
+    }
+}
+
+#[tokio::test]
+async fn an_engine_killed_in_mid_stream_costs_no_answer() {
+    let mut fleet = Fleet::start(FleetShape::default()).await;
+    let entry = fleet.boxes[0].callers();
+    let client = fleet.client.clone();
+    let calls: Vec<_> = (0..8)
+        .map(|i| {
+            let (client, ask) = (client.clone(), ask(&format!("kill {i}"), 100));
+            tokio::spawn(async move { call(&client, entry, &ask).await })
+        })
+        .collect();
+    until("runs on both engines", || async {
+        let status = fleet.status(&fleet.boxes[0]).await?;
+        let running = |name: &str| {
+            let target = status
+                .targets
+                .iter()
+                .find(|t| t.entry.id.as_str() == name)?;
+            Some(target.state.as_ref()?.load.as_ref()?.running)
+        };
+        let both = running("engine-kariakoo-0")? > 0 && running("engine-kariakoo-1")? > 0;
+        both.then_some(())
+    })
+    .await;
+    let id = "engine-kariakoo-0".parse().unwrap();
+    fleet.targets.get_mut(&id).unwrap().process.kill();
+    for got in join_all(calls).await {
+        let got = got.unwrap();
+        assert!(got.is_answered(), "{got:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_cancels_its_run() {
+    let fleet = Fleet::start(FleetShape {
+        engines: 1,
+        ..FleetShape::default()
+    })
+    .await;
+    let entry = fleet.boxes[0].callers();
+    let long = ask("leave", 4_000);
+    let running = || async {
+        let status = fleet.status(&fleet.boxes[0]).await?;
+        let engine = status.targets.iter().find(|t| t.entry.model.is_some())?;
+        Some(engine.state.as_ref()?.load.as_ref()?.running)
+    };
+    let client = fleet.client.clone();
+    let caller = tokio::spawn(async move { call(&client, entry, &long).await });
+    until("the run", || async { running().await.filter(|n| *n == 1) }).await;
+    caller.abort();
+    until("the run's end", || async {
+        running().await.filter(|n| *n == 0)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_frozen_engine_is_left_and_the_answer_comes_from_another() {
+    let fleet = Fleet::start(FleetShape {
+        entry_settings: vec![
+            "entry.drain-lag-ms=200",
+            "limits.attempt-ms=500",
+            "limits.silence-ms=500",
+        ],
+        ..FleetShape::default()
+    })
+    .await;
+    fleet.target("engine-kariakoo-0").process.pause();
+    let asks: Vec<Ask> = (0..6).map(|i| ask(&format!("frozen {i}"), 12)).collect();
+    let entry = fleet.boxes[0].callers();
+    let calls = asks.iter().map(|ask| call(&fleet.client, entry, ask));
+    for got in join_all(calls).await {
+        assert!(got.is_answered(), "{got:?}");
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,3 +1,15 @@
 //! Integration tests over real processes.
 
+mod answers;
+mod blocks;
+mod bundles;
+mod callers;
+mod drain;
+mod events;
+mod membership;
+mod once;
+mod operators;
+mod organisations;
+mod outcomes;
 mod path;
+mod versions;
--- /dev/null
+++ b/tests/testsuite/versions.rs
@@ -0,0 +1,68 @@
+//! A new request never uses blocks of another weight version; a swap loses no answer and never
+//! loads more than three engines at once.
+
+use futures::future::join_all;
+use sillpin_load::caller::{Ask, Got, call};
+use sillpin_standin::weights::WeightCounters;
+use sillpin_testsuite::fleet::{MODEL, key_of};
+use sillpin_testsuite::wait::until;
+use sillpin_testsuite::{Fleet, FleetShape};
+
+fn ask(prompt: &str, tokens: u32) -> Ask {
+    Ask::new(&key_of("riders"), MODEL, prompt, tokens)
+}
+
+async fn versions(fleet: &Fleet) -> Option<Vec<u64>> {
+    let status = fleet.status(&fleet.boxes[0]).await?;
+    let engines = status.targets.iter().filter(|t| t.entry.model.is_some());
+    engines
+        .map(|t| Some(t.state.as_ref()?.load.as_ref()?.version?.0))
+        .collect()
+}
+
+#[tokio::test]
+async fn a_swap_under_load_loses_no_answer_and_reuses_no_old_block() {
+    let fleet = Fleet::start(FleetShape {
+        zones: vec!["kariakoo", "msasani"],
+        engines: 4,
+        ..FleetShape::default()
+    })
+    .await;
+    let prompt = "Bye-law pack. ".repeat(1_500);
+    let entry = fleet.boxes[0].callers();
+    assert!(
+        call(&fleet.client, entry, &ask(&prompt, 2))
+            .await
+            .is_answered()
+    );
+    fleet.accept(&fleet.bundle_with_version("swap", 2)).await;
+    let client = fleet.client.clone();
+    let load = tokio::spawn(async move {
+        let mut all = Vec::new();
+        for round in 0..20 {
+            let asks: Vec<Ask> = (0..6).map(|i| ask(&format!("{round} {i}"), 20)).collect();
+            let calls = asks.iter().map(|ask| call(&client, entry, ask));
+            all.extend(join_all(calls).await);
+        }
+        all
+    });
+    until("all engines to serve version 2", || async {
+        let versions = versions(&fleet).await?;
+        versions.iter().all(|v| *v == 2).then_some(())
+    })
+    .await;
+    for got in load.await.unwrap() {
+        assert!(got.is_answered(), "{got:?}");
+    }
+    let addr = fleet.target("weights-0").process.addr("weights");
+    let counted: Option<WeightCounters> = fleet.admin(addr, "/admin/counters", None::<&()>).await;
+    let counted = counted.unwrap();
+    assert!(counted.most_at_once <= 3, "{counted:?}");
+    assert_eq!(counted.loads, 8);
+    let got = call(&fleet.client, entry, &ask(&prompt, 2)).await;
+    let Got::Answered { usage, .. } = got else {
+        panic!("{got:?}");
+    };
+    assert_eq!(usage.prompt_tokens_details.cached_tokens, 0);
+    assert_eq!(usage.prompt_tokens_details.imported_tokens, 0);
+}
