Read on after refusing a body, so that the caller gets its answer

The entry refuses a body that is too long before it has read it and closes; the caller, still sending, then meets a reset in place of the 413. Seen only when all tests run at once. Change: the rest of a refused body is read and thrown away, within 64 MiB and 5 s.

--- a/crates/sillpin-entry/src/front/body.rs
+++ b/crates/sillpin-entry/src/front/body.rs
@@ -2,15 +2,21 @@
 
 use super::Failure;
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::StatusCode;
 use hyper::body::{Body as _, Incoming};
 use sillpin_http::{ReadError, read_limited};
 use std::time::Duration;
 
+/// Most bytes and longest time for which the rest of a refused body is read.
+const DISCARD_LEN: usize = 64 << 20;
+const DISCARD_TIME: Duration = Duration::from_secs(5);
+
 /// Reads a body of at most `limit` bytes that arrives within `time`.
 pub async fn read(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, Failure> {
     let too_long = || Failure::too_long(format!("the body is longer than {limit} bytes"));
     if body.size_hint().lower() > limit as u64 {
+        tokio::spawn(discard(body));
         return Err(too_long());
     }
     let slow = || {
@@ -29,3 +35,19 @@
         Err(_) => Err(Failure::bad_request("the body was cut off")),
     }
 }
+
+/// Reads on and throws away, within bounds, so that a caller that is still sending gets to read its
+/// answer instead of a connection reset.
+async fn discard(mut body: Incoming) {
+    let mut left = DISCARD_LEN;
+    let work = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            let len = frame.data_ref().map_or(0, Bytes::len);
+            left = left.saturating_sub(len);
+            if left == 0 {
+                return;
+            }
+        }
+    };
+    let _ = tokio::time::timeout(DISCARD_TIME, work).await;
+}
