Add the load tool and the demo

Cause: the issue asks for one command that shows the whole system at work, counted from outside. Change: seeded workloads of both users, a floor (compulsory and Belady) from the trace alone, an open-loop driver, a report with plot, and cargo demo. A keeper that is no longer a reader gives up its waiting watch, which the platform counts.

--- a/crates/sillpin-keeper/src/platform.rs
+++ b/crates/sillpin-keeper/src/platform.rs
@@ -91,6 +91,19 @@
         }
     }
 
+    /// Resolves when other keepers of the zone are to read `task`, so that a waiting watch is given
+    /// up: the service counts it.
+    async fn turn_lost(&self, task: &str) {
+        loop {
+            tokio::time::sleep(ROLE_CHECK).await;
+            let view = self.published.view.borrow().clone();
+            let readers = view.zone_readers(&self.cfg.zone, task);
+            if !readers.is_empty() && readers.iter().all(|b| b.id != self.cfg.box_id) {
+                return;
+            }
+        }
+    }
+
     async fn read_box_list(self) {
         let mut backoff = Backoff::default();
         let work = async {
@@ -141,7 +154,10 @@
         let work = async {
             loop {
                 self.my_turn(prefix).await;
-                let seen = self.platform.watch(prefix, after, WATCH_WAIT).await;
+                let seen = tokio::select! {
+                    seen = self.platform.watch(prefix, after, WATCH_WAIT) => seen,
+                    () = self.turn_lost(prefix) => continue,
+                };
                 let wait = self.after(&seen, &mut backoff, Duration::ZERO).await;
                 if let Ok(seen) = seen {
                     after = seen.revision;
--- a/xtask/src/commands/mod.rs
+++ b/xtask/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands: each declares its arguments beside the function that runs it.
 
+mod demo;
 mod docs;
 
 use clap::{ArgMatches, Command};
@@ -9,12 +10,28 @@
     Command::new("xtask")
         .about("Chores of the sillpin workspace")
         .subcommand_required(true)
+        .subcommand(demo::cli())
         .subcommand(docs::cli())
 }
 
 pub fn run(args: &ArgMatches) -> io::Result<()> {
     match args.subcommand() {
+        Some(("demo", args)) => demo::run(args),
         Some(("docs", _)) => docs::run(),
         _ => Ok(()),
     }
 }
+
+/// Builds the programs that a fleet is started from, in the profile of this one.
+fn build_programs() -> io::Result<()> {
+    let mut cargo = std::process::Command::new(env!("CARGO"));
+    cargo.args(["build", "--quiet", "--workspace", "--bins"]);
+    if !cfg!(debug_assertions) {
+        cargo.arg("--release");
+    }
+    let status = cargo.current_dir(env!("CARGO_MANIFEST_DIR")).status()?;
+    if status.success() {
+        return Ok(());
+    }
+    Err(io::Error::other("the programs could not be built"))
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! Chores of the workspace: `cargo xtask COMMAND`.
 
 mod commands;
+mod ops;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/xtask/src/ops/demo.rs
@@ -0,0 +1,219 @@
+//! A whole fleet under a real workload, with a bundle accepted midway, an engine and an entry box
+//! killed; counted from outside.
+
+use super::overhead::{self, Measurement, Overhead};
+use sillpin_core::TargetKind;
+use sillpin_load::drive::{self, Drive, Row};
+use sillpin_load::floor;
+use sillpin_load::report::{Report, sum_up};
+use sillpin_load::workload::{Corpus, Event, Kind, Plan, Trace};
+use sillpin_testsuite::fleet::{MODEL, SERVICE_POOL, key_of};
+use sillpin_testsuite::wait::until;
+use sillpin_testsuite::{Fleet, FleetShape};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// Organisations, the largest first.
+pub const ORGANISATIONS: [&str; 10] = [
+    "head-office",
+    "city-plans",
+    "riders",
+    "mechanics",
+    "west-depot",
+    "east-depot",
+    "old-town",
+    "harbour",
+    "uplands",
+    "airport",
+];
+
+/// Length of the workload.
+const LENGTH: Duration = Duration::from_secs(30);
+
+/// Blocks that each engine caches.
+const CACHE_BLOCKS: usize = 60;
+
+/// What the demo counted.
+#[derive(Debug, Clone, serde::Serialize)]
+pub struct DemoReport {
+    /// What came of the workload.
+    #[serde(flatten)]
+    pub report: Report,
+    /// From acceptance to the bundle being in force on every box, in milliseconds.
+    pub bundle_in_force_ms: u64,
+    /// Median of what an entry adds to a call, in microseconds.
+    pub entry_overhead_p50_us: i64,
+    /// 99th percentile of it.
+    pub entry_overhead_p99_us: i64,
+}
+
+impl DemoReport {
+    /// Whether what must never happen happened.
+    pub fn is_bad(&self) -> bool {
+        self.report.lost + self.report.doubled + self.report.mixed > 0
+    }
+
+    /// The report for people.
+    pub fn text(&self) -> String {
+        format!(
+            "{}bundle in force everywhere after {} ms\nan entry adds {} us (median), {} us (99th percentile)\n",
+            self.report.text(),
+            self.bundle_in_force_ms,
+            self.entry_overhead_p50_us,
+            self.entry_overhead_p99_us,
+        )
+    }
+}
+
+/// The fleet of the demo.
+pub fn shape() -> FleetShape {
+    let cache = CACHE_BLOCKS.to_string();
+    let args = [
+        "--cache-blocks",
+        &cache,
+        "--block-ms",
+        "8",
+        "--step-ms",
+        "6",
+        "--gap-every",
+        "50",
+    ];
+    FleetShape {
+        zones: vec!["kariakoo", "msasani", "ubungo"],
+        boxes: 3,
+        engines: 6,
+        services: 3,
+        stores: 2,
+        organisations: ORGANISATIONS.into(),
+        engine_args: args.map(str::to_owned).into(),
+        entry_settings: vec!["entry.drain-lag-ms=500"],
+        keeper_settings: vec!["keeper.gossip-ms=500"],
+        ..FleetShape::default()
+    }
+}
+
+/// The demo's workload: both users' days at once.
+pub fn trace(length: Duration) -> Trace {
+    let plan = |kind, seed, rate, prompts| Plan {
+        kind,
+        seed,
+        organisations: ORGANISATIONS.map(str::to_owned).into(),
+        rate,
+        length,
+        prompts,
+    };
+    let mut events: Vec<Event> = Trace::make(&plan(Kind::Planning, 11, 22.0, 110)).events;
+    events.extend(Trace::make(&plan(Kind::Kerb, 12, 22.0, 90)).events);
+    events.sort_by_key(|event| event.at_us);
+    Trace { events }
+}
+
+/// Runs the demo over `documents`; `say` gets its progress.
+pub async fn run(documents: Vec<String>, say: impl Fn(&str)) -> DemoReport {
+    say("starting 3 zones with 3 entry boxes each, 18 engines, 3 services, 2 stores, the platform");
+    let mut fleet = Fleet::start(shape()).await;
+    say("measuring what an entry adds");
+    let overhead = measure_overhead(&fleet).await;
+    let trace = trace(LENGTH);
+    let corpus = Corpus::of(documents);
+    let floor = floor::of(&trace, &corpus, 18 * CACHE_BLOCKS);
+    let callers: Vec<SocketAddr> = fleet.boxes.iter().map(|b| b.callers()).collect();
+    let (balancer, entries) = watch::channel(callers);
+    let drive = drive_for(entries);
+    let ended = AtomicUsize::new(0);
+    let sending = drive::run(&drive, &trace, &corpus, |rows| {
+        ended.store(rows, Ordering::Relaxed)
+    });
+    let events = happen(&mut fleet, &balancer, &say, &ended);
+    let (rows, bundle_in_force): (Vec<Row>, Duration) = tokio::join!(sending, events);
+    let executions = fleet.all_executions().await;
+    DemoReport {
+        report: sum_up(&rows, Some(&floor), &executions),
+        bundle_in_force_ms: bundle_in_force.as_millis() as u64,
+        entry_overhead_p50_us: overhead.p50_us,
+        entry_overhead_p99_us: overhead.p99_us,
+    }
+}
+
+/// How a workload reaches the fleet.
+pub fn drive_for(entries: watch::Receiver<Vec<SocketAddr>>) -> Drive {
+    let keys = ORGANISATIONS.map(|org| (org.to_owned(), key_of(org)));
+    Drive {
+        entries,
+        keys: keys.into(),
+        model: MODEL.to_owned(),
+        service_pool: SERVICE_POOL.to_owned(),
+        timeout: Duration::from_secs(60),
+    }
+}
+
+async fn measure_overhead(fleet: &Fleet) -> Overhead {
+    let engines = fleet
+        .targets
+        .values()
+        .filter(|t| t.entry.kind == TargetKind::Engine);
+    let measurement = Measurement {
+        entry: fleet.boxes[0].callers(),
+        key: key_of(ORGANISATIONS[0]),
+        engines: engines.map(|t| t.entry.addr).collect(),
+        rate: 200,
+        calls: 1_000,
+    };
+    overhead::measure(&measurement).await
+}
+
+/// What happens while the workload is sent: a bundle, then the death of an engine, then of a box.
+async fn happen(
+    fleet: &mut Fleet,
+    balancer: &watch::Sender<Vec<SocketAddr>>,
+    say: &impl Fn(&str),
+    ended: &AtomicUsize,
+) -> Duration {
+    tokio::time::sleep(LENGTH / 3).await;
+    let in_force = accept_and_wait(fleet).await;
+    say(&format!("bundle in force everywhere after {in_force:?}"));
+    tokio::time::sleep(LENGTH / 6).await;
+    let engine = "engine-msasani-0".parse().expect("valid");
+    fleet
+        .targets
+        .get_mut(&engine)
+        .expect("started")
+        .process
+        .kill();
+    say(&format!(
+        "killed an engine; {} requests have ended",
+        ended.load(Ordering::Relaxed)
+    ));
+    tokio::time::sleep(LENGTH / 6).await;
+    let dead = fleet.boxes.last_mut().expect("started");
+    dead.entry.kill();
+    dead.keeper.kill();
+    let gone = dead.callers();
+    say(&format!(
+        "killed an entry box; {} requests have ended",
+        ended.load(Ordering::Relaxed)
+    ));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    balancer.send_modify(|entries| entries.retain(|entry| *entry != gone));
+    in_force
+}
+
+/// Accepts a bundle and waits until it is in force on every box.
+pub async fn accept_and_wait(fleet: &Fleet) -> Duration {
+    let begun = Instant::now();
+    let accepted = fleet.accept(&fleet.bundle("second")).await;
+    until("the bundle to be in force", || async {
+        for entry_box in &fleet.boxes {
+            let status = fleet.status(entry_box).await?;
+            if status.revision < accepted.revision {
+                return None;
+            }
+        }
+        Some(())
+    })
+    .await;
+    begun.elapsed()
+}
--- /dev/null
+++ b/xtask/src/ops/mod.rs
@@ -0,0 +1,4 @@
+//! The work behind the commands.
+
+pub mod demo;
+pub mod overhead;
