--- /dev/null
+++ b/crates/sillpin-entry/benches/decision.rs
@@ -0,0 +1,97 @@
+//! Time of one whole decision of an entry, by number of engines.
+
+#![allow(
+    missing_docs,
+    reason = "the macro of the library writes a function without"
+)]
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use sillpin_core::target::TargetEntry;
+use sillpin_core::{LoadReport, Presence, PriorityClass, Share, TargetKind, Tokens, WeightVersion};
+use sillpin_entry::place::PlaceRequest;
+use sillpin_entry::place::placer::Placer;
+use sillpin_entry::snapshot::Snapshot;
+use sillpin_rpc::directory::BlockHints;
+use sillpin_rpc::entry_link::{FleetUpdate, TargetView};
+use sillpin_rpc::gossip::TargetState;
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+fn view(number: u32) -> TargetView {
+    TargetView {
+        entry: TargetEntry {
+            id: format!("engine-{number}").parse().unwrap(),
+            kind: TargetKind::Engine,
+            pool: "llm".parse().unwrap(),
+            zone: format!("zone-{}", number % 6).parse().unwrap(),
+            addr: ([127, 0, 0, 1], 9_000).into(),
+            presence: Presence::Live,
+            model: "mfano".parse().ok(),
+            link_rate: None,
+        },
+        state: Some(TargetState {
+            load: Some(LoadReport {
+                sequence: 1,
+                presence: Presence::Live,
+                running: number % 8,
+                slots: 16,
+                waiting: 0,
+                waiting_tokens: Tokens(1_000 * u64::from(number % 5)),
+                version: Some(WeightVersion(1)),
+                block_micros: 20_000,
+                cache_blocks: 60,
+                fill: Share::NONE,
+            }),
+            reachable: true,
+        }),
+        leaving: false,
+    }
+}
+
+fn request(home: u64) -> PlaceRequest {
+    PlaceRequest {
+        org: "riders".parse().unwrap(),
+        class: PriorityClass::Normal,
+        pool: "llm".parse().unwrap(),
+        version: WeightVersion(1),
+        home,
+        blocks: 20,
+        hints: BlockHints {
+            holders: vec![
+                ("engine-3".parse().unwrap(), 8),
+                ("engine-7".parse().unwrap(), 4),
+            ],
+            kept: Vec::new(),
+        },
+        excluded: Vec::new(),
+        is_retry: false,
+        policy: Arc::default(),
+        deadline: Instant::now() + Duration::from_secs(600),
+    }
+}
+
+fn decision(c: &mut Criterion) {
+    let mut group = c.benchmark_group("decision");
+    for count in [18, 100, 600] {
+        let update = FleetUpdate {
+            complete: true,
+            targets: (0..count).map(view).collect(),
+            ..FleetUpdate::default()
+        };
+        let mut placer = Placer::new("zone-0".parse().unwrap());
+        placer.update(&Arc::new(Snapshot::default().after(update)), Instant::now());
+        group.bench_with_input(BenchmarkId::from_parameter(count), &count, |b, _| {
+            let mut req = request(0);
+            b.iter(|| {
+                req.home = req.home.wrapping_add(0x9e37_79b9_7f4a_7c15);
+                black_box(placer.choose(&req, Instant::now()).is_some())
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decision);
+criterion_main!(benches);
--- a/crates/sillpin-entry/src/place/backlog.rs
+++ b/crates/sillpin-entry/src/place/backlog.rs
@@ -24,7 +24,7 @@
 
 /// The estimate for one engine.
 #[derive(Debug)]
-pub(super) struct Backlog {
+pub struct Backlog {
     work: Duration,
     at: Instant,
     sequence: Option<u64>,
@@ -35,7 +35,7 @@
 }
 
 impl Backlog {
-    pub(super) fn new(now: Instant) -> Self {
+    pub fn new(now: Instant) -> Self {
         Self {
             work: Duration::ZERO,
             at: now,
@@ -60,7 +60,7 @@
     }
 
     /// Takes in a report, if it is a new one.
-    pub(super) fn report(&mut self, load: &LoadReport, now: Instant) {
+    pub fn report(&mut self, load: &LoadReport, now: Instant) {
         if self.sequence == Some(load.sequence) {
             return;
         }
@@ -72,7 +72,7 @@
     }
 
     /// A request was sent that costs `work`.
-    pub(super) fn sent(&mut self, work: Duration, now: Instant) {
+    pub fn sent(&mut self, work: Duration, now: Instant) {
         self.decay(now);
         self.work += work;
         self.sent.push_back((now, work));
@@ -80,7 +80,7 @@
     }
 
     /// A request ended after `took`.
-    pub(super) fn done(&mut self, took: Duration, answered: bool, now: Instant) {
+    pub fn done(&mut self, took: Duration, answered: bool, now: Instant) {
         self.in_flight = self.in_flight.saturating_sub(1);
         if answered {
             self.mean_run = self.mean_run.mul_f64(1.0 - RUN_WEIGHT) + took.mul_f64(RUN_WEIGHT);
@@ -90,13 +90,13 @@
     }
 
     /// Whether it failed a moment ago.
-    pub(super) fn is_resting(&self, now: Instant) -> bool {
+    pub fn is_resting(&self, now: Instant) -> bool {
         self.rest_until.is_some_and(|until| until > now)
     }
 
     /// The wait of a request sent now: the prompt work before it, and the wait for a slot when all
     /// are taken.
-    pub(super) fn wait(&mut self, load: &LoadReport, now: Instant) -> Duration {
+    pub fn wait(&mut self, load: &LoadReport, now: Instant) -> Duration {
         self.decay(now);
         let unseen = self.sent.len() as u32;
         let present = (load.running + load.waiting + unseen).max(self.in_flight);
--- a/crates/sillpin-entry/src/place/mod.rs
+++ b/crates/sillpin-entry/src/place/mod.rs
@@ -2,7 +2,7 @@
 //! engines' backlogs, the waiting requests and the retry budget.
 
 mod backlog;
-mod placer;
+pub mod placer;
 mod task;
 
 pub use task::{PlaceRequest, Placed, PlacerHandle, Refusal, start};
--- a/crates/sillpin-entry/src/place/placer.rs
+++ b/crates/sillpin-entry/src/place/placer.rs
@@ -1,4 +1,4 @@
-//! Decisions over the snapshot and the backlogs. No I/O: the clock is passed in.
+//! Decisions over the engines and their backlogs. No I/O: the clock is passed in.
 
 use super::backlog::Backlog;
 use super::task::{PlaceRequest, Placed};
@@ -26,29 +26,54 @@
 /// Candidates kept in a decision record.
 const RECORDED: usize = 6;
 
-/// Backlogs of all engines and the state of the decisions.
-pub(super) struct Placer {
-    pub(super) snapshot: Arc<Snapshot>,
+/// Engines with their backlogs, and the state of the decisions.
+pub struct Placer {
     zone: ZoneId,
-    backlogs: HashMap<TargetId, Backlog>,
+    engines: HashMap<PoolId, Vec<Engine>>,
     said_versions: HashMap<TargetId, (WeightVersion, Instant)>,
     rng: SmallRng,
     turn: usize,
 }
 
-/// The best engine for a request, and whether its queue is short enough.
-pub(super) struct Choice {
-    pub(super) placed: Placed,
-    pub(super) wait: Duration,
-    pub(super) work: Duration,
+/// The best engine for a request.
+pub struct Choice {
+    /// The engine and what to fetch.
+    pub placed: Placed,
+    /// How long the request would wait there.
+    pub wait: Duration,
+    /// The work it brings there.
+    pub work: Duration,
+}
+
+/// An engine that may get new work.
+struct Engine {
+    target: Target,
+    load: LoadReport,
+    backlog: Backlog,
+}
+
+impl Engine {
+    fn candidate(&mut self, zone: &ZoneId, now: Instant) -> Candidate {
+        let is_near = self.target.entry.zone == *zone;
+        Candidate {
+            hash: self.target.hash,
+            wait: self.backlog.wait(&self.load, now),
+            block_time: Duration::from_micros(self.load.block_micros),
+            distance: if is_near {
+                Duration::ZERO
+            } else {
+                FOREIGN_ZONE
+            },
+        }
+    }
 }
 
 impl Placer {
-    pub(super) fn new(zone: ZoneId) -> Self {
+    /// A placer of an entry in `zone` that knows no engine yet.
+    pub fn new(zone: ZoneId) -> Self {
         Self {
-            snapshot: Arc::default(),
             zone,
-            backlogs: HashMap::new(),
+            engines: HashMap::new(),
             said_versions: HashMap::new(),
             rng: SmallRng::from_rng(&mut rng()),
             turn: 0,
@@ -56,19 +81,40 @@
     }
 
     /// Takes in a snapshot.
-    pub(super) fn update(&mut self, snapshot: Arc<Snapshot>, now: Instant) {
-        self.backlogs
-            .retain(|id, _| snapshot.targets.contains_key(id));
-        for (id, target) in &snapshot.targets {
-            if let Some(load) = &target.load {
-                self.backlog(id, now).report(load, now);
-            }
+    pub fn update(&mut self, snapshot: &Arc<Snapshot>, now: Instant) {
+        let mut backlogs = self.take_backlogs();
+        for target in snapshot.targets.values() {
+            let is_engine = target.entry.kind == TargetKind::Engine;
+            let load = target
+                .load
+                .clone()
+                .filter(|_| is_engine && target.is_usable());
+            let Some(load) = load else { continue };
+            let known = backlogs.remove(&target.entry.id);
+            let mut backlog = known.unwrap_or_else(|| Backlog::new(now));
+            backlog.report(&load, now);
+            let engine = Engine {
+                target: target.clone(),
+                load,
+                backlog,
+            };
+            let pool = target.entry.pool.clone();
+            self.engines.entry(pool).or_default().push(engine);
+        }
+        for engines in self.engines.values_mut() {
+            engines.sort_by(|a, b| a.target.entry.id.cmp(&b.target.entry.id));
         }
-        self.snapshot = snapshot;
+    }
+
+    fn take_backlogs(&mut self) -> HashMap<TargetId, Backlog> {
+        let engines = self.engines.drain().flat_map(|(_, engines)| engines);
+        engines
+            .map(|engine| (engine.target.entry.id.clone(), engine.backlog))
+            .collect()
     }
 
     /// An engine itself said which version it serves.
-    pub(super) fn serves(&mut self, target: TargetId, version: WeightVersion, now: Instant) {
+    pub fn serves(&mut self, target: TargetId, version: WeightVersion, now: Instant) {
         self.said_versions.insert(target, (version, now));
     }
 
@@ -79,51 +125,48 @@
         fresh.map_or_else(|| target.version(), |(version, _)| Some(*version))
     }
 
-    fn backlog(&mut self, id: &TargetId, now: Instant) -> &mut Backlog {
-        self.backlogs
-            .entry(id.clone())
-            .or_insert_with(|| Backlog::new(now))
+    fn backlog(&mut self, id: &TargetId) -> Option<&mut Backlog> {
+        let mut engines = self.engines.values_mut().flatten();
+        let found = engines.find(|engine| engine.target.entry.id == *id);
+        found.map(|engine| &mut engine.backlog)
     }
 
-    /// Engines that could take a request, in the order of their names.
-    fn engines(&self, req: &PlaceRequest, now: Instant) -> Vec<(Target, LoadReport)> {
-        let resting = |id: &TargetId| self.backlogs.get(id).is_some_and(|b| b.is_resting(now));
-        let usable = self.snapshot.usable(&req.pool, TargetKind::Engine);
-        let fitting = usable.filter(|target| {
-            self.version(target, now) == Some(req.version)
-                && !req.excluded.contains(&target.entry.id)
-        });
-        let mut engines: Vec<(Target, LoadReport)> = fitting
-            .filter_map(|target| Some((target.clone(), target.load.clone()?)))
-            .collect();
-        engines.sort_by(|a, b| a.0.entry.id.cmp(&b.0.entry.id));
-        let any_rested = engines.iter().any(|(target, _)| !resting(&target.entry.id));
-        if any_rested {
-            engines.retain(|(target, _)| !resting(&target.entry.id));
+    /// Engines that could take a request, by index into the pool's, in the order of their names.
+    /// Those that failed a moment ago rest while there are others.
+    fn fitting(&self, req: &PlaceRequest, now: Instant) -> Vec<usize> {
+        let Some(engines) = self.engines.get(&req.pool) else {
+            return Vec::new();
+        };
+        let fits = |engine: &Engine| {
+            self.version(&engine.target, now) == Some(req.version)
+                && !req.excluded.contains(&engine.target.entry.id)
+        };
+        let all = engines.iter().enumerate();
+        let mut fitting: Vec<usize> = all.filter(|(_, e)| fits(e)).map(|(i, _)| i).collect();
+        let is_rested = |index: &usize| !engines[*index].backlog.is_resting(now);
+        if fitting.iter().any(is_rested) {
+            fitting.retain(is_rested);
         }
-        engines
+        fitting
     }
 
     /// Decides for a request; `None` if no engine could take it at all.
-    pub(super) fn choose(&mut self, req: &PlaceRequest, now: Instant) -> Option<Choice> {
-        let engines = self.engines(req, now);
-        let candidates: Vec<Candidate> = engines
+    pub fn choose(&mut self, req: &PlaceRequest, now: Instant) -> Option<Choice> {
+        let fitting = self.fitting(req, now);
+        let zone = &self.zone;
+        let engines = self.engines.get_mut(&req.pool)?;
+        let candidates: Vec<Candidate> = fitting
             .iter()
-            .map(|(target, load)| Candidate {
-                hash: target.hash,
-                wait: self.backlog(&target.entry.id, now).wait(load, now),
-                block_time: Duration::from_micros(load.block_micros),
-                distance: self.distance(target),
-            })
+            .map(|index| engines[*index].candidate(zone, now))
             .collect();
-        let holders: Vec<(usize, Holding)> = req
-            .hints
-            .holders
-            .iter()
-            .filter_map(|(id, blocks)| {
-                let index = engines.iter().position(|(t, _)| t.entry.id == *id)?;
-                Some((index, Holding { blocks: *blocks }))
-            })
+        let place_of = |id: &TargetId| {
+            fitting
+                .iter()
+                .position(|i| engines[*i].target.entry.id == *id)
+        };
+        let hinted = req.hints.holders.iter();
+        let holders: Vec<(usize, Holding)> = hinted
+            .filter_map(|(id, blocks)| Some((place_of(id)?, Holding { blocks: *blocks })))
             .collect();
         self.turn += 1;
         let request = placement::Request {
@@ -135,11 +178,9 @@
         };
         let ranked = placement::rank(&req.policy.placement, &candidates, &request, &mut self.rng);
         let best = *ranked.first()?;
-        let records = ranked
-            .iter()
-            .take(RECORDED)
-            .map(|s| record(&engines[s.index].0, s));
-        let target = &engines[best.index].0;
+        let recorded = ranked.iter().take(RECORDED);
+        let records = recorded.map(|s| record(&engines[fitting[s.index]].target, s));
+        let target = &engines[fitting[best.index]].target;
         let until = (best.held + best.fetched) as usize;
         let imports = req.hints.kept.get(best.held as usize..until);
         Some(Choice {
@@ -154,27 +195,24 @@
         })
     }
 
-    fn distance(&self, target: &Target) -> Duration {
-        if target.entry.zone == self.zone {
-            return Duration::ZERO;
-        }
-        FOREIGN_ZONE
-    }
-
     /// Engines of a pool that could take requests of a version: how much work they do at once.
-    pub(super) fn capacity(&self, pool: &PoolId, version: WeightVersion) -> u32 {
-        let engines = self.snapshot.usable(pool, TargetKind::Engine);
-        engines.filter(|t| t.version() == Some(version)).count() as u32
+    pub fn capacity(&self, pool: &PoolId, version: WeightVersion) -> u32 {
+        let engines = self.engines.get(pool).into_iter().flatten();
+        engines
+            .filter(|e| e.target.version() == Some(version))
+            .count() as u32
     }
 
     /// A request is sent to `target`.
-    pub(super) fn sent(&mut self, target: &TargetId, work: Duration, now: Instant) {
-        self.backlog(target, now).sent(work, now);
+    pub fn sent(&mut self, target: &TargetId, work: Duration, now: Instant) {
+        if let Some(backlog) = self.backlog(target) {
+            backlog.sent(work, now);
+        }
     }
 
     /// A request at `target` ended.
-    pub(super) fn done(&mut self, target: &TargetId, took: Duration, answered: bool, now: Instant) {
-        if let Some(backlog) = self.backlogs.get_mut(target) {
+    pub fn done(&mut self, target: &TargetId, took: Duration, answered: bool, now: Instant) {
+        if let Some(backlog) = self.backlog(target) {
             backlog.done(took, answered, now);
         }
     }
--- a/crates/sillpin-entry/src/place/task.rs
+++ b/crates/sillpin-entry/src/place/task.rs
@@ -187,7 +187,7 @@
                 changed = self.snapshots.changed() => match changed {
                     Ok(()) => {
                         let snapshot = self.snapshots.borrow_and_update().clone();
-                        self.placer.update(snapshot, Instant::now());
+                        self.placer.update(&snapshot, Instant::now());
                     }
                     Err(_) => return,
                 },
--- a/crates/sillpin-http/src/client.rs
+++ b/crates/sillpin-http/src/client.rs
@@ -106,6 +106,17 @@
 
 impl Default for Client {
     fn default() -> Self {
+        Self::build(false)
+    }
+}
+
+impl Client {
+    /// A client that speaks HTTP/2 without TLS, many requests over one connection to each peer.
+    pub fn http2() -> Self {
+        Self::build(true)
+    }
+
+    fn build(http2: bool) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -114,12 +125,11 @@
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(MAX_IDLE_PER_PEER)
             .retry_canceled_requests(true)
+            .http2_only(http2)
             .build(connector);
         Self { pool }
     }
-}
 
-impl Client {
     /// Sends a request and waits for the head of the answer.
     pub async fn send(
         &self,
