Measure streams and the idle control side; randomised fault rounds

Cause: the issue asks for 10,000 open streams through one entry, the cost of an idle keeper, and randomised faults checked from outside. Change: cargo xtask measure streams|idle; cargo xtask faults, with a feature that turns single mechanisms off so that each checker can be seen to fire.

--- a/crates/sillpin-core/src/lib.rs
+++ b/crates/sillpin-core/src/lib.rs
@@ -7,12 +7,14 @@
 //! - [`block`]: prompt identity, the chain of block names ("docs/DESIGN.md", decision 1),
 //! - [`run`]: what a caller asked for,
 //! - [`target`]: what is known of a target,
-//! - [`outcome`]: what may be said about a request that failed.
+//! - [`outcome`]: what may be said about a request that failed,
+//! - [`sabotage`]: mechanisms that a test build can turn off.
 
 pub mod block;
 pub mod ids;
 pub mod outcome;
 pub mod run;
+pub mod sabotage;
 pub mod target;
 pub mod units;
 
--- a/crates/sillpin-entry/src/front/failure.rs
+++ b/crates/sillpin-entry/src/front/failure.rs
@@ -3,6 +3,7 @@
 use crate::place::Refusal;
 use hyper::{Response, StatusCode, header};
 use sillpin_core::outcome::PROBLEM_MEDIA_TYPE;
+use sillpin_core::sabotage::{Mechanism, is_off};
 use sillpin_core::{Outcome, Problem, RequestId};
 use sillpin_http::Body;
 use std::time::Duration;
@@ -83,8 +84,13 @@
 
     /// A request that was sent and whose answer did not come whole.
     pub fn unknown(detail: impl Into<String>) -> Self {
+        let outcome = if is_off(Mechanism::Outcome) {
+            Outcome::NotRun
+        } else {
+            Outcome::Unknown
+        };
         Self {
-            outcome: Outcome::Unknown,
+            outcome,
             ..Self::refused(
                 StatusCode::BAD_GATEWAY,
                 "broken-answer",
--- a/crates/sillpin-entry/src/runs/once.rs
+++ b/crates/sillpin-entry/src/runs/once.rs
@@ -5,6 +5,7 @@
 use crate::front::Failure;
 use crate::keeper_link::News;
 use hyper::StatusCode;
+use sillpin_core::sabotage::{Mechanism, is_off};
 use sillpin_core::{OrgId, Outcome, RequestId};
 use sillpin_rpc::claims::{ClaimEnd, ClaimKey, ClaimReply, ClaimRequest};
 use sillpin_targets::Engine;
@@ -52,6 +53,9 @@
             request,
             digest: call.digest.to_owned(),
         };
+        if is_off(Mechanism::Claim) {
+            return Ok(claim);
+        }
         match app.keeper.claim(req).await {
             ClaimReply::Granted => Ok(claim),
             ClaimReply::Unavailable => {
--- a/crates/sillpin-keeper/src/fleet/table.rs
+++ b/crates/sillpin-keeper/src/fleet/table.rs
@@ -4,6 +4,7 @@
 use super::messages::TargetReading;
 use crate::view::{InForce, PeerView, TargetInfo, View};
 use sillpin_bundle::{Accepted, Bundle, SignError, TrustedKey};
+use sillpin_core::sabotage::{Mechanism, is_off};
 use sillpin_core::target::{BoxList, TargetEntry};
 use sillpin_core::{ArmName, BoxId, Incarnation, LoadReport, Presence, Revision, TargetId, ZoneId};
 use sillpin_policy::guard::Breach;
@@ -158,7 +159,8 @@
 
     /// Brings a bundle into force if it verifies and its revision is higher; says whether it did.
     pub fn adopt(&mut self, accepted: Accepted, now: Instant) -> Result<bool, SignError> {
-        if accepted.revision <= self.revision() {
+        let has_one = self.in_force.is_some();
+        if accepted.revision <= self.revision() || (has_one && is_off(Mechanism::Adopt)) {
             return Ok(false);
         }
         let bundle: Bundle = accepted.bundle.verify(&self.me.signers)?;
--- a/crates/sillpin-keeper/src/weights.rs
+++ b/crates/sillpin-keeper/src/weights.rs
@@ -11,6 +11,7 @@
 use crate::settings::KeeperConfig;
 use crate::view::View;
 use sillpin_bundle::PoolPolicy;
+use sillpin_core::sabotage::{Mechanism, is_off};
 use sillpin_core::target::TargetEntry;
 use sillpin_core::{Fence, TargetId, TargetKind, WeightVersion};
 use sillpin_http::Client;
@@ -125,6 +126,9 @@
 
     /// Takes a free slot; gives its key and the fence.
     async fn take_slot(&self, behind: &Behind) -> Result<Option<(String, Fence)>, PlatformError> {
+        if is_off(Mechanism::Slots) {
+            return Ok(Some((String::new(), Fence(u64::MAX))));
+        }
         let prefix = format!("{SLOT_PREFIX}{}/", behind.weights.id);
         let taken = self.platform.list(&prefix, None, SLOTS as usize).await?;
         let slots = (0..behind.slots).map(|slot| format!("{prefix}{slot}"));
--- a/crates/sillpin-load/src/commands/send.rs
+++ b/crates/sillpin-load/src/commands/send.rs
@@ -90,6 +90,7 @@
         model: value(args, "model")?,
         service_pool: value(args, "pool")?,
         timeout: Duration::from_secs(value(args, "timeout")?),
+        resend_unknown: false,
     };
     let rows = drive::run(&drive, &trace, &corpus, |_| {}).await;
     let floor = floor::of(&trace, &corpus, value(args, "cache")?);
--- a/crates/sillpin-load/src/drive.rs
+++ b/crates/sillpin-load/src/drive.rs
@@ -31,6 +31,8 @@
     pub service_pool: String,
     /// Longest wait for an answer.
     pub timeout: Duration,
+    /// Whether callers send a call that runs at most once again when told "unknown".
+    pub resend_unknown: bool,
 }
 
 /// What became of one request.
@@ -99,7 +101,7 @@
     async fn run(self) -> Row {
         let mut resends = 0;
         let mut got = self.send(resends).await;
-        while matches!(got, Got::Lost(_)) && resends < MAX_RESENDS {
+        while self.sends_again(&got) && resends < MAX_RESENDS {
             resends += 1;
             tokio::time::sleep(RESEND_PAUSE).await;
             got = self.send(resends).await;
@@ -118,6 +120,12 @@
         }
     }
 
+    fn sends_again(&self, got: &Got) -> bool {
+        let once = matches!(self.event.action, Action::Once { .. });
+        let unknown = got.outcome() == Some(Outcome::Unknown);
+        matches!(got, Got::Lost(_)) || (once && unknown && self.drive.resend_unknown)
+    }
+
     async fn send(&self, resends: u32) -> Got {
         let entry = self.entry(resends);
         match &self.event.action {
--- a/crates/sillpin-standin/src/commands/engine.rs
+++ b/crates/sillpin-standin/src/commands/engine.rs
@@ -18,6 +18,11 @@
         ))
         .arg(option::<u64>("step-ms", "10", "Time of a step"))
         .arg(option::<u64>("block-ms", "20", "Time to compute a block"))
+        .arg(option::<u32>(
+            "blocks-per-step",
+            "1",
+            "Blocks computed in a step",
+        ))
         .arg(option::<usize>("max-batch", "16", "Runs in the batch"))
         .arg(option::<usize>("max-waiting", "256", "Runs that may wait"))
         .arg(option::<usize>("cache-blocks", "64", "Blocks cached"))
@@ -44,6 +49,7 @@
     let shape = EngineShape {
         step: millis(args, "step-ms")?,
         block: millis(args, "block-ms")?,
+        blocks_per_step: value(args, "blocks-per-step")?,
         max_batch: value(args, "max-batch")?,
         max_waiting: value(args, "max-waiting")?,
         cache_blocks: value(args, "cache-blocks")?,
--- a/crates/sillpin-standin/src/engine/batch.rs
+++ b/crates/sillpin-standin/src/engine/batch.rs
@@ -128,8 +128,11 @@
     /// Does the work of one step and says how many blocks it computed.
     pub(super) fn step(&mut self) -> u32 {
         let mut computed = 0;
-        if let Some(attempt) = self.next_prefill() {
-            computed = self.prefill(attempt);
+        for _ in 0..self.shape.blocks_per_step {
+            let Some(attempt) = self.next_prefill() else {
+                break;
+            };
+            computed += self.prefill(attempt);
         }
         for run in self.runs.values_mut() {
             run.decode();
--- a/crates/sillpin-standin/src/engine/mod.rs
+++ b/crates/sillpin-standin/src/engine/mod.rs
@@ -35,6 +35,8 @@
     pub step: Duration,
     /// Time to compute one block of a prompt.
     pub block: Duration,
+    /// Blocks computed in a step, at the most.
+    pub blocks_per_step: u32,
     /// Runs in the batch.
     pub max_batch: usize,
     /// Runs that may wait.
@@ -60,6 +62,7 @@
         Self {
             step: Duration::from_millis(10),
             block: Duration::from_millis(20),
+            blocks_per_step: 1,
             max_batch: 16,
             max_waiting: 256,
             cache_blocks: 64,
@@ -277,6 +280,11 @@
         loop {
             let now = *progress.borrow_and_update();
             let faults = self.lock().faults;
+            let answer = if faults.crossed {
+                ExpectedAnswer::of("another prompt")
+            } else {
+                answer
+            };
             let attempt = if faults.crossed {
                 AttemptId::generate()
             } else {
--- a/crates/sillpin-targets/src/engine_http.rs
+++ b/crates/sillpin-targets/src/engine_http.rs
@@ -7,6 +7,7 @@
 use hyper::{Method, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use sillpin_core::sabotage::{Mechanism, is_off};
 use sillpin_core::target::LoadReport;
 use sillpin_core::{AttemptId, Outcome};
 use sillpin_http::client::{Call, CallFault};
@@ -129,7 +130,7 @@
         let attempt = match &event {
             RunEvent::Token { attempt, .. } | RunEvent::End { attempt, .. } => *attempt,
         };
-        if attempt != self.attempt {
+        if attempt != self.attempt && !is_off(Mechanism::Attempt) {
             return Err(self.failed(EngineFault::Crossed));
         }
         match &event {
--- a/tests/testsuite/src/process.rs
+++ b/tests/testsuite/src/process.rs
@@ -14,12 +14,18 @@
 /// Longest wait for a process to say where it listens.
 const START_PATIENCE: Duration = Duration::from_secs(20);
 
+/// Names a directory to take programs from, in place of the running program's own.
+pub const PROGRAMS_ENV: &str = "SILLPIN_PROGRAMS";
+
 /// A program of the workspace, beside the running one.
 ///
 /// # Panics
 ///
 /// When it is not built.
 pub fn program(name: &str) -> PathBuf {
+    if let Ok(dir) = std::env::var(PROGRAMS_ENV) {
+        return Path::new(&dir).join(name);
+    }
     let me = std::env::current_exe().unwrap_or_default();
     let mut dirs = me.ancestors().skip(1).take(2);
     let found = dirs.find_map(|dir| Some(dir.join(name)).filter(|path| path.is_file()));
--- /dev/null
+++ b/xtask/src/commands/measure.rs
@@ -0,0 +1,59 @@
+//! `cargo xtask measure SCENARIO`: the figures of `docs/MEASUREMENTS.md`.
+
+use crate::ops::{idle, streams};
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use serde::Serialize;
+use std::io;
+
+/// Streams opened through one entry.
+const STREAMS: usize = 10_000;
+
+const SCENARIOS: [&str; 2] = ["streams", "idle"];
+
+pub fn cli() -> Command {
+    Command::new("measure")
+        .about("Measures a scenario; build with --release to compare")
+        .arg(
+            Arg::new("scenario")
+                .required(true)
+                .value_parser(SCENARIOS)
+                .help("What to measure"),
+        )
+        .arg(
+            Arg::new("streams")
+                .long("streams")
+                .value_parser(clap::value_parser!(usize))
+                .help("Streams to open, for `streams`"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print JSON"),
+        )
+}
+
+pub fn run(args: &ArgMatches) -> io::Result<()> {
+    super::build_programs()?;
+    let scenario = args
+        .get_one::<String>("scenario")
+        .map_or("", String::as_str);
+    let runtime = tokio::runtime::Runtime::new()?;
+    match scenario {
+        "streams" => {
+            let streams = args.get_one::<usize>("streams").copied().unwrap_or(STREAMS);
+            show(args, &runtime.block_on(streams::measure(streams)))
+        }
+        "idle" => show(args, &runtime.block_on(idle::measure())),
+        _ => Ok(()),
+    }
+}
+
+fn show<T: Serialize + std::fmt::Debug>(args: &ArgMatches, figures: &T) -> io::Result<()> {
+    if args.get_flag("json") {
+        println!("{}", serde_json::to_string(figures)?);
+    } else {
+        println!("{figures:#?}");
+    }
+    Ok(())
+}
--- a/xtask/src/commands/mod.rs
+++ b/xtask/src/commands/mod.rs
@@ -2,6 +2,8 @@
 
 mod demo;
 mod docs;
+mod faults;
+mod measure;
 
 use clap::{ArgMatches, Command};
 use std::io;
@@ -12,12 +14,16 @@
         .subcommand_required(true)
         .subcommand(demo::cli())
         .subcommand(docs::cli())
+        .subcommand(faults::cli())
+        .subcommand(measure::cli())
 }
 
 pub fn run(args: &ArgMatches) -> io::Result<()> {
     match args.subcommand() {
         Some(("demo", args)) => demo::run(args),
         Some(("docs", _)) => docs::run(),
+        Some(("faults", args)) => faults::run(args),
+        Some(("measure", args)) => measure::run(args),
         _ => Ok(()),
     }
 }
--- a/xtask/src/ops/demo.rs
+++ b/xtask/src/ops/demo.rs
@@ -147,6 +147,7 @@
         model: MODEL.to_owned(),
         service_pool: SERVICE_POOL.to_owned(),
         timeout: Duration::from_secs(60),
+        resend_unknown: false,
     }
 }
 
--- /dev/null
+++ b/xtask/src/ops/faults.rs
@@ -0,0 +1,506 @@
+//! Randomised rounds over real processes: pairs of faults while the workload runs, checked from the
+//! outside.
+//!
+//! The checkers look at what callers got and what the stand-ins counted, never at the system's own
+//! word. With a mechanism turned off (`sillpin_core::sabotage`) its checker must fire: then the
+//! faults of each round are those that the mechanism is meant for.
+
+use super::demo::{ORGANISATIONS, drive_for};
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use sillpin_core::sabotage::Mechanism;
+use sillpin_core::{Outcome, Revision, TargetKind};
+use sillpin_load::caller::Got;
+use sillpin_load::drive::{self, Row};
+use sillpin_load::workload::{Corpus, Event, Kind, Plan, Trace};
+use sillpin_standin::engine::EngineFaults;
+use sillpin_standin::fault::Faults as LinkFaults;
+use sillpin_standin::platform::Faults as PlatformFaults;
+use sillpin_standin::service::ServiceFaults;
+use sillpin_standin::store::StoreFaults;
+use sillpin_standin::weights::WeightCounters;
+use sillpin_testsuite::{Fleet, FleetShape};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// Length of a round's workload.
+const ROUND: Duration = Duration::from_millis(2_500);
+
+/// How long a fault lasts.
+const FAULT: Duration = Duration::from_millis(700);
+
+/// Looks at a box for an accepted bundle, 50 ms apart.
+const LOOKS: u32 = 100;
+
+/// A promise and how often it was tried and violated.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub struct Tally {
+    /// Times tried.
+    pub tried: u64,
+    /// Times violated.
+    pub violated: u64,
+}
+
+impl Tally {
+    fn count(&mut self, tried: usize, violated: usize) {
+        self.tried += tried as u64;
+        self.violated += violated as u64;
+    }
+}
+
+/// What the rounds counted.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct FaultReport {
+    /// Rounds.
+    pub rounds: u32,
+    /// Each caller receives the whole answer to its own request.
+    pub whole_own_answer: Tally,
+    /// "Not run" is true, counted at the services.
+    pub not_run_is_true: Tally,
+    /// Calls that run at most once run at most once.
+    pub at_most_once: Tally,
+    /// An accepted bundle is in force everywhere and never reverts.
+    pub bundle_in_force: Tally,
+    /// Never more than three loads of weights at once.
+    pub loads_at_once: Tally,
+    /// Repeatable requests, and those among them that were not answered whole.
+    pub repeatable: Tally,
+    /// Calls that ended as unknown.
+    pub unknown: u64,
+    /// Faults injected, by name.
+    pub injected: BTreeMap<String, u32>,
+}
+
+impl FaultReport {
+    /// Promises violated.
+    pub fn violations(&self) -> u64 {
+        [
+            self.whole_own_answer,
+            self.not_run_is_true,
+            self.at_most_once,
+            self.bundle_in_force,
+            self.loads_at_once,
+        ]
+        .iter()
+        .map(|tally| tally.violated)
+        .sum()
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+enum Fault {
+    #[display("platform outage")]
+    PlatformOutage,
+    #[display("platform slow")]
+    PlatformSlow,
+    #[display("platform loses answers")]
+    PlatformLosesAnswers,
+    #[display("engine killed")]
+    EngineKilled,
+    #[display("engine frozen")]
+    EngineFrozen,
+    #[display("engine cuts answers")]
+    EngineCuts,
+    #[display("engine leaves")]
+    EngineLeaves,
+    #[display("engine link cut")]
+    EngineLinkCut,
+    #[display("service breaks answers")]
+    ServiceBreaks,
+    #[display("service slow")]
+    ServiceSlow,
+    #[display("service requests lost")]
+    ServiceRequestsLost,
+    #[display("store spoils blocks")]
+    StoreSpoils,
+    #[display("keeper frozen")]
+    KeeperFrozen,
+    #[display("keeper killed")]
+    KeeperKilled,
+    #[display("entry killed")]
+    EntryKilled,
+    #[display("entry stopped")]
+    EntryStopped,
+    #[display("weights swapped")]
+    WeightsSwapped,
+    #[display("engine answers for another")]
+    EngineCrosses,
+}
+
+const FAULTS: [Fault; 18] = [
+    Fault::PlatformOutage,
+    Fault::PlatformSlow,
+    Fault::PlatformLosesAnswers,
+    Fault::EngineKilled,
+    Fault::EngineFrozen,
+    Fault::EngineCuts,
+    Fault::EngineLeaves,
+    Fault::EngineLinkCut,
+    Fault::ServiceBreaks,
+    Fault::ServiceSlow,
+    Fault::ServiceRequestsLost,
+    Fault::StoreSpoils,
+    Fault::KeeperFrozen,
+    Fault::KeeperKilled,
+    Fault::EntryKilled,
+    Fault::EntryStopped,
+    Fault::WeightsSwapped,
+    Fault::EngineCrosses,
+];
+
+/// Runs rounds; `say` gets their progress.
+pub async fn run(
+    seed: u64,
+    rounds: u32,
+    off: Option<Mechanism>,
+    say: impl Fn(&str),
+) -> FaultReport {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut report = FaultReport::default();
+    for round in 0..rounds {
+        let pair = off.map_or_else(|| [pick(&mut rng), pick(&mut rng)], faults_for);
+        let round_seed = rng.random();
+        Round::start(round_seed).await.run(pair, &mut report).await;
+        report.rounds += 1;
+        let violations = report.violations();
+        say(&format!(
+            "round {round}: {} and {}; violations so far {violations}",
+            pair[0], pair[1]
+        ));
+    }
+    report
+}
+
+/// The faults that a mechanism is meant for.
+fn faults_for(mechanism: Mechanism) -> [Fault; 2] {
+    match mechanism {
+        Mechanism::Claim | Mechanism::Outcome => [Fault::ServiceBreaks; 2],
+        Mechanism::Attempt => [Fault::EngineCrosses; 2],
+        Mechanism::Adopt => [Fault::PlatformSlow; 2],
+        Mechanism::Slots => [Fault::WeightsSwapped; 2],
+    }
+}
+
+fn pick(rng: &mut ChaCha8Rng) -> Fault {
+    FAULTS.choose(rng).copied().unwrap_or(Fault::PlatformOutage)
+}
+
+struct Round {
+    fleet: Fleet,
+    rng: ChaCha8Rng,
+    balancer: watch::Sender<Vec<SocketAddr>>,
+}
+
+fn shape() -> FleetShape {
+    let args = [
+        "--cache-blocks",
+        "40",
+        "--block-ms",
+        "4",
+        "--step-ms",
+        "4",
+        "--gap-every",
+        "10",
+    ];
+    FleetShape {
+        zones: vec!["kariakoo", "msasani"],
+        boxes: 2,
+        engines: 2,
+        services: 2,
+        stores: 1,
+        organisations: ORGANISATIONS.into(),
+        engine_args: args.map(str::to_owned).into(),
+        entry_settings: vec![
+            "entry.drain-lag-ms=300",
+            "limits.attempt-ms=600",
+            "limits.silence-ms=900",
+        ],
+        proxies: true,
+        ..FleetShape::default()
+    }
+}
+
+impl Round {
+    async fn start(seed: u64) -> Self {
+        let fleet = Fleet::start(shape()).await;
+        let callers = fleet.boxes.iter().map(|b| b.callers()).collect();
+        Self {
+            fleet,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            balancer: watch::Sender::new(callers),
+        }
+    }
+
+    async fn run(mut self, pair: [Fault; 2], report: &mut FaultReport) {
+        let trace = self.trace();
+        let drive = drive_for(self.balancer.subscribe());
+        let drive = drive::Drive {
+            timeout: Duration::from_secs(20),
+            resend_unknown: true,
+            ..drive
+        };
+        let sending =
+            tokio::spawn(
+                async move { drive::run(&drive, &trace, &Corpus::default(), |_| {}).await },
+            );
+        tokio::time::sleep(FAULT / 2).await;
+        let accepted = self
+            .fleet
+            .accept(&self.fleet.bundle("during"))
+            .await
+            .revision;
+        for fault in pair {
+            *report.injected.entry(fault.to_string()).or_default() += 1;
+            self.inject(fault).await;
+        }
+        tokio::time::sleep(FAULT).await;
+        self.heal().await;
+        let rows = sending.await.unwrap_or_default();
+        self.check_answers(&rows, report);
+        self.check_calls(&rows, report).await;
+        self.check_bundle(accepted, report).await;
+        self.check_loads(report).await;
+    }
+
+    fn trace(&mut self) -> Trace {
+        let mut plan = |kind, rate, prompts| Plan {
+            kind,
+            seed: self.rng.random(),
+            organisations: ORGANISATIONS.map(str::to_owned).into(),
+            rate,
+            length: ROUND,
+            prompts,
+        };
+        let mut events: Vec<Event> = Trace::make(&plan(Kind::Kerb, 25.0, 10)).events;
+        events.extend(Trace::make(&plan(Kind::Planning, 8.0, 8)).events);
+        events.sort_by_key(|event| event.at_us);
+        Trace { events }
+    }
+
+    fn target(&mut self, kind: TargetKind) -> String {
+        let of_kind = self.fleet.targets.values().filter(|t| t.entry.kind == kind);
+        let names: Vec<String> = of_kind.map(|t| t.entry.id.to_string()).collect();
+        names.choose(&mut self.rng).cloned().unwrap_or_default()
+    }
+
+    fn box_index(&mut self) -> usize {
+        self.rng.random_range(0..self.fleet.boxes.len())
+    }
+
+    async fn inject(&mut self, fault: Fault) {
+        match fault {
+            Fault::PlatformOutage | Fault::PlatformSlow | Fault::PlatformLosesAnswers => {
+                self.fleet.platform_faults(&platform_faults(fault)).await;
+            }
+            Fault::EngineKilled | Fault::EngineFrozen => {
+                let name = self.target(TargetKind::Engine);
+                let target = self
+                    .fleet
+                    .targets
+                    .values_mut()
+                    .find(|t| t.entry.id.as_str() == name);
+                match target {
+                    Some(target) if fault == Fault::EngineKilled => target.process.kill(),
+                    Some(target) => target.process.pause(),
+                    None => {}
+                }
+            }
+            Fault::EngineCuts | Fault::EngineLeaves | Fault::EngineCrosses => {
+                let faults = EngineFaults {
+                    cut_at: (fault == Fault::EngineCuts).then_some(3),
+                    leaving: fault == Fault::EngineLeaves,
+                    crossed: fault == Fault::EngineCrosses,
+                    ..EngineFaults::default()
+                };
+                let name = self.target(TargetKind::Engine);
+                self.fleet.target_faults(&name, &faults).await;
+            }
+            Fault::ServiceBreaks | Fault::ServiceSlow => {
+                let faults = ServiceFaults {
+                    break_answer: fault == Fault::ServiceBreaks,
+                    delay_ms: if fault == Fault::ServiceSlow {
+                        2_000
+                    } else {
+                        0
+                    },
+                    ..ServiceFaults::default()
+                };
+                let name = self.target(TargetKind::Service);
+                self.fleet.target_faults(&name, &faults).await;
+            }
+            Fault::EngineLinkCut => self.cut_link(TargetKind::Engine, true).await,
+            Fault::ServiceRequestsLost => self.cut_link(TargetKind::Service, false).await,
+            Fault::StoreSpoils => {
+                let faults = StoreFaults {
+                    flip_bit: true,
+                    careless: true,
+                    ..StoreFaults::default()
+                };
+                self.fleet.target_faults("store-0", &faults).await;
+            }
+            Fault::KeeperFrozen => {
+                let index = self.box_index();
+                self.fleet.boxes[index].keeper.pause();
+            }
+            Fault::KeeperKilled => self.restart_keeper().await,
+            Fault::EntryKilled | Fault::EntryStopped => self.lose_entry(fault).await,
+            Fault::WeightsSwapped => {
+                let bundle = self.fleet.bundle_with_version("swap", 2);
+                let signed = self.fleet.sign(&bundle);
+                let platform = self.fleet.platform_client();
+                let _ = sillpin_cli::ops::bundle::accept(&platform, signed, "faults", None).await;
+            }
+        }
+    }
+
+    async fn cut_link(&mut self, kind: TargetKind, cut: bool) {
+        let faults = LinkFaults {
+            cut,
+            lose_requests: !cut,
+            ..LinkFaults::default()
+        };
+        let name = self.target(kind);
+        self.fleet.proxy_faults(&name, &faults).await;
+    }
+
+    async fn restart_keeper(&mut self) {
+        let index = self.box_index();
+        let entry_box = &mut self.fleet.boxes[index];
+        let (peer, entry) = (entry_box.peer(), entry_box.keeper.addr("entry"));
+        let (id, zone) = (entry_box.id.clone(), entry_box.zone.to_string());
+        entry_box.keeper.kill();
+        let again = self
+            .fleet
+            .start_keeper_at(&id, &zone, &peer.to_string(), &entry.to_string());
+        self.fleet.boxes[index].keeper = again;
+    }
+
+    /// Kills or stops an entry; the balancer takes it out a moment after it is not ready.
+    async fn lose_entry(&mut self, fault: Fault) {
+        if self.fleet.boxes.len() < 3 {
+            return;
+        }
+        let index = self.box_index();
+        let entry = &mut self.fleet.boxes[index].entry;
+        let gone = entry.addr("callers");
+        if fault == Fault::EntryKilled {
+            entry.kill();
+        } else {
+            entry.terminate();
+        }
+        let balancer = self.balancer.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            balancer.send_modify(|entries| entries.retain(|entry| *entry != gone));
+        });
+    }
+
+    async fn heal(&mut self) {
+        self.fleet.platform_faults(&PlatformFaults::default()).await;
+        for entry_box in &self.fleet.boxes {
+            entry_box.keeper.go_on();
+        }
+        let names: Vec<(String, TargetKind)> = self
+            .fleet
+            .targets
+            .values()
+            .map(|t| (t.entry.id.to_string(), t.entry.kind))
+            .collect();
+        for (name, kind) in names {
+            self.fleet.target(&name).process.go_on();
+            self.fleet.proxy_faults(&name, &LinkFaults::default()).await;
+            match kind {
+                TargetKind::Engine => {
+                    self.fleet
+                        .target_faults(&name, &EngineFaults::default())
+                        .await
+                }
+                TargetKind::Service => {
+                    self.fleet
+                        .target_faults(&name, &ServiceFaults::default())
+                        .await
+                }
+                TargetKind::Store => {
+                    self.fleet
+                        .target_faults(&name, &StoreFaults::default())
+                        .await
+                }
+                TargetKind::Weights => {}
+            }
+        }
+    }
+
+    fn check_answers(&self, rows: &[Row], report: &mut FaultReport) {
+        let is_wrong = |row: &&Row| matches!(row.got, Got::Lost(_) | Got::Mixed(_));
+        let wrong: Vec<&Row> = rows.iter().filter(is_wrong).collect();
+        for row in &wrong {
+            eprintln!("wrong: {row:?}");
+        }
+        report.whole_own_answer.count(rows.len(), wrong.len());
+        let repeatable = || rows.iter().filter(|row| row.once_key.is_none());
+        let unanswered = repeatable().filter(|row| !row.got.is_answered());
+        report
+            .repeatable
+            .count(repeatable().count(), unanswered.count());
+        let unknown = rows
+            .iter()
+            .filter(|row| row.got.outcome() == Some(Outcome::Unknown));
+        report.unknown += unknown.count() as u64;
+    }
+
+    async fn check_calls(&self, rows: &[Row], report: &mut FaultReport) {
+        let executions = self.fleet.all_executions().await;
+        let calls: Vec<&Row> = rows.iter().filter(|row| row.once_key.is_some()).collect();
+        let count = |row: &Row| {
+            let key = row.once_key.as_ref();
+            key.and_then(|key| executions.get(key))
+                .copied()
+                .unwrap_or(0)
+        };
+        let twice = calls.iter().filter(|row| count(row) > 1).count();
+        report.at_most_once.count(calls.len(), twice);
+        let not_run: Vec<&&Row> = calls.iter().filter(|row| row.is_not_run()).collect();
+        let untrue = not_run.iter().filter(|row| count(row) > 0).count();
+        report.not_run_is_true.count(not_run.len(), untrue);
+    }
+
+    async fn check_bundle(&self, accepted: Revision, report: &mut FaultReport) {
+        for entry_box in &self.fleet.boxes {
+            let mut in_force = false;
+            for _ in 0..LOOKS {
+                let status = self.fleet.status(entry_box).await;
+                in_force = status.is_some_and(|status| status.revision >= accepted);
+                if in_force {
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+            report.bundle_in_force.count(1, usize::from(!in_force));
+        }
+    }
+
+    async fn check_loads(&self, report: &mut FaultReport) {
+        let addr = self.fleet.target("weights-0").process.addr("weights");
+        let counted: Option<WeightCounters> =
+            self.fleet.admin(addr, "/admin/counters", None::<&()>).await;
+        let too_many = counted.is_none_or(|counted| counted.most_at_once > 3);
+        report.loads_at_once.count(1, usize::from(too_many));
+    }
+}
+
+fn platform_faults(fault: Fault) -> PlatformFaults {
+    PlatformFaults {
+        outage: fault == Fault::PlatformOutage,
+        delay_ms: if fault == Fault::PlatformSlow { 400 } else { 0 },
+        lose_answers: if fault == Fault::PlatformLosesAnswers {
+            5
+        } else {
+            0
+        },
+        ..PlatformFaults::default()
+    }
+}
--- a/xtask/src/ops/mod.rs
+++ b/xtask/src/ops/mod.rs
@@ -1,4 +1,8 @@
 //! The work behind the commands.
 
 pub mod demo;
+pub mod faults;
+pub mod idle;
 pub mod overhead;
+pub mod procfs;
+pub mod streams;
--- /dev/null
+++ b/xtask/src/ops/streams.rs
@@ -0,0 +1,159 @@
+//! Many open streams through one entry box.
+
+use super::procfs::{cpu_time, memory};
+use serde::Serialize;
+use sillpin_http::Client;
+use sillpin_load::caller::{Ask, call};
+use sillpin_testsuite::fleet::{MODEL, key_of};
+use sillpin_testsuite::{Fleet, FleetShape};
+use std::time::Duration;
+use tokio::task::JoinSet;
+
+/// Streams over one connection of a caller (HTTP/2).
+const STREAMS_PER_CONNECTION: usize = 100;
+
+/// Tokens of each stream; the engines give one every two seconds.
+const TOKENS: u32 = 12;
+
+/// Pause between the starts of two connections' streams.
+const RAMP: Duration = Duration::from_millis(60);
+
+/// What many streams cost.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct StreamCost {
+    /// Streams.
+    pub streams: usize,
+    /// Streams that got their whole answer.
+    pub whole: usize,
+    /// Most streams open at once, as the engines counted.
+    pub open_at_once: u32,
+    /// Memory of the entry for each stream, in bytes.
+    pub bytes_per_stream: f64,
+    /// Processor time of the entry for each request, in microseconds, its tokens included.
+    pub cpu_per_request_us: f64,
+    /// Processor time of the entry for each token, in microseconds: by difference to short answers.
+    pub cpu_per_token_us: f64,
+}
+
+/// Opens `streams` streams through one entry.
+pub async fn measure(streams: usize) -> StreamCost {
+    let args = [
+        "--max-batch",
+        "4000",
+        "--max-waiting",
+        "4000",
+        "--step-ms",
+        "2000",
+        "--block-ms",
+        "0",
+        "--blocks-per-step",
+        "4000",
+    ];
+    let fleet = Fleet::start(FleetShape {
+        engines: 4,
+        services: 0,
+        stores: 0,
+        engine_args: args.map(str::to_owned).into(),
+        entry_settings: vec![
+            "entry.drain-lag-ms=0",
+            "limits.attempt-ms=20000",
+            "limits.waiting=20000",
+        ],
+        ..FleetShape::default()
+    })
+    .await;
+    let entry_box = &fleet.boxes[0];
+    let (callers, id) = (entry_box.callers(), entry_box.entry.id());
+    let before = memory(id);
+    let mut tasks = JoinSet::new();
+    for connection in 0..streams / STREAMS_PER_CONNECTION {
+        let client = Client::http2();
+        for stream in 0..STREAMS_PER_CONNECTION {
+            let client = client.clone();
+            let ask = Ask {
+                timeout: Duration::from_secs(120),
+                ..Ask::new(
+                    &key_of("riders"),
+                    MODEL,
+                    format!("{connection} {stream}"),
+                    TOKENS,
+                )
+            };
+            tasks.spawn(async move { call(&client, callers, &ask).await.is_answered() });
+        }
+        tokio::time::sleep(RAMP).await;
+    }
+    let (mut open_at_once, mut most_memory) = (0, before);
+    let mut whole = 0;
+    let mut look = tokio::time::interval(Duration::from_millis(500));
+    loop {
+        tokio::select! {
+            ended = tasks.join_next() => match ended {
+                Some(answered) => whole += usize::from(answered.unwrap_or(false)),
+                None => break,
+            },
+            _ = look.tick() => {
+                most_memory = most_memory.max(memory(id));
+                open_at_once = open_at_once.max(running(&fleet).await);
+            }
+        }
+    }
+    let (short, long) = (cpu_of(1).await, cpu_of(101).await);
+    StreamCost {
+        streams,
+        whole,
+        open_at_once,
+        bytes_per_stream: (most_memory - before) as f64 / streams as f64,
+        cpu_per_request_us: short,
+        cpu_per_token_us: (long - short) / 100.0,
+    }
+}
+
+async fn running(fleet: &Fleet) -> u32 {
+    let Some(status) = fleet.status(&fleet.boxes[0]).await else {
+        return 0;
+    };
+    let loads = status
+        .targets
+        .iter()
+        .filter_map(|t| t.state.as_ref()?.load.as_ref());
+    loads.map(|load| load.running).sum()
+}
+
+/// Processor time of an entry for a request with `tokens` tokens, in microseconds.
+async fn cpu_of(tokens: u32) -> f64 {
+    const REQUESTS: u32 = 1_000;
+    const AT_ONCE: u32 = 50;
+    let args = [
+        "--max-batch",
+        "1000",
+        "--step-ms",
+        "2",
+        "--block-ms",
+        "0",
+        "--blocks-per-step",
+        "1000",
+    ];
+    let fleet = Fleet::start(FleetShape {
+        services: 0,
+        stores: 0,
+        engine_args: args.map(str::to_owned).into(),
+        ..FleetShape::default()
+    })
+    .await;
+    let (callers, id) = (fleet.boxes[0].callers(), fleet.boxes[0].entry.id());
+    let before = cpu_time(id);
+    let mut tasks = JoinSet::new();
+    for worker in 0..AT_ONCE {
+        let client = fleet.client.clone();
+        tasks.spawn(async move {
+            for number in 0..REQUESTS / AT_ONCE {
+                let prompt = format!("{worker} {number}");
+                let ask = Ask::new(&key_of("riders"), MODEL, prompt, tokens);
+                call(&client, callers, &ask).await;
+            }
+        });
+    }
+    tasks.join_all().await;
+    (cpu_time(id) - before).as_secs_f64() * 1e6 / f64::from(REQUESTS)
+}
