Fault rounds: give two mechanisms the faults that show them

Cause: with the outcome or the slots turned off no checker fired: a broken answer body is not told as a problem, and four engines on four keepers seldom load at once. Change: the outcome is tried with slow services; three engines a zone.

--- a/xtask/src/ops/faults.rs
+++ b/xtask/src/ops/faults.rs
@@ -178,7 +178,8 @@
 /// The faults that a mechanism is meant for.
 fn faults_for(mechanism: Mechanism) -> [Fault; 2] {
     match mechanism {
-        Mechanism::Claim | Mechanism::Outcome => [Fault::ServiceBreaks; 2],
+        Mechanism::Claim => [Fault::ServiceBreaks; 2],
+        Mechanism::Outcome => [Fault::ServiceSlow; 2],
         Mechanism::Attempt => [Fault::EngineCrosses; 2],
         Mechanism::Adopt => [Fault::PlatformSlow; 2],
         Mechanism::Slots => [Fault::WeightsSwapped; 2],
@@ -209,7 +210,7 @@
     FleetShape {
         zones: vec!["kariakoo", "msasani"],
         boxes: 2,
-        engines: 2,
+        engines: 3,
         services: 2,
         stores: 1,
         organisations: ORGANISATIONS.into(),
