Trace transfers, and prove that each hop's span reaches a collector

Cause: the issue asks for a span each for entry, look-up, target and transfer; the keeper had none, and no test sent spans anywhere. Change: the keeper traces exports; two tests with a collector of their own. Conclusion: spans of one request share the caller's trace; a transfer is a trace of its own, since it follows no single request.

--- a/crates/sillpin-keeper/src/exports.rs
+++ b/crates/sillpin-keeper/src/exports.rs
@@ -9,6 +9,8 @@
 use crate::fleet::Published;
 use crate::router::RouterHandle;
 use crate::view::{TargetInfo, View};
+use opentelemetry::KeyValue;
+use opentelemetry::trace::{Span, SpanKind};
 use sillpin_core::{BlockName, Generation, Share, TargetId, TargetKind};
 use sillpin_http::Client;
 use sillpin_policy::rendezvous::{self, CandidateHash};
@@ -16,6 +18,7 @@
 use sillpin_rpc::directory::{DirectoryNews, KeptObject};
 use sillpin_rpc::entry_link::TargetView;
 use sillpin_targets::{Engine, ExportOrder, HttpEngine, HttpStore, ObjectRef, Store};
+use sillpin_telemetry::traces::Traces;
 use sillpin_telemetry::{event, events};
 use slog::Logger;
 use std::collections::HashMap;
@@ -48,6 +51,8 @@
     pub fleet: crate::fleet::FleetHandle,
     /// Connections to targets.
     pub client: Client,
+    /// Spans.
+    pub traces: Traces,
     /// Log.
     pub log: Logger,
 }
@@ -96,6 +101,9 @@
             store: store.entry.id.clone(),
             addr: store.entry.addr,
         };
+        let mut span = self.traces.span("transfer", SpanKind::Client, None);
+        span.set_attribute(KeyValue::new("store", store.entry.id.to_string()));
+        span.set_attribute(KeyValue::new("blocks", order.blocks.len() as i64));
         let exported = HttpEngine::new(self.client.clone())
             .export(job.engine, &order)
             .await;
--- a/crates/sillpin-keeper/src/main.rs
+++ b/crates/sillpin-keeper/src/main.rs
@@ -6,6 +6,7 @@
 use sillpin_settings::args::{Asked, read, with_settings};
 use sillpin_telemetry::logs;
 use sillpin_telemetry::metrics::Metrics;
+use sillpin_telemetry::traces::Traces;
 use std::error::Error;
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
@@ -47,7 +48,13 @@
             term.recv().await;
             stopping.cancel();
         });
-        ops::run(cfg, log, metrics, stop, |at| {
+        let traces = Traces::new(PROGRAM, cfg.box_id.as_str(), cfg.collector)?;
+        let telemetry = ops::Telemetry {
+            log,
+            metrics,
+            traces,
+        };
+        ops::run(cfg, telemetry, stop, |at| {
             println!("listening entry {}", at.entry);
             println!("listening peer {}", at.peer);
             println!("listening http {}", at.http);
--- a/crates/sillpin-keeper/src/ops.rs
+++ b/crates/sillpin-keeper/src/ops.rs
@@ -20,6 +20,7 @@
 use sillpin_rpc::peer_link::PeerLink;
 use sillpin_rpc::transport;
 use sillpin_telemetry::metrics::Metrics;
+use sillpin_telemetry::traces::Traces;
 use sillpin_telemetry::{event, events};
 use slog::Logger;
 use std::io;
@@ -98,11 +99,20 @@
     })
 }
 
+/// What a keeper shows of itself.
+pub struct Telemetry {
+    /// Log.
+    pub log: Logger,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Spans.
+    pub traces: Traces,
+}
+
 /// Runs a keeper until `stop`; `ready` is told where it listens.
 pub async fn run(
     cfg: KeeperConfig,
-    log: Logger,
-    metrics: Metrics,
+    telemetry: Telemetry,
     stop: CancellationToken,
     ready: impl FnOnce(Listening),
 ) -> Result<(), StartError> {
@@ -117,13 +127,16 @@
         signers: cfg.signers.clone(),
     };
     let end = CancellationToken::new();
-    let fleet = start_tasks(cfg, identity, listeners, &log, metrics, &end);
+    let log = telemetry.log.clone();
+    let traces = telemetry.traces.clone();
+    let fleet = start_tasks(cfg, identity, listeners, telemetry, &end);
     event!(log, events::KEEPER_STARTED, "peer" => %at.peer, "entry" => %at.entry);
     ready(at);
     stop.cancelled().await;
     fleet.tell(FleetMsg::Leave).await;
     tokio::time::sleep(LEAVE_TIME).await;
     end.cancel();
+    traces.shutdown();
     event!(log, events::KEEPER_STOPPED);
     Ok(())
 }
@@ -137,10 +150,14 @@
     cfg: KeeperConfig,
     identity: Identity,
     listeners: Listeners,
-    log: &Logger,
-    metrics: Metrics,
+    telemetry: Telemetry,
     end: &CancellationToken,
 ) -> fleet::FleetHandle {
+    let Telemetry {
+        log,
+        metrics,
+        traces,
+    } = telemetry;
     let client = Client::default();
     let platform = HttpPlatform::new(client.clone(), cfg.platform);
     let peers = Peers::default();
@@ -188,6 +205,7 @@
         router: router.clone(),
         fleet: fleet.clone(),
         client: client.clone(),
+        traces,
         log: log.clone(),
     };
     tokio::spawn(exports.run(jobs, end.clone()));
--- a/crates/sillpin-keeper/src/settings.rs
+++ b/crates/sillpin-keeper/src/settings.rs
@@ -91,6 +91,15 @@
             ),
         ],
     },
+    Section {
+        name: "telemetry",
+        keys: &[Key::optional(
+            "collector",
+            Kind::AddrList,
+            "",
+            "Collector of traces (OTLP over HTTP); empty: none",
+        )],
+    },
     Section {
         name: "log",
         keys: &[
@@ -137,11 +146,14 @@
     pub load_every: Duration,
     /// Time between two readings of the box list.
     pub list_every: Duration,
+    /// Collector of traces.
+    pub collector: Option<SocketAddr>,
 }
 
 impl KeeperConfig {
     /// Takes the values out of checked settings.
     pub fn from_loaded(loaded: &Loaded) -> Result<Self, Faults> {
+        let collectors: Vec<SocketAddr> = loaded.list("telemetry", "collector")?;
         let millis = |key| loaded.get("keeper", key).map(Duration::from_millis);
         Ok(Self {
             box_id: loaded.get("box", "id")?,
@@ -156,6 +168,7 @@
             dead_after: millis("dead-after-ms")?,
             load_every: millis("load-ms")?,
             list_every: millis("list-ms")?,
+            collector: collectors.first().copied(),
         })
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,4 +12,5 @@
 mod organisations;
 mod outcomes;
 mod path;
+mod traces;
 mod versions;
--- a/xtask/src/commands/measure.rs
+++ b/xtask/src/commands/measure.rs
@@ -1,6 +1,6 @@
 //! `cargo xtask measure SCENARIO`: the figures of `docs/MEASUREMENTS.md`.
 
-use crate::ops::{idle, streams};
+use crate::ops::{control, idle, streams};
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use serde::Serialize;
 use std::io;
@@ -8,7 +8,10 @@
 /// Streams opened through one entry.
 const STREAMS: usize = 10_000;
 
-const SCENARIOS: [&str; 2] = ["streams", "idle"];
+/// Keepers at the size designed for.
+const KEEPERS: usize = 380;
+
+const SCENARIOS: [&str; 3] = ["streams", "idle", "control-380"];
 
 pub fn cli() -> Command {
     Command::new("measure")
@@ -25,6 +28,12 @@
                 .value_parser(clap::value_parser!(usize))
                 .help("Streams to open, for `streams`"),
         )
+        .arg(
+            Arg::new("keepers")
+                .long("keepers")
+                .value_parser(clap::value_parser!(usize))
+                .help("Keepers to start, for `control-380`"),
+        )
         .arg(
             Arg::new("json")
                 .long("json")
@@ -44,6 +53,10 @@
             let streams = args.get_one::<usize>("streams").copied().unwrap_or(STREAMS);
             show(args, &runtime.block_on(streams::measure(streams)))
         }
+        "control-380" => {
+            let keepers = args.get_one::<usize>("keepers").copied().unwrap_or(KEEPERS);
+            show(args, &runtime.block_on(control::measure(keepers)))
+        }
         "idle" => show(args, &runtime.block_on(idle::measure())),
         _ => Ok(()),
     }
