--- /dev/null
+++ b/crates/sillpin-keeper/tests/fleet.rs
@@ -0,0 +1,152 @@
+//! The fleet's table: what it takes in, what it never takes back.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use sillpin_bundle::{Accepted, Bundle, SignedBundle, SignerKey};
+use sillpin_core::{Incarnation, Revision};
+use sillpin_keeper::fleet::{FleetTable, Identity};
+use sillpin_rpc::gossip::{Item, ItemKey, ItemValue, ItemVersion};
+use std::time::Duration;
+use tokio::time::Instant;
+
+fn identity(id: &str, key: &SignerKey) -> Identity {
+    Identity {
+        box_id: id.parse().unwrap(),
+        zone: "kariakoo".parse().unwrap(),
+        peer_addr: ([127, 0, 0, 1], 1).into(),
+        incarnation: Incarnation(1),
+        dead_after: Duration::from_secs(2),
+        signers: vec![key.public()],
+    }
+}
+
+fn accepted(revision: u64, key: &SignerKey) -> Accepted {
+    let bundle = Bundle {
+        name: format!("bundle {revision}"),
+        ..Bundle::default()
+    };
+    let text = serde_json::to_string(&bundle).unwrap();
+    Accepted {
+        revision: Revision(revision),
+        bundle: SignedBundle::sign(&text, key).unwrap(),
+        operator: "tests".to_owned(),
+        token: revision.to_string(),
+    }
+}
+
+fn item(accepted: Accepted) -> Item {
+    Item {
+        key: ItemKey::Bundle,
+        version: ItemVersion(accepted.revision.0),
+        value: ItemValue::Bundle(Box::new(accepted)),
+    }
+}
+
+fn revision(table: &FleetTable) -> Revision {
+    table.in_force().map(|f| f.revision).unwrap_or_default()
+}
+
+/// One step between a few keepers.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// A keeper reads a revision from the platform.
+    Read { keeper: usize, revision: u64 },
+    /// A keeper compares with another.
+    Gossip { from: usize, to: usize },
+    /// A keeper loses everything.
+    Restart { keeper: usize },
+}
+
+const KEEPERS: usize = 3;
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0..KEEPERS, 1..6u64).prop_map(|(keeper, revision)| Step::Read { keeper, revision }),
+        (0..KEEPERS, 0..KEEPERS).prop_map(|(from, to)| Step::Gossip { from, to }),
+        (0..KEEPERS).prop_map(|keeper| Step::Restart { keeper }),
+    ]
+}
+
+fn gossip(tables: &mut [FleetTable], from: usize, to: usize, now: Instant) {
+    let zone = "kariakoo".parse().unwrap();
+    let digest = tables[from].digest(&zone);
+    let exchange = tables[to].exchange(&digest);
+    let wanted = tables[from].wanted(&exchange.wanted);
+    tables[from].apply(exchange.newer, now);
+    tables[to].apply(wanted, now);
+}
+
+proptest! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..Config::with_cases(1_000)
+    })]
+
+    #[test]
+    fn a_revision_never_goes_back_while_its_keeper_lives(steps in prop::collection::vec(step(), 1..40)) {
+        let key = SignerKey::generate();
+        let now = Instant::now();
+        let new = |number: usize| FleetTable::new(identity(&format!("box-{number}"), &key), now);
+        let mut tables: Vec<FleetTable> = (0..KEEPERS).map(new).collect();
+        for step in steps {
+            let before: Vec<Revision> = tables.iter().map(revision).collect();
+            let mut restarted = None;
+            match step {
+                Step::Read { keeper, revision } => {
+                    tables[keeper].adopt(accepted(revision, &key), now).unwrap();
+                }
+                Step::Gossip { from, to } if from != to => {
+                    let newest = before[from].max(before[to]);
+                    gossip(&mut tables, from, to, now);
+                    prop_assert_eq!(revision(&tables[from]), newest);
+                    prop_assert_eq!(revision(&tables[to]), newest);
+                }
+                Step::Gossip { .. } => {}
+                Step::Restart { keeper } => {
+                    tables[keeper] = new(keeper);
+                    restarted = Some(keeper);
+                }
+            }
+            for (number, table) in tables.iter().enumerate() {
+                if restarted != Some(number) {
+                    prop_assert!(revision(table) >= before[number]);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn an_unsigned_bundle_from_a_peer_is_refused() {
+    let (key, other) = (SignerKey::generate(), SignerKey::generate());
+    let now = Instant::now();
+    let mut table = FleetTable::new(identity("box", &key), now);
+    let refused = table.apply(vec![item(accepted(1, &other))], now);
+    assert_eq!(refused.len(), 1);
+    assert_eq!(revision(&table), Revision(0));
+}
+
+#[test]
+fn a_heartbeat_of_an_earlier_life_under_a_later_clock_is_overtaken() {
+    let key = SignerKey::generate();
+    let now = Instant::now();
+    let me: sillpin_core::BoxId = "box".parse().unwrap();
+    let mut old = FleetTable::new(
+        Identity {
+            incarnation: Incarnation(9_000),
+            ..identity("box", &key)
+        },
+        now,
+    );
+    old.beat(now);
+    let mut peer = FleetTable::new(identity("peer", &key), now);
+    let zone = "kariakoo".parse().unwrap();
+    peer.apply(old.exchange(&peer.digest(&zone)).newer, now);
+    let mut new = FleetTable::new(identity("box", &key), now);
+    new.apply(peer.exchange(&new.digest(&zone)).newer, now);
+    peer.apply(new.exchange(&peer.digest(&zone)).newer, now);
+    let seen = peer.box_statuses(now);
+    let seen = seen.iter().find(|b| b.id == me).unwrap();
+    assert_eq!(seen.state.incarnation, Incarnation(1));
+}
--- a/crates/sillpin-load/src/report.rs
+++ b/crates/sillpin-load/src/report.rs
@@ -56,6 +56,17 @@
     histogram
 }
 
+/// The times to refusal of requests that were not run, in microseconds.
+pub fn refusals<'a>(rows: impl IntoIterator<Item = &'a Row>) -> Histogram<u64> {
+    let mut histogram = micros();
+    for row in rows {
+        if let Got::Refused { after, .. } = &row.got {
+            histogram.saturating_record(after.as_micros() as u64);
+        }
+    }
+    histogram
+}
+
 fn micros() -> Histogram<u64> {
     Histogram::new_with_bounds(1, 600_000_000, 3)
         .unwrap_or_else(|_| unreachable!("constant bounds"))
--- a/xtask/src/commands/measure.rs
+++ b/xtask/src/commands/measure.rs
@@ -1,6 +1,6 @@
 //! `cargo xtask measure SCENARIO`: the figures of `docs/MEASUREMENTS.md`.
 
-use crate::ops::{control, idle, streams};
+use crate::ops::{compare, control, idle, streams};
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use serde::Serialize;
 use std::io;
@@ -11,7 +11,19 @@
 /// Keepers at the size designed for.
 const KEEPERS: usize = 380;
 
-const SCENARIOS: [&str; 3] = ["streams", "idle", "control-380"];
+const SCENARIOS: [&str; 8] = [
+    "streams",
+    "idle",
+    "control-380",
+    "planning",
+    "kerb",
+    "overload",
+    "noisy-organisation",
+    "slow-links",
+];
+
+/// Runs of each side of a comparison.
+const REPEATS: u64 = 5;
 
 pub fn cli() -> Command {
     Command::new("measure")
@@ -34,6 +46,12 @@
                 .value_parser(clap::value_parser!(usize))
                 .help("Keepers to start, for `control-380`"),
         )
+        .arg(
+            Arg::new("repeats")
+                .long("repeats")
+                .value_parser(clap::value_parser!(u64))
+                .help("Runs of each side of a comparison"),
+        )
         .arg(
             Arg::new("json")
                 .long("json")
@@ -58,7 +76,17 @@
             show(args, &runtime.block_on(control::measure(keepers)))
         }
         "idle" => show(args, &runtime.block_on(idle::measure())),
-        _ => Ok(()),
+        name => {
+            let Some(scenario) = compare::scenario(name) else {
+                return Err(io::Error::other("no such scenario"));
+            };
+            let repeats = args.get_one::<u64>("repeats").copied().unwrap_or(REPEATS);
+            let say = |what: &str| eprintln!("{what}");
+            show(
+                args,
+                &runtime.block_on(compare::run(&scenario, repeats, say)),
+            )
+        }
     }
 }
 
--- a/xtask/src/ops/mod.rs
+++ b/xtask/src/ops/mod.rs
@@ -1,5 +1,6 @@
 //! The work behind the commands.
 
+pub mod compare;
 pub mod control;
 pub mod demo;
 pub mod faults;
