Compare two arms on live traffic: sillpin bundle compare

Cause: operators drive the system by comparing bundles; nothing showed arms side by side. Change: each entry sums up what its arms measured (times to first token, computed prompt tokens, bytes fetched), the keeper holds it, and the command line adds up all boxes and prints figures by zone with 95% intervals, a verdict that says when no difference is shown, JSON and a plot. A target's state that a slower peer still spreads is not taken in again after its target has gone.

--- a/crates/sillpin-cli/src/commands/bundle.rs
+++ b/crates/sillpin-cli/src/commands/bundle.rs
@@ -30,6 +30,7 @@
                 .arg(file_arg("key", "The signing key")),
         )
         .subcommand(accept_cli())
+        .subcommand(super::compare::cli())
         .subcommand(
             Command::new("log")
                 .about("Lists accepted revisions")
@@ -68,6 +69,7 @@
         Some(("check", args)) => check(args),
         Some(("sign", args)) => sign(args),
         Some(("accept", args)) => accept(args).await,
+        Some(("compare", args)) => super::compare::run(args).await,
         Some(("log", args)) => log(args).await,
         Some(("status", args)) => status(args).await,
         _ => Err(CliError::new(ExitStatus::Usage, "no command")),
--- a/crates/sillpin-cli/src/commands/mod.rs
+++ b/crates/sillpin-cli/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands: each declares its arguments beside the function that runs it.
 
 mod bundle;
+mod compare;
 mod explain;
 mod key;
 mod organisation;
--- a/crates/sillpin-cli/src/main.rs
+++ b/crates/sillpin-cli/src/main.rs
@@ -6,7 +6,7 @@
 mod commands;
 
 use sillpin_cli::{CliError, ExitStatus};
-use std::error::Error;
+use sillpin_settings::program::print_error;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
@@ -28,14 +28,6 @@
 }
 
 fn fail(e: &CliError) -> ExitCode {
-    eprintln!("error: {e}");
-    let mut cause = e.source();
-    if cause.is_some() {
-        eprintln!("Caused by:");
-    }
-    while let Some(source) = cause {
-        eprintln!("    {source}");
-        cause = source.source();
-    }
+    print_error(e);
     e.status.into()
 }
--- /dev/null
+++ b/crates/sillpin-cli/src/ops/compare.rs
@@ -0,0 +1,296 @@
+//! Comparing two arms of the bundle in force, by zone: figures, confidence intervals, and a verdict
+//! that says so when no difference is shown.
+
+use super::fleet;
+use crate::{CliError, ExitStatus};
+use plotters::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use serde::Serialize;
+use sillpin_core::{ArmName, Revision, ZoneId};
+use sillpin_rpc::arms::{ArmFigures, RatioSums};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Half the width of a 95% interval, in standard errors.
+const Z95: f64 = 1.96;
+
+/// Resamplings for the interval of a percentile.
+const RESAMPLES: usize = 400;
+
+/// Samples needed on each side before anything is said.
+const MIN_SAMPLES: u64 = 20;
+
+/// Seed of the resampling, so that the same figures give the same interval.
+const SEED: u64 = 1;
+
+/// Plot size in pixels.
+const PLOT_SIZE: (u32, u32) = (800, 500);
+
+/// A figure of both arms, and the interval of their difference (B less A).
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Compared {
+    /// Of arm A.
+    pub a: f64,
+    /// Of arm B.
+    pub b: f64,
+    /// Lower end of the 95% interval of B less A.
+    pub low: f64,
+    /// Upper end.
+    pub high: f64,
+}
+
+impl Compared {
+    /// Whether the interval excludes no difference.
+    pub fn is_shown(&self) -> bool {
+        self.low > 0.0 || self.high < 0.0
+    }
+}
+
+/// Two arms in one zone.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct ZoneComparison {
+    /// The zone; `None` is all of them.
+    pub zone: Option<ZoneId>,
+    /// Whole answers of each arm.
+    pub samples: (u64, u64),
+    /// Requests without a whole answer of each arm.
+    pub failed: (u64, u64),
+    /// Median time to first token, in milliseconds.
+    pub first_token_p50_ms: Compared,
+    /// 95th percentile of the time to first token, in milliseconds.
+    pub first_token_p95_ms: Compared,
+    /// Prompt tokens computed, over all.
+    pub recomputed_share: Compared,
+    /// Bytes fetched from stores, for each request.
+    pub link_bytes: Compared,
+}
+
+/// Two arms of a revision.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Comparison {
+    /// The revision.
+    pub revision: Revision,
+    /// Arm A.
+    pub a: ArmName,
+    /// Arm B.
+    pub b: ArmName,
+    /// All zones together, then each.
+    pub zones: Vec<ZoneComparison>,
+}
+
+/// Asks all boxes for what the arms measured under the newest revision.
+pub async fn figures(keeper: SocketAddr) -> Result<Vec<ArmFigures>, CliError> {
+    let status = fleet::status(keeper).await?;
+    let mut all = Vec::new();
+    let live = status.boxes.iter().filter(|b| b.live);
+    let mut keepers: Vec<SocketAddr> = live.map(|b| b.state.peer_addr).collect();
+    if !keepers.contains(&keeper) {
+        keepers.push(keeper);
+    }
+    for keeper in keepers {
+        all.extend(fleet::arms(keeper).await.unwrap_or_default());
+    }
+    all.retain(|figures| figures.revision == status.revision);
+    Ok(all)
+}
+
+/// Figures of one arm added up.
+#[derive(Default)]
+struct Sums {
+    first_tokens: BTreeMap<u64, u64>,
+    failed: u64,
+    computed: RatioSums,
+    link_bytes: RatioSums,
+}
+
+impl Sums {
+    fn of<'a>(figures: impl Iterator<Item = &'a ArmFigures>) -> Self {
+        let mut sums = Self::default();
+        for figures in figures {
+            for (micros, count) in &figures.first_tokens {
+                *sums.first_tokens.entry(*micros).or_default() += count;
+            }
+            sums.failed += figures.failed;
+            sums.computed.join(&figures.computed);
+            sums.link_bytes.join(&figures.link_bytes);
+        }
+        sums
+    }
+
+    fn samples(&self) -> u64 {
+        self.first_tokens.values().sum()
+    }
+
+    /// The value below which `share` of the samples lie, in milliseconds.
+    fn quantile(&self, share: f64) -> f64 {
+        quantile(&self.first_tokens, share)
+    }
+
+    /// The same of as many samples drawn anew from these.
+    fn resampled(&self, rng: &mut SmallRng, share: f64) -> f64 {
+        let mut ends = Vec::with_capacity(self.first_tokens.len());
+        let mut total = 0;
+        for (micros, count) in &self.first_tokens {
+            total += count;
+            ends.push((total, *micros));
+        }
+        let mut drawn: BTreeMap<u64, u64> = BTreeMap::new();
+        for _ in 0..total {
+            let point = rng.random_range(0..total);
+            let place = ends.partition_point(|(end, _)| *end <= point);
+            *drawn.entry(ends[place].1).or_default() += 1;
+        }
+        quantile(&drawn, share)
+    }
+}
+
+fn quantile(counts: &BTreeMap<u64, u64>, share: f64) -> f64 {
+    let total: u64 = counts.values().sum();
+    let rank = ((total as f64 * share).ceil() as u64).max(1);
+    let mut seen = 0;
+    for (micros, count) in counts {
+        seen += count;
+        if seen >= rank {
+            return *micros as f64 / 1_000.0;
+        }
+    }
+    0.0
+}
+
+/// Compares two arms; the error says which one has measured too little.
+pub fn compare(
+    figures: &[ArmFigures],
+    revision: Revision,
+    a: &ArmName,
+    b: &ArmName,
+) -> Result<Comparison, CliError> {
+    let mut zones: Vec<ZoneId> = figures.iter().map(|f| f.zone.clone()).collect();
+    zones.sort();
+    zones.dedup();
+    let whole = compare_in(figures, None, a, b);
+    for (arm, samples) in [(a, whole.samples.0), (b, whole.samples.1)] {
+        if samples < MIN_SAMPLES {
+            let what = format!(
+                "arm {arm} has {samples} answers under revision {revision}; {MIN_SAMPLES} are needed"
+            );
+            return Err(CliError::new(ExitStatus::NotFound, what));
+        }
+    }
+    let each = zones
+        .into_iter()
+        .map(|zone| compare_in(figures, Some(zone), a, b));
+    let enough = |c: &ZoneComparison| c.samples.0.min(c.samples.1) >= MIN_SAMPLES;
+    Ok(Comparison {
+        revision,
+        a: a.clone(),
+        b: b.clone(),
+        zones: std::iter::once(whole).chain(each.filter(enough)).collect(),
+    })
+}
+
+fn compare_in(
+    figures: &[ArmFigures],
+    zone: Option<ZoneId>,
+    a: &ArmName,
+    b: &ArmName,
+) -> ZoneComparison {
+    let of = |arm: &ArmName| {
+        let here = figures
+            .iter()
+            .filter(|f| zone.as_ref().is_none_or(|zone| f.zone == *zone));
+        Sums::of(here.filter(|f| f.arm == *arm))
+    };
+    let (a, b) = (of(a), of(b));
+    ZoneComparison {
+        samples: (a.samples(), b.samples()),
+        failed: (a.failed, b.failed),
+        first_token_p50_ms: compare_quantile(&a, &b, 0.5),
+        first_token_p95_ms: compare_quantile(&a, &b, 0.95),
+        recomputed_share: compare_ratio(&a.computed, &b.computed),
+        link_bytes: compare_ratio(&a.link_bytes, &b.link_bytes),
+        zone,
+    }
+}
+
+/// By the bootstrap: the middle 95% of the differences of resampled quantiles.
+fn compare_quantile(a: &Sums, b: &Sums, share: f64) -> Compared {
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    let mut differences: Vec<f64> = (0..RESAMPLES)
+        .map(|_| b.resampled(&mut rng, share) - a.resampled(&mut rng, share))
+        .collect();
+    differences.sort_by(f64::total_cmp);
+    let outside = RESAMPLES / 40;
+    Compared {
+        a: a.quantile(share),
+        b: b.quantile(share),
+        low: differences[outside],
+        high: differences[RESAMPLES - 1 - outside],
+    }
+}
+
+fn compare_ratio(a: &RatioSums, b: &RatioSums) -> Compared {
+    let error = a.standard_error().hypot(b.standard_error());
+    let difference = b.ratio() - a.ratio();
+    Compared {
+        a: a.ratio(),
+        b: b.ratio(),
+        low: difference - Z95 * error,
+        high: difference + Z95 * error,
+    }
+}
+
+/// Draws the share of answers whose first token came within a time, for both arms, as SVG.
+pub fn plot(figures: &[ArmFigures], a: &ArmName, b: &ArmName) -> Result<String, CliError> {
+    let mut svg = String::new();
+    draw(figures, a, b, &mut svg).map_err(|e| {
+        let what = format!("cannot draw the plot: {e}");
+        CliError::new(ExitStatus::Failed, what)
+    })?;
+    Ok(svg)
+}
+
+fn draw(
+    figures: &[ArmFigures],
+    a: &ArmName,
+    b: &ArmName,
+    svg: &mut String,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let of = |arm: &ArmName| Sums::of(figures.iter().filter(|f| f.arm == *arm));
+    let sides = [(a, of(a)), (b, of(b))];
+    let longest = sides
+        .iter()
+        .map(|(_, sums)| sums.quantile(0.99))
+        .fold(1.0, f64::max);
+    let area = SVGBackend::with_string(svg, PLOT_SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption("Time to first token", ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(48)
+        .build_cartesian_2d(0.0..longest, 0.0..1.0)?;
+    chart
+        .configure_mesh()
+        .x_desc("ms")
+        .y_desc("share of answers")
+        .draw()?;
+    for (number, (arm, sums)) in sides.iter().enumerate() {
+        let colour = Palette99::pick(number).mix(1.0);
+        let points = (1..=100).map(|percent| {
+            let share = f64::from(percent) / 100.0;
+            (sums.quantile(share).min(longest), share)
+        });
+        chart
+            .draw_series(LineSeries::new(points, colour.stroke_width(2)))?
+            .label(arm.as_str())
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
+    }
+    chart
+        .configure_series_labels()
+        .border_style(BLACK)
+        .background_style(WHITE)
+        .draw()?;
+    area.present()?;
+    Ok(())
+}
--- a/crates/sillpin-cli/src/ops/fleet.rs
+++ b/crates/sillpin-cli/src/ops/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::{CliError, ExitStatus};
 use sillpin_core::RequestId;
+use sillpin_rpc::arms::ArmFigures;
 use sillpin_rpc::peer_link::{FleetStatus, PeerLinkClient};
 use sillpin_rpc::records::DecisionRecord;
 use sillpin_rpc::transport::{connect, within};
@@ -45,6 +46,13 @@
     Err(CliError::new(ExitStatus::NotFound, what))
 }
 
+/// What the arms of the bundle in force measured in a box.
+pub async fn arms(keeper: SocketAddr) -> Result<Vec<ArmFigures>, CliError> {
+    let client = open(keeper).await?;
+    let figures = client.arms(within(TIMEOUT)).await;
+    figures.map_err(|e| CliError::caused(ExitStatus::Failed, "the keeper did not answer", e))
+}
+
 async fn ask_record(
     keeper: SocketAddr,
     request: RequestId,
--- a/crates/sillpin-cli/src/ops/mod.rs
+++ b/crates/sillpin-cli/src/ops/mod.rs
@@ -1,6 +1,7 @@
 //! The work behind the commands.
 
 pub mod bundle;
+pub mod compare;
 pub mod fleet;
 pub mod organisation;
 
--- a/crates/sillpin-entry/src/arms.rs
+++ b/crates/sillpin-entry/src/arms.rs
@@ -1,14 +1,18 @@
 //! What each arm of a rollout measures in this entry, and its guard.
 //!
-//! The guard compares each arm with the control arm over the last windows and, on a breach, tells
+//! Sums since the revision came into force go to the keeper for `sillpin bundle compare`. The guard
+//! compares each arm with the control arm over the last windows and, on a breach, tells
 //! the keeper to stop the arm in this zone: its prompts go back to the control arm.
 
 use crate::keeper_link::{KeeperLink, News};
+use crate::metrics::PromptWork;
+use crate::settings::EntryConfig;
 use crate::snapshot::Snapshot;
 use hdrhistogram::Histogram;
 use sillpin_bundle::bundle::CONTROL_ARM;
-use sillpin_core::{ArmName, Revision};
+use sillpin_core::{ArmName, BoxId, Revision, ZoneId};
 use sillpin_policy::guard::ArmSample;
+use sillpin_rpc::arms::{ArmFigures, RatioSums};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,6 +27,9 @@
 /// Time between two looks of the guard.
 const JUDGE_EVERY: Duration = Duration::from_millis(500);
 
+/// Time between two reports to the keeper.
+const REPORT_EVERY: Duration = Duration::from_secs(2);
+
 /// Significant digits of the histograms.
 const DIGITS: u8 = 2;
 
@@ -33,8 +40,17 @@
     pub revision: Revision,
     /// The arm.
     pub arm: ArmName,
-    /// Time to first token; `None` if the request got no whole answer.
-    pub first_token: Option<Duration>,
+    /// What the whole answer took; `None` if there was none.
+    pub answered: Option<Answered>,
+}
+
+/// What a whole answer took.
+#[derive(Debug, Clone, Copy)]
+pub struct Answered {
+    /// Time to first token.
+    pub first_token: Duration,
+    /// Its prompt work.
+    pub work: PromptWork,
 }
 
 /// Takes samples.
@@ -51,9 +67,16 @@
 }
 
 /// Starts the task.
-pub fn start(snapshots: watch::Receiver<Arc<Snapshot>>, keeper: KeeperLink) -> ArmsHandle {
+pub fn start(
+    cfg: &EntryConfig,
+    snapshots: watch::Receiver<Arc<Snapshot>>,
+    keeper: KeeperLink,
+) -> ArmsHandle {
     let (tx, rx) = mpsc::channel(QUEUE_LEN);
     let task = Task {
+        by: cfg.box_id.clone(),
+        zone: cfg.zone.clone(),
+        whole: HashMap::new(),
         snapshots,
         keeper,
         revision: Revision(0),
@@ -67,6 +90,8 @@
 struct Window {
     first_tokens: Histogram<u64>,
     failed: u32,
+    computed: RatioSums,
+    link_bytes: RatioSums,
 }
 
 impl Default for Window {
@@ -74,10 +99,27 @@
         Self {
             first_tokens: micros_histogram(),
             failed: 0,
+            computed: RatioSums::default(),
+            link_bytes: RatioSums::default(),
         }
     }
 }
 
+impl Window {
+    fn count(&mut self, answered: Option<&Answered>) {
+        let Some(answered) = answered else {
+            self.failed += 1;
+            return;
+        };
+        let micros = answered.first_token.as_micros() as u64;
+        self.first_tokens.saturating_record(micros);
+        let work = &answered.work;
+        let tokens = work.computed + work.cached + work.imported;
+        self.computed.add(work.computed.0 as f64, tokens.0 as f64);
+        self.link_bytes.add(work.link_bytes as f64, 1.0);
+    }
+}
+
 /// A histogram of microseconds up to ten minutes.
 fn micros_histogram() -> Histogram<u64> {
     const LONGEST: u64 = 600_000_000;
@@ -89,6 +131,9 @@
 }
 
 struct Task {
+    by: BoxId,
+    zone: ZoneId,
+    whole: HashMap<ArmName, Window>,
     snapshots: watch::Receiver<Arc<Snapshot>>,
     keeper: KeeperLink,
     revision: Revision,
@@ -100,6 +145,7 @@
     async fn run(mut self, mut rx: mpsc::Receiver<Sample>) {
         let mut judge = tokio::time::interval(JUDGE_EVERY);
         let mut turn = tokio::time::interval(WINDOW);
+        let mut report = tokio::time::interval(REPORT_EVERY);
         loop {
             tokio::select! {
                 sample = rx.recv() => match sample {
@@ -107,6 +153,7 @@
                     None => return,
                 },
                 _ = judge.tick() => self.judge(),
+                _ = report.tick() => self.report(),
                 _ = turn.tick() => self.before = std::mem::take(&mut self.now),
             }
         }
@@ -117,17 +164,39 @@
             self.revision = sample.revision;
             self.now.clear();
             self.before.clear();
+            self.whole.clear();
         }
         if sample.revision < self.revision {
             return;
         }
-        let window = self.now.entry(sample.arm).or_default();
-        match sample.first_token {
-            Some(after) => window
-                .first_tokens
-                .saturating_record(after.as_micros() as u64),
-            None => window.failed += 1,
+        let answered = sample.answered.as_ref();
+        self.whole
+            .entry(sample.arm.clone())
+            .or_default()
+            .count(answered);
+        self.now.entry(sample.arm).or_default().count(answered);
+    }
+
+    /// Tells the keeper what the arms have measured so far.
+    fn report(&self) {
+        if self.whole.is_empty() {
+            return;
         }
+        let figures = self.whole.iter().map(|(arm, window)| ArmFigures {
+            by: self.by.clone(),
+            zone: self.zone.clone(),
+            revision: self.revision,
+            arm: arm.clone(),
+            first_tokens: window
+                .first_tokens
+                .iter_recorded()
+                .map(|value| (value.value_iterated_to(), value.count_at_value()))
+                .collect(),
+            failed: u64::from(window.failed),
+            computed: window.computed,
+            link_bytes: window.link_bytes,
+        });
+        self.keeper.tell(News::Arms(figures.collect()));
     }
 
     fn sample(&self, arm: &ArmName) -> ArmSample {
--- a/crates/sillpin-entry/src/keeper_link.rs
+++ b/crates/sillpin-entry/src/keeper_link.rs
@@ -8,6 +8,7 @@
 use sillpin_core::{ArmName, BlockName, Revision, TargetId};
 use sillpin_policy::guard::Breach;
 use sillpin_rpc::EntryLinkClient;
+use sillpin_rpc::arms::ArmFigures;
 use sillpin_rpc::claims::{ClaimEnd, ClaimReply, ClaimRequest};
 use sillpin_rpc::directory::{BlockHints, PromptUse};
 use sillpin_rpc::entry_link::Known;
@@ -53,6 +54,8 @@
     Suspect(TargetId),
     /// A claim ended.
     EndClaim(ClaimEnd),
+    /// What the arms have measured so far.
+    Arms(Vec<ArmFigures>),
 }
 
 /// Speaks to the keeper.
@@ -140,6 +143,7 @@
                 }
                 News::Suspect(target) => drop(client.suspect(cx, target).await),
                 News::EndClaim(end) => drop(client.end_claim(cx, end).await),
+                News::Arms(figures) => drop(client.arms(cx, figures).await),
             }
         }
         if !used.is_empty() {
--- a/crates/sillpin-entry/src/main.rs
+++ b/crates/sillpin-entry/src/main.rs
@@ -3,7 +3,7 @@
 use clap::Command;
 use sillpin_entry::ops;
 use sillpin_entry::settings::{EntryConfig, SCHEMA};
-use sillpin_settings::args::{Asked, read, with_settings};
+use sillpin_settings::{Loaded, program};
 use sillpin_telemetry::logs;
 use sillpin_telemetry::metrics::Metrics;
 use sillpin_telemetry::traces::Traces;
@@ -15,23 +15,11 @@
 const PROGRAM: &str = "sillpin-entry";
 
 fn main() -> ExitCode {
-    let matches = with_settings(Command::new(PROGRAM).about("The request path of a sillpin box"))
-        .get_matches();
-    let loaded = match read(SCHEMA, &matches) {
-        Ok(Asked::Run(loaded)) => loaded,
-        Ok(Asked::Print(text)) => {
-            print!("{text}");
-            return ExitCode::SUCCESS;
-        }
-        Err(e) => return fail(&e),
-    };
-    match start(&loaded) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => fail(e.as_ref()),
-    }
+    let command = Command::new(PROGRAM).about("The request path of a sillpin box");
+    program::run(command, SCHEMA, start)
 }
 
-fn start(loaded: &sillpin_settings::Loaded) -> Result<(), Box<dyn Error>> {
+fn start(loaded: &Loaded) -> Result<(), Box<dyn Error>> {
     let cfg = EntryConfig::from_loaded(loaded)?;
     let level = loaded.get("log", "level")?;
     let (log, _guard) = logs::logger(loaded.get("log", "format")?, level, PROGRAM);
@@ -62,16 +50,3 @@
         Ok(())
     })
 }
-
-fn fail(e: &dyn Error) -> ExitCode {
-    eprintln!("error: {e}");
-    let mut cause = e.source();
-    if cause.is_some() {
-        eprintln!("Caused by:");
-    }
-    while let Some(source) = cause {
-        eprintln!("    {source}");
-        cause = source.source();
-    }
-    ExitCode::FAILURE
-}
--- a/crates/sillpin-entry/src/ops.rs
+++ b/crates/sillpin-entry/src/ops.rs
@@ -121,7 +121,7 @@
     let client = Client::default();
     let (keeper, snapshot) = keeper_link::start(cfg.keeper, log.clone());
     let placer = place::start(cfg.zone.clone(), snapshot.clone(), cfg.limits.waiting);
-    let arms = arms::start(snapshot.clone(), keeper.clone());
+    let arms = arms::start(&cfg, snapshot.clone(), keeper.clone());
     App {
         cfg: Arc::new(cfg),
         snapshot,
--- a/crates/sillpin-entry/src/runs/drive.rs
+++ b/crates/sillpin-entry/src/runs/drive.rs
@@ -5,7 +5,7 @@
 use super::once::{self, Claim};
 use super::prompt::{Plan, plan};
 use crate::app::App;
-use crate::arms::Sample;
+use crate::arms::{Answered, Sample};
 use crate::front::Failure;
 use crate::front::documents::Provenance;
 use crate::keeper_link::News;
@@ -405,7 +405,7 @@
         self.app.metrics.ended(labels, Outcome::Ran, true);
         self.app.metrics.prompt_work(labels, prompt_work(&summary));
         self.record_pace();
-        self.count_in_arm(self.first_token);
+        self.count_in_arm(Some(&summary));
         event!(self.app.log, events::REQUEST_DONE, "request" => %self.call.request,
             "tokens" => summary.tokens, "cached" => %summary.cached_tokens);
         self.record(Outcome::Ran);
@@ -445,11 +445,15 @@
         self.record(self.ran);
     }
 
-    fn count_in_arm(&self, first_token: Option<Duration>) {
+    fn count_in_arm(&self, summary: Option<&RunSummary>) {
+        let answered = summary.map(|summary| Answered {
+            first_token: self.first_token.unwrap_or_default(),
+            work: prompt_work(summary),
+        });
         self.app.arms.count(Sample {
             revision: self.plan.revision,
             arm: self.plan.arm.clone(),
-            first_token,
+            answered,
         });
     }
 
--- a/crates/sillpin-keeper/src/api/entry.rs
+++ b/crates/sillpin-keeper/src/api/entry.rs
@@ -11,6 +11,7 @@
 use sillpin_core::{ArmName, BlockName, BoxId, Revision, TargetId};
 use sillpin_platform::Platform;
 use sillpin_policy::guard::Breach;
+use sillpin_rpc::arms::ArmFigures;
 use sillpin_rpc::claims::{ClaimEnd, ClaimReply, ClaimRequest};
 use sillpin_rpc::directory::{BlockHints, DirectoryNews, PromptUse};
 use sillpin_rpc::entry_link::{EntryLink, FleetUpdate, Known};
@@ -130,6 +131,10 @@
         self.fleet.tell(msg).await;
     }
 
+    async fn arms(self, _: Context, figures: Vec<ArmFigures>) {
+        self.records.set_arms(figures).await;
+    }
+
     async fn suspect(self, _: Context, target: TargetId) {
         let msg = FleetMsg::Target(target, TargetReading::Failed);
         self.fleet.tell(msg).await;
--- a/crates/sillpin-keeper/src/api/peer.rs
+++ b/crates/sillpin-keeper/src/api/peer.rs
@@ -4,6 +4,7 @@
 use crate::fleet::{FleetHandle, FleetMsg};
 use crate::records::RecordsHandle;
 use sillpin_core::{BlockName, RequestId, Revision, ZoneId};
+use sillpin_rpc::arms::ArmFigures;
 use sillpin_rpc::directory::{BlockHints, DirectoryNews};
 use sillpin_rpc::gossip::{Digest, Exchange, Item};
 use sillpin_rpc::peer_link::{FleetStatus, PeerLink};
@@ -66,6 +67,10 @@
         status
     }
 
+    async fn arms(self, _: Context) -> Vec<ArmFigures> {
+        self.records.arms().await
+    }
+
     async fn explain(self, _: Context, request: RequestId) -> Option<DecisionRecord> {
         self.records.find(request).await
     }
--- a/crates/sillpin-keeper/src/fleet/table.rs
+++ b/crates/sillpin-keeper/src/fleet/table.rs
@@ -130,14 +130,13 @@
                 self.adopt(*accepted, now)?;
             }
             (ItemKey::BoxList, ItemValue::BoxList(list)) => {
-                self.put(
-                    ItemKey::BoxList,
-                    item.version,
-                    ItemValue::BoxList(list),
-                    now,
-                );
+                let value = ItemValue::BoxList(list);
+                if self.put(ItemKey::BoxList, item.version, value, now) {
+                    self.forget_unlisted();
+                }
                 self.list_heard = Some(now);
             }
+            (ItemKey::Target(id), ItemValue::Target(_)) if !self.may_exist(&id) => {}
             (key, value) if fits(&key, &value) => {
                 self.put(key, item.version, value, now);
             }
@@ -201,6 +200,15 @@
         self.forget_unlisted();
     }
 
+    /// Whether the list has a target, or there is no list yet. A state that a slower peer still
+    /// spreads after its target has gone is not taken in again.
+    fn may_exist(&self, id: &TargetId) -> bool {
+        let Some(list) = self.box_list() else {
+            return true;
+        };
+        list.targets.iter().any(|t| t.id == *id)
+    }
+
     fn forget_unlisted(&mut self) {
         let Some(list) = self.box_list() else { return };
         let listed = |key: &ItemKey| match key {
--- a/crates/sillpin-keeper/src/records.rs
+++ b/crates/sillpin-keeper/src/records.rs
@@ -1,6 +1,7 @@
-//! The last decision records of this box's entry.
+//! What this box's entry reports: its last decision records, and what its arms measured.
 
 use sillpin_core::RequestId;
+use sillpin_rpc::arms::ArmFigures;
 use sillpin_rpc::records::DecisionRecord;
 use std::collections::{HashMap, VecDeque};
 use tokio::sync::{mpsc, oneshot};
@@ -14,6 +15,8 @@
 enum RecordMsg {
     Add(Vec<DecisionRecord>),
     Find(RequestId, oneshot::Sender<Option<DecisionRecord>>),
+    SetArms(Vec<ArmFigures>),
+    Arms(oneshot::Sender<Vec<ArmFigures>>),
 }
 
 /// Speaks to the task that owns the records.
@@ -36,6 +39,20 @@
     }
 }
 
+impl RecordsHandle {
+    /// Takes what the arms have measured so far.
+    pub async fn set_arms(&self, figures: Vec<ArmFigures>) {
+        let _ = self.tx.send(RecordMsg::SetArms(figures)).await;
+    }
+
+    /// What the arms have measured.
+    pub async fn arms(&self) -> Vec<ArmFigures> {
+        let (tx, rx) = oneshot::channel();
+        let _ = self.tx.send(RecordMsg::Arms(tx)).await;
+        rx.await.unwrap_or_default()
+    }
+}
+
 /// Starts the task; it ends with its last handle.
 pub fn start() -> RecordsHandle {
     let (tx, mut rx) = mpsc::channel(QUEUE_LEN);
@@ -45,6 +62,8 @@
             match msg {
                 RecordMsg::Add(added) => records.add(added),
                 RecordMsg::Find(request, tx) => drop(tx.send(records.find(request))),
+                RecordMsg::SetArms(figures) => records.arms = figures,
+                RecordMsg::Arms(tx) => drop(tx.send(records.arms.clone())),
             }
         }
     });
@@ -55,6 +74,7 @@
 struct Records {
     by_request: HashMap<RequestId, DecisionRecord>,
     order: VecDeque<RequestId>,
+    arms: Vec<ArmFigures>,
 }
 
 impl Records {
--- a/crates/sillpin-keeper/tests/fleet.rs
+++ b/crates/sillpin-keeper/tests/fleet.rs
@@ -3,9 +3,10 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use sillpin_bundle::{Accepted, Bundle, SignedBundle, SignerKey};
+use sillpin_core::target::BoxList;
 use sillpin_core::{Incarnation, Revision};
 use sillpin_keeper::fleet::{FleetTable, Identity};
-use sillpin_rpc::gossip::{Item, ItemKey, ItemValue, ItemVersion};
+use sillpin_rpc::gossip::{Item, ItemKey, ItemValue, ItemVersion, TargetState};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -150,3 +151,22 @@
     let seen = seen.iter().find(|b| b.id == me).unwrap();
     assert_eq!(seen.state.incarnation, Incarnation(1));
 }
+
+#[test]
+fn a_target_that_has_gone_does_not_come_back_by_gossip() {
+    let key = SignerKey::generate();
+    let now = Instant::now();
+    let mut table = FleetTable::new(identity("box", &key), now);
+    table.read_box_list(BoxList::default(), now);
+    let gone = Item {
+        key: ItemKey::Target("engine-1".parse().unwrap()),
+        version: ItemVersion(9),
+        value: ItemValue::Target(TargetState {
+            load: None,
+            reachable: true,
+        }),
+    };
+    let before = table.stamp();
+    table.apply(vec![gone], now);
+    assert_eq!(table.stamp(), before);
+}
--- a/crates/sillpin-rpc/src/entry_link.rs
+++ b/crates/sillpin-rpc/src/entry_link.rs
@@ -1,5 +1,6 @@
 //! What an entry asks of the keeper of its box.
 
+use crate::arms::ArmFigures;
 use crate::claims::{ClaimEnd, ClaimReply, ClaimRequest};
 use crate::directory::{BlockHints, PromptUse};
 use crate::gossip::{Organisation, TargetState};
@@ -7,8 +8,8 @@
 use serde::{Deserialize, Serialize};
 use sillpin_bundle::Accepted;
 use sillpin_core::target::TargetEntry;
-use sillpin_core::{ArmName, BlockName, Incarnation, Revision, TargetId, ZoneId};
-use sillpin_policy::guard::ArmSample;
+use sillpin_core::{ArmName, BlockName, Incarnation, Revision, TargetId};
+use sillpin_policy::guard::Breach;
 
 /// A target as a keeper sees it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -47,19 +48,6 @@
     pub stopped_arms: Option<Vec<ArmName>>,
 }
 
-/// What an entry measured of an arm since it last said.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct ArmReport {
-    /// The revision.
-    pub revision: Revision,
-    /// The availability zone.
-    pub zone: ZoneId,
-    /// The arm.
-    pub arm: ArmName,
-    /// What was measured.
-    pub sample: ArmSample,
-}
-
 /// The service that a keeper offers to the entry of its box.
 #[tarpc::service]
 pub trait EntryLink {
@@ -75,8 +63,10 @@
     async fn end_claim(end: ClaimEnd);
     /// Hands over decision records.
     async fn record(records: Vec<DecisionRecord>);
-    /// A guard stopped an arm, or reports of arms.
-    async fn stop_arm(revision: Revision, arm: ArmName, breach: sillpin_policy::guard::Breach);
+    /// A guard stops an arm.
+    async fn stop_arm(revision: Revision, arm: ArmName, breach: Breach);
+    /// What the arms have measured so far; replaces what was said before.
+    async fn arms(figures: Vec<ArmFigures>);
     /// A target refused connections or broke them.
     async fn suspect(target: TargetId);
 }
--- a/crates/sillpin-rpc/src/lib.rs
+++ b/crates/sillpin-rpc/src/lib.rs
@@ -5,9 +5,11 @@
 //! - [`gossip`]: the state that keepers spread,
 //! - [`directory`]: hints of who holds which blocks,
 //! - [`claims`]: claims of calls that run at most once,
+//! - [`arms`]: what each arm of a rollout measured,
 //! - [`records`]: decision records, for `sillpin explain`,
 //! - [`transport`]: connecting and listening.
 
+pub mod arms;
 pub mod claims;
 pub mod directory;
 pub mod entry_link;
--- a/crates/sillpin-rpc/src/peer_link.rs
+++ b/crates/sillpin-rpc/src/peer_link.rs
@@ -1,5 +1,6 @@
 //! What keepers say to each other, and what the command line asks of a keeper.
 
+use crate::arms::ArmFigures;
 use crate::directory::{BlockHints, DirectoryNews};
 use crate::entry_link::TargetView;
 use crate::gossip::{BoxState, Digest, Exchange, Item};
@@ -65,4 +66,6 @@
     async fn status() -> FleetStatus;
     /// The decision record of a request, if this box took it.
     async fn explain(request: RequestId) -> Option<DecisionRecord>;
+    /// What the arms of the bundle in force measured in this box.
+    async fn arms() -> Vec<ArmFigures>;
 }
--- a/crates/sillpin-settings/src/lib.rs
+++ b/crates/sillpin-settings/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod args;
 mod file;
 mod load;
+pub mod program;
 
 use derive_more::{Display, Error};
 
--- /dev/null
+++ b/crates/sillpin-settings/src/program.rs
@@ -0,0 +1,44 @@
+//! What the `main` of every program does: arguments, settings, errors with their causes.
+
+use crate::args::{Asked, read, with_settings};
+use crate::{Loaded, Schema};
+use clap::Command;
+use std::error::Error;
+use std::process::ExitCode;
+
+/// Runs a program that reads settings: `start` gets them checked.
+pub fn run(
+    command: Command,
+    schema: Schema,
+    start: impl FnOnce(&Loaded) -> Result<(), Box<dyn Error>>,
+) -> ExitCode {
+    let matches = with_settings(command).get_matches();
+    let result = match read(schema, &matches) {
+        Ok(Asked::Run(loaded)) => start(&loaded),
+        Ok(Asked::Print(text)) => {
+            print!("{text}");
+            Ok(())
+        }
+        Err(e) => Err(e.into()),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            print_error(e.as_ref());
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Prints an error and what caused it.
+pub fn print_error(e: &dyn Error) {
+    eprintln!("error: {e}");
+    let mut cause = e.source();
+    if cause.is_some() {
+        eprintln!("Caused by:");
+    }
+    while let Some(source) = cause {
+        eprintln!("    {source}");
+        cause = source.source();
+    }
+}
--- /dev/null
+++ b/tests/testsuite/arms.rs
@@ -0,0 +1,124 @@
+//! Arms of a rollout: compared on live traffic, and stopped when they do harm.
+
+use futures::future::join_all;
+use sillpin_bundle::{Arm, Bundle};
+use sillpin_core::Share;
+use sillpin_load::caller::{Ask, call};
+use sillpin_policy::set::PlacementKind;
+use sillpin_testsuite::fleet::{MODEL, key_of};
+use sillpin_testsuite::process::program;
+use sillpin_testsuite::wait::until;
+use sillpin_testsuite::{Fleet, FleetShape};
+use std::process::Command;
+
+/// A bundle whose arm `trial` takes half of the prompts.
+fn with_trial(fleet: &Fleet, change: impl FnOnce(&mut Arm)) -> Bundle {
+    let mut bundle = fleet.bundle("two arms");
+    let mut arm = Arm {
+        name: "trial".parse().unwrap(),
+        share: Share::try_from(5_000).unwrap(),
+        zones: fleet
+            .shape
+            .zones
+            .iter()
+            .map(|z| z.parse().unwrap())
+            .collect(),
+        policy: bundle.control.clone(),
+    };
+    change(&mut arm);
+    bundle.arms.push(arm);
+    bundle
+}
+
+async fn accept(fleet: &Fleet, bundle: &Bundle) {
+    let accepted = fleet.accept(bundle).await;
+    for entry_box in &fleet.boxes {
+        fleet.wait_revision(entry_box, accepted.revision).await;
+    }
+}
+
+async fn ask_many(fleet: &Fleet, from: usize, count: usize) {
+    let asks: Vec<Ask> = (from..from + count)
+        .map(|i| Ask::new(&key_of("riders"), MODEL, format!("arm {i}"), 2))
+        .collect();
+    let entry = fleet.boxes[0].callers();
+    join_all(asks.iter().map(|ask| call(&fleet.client, entry, ask))).await;
+}
+
+fn compare(fleet: &Fleet, more: &[&str]) -> (Option<i32>, String) {
+    let peer = fleet.boxes[0].peer().to_string();
+    let args = ["bundle", "compare", "control", "trial", "--keeper", &peer];
+    let out = Command::new(program("sillpin"))
+        .args(args)
+        .args(more)
+        .output()
+        .unwrap();
+    (
+        out.status.code(),
+        String::from_utf8([out.stdout, out.stderr].concat()).unwrap(),
+    )
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_equal_arms_show_no_difference_in_computed_work() {
+    let fleet = Fleet::start(FleetShape::default()).await;
+    accept(&fleet, &with_trial(&fleet, |_| {})).await;
+    let (code, text) = compare(&fleet, &[]);
+    assert_eq!(code, Some(5), "{text}");
+    ask_many(&fleet, 0, 200).await;
+    let plot = fleet.dir().join("arms.svg").display().to_string();
+    let text = until("both arms' figures", || async {
+        let (code, text) = compare(&fleet, &["--plot", &plot]);
+        (code == Some(0)).then_some(text)
+    })
+    .await;
+    assert!(
+        text.starts_with("revision 2: control against trial\nall zones: "),
+        "{text}"
+    );
+    let computed = text
+        .lines()
+        .find(|l| l.contains("prompt tokens computed"))
+        .unwrap();
+    assert!(computed.contains("no difference shown"), "{text}");
+    assert!(std::fs::read_to_string(&plot).unwrap().starts_with("<svg "));
+    let (_, json) = compare(&fleet, &["--json"]);
+    let json: serde_json::Value = serde_json::from_str(&json).unwrap();
+    assert_eq!(json["a"], "control");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_arm_whose_first_tokens_come_late_is_stopped_and_the_rest_goes_on() {
+    let fleet = Fleet::start(FleetShape {
+        engines: 4,
+        engine_args: ["--max-batch", "2", "--step-ms", "20"]
+            .map(str::to_owned)
+            .into(),
+        ..FleetShape::default()
+    })
+    .await;
+    let bundle = with_trial(&fleet, |arm| {
+        arm.policy.placement.kind = PlacementKind::Rendezvous;
+        arm.policy.placement.home_blocks = 1;
+        arm.policy.limits.engine_queue_ms = 60_000;
+        arm.policy.priorities.engine_priority = [(Default::default(), 9)].into();
+    });
+    accept(&fleet, &bundle).await;
+    let mut asked = 0;
+    let stopped = until("the arm to be stopped", || {
+        asked += 60;
+        let from = asked;
+        let fleet = &fleet;
+        async move {
+            ask_many(fleet, from, 60).await;
+            let status = fleet.status(&fleet.boxes[0]).await?;
+            status.stopped_arms.first().cloned()
+        }
+    })
+    .await;
+    assert_eq!(stopped.1.as_str(), "trial");
+    let status = fleet.status(&fleet.boxes[0]).await.unwrap();
+    assert_eq!(status.revision.0, 2);
+    let got = fleet.ask(&fleet.boxes[0], "after the stop").await;
+    assert!(got.is_answered(), "{got:?}");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests over real processes.
 
 mod answers;
+mod arms;
 mod blocks;
 mod bundles;
 mod callers;
--- a/xtask/src/commands/mod.rs
+++ b/xtask/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod measure;
 
 use clap::{ArgMatches, Command};
+use sillpin_testsuite::process::PROGRAMS_ENV;
 use std::io;
 
 pub fn cli() -> Command {
@@ -28,8 +29,12 @@
     }
 }
 
-/// Builds the programs that a fleet is started from, in the profile of this one.
+/// Builds the programs that a fleet is started from, in the profile of this one, unless the
+/// environment names others.
 fn build_programs() -> io::Result<()> {
+    if std::env::var_os(PROGRAMS_ENV).is_some() {
+        return Ok(());
+    }
     let mut cargo = std::process::Command::new(env!("CARGO"));
     cargo.args(["build", "--quiet", "--workspace", "--bins"]);
     if !cfg!(debug_assertions) {
--- a/xtask/src/ops/control.rs
+++ b/xtask/src/ops/control.rs
@@ -76,7 +76,7 @@
     fleet.publish_list(&list(&fleet, &keepers, engines)).await;
     tokio::time::sleep(SETTLE).await;
     let mut cost = steady(&fleet, &keepers, engines).await;
-    cost.in_force_ms = accept(&fleet, &keepers, 0).await.as_millis() as u64;
+    cost.in_force_ms = accept(&fleet, &keepers).await.as_millis() as u64;
     cost.in_force_restarts_ms = with_restarts(&mut fleet, &mut keepers, engines).await;
     cost.platform_busiest_second = counters(&fleet).await.busiest_second;
     cost
@@ -155,12 +155,12 @@
     }
 }
 
-/// Accepts a bundle and waits until all keepers behind the first `skip` have it.
-async fn accept(fleet: &Fleet, keepers: &[Keeper], skip: usize) -> Duration {
-    let accepted = fleet.accept(&fleet.bundle("next")).await.revision;
+/// Accepts a bundle and waits until all keepers have it.
+async fn accept(fleet: &Fleet, keepers: &[Keeper]) -> Duration {
     let begun = Instant::now();
+    let accepted = fleet.accept(&fleet.bundle("next")).await.revision;
     let mut waits = JoinSet::new();
-    for keeper in &keepers[skip..] {
+    for keeper in keepers {
         waits.spawn(wait_for(keeper.process.addr("peer"), accepted, begun));
     }
     waits.join_all().await.into_iter().max().unwrap_or_default()
@@ -188,5 +188,5 @@
         keeper.process = fleet.start_keeper(&keeper.id, keeper.zone, "127.0.0.1:0");
     }
     fleet.publish_list(&list(fleet, keepers, engines)).await;
-    accept(fleet, keepers, 0).await.as_millis() as u64
+    accept(fleet, keepers).await.as_millis() as u64
 }
