Split large files and share what stood twice

Change: the fleet table's queries stand apart from its commands; what is told of an ended request stands apart from the driving of it; the test support's targets and bundles have files; telemetry and the stop of a program are set up in one place. Conclusion: behaviour is meant to be the same but for gossip and the first calls.

--- a/crates/sillpin-entry/src/main.rs
+++ b/crates/sillpin-entry/src/main.rs
@@ -4,13 +4,11 @@
 use sillpin_entry::ops;
 use sillpin_entry::settings::{EntryConfig, SCHEMA};
 use sillpin_settings::{Loaded, program};
-use sillpin_telemetry::logs;
-use sillpin_telemetry::metrics::Metrics;
-use sillpin_telemetry::traces::Traces;
+use sillpin_telemetry::Telemetry;
+use sillpin_telemetry::program::{Identity, stop_on_sigterm};
 use std::error::Error;
 use std::process::ExitCode;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio_util::sync::CancellationToken;
+use tokio::runtime::{Builder, Runtime};
 
 const PROGRAM: &str = "sillpin-entry";
 
@@ -21,32 +19,32 @@
 
 fn start(loaded: &Loaded) -> Result<(), Box<dyn Error>> {
     let cfg = EntryConfig::from_loaded(loaded)?;
-    let level = loaded.get("log", "level")?;
-    let (log, _guard) = logs::logger(loaded.get("log", "format")?, level, PROGRAM);
-    let log = log.new(slog::o!("box" => cfg.box_id.to_string(), "zone" => cfg.zone.to_string()));
-    let metrics = Metrics::new(PROGRAM, cfg.box_id.as_str())?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    runtime.block_on(async {
-        let stop = CancellationToken::new();
-        let mut term = signal(SignalKind::terminate())?;
-        let stopping = stop.clone();
-        tokio::spawn(async move {
-            term.recv().await;
-            stopping.cancel();
-        });
-        let traces = Traces::new(PROGRAM, cfg.box_id.as_str(), cfg.collector)?;
-        let telemetry = ops::Telemetry {
-            log,
-            metrics,
-            traces,
-        };
-        ops::run(cfg, telemetry, stop, |at| {
-            println!("listening callers {}", at.callers);
-            println!("listening http {}", at.http);
-        })
-        .await?;
-        Ok(())
+    let threads = loaded.get("entry", "threads")?;
+    runtime(threads)?.block_on(serve(loaded, cfg))
+}
+
+/// One thread for all of an entry's work, or several that share it.
+fn runtime(threads: usize) -> std::io::Result<Runtime> {
+    if threads == 1 {
+        return Builder::new_current_thread().enable_all().build();
+    }
+    let mut builder = Builder::new_multi_thread();
+    builder.worker_threads(threads).enable_all().build()
+}
+
+async fn serve(loaded: &Loaded, cfg: EntryConfig) -> Result<(), Box<dyn Error>> {
+    let me = Identity {
+        program: PROGRAM,
+        box_id: cfg.box_id.as_str(),
+        zone: cfg.zone.as_str(),
+        collector: cfg.collector,
+    };
+    let format = loaded.get("log", "format")?;
+    let (telemetry, _guard) = Telemetry::start(&me, format, loaded.get("log", "level")?)?;
+    ops::run(cfg, telemetry, stop_on_sigterm()?, |at| {
+        println!("listening callers {}", at.callers);
+        println!("listening http {}", at.http);
     })
+    .await?;
+    Ok(())
 }
--- a/crates/sillpin-entry/src/ops.rs
+++ b/crates/sillpin-entry/src/ops.rs
@@ -4,34 +4,19 @@
 use crate::metrics::EntryMetrics;
 use crate::settings::EntryConfig;
 use crate::{arms, front, keeper_link, place};
-use derive_more::{Display, Error};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use sillpin_http::server::HeadLimits;
+use sillpin_http::server::{BindError, HeadLimits, listen};
 use sillpin_http::{Body, Client, Server, empty_response};
 use sillpin_targets::HttpEngine;
 use sillpin_telemetry::metrics::Metrics;
 use sillpin_telemetry::traces::Traces;
-use sillpin_telemetry::{event, events};
+use sillpin_telemetry::{Telemetry, event, events};
 use slog::Logger;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio_util::sync::CancellationToken;
 
-/// Why an entry could not start.
-#[derive(Debug, Display, Error)]
-#[display("cannot {step} {addr}")]
-pub struct StartError {
-    /// What was being done.
-    pub step: &'static str,
-    /// The address concerned.
-    pub addr: SocketAddr,
-    /// Why.
-    #[error(source)]
-    pub cause: io::Error,
-}
-
 /// Where an entry listens.
 #[derive(Debug, Clone, Copy)]
 pub struct Listening {
@@ -41,27 +26,6 @@
     pub http: SocketAddr,
 }
 
-async fn bind(addr: SocketAddr) -> Result<(Server, SocketAddr), StartError> {
-    let failed = |cause| StartError {
-        step: "listen at",
-        addr,
-        cause,
-    };
-    let server = Server::bind(addr).await.map_err(failed)?;
-    let at = server.local_addr().map_err(failed)?;
-    Ok((server, at))
-}
-
-/// What an entry shows of itself.
-pub struct Telemetry {
-    /// Log.
-    pub log: Logger,
-    /// Metrics.
-    pub metrics: Metrics,
-    /// Spans.
-    pub traces: Traces,
-}
-
 /// Runs an entry until `stop`, then drains it: it says that it is not ready, accepts on for the
 /// balancer's lag, and ends when its last request has ended.
 pub async fn run(
@@ -69,14 +33,14 @@
     telemetry: Telemetry,
     stop: CancellationToken,
     ready: impl FnOnce(Listening),
-) -> Result<(), StartError> {
+) -> Result<(), BindError> {
     let Telemetry {
         log,
         metrics,
         traces,
     } = telemetry;
-    let (callers, callers_at) = bind(cfg.listen).await?;
-    let (http, http_at) = bind(cfg.http_listen).await?;
+    let (callers, callers_at) = listen(cfg.listen).await?;
+    let (http, http_at) = listen(cfg.http_listen).await?;
     let app = start_tasks(cfg, &log, &metrics, traces.clone(), stop.clone());
     event!(log, events::ENTRY_STARTED, "callers" => %callers_at, "http" => %http_at);
     ready(Listening {
@@ -91,13 +55,15 @@
         timeout: app.cfg.limits.head_time,
     };
     let serving = app.clone();
-    let callers = callers.limits(limits).run(closed.clone(), move |req| {
-        front::handle(serving.clone(), req)
-    });
+    let callers = Server::on(callers)
+        .limits(limits)
+        .run(closed.clone(), move |req| {
+            front::handle(serving.clone(), req)
+        });
     let callers = tokio::spawn(callers);
     let metrics = Arc::new(metrics);
     let watched = app.clone();
-    tokio::spawn(http.run(CancellationToken::new(), move |req| {
+    tokio::spawn(Server::on(http).run(CancellationToken::new(), move |req| {
         operators(watched.clone(), metrics.clone(), req)
     }));
 
--- /dev/null
+++ b/crates/sillpin-entry/src/runs/account.rs
@@ -0,0 +1,118 @@
+//! What is told of a request when it has ended: metrics, the arm's figures, the decision record.
+
+use super::drive::{Delivery, Driver};
+use crate::arms::{Answered, Sample};
+use crate::front::Failure;
+use crate::front::documents::Provenance;
+use crate::keeper_link::News;
+use crate::metrics::PromptWork;
+use crate::place::Placed;
+use opentelemetry::KeyValue;
+use opentelemetry::trace::Span;
+use sillpin_core::{Outcome, Tokens};
+use sillpin_rpc::directory::PromptUse;
+use sillpin_rpc::records::DecisionRecord;
+use sillpin_targets::{Engine, RunSummary};
+use sillpin_telemetry::{event, events};
+
+impl<E: Engine> Driver<E> {
+    pub(super) fn note_use(&self, placed: &Placed) {
+        if self.plan.blocks.is_empty() {
+            return;
+        }
+        self.app.keeper.tell(News::Used(PromptUse {
+            blocks: self.plan.blocks.clone(),
+            target: placed.target.clone(),
+            addr: placed.addr,
+            arm: self.plan.arm.clone(),
+        }));
+    }
+
+    pub(super) async fn answered(mut self, summary: RunSummary) {
+        self.ran = Outcome::Ran;
+        let labels = &self.plan.labels;
+        self.app.metrics.ended(labels, Outcome::Ran, true);
+        self.app.metrics.prompt_work(labels, prompt_work(&summary));
+        self.record_pace();
+        self.count_in_arm(Some(&summary));
+        event!(self.app.log, events::REQUEST_DONE, "request" => %self.call.request,
+            "tokens" => summary.tokens, "cached" => %summary.cached_tokens);
+        self.record(Outcome::Ran);
+        let provenance = Provenance {
+            weight_version: self.plan.version,
+            revision: self.plan.revision,
+        };
+        let _ = self.tx.send(Delivery::End(summary, provenance)).await;
+    }
+
+    fn record_pace(&self) {
+        let (Some(first), Some(last)) = (self.first_token, self.last_token) else {
+            return;
+        };
+        let gaps = self.tokens.saturating_sub(1);
+        if gaps > 0 {
+            let whole = last - (self.plan.began + first);
+            self.app
+                .metrics
+                .between_tokens(&self.plan.labels, whole / gaps);
+        }
+    }
+
+    pub(super) async fn failed(mut self, failure: Failure) {
+        self.app
+            .metrics
+            .ended(&self.plan.labels, failure.outcome, false);
+        self.count_in_arm(None);
+        event!(self.app.log, events::REQUEST_FAILED, "request" => %self.call.request,
+            "outcome" => %failure.outcome, "error" => %failure);
+        self.record(failure.outcome);
+        let _ = self.tx.send(Delivery::Failed(failure)).await;
+    }
+
+    pub(super) fn caller_gone(mut self) {
+        self.app.metrics.ended(&self.plan.labels, self.ran, false);
+        self.record(self.ran);
+    }
+
+    fn count_in_arm(&self, summary: Option<&RunSummary>) {
+        let answered = summary.map(|summary| Answered {
+            first_token: self.first_token.unwrap_or_default(),
+            work: prompt_work(summary),
+        });
+        self.app.arms.count(Sample {
+            revision: self.plan.revision,
+            arm: self.plan.arm.clone(),
+            answered,
+        });
+    }
+
+    fn record(&mut self, outcome: Outcome) {
+        self.span
+            .set_attribute(KeyValue::new("outcome", outcome.to_string()));
+        self.app.keeper.tell(News::Record(Box::new(DecisionRecord {
+            request: self.call.request,
+            by: self.app.cfg.box_id.clone(),
+            zone: self.app.cfg.zone.clone(),
+            org: self.call.org.clone(),
+            pool: Some(self.plan.pool.clone()),
+            model: Some(self.call.asked.model.clone()),
+            class: self.call.class,
+            revision: self.plan.revision,
+            arm: self.plan.arm.clone(),
+            blocks: self.plan.block_count,
+            attempts: std::mem::take(&mut self.attempts),
+            outcome,
+            first_token_us: self.first_token.map(|after| after.as_micros() as u64),
+        })));
+    }
+}
+
+fn prompt_work(summary: &RunSummary) -> PromptWork {
+    let reused = summary.cached_tokens.0 + summary.imported_tokens.0;
+    PromptWork {
+        computed: Tokens(summary.prompt_tokens.0.saturating_sub(reused)),
+        cached: summary.cached_tokens,
+        imported: summary.imported_tokens,
+        link_bytes: summary.imported_bytes,
+    }
+}
--- a/crates/sillpin-entry/src/runs/mod.rs
+++ b/crates/sillpin-entry/src/runs/mod.rs
@@ -10,6 +10,7 @@
 //! | broke off | resumed at the engine by cursor, else continued elsewhere from the delivered tokens | resumed at the engine by cursor, else unknown |
 //! | answered for another attempt | another engine | unknown |
 
+mod account;
 mod attempt;
 mod call;
 mod drive;
--- a/crates/sillpin-entry/src/settings.rs
+++ b/crates/sillpin-entry/src/settings.rs
@@ -36,6 +36,12 @@
                 "Listener for health and metrics",
             ),
             Key::required("keeper", Kind::Addr, "The keeper of this box"),
+            Key::optional(
+                "threads",
+                Kind::Number { min: 1, max: 256 },
+                "1",
+                "Threads that serve requests",
+            ),
             Key::optional(
                 "drain-lag-ms",
                 Kind::Number {
--- a/crates/sillpin-http/src/server.rs
+++ b/crates/sillpin-http/src/server.rs
@@ -2,6 +2,7 @@
 //! request finish.
 
 use crate::body::Body;
+use derive_more::{Display, Error};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -35,6 +36,25 @@
     }
 }
 
+/// A listener that could not be opened.
+#[derive(Debug, Display, Error)]
+#[display("cannot listen at {addr}")]
+pub struct BindError {
+    /// The address.
+    pub addr: SocketAddr,
+    /// Why.
+    #[error(source)]
+    pub cause: io::Error,
+}
+
+/// Opens a listener at `addr`, port 0 for any; gives it with the address that it got.
+pub async fn listen(addr: SocketAddr) -> Result<(TcpListener, SocketAddr), BindError> {
+    let failed = |cause| BindError { addr, cause };
+    let listener = TcpListener::bind(addr).await.map_err(failed)?;
+    let at = listener.local_addr().map_err(failed)?;
+    Ok((listener, at))
+}
+
 /// hyper refuses smaller buffers.
 const MIN_HEAD_BUF: usize = 8 << 10;
 
@@ -55,6 +75,12 @@
         Ok(Self { listener, limits })
     }
 
+    /// Serves the connections of an open listener.
+    pub fn on(listener: TcpListener) -> Self {
+        let limits = HeadLimits::default();
+        Self { listener, limits }
+    }
+
     /// Sets the limits on request heads.
     pub fn limits(mut self, limits: HeadLimits) -> Self {
         self.limits = limits;
--- a/crates/sillpin-keeper/src/fleet/items.rs
+++ b/crates/sillpin-keeper/src/fleet/items.rs
@@ -1,9 +1,9 @@
 //! Versioned items with their digests.
 
-use sillpin_core::ZoneId;
+use sillpin_core::{TargetId, ZoneId};
 use sillpin_policy::rendezvous;
-use sillpin_rpc::gossip::{Digest, Exchange, Item, ItemKey, ItemValue, ItemVersion};
-use std::collections::HashMap;
+use sillpin_rpc::gossip::{Digest, Exchange, Item, ItemKey, ItemValue, ItemVersion, Slice};
+use std::collections::{HashMap, HashSet};
 use tokio::time::Instant;
 
 /// An item and when it last changed here.
@@ -23,6 +23,26 @@
     stamp: u64,
 }
 
+/// Which items two keepers compare.
+pub(super) struct Scope<'a> {
+    /// Whether they are of one zone: heartbeats stay in their zone.
+    pub(super) same_zone: bool,
+    /// The part of the foreign targets that is compared.
+    pub(super) foreign: Slice,
+    /// Targets of the own zone, which are always compared.
+    pub(super) near: &'a HashSet<TargetId>,
+}
+
+impl Scope<'_> {
+    fn has(&self, key: &ItemKey, hash: u64) -> bool {
+        match key {
+            ItemKey::Box(_) => self.same_zone,
+            ItemKey::Target(id) => self.near.contains(id) || self.foreign.has(hash),
+            _ => true,
+        }
+    }
+}
+
 /// Hash of an item's name, the same in every process.
 fn hash_of(key: &ItemKey) -> u64 {
     rendezvous::key_of(&format!("{key:?}"))
@@ -74,28 +94,32 @@
         }
     }
 
-    /// Names and versions of the items that a keeper of `peer_zone` may have, as this keeper of
-    /// `zone` tells them. Heartbeats stay in their zone.
-    pub(super) fn digest(&self, zone: &ZoneId, peer_zone: &ZoneId) -> Digest {
-        let in_scope = |key: &ItemKey| !matches!(key, ItemKey::Box(_)) || zone == peer_zone;
-        let known = self.by_key.iter().filter(|(key, _)| in_scope(key));
+    /// Names and versions of the items in `scope`.
+    pub(super) fn digest(&self, zone: &ZoneId, scope: &Scope<'_>) -> Digest {
+        let known = self
+            .by_key
+            .iter()
+            .filter(|(key, stored)| scope.has(key, stored.hash));
         let mut versions: Vec<_> = known.map(|(_, s)| (s.hash, s.version)).collect();
         versions.sort_unstable();
         Digest {
             zone: Some(zone.clone()),
+            foreign: scope.foreign,
             versions,
         }
     }
 
-    /// What a peer that sent `digest` lacks, and what it has newer.
-    pub(super) fn exchange(&self, zone: &ZoneId, digest: &Digest) -> Exchange {
-        let same_zone = digest.zone.as_ref() == Some(zone);
+    /// What a peer that sent `digest` lacks of the items in `scope`, and what it has newer.
+    pub(super) fn exchange(&self, scope: &Scope<'_>, digest: &Digest) -> Exchange {
         let theirs: HashMap<u64, ItemVersion> = digest.versions.iter().copied().collect();
-        let in_scope = |key: &ItemKey| !matches!(key, ItemKey::Box(_)) || same_zone;
         let mut exchange = Exchange::default();
-        for (key, stored) in self.by_key.iter().filter(|(key, _)| in_scope(key)) {
-            let known = theirs.get(&stored.hash);
-            if known.is_none_or(|version| *version < stored.version) {
+        let known = self
+            .by_key
+            .iter()
+            .filter(|(key, stored)| scope.has(key, stored.hash));
+        for (key, stored) in known {
+            let version = theirs.get(&stored.hash);
+            if version.is_none_or(|version| *version < stored.version) {
                 exchange.newer.push(item(key, stored));
             }
         }
--- a/crates/sillpin-keeper/src/fleet/mod.rs
+++ b/crates/sillpin-keeper/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod messages;
 mod table;
 mod task;
+mod views;
 
 pub use messages::{FleetHandle, FleetMsg, TargetReading};
 pub use table::{FleetTable, Identity};
--- a/crates/sillpin-keeper/src/fleet/table.rs
+++ b/crates/sillpin-keeper/src/fleet/table.rs
@@ -1,20 +1,18 @@
 //! Boxes, targets and documents out of the items. No I/O: the clock is passed in.
 
-use super::items::{Items, Stored};
+use super::items::{Items, Scope, Stored};
 use super::messages::TargetReading;
-use crate::view::{InForce, PeerView, TargetInfo, View};
+use crate::view::InForce;
 use sillpin_bundle::{Accepted, Bundle, SignError, TrustedKey};
 use sillpin_core::sabotage::{Mechanism, is_off};
-use sillpin_core::target::{BoxList, TargetEntry};
-use sillpin_core::{ArmName, BoxId, Incarnation, LoadReport, Presence, Revision, TargetId, ZoneId};
+use sillpin_core::target::BoxList;
+use sillpin_core::{ArmName, BoxId, Incarnation, LoadReport, Revision, TargetId, ZoneId};
 use sillpin_policy::guard::Breach;
-use sillpin_policy::rendezvous::CandidateHash;
-use sillpin_rpc::entry_link::{FleetUpdate, Known, TargetView};
 use sillpin_rpc::gossip::{
-    BoxState, Digest, Exchange, Item, ItemKey, ItemValue, ItemVersion, Organisation, StoppedArm,
-    TargetState,
+    BoxState, Digest, Exchange, Item, ItemKey, ItemValue, ItemVersion, Organisation, Slice,
+    StoppedArm, TargetState,
 };
-use sillpin_rpc::peer_link::BoxStatus;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,17 +35,22 @@
     pub signers: Vec<TrustedKey>,
 }
 
+/// Targets of other zones that one round of gossip within a zone is about, at the most.
+const SLICE_LEN: usize = 128;
+
 /// Failed readings in a row after which a target is out of reach.
 const FAILURES_ALLOWED: u32 = 1;
 
 /// All that this keeper knows.
 pub struct FleetTable {
-    me: Identity,
-    items: Items,
-    in_force: Option<Arc<InForce>>,
+    pub(super) me: Identity,
+    pub(super) items: Items,
+    pub(super) in_force: Option<Arc<InForce>>,
     failures: std::collections::HashMap<TargetId, u32>,
-    list_heard: Option<Instant>,
+    pub(super) list_heard: Option<Instant>,
     leaving: bool,
+    near: HashSet<TargetId>,
+    rounds: u64,
 }
 
 impl FleetTable {
@@ -60,6 +63,8 @@
             failures: Default::default(),
             list_heard: None,
             leaving: false,
+            near: HashSet::new(),
+            rounds: 0,
         };
         table.beat(now);
         table
@@ -103,7 +108,7 @@
         self.beat(now);
     }
 
-    fn revision(&self) -> Revision {
+    pub(super) fn revision(&self) -> Revision {
         let in_force = self.in_force.as_ref();
         in_force.map_or(Revision(0), |in_force| in_force.revision)
     }
@@ -211,6 +216,8 @@
 
     fn forget_unlisted(&mut self) {
         let Some(list) = self.box_list() else { return };
+        let near = list.targets.iter().filter(|t| t.zone == self.me.zone);
+        let near: HashSet<TargetId> = near.map(|t| t.id.clone()).collect();
         let listed = |key: &ItemKey| match key {
             ItemKey::Target(id) => list.targets.iter().any(|t| t.id == *id),
             _ => true,
@@ -220,6 +227,7 @@
         for key in unlisted {
             self.items.remove(&key);
         }
+        self.near = near;
     }
 
     /// Takes the organisations as read from the platform at `version`.
@@ -282,212 +290,48 @@
         self.put(key, ItemVersion(revision.0), value, now)
     }
 
-    /// Arms of the bundle in force that guards stopped.
-    pub fn stopped_arms(&self) -> Vec<(ZoneId, ArmName, Breach)> {
-        let current = self.revision();
-        let stopped = self.items.iter().filter_map(|(key, stored)| {
-            let (ItemKey::StoppedArm(zone, arm), ItemValue::StoppedArm(stop)) =
-                (key, &stored.value)
-            else {
-                return None;
-            };
-            (stop.revision == current).then(|| (zone.clone(), arm.clone(), stop.breach))
-        });
-        stopped.collect()
+    /// What a peer of `peer_zone` is to compare with. Within the zone each round is about another
+    /// part of the foreign targets, so that the digest stays short however many there are.
+    pub fn digest(&mut self, peer_zone: &ZoneId) -> Digest {
+        let same_zone = *peer_zone == self.me.zone;
+        let foreign = if same_zone {
+            self.next_slice()
+        } else {
+            Slice::WHOLE
+        };
+        let scope = Scope {
+            same_zone,
+            foreign,
+            near: &self.near,
+        };
+        self.items.digest(&self.me.zone, &scope)
     }
 
-    /// What a peer of `peer_zone` is to compare with.
-    pub fn digest(&self, peer_zone: &ZoneId) -> Digest {
-        self.items.digest(&self.me.zone, peer_zone)
+    fn next_slice(&mut self) -> Slice {
+        let targets = self.box_list().map_or(0, |list| list.targets.len());
+        let foreign = targets.saturating_sub(self.near.len());
+        let count = foreign.div_ceil(SLICE_LEN).max(1) as u64;
+        self.rounds += 1;
+        Slice {
+            index: self.rounds % count,
+            count,
+        }
     }
 
     /// The answer to a peer's digest.
     pub fn exchange(&self, digest: &Digest) -> Exchange {
-        self.items.exchange(&self.me.zone, digest)
+        let scope = Scope {
+            same_zone: digest.zone.as_ref() == Some(&self.me.zone),
+            foreign: digest.foreign,
+            near: &self.near,
+        };
+        self.items.exchange(&scope, digest)
     }
 
     /// The items that a peer asked for.
     pub fn wanted(&self, hashes: &[u64]) -> Vec<Item> {
         self.items.wanted(hashes)
     }
-
-    fn box_list(&self) -> Option<&BoxList> {
-        match &self.items.get(&ItemKey::BoxList)?.value {
-            ItemValue::BoxList(list) => Some(list),
-            _ => None,
-        }
-    }
-
-    fn target_state(&self, id: &TargetId) -> Option<&TargetState> {
-        match &self.items.get(&ItemKey::Target(id.clone()))?.value {
-            ItemValue::Target(state) => Some(state),
-            _ => None,
-        }
-    }
-
-    fn box_states(&self) -> impl Iterator<Item = (&BoxId, &BoxState, Instant)> {
-        self.items
-            .iter()
-            .filter_map(|(key, stored)| match (key, &stored.value) {
-                (ItemKey::Box(id), ItemValue::Box(state)) => Some((id, state, stored.changed)),
-                _ => None,
-            })
-    }
-
-    fn is_live(&self, id: &BoxId, state: &BoxState, heard: Instant, now: Instant) -> bool {
-        let silent = state.zone == self.me.zone && now - heard > self.me.dead_after;
-        *id == self.me.box_id || !(silent || state.leaving)
-    }
-
-    /// Boxes as operators see them.
-    pub fn box_statuses(&self, now: Instant) -> Vec<BoxStatus> {
-        let mut boxes: Vec<BoxStatus> = self
-            .box_states()
-            .map(|(id, state, heard)| BoxStatus {
-                id: id.clone(),
-                state: state.clone(),
-                heartbeat_age_ms: (now - heard).as_millis() as u64,
-                live: self.is_live(id, state, heard, now),
-            })
-            .collect();
-        boxes.sort_by(|a, b| a.id.cmp(&b.id));
-        boxes
-    }
-
-    fn peer_views(&self, now: Instant) -> Vec<PeerView> {
-        let mut peers: Vec<PeerView> = self
-            .box_states()
-            .filter(|(_, state, _)| state.zone == self.me.zone)
-            .map(|(id, state, heard)| PeerView {
-                id: id.clone(),
-                hash: CandidateHash::of(id.as_str()),
-                zone: state.zone.clone(),
-                addr: state.peer_addr,
-                live: self.is_live(id, state, heard, now),
-            })
-            .collect();
-        let listed = self.box_list().map(|list| list.boxes.as_slice());
-        for entry in listed.unwrap_or_default() {
-            let foreign = entry.zone != self.me.zone;
-            if peers.iter().any(|peer| peer.id == entry.id) {
-                continue;
-            }
-            peers.push(PeerView {
-                id: entry.id.clone(),
-                hash: CandidateHash::of(entry.id.as_str()),
-                zone: entry.zone.clone(),
-                addr: entry.peer_addr,
-                live: foreign && entry.presence == Presence::Live,
-            });
-        }
-        peers.sort_by(|a, b| a.id.cmp(&b.id));
-        peers
-    }
-
-    fn target_info(&self, entry: &TargetEntry) -> TargetInfo {
-        let state = self.target_state(&entry.id);
-        let load = state.and_then(|state| state.load.as_ref());
-        let says_leaving = load.is_some_and(|load| load.presence == Presence::Leaving);
-        TargetInfo {
-            entry: entry.clone(),
-            reachable: state.is_none_or(|state| state.reachable),
-            leaving: says_leaving || entry.presence == Presence::Leaving,
-        }
-    }
-
-    /// What other tasks need.
-    pub fn view(&self, now: Instant) -> View {
-        let targets = self.box_list().map(|list| list.targets.as_slice());
-        let targets = targets.unwrap_or_default();
-        View {
-            boxes: self.peer_views(now),
-            targets: targets.iter().map(|t| self.target_info(t)).collect(),
-            in_force: self.in_force.clone(),
-        }
-    }
-
-    /// All targets, as operators and the entry see them.
-    pub fn target_views(&self) -> Vec<TargetView> {
-        let targets = self.box_list().map(|list| list.targets.as_slice());
-        let targets = targets.unwrap_or_default();
-        targets.iter().map(|t| self.target_view(t)).collect()
-    }
-
-    fn target_view(&self, entry: &TargetEntry) -> TargetView {
-        TargetView {
-            entry: entry.clone(),
-            state: self.target_state(&entry.id).cloned(),
-            leaving: self.target_info(entry).leaving,
-        }
-    }
-
-    /// Since the box list was last read or heard of.
-    pub fn box_list_age(&self, now: Instant) -> Option<Duration> {
-        self.list_heard.map(|heard| now - heard)
-    }
-
-    /// What changed since `known`, for the entry.
-    pub fn update_since(&self, known: Known) -> FleetUpdate {
-        let since = if known.incarnation == self.me.incarnation {
-            known.stamp
-        } else {
-            0
-        };
-        let newer = |key: &ItemKey| self.items.get(key).is_some_and(|s| s.stamp > since);
-        let complete = newer(&ItemKey::BoxList);
-        let mut targets = self.target_views();
-        targets.retain(|t| complete || newer(&ItemKey::Target(t.entry.id.clone())));
-        let stops_changed = newer(&ItemKey::Bundle) || self.stop_newer_than(since);
-        FleetUpdate {
-            known: Known {
-                incarnation: self.me.incarnation,
-                stamp: self.items.stamp(),
-            },
-            complete,
-            targets,
-            bundle: self.document(&ItemKey::Bundle, since).and_then(as_bundle),
-            organisations: self
-                .document(&ItemKey::Organisations, since)
-                .and_then(as_organisations),
-            stopped_arms: stops_changed.then(|| self.stopped_here()),
-        }
-    }
-
-    fn stop_newer_than(&self, since: u64) -> bool {
-        let stops = self.items.iter();
-        let mut stops = stops.filter(|(key, _)| matches!(key, ItemKey::StoppedArm(..)));
-        stops.any(|(_, stored)| stored.stamp > since)
-    }
-
-    fn stopped_here(&self) -> Vec<ArmName> {
-        let stopped = self.stopped_arms().into_iter();
-        let here = stopped.filter(|(zone, _, _)| *zone == self.me.zone);
-        here.map(|(_, arm, _)| arm).collect()
-    }
-
-    fn document(&self, key: &ItemKey, since: u64) -> Option<&ItemValue> {
-        let stored = self.items.get(key)?;
-        (stored.stamp > since).then_some(&stored.value)
-    }
-
-    /// The accepted bundle in force, as it was signed.
-    pub fn accepted(&self) -> Option<Accepted> {
-        self.document(&ItemKey::Bundle, 0).and_then(as_bundle)
-    }
-}
-
-fn as_bundle(value: &ItemValue) -> Option<Accepted> {
-    match value {
-        ItemValue::Bundle(accepted) => Some(accepted.as_ref().clone()),
-        _ => None,
-    }
-}
-
-fn as_organisations(value: &ItemValue) -> Option<Vec<Organisation>> {
-    match value {
-        ItemValue::Organisations(list) => Some(list.clone()),
-        _ => None,
-    }
 }
 
 /// Whether a value is of its key's kind.
--- a/crates/sillpin-keeper/src/main.rs
+++ b/crates/sillpin-keeper/src/main.rs
@@ -4,13 +4,10 @@
 use sillpin_keeper::ops;
 use sillpin_keeper::settings::{KeeperConfig, SCHEMA};
 use sillpin_settings::{Loaded, program};
-use sillpin_telemetry::logs;
-use sillpin_telemetry::metrics::Metrics;
-use sillpin_telemetry::traces::Traces;
+use sillpin_telemetry::Telemetry;
+use sillpin_telemetry::program::{Identity, stop_on_sigterm};
 use std::error::Error;
 use std::process::ExitCode;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio_util::sync::CancellationToken;
 
 const PROGRAM: &str = "sillpin-keeper";
 
@@ -21,33 +18,26 @@
 
 fn start(loaded: &Loaded) -> Result<(), Box<dyn Error>> {
     let cfg = KeeperConfig::from_loaded(loaded)?;
-    let level = loaded.get("log", "level")?;
-    let (log, _guard) = logs::logger(loaded.get("log", "format")?, level, PROGRAM);
-    let log = log.new(slog::o!("box" => cfg.box_id.to_string(), "zone" => cfg.zone.to_string()));
-    let metrics = Metrics::new(PROGRAM, cfg.box_id.as_str())?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(async {
-        let stop = CancellationToken::new();
-        let mut term = signal(SignalKind::terminate())?;
-        let stopping = stop.clone();
-        tokio::spawn(async move {
-            term.recv().await;
-            stopping.cancel();
-        });
-        let traces = Traces::new(PROGRAM, cfg.box_id.as_str(), cfg.collector)?;
-        let telemetry = ops::Telemetry {
-            log,
-            metrics,
-            traces,
-        };
-        ops::run(cfg, telemetry, stop, |at| {
-            println!("listening entry {}", at.entry);
-            println!("listening peer {}", at.peer);
-            println!("listening http {}", at.http);
-        })
-        .await?;
-        Ok(())
+    runtime.block_on(serve(loaded, cfg))
+}
+
+async fn serve(loaded: &Loaded, cfg: KeeperConfig) -> Result<(), Box<dyn Error>> {
+    let me = Identity {
+        program: PROGRAM,
+        box_id: cfg.box_id.as_str(),
+        zone: cfg.zone.as_str(),
+        collector: cfg.collector,
+    };
+    let format = loaded.get("log", "format")?;
+    let (telemetry, _guard) = Telemetry::start(&me, format, loaded.get("log", "level")?)?;
+    ops::run(cfg, telemetry, stop_on_sigterm()?, |at| {
+        println!("listening entry {}", at.entry);
+        println!("listening peer {}", at.peer);
+        println!("listening http {}", at.http);
     })
+    .await?;
+    Ok(())
 }
--- a/crates/sillpin-keeper/src/ops.rs
+++ b/crates/sillpin-keeper/src/ops.rs
@@ -12,18 +12,14 @@
 use crate::settings::KeeperConfig;
 use crate::weights::Weights;
 use crate::{directory, gossip, records, router};
-use derive_more::{Display, Error};
 use sillpin_core::Incarnation;
+use sillpin_http::server::{BindError, listen};
 use sillpin_http::{Client, Server};
 use sillpin_platform::HttpPlatform;
 use sillpin_rpc::entry_link::EntryLink;
 use sillpin_rpc::peer_link::PeerLink;
 use sillpin_rpc::transport;
-use sillpin_telemetry::metrics::Metrics;
-use sillpin_telemetry::traces::Traces;
-use sillpin_telemetry::{event, events};
-use slog::Logger;
-use std::io;
+use sillpin_telemetry::{Telemetry, event, events};
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tarpc::server::{BaseChannel, Channel};
@@ -34,19 +30,6 @@
 /// How long a stopping keeper goes on telling that it leaves.
 const LEAVE_TIME: Duration = Duration::from_millis(1_500);
 
-/// Why a keeper could not start.
-#[derive(Debug, Display, Error)]
-#[display("cannot {step} {addr}")]
-pub struct StartError {
-    /// What was being done.
-    pub step: &'static str,
-    /// The address concerned.
-    pub addr: SocketAddr,
-    /// Why.
-    #[error(source)]
-    pub cause: io::Error,
-}
-
 /// Where a keeper listens.
 #[derive(Debug, Clone, Copy)]
 pub struct Listening {
@@ -61,31 +44,14 @@
 struct Listeners {
     entry: TcpListener,
     peer: TcpListener,
-    http: Server,
+    http: TcpListener,
     at: Listening,
 }
 
-async fn listen(addr: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
-    let failed = |cause| StartError {
-        step: "listen at",
-        addr,
-        cause,
-    };
-    let listener = TcpListener::bind(addr).await.map_err(failed)?;
-    let at = listener.local_addr().map_err(failed)?;
-    Ok((listener, at))
-}
-
-async fn listen_all(cfg: &KeeperConfig) -> Result<Listeners, StartError> {
+async fn listen_all(cfg: &KeeperConfig) -> Result<Listeners, BindError> {
     let (entry, entry_at) = listen(cfg.entry_listen).await?;
     let (peer, peer_at) = listen(cfg.peer_listen).await?;
-    let failed = |cause| StartError {
-        step: "listen at",
-        addr: cfg.http_listen,
-        cause,
-    };
-    let http = Server::bind(cfg.http_listen).await.map_err(failed)?;
-    let http_at = http.local_addr().map_err(failed)?;
+    let (http, http_at) = listen(cfg.http_listen).await?;
     let at = Listening {
         entry: entry_at,
         peer: peer_at,
@@ -99,23 +65,13 @@
     })
 }
 
-/// What a keeper shows of itself.
-pub struct Telemetry {
-    /// Log.
-    pub log: Logger,
-    /// Metrics.
-    pub metrics: Metrics,
-    /// Spans.
-    pub traces: Traces,
-}
-
 /// Runs a keeper until `stop`; `ready` is told where it listens.
 pub async fn run(
     cfg: KeeperConfig,
     telemetry: Telemetry,
     stop: CancellationToken,
     ready: impl FnOnce(Listening),
-) -> Result<(), StartError> {
+) -> Result<(), BindError> {
     let listeners = listen_all(&cfg).await?;
     let at = listeners.at;
     let identity = Identity {
@@ -252,10 +208,6 @@
         },
     ));
     let http = KeeperHttp::new(published, directory, metrics);
-    tokio::spawn(
-        listeners
-            .http
-            .run(end.clone(), move |req| http.clone().handle(req)),
-    );
+    tokio::spawn(Server::on(listeners.http).run(end.clone(), move |req| http.clone().handle(req)));
     fleet
 }
--- a/crates/sillpin-keeper/src/platform.rs
+++ b/crates/sillpin-keeper/src/platform.rs
@@ -25,6 +25,9 @@
 /// First wait after a failure.
 const MIN_BACKOFF: Duration = Duration::from_millis(250);
 
+/// Longest wait before the first call, in times between two readings of the box list.
+const MAX_START_PAUSE: f64 = 1.5;
+
 /// How often a keeper that is no reader looks whether it has become one.
 const ROLE_CHECK: Duration = Duration::from_millis(500);
 
@@ -54,6 +57,13 @@
     }
 }
 
+/// A random wait before the first call, so that a fleet that starts as a whole meets the service
+/// spread out, and learns from its peers before most of it has asked.
+fn start_pause(cfg: &KeeperConfig) -> Duration {
+    cfg.list_every
+        .mul_f64(MAX_START_PAUSE * rand::rng().random_range(0.0..1.0))
+}
+
 /// What the readers share.
 #[derive(Clone)]
 pub struct Reader<P> {
@@ -107,6 +117,7 @@
     async fn read_box_list(self) {
         let mut backoff = Backoff::default();
         let work = async {
+            tokio::time::sleep(start_pause(&self.cfg)).await;
             loop {
                 self.my_turn("box list").await;
                 let read = self.platform.box_list().await;
@@ -152,6 +163,7 @@
         let mut backoff = Backoff::default();
         let mut after = KvRevision::ABSENT;
         let work = async {
+            tokio::time::sleep(start_pause(&self.cfg)).await;
             loop {
                 self.my_turn(prefix).await;
                 let seen = tokio::select! {
--- a/crates/sillpin-keeper/tests/fleet.rs
+++ b/crates/sillpin-keeper/tests/fleet.rs
@@ -143,10 +143,13 @@
     old.beat(now);
     let mut peer = FleetTable::new(identity("peer", &key), now);
     let zone = "kariakoo".parse().unwrap();
-    peer.apply(old.exchange(&peer.digest(&zone)).newer, now);
+    let digest = peer.digest(&zone);
+    peer.apply(old.exchange(&digest).newer, now);
     let mut new = FleetTable::new(identity("box", &key), now);
-    new.apply(peer.exchange(&new.digest(&zone)).newer, now);
-    peer.apply(new.exchange(&peer.digest(&zone)).newer, now);
+    let digest = new.digest(&zone);
+    new.apply(peer.exchange(&digest).newer, now);
+    let digest = peer.digest(&zone);
+    peer.apply(new.exchange(&digest).newer, now);
     let seen = peer.box_statuses(now);
     let seen = seen.iter().find(|b| b.id == me).unwrap();
     assert_eq!(seen.state.incarnation, Incarnation(1));
--- a/crates/sillpin-rpc/src/gossip.rs
+++ b/crates/sillpin-rpc/src/gossip.rs
@@ -118,11 +118,38 @@
     pub value: ItemValue,
 }
 
+/// One of several equal parts of the foreign targets, by hash of their names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Slice {
+    /// Which part.
+    pub index: u64,
+    /// Parts in all.
+    pub count: u64,
+}
+
+impl Slice {
+    /// All in one part.
+    pub const WHOLE: Slice = Slice { index: 0, count: 1 };
+
+    /// Whether an item with this hash belongs to the part.
+    pub fn has(&self, hash: u64) -> bool {
+        hash % self.count.max(1) == self.index
+    }
+}
+
+impl Default for Slice {
+    fn default() -> Self {
+        Self::WHOLE
+    }
+}
+
 /// Which items a keeper knows, by hash of their names.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Digest {
-    /// Zone of the keeper that asks: items of foreign zones are told apart.
+    /// Zone of the keeper that asks: heartbeats stay in their zone.
     pub zone: Option<ZoneId>,
+    /// The part of the targets of other zones that this digest is about.
+    pub foreign: Slice,
     /// Hash of each item's name and its version, sorted.
     pub versions: Vec<(u64, ItemVersion)>,
 }
--- a/crates/sillpin-telemetry/src/lib.rs
+++ b/crates/sillpin-telemetry/src/lib.rs
@@ -3,14 +3,17 @@
 //! - [`events`]: the catalogue of log events (`docs/EVENTS.md` is held to it by a test),
 //! - [`logs`]: loggers in JSON or for a terminal,
 //! - [`metrics`]: a meter with a Prometheus page,
+//! - [`program`]: all of them set up for a program, and its stop,
 //! - [`traces`]: spans, one a hop, to a collector over OTLP.
 
 pub mod events;
 pub mod logs;
 pub mod metrics;
+pub mod program;
 pub mod traces;
 
 pub use events::Event;
+pub use program::Telemetry;
 
 /// Logs an event of the catalogue with its fields.
 ///
--- /dev/null
+++ b/crates/sillpin-telemetry/src/program.rs
@@ -0,0 +1,65 @@
+//! What a program shows of itself, set up in one place, and its stop.
+
+use crate::logs::{self, Format};
+use crate::metrics::Metrics;
+use crate::traces::Traces;
+use slog::{Level, Logger, o};
+use slog_async::AsyncGuard;
+use std::error::Error;
+use std::io;
+use std::net::SocketAddr;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+/// What a program shows of itself.
+pub struct Telemetry {
+    /// Log.
+    pub log: Logger,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Spans.
+    pub traces: Traces,
+}
+
+/// Whose telemetry it is and where it goes.
+pub struct Identity<'a> {
+    /// The program.
+    pub program: &'static str,
+    /// Its box.
+    pub box_id: &'a str,
+    /// Its availability zone.
+    pub zone: &'a str,
+    /// Collector of traces.
+    pub collector: Option<SocketAddr>,
+}
+
+impl Telemetry {
+    /// Sets up log, metrics and traces, within the runtime; the guard writes out the log's rest.
+    pub fn start(
+        me: &Identity<'_>,
+        format: Format,
+        level: Level,
+    ) -> Result<(Self, AsyncGuard), Box<dyn Error>> {
+        let (log, guard) = logs::logger(format, level, me.program);
+        let log = log.new(o!("box" => me.box_id.to_owned(), "zone" => me.zone.to_owned()));
+        let telemetry = Self {
+            log,
+            metrics: Metrics::new(me.program, me.box_id)?,
+            traces: Traces::new(me.program, me.box_id, me.collector)?,
+        };
+        Ok((telemetry, guard))
+    }
+}
+
+/// Cancelled by the first SIGTERM; further ones change nothing.
+pub fn stop_on_sigterm() -> io::Result<CancellationToken> {
+    let stop = CancellationToken::new();
+    let mut term = signal(SignalKind::terminate())?;
+    let stopping = stop.clone();
+    tokio::spawn(async move {
+        while term.recv().await.is_some() {
+            stopping.cancel();
+        }
+    });
+    Ok(stop)
+}
--- a/tests/testsuite/src/fleet.rs
+++ b/tests/testsuite/src/fleet.rs
@@ -1,14 +1,15 @@
 //! All processes of a fleet.
 
 use crate::process::{Process, program};
+use crate::targets::{TargetProcess, start_targets};
 use crate::wait::until;
 use hyper::Method;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use sillpin_bundle::{Accepted, Bundle, PoolPolicy, SignedBundle, SignerKey};
+use sillpin_bundle::{Accepted, Bundle, SignerKey};
 use sillpin_cli::ops;
-use sillpin_core::target::{BoxEntry, BoxList, Presence, TargetEntry, TargetKind};
-use sillpin_core::{BytesPerSec, Revision, TargetId, WeightVersion, ZoneId};
+use sillpin_core::target::{BoxEntry, BoxList, Presence, TargetKind};
+use sillpin_core::{Revision, TargetId, ZoneId};
 use sillpin_http::Client;
 use sillpin_http::client::Call;
 use sillpin_load::caller::{self, Ask, Got};
@@ -112,16 +113,6 @@
     }
 }
 
-/// A target's process, and the fault proxy before it, if there is one.
-pub struct TargetProcess {
-    /// As the box list has it.
-    pub entry: TargetEntry,
-    /// The stand-in.
-    pub process: Process,
-    /// The fault proxy.
-    pub proxy: Option<Process>,
-}
-
 /// A fleet of processes; all end with it.
 pub struct Fleet {
     /// How it is set up.
@@ -134,7 +125,7 @@
     pub boxes: Vec<EntryBox>,
     /// Connections of the tests themselves.
     pub client: Client,
-    key: SignerKey,
+    pub(crate) key: SignerKey,
     dir: TempDir,
 }
 
@@ -377,50 +368,6 @@
         all
     }
 
-    /// A bundle with default policies for the fleet's pools.
-    pub fn bundle(&self, name: &str) -> Bundle {
-        let mut bundle = Bundle {
-            name: name.to_owned(),
-            ..Bundle::default()
-        };
-        let engines = PoolPolicy {
-            kind: TargetKind::Engine,
-            model: MODEL.parse().ok(),
-            version: None,
-            floor: 1,
-        };
-        let services = PoolPolicy {
-            kind: TargetKind::Service,
-            model: None,
-            version: None,
-            floor: 0,
-        };
-        bundle.pools.extend([
-            (ENGINE_POOL.parse().expect("valid"), engines),
-            (SERVICE_POOL.parse().expect("valid"), services),
-        ]);
-        bundle
-    }
-
-    /// A bundle that has the fleet's engines load a weight version.
-    pub fn bundle_with_version(&self, name: &str, version: u64) -> Bundle {
-        let mut bundle = self.bundle(name);
-        for pool in bundle
-            .pools
-            .values_mut()
-            .filter(|p| p.kind == TargetKind::Engine)
-        {
-            pool.version = Some(WeightVersion(version));
-        }
-        bundle
-    }
-
-    /// Signs a bundle with the key that the keepers trust.
-    pub fn sign(&self, bundle: &Bundle) -> SignedBundle {
-        let text = serde_json::to_string(bundle).expect("bundles are JSON");
-        SignedBundle::sign(&text, &self.key).expect("the bundle passes its checks")
-    }
-
     /// Accepts a bundle as the next revision.
     pub async fn accept(&self, bundle: &Bundle) -> Accepted {
         let signed = self.sign(bundle);
@@ -464,91 +411,3 @@
 pub fn key_of(organisation: &str) -> String {
     format!("key-{organisation}")
 }
-
-fn start_targets(
-    shape: &FleetShape,
-    dir: &Path,
-    standin: &Path,
-) -> BTreeMap<TargetId, TargetProcess> {
-    let mut targets = BTreeMap::new();
-    let mut add = |kind: TargetKind, name: String, zone: &str, args: &[String]| {
-        let target = start_target(shape, dir, standin, kind, &name, zone, args);
-        targets.insert(target.entry.id.clone(), target);
-    };
-    let zone_of = |number: usize| shape.zones[number % shape.zones.len()];
-    for zone in &shape.zones {
-        for number in 0..shape.engines {
-            add(
-                TargetKind::Engine,
-                format!("engine-{zone}-{number}"),
-                zone,
-                &shape.engine_args,
-            );
-        }
-    }
-    for number in 0..shape.services {
-        add(
-            TargetKind::Service,
-            format!("service-{number}"),
-            zone_of(number),
-            &[],
-        );
-    }
-    for number in 0..shape.stores {
-        add(
-            TargetKind::Store,
-            format!("store-{number}"),
-            zone_of(number),
-            &shape.store_args,
-        );
-    }
-    add(TargetKind::Weights, "weights-0".to_owned(), zone_of(0), &[]);
-    targets
-}
-
-fn start_target(
-    shape: &FleetShape,
-    dir: &Path,
-    standin: &Path,
-    kind: TargetKind,
-    name: &str,
-    zone: &str,
-    args: &[String],
-) -> TargetProcess {
-    let kind_name = kind.to_string();
-    let mut all = vec![kind_name.clone()];
-    all.extend_from_slice(args);
-    let process = Process::start(dir, name, standin, &all, &[&kind_name]);
-    let addr = process.addr(&kind_name);
-    let proxy = shape.proxies.then(|| {
-        let args = ["fault".to_owned(), "--target".to_owned(), addr.to_string()];
-        Process::start(
-            dir,
-            &format!("proxy-{name}"),
-            standin,
-            args,
-            &["proxy", "fault"],
-        )
-    });
-    let pool = match kind {
-        TargetKind::Engine => ENGINE_POOL,
-        TargetKind::Service => SERVICE_POOL,
-        TargetKind::Store => "prompt-vault",
-        TargetKind::Weights => "weights",
-    };
-    let entry = TargetEntry {
-        id: name.parse().expect("target names are valid"),
-        kind,
-        pool: pool.parse().expect("pool names are valid"),
-        zone: zone.parse().expect("zone names are valid"),
-        addr: proxy.as_ref().map_or(addr, |proxy| proxy.addr("proxy")),
-        presence: Presence::Live,
-        model: (kind == TargetKind::Engine).then(|| MODEL.parse().expect("valid")),
-        link_rate: (kind == TargetKind::Store).then_some(BytesPerSec(shape.link_rate)),
-    };
-    TargetProcess {
-        entry,
-        process,
-        proxy,
-    }
-}
--- a/xtask/src/commands/measure.rs
+++ b/xtask/src/commands/measure.rs
@@ -11,7 +11,7 @@
 /// Keepers at the size designed for.
 const KEEPERS: usize = 380;
 
-const SCENARIOS: [&str; 8] = [
+const SCENARIOS: [&str; 9] = [
     "streams",
     "idle",
     "control-380",
@@ -19,6 +19,7 @@
     "kerb",
     "overload",
     "noisy-organisation",
+    "recompute-weight",
     "slow-links",
 ];
 
--- a/xtask/src/ops/compare.rs
+++ b/xtask/src/ops/compare.rs
@@ -8,7 +8,7 @@
 use sillpin_load::floor;
 use sillpin_load::report::{Report, median, sum_up};
 use sillpin_load::workload::{Corpus, Kind, Plan, Trace};
-use sillpin_policy::set::{KeepingKind, PlacementKind};
+use sillpin_policy::set::{KeepingKind, PlacementKind, PlacementPolicy};
 use sillpin_testsuite::{Fleet, FleetShape};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -32,6 +32,8 @@
     pub keeping: KeepingKind,
     /// Requests a second.
     pub rate: f64,
+    /// Weight of recomputed work.
+    pub recompute_weight: u16,
     /// Factor by which the largest organisation's part is multiplied.
     pub noise: usize,
 }
@@ -112,6 +114,7 @@
         placement,
         keeping: KeepingKind::Learnt,
         rate,
+        recompute_weight: PlacementPolicy::default().recompute_weight,
         noise: 1,
     }
 }
@@ -122,6 +125,11 @@
         side("rendezvous", PlacementKind::Rendezvous, rate),
         side("least-loaded", PlacementKind::LeastLoaded, rate),
         side("round-robin", PlacementKind::RoundRobin, rate),
+        Side {
+            name: "least-loaded-keeping-nothing",
+            keeping: KeepingKind::Nothing,
+            ..side("", PlacementKind::LeastLoaded, rate)
+        },
     ]
 }
 
@@ -154,6 +162,14 @@
             };
             (Kind::Planning, vec![quiet, noisy], LINK)
         }
+        "recompute-weight" => {
+            let weights = [("weight-50", 50), ("weight-200", 200), ("weight-800", 800)];
+            let sides = weights.map(|(name, recompute_weight)| Side {
+                recompute_weight,
+                ..side(name, PlacementKind::Scored, PLANNING_RATE)
+            });
+            (Kind::Planning, sides.into(), LINK)
+        }
         "slow-links" => {
             let fetching = side("slow-link", PlacementKind::Scored, PLANNING_RATE);
             let computing = Side {
@@ -246,6 +262,7 @@
 fn bundle(fleet: &Fleet, side: &Side) -> Bundle {
     let mut bundle = fleet.bundle(side.name);
     bundle.control.placement.kind = side.placement;
+    bundle.control.placement.recompute_weight = side.recompute_weight;
     bundle.control.keeping.kind = side.keeping;
     bundle
 }
