--- a/crates/sillpin-keeper/src/fleet/table.rs
+++ b/crates/sillpin-keeper/src/fleet/table.rs
@@ -36,7 +36,7 @@
 }
 
 /// Targets of other zones that one round of gossip within a zone is about, at the most.
-const SLICE_LEN: usize = 128;
+const SLICE_LEN: usize = 96;
 
 /// Failed readings in a row after which a target is out of reach.
 const FAILURES_ALLOWED: u32 = 1;
--- a/crates/sillpin-keeper/src/readers.rs
+++ b/crates/sillpin-keeper/src/readers.rs
@@ -33,6 +33,9 @@
 /// Pause between two pages of a store's objects.
 const LIST_PAUSE: Duration = Duration::from_millis(100);
 
+/// The second reader of a target stands by: it reads less often than the first by this factor.
+const SECOND_READER_FACTOR: u32 = 4;
+
 /// What the readers share.
 #[derive(Clone)]
 pub struct Readers {
@@ -102,7 +105,11 @@
     }
 
     fn start(self, duty: Duty, stop: CancellationToken) {
-        let loads = self.clone().read_loads(duty.entry.clone());
+        let mut every = self.cfg.load_every;
+        if !duty.first {
+            every *= SECOND_READER_FACTOR;
+        }
+        let loads = self.clone().read_loads(duty.entry.clone(), every);
         tokio::spawn(until(stop.clone(), loads));
         match (duty.first, duty.entry.kind) {
             (true, TargetKind::Engine) => {
@@ -115,9 +122,9 @@
         }
     }
 
-    async fn read_loads(self, entry: TargetEntry) {
+    async fn read_loads(self, entry: TargetEntry, every: Duration) {
         let engine = HttpEngine::new(self.client.clone());
-        let mut every = tokio::time::interval(self.cfg.load_every);
+        let mut every = tokio::time::interval(every);
         every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             every.tick().await;
