Tell a prompt's owners of its engine at the first token

Cause: owners learnt that an engine holds a prompt when its whole answer had come; a second request within the answer's length found no hint. Change: told at the first token, when the prompt is computed and its blocks are cached.

--- a/crates/sillpin-entry/src/runs/drive.rs
+++ b/crates/sillpin-entry/src/runs/drive.rs
@@ -120,10 +120,7 @@
                 .placer
                 .done(target.clone(), begun.elapsed(), result.is_ok());
             match result {
-                Ok(summary) => {
-                    self.note_use(&placed);
-                    return Ok(summary);
-                }
+                Ok(summary) => return Ok(summary),
                 Err(Broken::CallerGone) => return Err(Failure::unknown("the caller has gone")),
                 Err(Broken::Engine(EngineError {
                     fault: EngineFault::OtherVersion(version),
@@ -314,7 +311,7 @@
             }
         };
         self.ran = Outcome::Unknown;
-        let read = self.read_with_resume(&mut attempt).await;
+        let read = self.read_with_resume(&mut attempt, placed).await;
         if let (Ok(_), Some(claim)) = (&read, claim) {
             claim.ran();
         }
@@ -323,10 +320,14 @@
 
     /// Reads an answer; one that breaks off is taken up again once at the same engine, which holds
     /// it for a while.
-    async fn read_with_resume(&mut self, attempt: &mut Attempt<E>) -> Result<RunSummary, Broken> {
+    async fn read_with_resume(
+        &mut self,
+        attempt: &mut Attempt<E>,
+        placed: &Placed,
+    ) -> Result<RunSummary, Broken> {
         let mut resumed_at = None;
         loop {
-            let broken = match self.read(attempt).await {
+            let broken = match self.read(attempt, placed).await {
                 Err(Broken::Engine(e)) => e,
                 done => return done,
             };
@@ -343,10 +344,22 @@
         }
     }
 
-    async fn read(&mut self, attempt: &mut Attempt<E>) -> Result<RunSummary, Broken> {
+    /// Reads an answer. With its first token the prompt is computed and its blocks are cached: the
+    /// owners of its root learn of it then, and not only when the whole answer has come.
+    async fn read(
+        &mut self,
+        attempt: &mut Attempt<E>,
+        placed: &Placed,
+    ) -> Result<RunSummary, Broken> {
+        let mut noted = false;
         loop {
             match attempt.next().await.map_err(Broken::Engine)? {
-                Some(RunEvent::Token { text, .. }) => self.deliver(text).await?,
+                Some(RunEvent::Token { text, .. }) => {
+                    if !std::mem::replace(&mut noted, true) {
+                        self.note_use(placed);
+                    }
+                    self.deliver(text).await?;
+                }
                 Some(RunEvent::End { summary, .. }) => return Ok(summary),
                 None => return Err(Broken::CallerGone),
             }
--- a/xtask/src/commands/measure.rs
+++ b/xtask/src/commands/measure.rs
@@ -11,7 +11,7 @@
 /// Keepers at the size designed for.
 const KEEPERS: usize = 380;
 
-const SCENARIOS: [&str; 9] = [
+const SCENARIOS: [&str; 10] = [
     "streams",
     "idle",
     "control-380",
@@ -20,6 +20,7 @@
     "overload",
     "noisy-organisation",
     "recompute-weight",
+    "home-blocks",
     "slow-links",
 ];
 
--- a/xtask/src/ops/compare.rs
+++ b/xtask/src/ops/compare.rs
@@ -34,6 +34,8 @@
     pub rate: f64,
     /// Weight of recomputed work.
     pub recompute_weight: u16,
+    /// Leading blocks that decide a prompt's homes.
+    pub home_blocks: u8,
     /// Factor by which the largest organisation's part is multiplied.
     pub noise: usize,
 }
@@ -115,6 +117,7 @@
         keeping: KeepingKind::Learnt,
         rate,
         recompute_weight: PlacementPolicy::default().recompute_weight,
+        home_blocks: PlacementPolicy::default().home_blocks,
         noise: 1,
     }
 }
@@ -170,6 +173,14 @@
             });
             (Kind::Planning, sides.into(), LINK)
         }
+        "home-blocks" => {
+            let depths = [("home-4", 4), ("home-12", 12), ("home-32", 32)];
+            let sides = depths.map(|(name, home_blocks)| Side {
+                home_blocks,
+                ..side(name, PlacementKind::Scored, PLANNING_RATE)
+            });
+            (Kind::Planning, sides.into(), LINK)
+        }
         "slow-links" => {
             let fetching = side("slow-link", PlacementKind::Scored, PLANNING_RATE);
             let computing = Side {
@@ -263,6 +274,7 @@
     let mut bundle = fleet.bundle(side.name);
     bundle.control.placement.kind = side.placement;
     bundle.control.placement.recompute_weight = side.recompute_weight;
+    bundle.control.placement.home_blocks = side.home_blocks;
     bundle.control.keeping.kind = side.keeping;
     bundle
 }
