Let requests go whose engines are free, past those whose are not

The queue of an entry sent only its first request; when that one's best engine was busy, all behind it waited for idle engines. Change: the first 32 waiting requests are looked at in their order; the urgent class may queue four times as long at an engine, which takes it first. Ruled out: the fair order itself (its unit test holds). Measured: a test with one busy and one idle engine: the second request now goes at once, before it waited 1.6 s for the first.

--- a/crates/sillpin-entry/src/place/task.rs
+++ b/crates/sillpin-entry/src/place/task.rs
@@ -4,7 +4,7 @@
 use crate::snapshot::Snapshot;
 use sillpin_core::{OrgId, PoolId, PriorityClass, TargetId, WeightVersion, ZoneId};
 use sillpin_policy::PolicySet;
-use sillpin_policy::admission::{Cost, FairQueue};
+use sillpin_policy::admission::{Cost, FairQueue, Ticket};
 use sillpin_rpc::directory::{BlockHints, KeptObject};
 use sillpin_rpc::records::CandidateRecord;
 use std::collections::HashMap;
@@ -23,6 +23,14 @@
 /// Retries saved up at the most, and had at first.
 const RETRY_RESERVE: f64 = 20.0;
 
+/// Waiting requests looked at, in the order in which they go: one whose engine is busy does not
+/// hold up those behind it whose engines are free.
+const SCANNED: usize = 32;
+
+/// Factor by which the queue of an engine may be longer for the most urgent class, which engines
+/// take first.
+const URGENT_QUEUE_FACTOR: u32 = 4;
+
 /// When to ask again after a deadline passed while waiting.
 const LATE_RETRY: Duration = Duration::from_secs(1);
 
@@ -265,44 +273,71 @@
         let now = Instant::now();
         let pools: Vec<PoolId> = self.waiting.keys().cloned().collect();
         for pool in pools {
-            while let Some(next) = self.next_of(&pool, now) {
-                let Some((choice, waiting)) = next else {
-                    continue;
-                };
-                self.send(choice, waiting.reply, now);
+            for ticket in self.first_tickets(&pool) {
+                match self.look_at(&pool, ticket, now) {
+                    Next::Send(choice, waiting) => self.send(*choice, waiting.reply, now),
+                    Next::Dropped | Next::Wait => {}
+                }
             }
         }
     }
 
-    /// Takes the next request of a pool: `None` if it has to wait on; `Some(None)` if it was dropped.
-    fn next_of(&mut self, pool: &PoolId, now: Instant) -> Option<Option<(Choice, Waiting)>> {
-        let queue = self.waiting.get_mut(pool)?;
-        let head = queue.peek()?;
-        if head.reply.is_closed() {
-            queue.pop();
-            return Some(None);
+    fn first_tickets(&self, pool: &PoolId) -> Vec<Ticket> {
+        let queue = self.waiting.get(pool);
+        queue.map_or_else(Vec::new, |queue| queue.tickets().take(SCANNED).collect())
+    }
+
+    /// Looks whether a waiting request can go.
+    fn look_at(&mut self, pool: &PoolId, ticket: Ticket, now: Instant) -> Next {
+        let Some(waiting) = self.waiting.get(pool).and_then(|queue| queue.get(ticket)) else {
+            return Next::Wait;
+        };
+        if waiting.reply.is_closed() {
+            return self.drop_waiting(pool, ticket, None);
         }
-        if now >= head.req.deadline {
+        if now >= waiting.req.deadline {
             let retry_after = LATE_RETRY;
-            let late = queue.pop()?;
-            let _ = late.reply.send(Err(Refusal::TooLate { retry_after }));
-            return Some(None);
+            return self.drop_waiting(pool, ticket, Some(Refusal::TooLate { retry_after }));
         }
-        let choice = self.placer.choose(&head.req, now);
-        let queue = self.waiting.get_mut(pool)?;
-        let Some(choice) = choice else {
-            let stranded = queue.pop()?;
-            let _ = stranded.reply.send(Err(Refusal::NoEngine));
-            return Some(None);
+        let Some(choice) = self.placer.choose(&waiting.req, now) else {
+            return self.drop_waiting(pool, ticket, Some(Refusal::NoEngine));
         };
-        let head = queue.peek()?;
-        if !is_short(&choice, &head.req) {
-            return None;
+        if !is_short(&choice, &waiting.req) {
+            return Next::Wait;
+        }
+        match self.take(pool, ticket) {
+            Some(waiting) => Next::Send(Box::new(choice), waiting),
+            None => Next::Wait,
+        }
+    }
+
+    fn take(&mut self, pool: &PoolId, ticket: Ticket) -> Option<Waiting> {
+        self.waiting.get_mut(pool)?.take(ticket)
+    }
+
+    /// Takes a request out unsent, and tells its caller why if it still listens.
+    fn drop_waiting(&mut self, pool: &PoolId, ticket: Ticket, refusal: Option<Refusal>) -> Next {
+        if let (Some(waiting), Some(refusal)) = (self.take(pool, ticket), refusal) {
+            let _ = waiting.reply.send(Err(refusal));
         }
-        Some(Some((choice, queue.pop()?)))
+        Next::Dropped
     }
 }
 
+/// What to do with a waiting request.
+enum Next {
+    /// Send it.
+    Send(Box<Choice>, Waiting),
+    /// It was taken out unsent.
+    Dropped,
+    /// Its engine is not free.
+    Wait,
+}
+
 fn is_short(choice: &Choice, req: &PlaceRequest) -> bool {
-    choice.wait <= Duration::from_millis(req.policy.limits.engine_queue_ms)
+    let allowed = Duration::from_millis(req.policy.limits.engine_queue_ms);
+    match req.class {
+        PriorityClass::Urgent => choice.wait <= allowed * URGENT_QUEUE_FACTOR,
+        PriorityClass::Normal | PriorityClass::Batch => choice.wait <= allowed,
+    }
 }
--- /dev/null
+++ b/crates/sillpin-entry/tests/place.rs
@@ -0,0 +1,130 @@
+//! Placement under load: who waits, who goes, who is refused at once.
+
+use sillpin_core::target::TargetEntry;
+use sillpin_core::{LoadReport, Presence, PriorityClass, Share, TargetKind, Tokens, WeightVersion};
+use sillpin_entry::place::{PlaceRequest, PlacerHandle, Refusal, start};
+use sillpin_entry::snapshot::Snapshot;
+use sillpin_policy::PolicySet;
+use sillpin_policy::rendezvous::{CandidateHash, top};
+use sillpin_policy::set::PlacementKind;
+use sillpin_rpc::directory::BlockHints;
+use sillpin_rpc::entry_link::{FleetUpdate, TargetView};
+use sillpin_rpc::gossip::TargetState;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+const NAMES: [&str; 2] = ["engine-a", "engine-b"];
+
+fn view(name: &str, waiting_blocks: u64) -> TargetView {
+    TargetView {
+        entry: TargetEntry {
+            id: name.parse().unwrap(),
+            kind: TargetKind::Engine,
+            pool: "llm".parse().unwrap(),
+            zone: "zone".parse().unwrap(),
+            addr: ([127, 0, 0, 1], 1).into(),
+            presence: Presence::Live,
+            model: "mfano".parse().ok(),
+            link_rate: None,
+        },
+        state: Some(TargetState {
+            load: Some(LoadReport {
+                sequence: 1,
+                presence: Presence::Live,
+                running: 0,
+                slots: 16,
+                waiting: 0,
+                waiting_tokens: Tokens(1_000 * waiting_blocks),
+                version: Some(WeightVersion(1)),
+                block_micros: 20_000,
+                cache_blocks: 60,
+                fill: Share::NONE,
+            }),
+            reachable: true,
+        }),
+        leaving: false,
+    }
+}
+
+/// A placer whose engine A has `busy` blocks to compute and whose engine B is idle.
+async fn placer(busy: u64) -> (PlacerHandle, watch::Sender<Arc<Snapshot>>) {
+    let update = FleetUpdate {
+        complete: true,
+        targets: vec![view(NAMES[0], busy), view(NAMES[1], 0)],
+        ..FleetUpdate::default()
+    };
+    let (tx, rx) = watch::channel(Arc::new(Snapshot::default()));
+    let placer = start("zone".parse().unwrap(), rx, 100);
+    tx.send_replace(Arc::new(Snapshot::default().after(update)));
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    (placer, tx)
+}
+
+/// A key whose home is the engine of this index.
+fn home_at(index: usize) -> u64 {
+    let hashes = NAMES.map(CandidateHash::of);
+    let all = || hashes.iter().enumerate().map(|(i, h)| (i, *h, 1.0));
+    (0..).find(|key| top(*key, all(), 1) == [index]).unwrap()
+}
+
+/// A request that goes to its home alone.
+fn request(home: u64, class: PriorityClass, deadline: Duration) -> PlaceRequest {
+    let mut policy = PolicySet::default();
+    policy.placement.kind = PlacementKind::Rendezvous;
+    PlaceRequest {
+        org: "riders".parse().unwrap(),
+        class,
+        pool: "llm".parse().unwrap(),
+        version: WeightVersion(1),
+        home,
+        blocks: 1,
+        hints: BlockHints::default(),
+        excluded: Vec::new(),
+        is_retry: false,
+        policy: Arc::new(policy),
+        deadline: Instant::now() + deadline,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_whose_engine_is_busy_does_not_hold_up_others() {
+    let (placer, _snapshots) = placer(100).await;
+    let begun = Instant::now();
+    let (waits, goes) = (placer.clone(), placer.clone());
+    let waiting = tokio::spawn(async move {
+        let req = request(home_at(0), PriorityClass::Normal, Duration::from_secs(15));
+        waits.place(req).await
+    });
+    tokio::task::yield_now().await;
+    let req = request(home_at(1), PriorityClass::Normal, Duration::from_secs(15));
+    assert_eq!(goes.place(req).await.unwrap().target.as_str(), NAMES[1]);
+    assert!(
+        begun.elapsed() < Duration::from_millis(50),
+        "{:?}",
+        begun.elapsed()
+    );
+    assert_eq!(waiting.await.unwrap().unwrap().target.as_str(), NAMES[0]);
+    let waited = begun.elapsed();
+    assert!((1_500..1_700).contains(&waited.as_millis()), "{waited:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_cannot_begin_in_time_is_refused_at_once() {
+    let (placer, _snapshots) = placer(1_000).await;
+    let begun = Instant::now();
+    let req = request(home_at(0), PriorityClass::Normal, Duration::from_secs(15));
+    let refusal = placer.place(req).await.unwrap_err();
+    assert!(matches!(refusal, Refusal::TooLate { .. }), "{refusal}");
+    assert!(begun.elapsed() < Duration::from_millis(50));
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_most_urgent_may_queue_longer_at_an_engine() {
+    let (placer, _snapshots) = placer(50).await;
+    let begun = Instant::now();
+    let req = request(home_at(0), PriorityClass::Urgent, Duration::from_secs(5));
+    placer.place(req).await.unwrap();
+    assert!(begun.elapsed() < Duration::from_millis(50));
+}
--- a/crates/sillpin-policy/src/admission.rs
+++ b/crates/sillpin-policy/src/admission.rs
@@ -88,9 +88,25 @@
 
     /// Takes out the request that goes next.
     pub fn pop(&mut self) -> Option<T> {
-        let (ticket, waiting) = self.waiting.pop_first()?;
+        let ticket = *self.waiting.first_key_value()?.0;
+        self.take(ticket)
+    }
+
+    /// Waiting requests in the order in which they go.
+    pub fn tickets(&self) -> impl Iterator<Item = Ticket> {
+        self.waiting.keys().copied()
+    }
+
+    /// A waiting request.
+    pub fn get(&self, ticket: Ticket) -> Option<&T> {
+        self.waiting.get(&ticket).map(|w| &w.item)
+    }
+
+    /// Takes out a request that goes now, also before others that cannot go yet.
+    pub fn take(&mut self, ticket: Ticket) -> Option<T> {
+        let waiting = self.waiting.remove(&ticket)?;
         let rank = usize::from(ticket.class.rank());
-        self.virtual_time[rank] = ticket.start;
+        self.virtual_time[rank] = self.virtual_time[rank].max(ticket.start);
         self.cost[rank] -= waiting.cost.0;
         if self.waiting.is_empty() {
             self.finish.clear();
@@ -110,11 +126,6 @@
         Some(waiting.item)
     }
 
-    /// The request that goes next.
-    pub fn peek(&self) -> Option<&T> {
-        self.waiting.first_key_value().map(|(_, w)| &w.item)
-    }
-
     /// Requests waiting.
     pub fn len(&self) -> usize {
         self.waiting.len()
