--- a/xtask/src/ops/faults.rs
+++ b/xtask/src/ops/faults/mod.rs
@@ -5,11 +5,15 @@
 //! word. With a mechanism turned off (`sillpin_core::sabotage`) its checker must fire: then the
 //! faults of each round are those that the mechanism is meant for.
 
+mod fault;
+mod report;
+
 use super::demo::{ORGANISATIONS, drive_for};
+use fault::{FAULTS, Fault, faults_for};
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde::Serialize;
+pub use report::FaultReport;
 use sillpin_core::sabotage::Mechanism;
 use sillpin_core::{Outcome, Revision, TargetKind};
 use sillpin_load::caller::Got;
@@ -22,7 +26,6 @@
 use sillpin_standin::store::StoreFaults;
 use sillpin_standin::weights::WeightCounters;
 use sillpin_testsuite::{Fleet, FleetShape};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -36,122 +39,6 @@
 /// Looks at a box for an accepted bundle, 50 ms apart.
 const LOOKS: u32 = 100;
 
-/// A promise and how often it was tried and violated.
-#[derive(Debug, Clone, Copy, Default, Serialize)]
-pub struct Tally {
-    /// Times tried.
-    pub tried: u64,
-    /// Times violated.
-    pub violated: u64,
-}
-
-impl Tally {
-    fn count(&mut self, tried: usize, violated: usize) {
-        self.tried += tried as u64;
-        self.violated += violated as u64;
-    }
-}
-
-/// What the rounds counted.
-#[derive(Debug, Clone, Default, Serialize)]
-pub struct FaultReport {
-    /// Rounds.
-    pub rounds: u32,
-    /// Each caller receives the whole answer to its own request.
-    pub whole_own_answer: Tally,
-    /// "Not run" is true, counted at the services.
-    pub not_run_is_true: Tally,
-    /// Calls that run at most once run at most once.
-    pub at_most_once: Tally,
-    /// An accepted bundle is in force everywhere and never reverts.
-    pub bundle_in_force: Tally,
-    /// Never more than three loads of weights at once.
-    pub loads_at_once: Tally,
-    /// Repeatable requests, and those among them that were not answered whole.
-    pub repeatable: Tally,
-    /// Calls that ended as unknown.
-    pub unknown: u64,
-    /// Faults injected, by name.
-    pub injected: BTreeMap<String, u32>,
-}
-
-impl FaultReport {
-    /// Promises violated.
-    pub fn violations(&self) -> u64 {
-        [
-            self.whole_own_answer,
-            self.not_run_is_true,
-            self.at_most_once,
-            self.bundle_in_force,
-            self.loads_at_once,
-        ]
-        .iter()
-        .map(|tally| tally.violated)
-        .sum()
-    }
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
-enum Fault {
-    #[display("platform outage")]
-    PlatformOutage,
-    #[display("platform slow")]
-    PlatformSlow,
-    #[display("platform loses answers")]
-    PlatformLosesAnswers,
-    #[display("engine killed")]
-    EngineKilled,
-    #[display("engine frozen")]
-    EngineFrozen,
-    #[display("engine cuts answers")]
-    EngineCuts,
-    #[display("engine leaves")]
-    EngineLeaves,
-    #[display("engine link cut")]
-    EngineLinkCut,
-    #[display("service breaks answers")]
-    ServiceBreaks,
-    #[display("service slow")]
-    ServiceSlow,
-    #[display("service requests lost")]
-    ServiceRequestsLost,
-    #[display("store spoils blocks")]
-    StoreSpoils,
-    #[display("keeper frozen")]
-    KeeperFrozen,
-    #[display("keeper killed")]
-    KeeperKilled,
-    #[display("entry killed")]
-    EntryKilled,
-    #[display("entry stopped")]
-    EntryStopped,
-    #[display("weights swapped")]
-    WeightsSwapped,
-    #[display("engine answers for another")]
-    EngineCrosses,
-}
-
-const FAULTS: [Fault; 18] = [
-    Fault::PlatformOutage,
-    Fault::PlatformSlow,
-    Fault::PlatformLosesAnswers,
-    Fault::EngineKilled,
-    Fault::EngineFrozen,
-    Fault::EngineCuts,
-    Fault::EngineLeaves,
-    Fault::EngineLinkCut,
-    Fault::ServiceBreaks,
-    Fault::ServiceSlow,
-    Fault::ServiceRequestsLost,
-    Fault::StoreSpoils,
-    Fault::KeeperFrozen,
-    Fault::KeeperKilled,
-    Fault::EntryKilled,
-    Fault::EntryStopped,
-    Fault::WeightsSwapped,
-    Fault::EngineCrosses,
-];
-
 /// Runs rounds; `say` gets their progress.
 pub async fn run(
     seed: u64,
@@ -175,17 +62,6 @@
     report
 }
 
-/// The faults that a mechanism is meant for.
-fn faults_for(mechanism: Mechanism) -> [Fault; 2] {
-    match mechanism {
-        Mechanism::Claim => [Fault::ServiceBreaks; 2],
-        Mechanism::Outcome => [Fault::ServiceSlow; 2],
-        Mechanism::Attempt => [Fault::EngineCrosses; 2],
-        Mechanism::Adopt => [Fault::PlatformSlow; 2],
-        Mechanism::Slots => [Fault::WeightsSwapped; 2],
-    }
-}
-
 fn pick(rng: &mut ChaCha8Rng) -> Fault {
     FAULTS.choose(rng).copied().unwrap_or(Fault::PlatformOutage)
 }
