Keep virtual time behind the first waiting request

Cause: a request that goes past others moved virtual time to its own start, so later requests of quiet organisations were put behind the noisy one's queue. Change: virtual time never passes the start of the first waiting request of its class.

--- a/crates/sillpin-policy/src/admission.rs
+++ b/crates/sillpin-policy/src/admission.rs
@@ -106,7 +106,9 @@
     pub fn take(&mut self, ticket: Ticket) -> Option<T> {
         let waiting = self.waiting.remove(&ticket)?;
         let rank = usize::from(ticket.class.rank());
-        self.virtual_time[rank] = self.virtual_time[rank].max(ticket.start);
+        let reached = self.first_start(ticket.class).unwrap_or(ticket.start);
+        let reached = reached.min(ticket.start);
+        self.virtual_time[rank] = self.virtual_time[rank].max(reached);
         self.cost[rank] -= waiting.cost.0;
         if self.waiting.is_empty() {
             self.finish.clear();
@@ -114,6 +116,18 @@
         Some(waiting.item)
     }
 
+    /// Start of the request of a class that goes next. Virtual time never passes it: a request that
+    /// goes ahead of others must not put later ones behind its own organisation's queue.
+    fn first_start(&self, class: PriorityClass) -> Option<u64> {
+        let from = Ticket {
+            class,
+            start: 0,
+            number: 0,
+        };
+        let (first, _) = self.waiting.range(from..).next()?;
+        (first.class == class).then_some(first.start)
+    }
+
     /// Takes a request out before its turn.
     pub fn remove(&mut self, ticket: Ticket) -> Option<T> {
         let waiting = self.waiting.remove(&ticket)?;
--- a/crates/sillpin-policy/tests/policy.rs
+++ b/crates/sillpin-policy/tests/policy.rs
@@ -210,3 +210,23 @@
     assert_eq!(queue.pop(), Some(2));
     assert!(queue.is_empty());
 }
+
+#[test]
+fn a_request_that_goes_ahead_does_not_put_later_ones_behind_its_organisation() {
+    let mut queue = FairQueue::default();
+    let class = PriorityClass::Normal;
+    for number in 0..50 {
+        queue.push(
+            class,
+            "noisy".parse().unwrap(),
+            100,
+            Cost(10),
+            ("noisy", number),
+        );
+    }
+    let last = queue.tickets().last().unwrap();
+    assert_eq!(queue.take(last), Some(("noisy", 49)));
+    queue.push(class, "quiet".parse().unwrap(), 100, Cost(10), ("quiet", 0));
+    let order: Vec<_> = std::iter::from_fn(|| queue.pop()).take(2).collect();
+    assert_eq!(order, [("noisy", 0), ("quiet", 0)]);
+}
