--- a/crates/sillpin-entry/src/place/task.rs
+++ b/crates/sillpin-entry/src/place/task.rs
@@ -147,12 +147,14 @@
 /// Starts the task of an entry in `zone`; at most `max_waiting` requests wait.
 pub fn start(
     zone: ZoneId,
-    snapshots: watch::Receiver<Arc<Snapshot>>,
+    mut snapshots: watch::Receiver<Arc<Snapshot>>,
     max_waiting: usize,
 ) -> PlacerHandle {
     let (tx, rx) = mpsc::channel(QUEUE_LEN);
+    let mut placer = Placer::new(zone);
+    placer.update(&snapshots.borrow_and_update(), Instant::now());
     let task = Task {
-        placer: Placer::new(zone),
+        placer,
         snapshots,
         waiting: HashMap::new(),
         max_waiting,
--- a/crates/sillpin-entry/tests/place.rs
+++ b/crates/sillpin-entry/tests/place.rs
@@ -49,16 +49,15 @@
 }
 
 /// A placer whose engine A has `busy` blocks to compute and whose engine B is idle.
-async fn placer(busy: u64) -> (PlacerHandle, watch::Sender<Arc<Snapshot>>) {
+fn placer(busy: u64) -> (PlacerHandle, watch::Sender<Arc<Snapshot>>) {
     let update = FleetUpdate {
         complete: true,
         targets: vec![view(NAMES[0], busy), view(NAMES[1], 0)],
         ..FleetUpdate::default()
     };
-    let (tx, rx) = watch::channel(Arc::new(Snapshot::default()));
+    let snapshot = Snapshot::default().after(update);
+    let (tx, rx) = watch::channel(Arc::new(snapshot));
     let placer = start("zone".parse().unwrap(), rx, 100);
-    tx.send_replace(Arc::new(Snapshot::default().after(update)));
-    tokio::time::sleep(Duration::from_millis(1)).await;
     (placer, tx)
 }
 
@@ -90,7 +89,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_request_whose_engine_is_busy_does_not_hold_up_others() {
-    let (placer, _snapshots) = placer(100).await;
+    let (placer, _snapshots) = placer(100);
     let begun = Instant::now();
     let (waits, goes) = (placer.clone(), placer.clone());
     let waiting = tokio::spawn(async move {
@@ -112,7 +111,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn what_cannot_begin_in_time_is_refused_at_once() {
-    let (placer, _snapshots) = placer(1_000).await;
+    let (placer, _snapshots) = placer(1_000);
     let begun = Instant::now();
     let req = request(home_at(0), PriorityClass::Normal, Duration::from_secs(15));
     let refusal = placer.place(req).await.unwrap_err();
@@ -122,7 +121,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn the_most_urgent_may_queue_longer_at_an_engine() {
-    let (placer, _snapshots) = placer(50).await;
+    let (placer, _snapshots) = placer(50);
     let begun = Instant::now();
     let req = request(home_at(0), PriorityClass::Urgent, Duration::from_secs(5));
     placer.place(req).await.unwrap();
--- a/crates/sillpin-keeper/src/settings.rs
+++ b/crates/sillpin-keeper/src/settings.rs
@@ -3,7 +3,7 @@
 use sillpin_bundle::TrustedKey;
 use sillpin_core::{BoxId, ZoneId};
 use sillpin_settings::{Faults, Key, Kind, Loaded, Schema, Section};
-use sillpin_telemetry::logs;
+use sillpin_telemetry::program::{LOG_SECTION, TRACES_SECTION};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -91,32 +91,8 @@
             ),
         ],
     },
-    Section {
-        name: "telemetry",
-        keys: &[Key::optional(
-            "collector",
-            Kind::AddrList,
-            "",
-            "Collector of traces (OTLP over HTTP); empty: none",
-        )],
-    },
-    Section {
-        name: "log",
-        keys: &[
-            Key::optional(
-                "format",
-                Kind::OneOf(logs::FORMATS),
-                "json",
-                "Form of the log",
-            ),
-            Key::optional(
-                "level",
-                Kind::OneOf(logs::LEVELS),
-                "info",
-                "Lowest level logged",
-            ),
-        ],
-    },
+    TRACES_SECTION,
+    LOG_SECTION,
 ];
 
 /// The keeper's settings.
--- a/crates/sillpin-keeper/tests/claims.rs
+++ b/crates/sillpin-keeper/tests/claims.rs
@@ -2,6 +2,8 @@
 //! before or after the send. Whatever happens, the call runs at most once, and where nobody died the
 //! key comes free again.
 //!
+//! Every sleep here is a move of the paused clock, part of the interleaving: no time passes.
+//!
 //! `PROPTEST_CASES=100000 cargo test -p sillpin-keeper --test claims` runs longer.
 
 mod common;
--- a/crates/sillpin-telemetry/src/program.rs
+++ b/crates/sillpin-telemetry/src/program.rs
@@ -3,6 +3,7 @@
 use crate::logs::{self, Format};
 use crate::metrics::Metrics;
 use crate::traces::Traces;
+use sillpin_settings::{Key, Kind, Section};
 use slog::{Level, Logger, o};
 use slog_async::AsyncGuard;
 use std::error::Error;
@@ -11,6 +12,36 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
+/// Settings of traces, the same for every program.
+pub const TRACES_SECTION: Section = Section {
+    name: "telemetry",
+    keys: &[Key::optional(
+        "collector",
+        Kind::AddrList,
+        "",
+        "Collector of traces (OTLP over HTTP); empty: none",
+    )],
+};
+
+/// Settings of the log, the same for every program.
+pub const LOG_SECTION: Section = Section {
+    name: "log",
+    keys: &[
+        Key::optional(
+            "format",
+            Kind::OneOf(logs::FORMATS),
+            "json",
+            "Form of the log",
+        ),
+        Key::optional(
+            "level",
+            Kind::OneOf(logs::LEVELS),
+            "info",
+            "Lowest level logged",
+        ),
+    ],
+};
+
 /// What a program shows of itself.
 pub struct Telemetry {
     /// Log.
