Read settings again on SIGHUP and when the file changes

Change: sillpin-settings gains a reloader, the box reads its settings at each SIGHUP and every 5 s; seeds and retry limits take effect at once, the rest is logged as waiting.

--- a/crates/sillpin-box/src/main.rs
+++ b/crates/sillpin-box/src/main.rs
@@ -2,12 +2,14 @@
 
 use clap::Command;
 use sillpin_gateway::ops::{self, Adapter};
+use sillpin_gateway::reload;
 use sillpin_gateway::settings::{BoxConfig, SCHEMA};
 use sillpin_http::Client;
+use sillpin_settings::program::Reloader;
 use sillpin_settings::{Loaded, program};
 use sillpin_telemetry::Telemetry;
 use sillpin_telemetry::logs::Output;
-use sillpin_telemetry::program::{Identity, stop_on_sigterm};
+use sillpin_telemetry::program::{Identity, hangups, stop_on_sigterm};
 use sillpin_wire::{PlatformDialect, PlatformKeys, PlatformStore, TargetCalls};
 use std::error::Error;
 use std::process::ExitCode;
@@ -16,18 +18,22 @@
 
 fn main() -> ExitCode {
     let command = Command::new(PROGRAM).about("A box of sillpin on a platform");
-    program::run(command, SCHEMA, start)
+    program::run_reloading(command, SCHEMA, start)
 }
 
-fn start(loaded: &Loaded) -> Result<(), Box<dyn Error>> {
-    let cfg = BoxConfig::from_loaded(loaded)?;
+fn start(loaded: Loaded, reloader: Reloader) -> Result<(), Box<dyn Error>> {
+    let cfg = BoxConfig::from_loaded(&loaded)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(serve(loaded, cfg))
+    runtime.block_on(serve(loaded, reloader, cfg))
 }
 
-async fn serve(loaded: &Loaded, cfg: BoxConfig) -> Result<(), Box<dyn Error>> {
+async fn serve(
+    loaded: Loaded,
+    reloader: Reloader,
+    cfg: BoxConfig,
+) -> Result<(), Box<dyn Error>> {
     let me = Identity {
         program: PROGRAM,
         box_id: cfg.id.as_str(),
@@ -37,6 +43,7 @@
     let format = loaded.get("log", "format")?;
     let level = loaded.get("log", "level")?;
     let (telemetry, _guard) = Telemetry::start_with(&me, format, level, Output::Stdout)?;
+    let settings = reload::start(loaded, reloader, &cfg, hangups()?, telemetry.log.clone());
     let client = Client::default();
     let adapter = Adapter {
         dialect: PlatformDialect,
@@ -44,6 +51,6 @@
         platform: PlatformStore::new(client.clone(), cfg.platform),
         control: TargetCalls::new(client),
     };
-    ops::run(cfg, telemetry, adapter, stop_on_sigterm()?).await?;
+    ops::run(cfg, settings, telemetry, adapter, stop_on_sigterm()?).await?;
     Ok(())
 }
--- a/crates/sillpin-gateway/src/budget.rs
+++ b/crates/sillpin-gateway/src/budget.rs
@@ -19,32 +19,23 @@
     filled: Instant,
 }
 
-/// Second sendings by pool.
-#[derive(Debug)]
+/// Second sendings by pool; starts empty.
+#[derive(Debug, Default)]
 pub struct RetryBudget {
-    rules: RetryRules,
     buckets: HashMap<PoolId, Bucket>,
 }
 
 impl RetryBudget {
-    /// A budget that starts empty.
-    pub fn new(rules: RetryRules) -> Self {
-        Self {
-            rules,
-            buckets: HashMap::new(),
-        }
-    }
-
     /// Counts a request for `pool`, one of `boxes` boxes' requests.
-    pub fn request(&mut self, pool: &PoolId, boxes: usize, now: Instant) {
-        let earned = self.rules.share * SPENT_PART;
-        let bucket = self.bucket(pool, boxes, now);
+    pub fn request(&mut self, pool: &PoolId, rules: &RetryRules, boxes: usize, now: Instant) {
+        let earned = rules.share * SPENT_PART;
+        let bucket = self.bucket(pool, rules, boxes, now);
         bucket.tokens += earned;
     }
 
     /// Takes the right to one second sending, if there is one.
-    pub fn take(&mut self, pool: &PoolId, boxes: usize, now: Instant) -> bool {
-        let bucket = self.bucket(pool, boxes, now);
+    pub fn take(&mut self, pool: &PoolId, rules: &RetryRules, boxes: usize, now: Instant) -> bool {
+        let bucket = self.bucket(pool, rules, boxes, now);
         if bucket.tokens < 1.0 {
             return false;
         }
@@ -53,9 +44,9 @@
     }
 
     /// The bucket, with the slack earned since it was last looked at.
-    fn bucket(&mut self, pool: &PoolId, boxes: usize, now: Instant) -> &mut Bucket {
-        let slack = self.rules.slack * SPENT_PART / boxes.max(1) as f64;
-        let window = self.rules.window.as_secs_f64().max(1.0);
+    fn bucket(&mut self, pool: &PoolId, rules: &RetryRules, boxes: usize, now: Instant) -> &mut Bucket {
+        let slack = rules.slack * SPENT_PART / boxes.max(1) as f64;
+        let window = rules.window.as_secs_f64().max(1.0);
         let empty = Bucket {
             tokens: 0.0,
             filled: now,
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -8,6 +8,7 @@
 use crate::metrics::BoxMetrics;
 use crate::place::Loads;
 use crate::pool::Pool;
+use crate::reload::Settings;
 use crate::settings::BoxConfig;
 use sillpin_core::PoolId;
 use slog::Logger;
@@ -22,8 +23,10 @@
 pub struct Shared<D> {
     /// How requests are spelled.
     pub dialect: D,
-    /// Settings.
+    /// Settings at the start.
     pub cfg: BoxConfig,
+    /// Settings in force.
+    pub settings: Settings,
     /// What is known of the fleet.
     pub fleet: FleetHandle,
     /// What the stores hold.
@@ -49,6 +52,7 @@
     pub fn new(
         dialect: D,
         cfg: BoxConfig,
+        settings: Settings,
         fleet: FleetHandle,
         kept: Kept,
         metrics: BoxMetrics,
@@ -56,7 +60,7 @@
         stopping: CancellationToken,
     ) -> Self {
         let room = usize::try_from(cfg.memory / BODY_SHARE).unwrap_or(usize::MAX);
-        let budget = RetryBudget::new(cfg.retries);
+        let budget = RetryBudget::default();
         Self {
             dialect,
             fleet,
@@ -69,21 +73,24 @@
             log,
             stopping,
             cfg,
+            settings,
         }
     }
 
     /// Counts a request for a pool.
     pub fn count_request(&self, pool: &PoolId) {
         let boxes = self.fleet.view().box_count();
+        let rules = self.settings.borrow().retries;
         let mut budget = self.budget.lock().unwrap_or_else(|e| e.into_inner());
-        budget.request(pool, boxes, Instant::now());
+        budget.request(pool, &rules, boxes, Instant::now());
     }
 
     /// Takes the right to a second sending to a pool.
     pub fn take_retry(&self, pool: &PoolId) -> bool {
         let boxes = self.fleet.view().box_count();
+        let rules = self.settings.borrow().retries;
         let mut budget = self.budget.lock().unwrap_or_else(|e| e.into_inner());
-        budget.take(pool, boxes, Instant::now())
+        budget.take(pool, &rules, boxes, Instant::now())
     }
 
     /// Whether the box knows enough to serve and is not stopping.
--- a/crates/sillpin-gateway/src/lib.rs
+++ b/crates/sillpin-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`weights`]: the leased holder that brings engines to new weights,
 //! - [`peers`]: what boxes tell each other,
 //! - [`front`]: the listener, one request's life, streams,
+//! - [`reload`]: settings that change while the box runs,
 //! - [`ops`]: all of it put together.
 
 pub mod beliefs;
@@ -27,5 +28,6 @@
 pub mod peers;
 pub mod place;
 pub mod pool;
+pub mod reload;
 pub mod settings;
 pub mod weights;
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -12,6 +12,7 @@
 use crate::peers::digest::Gossip;
 use crate::peers::link;
 use crate::peers::registry::Registry;
+use crate::reload::Settings;
 use crate::settings::BoxConfig;
 use crate::weights::duty::Duty;
 use crate::weights::rollout::Rollout;
@@ -82,6 +83,7 @@
 /// Runs a box until it is told to stop and its last request has ended.
 pub async fn run<D, K, P, C>(
     cfg: BoxConfig,
+    settings: Settings,
     telemetry: Telemetry,
     adapter: Adapter<D, K, P, C>,
     stopping: CancellationToken,
@@ -111,13 +113,14 @@
     let shared = Arc::new(Shared::new(
         adapter.dialect.clone(),
         cfg.clone(),
+        settings.clone(),
         fleet.clone(),
         kept,
         BoxMetrics::new(&metrics.meter()),
         log.clone(),
         stopping.clone(),
     ));
-    start_peers(&cfg, &adapter, &shared, listeners.peers);
+    start_peers(&cfg, settings, &adapter, &shared, listeners.peers);
     tokio::spawn(prune(shared.clone()));
     let end = CancellationToken::new();
     let front = Front::new(shared);
@@ -181,6 +184,7 @@
 
 fn start_peers<D, K, P, C>(
     cfg: &BoxConfig,
+    settings: Settings,
     adapter: &Adapter<D, K, P, C>,
     shared: &Arc<Shared<D>>,
     listener: TcpListener,
@@ -213,7 +217,7 @@
     tokio::spawn(registry.run());
     let gossip = Gossip {
         me,
-        seeds: cfg.seeds.clone(),
+        settings,
         fleet: fleet.clone(),
         loads: shared.loads.clone(),
         news,
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -4,6 +4,7 @@
 use crate::beliefs::{BoxEntry, FleetHandle, FleetMsg, Known, Topic, View};
 use crate::place::Loads;
 use crate::place::load::Outcome;
+use crate::reload::Settings;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use sillpin_core::{ModelId, TargetId, WeightVersion};
@@ -28,6 +29,9 @@
 /// know reaches the rest in two or three rounds.
 const FAN_OUT: usize = 6;
 
+/// Wait after the socket reported an error: it may report the same one again at once.
+const ERROR_PAUSE: Duration = Duration::from_millis(20);
+
 /// Longest datagram read.
 const MAX_DATAGRAM: usize = 1_400;
 
@@ -82,8 +86,8 @@
 pub struct Gossip {
     /// This box.
     pub me: BoxEntry,
-    /// Boxes to tell when none is known.
-    pub seeds: Vec<SocketAddr>,
+    /// Settings; they name boxes to tell when none is known.
+    pub settings: Settings,
     /// What the box knows.
     pub fleet: FleetHandle,
     /// Loads of targets, told of engines that get new weights.
@@ -154,7 +158,8 @@
     fn audience(&self, view: &View) -> Vec<SocketAddr> {
         if view.boxes.is_empty() {
             let ports = self.me.gossip.port();
-            let seeds = self
+            let cfg = self.settings.borrow();
+            let seeds = cfg
                 .seeds
                 .iter()
                 .map(|seed| SocketAddr::new(seed.ip(), ports));
@@ -177,9 +182,14 @@
     async fn hear(self, socket: Arc<UdpSocket>) {
         let mut buf = vec![0; MAX_DATAGRAM];
         loop {
-            let Ok((len, _)) = socket.recv_from(&mut buf).await else {
-                // An earlier datagram met a closed port; the socket goes on.
-                continue;
+            let len = match socket.recv_from(&mut buf).await {
+                Ok((len, _)) => len,
+                Err(e) => {
+                    // An earlier datagram met a box that is gone; the socket goes on.
+                    event!(self.log, events::GOSSIP_FAILED, "why" => e.to_string());
+                    tokio::time::sleep(ERROR_PAUSE).await;
+                    continue;
+                }
             };
             match serde_json::from_slice::<Datagram>(&buf[..len]) {
                 Ok(Datagram::Digest(digest)) => self.take(digest).await,
--- a/crates/sillpin-settings/src/args.rs
+++ b/crates/sillpin-settings/src/args.rs
@@ -49,10 +49,25 @@
 
 /// Reads the settings that the arguments name.
 pub fn read(schema: Schema, args: &ArgMatches) -> Result<Asked, Faults> {
-    let file = args
-        .get_one::<String>("config")
-        .cloned()
-        .unwrap_or_default();
+    let loaded = load_settings(schema, args)?;
+    if args.get_flag("print-settings") {
+        return Ok(Asked::Print(loaded.render()));
+    }
+    if args.get_flag("check") {
+        let file = settings_file(args);
+        return Ok(Asked::Print(format!("{file}: settings are accepted\n")));
+    }
+    Ok(Asked::Run(loaded))
+}
+
+fn settings_file(args: &ArgMatches) -> String {
+    let file = args.get_one::<String>("config");
+    file.cloned().unwrap_or_default()
+}
+
+/// Reads and checks the settings that the arguments name.
+pub fn load_settings(schema: Schema, args: &ArgMatches) -> Result<Loaded, Faults> {
+    let file = settings_file(args);
     let text = std::fs::read_to_string(&file).map_err(|e| {
         let what = format!("cannot be read: {e}");
         let place = file.clone();
@@ -68,12 +83,5 @@
         flags: &flags,
         env: &|name| std::env::var(name).ok(),
     };
-    let loaded = load(schema, &sources)?;
-    if args.get_flag("print-settings") {
-        return Ok(Asked::Print(loaded.render()));
-    }
-    if args.get_flag("check") {
-        return Ok(Asked::Print(format!("{file}: settings are accepted\n")));
-    }
-    Ok(Asked::Run(loaded))
+    load(schema, &sources)
 }
--- a/crates/sillpin-settings/src/load.rs
+++ b/crates/sillpin-settings/src/load.rs
@@ -209,6 +209,17 @@
             .collect()
     }
 
+    /// Keys whose values differ from those of `before`, as `section.key`.
+    pub fn changed_since(&self, before: &Loaded) -> Vec<String> {
+        let differs = |path: &Path, value: &Value| {
+            before.values.get(path).map(|old| &old.text) != Some(&value.text)
+        };
+        let changed = self.values.iter().filter(|(path, value)| differs(path, value));
+        changed
+            .map(|((section, key), _)| format!("{section}.{key}"))
+            .collect()
+    }
+
     /// All values with their sources, secrets masked, as an INI file.
     pub fn render(&self) -> String {
         let mut text = String::new();
--- a/crates/sillpin-settings/src/program.rs
+++ b/crates/sillpin-settings/src/program.rs
@@ -1,8 +1,8 @@
 //! What the `main` of every program does: arguments, settings, errors with their causes.
 
-use crate::args::{Asked, read, with_settings};
-use crate::{Loaded, Schema};
-use clap::Command;
+use crate::args::{Asked, load_settings, read, with_settings};
+use crate::{Faults, Loaded, Schema};
+use clap::{ArgMatches, Command};
 use std::error::Error;
 use std::process::ExitCode;
 
@@ -11,10 +11,33 @@
     command: Command,
     schema: Schema,
     start: impl FnOnce(&Loaded) -> Result<(), Box<dyn Error>>,
+) -> ExitCode {
+    run_reloading(command, schema, |loaded, _| start(&loaded))
+}
+
+/// Reads a program's settings again while it runs.
+#[derive(Debug, Clone)]
+pub struct Reloader {
+    schema: Schema,
+    matches: ArgMatches,
+}
+
+impl Reloader {
+    /// The settings as they are now.
+    pub fn read(&self) -> Result<Loaded, Faults> {
+        load_settings(self.schema, &self.matches)
+    }
+}
+
+/// Like [`run`], for a program that reads its settings again while it runs.
+pub fn run_reloading(
+    command: Command,
+    schema: Schema,
+    start: impl FnOnce(Loaded, Reloader) -> Result<(), Box<dyn Error>>,
 ) -> ExitCode {
     let matches = with_settings(command).get_matches();
     let result = match read(schema, &matches) {
-        Ok(Asked::Run(loaded)) => start(&loaded),
+        Ok(Asked::Run(loaded)) => start(loaded, Reloader { schema, matches }),
         Ok(Asked::Print(text)) => {
             print!("{text}");
             Ok(())
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -101,6 +101,10 @@
     BOX_CUT_REQUESTS = 302, Error, "box ended before its last request", "Give boxes more time between SIGTERM and SIGKILL.";
     /// The box has ended.
     BOX_STOPPED = 303, Info, "box stopped", "Nothing to do.";
+    /// The settings were read again.
+    SETTINGS_RELOADED = 304, Info, "settings reloaded", "Nothing to do; keys listed as waiting take effect at the next start.";
+    /// The settings were read again and are not acceptable.
+    SETTINGS_REFUSED = 305, Error, "settings not acceptable", "Correct the file; the box goes on with its last settings.";
     /// A configuration came into force.
     CONFIG_IN_FORCE = 310, Info, "configuration in force", "Nothing to do.";
     /// A published value cannot be read.
--- a/crates/sillpin-telemetry/src/program.rs
+++ b/crates/sillpin-telemetry/src/program.rs
@@ -9,7 +9,7 @@
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
 /// Settings of traces, the same for every program.
@@ -104,3 +104,8 @@
     });
     Ok(stop)
 }
+
+/// A stream of SIGHUPs, which would end the process if nobody listened.
+pub fn hangups() -> io::Result<Signal> {
+    signal(SignalKind::hangup())
+}
