--- a/crates/sillpin-box/src/main.rs
+++ b/crates/sillpin-box/src/main.rs
@@ -29,11 +29,7 @@
     runtime.block_on(serve(loaded, reloader, cfg))
 }
 
-async fn serve(
-    loaded: Loaded,
-    reloader: Reloader,
-    cfg: BoxConfig,
-) -> Result<(), Box<dyn Error>> {
+async fn serve(loaded: Loaded, reloader: Reloader, cfg: BoxConfig) -> Result<(), Box<dyn Error>> {
     let me = Identity {
         program: PROGRAM,
         box_id: cfg.id.as_str(),
--- a/crates/sillpin-gateway/src/beliefs/fleet.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet.rs
@@ -356,6 +356,7 @@
             (id.clone(), entry)
         };
         self.view.targets = Arc::new(self.targets.iter().map(current).collect());
+        self.view.entries = Arc::new(self.targets.clone());
     }
 }
 
--- a/crates/sillpin-gateway/src/beliefs/mod.rs
+++ b/crates/sillpin-gateway/src/beliefs/mod.rs
@@ -83,6 +83,8 @@
     pub operators: Known,
     /// Targets that are listed, leaving ones included.
     pub targets: Arc<HashMap<TargetId, Arc<TargetEntry>>>,
+    /// Targets just as their entries say, without what this box learned besides.
+    pub entries: Arc<HashMap<TargetId, Arc<TargetEntry>>>,
     /// How far targets are known.
     pub listed: Known,
     /// Wanted weights.
--- a/crates/sillpin-gateway/src/beliefs/reader.rs
+++ b/crates/sillpin-gateway/src/beliefs/reader.rs
@@ -12,9 +12,12 @@
 /// silent loss goes unnoticed; each wait costs a call.
 const WATCH_WAIT: Duration = Duration::from_millis(900);
 
-/// Least time between two calls for one prefix: heartbeats of targets wake a watch many times a
-/// second, and each answer costs a call.
-const CALL_PAUSE: Duration = Duration::from_millis(300);
+/// Least time between two calls for what operators publish.
+const OPERATORS_PAUSE: Duration = Duration::from_millis(250);
+
+/// Least time between two calls for targets' entries: heartbeats wake a watch many times a second, and
+/// each answer costs a call. A leaving target may be sent requests for two seconds.
+const TARGETS_PAUSE: Duration = Duration::from_millis(900);
 
 /// First and longest wait after a failure. A box that the store turns away hears of its return
 /// within the latter.
@@ -58,7 +61,7 @@
                         source,
                     };
                     self.fleet.tell(msg).await;
-                    tokio::time::sleep_until(asked + CALL_PAUSE).await;
+                    tokio::time::sleep_until(asked + self.pause()).await;
                 }
                 Err(e) => {
                     whole = true;
@@ -69,6 +72,13 @@
         }
     }
 
+    fn pause(&self) -> Duration {
+        match self.topic {
+            Topic::Operators => OPERATORS_PAUSE,
+            Topic::Targets => TARGETS_PAUSE,
+        }
+    }
+
     async fn read(&self, whole: bool) -> Result<Reading, PlatformError> {
         let known = self.fleet.view().known(self.topic).revision;
         if whole || known == KvRevision::ABSENT {
--- a/crates/sillpin-gateway/src/budget.rs
+++ b/crates/sillpin-gateway/src/budget.rs
@@ -44,7 +44,13 @@
     }
 
     /// The bucket, with the slack earned since it was last looked at.
-    fn bucket(&mut self, pool: &PoolId, rules: &RetryRules, boxes: usize, now: Instant) -> &mut Bucket {
+    fn bucket(
+        &mut self,
+        pool: &PoolId,
+        rules: &RetryRules,
+        boxes: usize,
+        now: Instant,
+    ) -> &mut Bucket {
         let slack = rules.slack * SPENT_PART / boxes.max(1) as f64;
         let window = rules.window.as_secs_f64().max(1.0);
         let empty = Bucket {
--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -9,12 +9,13 @@
 use super::attempt::{Attempt, Ended, WholeAnswer};
 use super::shared::Shared;
 use crate::beliefs::fleet::served;
-use crate::beliefs::{FleetMsg, View};
+use crate::beliefs::{FleetMsg, View, Wanted};
 use crate::config::{EngineSpec, Repeat};
 use crate::dialect::{Dialect, EngineSending, Prompt, Sending};
+use crate::kept::retire::TOUCH;
 use crate::place::choose::PromptChoice;
 use crate::place::load::Outcome as Health;
-use crate::place::parts::{Plan, plan, salt};
+use crate::place::parts::{Plan, PlanInputs, plan, salt};
 use crate::place::{Choice, Chosen, choose};
 use hyper::Response;
 use rand::RngExt;
@@ -22,6 +23,7 @@
 use sillpin_http::Body;
 use sillpin_telemetry::{event, events};
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -43,6 +45,17 @@
 /// A repeatable request leaves a silent target after this many times its aim, while another may run it.
 const SILENCE_AIMS: f64 = 2.0;
 
+/// A repeatable stream leaves an engine that has not begun it after this long. A busy engine's queue is
+/// left for another's end only at a loss; callers leave after 2.4 s.
+const STREAM_SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Requests stop going to replaced weights this long before they must not begin there any more: they may
+/// wait at the engine, and this box may have learned late that the weights were replaced.
+const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(2_500);
+
+/// Silence of the platform's store after which this box counts as out of touch with it.
+const STORE_SILENCE: Duration = Duration::from_secs(3);
+
 /// Left to a target of the caller's time, for the way back.
 const WAY_BACK: Duration = Duration::from_millis(8);
 
@@ -66,6 +79,10 @@
     chosen: Chosen,
     engine: Option<EngineSending>,
     prompt_ms: f64,
+    /// Where most of the prompt is fetched from.
+    source: Option<SocketAddr>,
+    /// Tokens that stores hold, fetched or not.
+    kept: u64,
     /// Shared tokens that are fetched and that are read anew or found at the engine.
     fetched: u64,
     others: u64,
@@ -138,7 +155,7 @@
             "addr" => target.addr.to_string(), "offer" => progress.offered.len(),
             "cost_ms" => placed.chosen.cost_ms.round(), "candidates" => placed.chosen.candidates,
             "version" => placed.chosen.version.map_or(0, |version| version.0),
-            "fetched" => placed.fetched, "config" => run.config.version.0,
+            "fetched" => placed.fetched, "kept" => placed.kept, "config" => run.config.version.0,
             "targets_at" => view.listed.revision.0, "left_ms" => left.as_millis());
         self.metrics.prompt_tokens("fetched", placed.fetched);
         self.metrics.prompt_tokens("other", placed.others);
@@ -159,7 +176,17 @@
             ticket: self.loads.start(&target.id, placed.prompt_ms),
             until,
         };
+        let sent = Instant::now();
         let ended = self.attempt(attempt).await;
+        if placed.prompt_ms > 0.0 && matches!(ended, Ended::Streaming(_)) {
+            let expected = Duration::from_secs_f64(placed.prompt_ms / 1000.0);
+            let excess = sent.elapsed().saturating_sub(expected);
+            let mut links = self.kept.links();
+            match placed.source {
+                Some(store) => links.note_fetch(store, excess, Instant::now()),
+                None => links.note_read(excess),
+            }
+        }
         self.note(run, &target.id, &ended, progress);
         Ok(ended)
     }
@@ -222,7 +249,10 @@
     fn head_deadline(&self, run: &Run, progress: &Progress) -> Instant {
         let another = progress.runs + 1 < run.route.max_runs;
         if run.route.repeat == Repeat::Freely && another {
-            let patience = run.route.aim.mul_f64(SILENCE_AIMS);
+            let patience = match run.route.streaming {
+                true => STREAM_SILENCE,
+                false => run.route.aim.mul_f64(SILENCE_AIMS),
+            };
             return run.deadline.min(Instant::now() + patience);
         }
         run.deadline
@@ -266,6 +296,8 @@
                 chosen: choose(&base)?,
                 engine: None,
                 prompt_ms: 0.0,
+                source: None,
+                kept: 0,
                 fetched: 0,
                 others: 0,
             }),
@@ -281,18 +313,29 @@
         prompt: &Prompt,
     ) -> Option<Placed> {
         let now = base.now;
-        let wanted = view.wanted.get(&prompt.model).map(|wanted| wanted.version);
+        let wanted = view.wanted.get(&prompt.model);
         let org = run.organisation.as_deref();
+        let listed = view.listed.confirmed;
+        let inputs = PlanInputs {
+            config: &run.config,
+            engine,
+            kept: &self.kept,
+            in_touch: listed.is_some_and(|at| now - at < TOUCH),
+            now,
+        };
+        // One draw for all versions: what is spared under one must not be fetched under another.
+        let draw = rand::rng().random_range(0.0..1.0);
         let plan_for = |version: WeightVersion| {
-            let salt = salt(prompt, version, org);
-            let plan = plan(prompt, salt, &run.config, engine, &self.kept, now);
+            let mut plan = plan(prompt, &salt(prompt, version, org), &inputs);
+            plan.spare_links(|store| draw < self.kept.links().share(store, now));
             (version, plan)
         };
         let versions = served_versions(view, base.pool, &prompt.model);
         let plans: Vec<(WeightVersion, Plan)> = versions.into_iter().map(plan_for).collect();
         let prompt_choice = PromptChoice {
             model: &prompt.model,
-            wanted,
+            wanted: wanted.map(|wanted| wanted.version),
+            oldest: self.oldest_weights(wanted, &plans, view),
             plans: &plans,
         };
         let chosen = choose(&Choice {
@@ -309,10 +352,13 @@
             .sum();
         let shared: u64 = plan.shared.iter().map(|part| part.tokens.0).sum();
         let prompt_ms = Plan::read_ms(plan.own_tokens) + plan.shared_ms(&chosen.target.zone);
+        let source = plan.main_source(&sending.fetch);
         Some(Placed {
             chosen,
             engine: Some(sending),
             prompt_ms,
+            source,
+            kept: plan.kept_tokens.0,
             fetched,
             others: shared - fetched,
         })
@@ -332,6 +378,29 @@
             "elapsed_ms" => elapsed.as_millis());
     }
 
+    /// Weights below which no request is sent: those that were replaced too long ago, once an engine
+    /// serves the new ones. Without the store nobody brings engines to new weights, and the old ones go on.
+    fn oldest_weights(
+        &self,
+        wanted: Option<&Wanted>,
+        plans: &[(WeightVersion, Plan)],
+        view: &View,
+    ) -> WeightVersion {
+        let any = WeightVersion(0);
+        let Some(wanted) = wanted else {
+            return any;
+        };
+        let limit = self.cfg.weights_limit.saturating_sub(OLD_WEIGHTS_MARGIN);
+        let over = wanted.since.elapsed() > limit;
+        let replaced = plans.iter().any(|(version, _)| *version >= wanted.version);
+        let confirmed = view.operators.confirmed;
+        let in_touch = confirmed.is_some_and(|at| at.elapsed() < STORE_SILENCE);
+        match over && replaced && in_touch {
+            true => wanted.version,
+            false => any,
+        }
+    }
+
     /// A target's whole answer for the caller.
     fn pass_on(&self, answer: WholeAnswer) -> Response<Body> {
         let mut resp = Response::new(Body::full(answer.body));
--- a/crates/sillpin-gateway/src/kept/directory.rs
+++ b/crates/sillpin-gateway/src/kept/directory.rs
@@ -1,5 +1,7 @@
 //! What each store holds, as far as its events tell.
 
+use super::links::Links;
+use super::retire::Retirements;
 use crate::control::{KeptKey, KeptList, KeptNews};
 use crate::dialect::EngineTime;
 use sillpin_core::Tokens;
@@ -23,9 +25,24 @@
     epoch: u64,
     next: u64,
     whole: HashMap<KeptKey, Tokens>,
+    used: Tokens,
     heard: Option<Instant>,
 }
 
+impl StoreState {
+    fn set(&mut self, key: KeptKey, tokens: Option<Tokens>) {
+        let before = match tokens {
+            Some(tokens) => {
+                self.used += tokens;
+                self.whole.insert(key, tokens)
+            }
+            None => self.whole.remove(&key),
+        };
+        let before = before.unwrap_or_default();
+        self.used = Tokens(self.used.0.saturating_sub(before.0));
+    }
+}
+
 /// A clock reading and when it was made.
 #[derive(Debug, Clone, Copy)]
 struct ClockReading {
@@ -53,12 +70,15 @@
 impl Directory {
     /// Takes everything that a store holds.
     pub fn take_list(&mut self, addr: SocketAddr, list: KeptList, asked: Instant) {
-        let state = StoreState {
+        let mut state = StoreState {
             epoch: list.epoch,
             next: list.next,
-            whole: list.whole.into_iter().collect(),
             heard: Some(asked),
+            ..StoreState::default()
         };
+        for (key, tokens) in list.whole {
+            state.set(key, Some(tokens));
+        }
         self.stores.insert(addr, state);
     }
 
@@ -79,10 +99,7 @@
             return false;
         }
         for change in news.changes {
-            match change.tokens {
-                Some(tokens) => state.whole.insert(change.key, tokens),
-                None => state.whole.remove(&change.key),
-            };
+            state.set(change.key, change.tokens);
         }
         state.next = news.next;
         state.heard = Some(asked);
@@ -132,8 +149,7 @@
     /// Tokens that whole parts take in a store.
     pub fn used(&self, addr: SocketAddr) -> Tokens {
         let state = self.stores.get(&addr);
-        let sizes = state.map(|state| state.whole.values().copied().sum());
-        sizes.unwrap_or_default()
+        state.map(|state| state.used).unwrap_or_default()
     }
 
     /// Whether to ask for a save: the part is not there, and nobody here asked a moment ago.
@@ -169,10 +185,12 @@
     }
 }
 
-/// The directory, shared between its readers and placement; clones share it.
+/// What is known of kept parts, shared between its readers and placement; clones share it.
 #[derive(Debug, Clone, Default)]
 pub struct Kept {
     directory: Arc<Mutex<Directory>>,
+    retirements: Arc<Mutex<Retirements>>,
+    links: Arc<Mutex<Links>>,
 }
 
 impl Kept {
@@ -180,4 +198,14 @@
     pub fn lock(&self) -> MutexGuard<'_, Directory> {
         self.directory.lock().unwrap_or_else(|e| e.into_inner())
     }
+
+    /// Which parts are retired.
+    pub fn retirements(&self) -> MutexGuard<'_, Retirements> {
+        self.retirements.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// How many fetches the stores bear.
+    pub fn links(&self) -> MutexGuard<'_, Links> {
+        self.links.lock().unwrap_or_else(|e| e.into_inner())
+    }
 }
--- a/crates/sillpin-gateway/src/kept/homes.rs
+++ b/crates/sillpin-gateway/src/kept/homes.rs
@@ -13,37 +13,23 @@
 /// a short session's 531 and below a long one's 5,000.
 const MAX_SHARE: u64 = 200;
 
-/// The store that keeps a part.
-pub fn home<'a>(stores: &'a [StoreSpec], part: &PartId, tokens: Tokens) -> Option<&'a StoreSpec> {
-    let managed = stores.iter().filter(|store| store.managed);
-    let fits = |store: &&StoreSpec| store.room.0 / MAX_SHARE >= tokens.0;
-    let fitting: Vec<&StoreSpec> = managed.clone().filter(fits).collect();
-    let candidates = match fitting.is_empty() {
-        true => largest(managed.collect()),
-        false => fastest(fitting),
-    };
-    let rank = |store: &&StoreSpec| weighted_rank(&store.id, part, store.room);
-    candidates
-        .into_iter()
-        .max_by(|a, b| rank(a).total_cmp(&rank(b)))
-}
-
-/// The stores with the most room.
-fn largest(stores: Vec<&StoreSpec>) -> Vec<&StoreSpec> {
-    let most = stores.iter().map(|store| store.room).max();
-    stores
-        .into_iter()
-        .filter(|store| Some(store.room) == most)
-        .collect()
-}
-
-/// The stores whose transfers start soonest.
-fn fastest(stores: Vec<&StoreSpec>) -> Vec<&StoreSpec> {
-    let least = stores.iter().map(|store| store.first).min();
-    stores
-        .into_iter()
-        .filter(|store| Some(store.first) == least)
-        .collect()
+/// Stores that may keep a part, the best first: those whose room suits its size and whose transfers
+/// start soonest, each class in the part's own order.
+pub fn homes<'a>(stores: &'a [StoreSpec], part: &PartId, tokens: Tokens) -> Vec<&'a StoreSpec> {
+    let mut managed: Vec<&StoreSpec> = stores.iter().filter(|store| store.managed).collect();
+    let suits = |store: &StoreSpec| store.room.0 / MAX_SHARE >= tokens.0;
+    let rank = |store: &StoreSpec| weighted_rank(&store.id, part, store.room);
+    managed.sort_by(|a, b| {
+        let suited = suits(b).cmp(&suits(a));
+        let class = match suits(a) && suits(b) {
+            true => a.first.cmp(&b.first),
+            // Where no store suits, the roomiest is best.
+            false => b.room.cmp(&a.room),
+        };
+        let order = rank(b).total_cmp(&rank(a));
+        suited.then(class).then(order)
+    });
+    managed
 }
 
 /// Weighted rendezvous hashing: the largest rank wins, and each store wins in proportion to its room.
--- /dev/null
+++ b/crates/sillpin-gateway/src/kept/links.rs
@@ -0,0 +1,82 @@
+//! How many fetches a store's link bears.
+//!
+//! Links are queues that nobody reports. Each box compares how long its prompts take with a fetch from a
+//! store and without one, beyond what reading and transfer explain. While fetches take much longer, the box
+//! fetches for a smaller share of its prompts and has the rest read anew. Reading again what is kept costs
+//! about as much as a late answer, so the share falls only when fetches are late by more than an aim.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Fetches that take this much longer than other prompts are late: with reading and transfer it leaves the
+/// longer aim of 500 ms just within reach.
+const LATE_MS: f64 = 220.0;
+
+/// What a late fetch leaves of the share.
+const DECREASE: f64 = 0.85;
+
+/// What the share regains in a second.
+const INCREASE_PER_S: f64 = 0.15;
+
+/// Least share: some fetches go on, to notice when the link is well again.
+const LEAST: f64 = 0.1;
+
+/// Weight of the newest sample in an average.
+const WEIGHT: f64 = 0.25;
+
+/// Share and average of one store.
+#[derive(Debug, Clone, Copy)]
+struct Link {
+    share: f64,
+    excess_ms: f64,
+    at: Instant,
+}
+
+impl Link {
+    fn share_at(&self, now: Instant) -> f64 {
+        let gained = (now - self.at).as_secs_f64() * INCREASE_PER_S;
+        (self.share + gained).min(1.0)
+    }
+}
+
+/// Shares by store, and what prompts take without a fetch.
+#[derive(Debug, Default)]
+pub struct Links {
+    links: HashMap<SocketAddr, Link>,
+    read_excess_ms: f64,
+}
+
+impl Links {
+    /// Share of prompts that may fetch from a store.
+    pub fn share(&self, store: SocketAddr, now: Instant) -> f64 {
+        self.links
+            .get(&store)
+            .map_or(1.0, |link| link.share_at(now))
+    }
+
+    /// A prompt without a fetch took this much longer than its reading explains.
+    pub fn note_read(&mut self, excess: Duration) {
+        self.read_excess_ms += WEIGHT * (millis(excess) - self.read_excess_ms);
+    }
+
+    /// A prompt with a fetch took this much longer than reading and transfer explain.
+    pub fn note_fetch(&mut self, store: SocketAddr, excess: Duration, now: Instant) {
+        let link = self.links.entry(store).or_insert(Link {
+            share: 1.0,
+            excess_ms: 0.0,
+            at: now,
+        });
+        link.share = link.share_at(now);
+        link.at = now;
+        link.excess_ms += WEIGHT * (millis(excess) - link.excess_ms);
+        if link.excess_ms - self.read_excess_ms > LATE_MS {
+            link.share = (link.share * DECREASE).max(LEAST);
+        }
+    }
+}
+
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1000.0
+}
--- a/crates/sillpin-gateway/src/kept/mod.rs
+++ b/crates/sillpin-gateway/src/kept/mod.rs
@@ -6,10 +6,18 @@
 //!
 //! - [`directory`]: what each store holds,
 //! - [`homes`]: which store keeps a part,
-//! - [`reader`]: tasks that read the stores' events.
+//! - [`salt`]: under which weights a part was made,
+//! - [`retire`]: parts of replaced weights that are no longer used,
+//! - [`links`]: how many fetches a store bears,
+//! - [`reader`]: tasks that read the stores' events,
+//! - [`freer`]: frees parts that nobody uses.
 
 pub mod directory;
+pub mod freer;
 pub mod homes;
+pub mod links;
 pub mod reader;
+pub mod retire;
+pub mod salt;
 
 pub use directory::{Directory, Kept};
--- /dev/null
+++ b/crates/sillpin-gateway/src/kept/retire.rs
@@ -0,0 +1,171 @@
+//! Retirement of parts that were made under replaced weights.
+//!
+//! While engines change to new weights, the stores hold parts of both versions and have room for one. So
+//! parts of the old version are retired in step with the engines: when a share of the engines serves newer
+//! weights, the same share of the parts, by their hash, is neither fetched nor saved any more, and the
+//! holder of the fleet's duty may free them.
+//!
+//! A part is never freed under a reader. Each box tells in its digests which share it has retired, and
+//! never goes back. A box that was not heard may at worst use what it knew when it was last in touch,
+//! because a box out of touch for [`TOUCH`] fetches nothing. Fetches are thrown away after a known time.
+
+use super::homes::{hash_pair, unit};
+use super::salt::SaltParts;
+use crate::beliefs::View;
+use crate::beliefs::fleet::served;
+use crate::control::KeptKey;
+use serde::{Deserialize, Serialize};
+use sillpin_core::{BoxId, ModelId, WeightVersion};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A box that has not heard of the targets for this long fetches nothing: longer than most outages of
+/// the platform's store.
+pub const TOUCH: Duration = Duration::from_millis(6_000);
+
+/// Added to [`TOUCH`] for the way of news and clocks of different speed.
+const TOUCH_MARGIN: Duration = Duration::from_millis(700);
+
+/// A share counts for a new box, which read the store when it started, after this time.
+const NEW_BOX: Duration = Duration::from_millis(1_000);
+
+/// A version of a model's weights.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Weights {
+    /// The model.
+    pub model: ModelId,
+    /// The version.
+    pub version: WeightVersion,
+}
+
+/// How much of a version's parts is retired.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Retired {
+    /// The version.
+    pub weights: Weights,
+    /// Share of its parts, by hash.
+    pub share: f64,
+}
+
+/// Shares by version.
+type Shares = BTreeMap<Weights, f64>;
+
+#[derive(Debug)]
+struct Sample {
+    at: Instant,
+    shares: Shares,
+}
+
+#[derive(Debug)]
+struct Heard {
+    at: Instant,
+    shares: Shares,
+}
+
+/// What this box has retired, and what it knows of the others.
+#[derive(Debug, Default)]
+pub struct Retirements {
+    applied: Shares,
+    history: VecDeque<Sample>,
+    others: HashMap<BoxId, Heard>,
+}
+
+impl Retirements {
+    /// Retires parts in step with the engines' entries. Shares only grow.
+    pub fn update(&mut self, view: &View, now: Instant) {
+        for (weights, share) in replaced_shares(view) {
+            let applied = self.applied.entry(weights).or_insert(0.0);
+            *applied = applied.max(share);
+        }
+        let shares = self.applied.clone();
+        self.history.push_back(Sample { at: now, shares });
+        let old = TOUCH + TOUCH_MARGIN;
+        while self.history.get(1).is_some_and(|next| now - next.at > old) {
+            self.history.pop_front();
+        }
+    }
+
+    /// What this box tells the others.
+    pub fn told(&self) -> Vec<Retired> {
+        let told = |(weights, share): (&Weights, &f64)| Retired {
+            weights: weights.clone(),
+            share: *share,
+        };
+        self.applied.iter().map(told).collect()
+    }
+
+    /// Takes what another box tells.
+    pub fn hear(&mut self, from: BoxId, retired: Vec<Retired>, now: Instant) {
+        let shares = retired.into_iter().map(|r| (r.weights, r.share)).collect();
+        self.others.insert(from, Heard { at: now, shares });
+    }
+
+    /// Whether this box neither fetches nor saves a part any more.
+    pub fn is_retired(&self, salt: &SaltParts, key: &KeptKey) -> bool {
+        let weights = weights_of(salt);
+        let share = self.applied.get(&weights).copied().unwrap_or(0.0);
+        place_of(key) < share
+    }
+
+    /// Share of a version's parts that no box fetches: told by every box, or known for so long that a box
+    /// that says nothing has either learned it too or stopped fetching.
+    pub fn unused_share(&self, weights: &Weights, view: &View, now: Instant) -> f64 {
+        let long_known = self.known_at(weights, now, TOUCH + TOUCH_MARGIN);
+        let told_by = |id: &BoxId| {
+            let heard = self.others.get(id).filter(|heard| now - heard.at < TOUCH);
+            let share = heard.and_then(|heard| heard.shares.get(weights));
+            share.copied().unwrap_or(0.0).max(long_known)
+        };
+        let told = view.boxes.iter().map(|peer| told_by(&peer.id));
+        let known = self.known_at(weights, now, NEW_BOX);
+        told.fold(known, f64::min)
+    }
+
+    /// The share that was applied here at least `age` ago.
+    fn known_at(&self, weights: &Weights, now: Instant, age: Duration) -> f64 {
+        let old = self.history.iter().filter(|sample| now - sample.at >= age);
+        let newest = old.last();
+        let share = newest.and_then(|sample| sample.shares.get(weights));
+        share.copied().unwrap_or(0.0)
+    }
+}
+
+/// Where a part stands in the order in which its version is retired.
+pub fn place_of(key: &KeptKey) -> f64 {
+    unit(hash_pair("retire", &key.part.0))
+}
+
+/// The version that a salt names.
+pub fn weights_of(salt: &SaltParts) -> Weights {
+    Weights {
+        model: salt.model.clone(),
+        version: salt.version,
+    }
+}
+
+/// For each version that engines have left or are leaving: the share of the model's engines that serve
+/// newer weights, as their entries say.
+fn replaced_shares(view: &View) -> Vec<(Weights, f64)> {
+    let mut shares = Vec::new();
+    for (model, wanted) in view.wanted.iter() {
+        let serving: Vec<WeightVersion> = view
+            .entries
+            .values()
+            .filter_map(|entry| served(entry, model))
+            .collect();
+        if serving.is_empty() {
+            continue;
+        }
+        for version in 1..wanted.version.0 {
+            let version = WeightVersion(version);
+            let newer = serving.iter().filter(|serves| **serves > version).count();
+            let weights = Weights {
+                model: model.clone(),
+                version,
+            };
+            shares.push((weights, newer as f64 / serving.len() as f64));
+        }
+    }
+    shares
+}
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -2,8 +2,10 @@
 
 use super::link;
 use crate::beliefs::{BoxEntry, FleetHandle, FleetMsg, Known, Topic, View};
+use crate::kept::Kept;
+use crate::kept::retire::Retired;
 use crate::place::Loads;
-use crate::place::load::Outcome;
+use crate::place::load::{Outcome, PromptWork};
 use crate::reload::Settings;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
@@ -32,8 +34,8 @@
 /// Wait after the socket reported an error: it may report the same one again at once.
 const ERROR_PAUSE: Duration = Duration::from_millis(20);
 
-/// Longest datagram read.
-const MAX_DATAGRAM: usize = 1_400;
+/// Longest datagram read: 60 engines' work takes about 1,500 bytes.
+const MAX_DATAGRAM: usize = 8_192;
 
 /// Knowledge confirmed this recently needs no help from others.
 const FRESH: Duration = Duration::from_millis(1_300);
@@ -56,6 +58,10 @@
     pub operators: Extent,
     /// How far it knows the targets.
     pub targets: Extent,
+    /// Its prompt work at engines.
+    pub work: Vec<PromptWork>,
+    /// Which parts it uses no more.
+    pub retired: Vec<Retired>,
     /// Whether it is about to end.
     pub stopping: bool,
 }
@@ -92,6 +98,8 @@
     pub fleet: FleetHandle,
     /// Loads of targets, told of engines that get new weights.
     pub loads: Loads,
+    /// What is known of kept parts, told which of them other boxes use no more.
+    pub kept: Kept,
     /// News of this box's own orders, for all boxes.
     pub news: mpsc::Receiver<LoadNews>,
     /// Cancelled when the box is about to end.
@@ -107,6 +115,7 @@
         let ear = Ear {
             fleet: self.fleet.clone(),
             loads: self.loads.clone(),
+            kept: self.kept.clone(),
             asking: Arc::default(),
             log: self.log.clone(),
         };
@@ -121,6 +130,7 @@
             tokio::select! {
                 _ = rounds.tick() => {
                     let view = self.fleet.view();
+                    self.kept.retirements().update(&view, Instant::now());
                     let digest = Datagram::Digest(self.digest(&view));
                     self.send(socket, &digest, self.audience(&view)).await;
                 }
@@ -151,6 +161,8 @@
             from: self.me.clone(),
             operators: extent(view.operators),
             targets: extent(view.listed),
+            work: self.loads.told(),
+            retired: self.kept.retirements().told(),
             stopping: self.stopping.is_cancelled(),
         }
     }
@@ -174,6 +186,7 @@
 struct Ear {
     fleet: FleetHandle,
     loads: Loads,
+    kept: Kept,
     asking: Asking,
     log: Logger,
 }
@@ -220,6 +233,11 @@
             self.fleet.tell(FleetMsg::Stopping(digest.from.id)).await;
             return;
         }
+        let from = digest.from.id.clone();
+        self.loads.hear(from.clone(), digest.work);
+        self.kept
+            .retirements()
+            .hear(from, digest.retired, Instant::now());
         self.fleet.tell(FleetMsg::Heard(digest.from.clone())).await;
         let extents = [
             (Topic::Operators, digest.operators),
--- a/crates/sillpin-gateway/src/place/choose.rs
+++ b/crates/sillpin-gateway/src/place/choose.rs
@@ -1,6 +1,6 @@
 //! The choice among the targets of a pool: least expected wait, with affinity and zone as tie-breaks.
 
-use super::load::{Load, Loads};
+use super::load::{Load, Loads, TargetHash};
 use super::parts::Plan;
 use crate::beliefs::fleet::served;
 use crate::control::{Presence, TargetEntry};
@@ -61,6 +61,8 @@
     pub model: &'a ModelId,
     /// Weights that are wanted.
     pub wanted: Option<WeightVersion>,
+    /// Engines with older weights than these are no candidates.
+    pub oldest: WeightVersion,
     /// Where the prompt's parts are, for each version of weights that engines serve.
     pub plans: &'a [(WeightVersion, Plan)],
 }
@@ -93,17 +95,23 @@
 /// The cheapest target, if any can take the request.
 pub fn choose(choice: &Choice<'_>) -> Option<Chosen> {
     let homes = Homes::of(choice);
+    let others = match choice.prompt {
+        Some(_) => choice.loads.others(choice.now),
+        None => HashMap::new(),
+    };
     let mut candidates = 0;
     let mut best: Option<Chosen> = None;
     for target in choice.targets.values().filter(|t| is_candidate(choice, t)) {
-        let load = choice.loads.get(&target.id);
+        let mut load = choice.loads.get(&target.id);
+        let theirs = others.get(&TargetHash::of(&target.id));
+        load.prompt_ms += theirs.copied().unwrap_or(0.0);
         if load.in_flight >= choice.most_in_flight {
             continue;
         }
         let version = match &choice.prompt {
             Some(prompt) => match served(target, prompt.model) {
-                Some(version) => Some(version),
-                None => continue,
+                Some(version) if version >= prompt.oldest => Some(version),
+                _ => continue,
             },
             None => None,
         };
--- a/crates/sillpin-gateway/src/place/load.rs
+++ b/crates/sillpin-gateway/src/place/load.rs
@@ -1,6 +1,8 @@
 //! What this box has under way at each target, and how the target has behaved.
 
-use sillpin_core::TargetId;
+use crate::kept::homes::hash_pair;
+use serde::{Deserialize, Serialize};
+use sillpin_core::{BoxId, TargetId};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -15,9 +17,9 @@
 /// drains in less.
 const REFUSAL_REST: Duration = Duration::from_millis(250);
 
-/// How long an engine that loads weights is passed over, unless it is heard to be done before: loads
-/// take 0.76 s, more while others load.
-const LOADING_REST: Duration = Duration::from_millis(2_000);
+/// How long an engine that loads weights is passed over, unless it is heard to be done before: its runs
+/// end first, and the load takes 0.76 s, more while others load.
+const LOADING_REST: Duration = Duration::from_millis(3_500);
 
 /// Weight of the newest outcome in a target's failure share. About the last ten count.
 const OUTCOME_WEIGHT: f64 = 0.1;
@@ -89,10 +91,54 @@
     Loaded,
 }
 
+/// How long another box's word about its prompt work counts: three rounds of news.
+const WORD_TIME: Duration = Duration::from_millis(1_300);
+
+/// Short name of a target in news between boxes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TargetHash(u32);
+
+impl TargetHash {
+    /// The short name of a target.
+    pub fn of(target: &TargetId) -> Self {
+        Self(hash_pair(target.as_str(), "load") as u32)
+    }
+}
+
+/// Prompt work of one box at a target, in whole milliseconds of the engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptWork(pub TargetHash, pub u32);
+
+#[derive(Debug)]
+struct Word {
+    at: Instant,
+    work: Vec<PromptWork>,
+}
+
+/// What other boxes have under way.
+#[derive(Debug, Default)]
+pub struct Others {
+    words: HashMap<BoxId, Word>,
+}
+
+impl Others {
+    /// Prompt work of all other boxes at each target, in milliseconds.
+    pub fn sum(&self, now: Instant) -> HashMap<TargetHash, f64> {
+        let fresh = self.words.values().filter(|word| now - word.at < WORD_TIME);
+        let mut sums = HashMap::new();
+        for PromptWork(target, ms) in fresh.flat_map(|word| &word.work) {
+            *sums.entry(*target).or_insert(0.0) += f64::from(*ms);
+        }
+        sums
+    }
+}
+
 /// Loads of all targets; clones share them.
 #[derive(Debug, Clone, Default)]
 pub struct Loads {
     table: Arc<Mutex<HashMap<TargetId, Load>>>,
+    others: Arc<Mutex<Others>>,
 }
 
 impl Loads {
@@ -100,6 +146,29 @@
         self.table.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Prompt work of this box, for the others.
+    pub fn told(&self) -> Vec<PromptWork> {
+        let table = self.lock();
+        let working = table.iter().filter(|(_, load)| load.prompt_ms >= 1.0);
+        working
+            .map(|(id, load)| PromptWork(TargetHash::of(id), load.prompt_ms as u32))
+            .collect()
+    }
+
+    /// Takes what another box tells.
+    pub fn hear(&self, from: BoxId, work: Vec<PromptWork>) {
+        let at = Instant::now();
+        let mut others = self.others.lock().unwrap_or_else(|e| e.into_inner());
+        others.words.retain(|_, word| at - word.at < WORD_TIME);
+        others.words.insert(from, Word { at, work });
+    }
+
+    /// Prompt work of all other boxes at each target, in milliseconds.
+    pub fn others(&self, now: Instant) -> HashMap<TargetHash, f64> {
+        let others = self.others.lock().unwrap_or_else(|e| e.into_inner());
+        others.sum(now)
+    }
+
     /// What is known of a target.
     pub fn get(&self, target: &TargetId) -> Load {
         self.lock().get(target).copied().unwrap_or_default()
--- a/crates/sillpin-gateway/src/place/parts.rs
+++ b/crates/sillpin-gateway/src/place/parts.rs
@@ -3,9 +3,11 @@
 use crate::config::{EngineSpec, FleetConfig, Organisation, StoreSpec};
 use crate::control::KeptKey;
 use crate::dialect::{EngineSending, Prompt, Salt};
-use crate::kept::homes::home;
+use crate::kept::homes::homes;
+use crate::kept::salt::SaltParts;
 use crate::kept::{Directory, Kept};
 use sillpin_core::{Tokens, WeightVersion, ZoneId};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -17,9 +19,12 @@
 /// Transfers between zones take twice as long.
 const FOREIGN_ZONE_FACTOR: f64 = 2.0;
 
-/// Fetches not ended by then are thrown away, and the prompt is read instead. Engines do not begin one
-/// that would wait two seconds.
-const FETCH_TIME: Duration = Duration::from_millis(2_000);
+/// Fetches not ended by then are thrown away, and the prompt is read instead. Reading again costs more
+/// than a late answer, so fetches get most of the time that a caller waits for the first event.
+const FETCH_TIME: Duration = Duration::from_millis(1_200);
+
+/// Share of a store's room that is filled: parts that are being written are not counted.
+const FILLED: f64 = 0.975;
 
 /// One shared part of a prompt and where it may come from.
 #[derive(Debug, Clone)]
@@ -45,53 +50,88 @@
     part_count: usize,
     /// Tokens that no other request has.
     pub own_tokens: Tokens,
+    /// Tokens that stores hold, whether or not they are fetched.
+    pub kept_tokens: Tokens,
     token_bytes: u64,
 }
 
 /// The salt of an organisation's parts under a version of weights.
-pub fn salt(prompt: &Prompt, version: WeightVersion, org: Option<&Organisation>) -> Salt {
+pub fn salt(prompt: &Prompt, version: WeightVersion, org: Option<&Organisation>) -> SaltParts {
     let wall = org.filter(|org| org.isolated);
-    match wall {
-        Some(org) => Salt(format!("{}.{}.{}", prompt.model, version, org.id)),
-        None => Salt(format!("{}.{}", prompt.model, version)),
+    SaltParts {
+        model: prompt.model.clone(),
+        version,
+        wall: wall.map(|org| org.id.clone()),
     }
 }
 
-/// Looks up the shared parts of a prompt.
-pub fn plan(
-    prompt: &Prompt,
-    salt: Salt,
-    config: &FleetConfig,
-    engine: &EngineSpec,
-    kept: &Kept,
-    now: Instant,
-) -> Plan {
-    let directory = kept.lock();
+/// What a plan is made from.
+pub struct PlanInputs<'a> {
+    /// The configuration.
+    pub config: &'a FleetConfig,
+    /// The engines.
+    pub engine: &'a EngineSpec,
+    /// What the stores hold.
+    pub kept: &'a Kept,
+    /// Whether this box is in touch, so that it may fetch.
+    pub in_touch: bool,
+    /// Now.
+    pub now: Instant,
+}
+
+/// Looks up the shared parts of a prompt under a salt.
+pub fn plan(prompt: &Prompt, salt: &SaltParts, inputs: &PlanInputs<'_>) -> Plan {
+    let text = salt.salt();
     let shared_count = prompt.parts.len().saturating_sub(1);
     let shared = prompt.parts[..shared_count].iter().map(|part| {
         let key = KeptKey {
-            salt: salt.clone(),
+            salt: text.clone(),
             part: part.id.clone(),
         };
-        let home = home(&config.stores, &part.id, part.tokens).cloned();
-        let whole = home
-            .as_ref()
-            .is_some_and(|store| directory.holds(store.addr, &key, part.tokens, now));
-        SharedPart {
-            key,
-            tokens: part.tokens,
-            home,
-            whole,
-        }
+        look_up(key, part.tokens, salt, inputs)
     });
     let shared: Vec<SharedPart> = shared.collect();
     let shared_tokens: Tokens = shared.iter().map(|part| part.tokens).sum();
     Plan {
-        salt,
+        salt: text,
         shared,
         part_count: prompt.parts.len(),
         own_tokens: Tokens(prompt.tokens.0.saturating_sub(shared_tokens.0)),
-        token_bytes: engine.token_bytes,
+        kept_tokens: Tokens(0),
+        token_bytes: inputs.engine.token_bytes,
+    }
+}
+
+/// Where a part is, or is to be kept.
+fn look_up(key: KeptKey, tokens: Tokens, salt: &SaltParts, inputs: &PlanInputs<'_>) -> SharedPart {
+    let nowhere = SharedPart {
+        key: key.clone(),
+        tokens,
+        home: None,
+        whole: false,
+    };
+    if inputs.kept.retirements().is_retired(salt, &key) {
+        return nowhere;
+    }
+    let homes = homes(&inputs.config.stores, &key.part, tokens);
+    let directory = inputs.kept.lock();
+    let holds = |store: &&&StoreSpec| directory.holds(store.addr, &key, tokens, inputs.now);
+    if let Some(store) = homes.iter().find(holds) {
+        return SharedPart {
+            home: Some((*store).clone()),
+            whole: inputs.in_touch,
+            ..nowhere
+        };
+    }
+    let has_room = |store: &&&StoreSpec| {
+        let used = directory.used(store.addr);
+        directory.is_known(store.addr, inputs.now)
+            && (used + tokens).0 as f64 <= store.room.0 as f64 * FILLED
+    };
+    let home = homes.iter().find(has_room);
+    SharedPart {
+        home: home.map(|store| (*store).clone()),
+        ..nowhere
     }
 }
 
@@ -135,10 +175,28 @@
             .sum()
     }
 
-    /// The zone of the store that holds, or is to hold, the longest shared part.
-    pub fn zone(&self) -> Option<&ZoneId> {
-        let longest = self.shared.iter().max_by_key(|part| part.tokens)?;
-        longest.home.as_ref().map(|store| &store.zone)
+    /// Where most fetched tokens come from.
+    pub fn main_source(&self, fetch: &[Option<SocketAddr>]) -> Option<SocketAddr> {
+        let parts = self.shared.iter().zip(fetch);
+        let fetched = parts.filter_map(|(part, from)| from.map(|from| (part.tokens, from)));
+        fetched
+            .max_by_key(|(tokens, _)| *tokens)
+            .map(|(_, from)| from)
+    }
+
+    /// Gives up fetching from stores that `bears` refuses: their parts are read anew.
+    pub fn spare_links(&mut self, bears: impl Fn(SocketAddr) -> bool) {
+        let whole = self.shared.iter().filter(|part| part.whole);
+        self.kept_tokens = whole.map(|part| part.tokens).sum();
+        let sources = self.shared.iter().filter(|part| part.whole);
+        let sources = sources.filter_map(|part| part.home.as_ref().map(|store| store.addr));
+        let spared: BTreeSet<SocketAddr> = sources.filter(|addr| !bears(*addr)).collect();
+        for part in &mut self.shared {
+            let from = part.home.as_ref().map(|store| store.addr);
+            if from.is_some_and(|addr| spared.contains(&addr)) {
+                part.whole = false;
+            }
+        }
     }
 
     /// What the engine is told: where to fetch parts that are whole, where to keep those that are not.
--- a/crates/sillpin-gateway/src/settings.rs
+++ b/crates/sillpin-gateway/src/settings.rs
@@ -110,6 +110,12 @@
                 "10",
                 "Window in which second sendings are counted, in seconds",
             ),
+            Key::optional(
+                "weights-ms",
+                Kind::Decimal,
+                "10000",
+                "No request begins on weights that were replaced longer ago",
+            ),
             Key::optional(
                 "reuse-s",
                 Kind::Decimal,
@@ -155,6 +161,8 @@
     pub lease: Duration,
     /// Second sendings allowed.
     pub retries: RetryRules,
+    /// No request begins on weights that were replaced longer ago.
+    pub weights_limit: Duration,
     /// How long a part stays worth keeping after its last use.
     pub reuse: Duration,
     /// Collector of traces.
@@ -203,6 +211,7 @@
                 slack: loaded.get("promises", "retry-slack")?,
                 window: time("retry-window-s", 1.0)?,
             },
+            weights_limit: time("weights-ms", 0.001)?,
             reuse: time("reuse-s", 1.0)?,
             collector: collectors.first().copied(),
         })
--- a/crates/sillpin-gateway/src/weights/duty.rs
+++ b/crates/sillpin-gateway/src/weights/duty.rs
@@ -1,27 +1,32 @@
 //! Who holds the duty to order engines.
 
-use sillpin_core::{BoxId, Fence};
+use serde::{Deserialize, Serialize};
+use sillpin_core::{BoxId, Fence, TargetId};
 use sillpin_platform::{KvRevision, LeaseId, Platform, PlatformError, PlatformFault};
 use sillpin_telemetry::{event, events};
 use slog::Logger;
+use std::collections::HashMap;
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// Key of the holder.
 pub const DUTY_KEY: &str = "sillpin/weights-holder";
 
+/// Key of the engines that holders ordered of late.
+pub const ORDERED_KEY: &str = "sillpin/weights-ordered";
+
 /// Time to live of the holder's lease. Short, since a holder that dies holds up a change of weights by
-/// this long; three renewals fit.
-const LEASE: Duration = Duration::from_millis(2_000);
+/// this long; three renewals fit, each at a tenth of a call's price.
+const LEASE: Duration = Duration::from_millis(1_400);
 
 /// Time between two renewals.
-pub const RENEW_EVERY: Duration = Duration::from_millis(600);
+pub const RENEW_EVERY: Duration = Duration::from_millis(400);
 
 /// Nothing is ordered in the last part of a lease: an order may be under way this long.
-const QUIET_END: Duration = Duration::from_millis(700);
+const QUIET_END: Duration = Duration::from_millis(500);
 
-/// Added to the wait of a new holder, for clocks of different speed and orders on their way.
-const TAKEOVER_MARGIN: Duration = Duration::from_millis(200);
+/// Added to the wait before an engine that another holder ordered, for orders on their way.
+const TAKEOVER_MARGIN: Duration = Duration::from_millis(300);
 
 /// How long a box that is not the holder waits for news of the key.
 const WATCH_WAIT: Duration = Duration::from_secs(8);
@@ -33,16 +38,33 @@
     pub lease: LeaseId,
     /// Orders this holder's orders behind those of all before.
     pub fence: Fence,
-    /// No order before this moment.
-    pub orders_from: Instant,
     /// No order after this moment, unless the lease is renewed.
     pub orders_until: Instant,
+    /// Engines that the holder before ordered are left alone until then.
+    others_until: Instant,
+    /// Engines that the holder before ordered.
+    others: Vec<TargetId>,
+    /// Engines that this holder ordered, and when.
+    own: HashMap<TargetId, Instant>,
+    /// Revision of the record of orders.
+    record: KvRevision,
+}
+
+/// Engines ordered of late, as recorded before each order.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct Ordered {
+    targets: Vec<TargetId>,
 }
 
 impl Tenure {
     /// Whether an order may go out now.
     pub fn may_order(&self, now: Instant) -> bool {
-        self.orders_from <= now && now < self.orders_until
+        now < self.orders_until
+    }
+
+    /// Whether an engine may be ordered now: no other holder's order to it can be near.
+    pub fn may_order_target(&self, target: &TargetId, now: Instant) -> bool {
+        now >= self.others_until || !self.others.contains(target)
     }
 
     /// Takes note of a renewal that was asked for at `asked`.
@@ -58,7 +80,7 @@
     pub platform: P,
     /// This box.
     pub me: BoxId,
-    /// Least time between two holders' orders.
+    /// Least time between two holders' orders to one engine.
     pub apart: Duration,
     /// Log.
     pub log: Logger,
@@ -78,17 +100,72 @@
             .platform
             .put(DUTY_KEY, self.me.as_str(), absent, Some(lease));
         let revision = put.await?;
+        let (others, record) = self.take_record().await?;
         let mut tenure = Tenure {
             lease,
             fence: Fence(revision.0),
-            orders_from: Instant::now() + self.apart.saturating_sub(QUIET_END) + TAKEOVER_MARGIN,
             orders_until: asked,
+            others_until: Instant::now() + self.apart + TAKEOVER_MARGIN,
+            others,
+            own: HashMap::new(),
+            record,
         };
         tenure.renewed(asked);
-        event!(self.log, events::DUTY_TAKEN, "fence" => revision.0);
+        event!(self.log, events::DUTY_TAKEN, "fence" => revision.0,
+            "ordered_by_others" => tenure.others.len());
         Ok(tenure)
     }
 
+    /// Reads which engines the holder before ordered, and writes the record anew: a holder that was
+    /// paused then fails to record, and so to order, any further engine.
+    async fn take_record(&self) -> Result<(Vec<TargetId>, KvRevision), PlatformError> {
+        let entry = self.platform.get(ORDERED_KEY).await?;
+        let expect = entry
+            .as_ref()
+            .map_or(KvRevision::ABSENT, |entry| entry.revision);
+        let text = entry.and_then(|entry| entry.value).unwrap_or_default();
+        let ordered: Ordered = match serde_json::from_str(&text) {
+            Ok(ordered) => ordered,
+            Err(_) if text.is_empty() => Ordered::default(),
+            Err(e) => {
+                event!(self.log, events::VALUE_UNREADABLE, "key" => ORDERED_KEY, "why" => e.to_string());
+                Ordered::default()
+            }
+        };
+        let record = self.write_record(&ordered, expect).await?;
+        Ok((ordered.targets, record))
+    }
+
+    async fn write_record(
+        &self,
+        ordered: &Ordered,
+        expect: KvRevision,
+    ) -> Result<KvRevision, PlatformError> {
+        let text = serde_json::to_string(ordered).unwrap_or_default();
+        self.platform.put(ORDERED_KEY, &text, expect, None).await
+    }
+
+    /// Records engines that are about to be ordered. Without the record nothing may be ordered.
+    pub async fn record(
+        &self,
+        tenure: &mut Tenure,
+        targets: &[TargetId],
+    ) -> Result<(), PlatformError> {
+        let now = Instant::now();
+        let recent = self.apart + LEASE;
+        tenure.own.retain(|_, at| now - *at < recent);
+        tenure
+            .own
+            .extend(targets.iter().map(|id| (id.clone(), now)));
+        let mut listed: Vec<TargetId> = tenure.own.keys().cloned().collect();
+        if now < tenure.others_until {
+            listed.extend(tenure.others.iter().cloned());
+        }
+        let ordered = Ordered { targets: listed };
+        tenure.record = self.write_record(&ordered, tenure.record).await?;
+        Ok(())
+    }
+
     async fn wait_until_free(&self, since: KvRevision) -> Result<(), PlatformError> {
         let mut after = since;
         loop {
--- a/crates/sillpin-gateway/src/weights/load.rs
+++ b/crates/sillpin-gateway/src/weights/load.rs
@@ -10,8 +10,9 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// Boxes hear that the engine is about to load before it refuses their requests.
-const NEWS_LEAD: Duration = Duration::from_millis(15);
+/// Boxes send nothing to the engine from this long before the order, so that most of its runs end under
+/// the weights that they began on: a run takes 0.1 to 0.5 s.
+const NEWS_LEAD: Duration = Duration::from_millis(250);
 
 /// First look after an order: a load takes 0.76 s.
 const FIRST_LOOK: Duration = Duration::from_millis(800);
@@ -19,7 +20,7 @@
 /// Time between further looks; each is priced as a probe.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
-/// Runs end before a load begins, so it may take a while; then it is ordered anew.
+/// Longest wait for a load before it is ordered anew.
 const GIVE_UP: Duration = Duration::from_millis(4_000);
 
 /// An order that was lost shows in no report by then.
--- a/crates/sillpin-gateway/src/weights/rollout.rs
+++ b/crates/sillpin-gateway/src/weights/rollout.rs
@@ -5,6 +5,8 @@
 use crate::beliefs::fleet::served;
 use crate::beliefs::{FleetHandle, FleetMsg, View};
 use crate::control::{Control, Presence, TargetEntry};
+use crate::kept::Kept;
+use crate::kept::freer::Freer;
 use crate::peers::digest::LoadNews;
 use crate::place::Loads;
 use crate::place::load::Outcome;
@@ -21,8 +23,12 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-/// Engines that load at once: beyond three, each load takes longer.
-const MOST_AT_ONCE: usize = 3;
+/// Engines of a fleet that are under way at once: three of 18 load at full speed, and one or two more end
+/// their runs before the order.
+const SHARE_AT_ONCE: f64 = 0.28;
+
+/// Engines ordered at once at least.
+const LEAST_AT_ONCE: usize = 3;
 
 /// How often the holder looks for engines to order, beside changes of what it knows.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
@@ -43,6 +49,8 @@
     pub fleet: FleetHandle,
     /// Loads of targets.
     pub loads: Loads,
+    /// What is known of kept parts.
+    pub kept: Kept,
     /// News for all boxes.
     pub news: mpsc::Sender<LoadNews>,
     /// Cancelled when the box is told to stop.
@@ -85,6 +93,16 @@
         let mut renew = tokio::time::interval(RENEW_EVERY);
         // Jobs check this before each order: an order must not outlive the tenure.
         let (limit, until) = watch::channel(tenure.orders_until);
+        let freer = Freer {
+            control: self.control.clone(),
+            kept: self.kept.clone(),
+            fleet: self.fleet.clone(),
+            until: until.clone(),
+            log: self.log.clone(),
+        };
+        // Ends with the tenure.
+        let mut freeing = JoinSet::new();
+        freeing.spawn(freer.run());
         loop {
             tokio::select! {
                 _ = renew.tick() => {
@@ -98,7 +116,11 @@
                         self.loaded(loaded, &mut underway).await;
                     }
                 }
-                _ = look.tick() => self.order_more(&tenure, &until, &mut underway).await,
+                _ = look.tick() => {
+                    if !self.order_more(&mut tenure, &until, &mut underway).await {
+                        return;
+                    }
+                }
                 () = self.stopping.cancelled() => {
                     underway.jobs.shutdown().await;
                     self.duty.give_up(&tenure).await;
@@ -134,53 +156,108 @@
             .await;
     }
 
+    /// Orders further engines; `false` if the duty is lost.
     async fn order_more(
         &self,
-        tenure: &Tenure,
+        tenure: &mut Tenure,
         until: &watch::Receiver<Instant>,
         underway: &mut Underway,
-    ) {
+    ) -> bool {
         let now = Instant::now();
         underway.resting.retain(|_, at| now < *at);
         if !tenure.may_order(now) {
-            return;
+            return true;
         }
         let view = self.fleet.view();
-        for (target, model, version) in outdated(&view) {
-            if underway.jobs.len() >= MOST_AT_ONCE {
-                return;
-            }
-            let known = underway.targets.contains(&target.id);
-            if known || underway.resting.contains_key(&target.id) {
-                continue;
-            }
-            self.loads.note(&target.id, Outcome::Loading);
-            let news = LoadNews {
-                target: target.id.clone(),
-                model: model.clone(),
-                version,
-                done: false,
-            };
-            // Boxes that miss the news are refused by the engine and go elsewhere.
-            let _ = self.news.try_send(news);
-            underway.targets.push(target.id.clone());
-            let job = LoadJob {
-                control: self.control.clone(),
-                target,
-                model,
-                version,
-                holder: self.duty.me.to_string(),
-                fence: tenure.fence,
-                until: until.clone(),
-                log: self.log.clone(),
-            };
-            underway.jobs.spawn(job.run());
+        let next = self.next_batch(&view, tenure, underway, now);
+        if next.is_empty() {
+            return true;
         }
+        let ids: Vec<TargetId> = next.iter().map(|n| n.target.id.clone()).collect();
+        if let Err(e) = self.duty.record(tenure, &ids).await {
+            event!(self.log, events::DUTY_LOST, "fence" => tenure.fence.0, "why" => e.to_string());
+            return false;
+        }
+        for outdated in next {
+            self.start(outdated, tenure, until, underway);
+        }
+        true
     }
+
+    /// Engines to be ordered now.
+    fn next_batch(
+        &self,
+        view: &View,
+        tenure: &Tenure,
+        underway: &Underway,
+        now: Instant,
+    ) -> Vec<Outdated> {
+        let engines = view
+            .targets
+            .values()
+            .filter(|t| !t.served.is_empty())
+            .count();
+        let at_once = ((engines as f64 * SHARE_AT_ONCE) as usize).max(LEAST_AT_ONCE);
+        let free = at_once.saturating_sub(underway.jobs.len());
+        let may_order = |outdated: &Outdated| {
+            let id = &outdated.target.id;
+            let known = underway.targets.contains(id) || underway.resting.contains_key(id);
+            !known && tenure.may_order_target(id, now)
+        };
+        outdated(view)
+            .into_iter()
+            .filter(may_order)
+            .take(free)
+            .collect()
+    }
+
+    fn start(
+        &self,
+        outdated: Outdated,
+        tenure: &Tenure,
+        until: &watch::Receiver<Instant>,
+        underway: &mut Underway,
+    ) {
+        let Outdated {
+            target,
+            model,
+            version,
+            ..
+        } = outdated;
+        self.loads.note(&target.id, Outcome::Loading);
+        let news = LoadNews {
+            target: target.id.clone(),
+            model: model.clone(),
+            version,
+            done: false,
+        };
+        // Boxes that miss the news are refused by the engine and go elsewhere.
+        let _ = self.news.try_send(news);
+        underway.targets.push(target.id.clone());
+        let job = LoadJob {
+            control: self.control.clone(),
+            target,
+            model,
+            version,
+            holder: self.duty.me.to_string(),
+            fence: tenure.fence,
+            until: until.clone(),
+            log: self.log.clone(),
+        };
+        underway.jobs.spawn(job.run());
+    }
+}
+
+/// An engine that serves older weights than wanted.
+struct Outdated {
+    serves: WeightVersion,
+    target: Arc<TargetEntry>,
+    model: ModelId,
+    version: WeightVersion,
 }
 
 /// Engines that serve older weights than wanted.
-fn outdated(view: &View) -> Vec<(Arc<TargetEntry>, ModelId, WeightVersion)> {
+fn outdated(view: &View) -> Vec<Outdated> {
     let ready = view
         .targets
         .values()
@@ -188,11 +265,20 @@
     let mut found = Vec::new();
     for target in ready {
         for (model, wanted) in view.wanted.iter() {
-            if served(target, model).is_some_and(|version| version < wanted.version) {
-                found.push((target.clone(), model.clone(), wanted.version));
+            let Some(serves) = served(target, model) else {
+                continue;
+            };
+            if serves < wanted.version {
+                found.push(Outdated {
+                    serves,
+                    target: target.clone(),
+                    model: model.clone(),
+                    version: wanted.version,
+                });
             }
         }
     }
-    found.sort_by(|a, b| a.0.id.cmp(&b.0.id));
+    // The oldest weights go first: each version has its own time to be replaced in.
+    found.sort_by(|a, b| (a.serves, &a.target.id).cmp(&(b.serves, &b.target.id)));
     found
 }
--- a/crates/sillpin-settings/src/load.rs
+++ b/crates/sillpin-settings/src/load.rs
@@ -214,7 +214,10 @@
         let differs = |path: &Path, value: &Value| {
             before.values.get(path).map(|old| &old.text) != Some(&value.text)
         };
-        let changed = self.values.iter().filter(|(path, value)| differs(path, value));
+        let changed = self
+            .values
+            .iter()
+            .filter(|(path, value)| differs(path, value));
         changed
             .map(|((section, key), _)| format!("{section}.{key}"))
             .collect()
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -137,6 +137,10 @@
     KEPT_STORE_LISTED = 332, Info, "store of kept KV cache listed", "Nothing to do.";
     /// Events of a store were lost, or it restarted.
     KEPT_STORE_GAP = 333, Info, "events of a store lost", "Nothing to do: the store is listed anew.";
+    /// Parts were freed in a store.
+    KEPT_FREED = 334, Info, "kept parts freed", "Nothing to do.";
+    /// A store did not free parts.
+    KEPT_NOT_FREED = 335, Warning, "kept parts not freed", "Nothing to do: it is tried again.";
     /// A request goes to a target.
     SENDING = 340, Info, "sending", "Nothing to do.";
     /// A sending brought no whole answer.
