Let boxes fetch kept parts only in touch; fetch parts whatever lies before them

Cause: after a version bump the stores stayed full: a box cut off from the others held up every free by 6.7 s. A slow store's fetches held the engines' memory for up to 1.2 s each. Change: a box out of touch for 2.5 s fetches nothing unless no box reaches the store; a fetch gets 450 ms; a part is asked for even if the one before it is not in a store, since engines usually hold that one.

--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -12,7 +12,6 @@
 use crate::beliefs::{FleetMsg, View, Wanted};
 use crate::config::{EngineSpec, Repeat};
 use crate::dialect::{Dialect, EngineSending, Prompt, Sending};
-use crate::kept::retire::TOUCH;
 use crate::place::choose::PromptChoice;
 use crate::place::load::Outcome as Health;
 use crate::place::parts::{Plan, PlanInputs, plan, salt};
@@ -315,12 +314,11 @@
         let now = base.now;
         let wanted = view.wanted.get(&prompt.model);
         let org = run.organisation.as_deref();
-        let listed = view.listed.confirmed;
         let inputs = PlanInputs {
             config: &run.config,
             engine,
             kept: &self.kept,
-            in_touch: listed.is_some_and(|at| now - at < TOUCH),
+            in_touch: self.kept.retirements().may_fetch(view, now),
             now,
         };
         // One draw for all versions: what is spared under one must not be fetched under another.
--- a/crates/sillpin-gateway/src/kept/links.rs
+++ b/crates/sillpin-gateway/src/kept/links.rs
@@ -12,7 +12,7 @@
 
 /// Fetches that take this much longer than other prompts are late: with reading and transfer it leaves the
 /// longer aim of 500 ms just within reach.
-const LATE_MS: f64 = 220.0;
+const LATE_MS: f64 = 300.0;
 
 /// What a late fetch leaves of the share.
 const DECREASE: f64 = 0.85;
@@ -24,7 +24,7 @@
 const LEAST: f64 = 0.1;
 
 /// Weight of the newest sample in an average.
-const WEIGHT: f64 = 0.25;
+const WEIGHT: f64 = 0.2;
 
 /// Share and average of one store.
 #[derive(Debug, Clone, Copy)]
--- a/crates/sillpin-gateway/src/kept/retire.rs
+++ b/crates/sillpin-gateway/src/kept/retire.rs
@@ -7,7 +7,8 @@
 //!
 //! A part is never freed under a reader. Each box tells in its digests which share it has retired, and
 //! never goes back. A box that was not heard may at worst use what it knew when it was last in touch,
-//! because a box out of touch for [`TOUCH`] fetches nothing. Fetches are thrown away after a known time.
+//! because a box out of touch fetches nothing, unless all boxes are, and then nobody frees. Fetches are
+//! thrown away after a known time.
 
 use super::homes::{hash_pair, unit};
 use super::salt::SaltParts;
@@ -20,16 +21,26 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// A box that has not heard of the targets for this long fetches nothing: longer than most outages of
-/// the platform's store.
-pub const TOUCH: Duration = Duration::from_millis(6_000);
+/// A box that has not heard of the targets for this long is out of touch. It reads the store every 0.9 to
+/// 1.8 s.
+const TOUCH: Duration = Duration::from_millis(2_500);
 
 /// Added to [`TOUCH`] for the way of news and clocks of different speed.
-const TOUCH_MARGIN: Duration = Duration::from_millis(700);
+const TOUCH_MARGIN: Duration = Duration::from_millis(500);
+
+/// A box that was not heard for this long may have changed its mind: five rounds of news.
+const WORD_TIME: Duration = Duration::from_millis(2_000);
+
+/// A box whose last word from the store is older than this does not hold the fleet's duty.
+const STORE_SILENCE: Duration = Duration::from_millis(2_200);
 
 /// A share counts for a new box, which read the store when it started, after this time.
 const NEW_BOX: Duration = Duration::from_millis(1_000);
 
+/// Fetches not ended by then are thrown away, and the prompt is read instead. A fetch takes room at the
+/// engine while it waits, so a slow link must not hold it for long: a transfer takes 25 to 60 ms.
+pub const FETCH_TIME: Duration = Duration::from_millis(450);
+
 /// A version of a model's weights.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Weights {
@@ -61,6 +72,7 @@
 struct Heard {
     at: Instant,
     shares: Shares,
+    store_silence: Duration,
 }
 
 /// What this box has retired, and what it knows of the others.
@@ -80,7 +92,7 @@
         }
         let shares = self.applied.clone();
         self.history.push_back(Sample { at: now, shares });
-        let old = TOUCH + TOUCH_MARGIN;
+        let old = TOUCH + TOUCH_MARGIN + FETCH_TIME;
         while self.history.get(1).is_some_and(|next| now - next.at > old) {
             self.history.pop_front();
         }
@@ -95,10 +107,36 @@
         self.applied.iter().map(told).collect()
     }
 
-    /// Takes what another box tells.
-    pub fn hear(&mut self, from: BoxId, retired: Vec<Retired>, now: Instant) {
+    /// Takes what another box tells: what it has retired, and since when it has no word from the store.
+    pub fn hear(
+        &mut self,
+        from: BoxId,
+        retired: Vec<Retired>,
+        store_silence: Duration,
+        now: Instant,
+    ) {
         let shares = retired.into_iter().map(|r| (r.weights, r.share)).collect();
-        self.others.insert(from, Heard { at: now, shares });
+        let heard = Heard {
+            at: now,
+            shares,
+            store_silence,
+        };
+        self.others.insert(from, heard);
+    }
+
+    /// Whether this box may fetch: it knows what was retired of late, or nobody can free anything because
+    /// the store answers no box.
+    pub fn may_fetch(&self, view: &View, now: Instant) -> bool {
+        let confirmed = view.listed.confirmed;
+        if confirmed.is_some_and(|at| now - at < TOUCH) {
+            return true;
+        }
+        let is_cut_off_too = |id: &BoxId| {
+            self.others.get(id).is_some_and(|heard| {
+                now - heard.at < WORD_TIME && heard.store_silence > STORE_SILENCE
+            })
+        };
+        confirmed.is_some() && view.boxes.iter().all(|peer| is_cut_off_too(&peer.id))
     }
 
     /// Whether this box neither fetches nor saves a part any more.
@@ -109,11 +147,15 @@
     }
 
     /// Share of a version's parts that no box fetches: told by every box, or known for so long that a box
-    /// that says nothing has either learned it too or stopped fetching.
+    /// that says nothing has either learned it too or stopped fetching. Fetches begun before are over: they
+    /// take less than [`FETCH_TIME`].
     pub fn unused_share(&self, weights: &Weights, view: &View, now: Instant) -> f64 {
-        let long_known = self.known_at(weights, now, TOUCH + TOUCH_MARGIN);
+        let long_known = self.known_at(weights, now, TOUCH + TOUCH_MARGIN + FETCH_TIME);
         let told_by = |id: &BoxId| {
-            let heard = self.others.get(id).filter(|heard| now - heard.at < TOUCH);
+            let heard = self
+                .others
+                .get(id)
+                .filter(|heard| now - heard.at < WORD_TIME);
             let share = heard.and_then(|heard| heard.shares.get(weights));
             share.copied().unwrap_or(0.0).max(long_known)
         };
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -235,9 +235,12 @@
         }
         let from = digest.from.id.clone();
         self.loads.hear(from.clone(), digest.work);
+        let silence = digest.targets.age_ms.map(Duration::from_millis);
+        let silence = silence.unwrap_or(Duration::MAX);
+        let now = Instant::now();
         self.kept
             .retirements()
-            .hear(from, digest.retired, Instant::now());
+            .hear(from, digest.retired, silence, now);
         self.fleet.tell(FleetMsg::Heard(digest.from.clone())).await;
         let extents = [
             (Topic::Operators, digest.operators),
--- a/crates/sillpin-gateway/src/place/parts.rs
+++ b/crates/sillpin-gateway/src/place/parts.rs
@@ -4,12 +4,12 @@
 use crate::control::KeptKey;
 use crate::dialect::{EngineSending, Prompt, Salt};
 use crate::kept::homes::homes;
+use crate::kept::retire::FETCH_TIME;
 use crate::kept::salt::SaltParts;
 use crate::kept::{Directory, Kept};
 use sillpin_core::{Tokens, WeightVersion, ZoneId};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::time::Duration;
 use tokio::time::Instant;
 
 /// Prompt tokens that an engine reads in a millisecond. Both sites state 56.9; it only ranks ways to
@@ -19,10 +19,6 @@
 /// Transfers between zones take twice as long.
 const FOREIGN_ZONE_FACTOR: f64 = 2.0;
 
-/// Fetches not ended by then are thrown away, and the prompt is read instead. Reading again costs more
-/// than a late answer, so fetches get most of the time that a caller waits for the first event.
-const FETCH_TIME: Duration = Duration::from_millis(1_200);
-
 /// Share of a store's room that is filled: parts that are being written are not counted.
 const FILLED: f64 = 0.975;
 
@@ -209,15 +205,13 @@
         let until = directory.engine_time(now, FETCH_TIME);
         let none = || vec![None::<SocketAddr>; self.part_count];
         let (mut fetch, mut save) = (none(), none());
-        let mut reachable = until.is_some();
         for (index, part) in self.shared.iter().enumerate() {
             let Some(store) = &part.home else {
-                reachable = false;
                 continue;
             };
-            reachable &= part.whole;
-            if reachable {
-                fetch[index] = Some(store.addr);
+            if part.whole {
+                // A part behind one that nobody holds cannot be used; asking for it costs a millisecond.
+                fetch[index] = until.map(|_| store.addr);
             } else if directory.should_save(store.addr, &part.key, part.tokens, now) {
                 save[index] = Some(store.addr);
             }
