--- a/crates/sillpin-box/src/main.rs
+++ b/crates/sillpin-box/src/main.rs
@@ -47,6 +47,6 @@
         platform: PlatformStore::new(client.clone(), cfg.platform),
         control: TargetCalls::new(client),
     };
-    ops::run(cfg, settings, telemetry, adapter, stop_on_sigterm()?).await?;
+    ops::run(settings, telemetry, adapter, stop_on_sigterm()?).await?;
     Ok(())
 }
--- a/crates/sillpin-gateway/src/front/events.rs
+++ b/crates/sillpin-gateway/src/front/events.rs
@@ -67,8 +67,8 @@
 
 fn last_id(events: &[u8]) -> Option<String> {
     let lines = events.split(|b| *b == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
-    let id = ids.last()?;
+    let mut ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
+    let id = ids.next_back()?;
     let text = std::str::from_utf8(id).ok()?;
     Some(text.trim().to_owned())
 }
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -51,7 +51,6 @@
     /// Puts together what requests use.
     pub fn new(
         dialect: D,
-        cfg: BoxConfig,
         settings: Settings,
         fleet: FleetHandle,
         kept: Kept,
@@ -59,6 +58,7 @@
         log: Logger,
         stopping: CancellationToken,
     ) -> Self {
+        let cfg = settings.borrow().clone();
         let room = usize::try_from(cfg.memory / BODY_SHARE).unwrap_or(usize::MAX);
         let budget = RetryBudget::default();
         Self {
--- a/crates/sillpin-gateway/src/kept/retire.rs
+++ b/crates/sillpin-gateway/src/kept/retire.rs
@@ -166,8 +166,8 @@
 
     /// The share that was applied here at least `age` ago.
     fn known_at(&self, weights: &Weights, now: Instant, age: Duration) -> f64 {
-        let old = self.history.iter().filter(|sample| now - sample.at >= age);
-        let newest = old.last();
+        let mut old = self.history.iter().filter(|sample| now - sample.at >= age);
+        let newest = old.next_back();
         let share = newest.and_then(|sample| sample.shares.get(weights));
         share.copied().unwrap_or(0.0)
     }
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -82,7 +82,6 @@
 
 /// Runs a box until it is told to stop and its last request has ended.
 pub async fn run<D, K, P, C>(
-    cfg: BoxConfig,
     settings: Settings,
     telemetry: Telemetry,
     adapter: Adapter<D, K, P, C>,
@@ -94,6 +93,7 @@
     P: Platform,
     C: Control,
 {
+    let cfg = settings.borrow().clone();
     let listeners = listen_all(&cfg).await?;
     let Telemetry { log, metrics, .. } = telemetry;
     event!(log, events::BOX_STARTED, "callers" => cfg.callers.to_string(),
@@ -112,7 +112,6 @@
     ));
     let shared = Arc::new(Shared::new(
         adapter.dialect.clone(),
-        cfg.clone(),
         settings.clone(),
         fleet.clone(),
         kept,
--- /dev/null
+++ b/crates/sillpin-gateway/tests/beliefs.rs
@@ -0,0 +1,199 @@
+//! What a box knows of the fleet, under outages and old news.
+
+mod common;
+
+use common::{TestKeys, entry, target};
+use sillpin_core::{ModelId, WeightVersion};
+use sillpin_gateway::beliefs::fleet::{Fleet, served};
+use sillpin_gateway::beliefs::{BoxEntry, FleetMsg, Reading, Source, Topic};
+use sillpin_gateway::config::ConfigVersion;
+use sillpin_gateway::control::Presence;
+use sillpin_platform::{KvEntry, KvRevision, Snapshot, WatchReply};
+use std::time::Duration;
+use tokio::time::Instant;
+
+fn fleet() -> Fleet<TestKeys> {
+    let log = sillpin_telemetry::logs::discard();
+    Fleet::new(common::name("box-1"), TestKeys, log)
+}
+
+fn whole(topic: Topic, entries: Vec<KvEntry>, revision: u64, asked: Instant) -> FleetMsg {
+    let revision = KvRevision(revision);
+    FleetMsg::Read {
+        topic,
+        reading: Reading::Whole(Snapshot { entries, revision }),
+        asked,
+        source: Source::Store,
+    }
+}
+
+fn changes(topic: Topic, changed: Vec<KvEntry>, revision: u64, asked: Instant) -> FleetMsg {
+    let revision = KvRevision(revision);
+    FleetMsg::Read {
+        topic,
+        reading: Reading::Changes(WatchReply { changed, revision }),
+        asked,
+        source: Source::Store,
+    }
+}
+
+fn gone(key: &str, revision: u64) -> KvEntry {
+    KvEntry {
+        value: None,
+        ..entry(key, "", revision)
+    }
+}
+
+fn version(fleet: &Fleet<TestKeys>) -> Option<ConfigVersion> {
+    fleet.view().config.as_ref().map(|config| config.version)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_configuration_never_goes_back() {
+    let mut fleet = fleet();
+    let now = Instant::now();
+    let newer = vec![entry("ops/config", "7", 5)];
+    fleet.handle(whole(Topic::Operators, newer, 5, now), now);
+    let older = vec![entry("ops/config", "3", 9)];
+    fleet.handle(whole(Topic::Operators, older, 9, now), now);
+    assert_eq!(version(&fleet), Some(ConfigVersion(7)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_unreadable_configuration_leaves_the_last_good_one_in_force() {
+    let mut fleet = fleet();
+    let now = Instant::now();
+    let good = vec![entry("ops/config", "7", 5)];
+    fleet.handle(whole(Topic::Operators, good, 5, now), now);
+    let bad = vec![entry("ops/config", "{", 6)];
+    fleet.handle(changes(Topic::Operators, bad, 6, now), now);
+    assert_eq!(version(&fleet), Some(ConfigVersion(7)));
+    let next = vec![entry("ops/config", "8", 7)];
+    fleet.handle(changes(Topic::Operators, next, 7, now), now);
+    assert_eq!(version(&fleet), Some(ConfigVersion(8)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_copy_of_another_box_that_is_older_changes_nothing() {
+    let mut fleet = fleet();
+    let now = Instant::now();
+    let leaving = vec![entry("target/e1", "leaving 1", 8)];
+    fleet.handle(whole(Topic::Targets, leaving, 8, now), now);
+    let old = vec![entry("target/e1", "ready 1", 4)];
+    fleet.handle(whole(Topic::Targets, old, 4, now), now);
+    let known = &fleet.view().targets[&target("e1")];
+    assert_eq!(known.presence, Presence::Leaving);
+    assert_eq!(fleet.view().listed.revision, KvRevision(8));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_that_is_seen_twice_does_not_bring_a_target_back() {
+    let mut fleet = fleet();
+    let now = Instant::now();
+    let both = vec![
+        entry("target/e1", "ready 1", 3),
+        entry("target/e2", "ready 1", 4),
+    ];
+    fleet.handle(whole(Topic::Targets, both, 4, now), now);
+    let left = vec![gone("target/e1", 6)];
+    fleet.handle(changes(Topic::Targets, left, 6, now), now);
+    let late = vec![entry("target/e1", "ready 1", 3)];
+    fleet.handle(changes(Topic::Targets, late, 6, now), now);
+    assert!(!fleet.view().targets.contains_key(&target("e1")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_removed_entry_ends_a_target_at_once_on_a_good_day() {
+    let mut fleet = fleet();
+    let now = Instant::now();
+    let all = (0..4).map(|i| entry(&format!("target/e{i}"), "ready 1", 4));
+    fleet.handle(whole(Topic::Targets, all.collect(), 4, now), now);
+    fleet.handle(
+        changes(Topic::Targets, vec![gone("target/e1", 5)], 5, now),
+        now,
+    );
+    assert!(!fleet.view().targets.contains_key(&target("e1")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn entries_that_lapse_in_an_outage_stay_until_it_is_clear_that_they_do_not_return() {
+    let mut fleet = fleet();
+    let now = Instant::now();
+    let both = vec![
+        entry("target/e1", "ready 1", 3),
+        entry("target/e2", "ready 1", 4),
+    ];
+    fleet.handle(whole(Topic::Targets, both, 4, now), now);
+    fleet.handle(FleetMsg::StoreAway, now);
+    tokio::time::advance(Duration::from_secs(1)).await;
+    let now = Instant::now();
+    fleet.handle(whole(Topic::Targets, Vec::new(), 9, now), now);
+    assert_eq!(fleet.view().targets.len(), 2, "both may still return");
+    let back = vec![entry("target/e1", "ready 1", 10)];
+    fleet.handle(changes(Topic::Targets, back, 10, now), now);
+    tokio::time::advance(Duration::from_millis(2_400)).await;
+    assert!(fleet.sweep(Instant::now()));
+    let left: Vec<_> = fleet.view().targets.keys().cloned().collect();
+    assert_eq!(left, [target("e1")]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leaving_target_gets_no_grace_in_an_outage() {
+    let mut fleet = fleet();
+    let now = Instant::now();
+    let one = vec![entry("target/e1", "leaving 1", 3)];
+    fleet.handle(whole(Topic::Targets, one, 3, now), now);
+    fleet.handle(FleetMsg::StoreAway, now);
+    fleet.handle(whole(Topic::Targets, Vec::new(), 9, now), now);
+    assert!(fleet.view().targets.is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn weights_learned_from_an_answer_count_until_the_entry_says_more() {
+    let mut fleet = fleet();
+    let now = Instant::now();
+    let one = vec![entry("target/e1", "ready 1", 3)];
+    fleet.handle(whole(Topic::Targets, one, 3, now), now);
+    let model: ModelId = common::name("m");
+    let hint = FleetMsg::Serves {
+        target: target("e1"),
+        model: model.clone(),
+        version: WeightVersion(2),
+    };
+    fleet.handle(hint, now);
+    let seen = served(&fleet.view().targets[&target("e1")], &model);
+    assert_eq!(seen, Some(WeightVersion(2)));
+    let listed = served(&fleet.view().entries[&target("e1")], &model);
+    assert_eq!(
+        listed,
+        Some(WeightVersion(1)),
+        "entries stay as they were read"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn silent_boxes_are_forgotten_unless_they_are_registered() {
+    let mut fleet = fleet();
+    let now = Instant::now();
+    let peer = |id: &str| BoxEntry {
+        id: common::name(id),
+        zone: common::name("za"),
+        peers: ([127, 0, 0, 1], 1).into(),
+        gossip: ([127, 0, 0, 1], 2).into(),
+    };
+    fleet.handle(FleetMsg::Heard(peer("box-2")), now);
+    fleet.handle(
+        FleetMsg::Registered(vec![peer("box-3"), peer("box-1")]),
+        now,
+    );
+    assert_eq!(fleet.view().box_count(), 3, "two others and this one");
+    tokio::time::advance(Duration::from_secs(7)).await;
+    fleet.sweep(Instant::now());
+    let ids: Vec<_> = fleet
+        .view()
+        .boxes
+        .iter()
+        .map(|b| b.id.to_string())
+        .collect();
+    assert_eq!(ids, ["box-3"]);
+}
--- /dev/null
+++ b/crates/sillpin-gateway/tests/common/mod.rs
@@ -0,0 +1,327 @@
+//! What several tests use: names, entries, and a platform store in memory.
+
+#![allow(dead_code)]
+
+use sillpin_core::target::BoxList;
+use sillpin_core::{ModelId, TargetId, WeightVersion, ZoneId};
+use sillpin_gateway::config::{ConfigVersion, FleetConfig, StoreSpec};
+use sillpin_gateway::control::{
+    DecodeError, Presence, Published, Served, TargetEntry, WantedWeights,
+};
+use sillpin_platform::{
+    BoxLister, KvEntry, KvRevision, LeaseId, Platform, PlatformError, PlatformFault, Snapshot,
+    WatchReply,
+};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// A name of any kind.
+pub fn name<T: std::str::FromStr>(text: &str) -> T {
+    match text.parse() {
+        Ok(name) => name,
+        Err(_) => panic!("{text} is a name"),
+    }
+}
+
+/// A ready engine that serves version 1 of model `m`.
+pub fn engine(id: &str, zone: &str) -> TargetEntry {
+    TargetEntry {
+        id: name(id),
+        pool: name("llm"),
+        addr: ([127, 0, 0, 1], 9).into(),
+        zone: name(zone),
+        slots: 64,
+        presence: Presence::Ready,
+        served: vec![Served {
+            model: name("m"),
+            version: WeightVersion(1),
+        }],
+    }
+}
+
+/// A managed store.
+pub fn store(id: &str, port: u16, zone: &str, room: u64, first_ms: u64) -> StoreSpec {
+    StoreSpec {
+        id: name(id),
+        addr: ([127, 0, 0, 1], port).into(),
+        zone: name::<ZoneId>(zone),
+        room: sillpin_core::Tokens(room),
+        link_bytes_per_ms: 3_600_000.0,
+        first: Duration::from_millis(first_ms),
+        max_readers: 12,
+        managed: true,
+    }
+}
+
+/// Published values in a spelling of the tests' own: `target ID STATE VERSION`, a configuration's
+/// version, `MODEL VERSION`.
+#[derive(Debug, Clone, Copy)]
+pub struct TestKeys;
+
+impl Published for TestKeys {
+    fn target_prefix(&self) -> &'static str {
+        "target/"
+    }
+
+    fn operator_prefix(&self) -> &'static str {
+        "ops/"
+    }
+
+    fn is_config(&self, key: &str) -> bool {
+        key == "ops/config"
+    }
+
+    fn is_weights(&self, key: &str) -> bool {
+        key.starts_with("ops/weights/")
+    }
+
+    fn target(&self, key: &str, value: &str) -> Result<TargetEntry, DecodeError> {
+        let fault = || DecodeError {
+            key: key.to_owned(),
+            what: "unreadable".to_owned(),
+        };
+        let (state, version) = value.split_once(' ').ok_or_else(fault)?;
+        let id = key.strip_prefix("target/").ok_or_else(fault)?;
+        let mut entry = engine(id, "za");
+        if state != "ready" {
+            entry.presence = Presence::Leaving;
+        }
+        entry.served[0].version = version.parse().map_err(|_| fault())?;
+        Ok(entry)
+    }
+
+    fn config(&self, key: &str, value: &str) -> Result<FleetConfig, DecodeError> {
+        let version: u64 = value.parse().map_err(|_| DecodeError {
+            key: key.to_owned(),
+            what: "unreadable".to_owned(),
+        })?;
+        Ok(FleetConfig {
+            version: ConfigVersion(version),
+            ..FleetConfig::default()
+        })
+    }
+
+    fn weights(&self, key: &str, value: &str) -> Result<WantedWeights, DecodeError> {
+        let model = key.strip_prefix("ops/weights/").unwrap_or(key);
+        Ok(WantedWeights {
+            model: name::<ModelId>(model),
+            version: name(value),
+        })
+    }
+}
+
+/// An entry of the platform's store.
+pub fn entry(key: &str, value: &str, revision: u64) -> KvEntry {
+    KvEntry {
+        key: key.to_owned(),
+        value: Some(value.to_owned()),
+        revision: KvRevision(revision),
+    }
+}
+
+/// A target's name.
+pub fn target(id: &str) -> TargetId {
+    name(id)
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    values: BTreeMap<String, (String, u64, Option<u64>)>,
+    leases: BTreeMap<u64, (Instant, Duration)>,
+    next_lease: u64,
+    away: bool,
+}
+
+impl State {
+    fn lapse(&mut self, now: Instant) {
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (until, _))| *until <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in over {
+            self.leases.remove(&id);
+            let before = self.values.len();
+            self.values.retain(|_, (_, _, lease)| *lease != Some(id));
+            if before != self.values.len() {
+                self.revision += 1;
+            }
+        }
+    }
+}
+
+/// A platform store in memory, on the paused clock.
+#[derive(Debug, Clone, Default)]
+pub struct MemoryStore {
+    state: Arc<Mutex<State>>,
+    changed: Arc<Notify>,
+}
+
+/// Time of a call.
+const CALL: Duration = Duration::from_millis(4);
+
+impl MemoryStore {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        let mut state = self.state.lock().unwrap();
+        state.lapse(Instant::now());
+        state
+    }
+
+    /// Answers nobody from now on, or everybody again.
+    pub fn set_away(&self, away: bool) {
+        self.lock().away = away;
+    }
+
+    fn failed(fault: PlatformFault) -> PlatformError {
+        PlatformError {
+            step: "a call",
+            peer: ([127, 0, 0, 1], 1).into(),
+            fault,
+        }
+    }
+
+    async fn call(&self) -> Result<(), PlatformError> {
+        tokio::time::sleep(CALL).await;
+        match self.lock().away {
+            true => Err(Self::failed(PlatformFault::Unreachable)),
+            false => Ok(()),
+        }
+    }
+
+    fn found(&self, prefix: &str) -> Vec<KvEntry> {
+        let state = self.lock();
+        let below = state
+            .values
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix));
+        below
+            .map(|(key, (value, revision, _))| entry(key, value, *revision))
+            .collect()
+    }
+}
+
+impl Platform for MemoryStore {
+    async fn get(&self, key: &str) -> Result<Option<KvEntry>, PlatformError> {
+        self.call().await?;
+        Ok(self.found(key).into_iter().find(|entry| entry.key == key))
+    }
+
+    async fn list(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        limit: usize,
+    ) -> Result<Vec<KvEntry>, PlatformError> {
+        self.call().await?;
+        let found = self.found(prefix).into_iter();
+        let rest = found.filter(|entry| Some(entry.key.as_str()) > after);
+        Ok(rest.take(limit).collect())
+    }
+
+    async fn snapshot(&self, prefix: &str) -> Result<Snapshot, PlatformError> {
+        self.call().await?;
+        let entries = self.found(prefix);
+        let revision = KvRevision(self.lock().revision);
+        Ok(Snapshot { entries, revision })
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: &str,
+        expect: KvRevision,
+        lease: Option<LeaseId>,
+    ) -> Result<KvRevision, PlatformError> {
+        self.call().await?;
+        let mut state = self.lock();
+        let known = state
+            .values
+            .get(key)
+            .map_or(0, |(_, revision, _)| *revision);
+        if known != expect.0 {
+            return Err(Self::failed(PlatformFault::Conflict));
+        }
+        if lease.is_some_and(|lease| !state.leases.contains_key(&lease.0)) {
+            return Err(Self::failed(PlatformFault::LeaseLapsed));
+        }
+        state.revision += 1;
+        let revision = state.revision;
+        let lease = lease.map(|lease| lease.0);
+        let value = (value.to_owned(), revision, lease);
+        state.values.insert(key.to_owned(), value);
+        drop(state);
+        self.changed.notify_waiters();
+        Ok(KvRevision(revision))
+    }
+
+    async fn delete(&self, key: &str, expect: KvRevision) -> Result<(), PlatformError> {
+        self.call().await?;
+        let mut state = self.lock();
+        let known = state
+            .values
+            .get(key)
+            .map_or(0, |(_, revision, _)| *revision);
+        if known != expect.0 {
+            return Err(Self::failed(PlatformFault::Conflict));
+        }
+        state.values.remove(key);
+        state.revision += 1;
+        drop(state);
+        self.changed.notify_waiters();
+        Ok(())
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, PlatformError> {
+        self.call().await?;
+        let mut state = self.lock();
+        state.next_lease += 1;
+        let id = state.next_lease;
+        state.leases.insert(id, (Instant::now() + ttl, ttl));
+        Ok(LeaseId(id))
+    }
+
+    async fn renew_lease(&self, lease: LeaseId) -> Result<(), PlatformError> {
+        self.call().await?;
+        let mut state = self.lock();
+        match state.leases.get_mut(&lease.0) {
+            Some((until, ttl)) => {
+                *until = Instant::now() + *ttl;
+                Ok(())
+            }
+            None => Err(Self::failed(PlatformFault::LeaseLapsed)),
+        }
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: KvRevision,
+        wait: Duration,
+    ) -> Result<WatchReply, PlatformError> {
+        let until = Instant::now() + wait;
+        loop {
+            self.call().await?;
+            let at = self.lock().revision;
+            let found = self.found(prefix).into_iter();
+            let changed: Vec<KvEntry> = found.filter(|e| e.revision > after).collect();
+            if at > after.0 || Instant::now() >= until {
+                let revision = KvRevision(at);
+                return Ok(WatchReply { changed, revision });
+            }
+            // Leases lapse without a notice, so the wait is cut into pieces.
+            let piece = Duration::from_millis(100);
+            let _ = tokio::time::timeout(piece, self.changed.notified()).await;
+        }
+    }
+}
+
+impl BoxLister for MemoryStore {
+    async fn box_list(&self) -> Result<BoxList, PlatformError> {
+        Err(Self::failed(PlatformFault::Invalid))
+    }
+}
--- /dev/null
+++ b/crates/sillpin-gateway/tests/kept.rs
@@ -0,0 +1,360 @@
+//! What is known of kept parts, and when they may be fetched and freed.
+
+mod common;
+
+use common::{engine, name, store, target};
+use proptest::prelude::*;
+use rstest::rstest;
+use sillpin_core::{Tokens, WeightVersion};
+use sillpin_gateway::beliefs::{BoxEntry, Known, View, Wanted};
+use sillpin_gateway::control::{KeptChange, KeptKey, KeptList, KeptNews};
+use sillpin_gateway::dialect::{EngineTime, PartId, Salt};
+use sillpin_gateway::kept::directory::{BELIEF, Directory};
+use sillpin_gateway::kept::homes::homes;
+use sillpin_gateway::kept::links::Links;
+use sillpin_gateway::kept::retire::{Retired, Retirements, Weights, place_of};
+use sillpin_gateway::kept::salt::SaltParts;
+use sillpin_platform::KvRevision;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const STORE: SocketAddr = SocketAddr::V4(std::net::SocketAddrV4::new(
+    std::net::Ipv4Addr::LOCALHOST,
+    7,
+));
+
+fn key(part: &str) -> KeptKey {
+    KeptKey {
+        salt: Salt("m/1".to_owned()),
+        part: PartId(part.to_owned()),
+    }
+}
+
+fn list(epoch: u64, parts: &[&str]) -> KeptList {
+    KeptList {
+        epoch,
+        next: 10,
+        whole: parts.iter().map(|part| (key(part), Tokens(100))).collect(),
+        partial: Vec::new(),
+    }
+}
+
+fn news(epoch: u64, changes: Vec<KeptChange>) -> KeptNews {
+    KeptNews {
+        epoch,
+        next: 11,
+        lost: false,
+        changes,
+        clock: Some(EngineTime(5_000)),
+    }
+}
+
+fn kept(directory: &Directory, part: &str) -> bool {
+    directory.holds(STORE, &key(part), Tokens(100), Instant::now())
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_store_that_restarted_holds_nothing_until_it_is_listed() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    directory.take_list(STORE, list(1, &["a"]), now);
+    assert!(kept(&directory, "a"));
+    assert!(!directory.take_news(STORE, news(2, Vec::new()), now, now));
+    assert!(!kept(&directory, "a"), "it may be written anew");
+    assert_eq!(directory.position(STORE), None, "so that it is listed");
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_a_silent_store_holds_is_not_believed_for_long() {
+    let mut directory = Directory::default();
+    directory.take_list(STORE, list(1, &["a"]), Instant::now());
+    tokio::time::advance(BELIEF).await;
+    assert!(!kept(&directory, "a"));
+    let now = Instant::now();
+    assert!(!directory.should_save(STORE, &key("b"), Tokens(100), now));
+}
+
+#[tokio::test(start_paused = true)]
+async fn lost_events_ask_for_a_list() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    directory.take_list(STORE, list(1, &["a"]), now);
+    let gap = KeptNews {
+        lost: true,
+        ..news(1, Vec::new())
+    };
+    assert!(!directory.take_news(STORE, gap, now, now));
+    assert_eq!(directory.position(STORE), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn changes_keep_count_of_the_room() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    directory.take_list(STORE, list(1, &["a"]), now);
+    let change = |part: &str, tokens| KeptChange {
+        key: key(part),
+        tokens,
+    };
+    let changes = vec![
+        change("b", Some(Tokens(30))),
+        change("b", Some(Tokens(50))),
+        change("a", None),
+        change("gone before", None),
+    ];
+    assert!(directory.take_news(STORE, news(1, changes), now, now));
+    assert_eq!(directory.used(STORE), Tokens(50));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_part_is_asked_to_be_saved_once_at_a_time() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    directory.take_list(STORE, list(1, &["a"]), now);
+    assert!(
+        !directory.should_save(STORE, &key("a"), Tokens(100), now),
+        "it is there"
+    );
+    assert!(directory.should_save(STORE, &key("b"), Tokens(100), now));
+    assert!(!directory.should_save(STORE, &key("b"), Tokens(100), now));
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_engines_clock_is_never_ahead() {
+    let mut directory = Directory::default();
+    let asked = Instant::now();
+    directory.take_list(STORE, list(1, &[]), asked);
+    tokio::time::advance(Duration::from_millis(900)).await;
+    let answered = Instant::now();
+    directory.take_news(STORE, news(1, Vec::new()), asked, answered);
+    let read = directory.engine_time(answered, Duration::ZERO);
+    assert_eq!(
+        read,
+        Some(EngineTime(5_000)),
+        "made at the answer, not when it was asked for"
+    );
+}
+
+#[test]
+fn small_parts_go_to_fast_stores_and_large_ones_to_roomy_ones() {
+    let stores = [
+        store("fast", 1, "za", 158_767, 0),
+        store("roomy-1", 2, "za", 1_885_363, 6),
+        store("roomy-2", 3, "zb", 1_885_363, 6),
+    ];
+    let first = |part: &str, tokens| {
+        let found = homes(&stores, &PartId(part.to_owned()), Tokens(tokens));
+        found[0].id.to_string()
+    };
+    assert_eq!(first("a", 531), "fast");
+    assert!(first("a", 5_000).starts_with("roomy"));
+    assert!(first("a", 13_300).starts_with("roomy"), "no store suits it");
+}
+
+proptest! {
+    #[test]
+    fn equal_stores_share_parts_evenly(seed in 0u64..1_000) {
+        let stores = [
+            store("one", 2, "za", 1_885_363, 6),
+            store("two", 3, "zb", 1_885_363, 6),
+        ];
+        let at_one = (0..1_000)
+            .map(|i| PartId(format!("{seed}-{i}")))
+            .filter(|part| homes(&stores, part, Tokens(5_000))[0].id.as_str() == "one")
+            .count();
+        // Six standard deviations of a fair split of 1,000.
+        prop_assert!((405..=595).contains(&at_one), "{at_one} of 1,000");
+    }
+}
+
+#[rstest]
+#[case("m/1", Some((1, None)))]
+#[case("m/12/acme", Some((12, Some("acme"))))]
+#[case("m", None)]
+#[case("m/x", None)]
+#[case("m/1/acme/more", None)]
+#[case("", None)]
+fn salts_read_back(#[case] text: &str, #[case] expected: Option<(u64, Option<&str>)>) {
+    let read = text.parse::<SaltParts>().ok();
+    let seen = read.as_ref().map(|salt| {
+        let wall = salt.wall.as_ref().map(|org| org.as_str());
+        (salt.version.0, wall)
+    });
+    assert_eq!(seen, expected);
+    if let Some(salt) = read {
+        assert_eq!(salt.to_string(), text);
+    }
+}
+
+/// `upgraded` of four engines serve version 2; one other box is known.
+fn view(upgraded: usize, confirmed: Instant) -> View {
+    let engines = (0..4).map(|i| {
+        let mut engine = engine(&format!("e{i}"), "za");
+        if i < upgraded {
+            engine.served[0].version = WeightVersion(2);
+        }
+        (target(&format!("e{i}")), Arc::new(engine))
+    });
+    let wanted = Wanted {
+        version: WeightVersion(2),
+        since: confirmed,
+    };
+    View {
+        entries: Arc::new(engines.collect()),
+        wanted: Arc::new(HashMap::from([(name("m"), wanted)])),
+        listed: Known {
+            revision: KvRevision(1),
+            confirmed: Some(confirmed),
+        },
+        boxes: Arc::new(vec![BoxEntry {
+            id: name("box-2"),
+            zone: name("za"),
+            peers: STORE,
+            gossip: STORE,
+        }]),
+        ..View::default()
+    }
+}
+
+fn old_weights() -> Weights {
+    Weights {
+        model: name("m"),
+        version: WeightVersion(1),
+    }
+}
+
+fn told(share: f64) -> Vec<Retired> {
+    vec![Retired {
+        weights: old_weights(),
+        share,
+    }]
+}
+
+#[tokio::test(start_paused = true)]
+async fn parts_are_retired_in_step_with_the_engines_and_never_come_back() {
+    let mut retirements = Retirements::default();
+    let salt: SaltParts = "m/1".parse().unwrap();
+    let parts: Vec<KeptKey> = (0..400).map(|i| key(&format!("p{i}"))).collect();
+    let retired = |r: &Retirements| parts.iter().filter(|key| r.is_retired(&salt, key)).count();
+    let now = Instant::now();
+    retirements.update(&view(0, now), now);
+    assert_eq!(retired(&retirements), 0);
+    retirements.update(&view(2, now), now);
+    let half = retired(&retirements);
+    assert!((150..250).contains(&half), "{half} of 400");
+    retirements.update(&view(1, now), now);
+    assert_eq!(
+        retired(&retirements),
+        half,
+        "an engine that went back brings no part back"
+    );
+    retirements.update(&view(4, now), now);
+    assert_eq!(retired(&retirements), 400);
+    let newer: SaltParts = "m/2".parse().unwrap();
+    assert!(!retirements.is_retired(&newer, &parts[0]));
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_is_unused_while_a_box_may_still_fetch_it() {
+    let mut retirements = Retirements::default();
+    let start = Instant::now();
+    retirements.update(&view(4, start), start);
+    tokio::time::advance(Duration::from_millis(1_500)).await;
+    let now = Instant::now();
+    let old = old_weights();
+    let unused = |r: &Retirements, now| r.unused_share(&old, &view(4, now), now);
+    assert_eq!(
+        unused(&retirements, now),
+        0.0,
+        "the other box has said nothing"
+    );
+    retirements.hear(name("box-2"), told(0.25), Duration::ZERO, now);
+    assert_eq!(unused(&retirements, now), 0.25);
+    retirements.hear(name("box-2"), told(1.0), Duration::ZERO, now);
+    assert_eq!(unused(&retirements, now), 1.0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_box_that_says_nothing_has_stopped_fetching_after_a_while() {
+    let mut retirements = Retirements::default();
+    let start = Instant::now();
+    retirements.update(&view(4, start), start);
+    assert!(retirements.may_fetch(&view(4, start), start));
+    for _ in 0..40 {
+        tokio::time::advance(Duration::from_millis(100)).await;
+        let now = Instant::now();
+        retirements.update(&view(4, now), now);
+        let unused = retirements.unused_share(&old_weights(), &view(4, now), now);
+        // The other box, silent and out of touch since the start, applies the same rule to itself.
+        let may_fetch = Retirements::default().may_fetch(&view(4, start), now);
+        assert!(unused == 0.0 || !may_fetch, "after {:?}", now - start);
+    }
+    let now = Instant::now();
+    assert_eq!(
+        retirements.unused_share(&old_weights(), &view(4, now), now),
+        1.0
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn without_the_store_boxes_fetch_on_only_if_none_of_them_reaches_it() {
+    let mut retirements = Retirements::default();
+    let start = Instant::now();
+    tokio::time::advance(Duration::from_secs(5)).await;
+    let now = Instant::now();
+    let stale = view(0, start);
+    assert!(
+        !retirements.may_fetch(&stale, now),
+        "the other box is not heard"
+    );
+    retirements.hear(name("box-2"), Vec::new(), Duration::ZERO, now);
+    assert!(
+        !retirements.may_fetch(&stale, now),
+        "the other box reaches the store"
+    );
+    retirements.hear(name("box-2"), Vec::new(), Duration::from_secs(5), now);
+    assert!(retirements.may_fetch(&stale, now));
+}
+
+#[test]
+fn the_order_of_retirement_is_spread_over_all_parts() {
+    let low = (0..1_000)
+        .filter(|i| place_of(&key(&format!("p{i}"))) < 0.5)
+        .count();
+    assert!((400..600).contains(&low), "{low} of 1,000");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_slow_store_gets_a_smaller_share_of_fetches_and_recovers() {
+    let mut links = Links::default();
+    assert_eq!(links.share(STORE, Instant::now()), 1.0);
+    for _ in 0..60 {
+        tokio::time::advance(Duration::from_millis(50)).await;
+        links.note_read(Duration::from_millis(20));
+        links.note_fetch(STORE, Duration::from_millis(900), Instant::now());
+    }
+    let slow = links.share(STORE, Instant::now());
+    assert!(slow < 0.3, "{slow}");
+    assert!(
+        slow > 0.0,
+        "some fetches go on, to notice that it is well again"
+    );
+    for _ in 0..200 {
+        tokio::time::advance(Duration::from_millis(50)).await;
+        links.note_fetch(STORE, Duration::from_millis(30), Instant::now());
+    }
+    assert_eq!(links.share(STORE, Instant::now()), 1.0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_fleet_that_is_slow_altogether_keeps_fetching() {
+    let mut links = Links::default();
+    for _ in 0..100 {
+        links.note_read(Duration::from_millis(700));
+        links.note_fetch(STORE, Duration::from_millis(800), Instant::now());
+    }
+    assert_eq!(links.share(STORE, Instant::now()), 1.0);
+}
--- /dev/null
+++ b/crates/sillpin-gateway/tests/place.rs
@@ -0,0 +1,253 @@
+//! Choices among targets, retry budgets, whole events.
+
+mod common;
+
+use common::{engine, name, target};
+use proptest::prelude::*;
+use sillpin_core::{TargetId, WeightVersion, ZoneId};
+use sillpin_gateway::budget::RetryBudget;
+use sillpin_gateway::control::{Presence, TargetEntry};
+use sillpin_gateway::front::events::EventSplitter;
+use sillpin_gateway::place::choose::PromptChoice;
+use sillpin_gateway::place::load::{Outcome, PromptWork, TargetHash};
+use sillpin_gateway::place::{Choice, Loads, choose};
+use sillpin_gateway::settings::RetryRules;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+type Targets = HashMap<TargetId, Arc<TargetEntry>>;
+
+fn targets(entries: Vec<TargetEntry>) -> Targets {
+    let entry = |entry: TargetEntry| (entry.id.clone(), Arc::new(entry));
+    entries.into_iter().map(entry).collect()
+}
+
+fn three() -> Targets {
+    targets(vec![
+        engine("e1", "za"),
+        engine("e2", "zb"),
+        engine("e3", "zc"),
+    ])
+}
+
+struct Setting {
+    targets: Targets,
+    loads: Loads,
+    tried: Vec<TargetId>,
+    most_in_flight: u32,
+}
+
+impl Setting {
+    fn new(targets: Targets) -> Self {
+        Self {
+            targets,
+            loads: Loads::default(),
+            tried: Vec::new(),
+            most_in_flight: 10,
+        }
+    }
+
+    fn choose(&self, prompt: Option<PromptChoice<'_>>) -> Option<String> {
+        let zone: ZoneId = name("za");
+        let choice = Choice {
+            targets: &self.targets,
+            loads: &self.loads,
+            pool: &name("llm"),
+            zone: &zone,
+            most_in_flight: self.most_in_flight,
+            tried: &self.tried,
+            prompt,
+            now: Instant::now(),
+        };
+        choose(&choice).map(|chosen| chosen.target.id.to_string())
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_own_zone_is_preferred_until_it_is_busy() {
+    let setting = Setting::new(three());
+    assert_eq!(setting.choose(None).as_deref(), Some("e1"));
+    let _busy: Vec<_> = (0..3)
+        .map(|_| setting.loads.start(&target("e1"), 0.0))
+        .collect();
+    assert_ne!(setting.choose(None).as_deref(), Some("e1"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn tried_leaving_and_full_targets_are_no_candidates() {
+    let mut leaving = engine("e2", "za");
+    leaving.presence = Presence::Leaving;
+    let entries = vec![engine("e1", "za"), leaving, engine("e3", "za")];
+    let mut setting = Setting::new(targets(entries));
+    setting.tried = vec![target("e1")];
+    assert_eq!(setting.choose(None).as_deref(), Some("e3"));
+    setting.most_in_flight = 1;
+    let _full = setting.loads.start(&target("e3"), 0.0);
+    assert_eq!(setting.choose(None), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_target_out_of_reach_rests_and_is_tried_again() {
+    let setting = Setting::new(three());
+    setting.loads.note(&target("e1"), Outcome::Unreachable);
+    assert_ne!(setting.choose(None).as_deref(), Some("e1"));
+    tokio::time::advance(Duration::from_millis(600)).await;
+    assert_eq!(setting.choose(None).as_deref(), Some("e1"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_last_target_is_used_even_if_it_rests() {
+    let setting = Setting::new(targets(vec![engine("e1", "za")]));
+    setting.loads.note(&target("e1"), Outcome::Unreachable);
+    assert_eq!(setting.choose(None).as_deref(), Some("e1"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_target_that_fails_half_of_its_requests_gets_less() {
+    let setting = Setting::new(three());
+    for i in 0..20 {
+        let outcome = if i % 2 == 0 {
+            Outcome::Failed
+        } else {
+            Outcome::Served
+        };
+        setting.loads.note(&target("e1"), outcome);
+    }
+    assert_ne!(setting.choose(None).as_deref(), Some("e1"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn requests_of_weights_replaced_too_long_ago_go_to_new_ones_only() {
+    let mut newer = engine("e2", "zb");
+    newer.served[0].version = WeightVersion(2);
+    let mut setting = Setting::new(targets(vec![engine("e1", "za"), newer]));
+    let model = name("m");
+    let prompt = |oldest| PromptChoice {
+        model: &model,
+        wanted: Some(WeightVersion(2)),
+        oldest: WeightVersion(oldest),
+        plans: &[],
+    };
+    let _busy: Vec<_> = (0..9)
+        .map(|_| setting.loads.start(&target("e2"), 50.0))
+        .collect();
+    assert_eq!(setting.choose(Some(prompt(0))).as_deref(), Some("e1"));
+    assert_eq!(setting.choose(Some(prompt(2))).as_deref(), Some("e2"));
+    setting.tried = vec![target("e2")];
+    assert_eq!(setting.choose(Some(prompt(2))), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn other_boxes_prompt_work_counts_for_a_while() {
+    let setting = Setting::new(three());
+    let model = name("m");
+    let prompt = || PromptChoice {
+        model: &model,
+        wanted: None,
+        oldest: WeightVersion(0),
+        plans: &[],
+    };
+    let work = vec![PromptWork(TargetHash::of(&target("e1")), 500)];
+    setting.loads.hear(name("box-2"), work);
+    assert_ne!(setting.choose(Some(prompt())).as_deref(), Some("e1"));
+    tokio::time::advance(Duration::from_secs(2)).await;
+    assert_eq!(setting.choose(Some(prompt())).as_deref(), Some("e1"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_ticket_ends_with_its_request() {
+    let loads = Loads::default();
+    let mut ticket = loads.start(&target("e1"), 100.0);
+    assert_eq!(loads.get(&target("e1")).in_flight, 1);
+    ticket.prompt_done();
+    assert_eq!(loads.get(&target("e1")).prompt_ms, 0.0);
+    drop(ticket);
+    assert_eq!(loads.get(&target("e1")).in_flight, 0);
+}
+
+const RULES: RetryRules = RetryRules {
+    share: 0.2,
+    slack: 54.0,
+    window: Duration::from_secs(10),
+};
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    /// All boxes together stay within share x requests + slack in every window, whichever boxes restart.
+    #[test]
+    fn the_budget_holds_over_all_boxes_and_restarts(
+        steps in prop::collection::vec((0usize..7, 0u8..10, 5u64..60), 200..600),
+    ) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .unwrap();
+        let result: Result<(), TestCaseError> = runtime.block_on(async {
+            const BOXES: usize = 7;
+            let pool = name("llm");
+            let mut budgets: Vec<RetryBudget> = Vec::new();
+            budgets.resize_with(BOXES, RetryBudget::default);
+            let mut requests: Vec<Instant> = Vec::new();
+            let mut retries: Vec<Instant> = Vec::new();
+            for (which, action, pause) in steps {
+                tokio::time::advance(Duration::from_millis(pause)).await;
+                let now = Instant::now();
+                match action {
+                    0 => budgets[which] = RetryBudget::default(),
+                    1..=4 => {
+                        budgets[which].request(&pool, &RULES, BOXES, now);
+                        requests.push(now);
+                    }
+                    _ => {
+                        if budgets[which].take(&pool, &RULES, BOXES, now) {
+                            retries.push(now);
+                        }
+                    }
+                }
+                let in_window = |times: &[Instant], end: Instant| {
+                    times.iter().filter(|at| **at <= end && end - **at < RULES.window).count() as f64
+                };
+                let asked = in_window(&requests, now);
+                let before = now.checked_sub(RULES.window).map_or(0.0, |end| in_window(&requests, end));
+                let allowed = RULES.share * asked.max(before) + RULES.slack;
+                let spent = in_window(&retries, now);
+                prop_assert!(spent <= allowed, "{spent} of {allowed}");
+            }
+            Ok(())
+        });
+        result?;
+    }
+
+    /// However a stream is cut into pieces, whole events come out once, in order, and no half one.
+    #[test]
+    fn events_come_out_whole(
+        bodies in prop::collection::vec("[a-z ]{0,20}", 1..20),
+        cuts in prop::collection::vec(1usize..9, 1..200),
+        crlf in any::<bool>(),
+        rest in "[a-z]{0,5}",
+    ) {
+        let end = if crlf { "\r\n" } else { "\n" };
+        let event = |(id, body): (usize, &String)| format!("id: {id}{end}data: {body}{end}{end}");
+        let whole: String = bodies.iter().enumerate().map(event).collect();
+        let sent = format!("{whole}{rest}");
+        let mut splitter = EventSplitter::default();
+        let mut out = Vec::new();
+        let mut left = sent.as_bytes();
+        for cut in cuts.iter().cycle() {
+            if left.is_empty() {
+                break;
+            }
+            let (piece, tail) = left.split_at((*cut).min(left.len()));
+            out.extend_from_slice(&splitter.push(piece));
+            left = tail;
+        }
+        prop_assert_eq!(String::from_utf8(out).unwrap(), whole);
+        prop_assert_eq!(splitter.is_partial(), !rest.is_empty());
+        let last = (bodies.len() - 1).to_string();
+        prop_assert_eq!(splitter.last_id(), Some(last.as_str()));
+    }
+}
--- a/crates/sillpin-keeper/src/platform.rs
+++ b/crates/sillpin-keeper/src/platform.rs
@@ -9,7 +9,7 @@
 use rand::RngExt;
 use sillpin_bundle::Accepted;
 use sillpin_bundle::signed::REVISION_PREFIX;
-use sillpin_platform::{BoxLister, KvEntry, KvRevision, Platform, PlatformError};
+use sillpin_platform::{BoxLister, KvEntry, KvRevision, PlatformError};
 use sillpin_rpc::gossip::{ItemVersion, ORGANISATIONS_KEY};
 use sillpin_telemetry::{event, events};
 use slog::Logger;
