--- a/crates/sillpin-box/src/main.rs
+++ b/crates/sillpin-box/src/main.rs
@@ -47,6 +47,7 @@
         platform: PlatformStore::new(client.clone(), cfg.platform),
         control: TargetCalls::new(client),
     };
-    ops::run(settings, telemetry, adapter, stop_on_sigterm()?).await?;
+    // Where the box listens stands in its first log line.
+    ops::run(settings, telemetry, adapter, stop_on_sigterm()?, |_| ()).await?;
     Ok(())
 }
--- a/crates/sillpin-gateway/src/dialect.rs
+++ b/crates/sillpin-gateway/src/dialect.rs
@@ -123,9 +123,6 @@
     /// It names no host, or two.
     #[display("host missing or ambiguous")]
     Host,
-    /// The body's length is ambiguous.
-    #[display("body length ambiguous")]
-    Framing,
     /// A header cannot be read.
     #[display("header {_0} unreadable")]
     Header(#[error(not(source))] &'static str),
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -27,7 +27,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -60,11 +60,26 @@
     pub control: C,
 }
 
+/// Where a box listens.
+#[derive(Debug, Clone, Copy)]
+pub struct Listening {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's checks.
+    pub ready: SocketAddr,
+    /// For calls of other boxes.
+    pub peers: SocketAddr,
+    /// For news of other boxes.
+    pub gossip: SocketAddr,
+}
+
 struct Listeners {
     callers: TcpListener,
     ready: TcpListener,
     peers: TcpListener,
+    gossip: UdpSocket,
     metrics: Option<TcpListener>,
+    at: Listening,
 }
 
 async fn listen_all(cfg: &BoxConfig) -> Result<Listeners, BindError> {
@@ -72,20 +87,35 @@
         Some(addr) => Some(listen(addr).await?.0),
         None => None,
     };
+    let (callers, callers_at) = listen(cfg.callers).await?;
+    let (ready, ready_at) = listen(cfg.ready).await?;
+    let (peers, peers_at) = listen(cfg.peers).await?;
+    let addr = SocketAddr::new(cfg.ip, cfg.gossip_port);
+    let failed = |cause| BindError { addr, cause };
+    let gossip = UdpSocket::bind(addr).await.map_err(failed)?;
+    let gossip_at = gossip.local_addr().map_err(failed)?;
     Ok(Listeners {
-        callers: listen(cfg.callers).await?.0,
-        ready: listen(cfg.ready).await?.0,
-        peers: listen(cfg.peers).await?.0,
+        callers,
+        ready,
+        peers,
+        gossip,
         metrics,
+        at: Listening {
+            callers: callers_at,
+            ready: ready_at,
+            peers: peers_at,
+            gossip: gossip_at,
+        },
     })
 }
 
-/// Runs a box until it is told to stop and its last request has ended.
+/// Runs a box until it is told to stop and its last request has ended; `started` is told where it listens.
 pub async fn run<D, K, P, C>(
     settings: Settings,
     telemetry: Telemetry,
     adapter: Adapter<D, K, P, C>,
     stopping: CancellationToken,
+    started: impl FnOnce(Listening),
 ) -> Result<(), BindError>
 where
     D: Dialect,
@@ -95,6 +125,7 @@
 {
     let cfg = settings.borrow().clone();
     let listeners = listen_all(&cfg).await?;
+    started(listeners.at);
     let Telemetry { log, metrics, .. } = telemetry;
     event!(log, events::BOX_STARTED, "callers" => cfg.callers.to_string(),
         "platform" => cfg.platform.to_string(), "seeds" => cfg.seeds.len());
@@ -119,7 +150,17 @@
         log.clone(),
         stopping.clone(),
     ));
-    start_peers(&cfg, settings, &adapter, &shared, listeners.peers);
+    let peers = Peers {
+        listener: listeners.peers,
+        socket: listeners.gossip,
+        me: BoxEntry {
+            id: cfg.id.clone(),
+            zone: cfg.zone.clone(),
+            peers: listeners.at.peers,
+            gossip: listeners.at.gossip,
+        },
+    };
+    start_peers(peers, settings, &adapter, &shared);
     tokio::spawn(prune(shared.clone()));
     let end = CancellationToken::new();
     let front = Front::new(shared);
@@ -181,23 +222,29 @@
     }
 }
 
+/// What speaks and listens to other boxes.
+struct Peers {
+    listener: TcpListener,
+    socket: UdpSocket,
+    me: BoxEntry,
+}
+
 fn start_peers<D, K, P, C>(
-    cfg: &BoxConfig,
+    peers: Peers,
     settings: Settings,
     adapter: &Adapter<D, K, P, C>,
     shared: &Arc<Shared<D>>,
-    listener: TcpListener,
 ) where
     D: Dialect,
     P: Platform,
     C: Control,
 {
-    let me = BoxEntry {
-        id: cfg.id.clone(),
-        zone: cfg.zone.clone(),
-        peers: cfg.peers,
-        gossip: SocketAddr::new(cfg.ip, cfg.gossip_port),
-    };
+    let Peers {
+        listener,
+        socket,
+        me,
+    } = peers;
+    let id = me.id.clone();
     let (fleet, log) = (shared.fleet.clone(), shared.log.clone());
     let stopping = shared.stopping.clone();
     let (news_tx, news) = mpsc::channel(NEWS_QUEUE);
@@ -224,17 +271,12 @@
         stopping: stopping.clone(),
         log: log.clone(),
     };
-    let gossip_log = log.clone();
-    tokio::spawn(async move {
-        if let Err(e) = gossip.run().await {
-            event!(gossip_log, events::GOSSIP_FAILED, "why" => e.to_string());
-        }
-    });
+    tokio::spawn(gossip.run(socket));
     let rollout = Rollout {
         duty: Duty {
             platform: adapter.platform.clone(),
-            me: cfg.id.clone(),
-            apart: cfg.lease,
+            me: id,
+            apart: shared.cfg.lease,
             log: log.clone(),
         },
         control: adapter.control.clone(),
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -14,7 +14,6 @@
 use sillpin_telemetry::{event, events};
 use slog::Logger;
 use std::collections::HashSet;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -109,9 +108,9 @@
 }
 
 impl Gossip {
-    /// Opens the socket and runs until the process ends.
-    pub async fn run(self) -> io::Result<()> {
-        let socket = Arc::new(UdpSocket::bind(self.me.gossip).await?);
+    /// Runs until the process ends.
+    pub async fn run(self, socket: UdpSocket) {
+        let socket = Arc::new(socket);
         let ear = Ear {
             fleet: self.fleet.clone(),
             loads: self.loads.clone(),
@@ -121,7 +120,6 @@
         };
         tokio::spawn(ear.hear(socket.clone()));
         self.speak(&socket).await;
-        Ok(())
     }
 
     async fn speak(mut self, socket: &UdpSocket) {
--- a/crates/sillpin-gateway/src/settings.rs
+++ b/crates/sillpin-gateway/src/settings.rs
@@ -28,10 +28,10 @@
             Key::required(
                 "gossip-port",
                 Kind::Number {
-                    min: 1,
+                    min: 0,
                     max: 65_535,
                 },
-                "UDP port for news between boxes, alike on all boxes",
+                "UDP port for news between boxes, alike on all boxes; 0: any",
             ),
             Key::optional(
                 "metrics-port",
