Keep the parts that open many prompts in the fast stores; weigh what a transfer takes from others

Change: a part that others follow may take a larger share of a fast store; a transfer from another zone costs four times its own time in the choice of an engine.

--- a/crates/sillpin-gateway/src/kept/homes.rs
+++ b/crates/sillpin-gateway/src/kept/homes.rs
@@ -8,16 +8,38 @@
 use sillpin_core::{PoolId, Tokens};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// A part may take at most this share of a store's room, so that small fast stores hold many small
-/// parts rather than a few large ones. From both sites: 158,767 tokens of a fast store / 200 = 793, above
-/// a short session's 531 and below a long one's 5,000.
-const MAX_SHARE: u64 = 200;
+/// The last shared part of a prompt may take at most this share of a store's room, so that small fast
+/// stores hold many small parts rather than a few large ones. From both sites: 158,767 tokens of a fast store
+/// / 200 = 793, above a short session's 531 and below a long one's 5,000.
+const LAST_PART_SHARE: u64 = 200;
+
+/// A part that others follow may take this share: every prompt that has a later part has it too, so it is
+/// fetched more often, and there are fewer of them. 158,767 / 25 = 6,350, the longest on both sites.
+const INNER_PART_SHARE: u64 = 25;
+
+/// Where a shared part stands in its prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    /// Other shared parts follow.
+    Inner,
+    /// It is the last shared part.
+    Last,
+}
 
 /// Stores that may keep a part, the best first: those whose room suits its size and whose transfers
 /// start soonest, each class in the part's own order.
-pub fn homes<'a>(stores: &'a [StoreSpec], part: &PartId, tokens: Tokens) -> Vec<&'a StoreSpec> {
+pub fn homes<'a>(
+    stores: &'a [StoreSpec],
+    part: &PartId,
+    tokens: Tokens,
+    place: Place,
+) -> Vec<&'a StoreSpec> {
+    let max_share = match place {
+        Place::Inner => INNER_PART_SHARE,
+        Place::Last => LAST_PART_SHARE,
+    };
     let mut managed: Vec<&StoreSpec> = stores.iter().filter(|store| store.managed).collect();
-    let suits = |store: &StoreSpec| store.room.0 / MAX_SHARE >= tokens.0;
+    let suits = |store: &StoreSpec| store.room.0 / max_share >= tokens.0;
     let rank = |store: &StoreSpec| weighted_rank(&store.id, part, store.room);
     managed.sort_by(|a, b| {
         let suited = suits(b).cmp(&suits(a));
--- a/crates/sillpin-gateway/src/place/choose.rs
+++ b/crates/sillpin-gateway/src/place/choose.rs
@@ -154,7 +154,7 @@
     };
     ms += f64::from(load.in_flight) * IN_FLIGHT_MS + load.prompt_ms;
     let plan = version.and_then(|version| prompt.plan(version));
-    ms += plan.map_or(0.0, |plan| plan.shared_ms(&target.zone));
+    ms += plan.map_or(0.0, |plan| plan.shared_cost(&target.zone));
     if version < prompt.wanted {
         ms += OLD_WEIGHTS_MS;
     }
--- a/crates/sillpin-gateway/src/place/parts.rs
+++ b/crates/sillpin-gateway/src/place/parts.rs
@@ -3,7 +3,7 @@
 use crate::config::{EngineSpec, FleetConfig, Organisation, StoreSpec};
 use crate::control::KeptKey;
 use crate::dialect::{EngineSending, Prompt, Salt};
-use crate::kept::homes::homes;
+use crate::kept::homes::{Place, homes};
 use crate::kept::retire::FETCH_TIME;
 use crate::kept::salt::SaltParts;
 use crate::kept::{Directory, Kept};
@@ -19,6 +19,10 @@
 /// Transfers between zones take twice as long.
 const FOREIGN_ZONE_FACTOR: f64 = 2.0;
 
+/// What a transfer from another zone costs, in times of one within a zone: it also takes the store's link
+/// twice as long from all others, and that link is what runs out first.
+const FOREIGN_ZONE_COST: f64 = 4.0;
+
 /// Share of a store's room that is filled: parts that are being written are not counted.
 const FILLED: f64 = 0.975;
 
@@ -79,13 +83,20 @@
 pub fn plan(prompt: &Prompt, salt: &SaltParts, inputs: &PlanInputs<'_>) -> Plan {
     let text = salt.salt();
     let shared_count = prompt.parts.len().saturating_sub(1);
-    let shared = prompt.parts[..shared_count].iter().map(|part| {
-        let key = KeptKey {
-            salt: text.clone(),
-            part: part.id.clone(),
-        };
-        look_up(key, part.tokens, salt, inputs)
-    });
+    let shared = prompt.parts[..shared_count]
+        .iter()
+        .enumerate()
+        .map(|(index, part)| {
+            let place = match index + 1 < shared_count {
+                true => Place::Inner,
+                false => Place::Last,
+            };
+            let key = KeptKey {
+                salt: text.clone(),
+                part: part.id.clone(),
+            };
+            look_up(key, part.tokens, place, salt, inputs)
+        });
     let shared: Vec<SharedPart> = shared.collect();
     let shared_tokens: Tokens = shared.iter().map(|part| part.tokens).sum();
     Plan {
@@ -99,7 +110,13 @@
 }
 
 /// Where a part is, or is to be kept.
-fn look_up(key: KeptKey, tokens: Tokens, salt: &SaltParts, inputs: &PlanInputs<'_>) -> SharedPart {
+fn look_up(
+    key: KeptKey,
+    tokens: Tokens,
+    place: Place,
+    salt: &SaltParts,
+    inputs: &PlanInputs<'_>,
+) -> SharedPart {
     let nowhere = SharedPart {
         key: key.clone(),
         tokens,
@@ -109,7 +126,7 @@
     if inputs.kept.retirements().is_retired(salt, &key) {
         return nowhere;
     }
-    let homes = homes(&inputs.config.stores, &key.part, tokens);
+    let homes = homes(&inputs.config.stores, &key.part, tokens, place);
     let directory = inputs.kept.lock();
     let holds = |store: &&&StoreSpec| directory.holds(store.addr, &key, tokens, inputs.now);
     if let Some(store) = homes.iter().find(holds) {
@@ -142,32 +159,36 @@
         tokens.0 as f64 / READ_TOKENS_PER_MS
     }
 
-    /// Time to have a shared part at an engine in `zone` that does not hold it.
-    fn part_ms(&self, part: &SharedPart, zone: &ZoneId) -> f64 {
+    /// Time to have a shared part at an engine in `zone` that does not hold it, where a transfer from
+    /// another zone counts `foreign` times.
+    fn part_ms(&self, part: &SharedPart, zone: &ZoneId, foreign: f64) -> f64 {
         match &part.home {
-            Some(store) if part.whole => self.fetch_ms(store, part.tokens, zone),
+            Some(store) if part.whole => self.fetch_ms(store, part.tokens, zone, foreign),
             _ => Self::read_ms(part.tokens),
         }
     }
 
     /// Time of a transfer from a store to an engine in `zone`, without waits.
-    fn fetch_ms(&self, store: &StoreSpec, tokens: Tokens, zone: &ZoneId) -> f64 {
+    fn fetch_ms(&self, store: &StoreSpec, tokens: Tokens, zone: &ZoneId, foreign: f64) -> f64 {
         let bytes = (tokens.0 * self.token_bytes) as f64;
         let near = bytes / store.link_bytes_per_ms.max(1.0);
-        let far = if store.zone == *zone {
-            1.0
-        } else {
-            FOREIGN_ZONE_FACTOR
-        };
-        store.first.as_secs_f64() * 1000.0 + near * far
+        let times = if store.zone == *zone { 1.0 } else { foreign };
+        store.first.as_secs_f64() * 1000.0 + near * times
     }
 
-    /// Time to have all shared parts at an engine in `zone`. Engines fetch a beginning of the prompt:
-    /// behind the first part that is nowhere, everything is read.
+    /// Time to have all shared parts at an engine in `zone`.
     pub fn shared_ms(&self, zone: &ZoneId) -> f64 {
-        self.shared
-            .iter()
-            .map(|part| self.part_ms(part, zone))
+        let parts = self.shared.iter();
+        parts
+            .map(|part| self.part_ms(part, zone, FOREIGN_ZONE_FACTOR))
+            .sum()
+    }
+
+    /// The same as a cost for comparing engines.
+    pub fn shared_cost(&self, zone: &ZoneId) -> f64 {
+        let parts = self.shared.iter();
+        parts
+            .map(|part| self.part_ms(part, zone, FOREIGN_ZONE_COST))
             .sum()
     }
 
--- a/crates/sillpin-gateway/tests/kept.rs
+++ b/crates/sillpin-gateway/tests/kept.rs
@@ -10,7 +10,7 @@
 use sillpin_gateway::control::{KeptChange, KeptKey, KeptList, KeptNews};
 use sillpin_gateway::dialect::{EngineTime, PartId, Salt};
 use sillpin_gateway::kept::directory::{BELIEF, Directory};
-use sillpin_gateway::kept::homes::homes;
+use sillpin_gateway::kept::homes::{Place, homes};
 use sillpin_gateway::kept::links::Links;
 use sillpin_gateway::kept::retire::{Retired, Retirements, Weights, place_of};
 use sillpin_gateway::kept::salt::SaltParts;
@@ -145,13 +145,21 @@
         store("roomy-1", 2, "za", 1_885_363, 6),
         store("roomy-2", 3, "zb", 1_885_363, 6),
     ];
-    let first = |part: &str, tokens| {
-        let found = homes(&stores, &PartId(part.to_owned()), Tokens(tokens));
+    let first = |tokens, place| {
+        let found = homes(&stores, &PartId("a".to_owned()), Tokens(tokens), place);
         found[0].id.to_string()
     };
-    assert_eq!(first("a", 531), "fast");
-    assert!(first("a", 5_000).starts_with("roomy"));
-    assert!(first("a", 13_300).starts_with("roomy"), "no store suits it");
+    assert_eq!(first(531, Place::Last), "fast");
+    assert!(first(5_000, Place::Last).starts_with("roomy"));
+    assert!(
+        first(13_300, Place::Last).starts_with("roomy"),
+        "no store suits it"
+    );
+    assert_eq!(
+        first(2_520, Place::Inner),
+        "fast",
+        "all prompts of its sessions have it"
+    );
 }
 
 proptest! {
@@ -163,7 +171,7 @@
         ];
         let at_one = (0..1_000)
             .map(|i| PartId(format!("{seed}-{i}")))
-            .filter(|part| homes(&stores, part, Tokens(5_000))[0].id.as_str() == "one")
+            .filter(|part| homes(&stores, part, Tokens(5_000), Place::Last)[0].id.as_str() == "one")
             .count();
         // Six standard deviations of a fair split of 1,000.
         prop_assert!((405..=595).contains(&at_one), "{at_one} of 1,000");
