--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -18,7 +18,7 @@
 use crate::place::{Choice, Chosen, choose};
 use hyper::Response;
 use rand::RngExt;
-use sillpin_core::{ModelId, PoolId, TargetId, WeightVersion};
+use sillpin_core::{ModelId, PoolId, TargetId, Tokens, WeightVersion};
 use sillpin_http::Body;
 use sillpin_telemetry::{event, events};
 use std::collections::BTreeSet;
@@ -78,6 +78,8 @@
     chosen: Chosen,
     engine: Option<EngineSending>,
     prompt_ms: f64,
+    /// Length of the prompt.
+    length: Tokens,
     /// Where most of the prompt is fetched from.
     source: Option<SocketAddr>,
     /// Tokens that stores hold, fetched or not.
@@ -182,8 +184,8 @@
             let excess = sent.elapsed().saturating_sub(expected);
             let mut links = self.kept.links();
             match placed.source {
-                Some(store) => links.note_fetch(store, excess, Instant::now()),
-                None => links.note_read(excess),
+                Some(store) => links.note_fetch(store, placed.length, excess, Instant::now()),
+                None => links.note_read(placed.length, excess),
             }
         }
         self.note(run, &target.id, &ended, progress);
@@ -206,6 +208,9 @@
     /// Takes note of how a sending ended.
     fn note(&self, run: &Run, target: &TargetId, ended: &Ended, progress: &mut Progress) {
         self.metrics.sending(ended.name());
+        if let Ended::Unsent(why) = ended {
+            self.prober.start(target, why);
+        }
         let health = match ended {
             Ended::Unsent(_) => Health::Unreachable,
             Ended::NotRun { .. } => Health::Refused,
@@ -295,6 +300,7 @@
                 chosen: choose(&base)?,
                 engine: None,
                 prompt_ms: 0.0,
+                length: Tokens(0),
                 source: None,
                 kept: 0,
                 fetched: 0,
@@ -355,6 +361,7 @@
             chosen,
             engine: Some(sending),
             prompt_ms,
+            length: prompt.tokens,
             source,
             kept: plan.kept_tokens.0,
             fetched,
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -7,12 +7,13 @@
 use crate::kept::Kept;
 use crate::metrics::BoxMetrics;
 use crate::place::Loads;
+use crate::place::probe::Prober;
 use crate::pool::Pool;
 use crate::reload::Settings;
 use crate::settings::BoxConfig;
 use sillpin_core::PoolId;
 use slog::Logger;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -35,6 +36,8 @@
     pub loads: Loads,
     /// Connections to targets.
     pub pool: Pool,
+    /// Looks after targets out of reach.
+    pub prober: Prober,
     /// Second sendings.
     pub budget: Mutex<RetryBudget>,
     /// Memory for bodies.
@@ -61,12 +64,21 @@
         let cfg = settings.borrow().clone();
         let room = usize::try_from(cfg.memory / BODY_SHARE).unwrap_or(usize::MAX);
         let budget = RetryBudget::default();
+        let (loads, pool) = (Loads::default(), Pool::default());
+        let prober = Prober {
+            loads: loads.clone(),
+            pool: pool.clone(),
+            fleet: fleet.clone(),
+            log: log.clone(),
+            probed: Arc::default(),
+        };
         Self {
             dialect,
             fleet,
             kept,
-            loads: Loads::default(),
-            pool: Pool::default(),
+            loads,
+            pool,
+            prober,
             budget: Mutex::new(budget),
             bodies: BodyRoom::new(room),
             metrics,
--- a/crates/sillpin-gateway/src/kept/links.rs
+++ b/crates/sillpin-gateway/src/kept/links.rs
@@ -1,10 +1,12 @@
 //! How many fetches a store's link bears.
 //!
-//! Links are queues that nobody reports. Each box compares how long its prompts take with a fetch from a
-//! store and without one, beyond what reading and transfer explain. While fetches take much longer, the box
+//! Links are queues that nobody reports. Each box compares how long prompts of about the same length take
+//! with a fetch from a store and without one, beyond what reading and transfer explain: a busy engine makes
+//! long prompts wait for memory either way. While fetches take much longer, the box
 //! fetches for a smaller share of its prompts and has the rest read anew. Reading again what is kept costs
 //! about as much as a late answer, so the share falls only when fetches are late by more than an aim.
 
+use sillpin_core::Tokens;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -30,7 +32,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Link {
     share: f64,
-    excess_ms: f64,
+    /// How much longer fetches take than prompts that are alike, on average.
+    beyond_ms: f64,
     at: Instant,
 }
 
@@ -45,7 +48,13 @@
 #[derive(Debug, Default)]
 pub struct Links {
     links: HashMap<SocketAddr, Link>,
-    read_excess_ms: f64,
+    /// By class of length.
+    read_excess_ms: HashMap<u32, f64>,
+}
+
+/// Prompts whose lengths differ by less than two times are alike.
+fn class(prompt: Tokens) -> u32 {
+    prompt.0.max(1).ilog2()
 }
 
 impl Links {
@@ -57,21 +66,30 @@
     }
 
     /// A prompt without a fetch took this much longer than its reading explains.
-    pub fn note_read(&mut self, excess: Duration) {
-        self.read_excess_ms += WEIGHT * (millis(excess) - self.read_excess_ms);
+    pub fn note_read(&mut self, prompt: Tokens, excess: Duration) {
+        let average = self.read_excess_ms.entry(class(prompt)).or_insert(0.0);
+        *average += WEIGHT * (millis(excess) - *average);
     }
 
     /// A prompt with a fetch took this much longer than reading and transfer explain.
-    pub fn note_fetch(&mut self, store: SocketAddr, excess: Duration, now: Instant) {
+    pub fn note_fetch(
+        &mut self,
+        store: SocketAddr,
+        prompt: Tokens,
+        excess: Duration,
+        now: Instant,
+    ) {
+        let alike = self.read_excess_ms.get(&class(prompt));
+        let beyond_ms = millis(excess) - alike.copied().unwrap_or(0.0);
         let link = self.links.entry(store).or_insert(Link {
             share: 1.0,
-            excess_ms: 0.0,
+            beyond_ms: 0.0,
             at: now,
         });
         link.share = link.share_at(now);
         link.at = now;
-        link.excess_ms += WEIGHT * (millis(excess) - link.excess_ms);
-        if link.excess_ms - self.read_excess_ms > LATE_MS {
+        link.beyond_ms += WEIGHT * (beyond_ms - link.beyond_ms);
+        if link.beyond_ms > LATE_MS {
             link.share = (link.share * DECREASE).max(LEAST);
         }
     }
--- a/crates/sillpin-gateway/src/place/load.rs
+++ b/crates/sillpin-gateway/src/place/load.rs
@@ -8,10 +8,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// First and longest time for which a target that cannot be reached is passed over. A target that
-/// restarts is back within seconds; each try costs a request its connect timeout.
-const MIN_REST: Duration = Duration::from_millis(500);
-const MAX_REST: Duration = Duration::from_secs(4);
+/// How long a target that cannot be reached is passed over, unless a connection to it succeeds before. Its
+/// entry lapses after three heartbeats, so this only bounds what a lost prober would cost.
+const UNREACHABLE_REST: Duration = Duration::from_secs(15);
 
 /// How long a target that refused is passed over: a load of weights takes about a second, a full queue
 /// drains in less.
@@ -43,7 +42,6 @@
     pub prompt_ms: f64,
     /// Passed over until then, while others are there.
     pub rests_until: Option<Instant>,
-    strikes: u32,
     failing: f64,
     outcomes: u32,
 }
@@ -81,6 +79,8 @@
     Served,
     /// It could not be reached.
     Unreachable,
+    /// It can be reached again.
+    Reachable,
     /// It did not run the request, and said so.
     Refused,
     /// It broke off, stayed silent, answered wrongly or failed.
@@ -193,19 +193,13 @@
         let mut table = self.lock();
         let load = table.entry(target.clone()).or_default();
         match outcome {
-            Outcome::Served => {
-                load.strikes = 0;
-                load.outcome(now, false);
-            }
+            Outcome::Served => load.outcome(now, false),
             Outcome::Failed => load.outcome(now, true),
             Outcome::Refused => load.rest(now, REFUSAL_REST),
             Outcome::Loading => load.rest(now, LOADING_REST),
             Outcome::Loaded => load.rests_until = None,
-            Outcome::Unreachable => {
-                let doubled = MIN_REST * 2u32.pow(load.strikes.min(8));
-                load.strikes += 1;
-                load.rest(now, doubled.min(MAX_REST));
-            }
+            Outcome::Unreachable => load.rest(now, UNREACHABLE_REST),
+            Outcome::Reachable => load.rests_until = None,
         }
     }
 
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -119,6 +119,10 @@
     TARGET_UNLISTED = 315, Info, "target gone", "Nothing to do.";
     /// An engine serves other weights than its entry says.
     TARGET_SERVES = 316, Info, "engine serves other weights", "Nothing to do.";
+    /// A target cannot be reached.
+    TARGET_UNREACHABLE = 317, Warning, "target unreachable", "Replace the target if it was not stopped on purpose.";
+    /// A target can be reached again.
+    TARGET_REACHABLE = 318, Info, "target reachable", "Nothing to do.";
     /// The platform's store does not answer.
     STORE_LOST = 320, Warning, "platform's store lost", "Look at the store; the box goes on with what it and other boxes know.";
     /// The platform's store answers again.
