Read in shorter waits, so that boxes trust their zone's reader

Cause: what a reading finds is as old as its start; with waits of 0.9 s every box lost patience and read by itself.

--- a/crates/sillpin-gateway/src/beliefs/reader.rs
+++ b/crates/sillpin-gateway/src/beliefs/reader.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// How long a watch waits. A watch that hears nothing may have been cut, so this bounds how long a
-/// silent loss goes unnoticed; each wait costs a call.
-const WATCH_WAIT: Duration = Duration::from_millis(900);
+/// How long a watch waits. What it finds is as old as the moment it began, and other boxes lose patience
+/// with knowledge older than 1.5 s; each wait costs a call.
+const WATCH_WAIT: Duration = Duration::from_millis(500);
 
 /// Least time between two calls for what operators publish.
 const OPERATORS_PAUSE: Duration = Duration::from_millis(250);
--- a/crates/sillpin-gateway/src/kept/reader.rs
+++ b/crates/sillpin-gateway/src/kept/reader.rs
@@ -15,8 +15,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-/// How long a reading waits for changes; shorter waits cost as much as a probe.
-const NEWS_WAIT: Duration = Duration::from_millis(900);
+/// How long a reading waits for changes. What it finds is as old as the moment it began, and other boxes lose
+/// patience with knowledge older than 1.5 s; waits below 200 ms cost as much as a probe.
+const NEWS_WAIT: Duration = Duration::from_millis(500);
 
 /// Least time between two readings.
 const READ_PAUSE: Duration = Duration::from_millis(150);
