--- /dev/null
+++ b/tests/testsuite/box_process.rs
@@ -0,0 +1,151 @@
+//! `sillpin-box` as a process: settings, signals, log.
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use rstest::rstest;
+use sillpin_testsuite::process::program;
+use std::io::{BufRead, BufReader};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::Duration;
+use tempfile::TempDir;
+
+/// Longest wait for a log line or an end.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Settings with listeners at ports of the kernel's choice and a store that nobody runs.
+const SETTINGS: &str = "[box]\nid = box-1\nzone = za\nip = 127.0.0.1\n\
+    [listen]\ncallers = 127.0.0.1:0\nready = 127.0.0.1:0\npeers = 127.0.0.1:0\ngossip-port = 0\nmetrics-port = 0\n\
+    [platform]\naddr = 127.0.0.1:1\n[limits]\nmemory-mb = 64\ndescriptors = 1000\n\
+    [promises]\ngrace-s = 4\n";
+
+struct Box1 {
+    child: Child,
+    lines: Receiver<serde_json::Value>,
+    dir: TempDir,
+}
+
+impl Box1 {
+    fn start() -> Self {
+        let dir = tempfile::tempdir().unwrap();
+        let file = dir.path().join("box.ini");
+        std::fs::write(&file, SETTINGS).unwrap();
+        let mut child = Command::new(program("sillpin-box"))
+            .env("SILLPIN_CONFIG", &file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let stdout = child.stdout.take().unwrap();
+        let (tx, lines) = channel();
+        std::thread::spawn(move || {
+            for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+                let line = serde_json::from_str(&line).expect("each log line is a JSON document");
+                if tx.send(line).is_err() {
+                    return;
+                }
+            }
+        });
+        let me = Self { child, lines, dir };
+        me.wait_for(300);
+        me
+    }
+
+    fn wait_for(&self, event: u64) -> serde_json::Value {
+        loop {
+            let line = self.lines.recv_timeout(PATIENCE);
+            let line = line.unwrap_or_else(|_| panic!("waited in vain for event {event}"));
+            if line["event"] == event {
+                return line;
+            }
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).unwrap();
+        kill(Pid::from_raw(id), signal).unwrap();
+    }
+}
+
+impl Drop for Box1 {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The first version ended with code 129: nobody listened for the signal.
+#[test]
+fn a_hangup_reloads_the_settings() {
+    let me = Box1::start();
+    let file = me.dir.path().join("box.ini");
+    let changed = SETTINGS.replace(
+        "addr = 127.0.0.1:1",
+        "addr = 127.0.0.1:1\nseeds = 127.0.0.1:2",
+    );
+    std::fs::write(&file, changed).unwrap();
+    me.signal(Signal::SIGHUP);
+    let line = me.wait_for(304);
+    assert_eq!(line["changed"], "platform.seeds");
+    assert_eq!(line["waiting"], "");
+}
+
+#[test]
+fn bad_settings_are_refused_while_the_box_goes_on() {
+    let mut me = Box1::start();
+    let file = me.dir.path().join("box.ini");
+    std::fs::write(&file, SETTINGS.replace("grace-s = 4", "grace-s = soon")).unwrap();
+    me.signal(Signal::SIGHUP);
+    let line = me.wait_for(305);
+    let why = line["why"].as_str().unwrap();
+    assert!(
+        why.contains("box.ini:17") && why.contains("grace-s"),
+        "{why}"
+    );
+    assert!(me.child.try_wait().unwrap().is_none());
+}
+
+#[test]
+fn a_stop_is_logged_and_ends_well() {
+    let mut me = Box1::start();
+    me.signal(Signal::SIGTERM);
+    me.wait_for(301);
+    me.wait_for(303);
+    assert!(me.child.wait().unwrap().success());
+}
+
+#[test]
+fn the_lost_store_is_logged_once() {
+    let me = Box1::start();
+    let line = me.wait_for(320);
+    assert!(
+        line["why"].as_str().unwrap().contains("out of reach"),
+        "{line}"
+    );
+}
+
+#[rstest]
+#[case::missing("id = box-1\n", "", "[box] id must be given")]
+#[case::unknown("id = box-1\n", "id = box-1\ncolour = red\n", "unknown key colour")]
+#[case::malformed("127.0.0.1:1\n", "nowhere\n", "[platform] addr")]
+fn faulty_settings_end_the_program_with_file_and_key(
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] expected: &str,
+) {
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("box.ini");
+    std::fs::write(&file, SETTINGS.replace(from, to)).unwrap();
+    let out = Command::new(program("sillpin-box"))
+        .arg("--config")
+        .arg(&file)
+        .arg("--check")
+        .output()
+        .unwrap();
+    assert!(!out.status.success());
+    let text = String::from_utf8(out.stderr).unwrap();
+    assert!(
+        text.contains("box.ini") && text.contains(expected),
+        "{text}"
+    );
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod arms;
 mod blocks;
+mod box_process;
 mod bundles;
 mod callers;
 mod drain;
--- a/xtask/src/commands/docs.rs
+++ b/xtask/src/commands/docs.rs
@@ -47,6 +47,7 @@
         "sillpin-keeper",
         sillpin_keeper::settings::SCHEMA,
     );
+    program(&mut page, "sillpin-box", sillpin_gateway::settings::SCHEMA);
     page
 }
 
--- a/xtask/src/commands/mod.rs
+++ b/xtask/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod docs;
 mod faults;
 mod measure;
+mod names;
 
 use clap::{ArgMatches, Command};
 use sillpin_testsuite::process::PROGRAMS_ENV;
@@ -17,6 +18,7 @@
         .subcommand(docs::cli())
         .subcommand(faults::cli())
         .subcommand(measure::cli())
+        .subcommand(names::cli())
 }
 
 pub fn run(args: &ArgMatches) -> io::Result<()> {
@@ -25,6 +27,7 @@
         Some(("docs", _)) => docs::run(),
         Some(("faults", args)) => faults::run(args),
         Some(("measure", args)) => measure::run(args),
+        Some(("names", _)) => names::run(),
         _ => Ok(()),
     }
 }
