--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -188,6 +188,8 @@
                 None => links.note_read(placed.length, excess),
             }
         }
+        let reached = !matches!(ended, Ended::Unsent(_));
+        self.loads.note_reach(&target.zone, reached);
         self.note(run, &target.id, &ended, progress);
         Ok(ended)
     }
--- a/crates/sillpin-gateway/src/place/choose.rs
+++ b/crates/sillpin-gateway/src/place/choose.rs
@@ -32,6 +32,9 @@
 /// Price of a target that failed all of its last requests.
 const FAILING_MS: f64 = 400.0;
 
+/// Price of a zone that looks cut off: each try there takes a third of a second and most likely fails.
+const CUT_OFF_MS: f64 = 1_500.0;
+
 /// Price of a target that is passed over; it is taken only when no other is there.
 const RESTING_MS: f64 = 10_000.0;
 
@@ -148,6 +151,9 @@
     }
     if target.zone != *choice.zone {
         ms += FOREIGN_ZONE_MS;
+        if choice.loads.looks_cut_off(&target.zone, choice.now) {
+            ms += CUT_OFF_MS;
+        }
     }
     let Some(prompt) = &choice.prompt else {
         return ms + f64::from(load.in_flight) * PLAIN_IN_FLIGHT_MS + spread(target);
--- a/crates/sillpin-gateway/src/place/load.rs
+++ b/crates/sillpin-gateway/src/place/load.rs
@@ -2,7 +2,7 @@
 
 use crate::kept::homes::hash_pair;
 use serde::{Deserialize, Serialize};
-use sillpin_core::{BoxId, TargetId};
+use sillpin_core::{BoxId, TargetId, ZoneId};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -134,10 +134,25 @@
     }
 }
 
+/// Targets of a zone out of reach one after the other, with none in reach between, that make the whole zone
+/// look cut off.
+const SUSPICIOUS: u32 = 2;
+
+/// How long a zone that looks cut off is left alone before it is tried again.
+const SUSPICION_TIME: Duration = Duration::from_secs(2);
+
+/// Whether another zone can be reached, as far as this box has tried.
+#[derive(Debug, Clone, Copy)]
+struct Reach {
+    failures: u32,
+    failed: Instant,
+}
+
 /// Loads of all targets; clones share them.
 #[derive(Debug, Clone, Default)]
 pub struct Loads {
     table: Arc<Mutex<HashMap<TargetId, Load>>>,
+    zones: Arc<Mutex<HashMap<ZoneId, Reach>>>,
     others: Arc<Mutex<Others>>,
 }
 
@@ -169,6 +184,29 @@
         others.sum(now)
     }
 
+    /// Takes note of whether a target of a zone could be reached.
+    pub fn note_reach(&self, zone: &ZoneId, reached: bool) {
+        let failed = Instant::now();
+        let mut zones = self.zones.lock().unwrap_or_else(|e| e.into_inner());
+        if reached {
+            zones.remove(zone);
+            return;
+        }
+        let reach = zones.entry(zone.clone()).or_insert(Reach {
+            failures: 0,
+            failed,
+        });
+        reach.failures += 1;
+        reach.failed = failed;
+    }
+
+    /// Whether a zone looks cut off from this box.
+    pub fn looks_cut_off(&self, zone: &ZoneId, now: Instant) -> bool {
+        let zones = self.zones.lock().unwrap_or_else(|e| e.into_inner());
+        let reach = zones.get(zone);
+        reach.is_some_and(|r| r.failures >= SUSPICIOUS && now - r.failed < SUSPICION_TIME)
+    }
+
     /// What is known of a target.
     pub fn get(&self, target: &TargetId) -> Load {
         self.lock().get(target).copied().unwrap_or_default()
--- a/crates/sillpin-gateway/tests/place.rs
+++ b/crates/sillpin-gateway/tests/place.rs
@@ -98,6 +98,29 @@
     assert_eq!(setting.choose(None).as_deref(), Some("e1"));
 }
 
+/// On a day with a zone cut off, requests went from one silent target of that zone to the next, a third of a
+/// second each, until they were given up.
+#[tokio::test(start_paused = true)]
+async fn a_zone_that_looks_cut_off_is_left_alone_until_something_answers_there() {
+    let mut entries = vec![engine("b1", "zb"), engine("b2", "zb"), engine("b3", "zb")];
+    entries.push(engine("a1", "za"));
+    let setting = Setting::new(targets(entries));
+    let _busy: Vec<_> = (0..6)
+        .map(|_| setting.loads.start(&target("a1"), 0.0))
+        .collect();
+    let chosen = || setting.choose(None).unwrap();
+    assert!(chosen().starts_with('b'), "the own target is busy");
+    setting.loads.note_reach(&name("zb"), false);
+    assert!(
+        chosen().starts_with('b'),
+        "one target out of reach is no cut"
+    );
+    setting.loads.note_reach(&name("zb"), false);
+    assert_eq!(chosen(), "a1");
+    setting.loads.note_reach(&name("zb"), true);
+    assert!(chosen().starts_with('b'));
+}
+
 #[tokio::test(start_paused = true)]
 async fn the_last_target_is_used_even_if_it_rests() {
     let setting = Setting::new(targets(vec![engine("e1", "za")]));
