--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -8,21 +8,14 @@
 use super::answers::Refusal;
 use super::attempt::{Attempt, Ended, WholeAnswer};
 use super::shared::Shared;
-use crate::beliefs::fleet::served;
-use crate::beliefs::{FleetMsg, View, Wanted};
-use crate::config::{EngineSpec, Repeat};
-use crate::dialect::{Dialect, EngineSending, Prompt, Sending};
-use crate::place::choose::PromptChoice;
+use crate::beliefs::FleetMsg;
+use crate::config::Repeat;
+use crate::dialect::{Dialect, Sending};
 use crate::place::load::Outcome as Health;
-use crate::place::parts::{Plan, PlanInputs, plan, salt};
-use crate::place::{Choice, Chosen, choose};
 use hyper::Response;
-use rand::RngExt;
-use sillpin_core::{ModelId, PoolId, TargetId, Tokens, WeightVersion};
+use sillpin_core::{PoolId, TargetId, WeightVersion};
 use sillpin_http::Body;
 use sillpin_telemetry::{event, events};
-use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -34,13 +27,6 @@
 /// Time below which no further target is worth trying.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
-/// Share of a target's connections that all boxes together use; the rest is for boxes that this one
-/// does not know of.
-const CONNECTION_SHARE: f64 = 0.85;
-
-/// Connections that a box may use at one target at least.
-const MIN_CONNECTIONS: u32 = 2;
-
 /// A repeatable request leaves a silent target after this many times its aim, while another may run it.
 const SILENCE_AIMS: f64 = 2.0;
 
@@ -48,13 +34,6 @@
 /// left for another's end only at a loss; callers leave after 2.4 s.
 const STREAM_SILENCE: Duration = Duration::from_millis(1_500);
 
-/// Requests stop going to replaced weights this long before they must not begin there any more: they may
-/// wait at the engine, and this box may have learned late that the weights were replaced.
-const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(2_500);
-
-/// Silence of the platform's store after which this box counts as out of touch with it.
-const STORE_SILENCE: Duration = Duration::from_secs(3);
-
 /// Left to a target of the caller's time, for the way back.
 const WAY_BACK: Duration = Duration::from_millis(8);
 
@@ -73,20 +52,12 @@
     pub failure: Option<WholeAnswer>,
 }
 
-/// What a target is to be told, and why it was chosen.
-struct Placed {
-    chosen: Chosen,
-    engine: Option<EngineSending>,
-    prompt_ms: f64,
-    /// Length of the prompt.
-    length: Tokens,
-    /// Where most of the prompt is fetched from.
-    source: Option<SocketAddr>,
-    /// Tokens that stores hold, fetched or not.
-    kept: u64,
-    /// Shared tokens that are fetched and that are read anew or found at the engine.
-    fetched: u64,
-    others: u64,
+/// Why no further target gets a request.
+pub enum GivenUp {
+    /// Nobody answered it.
+    Refused(Refusal),
+    /// A target answered with a failure of its own, and no other did better.
+    Failed(WholeAnswer),
 }
 
 impl<D: Dialect> Shared<D> {
@@ -99,7 +70,15 @@
             ..Progress::default()
         };
         loop {
-            let ended = self.next_sending(&run, &pool, &mut progress).await?;
+            let sent = self.next_sending(&run, &pool, &mut progress).await;
+            let ended = match sent {
+                Ok(ended) => ended,
+                Err(GivenUp::Refused(refusal)) => return Err(refusal),
+                Err(GivenUp::Failed(answer)) => {
+                    self.log_answered(&run, &answer);
+                    return Ok(self.pass_on_failure(answer));
+                }
+            };
             match ended {
                 Ended::Answered(answer) => {
                     self.log_answered(&run, &answer);
@@ -135,20 +114,20 @@
         run: &Run,
         pool: &PoolId,
         progress: &mut Progress,
-    ) -> Result<Ended, Refusal> {
+    ) -> Result<Ended, GivenUp> {
         let left = run.time_left();
         if left < MIN_TIME_LEFT {
-            return self.give_up(progress, "no time left");
+            return Err(give_up(progress, "no time left"));
         }
         if progress.offered.len() >= MAX_OFFERS {
-            return self.give_up(progress, "several targets refused");
+            return Err(give_up(progress, "several targets refused"));
         }
         let view = self.fleet.view();
         let Some(placed) = self.place(run, pool, &view, progress) else {
-            return self.give_up(progress, "no target is free");
+            return Err(give_up(progress, "no target is free"));
         };
         if progress.arrivals > 0 && !self.take_retry(pool) {
-            return self.give_up(progress, "retry budget used up");
+            return Err(give_up(progress, "retry budget used up"));
         }
         let target = placed.chosen.target.clone();
         event!(self.log, events::SENDING,
@@ -194,19 +173,6 @@
         Ok(ended)
     }
 
-    /// Ends a request that nobody answered: what the caller is told depends on whether it may have run.
-    fn give_up(&self, progress: &mut Progress, why: &str) -> Result<Ended, Refusal> {
-        if let Some(failure) = progress.failure.take() {
-            // Passed on as the target made it; `drive` does not repeat it since nothing is left.
-            progress.runs = u32::MAX;
-            return Ok(Ended::Failed(failure));
-        }
-        match progress.runs {
-            0 => Err(Refusal::not_run(why)),
-            _ => Err(Refusal::unknown(why)),
-        }
-    }
-
     /// Takes note of how a sending ended.
     fn note(&self, run: &Run, target: &TargetId, ended: &Ended, progress: &mut Progress) {
         self.metrics.sending(ended.name());
@@ -264,113 +230,6 @@
         run.deadline
     }
 
-    /// The pool for a request, by the weights of its route.
-    fn pick_pool(&self, run: &Run) -> Result<PoolId, Refusal> {
-        let shares = &run.route.shares;
-        let total: u32 = shares.iter().map(|share| share.weight).sum();
-        if total == 0 {
-            return Err(Refusal::not_run("the route names no pool"));
-        }
-        let mut at = rand::rng().random_range(0..total);
-        for share in shares {
-            if at < share.weight {
-                return Ok(share.pool.clone());
-            }
-            at -= share.weight;
-        }
-        Err(Refusal::not_run("the route names no pool"))
-    }
-
-    fn place(&self, run: &Run, pool: &PoolId, view: &View, progress: &Progress) -> Option<Placed> {
-        let spec = run.config.pool(pool);
-        let engine = spec.and_then(|spec| spec.engine.as_ref());
-        let connections = spec.map_or(0, |spec| spec.max_connections);
-        let most_in_flight = connection_share(connections, view.box_count());
-        let base = Choice {
-            targets: &view.targets,
-            loads: &self.loads,
-            pool,
-            zone: &self.cfg.zone,
-            most_in_flight,
-            tried: &progress.offered,
-            prompt: None,
-            now: Instant::now(),
-        };
-        match (engine, &run.demand.prompt) {
-            (Some(engine), Some(prompt)) => self.place_prompt(run, base, view, engine, prompt),
-            _ => Some(Placed {
-                chosen: choose(&base)?,
-                engine: None,
-                prompt_ms: 0.0,
-                length: Tokens(0),
-                source: None,
-                kept: 0,
-                fetched: 0,
-                others: 0,
-            }),
-        }
-    }
-
-    fn place_prompt(
-        &self,
-        run: &Run,
-        base: Choice<'_>,
-        view: &View,
-        engine: &EngineSpec,
-        prompt: &Prompt,
-    ) -> Option<Placed> {
-        let now = base.now;
-        let wanted = view.wanted.get(&prompt.model);
-        let org = run.organisation.as_deref();
-        let inputs = PlanInputs {
-            config: &run.config,
-            engine,
-            kept: &self.kept,
-            in_touch: self.kept.retirements().may_fetch(view, now),
-            now,
-        };
-        // One draw for all versions: what is spared under one must not be fetched under another.
-        let draw = rand::rng().random_range(0.0..1.0);
-        let plan_for = |version: WeightVersion| {
-            let mut plan = plan(prompt, &salt(prompt, version, org), &inputs);
-            plan.spare_links(|store| draw < self.kept.links().share(store, now));
-            (version, plan)
-        };
-        let versions = served_versions(view, base.pool, &prompt.model);
-        let plans: Vec<(WeightVersion, Plan)> = versions.into_iter().map(plan_for).collect();
-        let prompt_choice = PromptChoice {
-            model: &prompt.model,
-            wanted: wanted.map(|wanted| wanted.version),
-            oldest: self.oldest_weights(wanted, &plans, view),
-            plans: &plans,
-        };
-        let chosen = choose(&Choice {
-            prompt: Some(prompt_choice),
-            ..base
-        })?;
-        let version = chosen.version?;
-        let (_, plan) = plans.iter().find(|(of, _)| *of == version)?;
-        let sending = plan.sending(version, &mut self.kept.lock(), now);
-        let parts = plan.shared.iter().zip(&sending.fetch);
-        let fetched: u64 = parts
-            .filter(|(_, from)| from.is_some())
-            .map(|(part, _)| part.tokens.0)
-            .sum();
-        let shared: u64 = plan.shared.iter().map(|part| part.tokens.0).sum();
-        let prompt_ms = Plan::read_ms(plan.own_tokens) + plan.shared_ms(&chosen.target.zone);
-        let source = plan.main_source(&sending.fetch);
-        Some(Placed {
-            chosen,
-            engine: Some(sending),
-            prompt_ms,
-            length: prompt.tokens,
-            source,
-            kept: plan.kept_tokens.0,
-            fetched,
-            others: shared - fetched,
-        })
-    }
-
     fn log_answered(&self, run: &Run, answer: &WholeAnswer) {
         let outcome = match answer.status.is_success() {
             true => "answered",
@@ -385,29 +244,6 @@
             "elapsed_ms" => elapsed.as_millis());
     }
 
-    /// Weights below which no request is sent: those that were replaced too long ago, once an engine
-    /// serves the new ones. Without the store nobody brings engines to new weights, and the old ones go on.
-    fn oldest_weights(
-        &self,
-        wanted: Option<&Wanted>,
-        plans: &[(WeightVersion, Plan)],
-        view: &View,
-    ) -> WeightVersion {
-        let any = WeightVersion(0);
-        let Some(wanted) = wanted else {
-            return any;
-        };
-        let limit = self.cfg.weights_limit.saturating_sub(OLD_WEIGHTS_MARGIN);
-        let over = wanted.since.elapsed() > limit;
-        let replaced = plans.iter().any(|(version, _)| *version >= wanted.version);
-        let confirmed = view.operators.confirmed;
-        let in_touch = confirmed.is_some_and(|at| at.elapsed() < STORE_SILENCE);
-        match over && replaced && in_touch {
-            true => wanted.version,
-            false => any,
-        }
-    }
-
     /// A target's whole answer for the caller.
     fn pass_on(&self, answer: WholeAnswer) -> Response<Body> {
         let mut resp = Response::new(Body::full(answer.body));
@@ -428,22 +264,18 @@
     }
 }
 
+/// Ends a request that nobody answered: what the caller is told depends on whether it may have run.
+fn give_up(progress: &mut Progress, why: &str) -> GivenUp {
+    if let Some(failure) = progress.failure.take() {
+        return GivenUp::Failed(failure);
+    }
+    GivenUp::Refused(match progress.runs {
+        0 => Refusal::not_run(why),
+        _ => Refusal::unknown(why),
+    })
+}
+
 /// Whether a request that ran, or may have run, may be sent to another target.
 pub fn may_repeat(run: &Run, progress: &Progress) -> bool {
     run.route.repeat == Repeat::Freely && progress.runs < run.route.max_runs
 }
-
-/// Versions of a model's weights that a pool's engines serve, each once.
-fn served_versions(view: &View, pool: &PoolId, model: &ModelId) -> BTreeSet<WeightVersion> {
-    let engines = view.targets.values().filter(|target| target.pool == *pool);
-    engines.filter_map(|target| served(target, model)).collect()
-}
-
-/// Requests that one of `boxes` boxes may have under way at a target.
-fn connection_share(connections: u32, boxes: usize) -> u32 {
-    if connections == 0 {
-        return u32::MAX;
-    }
-    let share = f64::from(connections) * CONNECTION_SHARE / boxes.max(1) as f64;
-    (share as u32).max(MIN_CONNECTIONS)
-}
--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -4,6 +4,7 @@
 //! - [`admit`]: route, organisation and body of a request,
 //! - [`body_room`]: memory for bodies under way,
 //! - [`drive`]: sendings until there is an answer,
+//! - [`placing`]: pool, target and parts of one sending,
 //! - [`attempt`]: one sending and how it ended,
 //! - [`relay`]: streams, passed on event by event,
 //! - [`events`]: whole events out of a stream's bytes,
@@ -17,6 +18,7 @@
 pub mod drive;
 pub mod events;
 pub mod handler;
+pub mod placing;
 pub mod relay;
 pub mod shared;
 
--- /dev/null
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -0,0 +1,207 @@
+//! Pool, target and parts of one sending.
+
+use super::admit::Run;
+use super::answers::Refusal;
+use super::drive::Progress;
+use super::shared::Shared;
+use crate::beliefs::fleet::served;
+use crate::beliefs::{View, Wanted};
+use crate::config::EngineSpec;
+use crate::dialect::{Dialect, EngineSending, Prompt};
+use crate::place::choose::PromptChoice;
+use crate::place::parts::{Plan, PlanInputs, plan, salt};
+use crate::place::{Choice, Chosen, choose};
+use rand::RngExt;
+use sillpin_core::{ModelId, PoolId, Tokens, WeightVersion};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Share of a target's connections that all boxes together use; the rest is for boxes that this one
+/// does not know of.
+const CONNECTION_SHARE: f64 = 0.85;
+
+/// Connections that a box may use at one target at least.
+const MIN_CONNECTIONS: u32 = 2;
+
+/// Requests stop going to replaced weights this long before they must not begin there any more: they may
+/// wait at the engine, and this box may have learned late that the weights were replaced.
+const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(2_500);
+
+/// Silence of the platform's store after which this box counts as out of touch with it.
+const STORE_SILENCE: Duration = Duration::from_secs(3);
+
+/// What a target is to be told, and why it was chosen.
+pub struct Placed {
+    /// The target and why.
+    pub chosen: Chosen,
+    /// What an engine is told.
+    pub engine: Option<EngineSending>,
+    /// Expected prompt work in milliseconds of the engine.
+    pub prompt_ms: f64,
+    /// Length of the prompt.
+    pub length: Tokens,
+    /// Where most of the prompt is fetched from.
+    pub source: Option<SocketAddr>,
+    /// Tokens that stores hold, fetched or not.
+    pub kept: u64,
+    /// Shared tokens that are fetched.
+    pub fetched: u64,
+    /// Shared tokens that are read anew or found at the engine.
+    pub others: u64,
+}
+
+impl<D: Dialect> Shared<D> {
+    /// The pool for a request, by the weights of its route.
+    pub fn pick_pool(&self, run: &Run) -> Result<PoolId, Refusal> {
+        let shares = &run.route.shares;
+        let total: u32 = shares.iter().map(|share| share.weight).sum();
+        if total == 0 {
+            return Err(Refusal::not_run("the route names no pool"));
+        }
+        let mut at = rand::rng().random_range(0..total);
+        for share in shares {
+            if at < share.weight {
+                return Ok(share.pool.clone());
+            }
+            at -= share.weight;
+        }
+        Err(Refusal::not_run("the route names no pool"))
+    }
+
+    /// The target for a request, and what it is to be told.
+    pub fn place(
+        &self,
+        run: &Run,
+        pool: &PoolId,
+        view: &View,
+        progress: &Progress,
+    ) -> Option<Placed> {
+        let spec = run.config.pool(pool);
+        let engine = spec.and_then(|spec| spec.engine.as_ref());
+        let connections = spec.map_or(0, |spec| spec.max_connections);
+        let most_in_flight = connection_share(connections, view.box_count());
+        let base = Choice {
+            targets: &view.targets,
+            loads: &self.loads,
+            pool,
+            zone: &self.cfg.zone,
+            most_in_flight,
+            tried: &progress.offered,
+            prompt: None,
+            now: Instant::now(),
+        };
+        match (engine, &run.demand.prompt) {
+            (Some(engine), Some(prompt)) => self.place_prompt(run, base, view, engine, prompt),
+            _ => Some(Placed {
+                chosen: choose(&base)?,
+                engine: None,
+                prompt_ms: 0.0,
+                length: Tokens(0),
+                source: None,
+                kept: 0,
+                fetched: 0,
+                others: 0,
+            }),
+        }
+    }
+
+    fn place_prompt(
+        &self,
+        run: &Run,
+        base: Choice<'_>,
+        view: &View,
+        engine: &EngineSpec,
+        prompt: &Prompt,
+    ) -> Option<Placed> {
+        let now = base.now;
+        let wanted = view.wanted.get(&prompt.model);
+        let org = run.organisation.as_deref();
+        let inputs = PlanInputs {
+            config: &run.config,
+            engine,
+            kept: &self.kept,
+            in_touch: self.kept.retirements().may_fetch(view, now),
+            now,
+        };
+        // One draw for all versions: what is spared under one must not be fetched under another.
+        let draw = rand::rng().random_range(0.0..1.0);
+        let plan_for = |version: WeightVersion| {
+            let mut plan = plan(prompt, &salt(prompt, version, org), &inputs);
+            plan.spare_links(|store| draw < self.kept.links().share(store, now));
+            (version, plan)
+        };
+        let versions = served_versions(view, base.pool, &prompt.model);
+        let plans: Vec<(WeightVersion, Plan)> = versions.into_iter().map(plan_for).collect();
+        let prompt_choice = PromptChoice {
+            model: &prompt.model,
+            wanted: wanted.map(|wanted| wanted.version),
+            oldest: self.oldest_weights(wanted, &plans, view),
+            plans: &plans,
+        };
+        let chosen = choose(&Choice {
+            prompt: Some(prompt_choice),
+            ..base
+        })?;
+        let version = chosen.version?;
+        let (_, plan) = plans.iter().find(|(of, _)| *of == version)?;
+        let sending = plan.sending(version, &mut self.kept.lock(), now);
+        let parts = plan.shared.iter().zip(&sending.fetch);
+        let fetched: u64 = parts
+            .filter(|(_, from)| from.is_some())
+            .map(|(part, _)| part.tokens.0)
+            .sum();
+        let shared: u64 = plan.shared.iter().map(|part| part.tokens.0).sum();
+        let prompt_ms = Plan::read_ms(plan.own_tokens) + plan.shared_ms(&chosen.target.zone);
+        let source = plan.main_source(&sending.fetch);
+        Some(Placed {
+            chosen,
+            engine: Some(sending),
+            prompt_ms,
+            length: prompt.tokens,
+            source,
+            kept: plan.kept_tokens.0,
+            fetched,
+            others: shared - fetched,
+        })
+    }
+
+    /// Weights below which no request is sent: those that were replaced too long ago, once an engine
+    /// serves the new ones. Without the store nobody brings engines to new weights, and the old ones go on.
+    fn oldest_weights(
+        &self,
+        wanted: Option<&Wanted>,
+        plans: &[(WeightVersion, Plan)],
+        view: &View,
+    ) -> WeightVersion {
+        let any = WeightVersion(0);
+        let Some(wanted) = wanted else {
+            return any;
+        };
+        let limit = self.cfg.weights_limit.saturating_sub(OLD_WEIGHTS_MARGIN);
+        let over = wanted.since.elapsed() > limit;
+        let replaced = plans.iter().any(|(version, _)| *version >= wanted.version);
+        let confirmed = view.operators.confirmed;
+        let in_touch = confirmed.is_some_and(|at| at.elapsed() < STORE_SILENCE);
+        match over && replaced && in_touch {
+            true => wanted.version,
+            false => any,
+        }
+    }
+}
+
+/// Versions of a model's weights that a pool's engines serve, each once.
+fn served_versions(view: &View, pool: &PoolId, model: &ModelId) -> BTreeSet<WeightVersion> {
+    let engines = view.targets.values().filter(|target| target.pool == *pool);
+    engines.filter_map(|target| served(target, model)).collect()
+}
+
+/// Requests that one of `boxes` boxes may have under way at a target.
+fn connection_share(connections: u32, boxes: usize) -> u32 {
+    if connections == 0 {
+        return u32::MAX;
+    }
+    let share = f64::from(connections) * CONNECTION_SHARE / boxes.max(1) as f64;
+    (share as u32).max(MIN_CONNECTIONS)
+}
