--- a/crates/sillpin-cli/src/commands/mod.rs
+++ b/crates/sillpin-cli/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod key;
 mod organisation;
 mod status;
+mod trace;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use serde::Serialize;
@@ -38,6 +39,7 @@
         .subcommand(key::cli())
         .subcommand(organisation::cli())
         .subcommand(status::cli())
+        .subcommand(trace::cli())
 }
 
 pub async fn run(args: &ArgMatches) -> Result<(), CliError> {
@@ -47,6 +49,7 @@
         Some(("key", args)) => key::run(args),
         Some(("organisation", args)) => organisation::run(args).await,
         Some(("status", args)) => status::run(args).await,
+        Some(("trace", args)) => trace::run(args),
         _ => Err(CliError::new(ExitStatus::Usage, "no command")),
     }
 }
--- a/crates/sillpin-cli/src/ops/mod.rs
+++ b/crates/sillpin-cli/src/ops/mod.rs
@@ -4,6 +4,7 @@
 pub mod compare;
 pub mod fleet;
 pub mod organisation;
+pub mod trace;
 
 use crate::{CliError, ExitStatus};
 use std::path::Path;
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -126,9 +126,10 @@
 {
     let cfg = settings.borrow().clone();
     let listeners = listen_all(&cfg).await?;
-    started(listeners.at);
+    let at = listeners.at;
+    started(at);
     let Telemetry { log, metrics, .. } = telemetry;
-    event!(log, events::BOX_STARTED, "callers" => cfg.callers.to_string(),
+    event!(log, events::BOX_STARTED, "callers" => at.callers.to_string(),
         "platform" => cfg.platform.to_string(), "seeds" => cfg.seeds.len());
     let (fleet, port) = beliefs::channel();
     let task = Fleet::new(cfg.id.clone(), adapter.keys.clone(), log.clone());
--- a/tests/testsuite/box_process.rs
+++ b/tests/testsuite/box_process.rs
@@ -4,7 +4,8 @@
 use nix::unistd::Pid;
 use rstest::rstest;
 use sillpin_testsuite::process::program;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
@@ -25,17 +26,61 @@
     dir: TempDir,
 }
 
+fn spawn() -> (Child, TempDir) {
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("box.ini");
+    std::fs::write(&file, SETTINGS).unwrap();
+    let child = Command::new(program("sillpin-box"))
+        .env("SILLPIN_CONFIG", &file)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    (child, dir)
+}
+
+/// A box whose log is read up to its first line only.
+struct UnreadBox {
+    child: Child,
+    _dir: TempDir,
+    callers: SocketAddr,
+}
+
+impl UnreadBox {
+    fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+}
+
+impl Drop for UnreadBox {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
 impl Box1 {
+    fn start_unread() -> UnreadBox {
+        let (mut child, dir) = spawn();
+        let stdout = child.stdout.as_mut().unwrap();
+        // Byte by byte, so that nothing behind the first line is taken.
+        let mut line = Vec::new();
+        let mut byte = [0];
+        while !line.ends_with(b"\n") {
+            stdout.read_exact(&mut byte).unwrap();
+            line.push(byte[0]);
+        }
+        let first: serde_json::Value = serde_json::from_slice(&line).unwrap();
+        let callers = first["callers"].as_str().unwrap().parse().unwrap();
+        UnreadBox {
+            child,
+            _dir: dir,
+            callers,
+        }
+    }
+
     fn start() -> Self {
-        let dir = tempfile::tempdir().unwrap();
-        let file = dir.path().join("box.ini");
-        std::fs::write(&file, SETTINGS).unwrap();
-        let mut child = Command::new(program("sillpin-box"))
-            .env("SILLPIN_CONFIG", &file)
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap();
+        let (mut child, dir) = spawn();
         let stdout = child.stdout.take().unwrap();
         let (tx, lines) = channel();
         std::thread::spawn(move || {
@@ -114,6 +159,53 @@
     assert!(me.child.wait().unwrap().success());
 }
 
+/// Requests that a box can be sent without its log being read.
+const UNREAD: usize = 12_000;
+
+#[test]
+fn a_log_that_nobody_reads_holds_up_no_request_and_tells_what_it_left_out() {
+    let mut me = Box1::start_unread();
+    let addr = me.callers();
+    let mut tcp = std::net::TcpStream::connect(addr).unwrap();
+    tcp.set_read_timeout(Some(PATIENCE)).unwrap();
+    let req = "GET /a/b HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n\r\n";
+    let mut reader = BufReader::new(tcp.try_clone().unwrap());
+    for _ in 0..UNREAD {
+        tcp.write_all(req.as_bytes()).unwrap();
+        let status = read_answer(&mut reader);
+        assert!(
+            status.starts_with("HTTP/1.1 503"),
+            "no configuration yet: {status}"
+        );
+    }
+    let stdout = me.child.stdout.take().unwrap();
+    let lines = BufReader::new(stdout).lines().map_while(Result::ok);
+    let told = lines
+        .into_iter()
+        .any(|line| line.contains("dropped messages"));
+    assert!(told, "the log says how many records it left out");
+}
+
+/// Reads one answer with a stated length; gives its status line.
+fn read_answer(reader: &mut impl BufRead) -> String {
+    let mut status = String::new();
+    reader.read_line(&mut status).unwrap();
+    let mut len = 0;
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).unwrap();
+        if let Some(text) = line.to_ascii_lowercase().strip_prefix("content-length:") {
+            len = text.trim().parse().unwrap();
+        }
+        if line == "\r\n" {
+            break;
+        }
+    }
+    let mut body = vec![0; len];
+    reader.read_exact(&mut body).unwrap();
+    status
+}
+
 #[test]
 fn the_lost_store_is_logged_once() {
     let me = Box1::start();
