--- a/crates/sillpin-platform/src/lib.rs
+++ b/crates/sillpin-platform/src/lib.rs
@@ -1,9 +1,11 @@
 //! The platform as sillpin sees it: a key-value service and the list of boxes and targets.
 //!
-//! [`Platform`] is the one interface; [`http`] is the one adapter. Another wire format costs one
+//! [`Platform`] is the one interface; [`http`] is the adapter of the project's own stand-in, and [`call`] what
+//! adapters share. Another wire format costs one
 //! file. The service counts each call, and a waiting watch as one, so callers state in
 //! `docs/CAPACITY.md` how often they call.
 
+pub mod call;
 pub mod http;
 
 use derive_more::{Display, Error};
