Free nothing that a box may still be fetching: tell of retired parts late, free broken parts at once

Reading the code gave three ways to it: a box told that it had retired a part in the moment in which it did, while a fetch begun just before ran on for up to 450 ms, and the holder freed on that word; a part not whole at two listings was freed up to 400 ms after the second, although a new save could have completed it and boxes heard of it; a copy of a store's list asked for before the store restarted replaced what was read after. Change: digests tell shares applied a fetch's time ago; broken parts are freed only if nothing arrived between the listings, and within 40 ms of the second; older copies are dropped.

--- a/crates/sillpin-gateway/src/control.rs
+++ b/crates/sillpin-gateway/src/control.rs
@@ -178,8 +178,19 @@
     pub next: u64,
     /// Whole parts.
     pub whole: Vec<(KeptKey, Tokens)>,
-    /// Parts that are being written or broke off, with the tokens of room that they take.
-    pub partial: Vec<(KeptKey, Tokens)>,
+    /// Parts that are being written or broke off.
+    pub partial: Vec<PartialPart>,
+}
+
+/// A part of a store that is not whole.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PartialPart {
+    /// The part.
+    pub key: KeptKey,
+    /// Tokens that have arrived.
+    pub arrived: Tokens,
+    /// Tokens of room that it takes.
+    pub room: Tokens,
 }
 
 /// Parts to be freed in one life of a store.
--- a/crates/sillpin-gateway/src/kept/directory.rs
+++ b/crates/sillpin-gateway/src/kept/directory.rs
@@ -69,8 +69,12 @@
 }
 
 impl Directory {
-    /// Takes everything that a store holds.
+    /// Takes everything that a store holds, unless the store was asked since: an older copy may tell of a
+    /// life of the store that is over.
     pub fn take_list(&mut self, addr: SocketAddr, list: KeptList, asked: Instant) {
+        if self.heard(addr) > Some(asked) {
+            return;
+        }
         let mut state = StoreState {
             epoch: list.epoch,
             next: list.next,
@@ -200,7 +204,11 @@
     /// The moment `later` on the engines' clock, if it was read.
     pub fn engine_time(&self, now: Instant, later: Duration) -> Option<EngineTime> {
         let reading = self.clock?;
-        Some(reading.engine.plus(now - reading.at + later))
+        Some(
+            reading
+                .engine
+                .plus((now + later).saturating_duration_since(reading.at)),
+        )
     }
 
     /// All whole parts of a store.
--- a/crates/sillpin-gateway/src/kept/freer.rs
+++ b/crates/sillpin-gateway/src/kept/freer.rs
@@ -5,8 +5,7 @@
 use super::salt::SaltParts;
 use crate::beliefs::{FleetHandle, View};
 use crate::config::StoreSpec;
-use crate::control::{Control, FreeOrder, KeptKey};
-use sillpin_core::Tokens;
+use crate::control::{Control, FreeOrder, KeptKey, PartialPart};
 use sillpin_telemetry::{event, events};
 use slog::Logger;
 use std::collections::{BTreeMap, HashMap};
@@ -24,6 +23,11 @@
 /// A store carries an order out within this time or not at all.
 const ORDER_TIME: Duration = Duration::from_millis(400);
 
+/// Parts that broke off are freed within this time of the listing that shows them, or not at all: one that a
+/// new save completes in between is told to boxes 60 ms later at the earliest (`events_lag_ms` of both sites), so
+/// that no fetch of it can have begun.
+const PARTIAL_ORDER_TIME: Duration = Duration::from_millis(40);
+
 /// How long parts that were ordered to be freed are not ordered again.
 const ORDERED_MEMORY: Duration = Duration::from_secs(3);
 
@@ -48,7 +52,7 @@
 struct Memory {
     ordered: HashMap<(SocketAddr, KeptKey), Instant>,
     /// Parts that were not whole at the last listing of a store.
-    partial: HashMap<SocketAddr, Vec<(KeptKey, Tokens)>>,
+    partial: HashMap<SocketAddr, Vec<PartialPart>>,
     listed: HashMap<SocketAddr, Instant>,
 }
 
@@ -82,7 +86,8 @@
         }
         let noted = keys.iter().map(|key| ((store.addr, key.clone()), now));
         memory.ordered.extend(noted);
-        self.order(store, keys, "made under replaced weights").await;
+        self.order(store, keys, now, ORDER_TIME, "made under replaced weights")
+            .await;
     }
 
     /// Parts of a store that no box fetches.
@@ -106,7 +111,7 @@
         unused
     }
 
-    /// Frees parts that were not whole at two listings: whoever wrote them has gone.
+    /// Frees parts of which nothing more has arrived since the last listing: whoever wrote them has gone.
     async fn free_partial(&self, store: &StoreSpec, memory: &mut Memory) {
         let now = Instant::now();
         let last = memory.listed.get(&store.addr);
@@ -128,20 +133,28 @@
             .partial
             .into_iter()
             .filter(|part| before.contains(part));
-        let keys: Vec<KeptKey> = stuck.map(|(key, _)| key).take(BATCH).collect();
+        let keys: Vec<KeptKey> = stuck.map(|part| part.key).take(BATCH).collect();
         if !keys.is_empty() {
-            self.order(store, keys, "broke off").await;
+            self.order(store, keys, now, PARTIAL_ORDER_TIME, "broke off")
+                .await;
         }
     }
 
-    async fn order(&self, store: &StoreSpec, keys: Vec<KeptKey>, why: &'static str) {
-        let now = Instant::now();
-        if now >= *self.until.borrow() {
+    /// Orders a store to free parts within `time` of the moment `from` at which they were found unused.
+    async fn order(
+        &self,
+        store: &StoreSpec,
+        keys: Vec<KeptKey>,
+        from: Instant,
+        time: Duration,
+        why: &'static str,
+    ) {
+        if Instant::now() >= *self.until.borrow() {
             return;
         }
         let (position, until) = {
             let directory = self.kept.lock();
-            let until = directory.engine_time(now, ORDER_TIME);
+            let until = directory.engine_time(from, time);
             (directory.position(store.addr), until)
         };
         let (Some(position), Some(until)) = (position, until) else {
--- a/crates/sillpin-gateway/src/kept/retire.rs
+++ b/crates/sillpin-gateway/src/kept/retire.rs
@@ -98,13 +98,14 @@
         }
     }
 
-    /// What this box tells the others.
-    pub fn told(&self) -> Vec<Retired> {
-        let told = |(weights, share): (&Weights, &f64)| Retired {
+    /// What this box tells the others: shares that it applied so long ago that its fetches of these parts are
+    /// over.
+    pub fn told(&self, now: Instant) -> Vec<Retired> {
+        let told = |weights: &Weights| Retired {
             weights: weights.clone(),
-            share: *share,
+            share: self.known_at(weights, now, FETCH_TIME),
         };
-        self.applied.iter().map(told).collect()
+        self.applied.keys().map(told).collect()
     }
 
     /// Takes what another box tells: what it has retired, and since when it has no word from the store.
@@ -147,8 +148,7 @@
     }
 
     /// Share of a version's parts that no box fetches: told by every box, or known for so long that a box
-    /// that says nothing has either learned it too or stopped fetching. Fetches begun before are over: they
-    /// take less than [`FETCH_TIME`].
+    /// that says nothing has either learned it too or stopped fetching.
     pub fn unused_share(&self, weights: &Weights, view: &View, now: Instant) -> f64 {
         let long_known = self.known_at(weights, now, TOUCH + TOUCH_MARGIN + FETCH_TIME);
         let told_by = |id: &BoxId| {
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -246,7 +246,7 @@
                 .collect(),
             clock: directory.engine_time(now, Duration::ZERO),
             work: self.loads.told(),
-            retired: self.kept.retirements().told(),
+            retired: self.kept.retirements().told(now),
             stopping: self.stopping.is_cancelled(),
         }
     }
--- a/crates/sillpin-gateway/tests/common/mod.rs
+++ b/crates/sillpin-gateway/tests/common/mod.rs
@@ -100,6 +100,7 @@
         })?;
         Ok(FleetConfig {
             version: ConfigVersion(version),
+            stores: vec![store("s", 7, "za", 1_000, 1)],
             ..FleetConfig::default()
         })
     }
--- /dev/null
+++ b/crates/sillpin-gateway/tests/freer.rs
@@ -0,0 +1,135 @@
+//! Which parts the holder of the duty frees, seen from a store.
+
+mod common;
+
+use common::{TestKeys, entry, name};
+use sillpin_core::{TargetId, Tokens};
+use sillpin_gateway::beliefs::fleet::Fleet;
+use sillpin_gateway::beliefs::{self, FleetMsg, Reading, Source, Topic};
+use sillpin_gateway::control::{
+    Control, ControlError, EngineReport, FreeOrder, KeptKey, KeptList, KeptNews, OrderOutcome,
+    PartialPart, WeightsOrder,
+};
+use sillpin_gateway::dialect::{EngineTime, PartId, Salt};
+use sillpin_gateway::kept::Kept;
+use sillpin_gateway::kept::freer::Freer;
+use sillpin_platform::{KvRevision, Snapshot};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+
+/// A store that answers with one list after the other, and takes note of what is freed.
+#[derive(Clone)]
+struct ListedStore {
+    lists: Arc<Mutex<Vec<KeptList>>>,
+    listed: mpsc::UnboundedSender<Instant>,
+    freed: mpsc::UnboundedSender<FreeOrder>,
+}
+
+impl Control for ListedStore {
+    async fn report(&self, _: SocketAddr, _: &TargetId) -> Result<EngineReport, ControlError> {
+        unreachable!("no engine is asked")
+    }
+
+    async fn order(&self, _: SocketAddr, _: &WeightsOrder) -> Result<OrderOutcome, ControlError> {
+        unreachable!("no engine is ordered")
+    }
+
+    async fn kept_news(
+        &self,
+        _: SocketAddr,
+        _: u64,
+        _: Duration,
+    ) -> Result<KeptNews, ControlError> {
+        unreachable!("the freer reads no news")
+    }
+
+    async fn kept_list(&self, _: SocketAddr) -> Result<KeptList, ControlError> {
+        let mut lists = self.lists.lock().unwrap();
+        let list = match lists.len() {
+            1 => lists[0].clone(),
+            _ => lists.remove(0),
+        };
+        self.listed.send(Instant::now()).unwrap();
+        Ok(list)
+    }
+
+    async fn free(&self, _: SocketAddr, order: &FreeOrder) -> Result<(), ControlError> {
+        self.freed.send(order.clone()).unwrap();
+        Ok(())
+    }
+}
+
+fn key(part: &str) -> KeptKey {
+    KeptKey {
+        salt: Salt("m/1".to_owned()),
+        part: PartId(part.to_owned()),
+    }
+}
+
+fn list(partial: &[(&str, u64)]) -> KeptList {
+    let partial = partial.iter().map(|(part, arrived)| PartialPart {
+        key: key(part),
+        arrived: Tokens(*arrived),
+        room: Tokens(100),
+    });
+    KeptList {
+        epoch: 1,
+        next: 10,
+        whole: Vec::new(),
+        partial: partial.collect(),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn only_parts_that_nobody_writes_any_more_are_freed_and_only_at_once() {
+    let (fleet, port) = beliefs::channel();
+    let log = sillpin_telemetry::logs::discard();
+    tokio::spawn(Fleet::new(name("box-1"), TestKeys, log.clone()).run(port));
+    let start = Instant::now();
+    let entries = vec![entry("ops/config", "1", 1)];
+    let revision = KvRevision(1);
+    let reading = FleetMsg::Read {
+        topic: Topic::Operators,
+        reading: Reading::Whole(Snapshot { entries, revision }),
+        asked: start,
+        source: Source::Store,
+    };
+    fleet.tell(reading).await;
+    let mut views = fleet.subscribe();
+    let view = views.wait_for(|view| view.config.is_some()).await.unwrap();
+    let addr = view.config.as_ref().unwrap().stores[0].addr;
+    drop(view);
+    let (listed, mut listings) = mpsc::unbounded_channel();
+    let (freed, mut orders) = mpsc::unbounded_channel();
+    let first = list(&[("stuck", 16), ("written", 16), ("gone", 0)]);
+    let second = list(&[("stuck", 16), ("written", 32), ("new", 0)]);
+    let control = ListedStore {
+        lists: Arc::new(Mutex::new(vec![first, second])),
+        listed,
+        freed,
+    };
+    let kept = Kept::default();
+    kept.lock().take_list(addr, list(&[]), start);
+    kept.lock().take_clock(Some(EngineTime(0)), start);
+    let (_limit, until) = watch::channel(start + Duration::from_secs(60));
+    let freer = Freer {
+        control,
+        kept,
+        fleet,
+        until,
+        log,
+    };
+    tokio::spawn(freer.run());
+    listings.recv().await.unwrap();
+    let at = listings.recv().await.unwrap();
+    let order = orders.recv().await.unwrap();
+    assert_eq!(order.keys, [key("stuck")]);
+    let latest = EngineTime(0).plus(at - start + Duration::from_millis(60));
+    assert!(
+        order.until < latest,
+        "a box may have heard that it is whole"
+    );
+}
--- a/crates/sillpin-gateway/tests/kept.rs
+++ b/crates/sillpin-gateway/tests/kept.rs
@@ -12,7 +12,7 @@
 use sillpin_gateway::kept::directory::{BELIEF, Directory};
 use sillpin_gateway::kept::homes::{Place, homes};
 use sillpin_gateway::kept::links::Links;
-use sillpin_gateway::kept::retire::{Retired, Retirements, Weights, place_of};
+use sillpin_gateway::kept::retire::{FETCH_TIME, Retired, Retirements, Weights, place_of};
 use sillpin_gateway::kept::salt::SaltParts;
 use sillpin_platform::KvRevision;
 use std::collections::HashMap;
@@ -67,6 +67,16 @@
     assert_eq!(directory.position(STORE), None, "so that it is listed");
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_older_copy_does_not_bring_back_a_life_of_the_store_that_is_over() {
+    let mut directory = Directory::default();
+    let before = Instant::now();
+    tokio::time::advance(Duration::from_millis(10)).await;
+    directory.take_list(STORE, list(2, &[]), Instant::now());
+    directory.take_list(STORE, list(1, &["a"]), before);
+    assert!(!kept(&directory, "a"));
+}
+
 #[tokio::test(start_paused = true)]
 async fn what_a_silent_store_holds_is_not_believed_for_long() {
     let mut directory = Directory::default();
@@ -287,6 +297,26 @@
     assert_eq!(unused(&retirements, now), 1.0);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_box_tells_of_retired_parts_only_when_its_fetches_of_them_are_over() {
+    let mut retirements = Retirements::default();
+    let start = Instant::now();
+    let told = |r: &Retirements| r.told(Instant::now()).first().map_or(0.0, |r| r.share);
+    retirements.update(&view(2, start), start);
+    assert_eq!(
+        told(&retirements),
+        0.0,
+        "a fetch may have begun just before"
+    );
+    tokio::time::advance(FETCH_TIME).await;
+    assert_eq!(told(&retirements), 0.5);
+    let now = Instant::now();
+    retirements.update(&view(4, now), now);
+    assert_eq!(told(&retirements), 0.5);
+    tokio::time::advance(FETCH_TIME).await;
+    assert_eq!(told(&retirements), 1.0);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_box_that_says_nothing_has_stopped_fetching_after_a_while() {
     let mut retirements = Retirements::default();
