Retire parts of replaced weights only as the stores fill up

Found by naming each part and what is done with it in the line of a sending. Change: the retired share is the engines' share or the stores' fullness above 70%, whichever is less; parts that no engine serves are retired whole.

--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -135,7 +135,7 @@
             "addr" => target.addr.to_string(), "offer" => progress.offered.len(),
             "cost_ms" => placed.chosen.cost_ms.round(), "candidates" => placed.chosen.candidates,
             "version" => placed.chosen.version.map_or(0, |version| version.0),
-            "fetched" => placed.fetched, "kept" => placed.kept, "config" => run.config.version.0,
+            "parts" => &placed.parts, "fetched" => placed.fetched, "kept" => placed.kept, "config" => run.config.version.0,
             "targets_at" => view.listed.revision.0, "left_ms" => left.as_millis());
         self.metrics.prompt_tokens("fetched", placed.fetched);
         self.metrics.prompt_tokens("other", placed.others);
--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -42,6 +42,8 @@
     pub prompt_ms: f64,
     /// Length of the prompt.
     pub length: Tokens,
+    /// The prompt's shared parts and what is done with each, for logs.
+    pub parts: String,
     /// Where most of the prompt is fetched from.
     pub source: Option<SocketAddr>,
     /// Tokens that stores hold, fetched or not.
@@ -99,6 +101,7 @@
                 engine: None,
                 prompt_ms: 0.0,
                 length: Tokens(0),
+                parts: String::new(),
                 source: None,
                 kept: 0,
                 fetched: 0,
@@ -157,6 +160,7 @@
         let source = plan.main_source(&sending.fetch);
         Some(Placed {
             chosen,
+            parts: plan.describe(&sending),
             engine: Some(sending),
             prompt_ms,
             length: prompt.tokens,
--- a/crates/sillpin-gateway/src/kept/directory.rs
+++ b/crates/sillpin-gateway/src/kept/directory.rs
@@ -2,6 +2,7 @@
 
 use super::links::Links;
 use super::retire::Retirements;
+use crate::config::StoreSpec;
 use crate::control::{KeptKey, KeptList, KeptNews};
 use crate::dialect::EngineTime;
 use serde::{Deserialize, Serialize};
@@ -211,6 +212,13 @@
         )
     }
 
+    /// Used share of the fullest managed store.
+    pub fn fullness(&self, stores: &[StoreSpec]) -> f64 {
+        let managed = stores.iter().filter(|store| store.managed);
+        let used = managed.map(|s| self.used(s.addr).0 as f64 / s.room.0.max(1) as f64);
+        used.fold(0.0, f64::max)
+    }
+
     /// All whole parts of a store.
     pub fn whole(&self, addr: SocketAddr) -> Vec<(KeptKey, Tokens)> {
         let state = self.stores.get(&addr);
--- a/crates/sillpin-gateway/src/kept/retire.rs
+++ b/crates/sillpin-gateway/src/kept/retire.rs
@@ -1,9 +1,10 @@
 //! Retirement of parts that were made under replaced weights.
 //!
-//! While engines change to new weights, the stores hold parts of both versions and have room for one. So
-//! parts of the old version are retired in step with the engines: when a share of the engines serves newer
-//! weights, the same share of the parts, by their hash, is neither fetched nor saved any more, and the
-//! holder of the fleet's duty may free them.
+//! While engines change to new weights, the stores hold parts of both versions and may have room for one. So
+//! parts of the old version are retired as the stores fill up, in step with the engines at most: when a share
+//! of the engines serves newer weights, up to the same share of the parts, by their hash, is neither fetched
+//! nor saved any more, and the holder of the fleet's duty may free them. What no engine serves is retired
+//! whole.
 //!
 //! A part is never freed under a reader. Each box tells in its digests which share it has retired, and
 //! never goes back. A box that was not heard may at worst use what it knew when it was last in touch,
@@ -37,6 +38,12 @@
 /// A share counts for a new box, which read the store when it started, after this time.
 const NEW_BOX: Duration = Duration::from_millis(1_000);
 
+/// Parts of replaced weights are retired from this fullness of a store on, while engines still use them.
+const RETIRE_FROM: f64 = 0.70;
+
+/// At this fullness they are retired in step with the engines. New parts are no longer saved at 0.975.
+const RETIRE_ALL: f64 = 0.92;
+
 /// Fetches not ended by then are thrown away, and the prompt is read instead. A fetch takes room at the
 /// engine while it waits, so a slow link must not hold it for long: a transfer takes 25 to 60 ms.
 pub const FETCH_TIME: Duration = Duration::from_millis(450);
@@ -84,9 +91,15 @@
 }
 
 impl Retirements {
-    /// Retires parts in step with the engines' entries. Shares only grow.
-    pub fn update(&mut self, view: &View, now: Instant) {
-        for (weights, share) in replaced_shares(view) {
+    /// Retires parts as the fullest store, `fullness` of whose room is used, and the engines' entries demand.
+    /// Shares only grow.
+    pub fn update(&mut self, view: &View, fullness: f64, now: Instant) {
+        let pressure = (fullness - RETIRE_FROM) / (RETIRE_ALL - RETIRE_FROM);
+        for (weights, replaced) in replaced_shares(view) {
+            let share = match replaced < 1.0 {
+                true => replaced.min(pressure),
+                false => replaced,
+            };
             let applied = self.applied.entry(weights).or_insert(0.0);
             *applied = applied.max(share);
         }
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -198,7 +198,11 @@
 
     async fn round(&self, socket: &UdpSocket) {
         let view = self.fleet.view();
-        self.kept.retirements().update(&view, Instant::now());
+        let stores = view.config.as_ref().map(|config| config.stores.as_slice());
+        let fullness = self.kept.lock().fullness(stores.unwrap_or_default());
+        self.kept
+            .retirements()
+            .update(&view, fullness, Instant::now());
         let mut digest = self.digest(&view);
         let foreign = self.foreign(&view);
         let zone = self.zone(&view);
--- a/crates/sillpin-gateway/src/place/parts.rs
+++ b/crates/sillpin-gateway/src/place/parts.rs
@@ -201,6 +201,20 @@
             .map(|(_, from)| from)
     }
 
+    /// The shared parts and what an engine is to do with each, for logs.
+    pub fn describe(&self, sending: &EngineSending) -> String {
+        let what = |index: usize| match (&sending.fetch[index], &sending.save[index]) {
+            (Some(_), _) => "fetch",
+            (None, Some(_)) => "save",
+            (None, None) => "read",
+        };
+        let part = |(index, part): (usize, &SharedPart)| {
+            format!("{}:{}:{}", part.key.part, part.tokens, what(index))
+        };
+        let parts: Vec<String> = self.shared.iter().enumerate().map(part).collect();
+        parts.join(",")
+    }
+
     /// Gives up fetching from stores that `bears` refuses: their parts are read anew.
     pub fn spare_links(&mut self, bears: impl Fn(SocketAddr) -> bool) {
         let whole = self.shared.iter().filter(|part| part.whole);
--- a/crates/sillpin-gateway/tests/kept.rs
+++ b/crates/sillpin-gateway/tests/kept.rs
@@ -239,6 +239,9 @@
     }
 }
 
+/// A store that is as full as it gets.
+const FULL: f64 = 0.975;
+
 fn old_weights() -> Weights {
     Weights {
         model: name("m"),
@@ -260,28 +263,44 @@
     let parts: Vec<KeptKey> = (0..400).map(|i| key(&format!("p{i}"))).collect();
     let retired = |r: &Retirements| parts.iter().filter(|key| r.is_retired(&salt, key)).count();
     let now = Instant::now();
-    retirements.update(&view(0, now), now);
+    retirements.update(&view(0, now), FULL, now);
     assert_eq!(retired(&retirements), 0);
-    retirements.update(&view(2, now), now);
+    retirements.update(&view(2, now), FULL, now);
     let half = retired(&retirements);
     assert!((150..250).contains(&half), "{half} of 400");
-    retirements.update(&view(1, now), now);
+    retirements.update(&view(1, now), FULL, now);
     assert_eq!(
         retired(&retirements),
         half,
         "an engine that went back brings no part back"
     );
-    retirements.update(&view(4, now), now);
+    retirements.update(&view(4, now), FULL, now);
     assert_eq!(retired(&retirements), 400);
     let newer: SaltParts = "m/2".parse().unwrap();
     assert!(!retirements.is_retired(&newer, &parts[0]));
 }
 
+#[tokio::test(start_paused = true)]
+async fn replaced_parts_stay_in_use_while_there_is_room_and_an_engine_for_them() {
+    let mut retirements = Retirements::default();
+    let salt: SaltParts = "m/1".parse().unwrap();
+    let parts: Vec<KeptKey> = (0..400).map(|i| key(&format!("p{i}"))).collect();
+    let retired = |r: &Retirements| parts.iter().filter(|key| r.is_retired(&salt, key)).count();
+    let now = Instant::now();
+    retirements.update(&view(3, now), 0.5, now);
+    assert_eq!(retired(&retirements), 0);
+    retirements.update(&view(3, now), 0.8, now);
+    let some = retired(&retirements);
+    assert!((100..280).contains(&some), "{some} of 400");
+    retirements.update(&view(4, now), 0.5, now);
+    assert_eq!(retired(&retirements), 400, "no engine serves them");
+}
+
 #[tokio::test(start_paused = true)]
 async fn nothing_is_unused_while_a_box_may_still_fetch_it() {
     let mut retirements = Retirements::default();
     let start = Instant::now();
-    retirements.update(&view(4, start), start);
+    retirements.update(&view(4, start), FULL, start);
     tokio::time::advance(Duration::from_millis(1_500)).await;
     let now = Instant::now();
     let old = old_weights();
@@ -302,7 +321,7 @@
     let mut retirements = Retirements::default();
     let start = Instant::now();
     let told = |r: &Retirements| r.told(Instant::now()).first().map_or(0.0, |r| r.share);
-    retirements.update(&view(2, start), start);
+    retirements.update(&view(2, start), FULL, start);
     assert_eq!(
         told(&retirements),
         0.0,
@@ -311,7 +330,7 @@
     tokio::time::advance(FETCH_TIME).await;
     assert_eq!(told(&retirements), 0.5);
     let now = Instant::now();
-    retirements.update(&view(4, now), now);
+    retirements.update(&view(4, now), FULL, now);
     assert_eq!(told(&retirements), 0.5);
     tokio::time::advance(FETCH_TIME).await;
     assert_eq!(told(&retirements), 1.0);
@@ -321,12 +340,12 @@
 async fn a_box_that_says_nothing_has_stopped_fetching_after_a_while() {
     let mut retirements = Retirements::default();
     let start = Instant::now();
-    retirements.update(&view(4, start), start);
+    retirements.update(&view(4, start), FULL, start);
     assert!(retirements.may_fetch(&view(4, start), start));
     for _ in 0..40 {
         tokio::time::advance(Duration::from_millis(100)).await;
         let now = Instant::now();
-        retirements.update(&view(4, now), now);
+        retirements.update(&view(4, now), FULL, now);
         let unused = retirements.unused_share(&old_weights(), &view(4, now), now);
         // The other box, silent and out of touch since the start, applies the same rule to itself.
         let may_fetch = Retirements::default().may_fetch(&view(4, start), now);
