Save parts to the store nearest to the engine, fetch them from the nearest that holds them

Change: among stores alike in speed and room the one in the engine's zone is taken for a save, and the nearest holder for a fetch.

--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -149,7 +149,7 @@
         })?;
         let version = chosen.version?;
         let (_, plan) = plans.iter().find(|(of, _)| *of == version)?;
-        let sending = plan.sending(version, &mut self.kept.lock(), now);
+        let sending = plan.sending(version, &chosen.target.zone, &mut self.kept.lock(), now);
         let parts = plan.shared.iter().zip(&sending.fetch);
         let fetched: u64 = parts
             .filter(|(_, from)| from.is_some())
--- a/crates/sillpin-gateway/src/place/parts.rs
+++ b/crates/sillpin-gateway/src/place/parts.rs
@@ -33,10 +33,10 @@
     pub key: KeptKey,
     /// Its length.
     pub tokens: Tokens,
-    /// The store that keeps it, if it is to be kept.
-    pub home: Option<StoreSpec>,
-    /// Whether it is whole there.
-    pub whole: bool,
+    /// The stores that hold it whole.
+    pub held: Vec<StoreSpec>,
+    /// If none does, the stores that may keep it, alike in speed and room.
+    pub homes: Vec<StoreSpec>,
 }
 
 /// The shared parts of a prompt under one salt.
@@ -120,8 +120,8 @@
     let nowhere = SharedPart {
         key: key.clone(),
         tokens,
-        home: None,
-        whole: false,
+        held: Vec::new(),
+        homes: Vec::new(),
     };
     if inputs.kept.retirements().is_retired(salt, &key) {
         return nowhere;
@@ -129,11 +129,11 @@
     let homes = homes(&inputs.config.stores, &key.part, tokens, place);
     let directory = inputs.kept.lock();
     let holds = |store: &&&StoreSpec| directory.holds(store.addr, &key, tokens, inputs.now);
-    if let Some(store) = homes.iter().find(holds) {
-        return SharedPart {
-            home: Some((*store).clone()),
-            whole: inputs.in_touch,
-            ..nowhere
+    let held: Vec<StoreSpec> = homes.iter().filter(holds).copied().cloned().collect();
+    if !held.is_empty() {
+        return match inputs.in_touch {
+            true => SharedPart { held, ..nowhere },
+            false => nowhere,
         };
     }
     let has_room = |store: &&&StoreSpec| {
@@ -141,13 +141,25 @@
         directory.is_known(store.addr, inputs.now)
             && (used + tokens).0 as f64 <= store.room.0 as f64 * FILLED
     };
-    let home = homes.iter().find(has_room);
+    let roomy: Vec<&StoreSpec> = homes.iter().filter(has_room).copied().collect();
+    let alike = |store: &&&StoreSpec| store.first == roomy[0].first && store.room == roomy[0].room;
     SharedPart {
-        home: home.map(|store| (*store).clone()),
+        homes: roomy
+            .iter()
+            .filter(alike)
+            .map(|store| (*store).clone())
+            .collect(),
         ..nowhere
     }
 }
 
+/// The store that an engine in `zone` uses: the first of its zone, or else the first. Two engines that save the same
+/// part at the same time may so use two stores; either copy serves.
+fn nearest<'a>(stores: &'a [StoreSpec], zone: &ZoneId) -> Option<&'a StoreSpec> {
+    let near = stores.iter().find(|store| store.zone == *zone);
+    near.or(stores.first())
+}
+
 impl Plan {
     /// The last shared part: requests that have it have all before it.
     pub fn affinity(&self) -> Option<&KeptKey> {
@@ -162,9 +174,9 @@
     /// Time to have a shared part at an engine in `zone` that does not hold it, where a transfer from
     /// another zone counts `foreign` times.
     fn part_ms(&self, part: &SharedPart, zone: &ZoneId, foreign: f64) -> f64 {
-        match &part.home {
-            Some(store) if part.whole => self.fetch_ms(store, part.tokens, zone, foreign),
-            _ => Self::read_ms(part.tokens),
+        match nearest(&part.held, zone) {
+            Some(store) => self.fetch_ms(store, part.tokens, zone, foreign),
+            None => Self::read_ms(part.tokens),
         }
     }
 
@@ -217,23 +229,21 @@
 
     /// Gives up fetching from stores that `bears` refuses: their parts are read anew.
     pub fn spare_links(&mut self, bears: impl Fn(SocketAddr) -> bool) {
-        let whole = self.shared.iter().filter(|part| part.whole);
+        let whole = self.shared.iter().filter(|part| !part.held.is_empty());
         self.kept_tokens = whole.map(|part| part.tokens).sum();
-        let sources = self.shared.iter().filter(|part| part.whole);
-        let sources = sources.filter_map(|part| part.home.as_ref().map(|store| store.addr));
+        let sources = self.shared.iter().flat_map(|part| &part.held);
+        let sources = sources.map(|store| store.addr);
         let spared: BTreeSet<SocketAddr> = sources.filter(|addr| !bears(*addr)).collect();
         for part in &mut self.shared {
-            let from = part.home.as_ref().map(|store| store.addr);
-            if from.is_some_and(|addr| spared.contains(&addr)) {
-                part.whole = false;
-            }
+            part.held.retain(|store| !spared.contains(&store.addr));
         }
     }
 
-    /// What the engine is told: where to fetch parts that are whole, where to keep those that are not.
+    /// What an engine in `zone` is told: where to fetch parts that are whole, where to keep those that are not.
     pub fn sending(
         &self,
         version: WeightVersion,
+        zone: &ZoneId,
         directory: &mut Directory,
         now: Instant,
     ) -> EngineSending {
@@ -241,13 +251,15 @@
         let none = || vec![None::<SocketAddr>; self.part_count];
         let (mut fetch, mut save) = (none(), none());
         for (index, part) in self.shared.iter().enumerate() {
-            let Some(store) = &part.home else {
-                continue;
-            };
-            if part.whole {
+            if let Some(store) = nearest(&part.held, zone) {
                 // A part behind one that nobody holds cannot be used; asking for it costs a millisecond.
                 fetch[index] = until.map(|_| store.addr);
-            } else if directory.should_save(store.addr, &part.key, part.tokens, now) {
+                continue;
+            }
+            let Some(store) = nearest(&part.homes, zone) else {
+                continue;
+            };
+            if directory.should_save(store.addr, &part.key, part.tokens, now) {
                 save[index] = Some(store.addr);
             }
         }
