Put requests that come late whatever is done behind those that can be in time

Cause: after new weights are named, engines read every prompt anew and their queues make all requests a little late. Change: a request whose first event the known work ahead puts beyond its aim is sent with a lower urgency, and its work counts for a quarter in the queue that others see. The line of a sending tells the queue and the judgement.

--- a/crates/sillpin-gateway/src/config.rs
+++ b/crates/sillpin-gateway/src/config.rs
@@ -40,6 +40,17 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
 pub struct Priority(pub u8);
 
+/// Number of urgencies that engines know.
+const URGENCIES: u8 = 10;
+
+impl Priority {
+    /// The urgency of a request of this one that comes late whatever is done: behind all that can be in time, and in
+    /// the same order among themselves.
+    pub fn behind(self) -> Self {
+        Self(self.0.saturating_add(URGENCIES / 2).min(URGENCIES - 1))
+    }
+}
+
 /// A pool and its weight among the pools of a route.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Share {
--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -7,6 +7,7 @@
 use super::admit::Run;
 use super::answers::Refusal;
 use super::attempt::{Attempt, Ended, WholeAnswer};
+use super::placing::Placed;
 use super::shared::Shared;
 use crate::beliefs::FleetMsg;
 use crate::config::Repeat;
@@ -37,6 +38,14 @@
 /// Left to a target of the caller's time, for the way back.
 const WAY_BACK: Duration = Duration::from_millis(8);
 
+/// Prompt work takes this many times as long as its tokens explain: an engine makes other requests' tokens between
+/// pieces of a prompt.
+const SLOWED: f64 = 1.2;
+
+/// Part of the work of a request that comes late anyway that counts as work ahead of others: the engine takes those
+/// that are in time first, but finishes a piece that it has begun.
+const LATE_WORK: f64 = 0.25;
+
 /// Where a request stands.
 #[derive(Default)]
 pub struct Progress {
@@ -130,13 +139,14 @@
             return Err(give_up(progress, "retry budget used up"));
         }
         let target = placed.chosen.target.clone();
+        let in_time = is_in_time(run, &placed);
         event!(self.log, events::SENDING,
             "request" => &run.demand.id, "target" => target.id.as_str(),
             "addr" => target.addr.to_string(), "offer" => progress.offered.len(),
             "cost_ms" => placed.chosen.cost_ms.round(), "candidates" => placed.chosen.candidates,
             "version" => placed.chosen.version.map_or(0, |version| version.0),
             "parts" => &placed.parts, "fetched" => placed.fetched, "kept" => placed.kept, "config" => run.config.version.0,
-            "targets_at" => view.listed.revision.0, "left_ms" => left.as_millis());
+            "targets_at" => view.listed.revision.0, "left_ms" => left.as_millis(), "queue_ms" => placed.chosen.queue_ms.round(), "in_time" => in_time);
         self.metrics.prompt_tokens("fetched", placed.fetched);
         self.metrics.prompt_tokens("other", placed.others);
         progress.offered.push(target.id.clone());
@@ -145,7 +155,10 @@
             target: target.id.clone(),
             time_left: left.saturating_sub(WAY_BACK),
             organisation: run.organisation.as_ref().map(|org| org.id.clone()),
-            priority: run.demand.prompt.as_ref().map(|_| run.priority()),
+            priority: run.demand.prompt.as_ref().map(|_| match in_time {
+                true => run.priority(),
+                false => run.priority().behind(),
+            }),
             engine: placed.engine,
             resume_after: progress.resume_after.clone(),
         };
@@ -153,7 +166,13 @@
             run,
             target: target.clone(),
             sending,
-            ticket: self.loads.start(&target.id, placed.prompt_ms),
+            ticket: self.loads.start(
+                &target.id,
+                match in_time {
+                    true => placed.prompt_ms,
+                    false => placed.prompt_ms * LATE_WORK,
+                },
+            ),
             until,
         };
         let sent = Instant::now();
@@ -279,3 +298,10 @@
 pub fn may_repeat(run: &Run, progress: &Progress) -> bool {
     run.route.repeat == Repeat::Freely && progress.runs < run.route.max_runs
 }
+
+/// Whether a request's first event can still come within its aim, by the prompt work ahead of it.
+fn is_in_time(run: &Run, placed: &Placed) -> bool {
+    let work_ms = (placed.chosen.queue_ms + placed.prompt_ms) * SLOWED;
+    let expected = run.arrival.elapsed() + Duration::from_secs_f64(work_ms / 1000.0);
+    run.demand.prompt.is_none() || expected < run.route.aim
+}
--- a/crates/sillpin-gateway/src/place/choose.rs
+++ b/crates/sillpin-gateway/src/place/choose.rs
@@ -95,6 +95,8 @@
     pub target: Arc<TargetEntry>,
     /// Weights that it serves, for engines.
     pub version: Option<WeightVersion>,
+    /// Prompt work that was under way there, in milliseconds.
+    pub queue_ms: f64,
     /// Its expected time and prices in milliseconds.
     pub cost_ms: f64,
     /// Targets that could have taken the request.
@@ -130,6 +132,7 @@
             best = Some(Chosen {
                 target: target.clone(),
                 version,
+                queue_ms: load.prompt_ms,
                 cost_ms,
                 candidates: 0,
             });
