Tell other boxes of work at engines every 60 ms, memory included

Cause: boxes told their prompt work every 400 ms to some of the others, while a prompt is read in 30 to 160 ms, so each placed blind to the rest; engines' memory, which a handful of long prompts fill, counted nowhere. Change: a word of its own, at most every 60 ms and only while the work changes, tells prompts not read, tokens and requests by engine, to all boxes of a small fleet; a prompt that finds no room in an engine's memory costs the wait for it.

--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -12,7 +12,7 @@
 use crate::beliefs::FleetMsg;
 use crate::config::Repeat;
 use crate::dialect::{Dialect, Sending};
-use crate::place::load::Outcome as Health;
+use crate::place::load::{Outcome as Health, Work};
 use hyper::Response;
 use sillpin_core::{PoolId, TargetId, WeightVersion};
 use sillpin_http::Body;
@@ -162,17 +162,13 @@
             engine: placed.engine,
             resume_after: progress.resume_after.clone(),
         };
+        let counted = if in_time { 1.0 } else { LATE_WORK };
+        let work = Work::one(placed.prompt_ms * counted, placed.length);
         let attempt = Attempt {
             run,
             target: target.clone(),
             sending,
-            ticket: self.loads.start(
-                &target.id,
-                match in_time {
-                    true => placed.prompt_ms,
-                    false => placed.prompt_ms * LATE_WORK,
-                },
-            ),
+            ticket: self.loads.start(&target.id, work),
             until,
         };
         let sent = Instant::now();
--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -140,6 +140,8 @@
         let plans: Vec<(WeightVersion, Plan)> = versions.into_iter().map(plan_for).collect();
         let prompt_choice = PromptChoice {
             model: &prompt.model,
+            tokens: prompt.tokens,
+            room: engine.room,
             wanted: wanted.map(|wanted| wanted.version),
             oldest: self.oldest_weights(wanted, &plans, view),
             plans: &plans,
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -10,11 +10,11 @@
 use crate::kept::directory::Position;
 use crate::kept::retire::Retired;
 use crate::place::Loads;
-use crate::place::load::PromptWork;
+use crate::place::load::EngineWork;
 use crate::reload::Settings;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
-use sillpin_core::{ModelId, TargetId, WeightVersion};
+use sillpin_core::{BoxId, ModelId, TargetId, WeightVersion};
 use sillpin_platform::KvRevision;
 use sillpin_telemetry::{event, events};
 use slog::Logger;
@@ -23,13 +23,17 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
+use tokio::time::{Instant, MissedTickBehavior};
 use tokio_util::sync::CancellationToken;
 
 /// Time between two rounds. Changes are told at once; a round repeats them for who missed them, and tells
 /// how old the box's knowledge is. The platform allows two seconds for a configuration.
 const ROUND: Duration = Duration::from_millis(400);
 
+/// Time between two words about work at engines. A prompt is read in 30 to 160 ms, so older words tell of work that is
+/// done. Measured: see `docs/MEASUREMENTS.md`.
+const WORK_ROUND: Duration = Duration::from_millis(60);
+
 /// Boxes of the own zone told in each round: all of a zone of today's size and of the grown ones.
 const ZONE_FAN_OUT: usize = 32;
 
@@ -84,7 +88,7 @@
     /// The engines' clock.
     pub clock: Option<EngineTime>,
     /// Its prompt work at engines.
-    pub work: Vec<PromptWork>,
+    pub work: Vec<EngineWork>,
     /// Which parts it uses no more.
     pub retired: Vec<Retired>,
     /// Whether it is about to end.
@@ -100,6 +104,17 @@
     Loading(LoadNews),
     /// What a reader of a store has read; sent at once within the zone.
     Kept(KeptWord),
+    /// What a box has under way at engines; sent many times a second while it changes.
+    Work(WorkWord),
+}
+
+/// What a box has under way at engines.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WorkWord {
+    /// The box.
+    pub from: BoxId,
+    /// Its work.
+    pub work: Vec<EngineWork>,
 }
 
 /// What becomes of an engine that gets new weights.
@@ -172,8 +187,18 @@
         let mut rounds = tokio::time::interval(ROUND);
         let mut views = self.fleet.subscribe();
         let mut told = (0, 0);
+        let mut work_rounds = tokio::time::interval(WORK_ROUND);
+        work_rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut work_told = Vec::new();
         loop {
             tokio::select! {
+                _ = work_rounds.tick() => {
+                    let work = self.loads.told();
+                    if work != work_told {
+                        work_told = work.clone();
+                        self.tell_work(socket, work).await;
+                    }
+                }
                 _ = rounds.tick() => self.round(socket).await,
                 Ok(()) = views.changed() => {
                     let content = contents(&views.borrow_and_update());
@@ -212,6 +237,22 @@
         self.send(socket, &Datagram::Digest(digest), foreign).await;
     }
 
+    /// Tells of this box's work at engines: all boxes of a small fleet; else its zone and a few others.
+    async fn tell_work(&self, socket: &UdpSocket, work: Vec<EngineWork>) {
+        let view = self.fleet.view();
+        let mut to = self.zone(&view);
+        let others = view.boxes.iter().filter(|peer| peer.zone != self.me.zone);
+        let others: Vec<SocketAddr> = others.map(|peer| peer.gossip).collect();
+        let fan_out = match view.box_count() <= SMALL_FLEET {
+            true => others.len(),
+            false => FOREIGN_FAN_OUT,
+        };
+        to.extend(others.sample(&mut rand::rng(), fan_out).copied());
+        let from = self.me.id.clone();
+        let word = WorkWord { from, work };
+        self.send(socket, &Datagram::Work(word), to).await;
+    }
+
     async fn send(&self, socket: &UdpSocket, datagram: &Datagram, to: Vec<SocketAddr>) {
         if to.is_empty() {
             return;
--- a/crates/sillpin-gateway/src/peers/ear.rs
+++ b/crates/sillpin-gateway/src/peers/ear.rs
@@ -76,6 +76,7 @@
                 Ok(Datagram::Digest(digest)) => self.take(digest).await,
                 Ok(Datagram::Loading(news)) => self.take_news(news).await,
                 Ok(Datagram::Kept(word)) => self.take_word(word),
+                Ok(Datagram::Work(word)) => self.loads.hear(word.from, word.work),
                 Err(e) => event!(self.log, events::GOSSIP_FAILED, "why" => e.to_string()),
             }
         }
--- a/crates/sillpin-gateway/src/place/choose.rs
+++ b/crates/sillpin-gateway/src/place/choose.rs
@@ -5,14 +5,22 @@
 use crate::beliefs::fleet::served;
 use crate::control::{Presence, TargetEntry};
 use crate::kept::homes::{hash_pair, unit};
-use sillpin_core::{ModelId, PoolId, TargetId, WeightVersion, ZoneId};
+use sillpin_core::{ModelId, PoolId, TargetId, Tokens, WeightVersion, ZoneId};
 use std::collections::HashMap;
 use std::sync::Arc;
 use tokio::time::Instant;
 
-/// What a request under way at a target adds to the next one's expected time, in milliseconds: an
+/// What a request under way at an engine adds to the next one's expected time, in milliseconds: an
 /// engine's step grows by 0.1 ms with each, and one request's steps are a few dozen.
-const IN_FLIGHT_MS: f64 = 4.0;
+const IN_FLIGHT_MS: f64 = 2.0;
+
+/// Share of an engine's memory that requests may take together before the next one waits: the rest is for what they
+/// generate.
+const MEMORY_SHARE: f64 = 0.9;
+
+/// How long a request holds its memory, in milliseconds: a long prompt's transfer, reading and few tokens take 200 to
+/// 300 ms, a short prompt's 49 tokens as long.
+const MEMORY_HELD_MS: f64 = 300.0;
 
 /// What one request under way at a plain target adds, in milliseconds: its work is 30 to 60 ms and a
 /// target runs six at once.
@@ -68,6 +76,10 @@
 pub struct PromptChoice<'a> {
     /// The model.
     pub model: &'a ModelId,
+    /// Length of the prompt.
+    pub tokens: Tokens,
+    /// Memory of one engine.
+    pub room: Tokens,
     /// Weights that are wanted.
     pub wanted: Option<WeightVersion>,
     /// Engines with older weights than these are no candidates.
@@ -115,7 +127,7 @@
     for target in choice.targets.values().filter(|t| is_candidate(choice, t)) {
         let mut load = choice.loads.get(&target.id);
         let theirs = others.get(&TargetHash::of(&target.id));
-        load.prompt_ms += theirs.copied().unwrap_or(0.0);
+        load.work = load.work.plus(theirs.copied().unwrap_or_default());
         if load.in_flight >= choice.most_in_flight {
             continue;
         }
@@ -132,7 +144,7 @@
             best = Some(Chosen {
                 target: target.clone(),
                 version,
-                queue_ms: load.prompt_ms,
+                queue_ms: load.work.prompt_ms + memory_ms(choice, &load),
                 cost_ms,
                 candidates: 0,
             });
@@ -167,7 +179,7 @@
     let Some(prompt) = &choice.prompt else {
         return ms + f64::from(load.in_flight) * PLAIN_IN_FLIGHT_MS + spread(target);
     };
-    ms += f64::from(load.in_flight) * IN_FLIGHT_MS + load.prompt_ms;
+    ms += load.work.requests * IN_FLIGHT_MS + load.work.prompt_ms + memory_ms(choice, load);
     let plan = version.and_then(|version| prompt.plan(version));
     ms += plan.map_or(0.0, |plan| plan.shared_cost(&target.zone));
     if version < prompt.wanted {
@@ -176,6 +188,16 @@
     ms + homes.away_ms(target)
 }
 
+/// How long a prompt waits for room in an engine's memory, in milliseconds.
+fn memory_ms(choice: &Choice<'_>, load: &Load) -> f64 {
+    let Some(prompt) = &choice.prompt else {
+        return 0.0;
+    };
+    let room = prompt.room.0.max(1) as f64;
+    let lacking = load.work.tokens + prompt.tokens.0 as f64 - room * MEMORY_SHARE;
+    lacking.max(0.0) / room * MEMORY_HELD_MS
+}
+
 /// Breaks ties between plain targets alike in every decision of one process.
 fn spread(target: &TargetEntry) -> f64 {
     unit(hash_pair(target.id.as_str(), ""))
--- a/crates/sillpin-gateway/src/place/load.rs
+++ b/crates/sillpin-gateway/src/place/load.rs
@@ -2,7 +2,7 @@
 
 use crate::kept::homes::hash_pair;
 use serde::{Deserialize, Serialize};
-use sillpin_core::{BoxId, TargetId, ZoneId};
+use sillpin_core::{BoxId, TargetId, Tokens, ZoneId};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -36,13 +36,53 @@
 /// How long a failing target rests before it is tried again.
 const FAILING_REST: Duration = Duration::from_secs(3);
 
+/// What requests take of an engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Work {
+    /// Prompts that it has not read yet, in milliseconds of its time.
+    pub prompt_ms: f64,
+    /// Tokens of its memory.
+    pub tokens: f64,
+    /// Requests.
+    pub requests: f64,
+}
+
+impl Work {
+    /// The work of one request.
+    pub fn one(prompt_ms: f64, tokens: Tokens) -> Self {
+        Self {
+            prompt_ms,
+            tokens: tokens.0 as f64,
+            requests: 1.0,
+        }
+    }
+
+    fn add(&mut self, other: Self) {
+        self.prompt_ms += other.prompt_ms;
+        self.tokens += other.tokens;
+        self.requests += other.requests;
+    }
+
+    fn take(&mut self, other: Self) {
+        self.prompt_ms = (self.prompt_ms - other.prompt_ms).max(0.0);
+        self.tokens = (self.tokens - other.tokens).max(0.0);
+        self.requests = (self.requests - other.requests).max(0.0);
+    }
+
+    /// This work and `other` together.
+    pub fn plus(mut self, other: Self) -> Self {
+        self.add(other);
+        self
+    }
+}
+
 /// What is known of one target.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Load {
     /// Requests under way from this box.
     pub in_flight: u32,
-    /// Prompt work under way from this box, in milliseconds of the engine.
-    pub prompt_ms: f64,
+    /// Work of these requests, for engines.
+    pub work: Work,
     /// Passed over until then, while others are there.
     pub rests_until: Option<Instant>,
     refusals: u32,
@@ -110,14 +150,30 @@
     }
 }
 
-/// Prompt work of one box at a target, in whole milliseconds of the engine.
+/// Work of one box at an engine: prompts not read yet in whole milliseconds, tokens, requests. A tuple, since it is
+/// told several times a second.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PromptWork(pub TargetHash, pub u32);
+pub struct EngineWork(pub TargetHash, pub u32, pub u32, pub u32);
+
+impl EngineWork {
+    fn of(target: &TargetId, work: Work) -> Self {
+        let (ms, tokens) = (work.prompt_ms as u32, work.tokens as u32);
+        Self(TargetHash::of(target), ms, tokens, work.requests as u32)
+    }
+
+    fn work(self) -> Work {
+        Work {
+            prompt_ms: f64::from(self.1),
+            tokens: f64::from(self.2),
+            requests: f64::from(self.3),
+        }
+    }
+}
 
 #[derive(Debug)]
 struct Word {
     at: Instant,
-    work: Vec<PromptWork>,
+    work: Vec<EngineWork>,
 }
 
 /// What other boxes have under way.
@@ -127,12 +183,12 @@
 }
 
 impl Others {
-    /// Prompt work of all other boxes at each target, in milliseconds.
-    pub fn sum(&self, now: Instant) -> HashMap<TargetHash, f64> {
+    /// Work of all other boxes at each engine.
+    pub fn sum(&self, now: Instant) -> HashMap<TargetHash, Work> {
         let fresh = self.words.values().filter(|word| now - word.at < WORD_TIME);
-        let mut sums = HashMap::new();
-        for PromptWork(target, ms) in fresh.flat_map(|word| &word.work) {
-            *sums.entry(*target).or_insert(0.0) += f64::from(*ms);
+        let mut sums: HashMap<TargetHash, Work> = HashMap::new();
+        for told in fresh.flat_map(|word| &word.work) {
+            sums.entry(told.0).or_default().add(told.work());
         }
         sums
     }
@@ -165,25 +221,25 @@
         self.table.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Prompt work of this box, for the others.
-    pub fn told(&self) -> Vec<PromptWork> {
+    /// Work of this box at engines, for the others.
+    pub fn told(&self) -> Vec<EngineWork> {
         let table = self.lock();
-        let working = table.iter().filter(|(_, load)| load.prompt_ms >= 1.0);
+        let working = table.iter().filter(|(_, load)| load.work.tokens >= 1.0);
         working
-            .map(|(id, load)| PromptWork(TargetHash::of(id), load.prompt_ms as u32))
+            .map(|(id, load)| EngineWork::of(id, load.work))
             .collect()
     }
 
     /// Takes what another box tells.
-    pub fn hear(&self, from: BoxId, work: Vec<PromptWork>) {
+    pub fn hear(&self, from: BoxId, work: Vec<EngineWork>) {
         let at = Instant::now();
         let mut others = self.others.lock().unwrap_or_else(|e| e.into_inner());
         others.words.retain(|_, word| at - word.at < WORD_TIME);
         others.words.insert(from, Word { at, work });
     }
 
-    /// Prompt work of all other boxes at each target, in milliseconds.
-    pub fn others(&self, now: Instant) -> HashMap<TargetHash, f64> {
+    /// Work of all other boxes at each engine.
+    pub fn others(&self, now: Instant) -> HashMap<TargetHash, Work> {
         let others = self.others.lock().unwrap_or_else(|e| e.into_inner());
         others.sum(now)
     }
@@ -217,15 +273,15 @@
     }
 
     /// Counts a request at a target until the ticket is dropped.
-    pub fn start(&self, target: &TargetId, prompt_ms: f64) -> Ticket {
+    pub fn start(&self, target: &TargetId, work: Work) -> Ticket {
         let mut table = self.lock();
         let load = table.entry(target.clone()).or_default();
         load.in_flight += 1;
-        load.prompt_ms += prompt_ms;
+        load.work.add(work);
         Ticket {
             loads: self.clone(),
             target: target.clone(),
-            prompt_ms,
+            work,
         }
     }
 
@@ -267,17 +323,21 @@
 pub struct Ticket {
     loads: Loads,
     target: TargetId,
-    prompt_ms: f64,
+    work: Work,
 }
 
 impl Ticket {
     /// The prompt has been read: its work is no longer under way.
     pub fn prompt_done(&mut self) {
         let mut table = self.loads.lock();
+        let done = Work {
+            prompt_ms: self.work.prompt_ms,
+            ..Work::default()
+        };
         if let Some(load) = table.get_mut(&self.target) {
-            load.prompt_ms = (load.prompt_ms - self.prompt_ms).max(0.0);
+            load.work.take(done);
         }
-        self.prompt_ms = 0.0;
+        self.work.prompt_ms = 0.0;
     }
 }
 
@@ -286,7 +346,7 @@
         let mut table = self.loads.lock();
         if let Some(load) = table.get_mut(&self.target) {
             load.in_flight = load.in_flight.saturating_sub(1);
-            load.prompt_ms = (load.prompt_ms - self.prompt_ms).max(0.0);
+            load.work.take(self.work);
         }
     }
 }
--- a/crates/sillpin-gateway/tests/place.rs
+++ b/crates/sillpin-gateway/tests/place.rs
@@ -4,12 +4,12 @@
 
 use common::{engine, name, target};
 use proptest::prelude::*;
-use sillpin_core::{TargetId, WeightVersion, ZoneId};
+use sillpin_core::{TargetId, Tokens, WeightVersion, ZoneId};
 use sillpin_gateway::budget::RetryBudget;
 use sillpin_gateway::control::{Presence, TargetEntry};
 use sillpin_gateway::front::events::EventSplitter;
 use sillpin_gateway::place::choose::PromptChoice;
-use sillpin_gateway::place::load::{Outcome, PromptWork, TargetHash};
+use sillpin_gateway::place::load::{EngineWork, Outcome, TargetHash, Work};
 use sillpin_gateway::place::{Choice, Loads, choose};
 use sillpin_gateway::settings::RetryRules;
 use std::collections::HashMap;
@@ -71,7 +71,11 @@
     let setting = Setting::new(three());
     assert_eq!(setting.choose(None).as_deref(), Some("e1"));
     let _busy: Vec<_> = (0..3)
-        .map(|_| setting.loads.start(&target("e1"), 0.0))
+        .map(|_| {
+            setting
+                .loads
+                .start(&target("e1"), Work::one(0.0, Tokens(0)))
+        })
         .collect();
     assert_ne!(setting.choose(None).as_deref(), Some("e1"));
 }
@@ -85,7 +89,9 @@
     setting.tried = vec![target("e1")];
     assert_eq!(setting.choose(None).as_deref(), Some("e3"));
     setting.most_in_flight = 1;
-    let _full = setting.loads.start(&target("e3"), 0.0);
+    let _full = setting
+        .loads
+        .start(&target("e3"), Work::one(0.0, Tokens(0)));
     assert_eq!(setting.choose(None), None);
 }
 
@@ -107,7 +113,11 @@
     entries.push(engine("a1", "za"));
     let setting = Setting::new(targets(entries));
     let _busy: Vec<_> = (0..6)
-        .map(|_| setting.loads.start(&target("a1"), 0.0))
+        .map(|_| {
+            setting
+                .loads
+                .start(&target("a1"), Work::one(0.0, Tokens(0)))
+        })
         .collect();
     let chosen = || setting.choose(None).unwrap();
     assert!(chosen().starts_with('b'), "the own target is busy");
@@ -176,12 +186,18 @@
     let model = name("m");
     let prompt = |oldest| PromptChoice {
         model: &model,
+        tokens: Tokens(9_000),
+        room: Tokens(41_000),
         wanted: Some(WeightVersion(2)),
         oldest: WeightVersion(oldest),
         plans: &[],
     };
     let _busy: Vec<_> = (0..9)
-        .map(|_| setting.loads.start(&target("e2"), 50.0))
+        .map(|_| {
+            setting
+                .loads
+                .start(&target("e2"), Work::one(50.0, Tokens(0)))
+        })
         .collect();
     assert_eq!(setting.choose(Some(prompt(0))).as_deref(), Some("e1"));
     assert_eq!(setting.choose(Some(prompt(2))).as_deref(), Some("e2"));
@@ -195,11 +211,13 @@
     let model = name("m");
     let prompt = || PromptChoice {
         model: &model,
+        tokens: Tokens(9_000),
+        room: Tokens(41_000),
         wanted: None,
         oldest: WeightVersion(0),
         plans: &[],
     };
-    let work = vec![PromptWork(TargetHash::of(&target("e1")), 500)];
+    let work = vec![EngineWork(TargetHash::of(&target("e1")), 500, 9_000, 1)];
     setting.loads.hear(name("box-2"), work);
     assert_ne!(setting.choose(Some(prompt())).as_deref(), Some("e1"));
     tokio::time::advance(Duration::from_secs(2)).await;
@@ -209,10 +227,10 @@
 #[tokio::test(start_paused = true)]
 async fn a_ticket_ends_with_its_request() {
     let loads = Loads::default();
-    let mut ticket = loads.start(&target("e1"), 100.0);
+    let mut ticket = loads.start(&target("e1"), Work::one(100.0, Tokens(0)));
     assert_eq!(loads.get(&target("e1")).in_flight, 1);
     ticket.prompt_done();
-    assert_eq!(loads.get(&target("e1")).prompt_ms, 0.0);
+    assert_eq!(loads.get(&target("e1")).work.prompt_ms, 0.0);
     drop(ticket);
     assert_eq!(loads.get(&target("e1")).in_flight, 0);
 }
