Let three boxes a zone wait for the duty, and read the registry less often in large fleets

Each of 91 boxes waited for the duty with a watch of 8 s and looked at the key after each, read the registry every 7 s and registered with three calls. Change: only the first three live boxes of a zone wait, for 25 s at a time; registries of more than 16 boxes are read every eighth renewal; a box registers with two calls.

--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -257,7 +257,7 @@
         words,
         me,
     } = peers;
-    let id = me.id.clone();
+    let (id, candidate) = (me.id.clone(), me.clone());
     let (fleet, log) = (shared.fleet.clone(), shared.log.clone());
     let stopping = shared.stopping.clone();
     let (news_tx, news) = mpsc::channel(NEWS_QUEUE);
@@ -288,6 +288,7 @@
     };
     tokio::spawn(gossip.run(socket));
     let rollout = Rollout {
+        me: candidate,
         duty: Duty {
             platform: adapter.platform.clone(),
             me: id,
--- a/crates/sillpin-gateway/src/peers/registry.rs
+++ b/crates/sillpin-gateway/src/peers/registry.rs
@@ -20,12 +20,19 @@
 /// Time between two renewals: three may fail before the lease lapses.
 const RENEW_EVERY: Duration = Duration::from_millis(2_500);
 
-/// Rounds in which a box that starts reads who is there: others start at the same time.
-const FIRST_READS: u32 = 3;
+/// Rounds in which a box that starts reads who is there: others start at the same time, and have registered by the
+/// second.
+const FIRST_READS: u32 = 2;
 
 /// Later it reads in every so many rounds; boxes hear of each other besides.
 const READ_ROUNDS: u32 = 3;
 
+/// The same in a large fleet, where each reading tells little and all of them cost a call a box.
+const LARGE_READ_ROUNDS: u32 = 8;
+
+/// A fleet of more boxes is large.
+const SMALL_FLEET: usize = 16;
+
 /// Registers this box and reads who else is there.
 pub struct Registry<P> {
     /// The platform's store.
@@ -46,7 +53,11 @@
         let mut lease = None;
         let mut round: u32 = 0;
         while !self.stopping.is_cancelled() {
-            let read = round < FIRST_READS || round.is_multiple_of(READ_ROUNDS);
+            let rounds = match self.fleet.view().box_count() <= SMALL_FLEET {
+                true => READ_ROUNDS,
+                false => LARGE_READ_ROUNDS,
+            };
+            let read = round < FIRST_READS || round.is_multiple_of(rounds);
             round += 1;
             lease = match self.round(lease, read).await {
                 Ok(lease) => Some(lease),
@@ -96,9 +107,15 @@
         let key = format!("{BOX_PREFIX}{}", self.me.id);
         let lease = self.platform.grant_lease(LEASE).await?;
         let value = serde_json::to_string(&self.me).unwrap_or_default();
+        let absent = KvRevision::ABSENT;
+        let created = self.platform.put(&key, &value, absent, Some(lease)).await;
+        match created {
+            Err(e) if e.fault == PlatformFault::Conflict => {}
+            created => return created.map(|_| lease),
+        }
+        // The entry of an earlier life of this box has not lapsed yet.
         let known = self.platform.get(&key).await?;
-        let expect = known.map_or(KvRevision::ABSENT, |entry| entry.revision);
-        // A conflict means that another life of this box wrote in between: the next round tries again.
+        let expect = known.map_or(absent, |entry| entry.revision);
         self.platform.put(&key, &value, expect, Some(lease)).await?;
         Ok(lease)
     }
--- a/crates/sillpin-gateway/src/peers/roles.rs
+++ b/crates/sillpin-gateway/src/peers/roles.rs
@@ -7,6 +7,7 @@
 
 use crate::beliefs::{BoxEntry, View};
 use crate::kept::homes::{hash_pair, unit};
+use sillpin_core::BoxId;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -22,11 +23,23 @@
 
 /// Whether this box is to read `thing` for its zone.
 pub fn is_reader(view: &View, me: &BoxEntry, thing: &str) -> bool {
+    is_among(view, me, thing, READERS, |_| true)
+}
+
+/// Whether this box is among the first `count` boxes of its zone, of those that are `alive`, to do `thing`.
+pub fn is_among(
+    view: &View,
+    me: &BoxEntry,
+    thing: &str,
+    count: usize,
+    alive: impl Fn(&BoxId) -> bool,
+) -> bool {
     let rank = |id: &str| hash_pair(id, thing);
     let mine = rank(me.id.as_str());
     let zone = view.boxes.iter().filter(|peer| peer.zone == me.zone);
-    let before = zone.filter(|peer| rank(peer.id.as_str()) > mine).count();
-    before < READERS
+    let alive = zone.filter(|peer| alive(&peer.id));
+    let before = alive.filter(|peer| rank(peer.id.as_str()) > mine).count();
+    before < count
 }
 
 /// Whether this box is to read `thing` now, given when it was last known to be so.
--- a/crates/sillpin-gateway/src/place/load.rs
+++ b/crates/sillpin-gateway/src/place/load.rs
@@ -238,6 +238,13 @@
         others.words.insert(from, Word { at, work });
     }
 
+    /// Whether a box was heard of late.
+    pub fn hears(&self, from: &BoxId, now: Instant) -> bool {
+        let others = self.others.lock().unwrap_or_else(|e| e.into_inner());
+        let word = others.words.get(from);
+        word.is_some_and(|word| now - word.at < WORD_TIME)
+    }
+
     /// Work of all other boxes at each engine.
     pub fn others(&self, now: Instant) -> HashMap<TargetHash, Work> {
         let others = self.others.lock().unwrap_or_else(|e| e.into_inner());
--- a/crates/sillpin-gateway/src/weights/duty.rs
+++ b/crates/sillpin-gateway/src/weights/duty.rs
@@ -28,8 +28,9 @@
 /// Added to the wait before an engine that another holder ordered, for orders on their way.
 const TAKEOVER_MARGIN: Duration = Duration::from_millis(300);
 
-/// How long a box that is not the holder waits for news of the key.
-const WATCH_WAIT: Duration = Duration::from_secs(8);
+/// How long a box that is not the holder waits for news of the key; the platform allows 30 s. Each wait costs a call,
+/// and one more to look at the key after a wait without news.
+const WATCH_WAIT: Duration = Duration::from_secs(25);
 
 /// The duty, held.
 #[derive(Debug)]
--- a/crates/sillpin-gateway/src/weights/rollout.rs
+++ b/crates/sillpin-gateway/src/weights/rollout.rs
@@ -3,15 +3,16 @@
 use super::duty::{Duty, RENEW_EVERY, Tenure};
 use super::load::{LoadJob, Loaded};
 use crate::beliefs::fleet::served;
-use crate::beliefs::{FleetHandle, FleetMsg, View};
+use crate::beliefs::{BoxEntry, FleetHandle, FleetMsg, View};
 use crate::control::{Control, Presence, TargetEntry};
 use crate::kept::Kept;
 use crate::kept::freer::Freer;
 use crate::peers::digest::LoadNews;
+use crate::peers::roles;
 use crate::place::Loads;
 use crate::place::load::Outcome;
 use rand::RngExt;
-use sillpin_core::{ModelId, TargetId, WeightVersion};
+use sillpin_core::{BoxId, ModelId, TargetId, WeightVersion};
 use sillpin_platform::Platform;
 use sillpin_telemetry::{event, events};
 use slog::Logger;
@@ -39,8 +40,23 @@
 /// How long an engine whose load failed is left alone.
 const FAILED_REST: Duration = Duration::from_millis(800);
 
+/// Boxes of a zone that wait for the duty. Each wait is a call of the platform's store, and all that wait wake at once
+/// when the duty is free; a box that is not heard any more is replaced within seconds.
+const CANDIDATES: usize = 3;
+
+/// What the candidates wait for, in the choice of who they are.
+const DUTY_ROLE: &str = "weights-duty";
+
+/// How often a box that is no candidate looks whether it is one by now.
+const CANDIDATE_CHECK: Duration = Duration::from_millis(500);
+
+/// A box that started so recently has not heard the others yet and takes all that are registered to be alive.
+const NEWCOMER: Duration = Duration::from_secs(3);
+
 /// Holds the duty whenever nobody else does.
 pub struct Rollout<P, C> {
+    /// This box.
+    pub me: BoxEntry,
     /// The duty.
     pub duty: Duty<P>,
     /// Calls of engines.
@@ -70,7 +86,12 @@
 impl<P: Platform, C: Control> Rollout<P, C> {
     /// Runs until the box is told to stop.
     pub async fn run(self) {
+        let started = Instant::now();
         while !self.stopping.is_cancelled() {
+            if !self.is_candidate(started, Instant::now()) {
+                tokio::time::sleep(CANDIDATE_CHECK).await;
+                continue;
+            }
             let taken = tokio::select! {
                 taken = self.duty.take() => taken,
                 () = self.stopping.cancelled() => return,
@@ -86,6 +107,14 @@
         }
     }
 
+    /// Whether this box is to wait for the duty. Safety does not hang on it: the lease decides who holds it.
+    fn is_candidate(&self, started: Instant, now: Instant) -> bool {
+        let newcomer = now - started < NEWCOMER;
+        let alive = |id: &BoxId| newcomer || self.loads.hears(id, now);
+        let view = self.fleet.view();
+        roles::is_among(&view, &self.me, DUTY_ROLE, CANDIDATES, alive)
+    }
+
     /// Orders engines until the duty is lost or given up.
     async fn hold(&self, mut tenure: Tenure) {
         let mut underway = Underway::default();
