Count calls of the platform's store, and wait for the duty from the store's revision

Change: calls by step and outcome in sillpin_store_calls and a line every 10 s; the wait begins at the revision at which the key was looked at. The new test fails on the code before.

--- a/crates/sillpin-box/src/main.rs
+++ b/crates/sillpin-box/src/main.rs
@@ -5,6 +5,7 @@
 use sillpin_gateway::reload;
 use sillpin_gateway::settings::{BoxConfig, SCHEMA};
 use sillpin_http::Client;
+use sillpin_platform::call::CallCounts;
 use sillpin_settings::program::Reloader;
 use sillpin_settings::{Loaded, program};
 use sillpin_telemetry::Telemetry;
@@ -41,10 +42,12 @@
     let (telemetry, _guard) = Telemetry::start_with(&me, format, level, Output::Stdout)?;
     let settings = reload::start(loaded, reloader, &cfg, hangups()?, telemetry.log.clone());
     let client = Client::default();
+    let counts = CallCounts::default();
     let adapter = Adapter {
         dialect: PlatformDialect,
         keys: PlatformKeys,
-        platform: PlatformStore::new(client.clone(), cfg.platform),
+        platform: PlatformStore::new(client.clone(), cfg.platform, counts.clone()),
+        counts,
         control: TargetCalls::new(client),
     };
     // Where the box listens stands in its first log line.
--- a/crates/sillpin-gateway/src/metrics.rs
+++ b/crates/sillpin-gateway/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Counters and histograms of a box.
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter};
+use opentelemetry::metrics::{AsyncInstrument, Counter, Histogram, Meter};
+use sillpin_platform::call::{CallCount, CallCounts};
 use sillpin_telemetry::metrics::TIME_BOUNDS;
 use std::time::Duration;
 
@@ -17,7 +18,26 @@
 
 impl BoxMetrics {
     /// Makes the instruments.
-    pub fn new(meter: &Meter) -> Self {
+    pub fn new(meter: &Meter, calls: CallCounts) -> Self {
+        let told = move |observer: &dyn AsyncInstrument<u64>| {
+            for CallCount {
+                step,
+                outcome,
+                calls,
+            } in calls.all()
+            {
+                let labels = [
+                    KeyValue::new("step", step),
+                    KeyValue::new("outcome", outcome),
+                ];
+                observer.observe(calls, &labels);
+            }
+        };
+        meter
+            .u64_observable_counter("sillpin_store_calls")
+            .with_description("Calls of the platform's store by step and outcome")
+            .with_callback(told)
+            .build();
         let counter = |name: &'static str, text: &'static str| {
             meter.u64_counter(name).with_description(text).build()
         };
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -22,6 +22,7 @@
 use sillpin_http::server::{BindError, HeadLimits, listen};
 use sillpin_http::{Body, Server};
 use sillpin_platform::Platform;
+use sillpin_platform::call::{CallCount, CallCounts};
 use sillpin_telemetry::metrics::Metrics;
 use sillpin_telemetry::{Telemetry, event, events};
 use slog::Logger;
@@ -43,6 +44,9 @@
 /// How often connections and loads of targets that left are dropped.
 const PRUNE_EVERY: Duration = Duration::from_secs(1);
 
+/// Time between two lines about calls of the platform's store.
+const CALLS_EVERY: Duration = Duration::from_secs(10);
+
 /// News of this box's orders that may wait to be sent.
 const NEWS_QUEUE: usize = 64;
 
@@ -57,6 +61,8 @@
     pub keys: K,
     /// The platform's store.
     pub platform: P,
+    /// Calls of the platform's store so far.
+    pub counts: CallCounts,
     /// Calls of engines and stores.
     pub control: C,
 }
@@ -156,7 +162,7 @@
         settings.clone(),
         fleet.clone(),
         kept,
-        BoxMetrics::new(&metrics.meter()),
+        BoxMetrics::new(&metrics.meter(), adapter.counts.clone()),
         log.clone(),
         stopping.clone(),
     ));
@@ -169,6 +175,7 @@
     start_peers(peers, settings, &adapter, &shared);
     tokio::spawn(prune(shared.clone()));
     let end = CancellationToken::new();
+    let shared_log = shared.log.clone();
     let front = Front::new(shared);
     let ready = front.clone();
     let answer_ready = move |req| ready.clone().ready(req);
@@ -176,6 +183,7 @@
     if let Some(listener) = listeners.metrics {
         serve_metrics(listener, metrics, &end);
     }
+    tokio::spawn(log_calls(adapter.counts.clone(), shared_log));
     let limits_of = fleet.clone();
     let server = Server::on(listeners.callers)
         .http1_only()
@@ -336,6 +344,18 @@
     tokio::spawn(Server::on(listener).run(end.clone(), page));
 }
 
+/// Logs now and then how often the platform's store was called: each call is priced.
+async fn log_calls(counts: CallCounts, log: Logger) {
+    let mut every = tokio::time::interval(CALLS_EVERY);
+    every.tick().await;
+    loop {
+        every.tick().await;
+        let of = |count: &CallCount| format!("{} {}: {}", count.step, count.outcome, count.calls);
+        let calls: Vec<String> = counts.all().iter().map(of).collect();
+        event!(log, events::STORE_CALLS, "calls" => calls.join(", "));
+    }
+}
+
 /// Drops what belongs to targets that left.
 async fn prune<D: Dialect>(shared: Arc<Shared<D>>) {
     let mut every = tokio::time::interval(PRUNE_EVERY);
--- a/crates/sillpin-gateway/src/weights/duty.rs
+++ b/crates/sillpin-gateway/src/weights/duty.rs
@@ -90,9 +90,9 @@
 impl<P: Platform> Duty<P> {
     /// Waits until nobody holds the duty and takes it.
     pub async fn take(&self) -> Result<Tenure, PlatformError> {
-        let entry = self.platform.get(DUTY_KEY).await?;
-        if let Some(entry) = entry {
-            self.wait_until_free(entry.revision).await?;
+        let (held, at) = self.look().await?;
+        if held {
+            self.wait_until_free(at).await?;
         }
         let asked = Instant::now();
         let lease = self.platform.grant_lease(LEASE).await?;
@@ -167,20 +167,33 @@
         Ok(())
     }
 
+    /// Whether somebody holds the duty, and the revision from which a watch goes on. The key's own revision would not
+    /// do: the store forgets its history after a while.
+    async fn look(&self) -> Result<(bool, KvRevision), PlatformError> {
+        let snapshot = self.platform.snapshot(DUTY_KEY).await?;
+        let held = snapshot.entries.iter().any(|entry| entry.key == DUTY_KEY);
+        Ok((held, snapshot.revision))
+    }
+
     async fn wait_until_free(&self, since: KvRevision) -> Result<(), PlatformError> {
         let mut after = since;
         loop {
             let reply = self.platform.watch(DUTY_KEY, after, WATCH_WAIT).await?;
             let of_key = |key: &str| key == DUTY_KEY;
             let last = reply.changed.iter().rfind(|entry| of_key(&entry.key));
+            after = reply.revision;
             match last {
                 Some(entry) if entry.value.is_none() => return Ok(()),
                 Some(_) => {}
                 // A watch may have been cut: look again.
-                None if self.platform.get(DUTY_KEY).await?.is_none() => return Ok(()),
-                None => {}
+                None => {
+                    let (held, at) = self.look().await?;
+                    if !held {
+                        return Ok(());
+                    }
+                    after = at;
+                }
             }
-            after = reply.revision;
         }
     }
 
--- a/crates/sillpin-gateway/tests/common/mod.rs
+++ b/crates/sillpin-gateway/tests/common/mod.rs
@@ -135,6 +135,8 @@
     leases: BTreeMap<u64, (Instant, Duration)>,
     next_lease: u64,
     away: bool,
+    /// Changes up to this revision are forgotten.
+    forgotten: u64,
 }
 
 impl State {
@@ -178,6 +180,13 @@
         self.lock().away = away;
     }
 
+    /// Forgets what has changed up to now; unrelated changes follow.
+    pub fn forget_history(&self) {
+        let mut state = self.lock();
+        state.revision += 1;
+        state.forgotten = state.revision;
+    }
+
     fn failed(fault: PlatformFault) -> PlatformError {
         PlatformError {
             step: "a call",
@@ -305,6 +314,9 @@
         wait: Duration,
     ) -> Result<WatchReply, PlatformError> {
         let until = Instant::now() + wait;
+        if after.0 < self.lock().forgotten {
+            return Err(Self::failed(PlatformFault::HistoryLost));
+        }
         loop {
             self.call().await?;
             let at = self.lock().revision;
--- a/crates/sillpin-gateway/tests/duty.rs
+++ b/crates/sillpin-gateway/tests/duty.rs
@@ -49,6 +49,20 @@
     assert!(taken.fence > tenure.fence);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_box_waits_for_a_duty_that_was_taken_before_the_stores_history() {
+    let store = MemoryStore::default();
+    let first = duty(&store, "box-1");
+    let mut tenure = first.take().await.unwrap();
+    store.forget_history();
+    let second = duty(&store, "box-2");
+    let waiting = tokio::spawn(async move { second.take().await });
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    assert!(!waiting.is_finished(), "it does not ask again and again");
+    assert!(first.renew(&mut tenure).await);
+    waiting.await.unwrap().unwrap();
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_successor_goes_on_at_once_but_leaves_recorded_engines_alone() {
     let store = MemoryStore::default();
--- a/crates/sillpin-platform/src/http.rs
+++ b/crates/sillpin-platform/src/http.rs
@@ -1,6 +1,6 @@
 //! The platform's service over HTTP and JSON.
 
-use crate::call::{Caller, NO_BODY};
+use crate::call::{CallCounts, Caller, NO_BODY};
 use crate::{
     BoxLister, KvEntry, KvRevision, LeaseId, Platform, PlatformError, PlatformFault, WatchReply,
 };
@@ -42,6 +42,7 @@
     /// A client of the service at `addr`.
     pub fn new(client: Client, addr: SocketAddr) -> Self {
         let caller = Caller {
+            counts: CallCounts::default(),
             client,
             addr,
             timeout: CALL_TIMEOUT,
--- a/crates/sillpin-platform/src/lib.rs
+++ b/crates/sillpin-platform/src/lib.rs
@@ -106,6 +106,21 @@
     Invalid,
 }
 
+impl PlatformFault {
+    /// Its name in metrics and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            PlatformFault::Unreachable => "unreachable",
+            PlatformFault::Refused => "refused",
+            PlatformFault::AnswerLost => "answer-lost",
+            PlatformFault::Conflict => "conflict",
+            PlatformFault::LeaseLapsed => "absent",
+            PlatformFault::HistoryLost => "history-lost",
+            PlatformFault::Invalid => "invalid",
+        }
+    }
+}
+
 /// A call of the platform that failed, with its step and peer.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 #[display("{step} at platform {peer}: {fault}")]
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -127,6 +127,8 @@
     STORE_LOST = 320, Warning, "platform's store lost", "Look at the store; the box goes on with what it and other boxes know.";
     /// The platform's store answers again.
     STORE_BACK = 321, Info, "platform's store back", "Nothing to do.";
+    /// Calls of the platform's store so far.
+    STORE_CALLS = 326, Info, "calls of the platform's store", "Nothing to do: the totals of this life of the box.";
     /// Registration of the box failed.
     REGISTRY_FAILED = 322, Warning, "registration failed", "Look at the store if it recurs.";
     /// News between boxes failed.
