Split work at engines out of the loads, and a sending's preparation out of its loop; test memory, bytes and urgency

Behaviour stays. Tests new: an engine without room in its memory is left alone, a long body stays in its zone unless the queue is long, late requests go behind all in time in the same order.

--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -9,10 +9,10 @@
 use super::attempt::{Attempt, Ended, WholeAnswer};
 use super::placing::Placed;
 use super::shared::Shared;
-use crate::beliefs::FleetMsg;
+use crate::beliefs::{FleetMsg, View};
 use crate::config::Repeat;
 use crate::dialect::{Dialect, Sending};
-use crate::place::load::{Outcome as Health, Work};
+use crate::place::load::Outcome as Health;
 use hyper::Response;
 use sillpin_core::{PoolId, TargetId, WeightVersion};
 use sillpin_http::Body;
@@ -38,14 +38,6 @@
 /// Left to a target of the caller's time, for the way back.
 const WAY_BACK: Duration = Duration::from_millis(8);
 
-/// Prompt work takes this many times as long as its tokens explain: an engine makes other requests' tokens between
-/// pieces of a prompt.
-const SLOWED: f64 = 1.2;
-
-/// Part of the work of a request that comes late anyway that counts as work ahead of others: the engine takes those
-/// that are in time first, but finishes a piece that it has begun.
-const LATE_WORK: f64 = 0.25;
-
 /// Where a request stands.
 #[derive(Default)]
 pub struct Progress {
@@ -132,55 +124,26 @@
             return Err(give_up(progress, "several targets refused"));
         }
         let view = self.fleet.view();
-        let Some(placed) = self.place(run, pool, &view, progress) else {
+        let Some(mut placed) = self.place(run, pool, &view, progress) else {
             return Err(give_up(progress, "no target is free"));
         };
         if progress.arrivals > 0 && !self.take_retry(pool) {
             return Err(give_up(progress, "retry budget used up"));
         }
         let target = placed.chosen.target.clone();
-        let in_time = is_in_time(run, &placed);
-        event!(self.log, events::SENDING,
-            "request" => &run.demand.id, "target" => target.id.as_str(),
-            "addr" => target.addr.to_string(), "offer" => progress.offered.len(),
-            "cost_ms" => placed.chosen.cost_ms.round(), "candidates" => placed.chosen.candidates,
-            "version" => placed.chosen.version.map_or(0, |version| version.0),
-            "parts" => &placed.parts, "fetched" => placed.fetched, "kept" => placed.kept, "config" => run.config.version.0,
-            "targets_at" => view.listed.revision.0, "left_ms" => left.as_millis(), "queue_ms" => placed.chosen.queue_ms.round(), "in_time" => in_time);
-        self.metrics.prompt_tokens("fetched", placed.fetched);
-        self.metrics.prompt_tokens("other", placed.others);
+        self.log_sending(run, progress, &view, &placed);
         progress.offered.push(target.id.clone());
-        let until = self.head_deadline(run, progress);
-        let sending = Sending {
-            target: target.id.clone(),
-            time_left: left.saturating_sub(WAY_BACK),
-            organisation: run.organisation.as_ref().map(|org| org.id.clone()),
-            priority: run.demand.prompt.as_ref().map(|_| match in_time {
-                true => run.priority(),
-                false => run.priority().behind(),
-            }),
-            engine: placed.engine,
-            resume_after: progress.resume_after.clone(),
-        };
-        let counted = if in_time { 1.0 } else { LATE_WORK };
-        let work = Work::one(placed.prompt_ms * counted, placed.length);
         let attempt = Attempt {
             run,
             target: target.clone(),
-            sending,
-            ticket: self.loads.start(&target.id, work),
-            until,
+            sending: sending(run, progress, &mut placed),
+            ticket: self.loads.start(&target.id, placed.work()),
+            until: self.head_deadline(run, progress),
         };
         let sent = Instant::now();
         let ended = self.attempt(attempt).await;
-        if placed.prompt_ms > 0.0 && matches!(ended, Ended::Streaming(_)) {
-            let expected = Duration::from_secs_f64(placed.prompt_ms / 1000.0);
-            let excess = sent.elapsed().saturating_sub(expected);
-            let mut links = self.kept.links();
-            match placed.source {
-                Some(store) => links.note_fetch(store, placed.length, excess, Instant::now()),
-                None => links.note_read(placed.length, excess),
-            }
+        if matches!(ended, Ended::Streaming(_)) {
+            self.note_transfer(&placed, sent.elapsed());
         }
         let reached = !matches!(ended, Ended::Unsent(_));
         self.loads.note_reach(&target.zone, reached);
@@ -188,6 +151,35 @@
         Ok(ended)
     }
 
+    fn log_sending(&self, run: &Run, progress: &Progress, view: &View, placed: &Placed) {
+        let chosen = &placed.chosen;
+        event!(self.log, events::SENDING,
+            "request" => &run.demand.id, "target" => chosen.target.id.as_str(),
+            "addr" => chosen.target.addr.to_string(), "offer" => progress.offered.len(),
+            "cost_ms" => chosen.cost_ms.round(), "candidates" => chosen.candidates,
+            "version" => chosen.version.map_or(0, |version| version.0),
+            "parts" => &placed.parts, "fetched" => placed.fetched, "kept" => placed.kept,
+            "config" => run.config.version.0, "targets_at" => view.listed.revision.0,
+            "left_ms" => run.time_left().as_millis(), "queue_ms" => chosen.queue_ms.round(),
+            "in_time" => placed.in_time);
+        self.metrics.prompt_tokens("fetched", placed.fetched);
+        self.metrics.prompt_tokens("other", placed.others);
+    }
+
+    /// Takes note of how long an engine took to begin a prompt, for the link that its parts came over.
+    fn note_transfer(&self, placed: &Placed, took: Duration) {
+        if placed.prompt_ms <= 0.0 {
+            return;
+        }
+        let expected = Duration::from_secs_f64(placed.prompt_ms / 1000.0);
+        let excess = took.saturating_sub(expected);
+        let mut links = self.kept.links();
+        match placed.source {
+            Some(store) => links.note_fetch(store, placed.length, excess, Instant::now()),
+            None => links.note_read(placed.length, excess),
+        }
+    }
+
     /// Takes note of how a sending ended.
     fn note(&self, run: &Run, target: &TargetId, ended: &Ended, progress: &mut Progress) {
         self.metrics.sending(ended.name());
@@ -295,9 +287,15 @@
     run.route.repeat == Repeat::Freely && progress.runs < run.route.max_runs
 }
 
-/// Whether a request's first event can still come within its aim, by the prompt work ahead of it.
-fn is_in_time(run: &Run, placed: &Placed) -> bool {
-    let work_ms = (placed.chosen.queue_ms + placed.prompt_ms) * SLOWED;
-    let expected = run.arrival.elapsed() + Duration::from_secs_f64(work_ms / 1000.0);
-    run.demand.prompt.is_none() || expected < run.route.aim
+/// What a target is told of a request.
+fn sending(run: &Run, progress: &Progress, placed: &mut Placed) -> Sending {
+    let for_engine = run.demand.prompt.is_some();
+    Sending {
+        target: placed.chosen.target.id.clone(),
+        time_left: run.time_left().saturating_sub(WAY_BACK),
+        organisation: run.organisation.as_ref().map(|org| org.id.clone()),
+        priority: for_engine.then(|| placed.priority(run)),
+        engine: placed.engine.take(),
+        resume_after: progress.resume_after.clone(),
+    }
 }
--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -6,10 +6,11 @@
 use super::shared::Shared;
 use crate::beliefs::fleet::served;
 use crate::beliefs::{View, Wanted};
-use crate::config::EngineSpec;
+use crate::config::{EngineSpec, Priority};
 use crate::dialect::{Dialect, EngineSending, Prompt};
 use crate::place::choose::PromptChoice;
 use crate::place::parts::{Plan, PlanInputs, plan, salt};
+use crate::place::work::Work;
 use crate::place::{Choice, Chosen, choose};
 use rand::RngExt;
 use sillpin_core::{ModelId, PoolId, Tokens, WeightVersion};
@@ -32,6 +33,14 @@
 /// Silence of the platform's store after which this box counts as out of touch with it.
 const STORE_SILENCE: Duration = Duration::from_secs(3);
 
+/// Prompt work takes this many times as long as its tokens explain: an engine makes other requests' tokens between
+/// pieces of a prompt.
+const SLOWED: f64 = 1.2;
+
+/// Part of the work of a request that comes late anyway that counts as work ahead of others: the engine takes those
+/// that are in time first, but finishes a piece that it has begun.
+const LATE_WORK: f64 = 0.25;
+
 /// What a target is to be told, and why it was chosen.
 pub struct Placed {
     /// The target and why.
@@ -52,6 +61,30 @@
     pub fetched: u64,
     /// Shared tokens that are read anew or found at the engine.
     pub others: u64,
+    /// Whether the first event can still come within the request's aim.
+    pub in_time: bool,
+}
+
+impl Placed {
+    /// What the request takes of its engine, as others are told.
+    pub fn work(&self) -> Work {
+        let counted = if self.in_time { 1.0 } else { LATE_WORK };
+        Work::one(self.prompt_ms * counted, self.length)
+    }
+
+    /// The request's urgency: one that comes late whatever is done goes behind all that can be in time.
+    pub fn priority(&self, run: &Run) -> Priority {
+        match self.in_time {
+            true => run.priority(),
+            false => run.priority().behind(),
+        }
+    }
+}
+
+/// Whether a request's first event can still come within its aim, with so much prompt work ahead of it and of its own.
+fn is_in_time(run: &Run, work_ms: f64) -> bool {
+    let work = Duration::from_secs_f64(work_ms * SLOWED / 1000.0);
+    run.arrival.elapsed() + work < run.route.aim
 }
 
 impl<D: Dialect> Shared<D> {
@@ -107,6 +140,7 @@
                 kept: 0,
                 fetched: 0,
                 others: 0,
+                in_time: true,
             }),
         }
     }
@@ -161,7 +195,9 @@
         let shared: u64 = plan.shared.iter().map(|part| part.tokens.0).sum();
         let prompt_ms = Plan::read_ms(plan.own_tokens) + plan.shared_ms(&chosen.target.zone);
         let source = plan.main_source(&sending.fetch);
+        let in_time = is_in_time(run, chosen.queue_ms + prompt_ms);
         Some(Placed {
+            in_time,
             chosen,
             parts: plan.describe(&sending),
             engine: Some(sending),
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -10,7 +10,7 @@
 use crate::kept::directory::Position;
 use crate::kept::retire::Retired;
 use crate::place::Loads;
-use crate::place::load::EngineWork;
+use crate::place::work::EngineWork;
 use crate::reload::Settings;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
--- a/crates/sillpin-gateway/src/place/choose.rs
+++ b/crates/sillpin-gateway/src/place/choose.rs
@@ -1,7 +1,8 @@
 //! The choice among the targets of a pool: least expected wait, with affinity and zone as tie-breaks.
 
-use super::load::{Load, Loads, TargetHash};
+use super::load::{Load, Loads};
 use super::parts::Plan;
+use super::work::TargetHash;
 use crate::beliefs::fleet::served;
 use crate::control::{Presence, TargetEntry};
 use crate::kept::homes::{hash_pair, unit};
--- a/crates/sillpin-gateway/src/place/mod.rs
+++ b/crates/sillpin-gateway/src/place/mod.rs
@@ -3,12 +3,14 @@
 //! - [`load`]: what this box has under way at each target, and how the target has behaved,
 //! - [`choose`]: the choice among the targets of a pool,
 //! - [`probe`]: whether targets out of reach are back,
-//! - [`parts`]: where the parts of a prompt come from and go to.
+//! - [`parts`]: where the parts of a prompt come from and go to,
+//! - [`work`]: work at engines, own and told.
 
 pub mod choose;
 pub mod load;
 pub mod parts;
 pub mod probe;
+pub mod work;
 
 pub use choose::{Choice, Chosen, choose};
 pub use load::{Load, Loads, Ticket};
--- /dev/null
+++ b/crates/sillpin-gateway/src/place/work.rs
@@ -0,0 +1,122 @@
+//! Work at engines, this box's and what other boxes tell.
+
+use crate::kept::homes::hash_pair;
+use serde::{Deserialize, Serialize};
+use sillpin_core::{BoxId, TargetId, Tokens};
+use std::collections::HashMap;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// What requests take of an engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Work {
+    /// Prompts that it has not read yet, in milliseconds of its time.
+    pub prompt_ms: f64,
+    /// Tokens of its memory.
+    pub tokens: f64,
+    /// Requests.
+    pub requests: f64,
+}
+
+impl Work {
+    /// The work of one request.
+    pub fn one(prompt_ms: f64, tokens: Tokens) -> Self {
+        Self {
+            prompt_ms,
+            tokens: tokens.0 as f64,
+            requests: 1.0,
+        }
+    }
+
+    /// Adds other work.
+    pub fn add(&mut self, other: Self) {
+        self.prompt_ms += other.prompt_ms;
+        self.tokens += other.tokens;
+        self.requests += other.requests;
+    }
+
+    /// Takes work away that is done.
+    pub fn take(&mut self, other: Self) {
+        self.prompt_ms = (self.prompt_ms - other.prompt_ms).max(0.0);
+        self.tokens = (self.tokens - other.tokens).max(0.0);
+        self.requests = (self.requests - other.requests).max(0.0);
+    }
+
+    /// This work and `other` together.
+    pub fn plus(mut self, other: Self) -> Self {
+        self.add(other);
+        self
+    }
+}
+
+/// How long another box's word about its prompt work counts: three rounds of news.
+const WORD_TIME: Duration = Duration::from_millis(1_300);
+
+/// Short name of a target in news between boxes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TargetHash(u32);
+
+impl TargetHash {
+    /// The short name of a target.
+    pub fn of(target: &TargetId) -> Self {
+        Self(hash_pair(target.as_str(), "load") as u32)
+    }
+}
+
+/// Work of one box at an engine: prompts not read yet in whole milliseconds, tokens, requests. A tuple, since it is
+/// told several times a second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineWork(pub TargetHash, pub u32, pub u32, pub u32);
+
+impl EngineWork {
+    /// The work `work` at `target`.
+    pub fn of(target: &TargetId, work: Work) -> Self {
+        let (ms, tokens) = (work.prompt_ms as u32, work.tokens as u32);
+        Self(TargetHash::of(target), ms, tokens, work.requests as u32)
+    }
+
+    fn work(self) -> Work {
+        Work {
+            prompt_ms: f64::from(self.1),
+            tokens: f64::from(self.2),
+            requests: f64::from(self.3),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Word {
+    at: Instant,
+    work: Vec<EngineWork>,
+}
+
+/// What other boxes have under way.
+#[derive(Debug, Default)]
+pub struct Others {
+    words: HashMap<BoxId, Word>,
+}
+
+impl Others {
+    /// Takes what a box tells.
+    pub fn hear(&mut self, from: BoxId, work: Vec<EngineWork>, now: Instant) {
+        self.words.retain(|_, word| now - word.at < WORD_TIME);
+        self.words.insert(from, Word { at: now, work });
+    }
+
+    /// Whether a box was heard of late.
+    pub fn hears(&self, from: &BoxId, now: Instant) -> bool {
+        let word = self.words.get(from);
+        word.is_some_and(|word| now - word.at < WORD_TIME)
+    }
+
+    /// Work of all other boxes at each engine.
+    pub fn sum(&self, now: Instant) -> HashMap<TargetHash, Work> {
+        let fresh = self.words.values().filter(|word| now - word.at < WORD_TIME);
+        let mut sums: HashMap<TargetHash, Work> = HashMap::new();
+        for told in fresh.flat_map(|word| &word.work) {
+            sums.entry(told.0).or_default().add(told.work());
+        }
+        sums
+    }
+}
--- a/crates/sillpin-gateway/tests/place.rs
+++ b/crates/sillpin-gateway/tests/place.rs
@@ -4,12 +4,15 @@
 
 use common::{engine, name, target};
 use proptest::prelude::*;
-use sillpin_core::{TargetId, Tokens, WeightVersion, ZoneId};
+use rstest::rstest;
+use sillpin_core::{ModelId, TargetId, Tokens, WeightVersion, ZoneId};
 use sillpin_gateway::budget::RetryBudget;
+use sillpin_gateway::config::Priority;
 use sillpin_gateway::control::{Presence, TargetEntry};
 use sillpin_gateway::front::events::EventSplitter;
 use sillpin_gateway::place::choose::PromptChoice;
-use sillpin_gateway::place::load::{EngineWork, Outcome, TargetHash, Work};
+use sillpin_gateway::place::load::Outcome;
+use sillpin_gateway::place::work::{EngineWork, TargetHash, Work};
 use sillpin_gateway::place::{Choice, Loads, choose};
 use sillpin_gateway::settings::RetryRules;
 use std::collections::HashMap;
@@ -37,6 +40,7 @@
     loads: Loads,
     tried: Vec<TargetId>,
     most_in_flight: u32,
+    body_len: usize,
 }
 
 impl Setting {
@@ -46,6 +50,7 @@
             loads: Loads::default(),
             tried: Vec::new(),
             most_in_flight: 10,
+            body_len: 0,
         }
     }
 
@@ -58,7 +63,7 @@
             zone: &zone,
             most_in_flight: self.most_in_flight,
             tried: &self.tried,
-            body_len: 0,
+            body_len: self.body_len,
             prompt,
             now: Instant::now(),
         };
@@ -224,6 +229,57 @@
     assert_eq!(setting.choose(Some(prompt())).as_deref(), Some("e1"));
 }
 
+/// A prompt of 9,000 tokens for engines with memory for 41,000.
+fn long_prompt(model: &ModelId) -> PromptChoice<'_> {
+    PromptChoice {
+        model,
+        tokens: Tokens(9_000),
+        room: Tokens(41_000),
+        wanted: None,
+        oldest: WeightVersion(0),
+        plans: &[],
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_engine_without_room_in_its_memory_is_left_alone() {
+    let setting = Setting::new(targets(vec![engine("e1", "za"), engine("e2", "zb")]));
+    let model = name("m");
+    let chosen = || setting.choose(Some(long_prompt(&model)));
+    let tokens_at_e1 = |tokens| vec![EngineWork(TargetHash::of(&target("e1")), 0, tokens, 1)];
+    setting.loads.hear(name("box-2"), tokens_at_e1(20_000));
+    assert_eq!(
+        chosen().as_deref(),
+        Some("e1"),
+        "there is room for one more"
+    );
+    setting.loads.hear(name("box-2"), tokens_at_e1(37_000));
+    assert_eq!(chosen().as_deref(), Some("e2"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_long_body_stays_in_its_zone_unless_the_queue_is_long() {
+    let mut setting = Setting::new(targets(vec![engine("e1", "za"), engine("e2", "zb")]));
+    let model = name("m");
+    let queue_at_e1 = |ms| vec![EngineWork(TargetHash::of(&target("e1")), ms, 0, 0)];
+    setting.loads.hear(name("box-2"), queue_at_e1(20));
+    let chosen = |setting: &Setting| setting.choose(Some(long_prompt(&model)));
+    assert_eq!(chosen(&setting).as_deref(), Some("e2"), "a short body");
+    setting.body_len = 18_000;
+    assert_eq!(chosen(&setting).as_deref(), Some("e1"));
+    setting.loads.hear(name("box-2"), queue_at_e1(60));
+    assert_eq!(chosen(&setting).as_deref(), Some("e2"));
+}
+
+#[rstest]
+#[case(0, 5)]
+#[case(1, 6)]
+#[case(4, 9)]
+#[case(5, 9)]
+fn late_requests_go_behind_all_in_time_and_keep_their_order(#[case] own: u8, #[case] late: u8) {
+    assert_eq!(Priority(own).behind(), Priority(late));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_ticket_ends_with_its_request() {
     let loads = Loads::default();
