Leave a silent target only for one that is sooner

Cause: a box gave a resumable stream up after 1.3 s of silence although nothing else might run it, and cut the caller while the engine worked on; a queued prompt left its engine after 1.5 s, which used the attempts up. Choosing a target and noting what is saved are two steps now, so that the question changes nothing.

--- a/crates/sillpin-gateway/src/budget.rs
+++ b/crates/sillpin-gateway/src/budget.rs
@@ -43,6 +43,11 @@
         true
     }
 
+    /// Whether there is a right to a second sending.
+    pub fn has(&mut self, pool: &PoolId, rules: &RetryRules, boxes: usize, now: Instant) -> bool {
+        self.bucket(pool, rules, boxes, now).tokens >= 1.0
+    }
+
     /// The bucket, with the slack earned since it was last looked at.
     fn bucket(
         &mut self,
--- a/crates/sillpin-gateway/src/config.rs
+++ b/crates/sillpin-gateway/src/config.rs
@@ -79,6 +79,8 @@
     pub timeout: Duration,
     /// Time within which an answer, or its first event, is wanted.
     pub aim: Duration,
+    /// Callers of a stream give it up after this long without an event, before its first one too.
+    pub patience: Duration,
     /// Urgency, unless the organisation has its own.
     pub priority: Priority,
     /// Pools that serve it.
--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -16,7 +16,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use sillpin_core::WeightVersion;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::timeout_at;
 
 /// Longest answer of a plain target that is held until it is whole.
 const MAX_WHOLE_ANSWER: usize = 8 << 20;
@@ -115,13 +115,12 @@
     pub sending: Sending,
     /// Counts the request at the target.
     pub ticket: Ticket,
-    /// Longest wait for the answer's head.
-    pub until: Instant,
 }
 
 impl<D: Dialect> Shared<D> {
-    /// Sends a request to one target.
-    pub async fn attempt(&self, attempt: Attempt<'_>) -> Ended {
+    /// Sends a request to one target. `may_leave` tells, each time that the target has been silent for long, whether
+    /// the request is to go elsewhere.
+    pub async fn attempt(&self, attempt: Attempt<'_>, may_leave: impl Fn() -> bool) -> Ended {
         let run = attempt.run;
         let target = attempt.target.clone();
         let max_idle = match run.route.repeat {
@@ -136,15 +135,36 @@
             Ok(req) => req,
             Err(e) => return Ended::Unsent(e.to_string()),
         };
-        let resp = match timeout_at(attempt.until, conn.send(req)).await {
-            Ok(Ok(resp)) => resp,
-            Ok(Err(e @ SendError::Unsent { .. })) => return Ended::Unsent(e.to_string()),
-            Ok(Err(e @ SendError::Unanswered { .. })) => return Ended::Unknown(e.to_string()),
-            Err(_) => return Ended::TimedOut("no answer in time".to_owned()),
+        let resp = match self.wait_for_head(run, &mut conn, req, may_leave).await {
+            Some(Ok(resp)) => resp,
+            Some(Err(e @ SendError::Unsent { .. })) => return Ended::Unsent(e.to_string()),
+            Some(Err(e @ SendError::Unanswered { .. })) => return Ended::Unknown(e.to_string()),
+            None => return Ended::TimedOut("no answer in time".to_owned()),
         };
         self.judge(attempt, conn, resp).await
     }
 
+    /// Sends a request and waits for the head of the answer; `None` if the request's time is over or it is to go
+    /// elsewhere.
+    async fn wait_for_head(
+        &self,
+        run: &Run,
+        conn: &mut Conn,
+        req: Request<Full<Bytes>>,
+        may_leave: impl Fn() -> bool,
+    ) -> Option<Result<Response<Incoming>, SendError>> {
+        let mut answer = std::pin::pin!(conn.send(req));
+        loop {
+            let until = self.silence_until(run);
+            if let Ok(answered) = timeout_at(until, &mut answer).await {
+                return Some(answered);
+            }
+            if until >= run.deadline || may_leave() {
+                return None;
+            }
+        }
+    }
+
     fn request(
         &self,
         run: &Run,
--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -28,13 +28,6 @@
 /// Time below which no further target is worth trying.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
-/// A repeatable request leaves a silent target after this many times its aim, while another may run it.
-const SILENCE_AIMS: f64 = 2.0;
-
-/// A repeatable stream leaves an engine that has not begun it after this long. A busy engine's queue is
-/// left for another's end only at a loss; callers leave after 2.4 s.
-const STREAM_SILENCE: Duration = Duration::from_millis(1_500);
-
 /// Left to a target of the caller's time, for the way back.
 const WAY_BACK: Duration = Duration::from_millis(8);
 
@@ -120,7 +113,7 @@
         if left < MIN_TIME_LEFT {
             return Err(give_up(progress, "no time left"));
         }
-        if progress.offered.len() >= MAX_OFFERS {
+        if !self.may_offer(progress) {
             return Err(give_up(progress, "several targets refused"));
         }
         let view = self.fleet.view();
@@ -138,10 +131,10 @@
             target: target.clone(),
             sending: sending(run, progress, &mut placed),
             ticket: self.loads.start(&target.id, placed.work()),
-            until: self.head_deadline(run, progress),
         };
         let sent = Instant::now();
-        let ended = self.attempt(attempt).await;
+        let may_leave = || self.should_leave(run, pool, progress);
+        let ended = self.attempt(attempt, may_leave).await;
         if matches!(ended, Ended::Streaming(_)) {
             self.note_transfer(&placed, sent.elapsed());
         }
@@ -224,17 +217,9 @@
         }
     }
 
-    /// How long to wait for the head of the answer.
-    fn head_deadline(&self, run: &Run, progress: &Progress) -> Instant {
-        let another = progress.runs + 1 < run.route.max_runs;
-        if run.route.repeat == Repeat::Freely && another {
-            let patience = match run.route.streaming {
-                true => STREAM_SILENCE,
-                false => run.route.aim.mul_f64(SILENCE_AIMS),
-            };
-            return run.deadline.min(Instant::now() + patience);
-        }
-        run.deadline
+    /// Whether a request may be offered to one more target.
+    pub fn may_offer(&self, progress: &Progress) -> bool {
+        progress.offered.len() < MAX_OFFERS
     }
 
     fn log_answered(&self, run: &Run, answer: &WholeAnswer) {
--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -7,6 +7,7 @@
 //! - [`placing`]: pool, target and parts of one sending,
 //! - [`attempt`]: one sending and how it ended,
 //! - [`relay`]: streams, passed on event by event,
+//! - [`silence`]: when a target's silence is a reason to leave it,
 //! - [`events`]: whole events out of a stream's bytes,
 //! - [`answers`]: answers that the box makes itself,
 //! - [`handler`]: the listener's handlers.
@@ -21,6 +22,7 @@
 pub mod placing;
 pub mod relay;
 pub mod shared;
+pub mod silence;
 
 pub use handler::Front;
 pub use shared::Shared;
--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -65,7 +65,44 @@
     pub in_time: bool,
 }
 
+/// The target chosen for a request, and for an engine where the prompt's parts are.
+pub struct Selected {
+    /// The target and why.
+    pub chosen: Chosen,
+    plan: Option<Plan>,
+}
+
+impl Selected {
+    /// Prompt work of the request at the chosen target, in milliseconds.
+    fn prompt_ms(&self) -> f64 {
+        let work =
+            |plan: &Plan| Plan::read_ms(plan.own_tokens) + plan.shared_ms(&self.chosen.target.zone);
+        self.plan.as_ref().map_or(0.0, work)
+    }
+
+    /// Prompt work until the first event, with that ahead of it, in milliseconds.
+    pub fn expected_ms(&self) -> f64 {
+        self.chosen.queue_ms + self.prompt_ms()
+    }
+}
+
 impl Placed {
+    /// A target that takes no prompt.
+    fn plain(chosen: Chosen) -> Self {
+        Self {
+            chosen,
+            engine: None,
+            prompt_ms: 0.0,
+            length: Tokens(0),
+            parts: String::new(),
+            source: None,
+            kept: 0,
+            fetched: 0,
+            others: 0,
+            in_time: true,
+        }
+    }
+
     /// What the request takes of its engine, as others are told.
     pub fn work(&self) -> Work {
         let counted = if self.in_time { 1.0 } else { LATE_WORK };
@@ -113,6 +150,18 @@
         view: &View,
         progress: &Progress,
     ) -> Option<Placed> {
+        let selected = self.select(run, pool, view, progress)?;
+        Some(self.prepare(run, selected))
+    }
+
+    /// The target for a request. Changes nothing.
+    pub fn select(
+        &self,
+        run: &Run,
+        pool: &PoolId,
+        view: &View,
+        progress: &Progress,
+    ) -> Option<Selected> {
         let spec = run.config.pool(pool);
         let engine = spec.and_then(|spec| spec.engine.as_ref());
         let connections = spec.map_or(0, |spec| spec.max_connections);
@@ -129,30 +178,22 @@
             now: Instant::now(),
         };
         match (engine, &run.demand.prompt) {
-            (Some(engine), Some(prompt)) => self.place_prompt(run, base, view, engine, prompt),
-            _ => Some(Placed {
+            (Some(engine), Some(prompt)) => self.select_engine(run, base, view, engine, prompt),
+            _ => Some(Selected {
                 chosen: choose(&base)?,
-                engine: None,
-                prompt_ms: 0.0,
-                length: Tokens(0),
-                parts: String::new(),
-                source: None,
-                kept: 0,
-                fetched: 0,
-                others: 0,
-                in_time: true,
+                plan: None,
             }),
         }
     }
 
-    fn place_prompt(
+    fn select_engine(
         &self,
         run: &Run,
         base: Choice<'_>,
         view: &View,
         engine: &EngineSpec,
         prompt: &Prompt,
-    ) -> Option<Placed> {
+    ) -> Option<Selected> {
         let now = base.now;
         let wanted = view.wanted.get(&prompt.model);
         let org = run.organisation.as_deref();
@@ -185,29 +226,43 @@
             ..base
         })?;
         let version = chosen.version?;
-        let (_, plan) = plans.iter().find(|(of, _)| *of == version)?;
-        let sending = plan.sending(version, &chosen.target.zone, &mut self.kept.lock(), now);
+        let plan = plans.into_iter().find(|(of, _)| *of == version);
+        Some(Selected {
+            chosen,
+            plan: plan.map(|(_, plan)| plan),
+        })
+    }
+
+    /// What the chosen target is to be told. Notes which saves are asked for.
+    fn prepare(&self, run: &Run, selected: Selected) -> Placed {
+        let prompt_ms = selected.prompt_ms();
+        let in_time = is_in_time(run, selected.expected_ms());
+        let prompt = run.demand.prompt.as_ref();
+        let length = prompt.map_or(Tokens(0), |prompt| prompt.tokens);
+        let Selected { chosen, plan } = selected;
+        let (Some(plan), Some(version)) = (plan, chosen.version) else {
+            return Placed::plain(chosen);
+        };
+        let zone = &chosen.target.zone;
+        let sending = plan.sending(version, zone, &mut self.kept.lock(), Instant::now());
         let parts = plan.shared.iter().zip(&sending.fetch);
         let fetched: u64 = parts
             .filter(|(_, from)| from.is_some())
             .map(|(part, _)| part.tokens.0)
             .sum();
         let shared: u64 = plan.shared.iter().map(|part| part.tokens.0).sum();
-        let prompt_ms = Plan::read_ms(plan.own_tokens) + plan.shared_ms(&chosen.target.zone);
-        let source = plan.main_source(&sending.fetch);
-        let in_time = is_in_time(run, chosen.queue_ms + prompt_ms);
-        Some(Placed {
+        Placed {
             in_time,
             chosen,
             parts: plan.describe(&sending),
+            source: plan.main_source(&sending.fetch),
             engine: Some(sending),
             prompt_ms,
-            length: prompt.tokens,
-            source,
+            length,
             kept: plan.kept_tokens.0,
             fetched,
             others: shared - fetched,
-        })
+        }
     }
 
     /// Weights below which no request is sent: those that were replaced too long ago, once an engine
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -18,12 +18,6 @@
 use sillpin_http::{Body, BodySender};
 use sillpin_telemetry::{event, events};
 use std::sync::Arc;
-use std::time::Duration;
-use tokio::time::Instant;
-
-/// A resumable stream that says nothing for this long goes on elsewhere. Callers leave after two
-/// seconds.
-const SILENCE: Duration = Duration::from_millis(1_300);
 
 /// How one target's part of a stream ended.
 enum Pumped {
@@ -69,7 +63,10 @@
         loop {
             let target = stream.target.id.clone();
             let (id, waited) = (&run.demand.id, run.arrival.elapsed().as_millis());
-            let why = match self.pump(&run, stream, &mut events, &tx).await {
+            let why = match self
+                .pump(&run, &pool, &progress, stream, &mut events, &tx)
+                .await
+            {
                 Pumped::Whole => {
                     self.metrics.answered(run.arrival.elapsed());
                     self.metrics.request(&run.route.name, "answered");
@@ -146,6 +143,8 @@
     async fn pump(
         &self,
         run: &Run,
+        pool: &PoolId,
+        progress: &Progress,
         stream: OpenStream,
         events: &mut EventSplitter,
         tx: &BodySender,
@@ -160,18 +159,17 @@
         } = stream;
         let mut first = true;
         loop {
-            let silence = match run.route.resumable {
-                true => run.deadline.min(Instant::now() + SILENCE),
-                false => run.deadline,
-            };
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = tx.closed() => return Pumped::CallerGone,
-                () = tokio::time::sleep_until(silence) => {
-                    return match run.time_left().is_zero() {
-                        true => Pumped::TimeOver,
-                        false => Pumped::Broken("the target fell silent".to_owned()),
-                    };
+                () = tokio::time::sleep_until(self.silence_until(run)) => {
+                    if run.time_left().is_zero() {
+                        return Pumped::TimeOver;
+                    }
+                    if self.should_resume(run, pool, progress) {
+                        return Pumped::Broken("the target fell silent".to_owned());
+                    }
+                    continue;
                 }
             };
             let data = match frame {
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -105,6 +105,14 @@
         budget.take(pool, &rules, boxes, Instant::now())
     }
 
+    /// Whether there is a right to a second sending to a pool.
+    pub fn has_retry(&self, pool: &PoolId) -> bool {
+        let boxes = self.fleet.view().box_count();
+        let rules = self.settings.borrow().retries;
+        let mut budget = self.budget.lock().unwrap_or_else(|e| e.into_inner());
+        budget.has(pool, &rules, boxes, Instant::now())
+    }
+
     /// Whether the box knows enough to serve and is not stopping.
     pub fn is_ready(&self) -> bool {
         let view = self.fleet.view();
--- a/crates/sillpin-gateway/src/place/choose.rs
+++ b/crates/sillpin-gateway/src/place/choose.rs
@@ -114,6 +114,8 @@
     pub cost_ms: f64,
     /// Targets that could have taken the request.
     pub candidates: usize,
+    /// Whether it is passed over while others are there.
+    pub rests: bool,
 }
 
 /// The cheapest target, if any can take the request.
@@ -148,6 +150,7 @@
                 queue_ms: load.work.prompt_ms + memory_ms(choice, &load),
                 cost_ms,
                 candidates: 0,
+                rests: load.rests(choice.now),
             });
         }
     }
