Let prompts wait in the box until an engine has room

Change: how long memory is held is learnt; a prompt goes to an engine only if it is expected to wait there for memory for at most 0.15 of its aim, and otherwise waits in the box in the order of urgency and arrival for as long as it can still be in time; a fetch gets 1.5 aims; a store's fetches count as late in parts of the aim, beyond the known queue. Logs say why a part is read anew.

--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -116,6 +116,11 @@
         if !self.may_offer(progress) {
             return Err(give_up(progress, "several targets refused"));
         }
+        self.wait_for_room(run, pool, progress).await;
+        let left = run.time_left();
+        if left < MIN_TIME_LEFT {
+            return Err(give_up(progress, "no time left"));
+        }
         let view = self.fleet.view();
         let Some(mut placed) = self.place(run, pool, &view, progress) else {
             return Err(give_up(progress, "no target is free"));
@@ -136,7 +141,7 @@
         let may_leave = || self.should_leave(run, pool, progress);
         let ended = self.attempt(attempt, may_leave).await;
         if matches!(ended, Ended::Streaming(_)) {
-            self.note_transfer(&placed, sent.elapsed());
+            self.note_transfer(run, &placed, sent.elapsed());
         }
         let reached = !matches!(ended, Ended::Unsent(_));
         self.loads.note_reach(&target.zone, reached);
@@ -160,15 +165,18 @@
     }
 
     /// Takes note of how long an engine took to begin a prompt, for the link that its parts came over.
-    fn note_transfer(&self, placed: &Placed, took: Duration) {
+    fn note_transfer(&self, run: &Run, placed: &Placed, took: Duration) {
         if placed.prompt_ms <= 0.0 {
             return;
         }
-        let expected = Duration::from_secs_f64(placed.prompt_ms / 1000.0);
+        let expected = placed.chosen.queue_ms + placed.prompt_ms;
+        let expected = Duration::from_secs_f64(expected / 1000.0);
         let excess = took.saturating_sub(expected);
         let mut links = self.kept.links();
         match placed.source {
-            Some(store) => links.note_fetch(store, placed.length, excess, Instant::now()),
+            Some(store) => {
+                links.note_fetch(store, placed.length, excess, run.route.aim, Instant::now());
+            }
             None => links.note_read(placed.length, excess),
         }
     }
--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -37,6 +37,12 @@
 /// pieces of a prompt.
 const SLOWED: f64 = 1.2;
 
+/// Times of a request's aim after which a fetch for it is thrown away and its prompt read. A fetch waits in the engine's
+/// queue too, and one thrown away is read at a price, so it gets longer than the aim; but while it waits it takes
+/// memory, so it is not borne for ever. Measured on two fleets, worth of days with trouble: with aims of
+/// 1.2 s 0.702 after 0.6 aims and 0.723 after 2.1; with aims of 0.3 to 0.5 s 0.578 after 1.4 to 2.3 and 0.569 after 5 to 8.
+const FETCH_AIMS: f64 = 1.5;
+
 /// Part of the work of a request that comes late anyway that counts as work ahead of others: the engine takes those
 /// that are in time first, but finishes a piece that it has begun.
 const LATE_WORK: f64 = 0.25;
@@ -80,6 +86,12 @@
         self.plan.as_ref().map_or(0.0, work)
     }
 
+    /// Whether the request may still wait here: if it began at an empty engine, its first event would be in time.
+    pub fn can_wait(&self, run: &Run, now: Instant) -> bool {
+        let work = Duration::from_secs_f64(self.prompt_ms() * SLOWED / 1000.0);
+        now + work < run.arrival + run.route.aim
+    }
+
     /// Prompt work until the first event, with that ahead of it, in milliseconds.
     pub fn expected_ms(&self) -> f64 {
         self.chosen.queue_ms + self.prompt_ms()
@@ -106,7 +118,10 @@
     /// What the request takes of its engine, as others are told.
     pub fn work(&self) -> Work {
         let counted = if self.in_time { 1.0 } else { LATE_WORK };
-        Work::one(self.prompt_ms * counted, self.length)
+        Work::one(
+            self.prompt_ms * counted,
+            Tokens((self.length.0 as f64 * counted) as u64),
+        )
     }
 
     /// The request's urgency: one that comes late whatever is done goes behind all that can be in time.
@@ -216,6 +231,7 @@
         let prompt_choice = PromptChoice {
             model: &prompt.model,
             tokens: prompt.tokens,
+            aim: run.route.aim,
             room: engine.room,
             wanted: wanted.map(|wanted| wanted.version),
             oldest: self.oldest_weights(wanted, &plans, view),
@@ -244,7 +260,10 @@
             return Placed::plain(chosen);
         };
         let zone = &chosen.target.zone;
-        let sending = plan.sending(version, zone, &mut self.kept.lock(), Instant::now());
+        let fetch_time = run.route.aim.mul_f64(FETCH_AIMS);
+        let mut directory = self.kept.lock();
+        let sending = plan.sending(version, zone, &mut directory, fetch_time, Instant::now());
+        drop(directory);
         let parts = plan.shared.iter().zip(&sending.fetch);
         let fetched: u64 = parts
             .filter(|(_, from)| from.is_some())
--- a/crates/sillpin-gateway/src/kept/links.rs
+++ b/crates/sillpin-gateway/src/kept/links.rs
@@ -12,9 +12,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Fetches that take this much longer than other prompts are late: with reading and transfer it leaves the
-/// longer aim of 500 ms just within reach.
-const LATE_MS: f64 = 300.0;
+/// Fetches that take longer than other prompts by this part of the aim are late: what is left of it is for the prompt's
+/// queue and reading.
+const LATE_AIM_PART: f64 = 0.6;
 
 /// What a late fetch leaves of the share.
 const DECREASE: f64 = 0.85;
@@ -32,8 +32,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Link {
     share: f64,
-    /// How much longer fetches take than prompts that are alike, on average.
-    beyond_ms: f64,
+    /// How much longer fetches take than prompts that are alike, on average, in times of the prompt's aim.
+    beyond_aims: f64,
     at: Instant,
 }
 
@@ -71,25 +71,28 @@
         *average += WEIGHT * (millis(excess) - *average);
     }
 
-    /// A prompt with a fetch took this much longer than reading and transfer explain.
+    /// A prompt with a fetch, whose first event is wanted within `aim`, took this much longer than reading and transfer
+    /// explain.
     pub fn note_fetch(
         &mut self,
         store: SocketAddr,
         prompt: Tokens,
         excess: Duration,
+        aim: Duration,
         now: Instant,
     ) {
         let alike = self.read_excess_ms.get(&class(prompt));
         let beyond_ms = millis(excess) - alike.copied().unwrap_or(0.0);
         let link = self.links.entry(store).or_insert(Link {
             share: 1.0,
-            beyond_ms: 0.0,
+            beyond_aims: 0.0,
             at: now,
         });
         link.share = link.share_at(now);
         link.at = now;
-        link.beyond_ms += WEIGHT * (beyond_ms - link.beyond_ms);
-        if link.beyond_ms > LATE_MS {
+        let beyond_aims = beyond_ms / millis(aim).max(1.0);
+        link.beyond_aims += WEIGHT * (beyond_aims - link.beyond_aims);
+        if link.beyond_aims > LATE_AIM_PART {
             link.share = (link.share * DECREASE).max(LEAST);
         }
     }
--- a/crates/sillpin-gateway/src/kept/retire.rs
+++ b/crates/sillpin-gateway/src/kept/retire.rs
@@ -44,10 +44,9 @@
 /// At this fullness they are retired in step with the engines. New parts are no longer saved at 0.975.
 const RETIRE_ALL: f64 = 0.92;
 
-/// Fetches not ended by then are thrown away, and the prompt is read instead. A fetch takes room at the
-/// engine while it waits, so a slow link must not hold it for long: a transfer takes 25 to 60 ms, over a slow link 400
-/// to 800. Measured: 450 reads more again, 900 answers later; 700 lies between.
-pub const FETCH_TIME: Duration = Duration::from_millis(700);
+/// No fetch goes on for longer, whatever the aim of its request. A part of replaced weights is freed only when the last
+/// fetch of it that may have begun is over, so a longer time keeps room from new parts.
+pub const MAX_FETCH_TIME: Duration = Duration::from_millis(2_000);
 
 /// A version of a model's weights.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -106,7 +105,7 @@
         }
         let shares = self.applied.clone();
         self.history.push_back(Sample { at: now, shares });
-        let old = TOUCH + TOUCH_MARGIN + FETCH_TIME;
+        let old = TOUCH + TOUCH_MARGIN + MAX_FETCH_TIME;
         while self.history.get(1).is_some_and(|next| now - next.at > old) {
             self.history.pop_front();
         }
@@ -117,7 +116,7 @@
     pub fn told(&self, now: Instant) -> Vec<Retired> {
         let told = |weights: &Weights| Retired {
             weights: weights.clone(),
-            share: self.known_at(weights, now, FETCH_TIME),
+            share: self.known_at(weights, now, MAX_FETCH_TIME),
         };
         self.applied.keys().map(told).collect()
     }
@@ -164,7 +163,7 @@
     /// Share of a version's parts that no box fetches: told by every box, or known for so long that a box
     /// that says nothing has either learned it too or stopped fetching.
     pub fn unused_share(&self, weights: &Weights, view: &View, now: Instant) -> f64 {
-        let long_known = self.known_at(weights, now, TOUCH + TOUCH_MARGIN + FETCH_TIME);
+        let long_known = self.known_at(weights, now, TOUCH + TOUCH_MARGIN + MAX_FETCH_TIME);
         let told_by = |id: &BoxId| {
             let heard = self
                 .others
--- a/crates/sillpin-gateway/src/place/choose.rs
+++ b/crates/sillpin-gateway/src/place/choose.rs
@@ -9,6 +9,7 @@
 use sillpin_core::{ModelId, PoolId, TargetId, Tokens, WeightVersion, ZoneId};
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// What a request under way at an engine adds to the next one's expected time, in milliseconds: an
@@ -19,9 +20,9 @@
 /// generate.
 const MEMORY_SHARE: f64 = 0.9;
 
-/// How long a request holds its memory, in milliseconds: a long prompt's transfer, reading and few tokens take 200 to
-/// 300 ms, a short prompt's 49 tokens as long.
-const MEMORY_HELD_MS: f64 = 300.0;
+/// Part of the aim that a prompt may be expected to wait for memory at an engine: so much passes while its parts are
+/// fetched, and an engine that is given less runs dry. Prompts that would wait longer wait in the box.
+const ROOM_WAIT_AIM_PART: f64 = 0.15;
 
 /// What one request under way at a plain target adds, in milliseconds: its work is 30 to 60 ms and a
 /// target runs six at once.
@@ -79,6 +80,8 @@
     pub model: &'a ModelId,
     /// Length of the prompt.
     pub tokens: Tokens,
+    /// Time within which its first event is wanted.
+    pub aim: Duration,
     /// Memory of one engine.
     pub room: Tokens,
     /// Weights that are wanted.
@@ -116,6 +119,18 @@
     pub candidates: usize,
     /// Whether it is passed over while others are there.
     pub rests: bool,
+    /// Whether it has room for the request.
+    pub fits: bool,
+}
+
+impl Chosen {
+    /// Order of preference: targets with room first, then the cheapest.
+    fn is_better_than(&self, other: &Chosen) -> bool {
+        match self.fits == other.fits {
+            true => self.cost_ms < other.cost_ms,
+            false => self.fits,
+        }
+    }
 }
 
 /// The cheapest target, if any can take the request.
@@ -143,15 +158,18 @@
         };
         candidates += 1;
         let cost_ms = cost(choice, target, &load, version, &homes);
-        if best.as_ref().is_none_or(|best| cost_ms < best.cost_ms) {
-            best = Some(Chosen {
-                target: target.clone(),
-                version,
-                queue_ms: load.work.prompt_ms + memory_ms(choice, &load),
-                cost_ms,
-                candidates: 0,
-                rests: load.rests(choice.now),
-            });
+        let rests = load.rests(choice.now);
+        let chosen = Chosen {
+            target: target.clone(),
+            version,
+            queue_ms: load.work.prompt_ms + memory_ms(choice, &load),
+            cost_ms,
+            candidates: 0,
+            rests,
+            fits: !rests && fits(choice, &load),
+        };
+        if best.as_ref().is_none_or(|best| chosen.is_better_than(best)) {
+            best = Some(chosen);
         }
     }
     best.map(|best| Chosen { candidates, ..best })
@@ -192,6 +210,14 @@
     ms + homes.away_ms(target)
 }
 
+/// Whether an engine has room for a prompt by the time that the prompt has been fetched and its turn comes.
+fn fits(choice: &Choice<'_>, load: &Load) -> bool {
+    let Some(prompt) = &choice.prompt else {
+        return true;
+    };
+    memory_ms(choice, load) <= prompt.aim.as_secs_f64() * 1000.0 * ROOM_WAIT_AIM_PART
+}
+
 /// How long a prompt waits for room in an engine's memory, in milliseconds.
 fn memory_ms(choice: &Choice<'_>, load: &Load) -> f64 {
     let Some(prompt) = &choice.prompt else {
@@ -199,7 +225,11 @@
     };
     let room = prompt.room.0.max(1) as f64;
     let lacking = load.work.tokens + prompt.tokens.0 as f64 - room * MEMORY_SHARE;
-    lacking.max(0.0) / room * MEMORY_HELD_MS
+    if lacking <= 0.0 {
+        return 0.0;
+    }
+    // What is held is let go evenly over the time that it is held.
+    choice.loads.held_ms() * lacking / load.work.tokens.max(lacking)
 }
 
 /// Breaks ties between plain targets alike in every decision of one process.
--- a/crates/sillpin-gateway/src/place/load.rs
+++ b/crates/sillpin-gateway/src/place/load.rs
@@ -1,5 +1,6 @@
 //! What this box has under way at each target, and how the target has behaved.
 
+use super::held::HeldTime;
 use super::work::{EngineWork, Others, TargetHash, Work};
 use sillpin_core::{BoxId, TargetId, ZoneId};
 use std::collections::HashMap;
@@ -114,6 +115,7 @@
     table: Arc<Mutex<HashMap<TargetId, Load>>>,
     zones: Arc<Mutex<HashMap<ZoneId, Reach>>>,
     others: Arc<Mutex<Others>>,
+    held: Arc<Mutex<HeldTime>>,
 }
 
 impl Loads {
@@ -148,6 +150,16 @@
         others.sum(now)
     }
 
+    /// How long a token of an engine's memory is held, in milliseconds.
+    pub fn held_ms(&self) -> f64 {
+        self.held.lock().unwrap_or_else(|e| e.into_inner()).ms()
+    }
+
+    fn note_held(&self, tokens: f64, time: Duration, now: Instant) {
+        let mut held = self.held.lock().unwrap_or_else(|e| e.into_inner());
+        held.note(tokens, time, now);
+    }
+
     /// Takes note of whether a target of a zone could be reached.
     pub fn note_reach(&self, zone: &ZoneId, reached: bool) {
         let failed = Instant::now();
@@ -186,6 +198,8 @@
             loads: self.clone(),
             target: target.clone(),
             work,
+            prompt_ms: work.prompt_ms,
+            began: None,
         }
     }
 
@@ -228,6 +242,10 @@
     loads: Loads,
     target: TargetId,
     work: Work,
+    /// Time of the engine that its prompt was expected to take, in milliseconds.
+    prompt_ms: f64,
+    /// When its first event came.
+    began: Option<Instant>,
 }
 
 impl Ticket {
@@ -242,11 +260,24 @@
             load.work.take(done);
         }
         self.work.prompt_ms = 0.0;
+        self.began = Some(Instant::now());
+    }
+
+    /// Takes note of how long the request held its engine's memory: from when its prompt began to be read.
+    fn note_held(&self) {
+        let Some(began) = self.began else {
+            return;
+        };
+        let now = Instant::now();
+        let reading = Duration::from_secs_f64(self.prompt_ms / 1000.0);
+        self.loads
+            .note_held(self.work.tokens, now - began + reading, now);
     }
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
+        self.note_held();
         let mut table = self.loads.lock();
         if let Some(load) = table.get_mut(&self.target) {
             load.in_flight = load.in_flight.saturating_sub(1);
--- a/crates/sillpin-gateway/src/place/mod.rs
+++ b/crates/sillpin-gateway/src/place/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! - [`load`]: what this box has under way at each target, and how the target has behaved,
 //! - [`choose`]: the choice among the targets of a pool,
+//! - [`held`]: how long requests hold an engine's memory,
 //! - [`probe`]: whether targets out of reach are back,
 //! - [`parts`]: where the parts of a prompt come from and go to,
 //! - [`work`]: work at engines, own and told.
 
 pub mod choose;
+pub mod held;
 pub mod load;
 pub mod parts;
 pub mod probe;
--- a/crates/sillpin-gateway/src/place/parts.rs
+++ b/crates/sillpin-gateway/src/place/parts.rs
@@ -4,12 +4,14 @@
 use crate::control::KeptKey;
 use crate::dialect::{EngineSending, Prompt, Salt};
 use crate::kept::homes::{Place, homes};
-use crate::kept::retire::FETCH_TIME;
+use crate::kept::retire::MAX_FETCH_TIME;
 use crate::kept::salt::SaltParts;
 use crate::kept::{Directory, Kept};
+use derive_more::Display;
 use sillpin_core::{Tokens, WeightVersion, ZoneId};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Prompt tokens that an engine reads in a millisecond. Both sites state 56.9; it only ranks ways to
@@ -26,6 +28,29 @@
 /// Share of a store's room that is filled: parts that are being written are not counted.
 const FILLED: f64 = 0.975;
 
+/// Why a shared part is read anew and not kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum NotKept {
+    /// It was made under replaced weights.
+    #[display("retired")]
+    Retired,
+    /// A store holds it, but this box is out of touch.
+    #[display("out-of-touch")]
+    OutOfTouch,
+    /// No store was heard of late.
+    #[display("stores-unknown")]
+    StoresUnknown,
+    /// No store has room.
+    #[display("no-room")]
+    NoRoom,
+    /// A store holds it, but bears no more fetches.
+    #[display("link-busy")]
+    LinkBusy,
+    /// It was asked to be saved a moment ago.
+    #[display("asked")]
+    Asked,
+}
+
 /// One shared part of a prompt and where it may come from.
 #[derive(Debug, Clone)]
 pub struct SharedPart {
@@ -37,6 +62,8 @@
     pub held: Vec<StoreSpec>,
     /// If none does, the stores that may keep it, alike in speed and room.
     pub homes: Vec<StoreSpec>,
+    /// Why it is read anew if it is neither fetched nor saved.
+    pub not_kept: NotKept,
 }
 
 /// The shared parts of a prompt under one salt.
@@ -122,28 +149,38 @@
         tokens,
         held: Vec::new(),
         homes: Vec::new(),
+        not_kept: NotKept::Retired,
     };
     if inputs.kept.retirements().is_retired(salt, &key) {
         return nowhere;
     }
-    let homes = homes(&inputs.config.stores, &key.part, tokens, place);
     let directory = inputs.kept.lock();
+    let used = |store: &StoreSpec| directory.used(store.addr);
+    let homes = homes(&inputs.config.stores, &key.part, tokens, place);
     let holds = |store: &&&StoreSpec| directory.holds(store.addr, &key, tokens, inputs.now);
     let held: Vec<StoreSpec> = homes.iter().filter(holds).copied().cloned().collect();
     if !held.is_empty() {
         return match inputs.in_touch {
             true => SharedPart { held, ..nowhere },
-            false => nowhere,
+            false => SharedPart {
+                not_kept: NotKept::OutOfTouch,
+                ..nowhere
+            },
         };
     }
-    let has_room = |store: &&&StoreSpec| {
-        let used = directory.used(store.addr);
-        directory.is_known(store.addr, inputs.now)
-            && (used + tokens).0 as f64 <= store.room.0 as f64 * FILLED
-    };
-    let roomy: Vec<&StoreSpec> = homes.iter().filter(has_room).copied().collect();
+    let is_known = |store: &&&StoreSpec| directory.is_known(store.addr, inputs.now);
+    let known: Vec<&StoreSpec> = homes.iter().filter(is_known).copied().collect();
+    let has_room =
+        |store: &&&StoreSpec| (used(store) + tokens).0 as f64 <= store.room.0 as f64 * FILLED;
+    let roomy: Vec<&StoreSpec> = known.iter().filter(has_room).copied().collect();
     let alike = |store: &&&StoreSpec| store.first == roomy[0].first && store.room == roomy[0].room;
+    let not_kept = match (known.is_empty(), roomy.is_empty()) {
+        (true, _) => NotKept::StoresUnknown,
+        (_, true) => NotKept::NoRoom,
+        _ => NotKept::Asked,
+    };
     SharedPart {
+        not_kept,
         homes: roomy
             .iter()
             .filter(alike)
@@ -216,9 +253,9 @@
     /// The shared parts and what an engine is to do with each, for logs.
     pub fn describe(&self, sending: &EngineSending) -> String {
         let what = |index: usize| match (&sending.fetch[index], &sending.save[index]) {
-            (Some(_), _) => "fetch",
-            (None, Some(_)) => "save",
-            (None, None) => "read",
+            (Some(_), _) => "fetch".to_owned(),
+            (None, Some(_)) => "save".to_owned(),
+            (None, None) => format!("read-{}", self.shared[index].not_kept),
         };
         let part = |(index, part): (usize, &SharedPart)| {
             format!("{}:{}:{}", part.key.part, part.tokens, what(index))
@@ -234,7 +271,8 @@
         let sources = self.shared.iter().flat_map(|part| &part.held);
         let sources = sources.map(|store| store.addr);
         let spared: BTreeSet<SocketAddr> = sources.filter(|addr| !bears(*addr)).collect();
-        for part in &mut self.shared {
+        for part in self.shared.iter_mut().filter(|part| !part.held.is_empty()) {
+            part.not_kept = NotKept::LinkBusy;
             part.held.retain(|store| !spared.contains(&store.addr));
         }
     }
@@ -245,9 +283,10 @@
         version: WeightVersion,
         zone: &ZoneId,
         directory: &mut Directory,
+        fetch_time: Duration,
         now: Instant,
     ) -> EngineSending {
-        let until = directory.engine_time(now, FETCH_TIME);
+        let until = directory.engine_time(now, fetch_time.min(MAX_FETCH_TIME));
         let none = || vec![None::<SocketAddr>; self.part_count];
         let (mut fetch, mut save) = (none(), none());
         for (index, part) in self.shared.iter().enumerate() {
--- a/crates/sillpin-gateway/tests/kept.rs
+++ b/crates/sillpin-gateway/tests/kept.rs
@@ -12,7 +12,7 @@
 use sillpin_gateway::kept::directory::{BELIEF, Directory};
 use sillpin_gateway::kept::homes::{Place, homes};
 use sillpin_gateway::kept::links::Links;
-use sillpin_gateway::kept::retire::{FETCH_TIME, Retired, Retirements, Weights, place_of};
+use sillpin_gateway::kept::retire::{MAX_FETCH_TIME, Retired, Retirements, Weights, place_of};
 use sillpin_gateway::kept::salt::SaltParts;
 use sillpin_platform::KvRevision;
 use std::collections::HashMap;
@@ -327,12 +327,12 @@
         0.0,
         "a fetch may have begun just before"
     );
-    tokio::time::advance(FETCH_TIME).await;
+    tokio::time::advance(MAX_FETCH_TIME).await;
     assert_eq!(told(&retirements), 0.5);
     let now = Instant::now();
     retirements.update(&view(4, now), FULL, now);
     assert_eq!(told(&retirements), 0.5);
-    tokio::time::advance(FETCH_TIME).await;
+    tokio::time::advance(MAX_FETCH_TIME).await;
     assert_eq!(told(&retirements), 1.0);
 }
 
@@ -342,7 +342,9 @@
     let start = Instant::now();
     retirements.update(&view(4, start), FULL, start);
     assert!(retirements.may_fetch(&view(4, start), start));
-    for _ in 0..40 {
+    // Out of touch after 2.5 s, half a second of margin, and the last fetch.
+    let rounds = (Duration::from_millis(3_100) + MAX_FETCH_TIME).as_millis() / 100;
+    for _ in 0..rounds {
         tokio::time::advance(Duration::from_millis(100)).await;
         let now = Instant::now();
         retirements.update(&view(4, now), FULL, now);
@@ -390,6 +392,9 @@
 const LONG: Tokens = Tokens(9_000);
 const SHORT: Tokens = Tokens(800);
 
+/// When their first events are wanted.
+const AIM: Duration = Duration::from_millis(500);
+
 #[tokio::test(start_paused = true)]
 async fn a_slow_store_gets_a_smaller_share_of_fetches_and_recovers() {
     let mut links = Links::default();
@@ -397,7 +402,7 @@
     for _ in 0..60 {
         tokio::time::advance(Duration::from_millis(50)).await;
         links.note_read(LONG, Duration::from_millis(20));
-        links.note_fetch(STORE, LONG, Duration::from_millis(900), Instant::now());
+        links.note_fetch(STORE, LONG, Duration::from_millis(900), AIM, Instant::now());
     }
     let slow = links.share(STORE, Instant::now());
     assert!(slow < 0.3, "{slow}");
@@ -407,7 +412,7 @@
     );
     for _ in 0..200 {
         tokio::time::advance(Duration::from_millis(50)).await;
-        links.note_fetch(STORE, LONG, Duration::from_millis(30), Instant::now());
+        links.note_fetch(STORE, LONG, Duration::from_millis(30), AIM, Instant::now());
     }
     assert_eq!(links.share(STORE, Instant::now()), 1.0);
 }
@@ -418,7 +423,21 @@
     for _ in 0..100 {
         links.note_read(SHORT, Duration::from_millis(20));
         links.note_read(LONG, Duration::from_millis(700));
-        links.note_fetch(STORE, LONG, Duration::from_millis(800), Instant::now());
+        links.note_fetch(STORE, LONG, Duration::from_millis(800), AIM, Instant::now());
     }
     assert_eq!(links.share(STORE, Instant::now()), 1.0);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_fetch_that_is_late_for_one_aim_is_in_time_for_a_longer_one() {
+    let share_after = |aim: Duration| {
+        let mut links = Links::default();
+        for _ in 0..60 {
+            links.note_read(LONG, Duration::from_millis(20));
+            links.note_fetch(STORE, LONG, Duration::from_millis(500), aim, Instant::now());
+        }
+        links.share(STORE, Instant::now())
+    };
+    assert!(share_after(AIM) < 1.0);
+    assert_eq!(share_after(AIM * 3), 1.0);
+}
--- a/crates/sillpin-gateway/tests/parts.rs
+++ b/crates/sillpin-gateway/tests/parts.rs
@@ -11,6 +11,7 @@
 use sillpin_gateway::kept::Kept;
 use sillpin_gateway::place::parts::{Plan, PlanInputs, plan, salt};
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::time::Instant;
 
 const VERSION: WeightVersion = WeightVersion(1);
@@ -75,10 +76,13 @@
     };
     let plan = plan(&prompt, &salt, &inputs);
     let zone: ZoneId = name(zone);
-    let sending = plan.sending(VERSION, &zone, &mut kept.lock(), now);
+    let sending = plan.sending(VERSION, &zone, &mut kept.lock(), FETCH_TIME, now);
     (plan, sending)
 }
 
+/// Time that a fetch gets.
+const FETCH_TIME: Duration = Duration::from_millis(700);
+
 fn port(addr: Option<SocketAddr>) -> Option<u16> {
     addr.map(|addr| addr.port())
 }
--- a/crates/sillpin-gateway/tests/place.rs
+++ b/crates/sillpin-gateway/tests/place.rs
@@ -5,15 +5,17 @@
 use common::{engine, name, target};
 use proptest::prelude::*;
 use rstest::rstest;
-use sillpin_core::{ModelId, TargetId, Tokens, WeightVersion, ZoneId};
+use sillpin_core::{ModelId, PoolId, TargetId, Tokens, WeightVersion, ZoneId};
 use sillpin_gateway::budget::RetryBudget;
 use sillpin_gateway::config::Priority;
 use sillpin_gateway::control::{Presence, TargetEntry};
 use sillpin_gateway::front::events::EventSplitter;
+use sillpin_gateway::front::waiting::Waiting;
 use sillpin_gateway::place::choose::PromptChoice;
+use sillpin_gateway::place::held::HeldTime;
 use sillpin_gateway::place::load::Outcome;
 use sillpin_gateway::place::work::{EngineWork, TargetHash, Work};
-use sillpin_gateway::place::{Choice, Loads, choose};
+use sillpin_gateway::place::{Choice, Chosen, Loads, choose};
 use sillpin_gateway::settings::RetryRules;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -55,6 +57,11 @@
     }
 
     fn choose(&self, prompt: Option<PromptChoice<'_>>) -> Option<String> {
+        let found = self.find(prompt);
+        found.map(|chosen| chosen.target.id.to_string())
+    }
+
+    fn find(&self, prompt: Option<PromptChoice<'_>>) -> Option<Chosen> {
         let zone: ZoneId = name("za");
         let choice = Choice {
             targets: &self.targets,
@@ -67,7 +74,7 @@
             prompt,
             now: Instant::now(),
         };
-        choose(&choice).map(|chosen| chosen.target.id.to_string())
+        choose(&choice)
     }
 }
 
@@ -192,6 +199,7 @@
     let prompt = |oldest| PromptChoice {
         model: &model,
         tokens: Tokens(9_000),
+        aim: Duration::from_millis(500),
         room: Tokens(41_000),
         wanted: Some(WeightVersion(2)),
         oldest: WeightVersion(oldest),
@@ -217,6 +225,7 @@
     let prompt = || PromptChoice {
         model: &model,
         tokens: Tokens(9_000),
+        aim: Duration::from_millis(500),
         room: Tokens(41_000),
         wanted: None,
         oldest: WeightVersion(0),
@@ -234,6 +243,7 @@
     PromptChoice {
         model,
         tokens: Tokens(9_000),
+        aim: Duration::from_millis(500),
         room: Tokens(41_000),
         wanted: None,
         oldest: WeightVersion(0),
@@ -375,3 +385,70 @@
         prop_assert_eq!(splitter.last_id(), Some(last.as_str()));
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_prompt_does_not_fit_while_memory_is_let_go_too_slowly() {
+    let setting = Setting::new(targets(vec![engine("e1", "za")]));
+    let model = name("m");
+    let fits = || setting.find(Some(long_prompt(&model))).unwrap().fits;
+    let work = |tokens| Work::one(0.0, Tokens(tokens));
+    let small = setting.loads.start(&target("e1"), work(25_000));
+    assert!(fits(), "there is room for it");
+    let mut long = setting.loads.start(&target("e1"), work(10_000));
+    assert!(fits(), "room comes within 75 ms, the most that it may wait");
+    long.prompt_done();
+    tokio::time::advance(Duration::from_secs(3)).await;
+    drop(long);
+    let _again = setting.loads.start(&target("e1"), work(10_000));
+    assert!(!fits(), "requests hold their memory for seconds");
+    drop(small);
+    assert!(fits());
+}
+
+#[rstest]
+#[case::before_anything_ended(&[], 300.0, 1.0)]
+#[case::a_slow_engine(&[2_000; 40], 2_000.0, 70.0)]
+#[case::twice_as_fast(&[1_000; 40], 1_000.0, 50.0)]
+#[tokio::test(start_paused = true)]
+async fn how_long_memory_is_held_is_learnt(
+    #[case] held: &[u64],
+    #[case] expected: f64,
+    #[case] within: f64,
+) {
+    let mut mean = HeldTime::default();
+    for ms in held {
+        tokio::time::advance(Duration::from_millis(100)).await;
+        mean.note(9_000.0, Duration::from_millis(*ms), Instant::now());
+    }
+    let ms = mean.ms();
+    assert!((ms - expected).abs() <= within, "{ms}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn how_long_memory_was_held_is_unlearnt_when_it_changes() {
+    let mut mean = HeldTime::default();
+    for ms in [2_000; 200].into_iter().chain([500; 200]) {
+        tokio::time::advance(Duration::from_millis(100)).await;
+        mean.note(9_000.0, Duration::from_millis(ms), Instant::now());
+    }
+    let ms = mean.ms();
+    assert!((ms - 500.0).abs() < 80.0, "{ms}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn requests_wait_by_urgency_then_arrival_and_by_pool() {
+    let waiting = Waiting::default();
+    let (pool, other): (PoolId, PoolId) = (name("llm"), name("other"));
+    let now = Instant::now();
+    let later = now + Duration::from_millis(1);
+    let late = waiting.join(&pool, Priority(1), later);
+    let early = waiting.join(&pool, Priority(1), now);
+    let urgent = waiting.join(&pool, Priority(0), later);
+    let elsewhere = waiting.join(&other, Priority(9), later);
+    assert!(urgent.is_first() && elsewhere.is_first());
+    assert!(!early.is_first() && !late.is_first());
+    drop(urgent);
+    assert!(early.is_first() && !late.is_first());
+    drop(early);
+    assert!(late.is_first());
+}
