Remember targets whose address belongs to another, and tell the other boxes

Cause: engines that end for a second are back under new ids at the same addresses, and their old entries stay listed for three heartbeats. Change: a refusal that names another identity takes the target out for the time that its entry can still be listed; boxes tell each other with the words about work. For engines this is concluded only while the box surely knows the newest weights, since they refuse requests for other weights alike.

--- a/crates/sillpin-gateway/src/front/admit.rs
+++ b/crates/sillpin-gateway/src/front/admit.rs
@@ -136,7 +136,8 @@
     }
 }
 
-fn is_fresh(view: &View) -> bool {
+/// Whether what operators publish was confirmed of late.
+pub fn is_fresh(view: &View) -> bool {
     let confirmed = view.operators.confirmed;
     confirmed.is_some_and(|at| at.elapsed() < DENY_FRESH)
 }
--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -67,6 +67,8 @@
         why: String,
         /// Weights that the target serves, if it said so.
         weights: Option<WeightVersion>,
+        /// Whether the target is not the one that was meant, or serves other weights than were meant.
+        misdirected: bool,
     },
     /// The target ran it and answered with a failure of its own.
     Failed(WholeAnswer),
@@ -189,7 +191,11 @@
             let why = format!("refused with {}", parts.status.as_u16());
             let weights = head.weights;
             self.recycle(attempt.target.id.clone(), conn, body, &head);
-            return Ended::NotRun { why, weights };
+            return Ended::NotRun {
+                why,
+                weights,
+                misdirected: parts.status == StatusCode::MISDIRECTED_REQUEST,
+            };
         }
         let success = parts.status.is_success();
         if success && (!head.signed || head.encoded) {
--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -4,7 +4,7 @@
 //! may have run ends a request that may run only once; a request that did not run may go to another
 //! target while time and budget last.
 
-use super::admit::Run;
+use super::admit::{Run, is_fresh};
 use super::answers::Refusal;
 use super::attempt::{Attempt, Ended, WholeAnswer};
 use super::placing::Placed;
@@ -13,6 +13,7 @@
 use crate::config::Repeat;
 use crate::dialect::{Dialect, Sending};
 use crate::place::load::Outcome as Health;
+use crate::place::work::TargetHash;
 use hyper::Response;
 use sillpin_core::{PoolId, TargetId, WeightVersion};
 use sillpin_http::Body;
@@ -145,7 +146,8 @@
         }
         let reached = !matches!(ended, Ended::Unsent(_));
         self.loads.note_reach(&target.zone, reached);
-        self.note(run, &target.id, &ended, progress);
+        let version = placed.chosen.version;
+        self.note(run, &target.id, version, &ended, progress);
         Ok(ended)
     }
 
@@ -182,7 +184,14 @@
     }
 
     /// Takes note of how a sending ended.
-    fn note(&self, run: &Run, target: &TargetId, ended: &Ended, progress: &mut Progress) {
+    fn note(
+        &self,
+        run: &Run,
+        target: &TargetId,
+        version: Option<WeightVersion>,
+        ended: &Ended,
+        progress: &mut Progress,
+    ) {
         self.metrics.sending(ended.name());
         if let Ended::Unsent(why) = ended {
             self.prober.start(target, why);
@@ -202,8 +211,17 @@
                 progress.runs += 1;
             }
         }
-        if let Ended::NotRun { weights, .. } = ended {
+        if let Ended::NotRun {
+            weights,
+            misdirected,
+            ..
+        } = ended
+        {
             self.learn_weights(run, target, *weights);
+            if *misdirected && self.is_replaced(run, version) {
+                let mut replaced = self.loads.replaced();
+                replaced.find(TargetHash::of(target), Instant::now());
+            }
         }
         if !matches!(ended, Ended::Answered(_) | Ended::Streaming(_)) {
             event!(self.log, events::SENDING_FAILED,
@@ -213,6 +231,17 @@
         }
     }
 
+    /// Whether a misdirected request, sent for weights of `version`, shows that the target's address belongs to another.
+    /// An engine also says so when it serves other weights; that is ruled out only while this box surely knows the newest.
+    fn is_replaced(&self, run: &Run, version: Option<WeightVersion>) -> bool {
+        let Some(prompt) = &run.demand.prompt else {
+            return true;
+        };
+        let view = self.fleet.view();
+        let wanted = view.wanted.get(&prompt.model).map(|wanted| wanted.version);
+        is_fresh(&view) && version >= wanted
+    }
+
     /// An engine that refuses may say which weights it serves by now.
     fn learn_weights(&self, run: &Run, target: &TargetId, weights: Option<WeightVersion>) {
         let prompt = run.demand.prompt.as_ref();
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -10,7 +10,7 @@
 use crate::kept::directory::Position;
 use crate::kept::retire::Retired;
 use crate::place::Loads;
-use crate::place::work::EngineWork;
+use crate::place::work::{EngineWork, TargetHash};
 use crate::reload::Settings;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
@@ -86,6 +86,9 @@
     pub clock: Option<EngineTime>,
     /// Its prompt work at engines.
     pub work: Vec<EngineWork>,
+    /// Targets that it found replaced of late.
+    #[serde(default)]
+    pub replaced: Vec<TargetHash>,
     /// Which parts it uses no more.
     pub retired: Vec<Retired>,
     /// Whether it is about to end.
@@ -112,6 +115,9 @@
     pub from: BoxId,
     /// Its work.
     pub work: Vec<EngineWork>,
+    /// Targets that it found replaced of late.
+    #[serde(default)]
+    pub replaced: Vec<TargetHash>,
 }
 
 /// What becomes of an engine that gets new weights.
@@ -246,7 +252,12 @@
         };
         to.extend(others.sample(&mut rand::rng(), fan_out).copied());
         let from = self.me.id.clone();
-        let word = WorkWord { from, work };
+        let replaced = self.loads.replaced().told(Instant::now());
+        let word = WorkWord {
+            from,
+            work,
+            replaced,
+        };
         self.send(socket, &Datagram::Work(word), to).await;
     }
 
@@ -288,6 +299,7 @@
                 .collect(),
             clock: directory.engine_time(now, Duration::ZERO),
             work: self.loads.told(),
+            replaced: self.loads.replaced().told(now),
             retired: self.kept.retirements().told(now),
             stopping: self.stopping.is_cancelled(),
         }
--- a/crates/sillpin-gateway/src/peers/ear.rs
+++ b/crates/sillpin-gateway/src/peers/ear.rs
@@ -76,7 +76,10 @@
                 Ok(Datagram::Digest(digest)) => self.take(digest).await,
                 Ok(Datagram::Loading(news)) => self.take_news(news).await,
                 Ok(Datagram::Kept(word)) => self.take_word(word),
-                Ok(Datagram::Work(word)) => self.loads.hear(word.from, word.work),
+                Ok(Datagram::Work(word)) => {
+                    self.loads.replaced().hear(&word.replaced, Instant::now());
+                    self.loads.hear(word.from, word.work);
+                }
                 Err(e) => event!(self.log, events::GOSSIP_FAILED, "why" => e.to_string()),
             }
         }
@@ -124,6 +127,7 @@
         let now = Instant::now();
         let from = digest.from.id.clone();
         self.loads.hear(from.clone(), digest.work);
+        self.loads.replaced().hear(&digest.replaced, now);
         let silence = digest.targets.age_ms.map(Duration::from_millis);
         let silence = silence.unwrap_or(Duration::MAX);
         let retired = digest.retired;
--- a/crates/sillpin-gateway/src/place/choose.rs
+++ b/crates/sillpin-gateway/src/place/choose.rs
@@ -140,11 +140,16 @@
         Some(_) => choice.loads.others(choice.now),
         None => HashMap::new(),
     };
+    let replaced = choice.loads.replaced().known(choice.now);
     let mut candidates = 0;
     let mut best: Option<Chosen> = None;
     for target in choice.targets.values().filter(|t| is_candidate(choice, t)) {
         let mut load = choice.loads.get(&target.id);
-        let theirs = others.get(&TargetHash::of(&target.id));
+        let hash = TargetHash::of(&target.id);
+        if replaced.contains(&hash) {
+            continue;
+        }
+        let theirs = others.get(&hash);
         load.work = load.work.plus(theirs.copied().unwrap_or_default());
         if load.in_flight >= choice.most_in_flight {
             continue;
--- a/crates/sillpin-gateway/src/place/load.rs
+++ b/crates/sillpin-gateway/src/place/load.rs
@@ -1,6 +1,7 @@
 //! What this box has under way at each target, and how the target has behaved.
 
 use super::held::HeldTime;
+use super::replaced::Replaced;
 use super::work::{EngineWork, Others, TargetHash, Work};
 use sillpin_core::{BoxId, TargetId, ZoneId};
 use std::collections::HashMap;
@@ -116,6 +117,7 @@
     zones: Arc<Mutex<HashMap<ZoneId, Reach>>>,
     others: Arc<Mutex<Others>>,
     held: Arc<Mutex<HeldTime>>,
+    replaced: Arc<Mutex<Replaced>>,
 }
 
 impl Loads {
@@ -150,6 +152,11 @@
         others.sum(now)
     }
 
+    /// Targets whose address belongs to another by now.
+    pub fn replaced(&self) -> MutexGuard<'_, Replaced> {
+        self.replaced.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     /// How long a token of an engine's memory is held, in milliseconds.
     pub fn held_ms(&self) -> f64 {
         self.held.lock().unwrap_or_else(|e| e.into_inner()).ms()
--- a/crates/sillpin-gateway/src/place/mod.rs
+++ b/crates/sillpin-gateway/src/place/mod.rs
@@ -5,6 +5,7 @@
 //! - [`held`]: how long requests hold an engine's memory,
 //! - [`probe`]: whether targets out of reach are back,
 //! - [`parts`]: where the parts of a prompt come from and go to,
+//! - [`replaced`]: targets whose address belongs to another by now,
 //! - [`work`]: work at engines, own and told.
 
 pub mod choose;
@@ -12,6 +13,7 @@
 pub mod load;
 pub mod parts;
 pub mod probe;
+pub mod replaced;
 pub mod work;
 
 pub use choose::{Choice, Chosen, choose};
--- a/crates/sillpin-gateway/tests/place.rs
+++ b/crates/sillpin-gateway/tests/place.rs
@@ -452,3 +452,21 @@
     drop(early);
     assert!(late.is_first());
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_target_found_replaced_by_another_box_is_no_candidate_for_a_while() {
+    let setting = Setting::new(three());
+    let hash = TargetHash::of(&target("e1"));
+    let finder = Loads::default();
+    finder.replaced().find(hash, Instant::now());
+    let told = finder.replaced().told(Instant::now());
+    setting.loads.replaced().hear(&told, Instant::now());
+    assert_ne!(setting.choose(None).as_deref(), Some("e1"));
+    let heard = setting.loads.replaced().told(Instant::now());
+    assert!(heard.is_empty(), "only who found it tells it");
+    tokio::time::advance(Duration::from_secs(3)).await;
+    setting.loads.replaced().hear(&told, Instant::now());
+    assert!(finder.replaced().told(Instant::now()).is_empty());
+    tokio::time::advance(Duration::from_secs(4)).await;
+    assert_eq!(setting.choose(None).as_deref(), Some("e1"));
+}
