--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -117,11 +117,6 @@
         if !self.may_offer(progress) {
             return Err(give_up(progress, "several targets refused"));
         }
-        self.wait_for_room(run, pool, progress).await;
-        let left = run.time_left();
-        if left < MIN_TIME_LEFT {
-            return Err(give_up(progress, "no time left"));
-        }
         let view = self.fleet.view();
         let Some(mut placed) = self.place(run, pool, &view, progress) else {
             return Err(give_up(progress, "no target is free"));
--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -9,7 +9,6 @@
 //! - [`relay`]: streams, passed on event by event,
 //! - [`silence`]: when a target's silence is a reason to leave it,
 //! - [`events`]: whole events out of a stream's bytes,
-//! - [`waiting`]: requests that wait until an engine has room,
 //! - [`answers`]: answers that the box makes itself,
 //! - [`handler`]: the listener's handlers.
 
@@ -24,7 +23,6 @@
 pub mod relay;
 pub mod shared;
 pub mod silence;
-pub mod waiting;
 
 pub use handler::Front;
 pub use shared::Shared;
--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -86,12 +86,6 @@
         self.plan.as_ref().map_or(0.0, work)
     }
 
-    /// Whether the request may still wait here: if it began at an empty engine, its first event would be in time.
-    pub fn can_wait(&self, run: &Run, now: Instant) -> bool {
-        let work = Duration::from_secs_f64(self.prompt_ms() * SLOWED / 1000.0);
-        now + work < run.arrival + run.route.aim
-    }
-
     /// Prompt work until the first event, with that ahead of it, in milliseconds.
     pub fn expected_ms(&self) -> f64 {
         self.chosen.queue_ms + self.prompt_ms()
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -1,7 +1,6 @@
 //! What all requests of a box use.
 
 use super::body_room::BodyRoom;
-use super::waiting::Waiting;
 use crate::beliefs::FleetHandle;
 use crate::budget::RetryBudget;
 use crate::dialect::Dialect;
@@ -35,8 +34,6 @@
     pub kept: Kept,
     /// Loads of targets.
     pub loads: Loads,
-    /// Requests that wait for room at an engine.
-    pub waiting: Waiting,
     /// Connections to targets.
     pub pool: Pool,
     /// Looks after targets out of reach.
@@ -80,7 +77,6 @@
             fleet,
             kept,
             loads,
-            waiting: Waiting::default(),
             pool,
             prober,
             budget: Mutex::new(budget),
--- a/crates/sillpin-gateway/src/place/choose.rs
+++ b/crates/sillpin-gateway/src/place/choose.rs
@@ -20,8 +20,10 @@
 /// generate.
 const MEMORY_SHARE: f64 = 0.9;
 
-/// Part of the aim that a prompt may be expected to wait for memory at an engine: so much passes while its parts are
-/// fetched, and an engine that is given less runs dry. Prompts that would wait longer wait in the box.
+/// Part of the aim that a prompt may be expected to wait for memory at an engine that counts as one with room: so much
+/// passes while its parts are fetched, and an engine that is given less runs dry. Engines with room go first. Measured on
+/// two fleets, worth of days with trouble: with aims of 1.2 s more than 1.25 times the memory costs 0.03; with aims of 0.3
+/// to 0.5 s less than 1.25 times costs 0.02. This part comes to 1.05 and 1.2 times there.
 const ROOM_WAIT_AIM_PART: f64 = 0.15;
 
 /// What one request under way at a plain target adds, in milliseconds: its work is 30 to 60 ms and a
--- a/crates/sillpin-gateway/tests/place.rs
+++ b/crates/sillpin-gateway/tests/place.rs
@@ -5,12 +5,11 @@
 use common::{engine, name, target};
 use proptest::prelude::*;
 use rstest::rstest;
-use sillpin_core::{ModelId, PoolId, TargetId, Tokens, WeightVersion, ZoneId};
+use sillpin_core::{ModelId, TargetId, Tokens, WeightVersion, ZoneId};
 use sillpin_gateway::budget::RetryBudget;
 use sillpin_gateway::config::Priority;
 use sillpin_gateway::control::{Presence, TargetEntry};
 use sillpin_gateway::front::events::EventSplitter;
-use sillpin_gateway::front::waiting::Waiting;
 use sillpin_gateway::place::choose::PromptChoice;
 use sillpin_gateway::place::held::HeldTime;
 use sillpin_gateway::place::load::Outcome;
@@ -435,24 +434,6 @@
     assert!((ms - 500.0).abs() < 80.0, "{ms}");
 }
 
-#[tokio::test(start_paused = true)]
-async fn requests_wait_by_urgency_then_arrival_and_by_pool() {
-    let waiting = Waiting::default();
-    let (pool, other): (PoolId, PoolId) = (name("llm"), name("other"));
-    let now = Instant::now();
-    let later = now + Duration::from_millis(1);
-    let late = waiting.join(&pool, Priority(1), later);
-    let early = waiting.join(&pool, Priority(1), now);
-    let urgent = waiting.join(&pool, Priority(0), later);
-    let elsewhere = waiting.join(&other, Priority(9), later);
-    assert!(urgent.is_first() && elsewhere.is_first());
-    assert!(!early.is_first() && !late.is_first());
-    drop(urgent);
-    assert!(early.is_first() && !late.is_first());
-    drop(early);
-    assert!(late.is_first());
-}
-
 #[tokio::test(start_paused = true)]
 async fn a_target_found_replaced_by_another_box_is_no_candidate_for_a_while() {
     let setting = Setting::new(three());
