Leave a silent target alone for 100 ms at least

Cause, found by reading: on a route that names no aim the wait for a silent target was zero, and a box that had nobody else to go to would have looked again without a pause.

--- a/crates/sillpin-gateway/src/front/silence.rs
+++ b/crates/sillpin-gateway/src/front/silence.rs
@@ -23,6 +23,9 @@
 /// of the aim.
 const PLAIN_AIMS: f64 = 2.0;
 
+/// A silent target is left alone for this long at least, also on a route that names no aim.
+const LEAST_SILENCE: Duration = Duration::from_millis(100);
+
 impl<D: Dialect> Shared<D> {
     /// When a target that says nothing from now on is looked at again.
     pub fn silence_until(&self, run: &Run) -> Instant {
@@ -33,7 +36,7 @@
             true => run.route.patience.mul_f64(PATIENCE_PART),
             false => run.route.aim.mul_f64(PLAIN_AIMS),
         };
-        run.deadline.min(Instant::now() + borne)
+        run.deadline.min(Instant::now() + borne.max(LEAST_SILENCE))
     }
 
     /// Whether a request does better elsewhere than at the silent target that has it. `progress` does not count the
