Say how much of an answer had come when it was given up, and when a box is behind others

Logs could not tell apart three causes of a configuration that does not arrive: a limit on a transfer's time, a sender that is overrun, a box too slow to take it in. Now: E324 says what was asked for, for how long and how many bytes came; E326 and sillpin_store_bytes give the bytes of the store's answers by step and outcome; sillpin_copies and sillpin_copied_bytes the same of boxes; E310 the configuration's size; E327 warns each second while others know more. No decision changes.

--- a/crates/sillpin-gateway/src/beliefs/fleet.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet.rs
@@ -245,6 +245,7 @@
         event!(self.log, events::CONFIG_IN_FORCE,
             "version" => config.version.0, "revision" => entry.revision.0,
             "source" => source.to_string(), "routes" => config.routes.len(),
+            "bytes" => entry.value.as_ref().map_or(0, String::len),
             "before" => in_force.map_or(0, |version| version.0));
         let config = Arc::new(config);
         self.config = Some(config.clone());
--- a/crates/sillpin-gateway/src/beliefs/mod.rs
+++ b/crates/sillpin-gateway/src/beliefs/mod.rs
@@ -32,6 +32,16 @@
     Targets,
 }
 
+impl Topic {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Topic::Operators => "operators",
+            Topic::Targets => "targets",
+        }
+    }
+}
+
 /// Where knowledge came from.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display)]
 pub enum Source {
--- a/crates/sillpin-gateway/src/metrics.rs
+++ b/crates/sillpin-gateway/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{AsyncInstrument, Counter, Histogram, Meter};
-use sillpin_platform::call::{CallCount, CallCounts};
+use sillpin_platform::call::{CallCounts, Tally};
 use sillpin_telemetry::metrics::TIME_BOUNDS;
 use std::time::Duration;
 
@@ -12,6 +12,8 @@
     requests: Counter<u64>,
     sendings: Counter<u64>,
     parts: Counter<u64>,
+    copies: Counter<u64>,
+    copied_bytes: Counter<u64>,
     first: Histogram<f64>,
     whole: Histogram<f64>,
 }
@@ -19,25 +21,7 @@
 impl BoxMetrics {
     /// Makes the instruments.
     pub fn new(meter: &Meter, calls: CallCounts) -> Self {
-        let told = move |observer: &dyn AsyncInstrument<u64>| {
-            for CallCount {
-                step,
-                outcome,
-                calls,
-            } in calls.all()
-            {
-                let labels = [
-                    KeyValue::new("step", step),
-                    KeyValue::new("outcome", outcome),
-                ];
-                observer.observe(calls, &labels);
-            }
-        };
-        meter
-            .u64_observable_counter("sillpin_store_calls")
-            .with_description("Calls of the platform's store by step and outcome")
-            .with_callback(told)
-            .build();
+        observe_calls(meter, calls);
         let counter = |name: &'static str, text: &'static str| {
             meter.u64_counter(name).with_description(text).build()
         };
@@ -52,12 +36,24 @@
         Self {
             requests: counter("sillpin_requests", "Requests of callers by outcome"),
             sendings: counter("sillpin_sendings", "Sendings to targets by outcome"),
+            copies: counter("sillpin_copies", "Copies asked of boxes by outcome"),
+            copied_bytes: counter("sillpin_copied_bytes", "Bytes of copies by outcome"),
             parts: counter("sillpin_prompt_tokens", "Shared prompt tokens by source"),
             first: histogram("sillpin_first_seconds", "Time to the answer's head"),
             whole: histogram("sillpin_whole_seconds", "Time to the answer's end"),
         }
     }
 
+    /// A transfer from another box ended so after so many bytes.
+    pub fn copied(&self, what: &'static str, outcome: &'static str, bytes: u64) {
+        let labels = [
+            KeyValue::new("what", what),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.copies.add(1, &labels);
+        self.copied_bytes.add(bytes, &labels);
+    }
+
     /// A request of `route` ended so.
     pub fn request(&self, route: &str, outcome: &'static str) {
         let labels = [
@@ -87,3 +83,29 @@
         self.whole.record(elapsed.as_secs_f64(), &[]);
     }
 }
+
+/// Counters of calls of the platform's store, and of what they brought.
+fn observe_calls(meter: &Meter, calls: CallCounts) {
+    let observe = |of: fn(Tally) -> u64| {
+        let calls = calls.clone();
+        move |observer: &dyn AsyncInstrument<u64>| {
+            for count in calls.all() {
+                let labels = [
+                    KeyValue::new("step", count.step),
+                    KeyValue::new("outcome", count.outcome),
+                ];
+                observer.observe(of(count.tally), &labels);
+            }
+        }
+    };
+    meter
+        .u64_observable_counter("sillpin_store_calls")
+        .with_description("Calls of the platform's store by step and outcome")
+        .with_callback(observe(|tally| tally.calls))
+        .build();
+    meter
+        .u64_observable_counter("sillpin_store_bytes")
+        .with_description("Bytes of the platform's store's answers by step and outcome")
+        .with_callback(observe(|tally| tally.bytes))
+        .build();
+}
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -22,7 +22,7 @@
 use sillpin_http::server::{BindError, HeadLimits, listen};
 use sillpin_http::{Body, Server};
 use sillpin_platform::Platform;
-use sillpin_platform::call::{CallCount, CallCounts};
+use sillpin_platform::call::{CallCount, CallCounts, Tally};
 use sillpin_telemetry::metrics::Metrics;
 use sillpin_telemetry::{Telemetry, event, events};
 use slog::Logger;
@@ -292,6 +292,7 @@
         news,
         words,
         stopping: stopping.clone(),
+        metrics: shared.metrics.clone(),
         log: log.clone(),
     };
     tokio::spawn(gossip.run(socket));
@@ -350,7 +351,10 @@
     every.tick().await;
     loop {
         every.tick().await;
-        let of = |count: &CallCount| format!("{} {}: {}", count.step, count.outcome, count.calls);
+        let of = |count: &CallCount| {
+            let Tally { calls, bytes } = count.tally;
+            format!("{} {}: {calls} ({bytes} bytes)", count.step, count.outcome)
+        };
         let calls: Vec<String> = counts.all().iter().map(of).collect();
         event!(log, events::STORE_CALLS, "calls" => calls.join(", "));
     }
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -1,6 +1,7 @@
 //! Datagrams between boxes, and who gets them.
 
 use super::ear::Ear;
+use super::link::Asker;
 use super::roles::{self, SMALL_FLEET};
 use super::stall::StallGuard;
 use crate::beliefs::{BoxEntry, FleetHandle, Known, View};
@@ -9,6 +10,7 @@
 use crate::kept::Kept;
 use crate::kept::directory::Position;
 use crate::kept::retire::Retired;
+use crate::metrics::BoxMetrics;
 use crate::place::Loads;
 use crate::place::work::{EngineWork, TargetHash};
 use crate::reload::Settings;
@@ -166,6 +168,8 @@
     pub words: mpsc::Receiver<KeptWord>,
     /// Cancelled when the box is about to end.
     pub stopping: CancellationToken,
+    /// Counts copies.
+    pub metrics: BoxMetrics,
     /// Log.
     pub log: Logger,
 }
@@ -179,6 +183,11 @@
             loads: self.loads.clone(),
             kept: self.kept.clone(),
             asking: Arc::default(),
+            asker: Asker {
+                metrics: self.metrics.clone(),
+                log: self.log.clone(),
+            },
+            lag: Arc::default(),
             stall: StallGuard::start(),
             log: self.log.clone(),
         };
--- a/crates/sillpin-gateway/src/peers/ear.rs
+++ b/crates/sillpin-gateway/src/peers/ear.rs
@@ -1,7 +1,8 @@
 //! What is made of other boxes' datagrams.
 
 use super::digest::{Datagram, Digest, Extent, KeptExtent, KeptWord, LoadNews};
-use super::link;
+use super::lag::Lag;
+use super::link::Asker;
 use super::stall::StallGuard;
 use crate::beliefs::{BoxEntry, FleetHandle, FleetMsg, Known, Topic};
 use crate::control::KeptNews;
@@ -12,7 +13,7 @@
 use slog::Logger;
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
@@ -49,6 +50,10 @@
     pub kept: Kept,
     /// Calls under way.
     pub asking: Asking,
+    /// Asks the boxes that know more.
+    pub asker: Asker,
+    /// Since when others know more.
+    pub lag: Arc<Mutex<Lag>>,
     /// Notices datagrams that waited in a stall.
     pub stall: StallGuard,
     /// Log.
@@ -150,6 +155,7 @@
         };
         let mine = self.fleet.view().known(topic);
         if mine.content == theirs.content && mine.confirmed.is_some() {
+            self.lag().caught_up(topic);
             if mine.confirmed < Some(asked) {
                 let msg = FleetMsg::Confirmed {
                     topic,
@@ -161,15 +167,33 @@
             }
             return;
         }
-        if is_newer(mine, theirs) && self.begin(Asked::Topic(topic)) {
+        if !is_newer(mine, theirs) {
+            return;
+        }
+        self.fell_behind(topic, mine, theirs, from);
+        if self.begin(Asked::Topic(topic)) {
             let (ear, from) = (self.clone(), from.clone());
             tokio::spawn(async move {
-                link::ask_copy(&from, topic, &ear.fleet, &ear.log).await;
+                ear.asker.ask_copy(&from, topic, &ear.fleet).await;
                 ear.end(Asked::Topic(topic));
             });
         }
     }
 
+    /// Notes that another box knows more, and says so if that has lasted.
+    fn fell_behind(&self, topic: Topic, mine: Known, theirs: Extent, from: &BoxEntry) {
+        let Some(lasted) = self.lag().behind(topic, Instant::now()) else {
+            return;
+        };
+        event!(self.log, events::BEHIND,
+            "what" => topic.name(), "for_ms" => lasted.as_millis(), "peer" => from.id.as_str(),
+            "revision" => mine.revision.0, "theirs" => theirs.revision.0);
+    }
+
+    fn lag(&self) -> MutexGuard<'_, Lag> {
+        self.lag.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     /// Another box knows a store so far.
     fn take_store(&self, theirs: KeptExtent, from: &BoxEntry) {
         let addr = theirs.addr;
@@ -186,7 +210,7 @@
         }
         let (ear, from) = (self.clone(), from.clone());
         tokio::spawn(async move {
-            link::ask_kept(&from, addr, &ear.kept, &ear.log).await;
+            ear.asker.ask_kept(&from, addr, &ear.kept).await;
             ear.end(Asked::Store(addr));
         });
     }
--- a/crates/sillpin-gateway/src/peers/mod.rs
+++ b/crates/sillpin-gateway/src/peers/mod.rs
@@ -7,12 +7,14 @@
 //! - [`roles`]: which box reads what for its zone,
 //! - [`digest`]: the datagrams,
 //! - [`ear`]: what is made of them,
+//! - [`lag`]: how long others have known more,
 //! - [`stall`]: datagrams that waited in a stall,
 //! - [`link`]: calls between boxes,
 //! - [`registry`]: boxes registered in the store.
 
 pub mod digest;
 pub mod ear;
+pub mod lag;
 pub mod link;
 pub mod registry;
 pub mod roles;
--- /dev/null
+++ b/crates/sillpin-gateway/tests/lag.rs
@@ -0,0 +1,32 @@
+//! How long other boxes have known more than this one.
+
+use sillpin_gateway::beliefs::Topic;
+use sillpin_gateway::peers::lag::Lag;
+use std::time::Duration;
+use tokio::time::{Instant, advance};
+
+const STEP: Duration = Duration::from_millis(400);
+
+#[tokio::test(start_paused = true)]
+async fn a_box_that_stays_behind_says_so_each_second() {
+    let mut lag = Lag::default();
+    let mut told = Vec::new();
+    for _ in 0..7 {
+        told.push(lag.behind(Topic::Operators, Instant::now()));
+        advance(STEP).await;
+    }
+    let said: Vec<u128> = told.iter().flatten().map(Duration::as_millis).collect();
+    assert_eq!(said, [1_200, 2_400]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_box_that_has_caught_up_starts_anew() {
+    let mut lag = Lag::default();
+    assert_eq!(lag.behind(Topic::Operators, Instant::now()), None);
+    lag.caught_up(Topic::Operators);
+    advance(STEP * 3).await;
+    assert_eq!(lag.behind(Topic::Operators, Instant::now()), None);
+    advance(STEP * 3).await;
+    let lasted = lag.behind(Topic::Operators, Instant::now());
+    assert_eq!(lasted, Some(STEP * 3));
+}
--- a/crates/sillpin-http/src/body.rs
+++ b/crates/sillpin-http/src/body.rs
@@ -7,6 +7,7 @@
 use serde::de::DeserializeOwned;
 use std::io;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use tokio::sync::mpsc;
 
@@ -136,6 +137,21 @@
     }
 }
 
+/// Like [`read_limited`], and adds each frame's length to `arrived`, so that whoever gives up on the body knows how much
+/// of it had come.
+pub async fn read_counted(
+    body: Incoming,
+    limit: usize,
+    arrived: &AtomicU64,
+) -> Result<Bytes, ReadError> {
+    let counted = body.map_frame(|frame| {
+        let len = frame.data_ref().map_or(0, Bytes::len);
+        arrived.fetch_add(len as u64, Ordering::Relaxed);
+        frame
+    });
+    read_limited(counted, limit).await
+}
+
 /// Reads a whole body of at most `limit` bytes as a JSON document.
 pub async fn read_json<T, B>(body: B, limit: usize) -> Result<T, ReadError>
 where
--- a/crates/sillpin-http/src/client.rs
+++ b/crates/sillpin-http/src/client.rs
@@ -27,7 +27,7 @@
 const MAX_IDLE_PER_PEER: usize = 64;
 
 /// Longest JSON answer read.
-const MAX_JSON_LEN: usize = 4 << 20;
+pub const MAX_JSON_LEN: usize = 4 << 20;
 
 /// Whether the peer can have received any of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
--- a/crates/sillpin-platform/src/call.rs
+++ b/crates/sillpin-platform/src/call.rs
@@ -4,20 +4,34 @@
 use hyper::{Method, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use sillpin_http::client::{Call, CallFault};
+use sillpin_http::body::{ReadError, read_counted};
+use sillpin_http::client::{Call, CallFault, MAX_JSON_LEN};
 use sillpin_http::{CallError, Client, Sent};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Stands for no document.
 pub const NO_BODY: Option<&()> = None;
 
+/// Step and outcome of calls.
+type Kind = (&'static str, &'static str);
+
 /// Calls of a service so far, by step and outcome; clones share them.
 #[derive(Debug, Clone, Default)]
 pub struct CallCounts {
-    counts: Arc<Mutex<BTreeMap<(&'static str, &'static str), u64>>>,
+    counts: Arc<Mutex<BTreeMap<Kind, Tally>>>,
+}
+
+/// Calls that ended alike.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// How many.
+    pub calls: u64,
+    /// Bytes of their answers that arrived, those of answers that were given up midway included.
+    pub bytes: u64,
 }
 
 /// Calls of one step that ended alike.
@@ -27,23 +41,25 @@
     pub step: &'static str,
     /// How the calls ended.
     pub outcome: &'static str,
-    /// How many.
-    pub calls: u64,
+    /// How many, and how much they brought.
+    pub tally: Tally,
 }
 
 impl CallCounts {
-    fn count(&self, step: &'static str, outcome: &'static str) {
+    fn count(&self, step: &'static str, outcome: &'static str, bytes: u64) {
         let mut counts = self.counts.lock().unwrap_or_else(|e| e.into_inner());
-        *counts.entry((step, outcome)).or_insert(0) += 1;
+        let tally = counts.entry((step, outcome)).or_default();
+        tally.calls += 1;
+        tally.bytes += bytes;
     }
 
     /// All counts, in the order of steps.
     pub fn all(&self) -> Vec<CallCount> {
         let counts = self.counts.lock().unwrap_or_else(|e| e.into_inner());
-        let count = |(&(step, outcome), &calls)| CallCount {
+        let count = |(&(step, outcome), &tally)| CallCount {
             step,
             outcome,
-            calls,
+            tally,
         };
         counts.iter().map(count).collect()
     }
@@ -94,7 +110,8 @@
             timeout,
         };
         // The whole answer counts, not its head alone: a body may be held up as well.
-        let reply = tokio::time::timeout(timeout, self.client.call_json(call, doc)).await;
+        let arrived = AtomicU64::new(0);
+        let reply = tokio::time::timeout(timeout, self.answer(call, doc, &arrived)).await;
         let reply = match reply {
             Ok(reply) => reply.map_err(|e| self.fault(step, self.meaning(&e))),
             Err(_) => Err(self.fault(step, PlatformFault::AnswerLost)),
@@ -102,10 +119,29 @@
         let outcome = reply
             .as_ref()
             .map_or_else(|e| e.fault.name(), |_| "answered");
-        self.counts.count(step, outcome);
+        let arrived = arrived.into_inner();
+        self.counts.count(step, outcome, arrived);
         reply
     }
 
+    async fn answer<T: Serialize, R: DeserializeOwned>(
+        &self,
+        call: Call<'_>,
+        doc: Option<&T>,
+        arrived: &AtomicU64,
+    ) -> Result<R, CallError> {
+        let (step, peer) = (call.step, call.peer);
+        let resp = self.client.call(call, doc).await?;
+        let read = read_counted(resp.into_body(), MAX_JSON_LEN, arrived).await;
+        let parsed = read.and_then(|text| serde_json::from_slice(&text).map_err(ReadError::Json));
+        parsed.map_err(|e| CallError {
+            step,
+            peer,
+            sent: Sent::Maybe,
+            fault: CallFault::Answer(e),
+        })
+    }
+
     fn meaning(&self, e: &CallError) -> PlatformFault {
         match (&e.fault, e.sent) {
             (CallFault::Status { status, .. }, _) => (self.classify)(*status),
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -135,6 +135,10 @@
     GOSSIP_FAILED = 323, Warning, "news between boxes failed", "Check the boxes' UDP port.";
     /// Another box did not answer.
     PEER_FAILED = 324, Info, "box did not answer", "Look at that box if it recurs.";
+    /// Another box has known newer things for seconds.
+    BEHIND = 327, Warning, "newer knowledge elsewhere", "Compare E324 and E326 of this box: bytes that arrive and are given up mean a thin link.";
+    /// What another box knows was taken over.
+    COPIED = 328, Debug, "copied from a box", "Nothing to do.";
     /// A store of kept KV cache does not answer.
     KEPT_STORE_LOST = 330, Warning, "store of kept KV cache lost", "Look at that store; prompts are read anew meanwhile.";
     /// A store of kept KV cache answers again.
