--- a/crates/sillpin-gateway/src/peers/ear.rs
+++ b/crates/sillpin-gateway/src/peers/ear.rs
@@ -13,7 +13,7 @@
 use slog::Logger;
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
@@ -155,7 +155,6 @@
         };
         let mine = self.fleet.view().known(topic);
         if mine.content == theirs.content && mine.confirmed.is_some() {
-            self.lag().caught_up(topic);
             if mine.confirmed < Some(asked) {
                 let msg = FleetMsg::Confirmed {
                     topic,
@@ -182,7 +181,8 @@
 
     /// Notes that another box knows more, and says so if that has lasted.
     fn fell_behind(&self, topic: Topic, mine: Known, theirs: Extent, from: &BoxEntry) {
-        let Some(lasted) = self.lag().behind(topic, Instant::now()) else {
+        let mut lag = self.lag.lock().unwrap_or_else(|e| e.into_inner());
+        let Some(lasted) = lag.behind(topic, mine.content, Instant::now()) else {
             return;
         };
         event!(self.log, events::BEHIND,
@@ -190,10 +190,6 @@
             "revision" => mine.revision.0, "theirs" => theirs.revision.0);
     }
 
-    fn lag(&self) -> MutexGuard<'_, Lag> {
-        self.lag.lock().unwrap_or_else(|e| e.into_inner())
-    }
-
     /// Another box knows a store so far.
     fn take_store(&self, theirs: KeptExtent, from: &BoxEntry) {
         let addr = theirs.addr;
--- a/crates/sillpin-gateway/src/peers/lag.rs
+++ b/crates/sillpin-gateway/src/peers/lag.rs
@@ -11,6 +11,8 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Since {
+    /// What this box knew then.
+    content: u64,
     began: Instant,
     told: Instant,
 }
@@ -22,21 +24,22 @@
 }
 
 impl Lag {
-    /// Another box knows more. For how long that has been so, if it is time to say so.
-    pub fn behind(&mut self, topic: Topic, now: Instant) -> Option<Duration> {
-        let since = self.since.entry(topic).or_insert(Since {
+    /// Another box knows more than this one, whose knowledge has this hash. For how long that has been so, if it is time
+    /// to say so. It ends when the box learns something; boxes that know as little end nothing.
+    pub fn behind(&mut self, topic: Topic, content: u64, now: Instant) -> Option<Duration> {
+        let fresh = Since {
+            content,
             began: now,
             told: now,
-        });
+        };
+        let since = self.since.entry(topic).or_insert(fresh);
+        if since.content != content {
+            *since = fresh;
+        }
         if now - since.told < TELL_AFTER {
             return None;
         }
         since.told = now;
         Some(now - since.began)
     }
-
-    /// Another box knows the same.
-    pub fn caught_up(&mut self, topic: Topic) {
-        self.since.remove(&topic);
-    }
 }
--- a/crates/sillpin-gateway/tests/lag.rs
+++ b/crates/sillpin-gateway/tests/lag.rs
@@ -12,7 +12,7 @@
     let mut lag = Lag::default();
     let mut told = Vec::new();
     for _ in 0..7 {
-        told.push(lag.behind(Topic::Operators, Instant::now()));
+        told.push(lag.behind(Topic::Operators, 1, Instant::now()));
         advance(STEP).await;
     }
     let said: Vec<u128> = told.iter().flatten().map(Duration::as_millis).collect();
@@ -20,13 +20,12 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_box_that_has_caught_up_starts_anew() {
+async fn a_box_that_has_learned_something_starts_anew() {
     let mut lag = Lag::default();
-    assert_eq!(lag.behind(Topic::Operators, Instant::now()), None);
-    lag.caught_up(Topic::Operators);
+    assert_eq!(lag.behind(Topic::Operators, 1, Instant::now()), None);
     advance(STEP * 3).await;
-    assert_eq!(lag.behind(Topic::Operators, Instant::now()), None);
+    assert_eq!(lag.behind(Topic::Operators, 2, Instant::now()), None);
     advance(STEP * 3).await;
-    let lasted = lag.behind(Topic::Operators, Instant::now());
+    let lasted = lag.behind(Topic::Operators, 2, Instant::now());
     assert_eq!(lasted, Some(STEP * 3));
 }
