--- a/crates/sillpin-standin/src/fault.rs
+++ b/crates/sillpin-standin/src/fault.rs
@@ -5,13 +5,15 @@
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use sillpin_http::body::read_json;
-use std::net::SocketAddr;
-use std::sync::Arc;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Bytes forwarded at once.
 const CHUNK_LEN: usize = 16 << 10;
@@ -36,11 +38,42 @@
     pub cut_request_at: Option<u64>,
 }
 
+/// A link of bounded rate that answers share, also those of several proxies: a box's own link, over which everything that
+/// it receives comes. Clones are the same link.
+#[derive(Debug, Clone)]
+pub struct Link {
+    /// Bytes a second.
+    rate: f64,
+    free_at: Arc<Mutex<Instant>>,
+}
+
+impl Link {
+    /// A link that carries `rate` bytes a second.
+    pub fn new(rate: u32) -> Self {
+        Self {
+            rate: f64::from(rate),
+            free_at: Arc::new(Mutex::new(Instant::now())),
+        }
+    }
+
+    /// Waits until the link has carried `len` bytes, behind all that it was given before.
+    async fn carry(&self, len: usize) {
+        let time = Duration::from_secs_f64(len as f64 / self.rate);
+        let carried = {
+            let mut free_at = self.free_at.lock().unwrap_or_else(|e| e.into_inner());
+            *free_at = (*free_at).max(Instant::now()) + time;
+            *free_at
+        };
+        tokio::time::sleep_until(carried).await;
+    }
+}
+
 /// The proxy; clones share it.
 #[derive(Clone)]
 pub struct FaultProxy {
     target: SocketAddr,
     faults: Arc<watch::Sender<Faults>>,
+    link: Option<Link>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -55,9 +88,26 @@
         Self {
             target,
             faults: Arc::new(watch::Sender::new(Faults::default())),
+            link: None,
+        }
+    }
+
+    /// A proxy before `target` whose answers go over `link`.
+    pub fn over(target: SocketAddr, link: Link) -> Self {
+        Self {
+            link: Some(link),
+            ..Self::new(target)
         }
     }
 
+    /// Listens on a port of the kernel's and forwards from there.
+    pub async fn start(&self) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let addr = listener.local_addr()?;
+        tokio::spawn(self.clone().run(listener));
+        Ok(addr)
+    }
+
     /// Sets the faults, also for open connections.
     pub fn set(&self, faults: Faults) {
         self.faults.send_replace(faults);
@@ -108,6 +158,13 @@
         while let Ok(len @ 1..) = rx.read(&mut buf).await {
             let faults = self.faults.borrow().clone();
             tokio::time::sleep(faults.time_for(len)).await;
+            if let Some(link) = self
+                .link
+                .as_ref()
+                .filter(|_| direction == Direction::Answer)
+            {
+                link.carry(len).await;
+            }
             if faults.loses(direction) {
                 continue;
             }
