Let every box watch what operators publish, and take one transfer of it at a time

Cause: one box of a zone read what operators publish and passed it on; in the grown fleets nine boxes of ten have links of 10 Mbit/s, so a reader first took it in itself, and then could not pass 0.85 MB to twenty boxes within three seconds. A box that lost patience read the store while a copy was arriving, and both shared its link. Change: each box holds a watch of its own at the store, whose link carries a change to all of them at once; the reader of a zone still says how fresh everybody's knowledge is. Whatever is arriving is not begun again from elsewhere; other boxes are asked only if the store fails this box or has told it nothing for a second, after it was called anew (its connection may have gone silent). What operators publish is listed again only if the store has forgotten its history, not after each failed call.

--- a/crates/sillpin-gateway/src/beliefs/mod.rs
+++ b/crates/sillpin-gateway/src/beliefs/mod.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod mirror;
 pub mod reader;
+pub mod transfers;
 
 use self::mirror::Mirror;
 use crate::config::FleetConfig;
--- a/crates/sillpin-gateway/src/beliefs/reader.rs
+++ b/crates/sillpin-gateway/src/beliefs/reader.rs
@@ -1,5 +1,10 @@
 //! Tasks that read the platform's store for the fleet task.
+//!
+//! One box of a zone reads every prefix every half second, and the others learn from it how far the store has got.
+//! What operators publish is watched by every box besides: it may be large, and the store's link carries it to all boxes at
+//! once, where a box with a thin link would pass it on to a zone in seconds.
 
+use super::transfers::Transfers;
 use super::{BoxEntry, FleetHandle, FleetMsg, Reading, Source, Topic};
 use crate::peers::roles;
 use rand::RngExt;
@@ -13,6 +18,14 @@
 /// with knowledge older than 1.5 s; each wait costs a call.
 const WATCH_WAIT: Duration = Duration::from_millis(500);
 
+/// How long a box that does not read for its zone waits for a change: the longest that the store allows, less a margin, since each
+/// call costs.
+const HOLD_WAIT: Duration = Duration::from_secs(25);
+
+/// First and longest wait of such a box after a failure: other boxes tell it of changes meanwhile.
+const MIN_HOLD_BACKOFF: Duration = Duration::from_millis(1_000);
+const MAX_HOLD_BACKOFF: Duration = Duration::from_millis(4_000);
+
 /// Least time between two calls for what operators publish.
 const OPERATORS_PAUSE: Duration = Duration::from_millis(250);
 
@@ -40,22 +53,41 @@
     pub me: BoxEntry,
     /// Who is told.
     pub fleet: FleetHandle,
+    /// What is on its way to this box.
+    pub transfers: Transfers,
     /// Log.
     pub log: Logger,
 }
 
+/// How a box calls the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Turn {
+    /// For its zone, often.
+    Reads,
+    /// For itself, waiting for a change.
+    Holds,
+    /// Not at all.
+    Rests,
+}
+
 impl<P: Platform> Reader<P> {
     /// Reads until the process ends.
     pub async fn run(self) {
         let mut whole = true;
         let mut failures: u32 = 0;
         loop {
-            if !self.is_my_turn() {
+            let turn = self.turn();
+            if turn == Turn::Rests || self.transfers.is_under_way(self.topic) {
                 tokio::time::sleep(TURN_CHECK).await;
                 continue;
             }
             let asked = Instant::now();
-            match self.read(whole).await {
+            let read = tokio::select! {
+                read = self.read(whole, turn) => read,
+                () = self.hold_ends(turn) => continue,
+            };
+            self.transfers.set_watched(self.topic, read.is_ok());
+            match read {
                 Ok(reading) => {
                     if failures > 0 {
                         event!(self.log, events::STORE_BACK,
@@ -74,14 +106,22 @@
                     tokio::time::sleep_until(asked + self.pause()).await;
                 }
                 Err(e) => {
-                    whole = true;
+                    whole = self.must_list(&e);
                     failures += 1;
-                    self.failed(&e, failures).await;
+                    self.failed(&e, failures, turn).await;
                 }
             }
         }
     }
 
+    fn turn(&self) -> Turn {
+        match (self.is_my_turn(), self.topic) {
+            (true, _) => Turn::Reads,
+            (false, Topic::Operators) => Turn::Holds,
+            (false, Topic::Targets) => Turn::Rests,
+        }
+    }
+
     /// Whether this box reads for its zone, or knows too little to wait for whoever does.
     fn is_my_turn(&self) -> bool {
         let view = self.fleet.view();
@@ -89,6 +129,23 @@
         roles::should_read(&view, &self.me, self.prefix, confirmed, Instant::now())
     }
 
+    /// Resolves when a box that waits for a change has to read for its zone, or others know of a change; not while a
+    /// change is arriving.
+    async fn hold_ends(&self, turn: Turn) {
+        if turn != Turn::Holds {
+            return std::future::pending().await;
+        }
+        loop {
+            let is_over = tokio::select! {
+                () = tokio::time::sleep(TURN_CHECK) => self.is_my_turn(),
+                () = self.transfers.doubted(self.topic) => true,
+            };
+            if is_over && !self.transfers.is_under_way(self.topic) {
+                return;
+            }
+        }
+    }
+
     fn pause(&self) -> Duration {
         match self.topic {
             Topic::Operators => OPERATORS_PAUSE,
@@ -96,34 +153,56 @@
         }
     }
 
-    async fn read(&self, whole: bool) -> Result<Reading, PlatformError> {
+    async fn read(&self, whole: bool, turn: Turn) -> Result<Reading, PlatformError> {
         let known = self.fleet.view().known(self.topic).revision;
         if whole || known == KvRevision::ABSENT {
-            return self
-                .platform
-                .snapshot(self.prefix)
-                .await
-                .map(Reading::Whole);
+            let _arriving = self.transfers.begin(self.topic);
+            let listed = self.platform.snapshot(self.prefix).await;
+            return listed.map(Reading::Whole);
         }
-        let changes = self.platform.watch(self.prefix, known, WATCH_WAIT).await;
+        let wait = match turn {
+            Turn::Holds => HOLD_WAIT,
+            Turn::Reads | Turn::Rests => WATCH_WAIT,
+        };
+        let mut under_way = None;
+        let arriving = || under_way = Some(self.transfers.begin(self.topic));
+        let changes = self
+            .platform
+            .watch_arriving(self.prefix, known, wait, arriving)
+            .await;
         changes.map(Reading::Changes)
     }
 
-    async fn failed(&self, e: &PlatformError, failures: u32) {
+    /// Whether a failure calls for a listing. A watch from what is known misses nothing, unless the store has forgotten it;
+    /// what operators publish is too long to be listed for less. Targets' entries may lapse in an outage, and are few.
+    fn must_list(&self, e: &PlatformError) -> bool {
+        self.topic == Topic::Targets || e.fault == PlatformFault::HistoryLost
+    }
+
+    async fn failed(&self, e: &PlatformError, failures: u32, turn: Turn) {
         if failures == 1 {
             event!(self.log, events::STORE_LOST, "prefix" => self.prefix, "why" => e.to_string());
         }
         if e.fault == PlatformFault::HistoryLost {
             return;
         }
+        if turn == Turn::Holds {
+            // The boxes that read find out whether the store is away, or turns only this box away.
+            let rest = backoff(failures, MIN_HOLD_BACKOFF, MAX_HOLD_BACKOFF);
+            tokio::select! {
+                () = tokio::time::sleep(rest) => {}
+                () = self.hold_ends(turn) => {}
+            }
+            return;
+        }
         self.fleet.tell(FleetMsg::StoreAway).await;
-        tokio::time::sleep(backoff(failures)).await;
+        tokio::time::sleep(backoff(failures, MIN_BACKOFF, MAX_BACKOFF)).await;
     }
 }
 
 /// The wait after so many failures in a row, with jitter, so that a returning store meets no herd.
-fn backoff(failures: u32) -> Duration {
-    let doubled = MIN_BACKOFF * 2u32.pow(failures.min(4));
-    let most = doubled.min(MAX_BACKOFF);
+fn backoff(failures: u32, least: Duration, longest: Duration) -> Duration {
+    let doubled = least * 2u32.pow(failures.min(4));
+    let most = doubled.min(longest);
     most.mul_f64(rand::rng().random_range(0.5..1.0))
 }
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -2,6 +2,7 @@
 
 use crate::beliefs::fleet::Fleet;
 use crate::beliefs::reader::Reader;
+use crate::beliefs::transfers::Transfers;
 use crate::beliefs::{self, BoxEntry, FleetHandle, Topic};
 use crate::config::CallerLimits;
 use crate::control::{Control, Published};
@@ -146,7 +147,8 @@
         peers: listeners.at.peers,
         gossip: listeners.at.gossip,
     };
-    start_readers(&adapter, &me, &fleet, &log);
+    let transfers = Transfers::default();
+    start_readers(&adapter, &me, &fleet, &transfers, &log);
     let kept = Kept::default();
     let (words_tx, words) = mpsc::channel(NEWS_QUEUE);
     tokio::spawn(kept::reader::run(Readers {
@@ -170,6 +172,7 @@
         listener: listeners.peers,
         socket: listeners.gossip,
         words,
+        transfers,
         me,
     };
     start_peers(peers, settings, &adapter, &shared);
@@ -219,6 +222,7 @@
     adapter: &Adapter<D, K, P, C>,
     me: &BoxEntry,
     fleet: &FleetHandle,
+    transfers: &Transfers,
     log: &Logger,
 ) where
     K: Published,
@@ -235,6 +239,7 @@
             prefix,
             me: me.clone(),
             fleet: fleet.clone(),
+            transfers: transfers.clone(),
             log: log.clone(),
         };
         tokio::spawn(reader.run());
@@ -246,6 +251,7 @@
     listener: TcpListener,
     socket: UdpSocket,
     words: mpsc::Receiver<KeptWord>,
+    transfers: Transfers,
     me: BoxEntry,
 }
 
@@ -263,6 +269,7 @@
         listener,
         socket,
         words,
+        transfers,
         me,
     } = peers;
     let (id, candidate) = (me.id.clone(), me.clone());
@@ -291,6 +298,7 @@
         kept: shared.kept.clone(),
         news,
         words,
+        transfers,
         stopping: stopping.clone(),
         metrics: shared.metrics.clone(),
         log: log.clone(),
--- a/crates/sillpin-gateway/src/peers/asker.rs
+++ b/crates/sillpin-gateway/src/peers/asker.rs
@@ -2,6 +2,7 @@
 
 use super::handout::{Handout, TransferId};
 use super::link::{BoxLinkClient, Copy, KeptCopy};
+use crate::beliefs::transfers::Transfers;
 use crate::beliefs::{BoxEntry, FleetHandle, FleetMsg, Reading, Source, Topic};
 use crate::control::KeptList;
 use crate::kept::Kept;
@@ -33,6 +34,8 @@
 /// Asks other boxes for what they know.
 #[derive(Clone)]
 pub struct Asker {
+    /// What is on its way to this box.
+    pub transfers: Transfers,
     /// Counts copies.
     pub metrics: BoxMetrics,
     /// Log.
@@ -64,6 +67,8 @@
     asker: &'a Asker,
     from: &'a BoxEntry,
     what: &'static str,
+    /// The prefix, if it is one.
+    topic: Option<Topic>,
     began: Instant,
     arrived: u64,
 }
@@ -77,7 +82,7 @@
         after: KvRevision,
         fleet: &FleetHandle,
     ) {
-        let mut copying = self.begin(from, topic.name());
+        let mut copying = self.begin(from, topic.name(), Some(topic));
         let call = |client: BoxLinkClient| async move { client.copy(within(), topic, after).await };
         let copy: Option<(Copy, Instant)> = copying.take(call, |copy: &Copy| copy.age_ms).await;
         let Some((copy, asked)) = copy else {
@@ -94,7 +99,7 @@
 
     /// Asks a box for what it knows of a store and takes it over.
     pub async fn ask_kept(&self, from: &BoxEntry, store: SocketAddr, kept: &Kept) {
-        let mut copying = self.begin(from, "kept parts");
+        let mut copying = self.begin(from, "kept parts", None);
         let call = |client: BoxLinkClient| async move { client.kept(within(), store).await };
         let copy = copying.take(call, |copy: &KeptCopy| copy.age_ms).await;
         let Some((copy, asked)) = copy else {
@@ -109,11 +114,17 @@
         kept.lock().take_list(store, list, asked);
     }
 
-    fn begin<'a>(&'a self, from: &'a BoxEntry, what: &'static str) -> Copying<'a> {
+    fn begin<'a>(
+        &'a self,
+        from: &'a BoxEntry,
+        what: &'static str,
+        topic: Option<Topic>,
+    ) -> Copying<'a> {
         Copying {
             asker: self,
             from,
             what,
+            topic,
             began: Instant::now(),
             arrived: 0,
         }
@@ -191,6 +202,7 @@
         if len > MAX_DOCUMENT {
             return Err(CopyFault::TooLong(len));
         }
+        let _under_way = self.topic.map(|topic| self.asker.transfers.begin(topic));
         self.arrived = document.len() as u64;
         while self.arrived < len {
             let piece = in_time(client.more(within(), transfer, self.arrived)).await?;
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -4,6 +4,7 @@
 use super::ear::Ear;
 use super::roles::{self, SMALL_FLEET};
 use super::stall::StallGuard;
+use crate::beliefs::transfers::Transfers;
 use crate::beliefs::{BoxEntry, FleetHandle, Known, View};
 use crate::control::KeptChange;
 use crate::dialect::EngineTime;
@@ -166,6 +167,8 @@
     pub news: mpsc::Receiver<LoadNews>,
     /// News of the stores that this box reads, for its zone.
     pub words: mpsc::Receiver<KeptWord>,
+    /// What is on its way to this box.
+    pub transfers: Transfers,
     /// Cancelled when the box is about to end.
     pub stopping: CancellationToken,
     /// Counts copies.
@@ -184,10 +187,12 @@
             kept: self.kept.clone(),
             asking: Arc::default(),
             asker: Asker {
+                transfers: self.transfers.clone(),
                 metrics: self.metrics.clone(),
                 log: self.log.clone(),
             },
             lag: Arc::default(),
+            transfers: self.transfers.clone(),
             stall: StallGuard::start(),
             log: self.log.clone(),
         };
--- a/crates/sillpin-gateway/src/peers/ear.rs
+++ b/crates/sillpin-gateway/src/peers/ear.rs
@@ -2,8 +2,9 @@
 
 use super::asker::Asker;
 use super::digest::{Datagram, Digest, Extent, KeptExtent, KeptWord, LoadNews};
-use super::lag::Lag;
+use super::lag::{Behind, Lag};
 use super::stall::StallGuard;
+use crate::beliefs::transfers::Transfers;
 use crate::beliefs::{BoxEntry, FleetHandle, FleetMsg, Known, Topic};
 use crate::control::KeptNews;
 use crate::kept::Kept;
@@ -27,6 +28,13 @@
 /// Taken off what a datagram tells of its age, for its way here.
 const WAY: Duration = Duration::from_millis(20);
 
+/// How long the store goes before other boxes where it is to tell this box of changes: its answer begins within milliseconds, on a slow
+/// day within 240 ms.
+const STORE_FIRST: Duration = Duration::from_millis(300);
+
+/// After this long without anything arriving from the store, called anew, other boxes are asked.
+const STORE_AGAIN: Duration = Duration::from_millis(1_000);
+
 /// Something that is being asked of another box, so that many digests cause one call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Asked {
@@ -54,6 +62,8 @@
     pub asker: Asker,
     /// Since when others know more.
     pub lag: Arc<Mutex<Lag>>,
+    /// What is on its way to this box.
+    pub transfers: Transfers,
     /// Notices datagrams that waited in a stall.
     pub stall: StallGuard,
     /// Log.
@@ -169,7 +179,10 @@
         if !is_newer(mine, theirs) {
             return;
         }
-        self.fell_behind(topic, mine, theirs, from);
+        let lasted = self.fell_behind(topic, mine, theirs, from);
+        if !self.should_copy(topic, lasted) {
+            return;
+        }
         if self.begin(Asked::Topic(topic)) {
             let (ear, from) = (self.clone(), from.clone());
             tokio::spawn(async move {
@@ -181,15 +194,31 @@
         }
     }
 
-    /// Notes that another box knows more, and says so if that has lasted.
-    fn fell_behind(&self, topic: Topic, mine: Known, theirs: Extent, from: &BoxEntry) {
+    /// Notes that another box knows more, and says so now and then. For how long that has been so.
+    fn fell_behind(&self, topic: Topic, mine: Known, theirs: Extent, from: &BoxEntry) -> Duration {
         let mut lag = self.lag.lock().unwrap_or_else(|e| e.into_inner());
-        let Some(lasted) = lag.behind(topic, mine.content, Instant::now()) else {
-            return;
-        };
-        event!(self.log, events::BEHIND,
-            "what" => topic.name(), "for_ms" => lasted.as_millis(), "peer" => from.id.as_str(),
-            "revision" => mine.revision.0, "theirs" => theirs.revision.0);
+        let Behind { lasted, is_due } = lag.behind(topic, mine.content, Instant::now());
+        if is_due {
+            event!(self.log, events::BEHIND,
+                "what" => topic.name(), "for_ms" => lasted.as_millis(), "peer" => from.id.as_str(),
+                "revision" => mine.revision.0, "theirs" => theirs.revision.0);
+        }
+        lasted
+    }
+
+    /// Whether to copy a prefix from a box that has known more for so long. What is arriving already comes sooner by itself. The
+    /// store goes first where it is to tell this box of changes, and is asked again before others are.
+    fn should_copy(&self, topic: Topic, lasted: Duration) -> bool {
+        if self.transfers.is_under_way(topic) {
+            return false;
+        }
+        if topic == Topic::Targets || !self.transfers.is_watched(topic) {
+            return true;
+        }
+        if lasted >= STORE_FIRST && lasted < STORE_AGAIN {
+            self.transfers.doubt(topic);
+        }
+        lasted >= STORE_AGAIN
     }
 
     /// Another box knows a store so far.
--- a/crates/sillpin-gateway/src/peers/lag.rs
+++ b/crates/sillpin-gateway/src/peers/lag.rs
@@ -9,6 +9,15 @@
 /// half a second on a good day, and has to be in force within two seconds.
 const TELL_AFTER: Duration = Duration::from_secs(1);
 
+/// How long others have been ahead.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Behind {
+    /// Since when.
+    pub lasted: Duration,
+    /// Whether it is time to say so.
+    pub is_due: bool,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Since {
     /// What this box knew then.
@@ -24,9 +33,9 @@
 }
 
 impl Lag {
-    /// Another box knows more than this one, whose knowledge has this hash. For how long that has been so, if it is time
-    /// to say so. It ends when the box learns something; boxes that know as little end nothing.
-    pub fn behind(&mut self, topic: Topic, content: u64, now: Instant) -> Option<Duration> {
+    /// Another box knows more than this one, whose knowledge has this hash. It ends when the box learns something; boxes that
+    /// know as little end nothing.
+    pub fn behind(&mut self, topic: Topic, content: u64, now: Instant) -> Behind {
         let fresh = Since {
             content,
             began: now,
@@ -36,10 +45,13 @@
         if since.content != content {
             *since = fresh;
         }
-        if now - since.told < TELL_AFTER {
-            return None;
+        let is_due = now - since.told >= TELL_AFTER;
+        if is_due {
+            since.told = now;
+        }
+        Behind {
+            lasted: now - since.began,
+            is_due,
         }
-        since.told = now;
-        Some(now - since.began)
     }
 }
--- a/crates/sillpin-gateway/tests/common/mod.rs
+++ b/crates/sillpin-gateway/tests/common/mod.rs
@@ -137,6 +137,12 @@
     away: bool,
     /// Changes up to this revision are forgotten.
     forgotten: u64,
+    /// Watches that begin now are never answered.
+    silent: bool,
+    /// How long a changed value takes to arrive.
+    transfer: Duration,
+    /// How long each watch so far was to wait.
+    waits: Vec<Duration>,
 }
 
 impl State {
@@ -187,6 +193,21 @@
         state.forgotten = state.revision;
     }
 
+    /// Leaves watches that begin from now on without an answer, or answers again.
+    pub fn set_silent(&self, silent: bool) {
+        self.lock().silent = silent;
+    }
+
+    /// Sets how long a changed value takes to arrive, as over a thin link.
+    pub fn set_transfer(&self, transfer: Duration) {
+        self.lock().transfer = transfer;
+    }
+
+    /// How long each watch so far was to wait.
+    pub fn waits(&self) -> Vec<Duration> {
+        self.lock().waits.clone()
+    }
+
     fn failed(fault: PlatformFault) -> PlatformError {
         PlatformError {
             step: "a call",
@@ -331,6 +352,26 @@
             let _ = tokio::time::timeout(piece, self.changed.notified()).await;
         }
     }
+
+    async fn watch_arriving(
+        &self,
+        prefix: &str,
+        after: KvRevision,
+        wait: Duration,
+        arriving: impl FnOnce() + Send,
+    ) -> Result<WatchReply, PlatformError> {
+        self.lock().waits.push(wait);
+        if self.lock().silent {
+            std::future::pending::<()>().await;
+        }
+        let reply = self.watch(prefix, after, wait).await?;
+        arriving();
+        let transfer = self.lock().transfer;
+        if !reply.changed.is_empty() {
+            tokio::time::sleep(transfer).await;
+        }
+        Ok(reply)
+    }
 }
 
 impl BoxLister for MemoryStore {
--- a/crates/sillpin-gateway/tests/lag.rs
+++ b/crates/sillpin-gateway/tests/lag.rs
@@ -15,17 +15,19 @@
         told.push(lag.behind(Topic::Operators, 1, Instant::now()));
         advance(STEP).await;
     }
-    let said: Vec<u128> = told.iter().flatten().map(Duration::as_millis).collect();
+    let due = told.iter().filter(|behind| behind.is_due);
+    let said: Vec<u128> = due.map(|behind| behind.lasted.as_millis()).collect();
     assert_eq!(said, [1_200, 2_400]);
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_box_that_has_learned_something_starts_anew() {
     let mut lag = Lag::default();
-    assert_eq!(lag.behind(Topic::Operators, 1, Instant::now()), None);
+    lag.behind(Topic::Operators, 1, Instant::now());
     advance(STEP * 3).await;
-    assert_eq!(lag.behind(Topic::Operators, 2, Instant::now()), None);
+    let anew = lag.behind(Topic::Operators, 2, Instant::now());
+    assert_eq!((anew.lasted, anew.is_due), (Duration::ZERO, false));
     advance(STEP * 3).await;
-    let lasted = lag.behind(Topic::Operators, 2, Instant::now());
-    assert_eq!(lasted, Some(STEP * 3));
+    let later = lag.behind(Topic::Operators, 2, Instant::now());
+    assert_eq!((later.lasted, later.is_due), (STEP * 3, true));
 }
--- a/crates/sillpin-platform/src/call.rs
+++ b/crates/sillpin-platform/src/call.rs
@@ -80,6 +80,14 @@
     pub counts: CallCounts,
 }
 
+/// A call that the service may answer late.
+pub struct Waiting<F> {
+    /// How long it may wait before it answers.
+    pub wait: Duration,
+    /// Called when its answer begins to arrive.
+    pub arriving: F,
+}
+
 impl Caller {
     /// Calls the service.
     pub async fn call<T: Serialize, R: DeserializeOwned>(
@@ -89,19 +97,23 @@
         path: &str,
         doc: Option<&T>,
     ) -> Result<R, PlatformError> {
-        self.call_for(step, method, path, doc, Duration::ZERO).await
+        let waiting = Waiting {
+            wait: Duration::ZERO,
+            arriving: || (),
+        };
+        self.call_for(step, method, path, doc, waiting).await
     }
 
-    /// Calls the service, which may wait up to `wait` before it answers.
+    /// Calls the service, which may wait before it answers.
     pub async fn call_for<T: Serialize, R: DeserializeOwned>(
         &self,
         step: &'static str,
         method: Method,
         path: &str,
         doc: Option<&T>,
-        wait: Duration,
+        waiting: Waiting<impl FnOnce() + Send>,
     ) -> Result<R, PlatformError> {
-        let timeout = self.timeout + wait;
+        let timeout = self.timeout + waiting.wait;
         let call = Call {
             step,
             peer: self.addr,
@@ -110,7 +122,7 @@
             timeout,
         };
         let arrived = AtomicU64::new(0);
-        let reply = self.answer(call, doc, &arrived).await;
+        let reply = self.answer(call, doc, waiting.arriving, &arrived).await;
         let reply = reply.map_err(|e| self.fault(step, self.meaning(&e)));
         let outcome = reply
             .as_ref()
@@ -124,10 +136,12 @@
         &self,
         call: Call<'_>,
         doc: Option<&T>,
+        arriving: impl FnOnce(),
         arrived: &AtomicU64,
     ) -> Result<R, CallError> {
         let (step, peer) = (call.step, call.peer);
         let resp = self.client.call(call, doc).await?;
+        arriving();
         let body = resp.into_body();
         let read = read_while_arriving(body, MAX_JSON_LEN, self.timeout, arrived).await;
         let parsed = read.and_then(|text| serde_json::from_slice(&text).map_err(ReadError::Json));
--- a/crates/sillpin-platform/src/http.rs
+++ b/crates/sillpin-platform/src/http.rs
@@ -1,6 +1,6 @@
 //! The platform's service over HTTP and JSON.
 
-use crate::call::{CallCounts, Caller, NO_BODY};
+use crate::call::{CallCounts, Caller, NO_BODY, Waiting};
 use crate::{
     BoxLister, KvEntry, KvRevision, LeaseId, Platform, PlatformError, PlatformFault, WatchReply,
 };
@@ -132,8 +132,10 @@
     ) -> Result<WatchReply, PlatformError> {
         let wait_ms = wait.as_millis();
         let path = format!("/v1/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
+        let arriving = || ();
+        let waiting = Waiting { wait, arriving };
         self.caller
-            .call_for("watch keys", Method::GET, &path, NO_BODY, wait)
+            .call_for("watch keys", Method::GET, &path, NO_BODY, waiting)
             .await
     }
 }
--- a/crates/sillpin-platform/src/lib.rs
+++ b/crates/sillpin-platform/src/lib.rs
@@ -205,6 +205,22 @@
         after: KvRevision,
         wait: Duration,
     ) -> impl Future<Output = Result<WatchReply, PlatformError>> + Send;
+
+    /// Like [`Platform::watch`]. `arriving` is called when the answer begins to arrive: a large one takes a while over a thin
+    /// link.
+    fn watch_arriving(
+        &self,
+        prefix: &str,
+        after: KvRevision,
+        wait: Duration,
+        arriving: impl FnOnce() + Send,
+    ) -> impl Future<Output = Result<WatchReply, PlatformError>> + Send {
+        async move {
+            let reply = self.watch(prefix, after, wait).await;
+            arriving();
+            reply
+        }
+    }
 }
 
 /// A platform that also keeps a list of boxes and targets.
