Tell boxes that lack changes of kept parts just these, and long words in several

The cause of the incident, elsewhere: a box that lacked one change of a store of kept KV cache got the whole listing from a box of its zone, and a reading of more than 60 changes was not told at all, so that every box of the zone asked for a listing at once. Change: a box keeps the newest 400 changes of a store and hands out those after the asking box's position; a long word is split into words of 60 changes that go on from each other.

--- a/crates/sillpin-gateway/src/kept/directory.rs
+++ b/crates/sillpin-gateway/src/kept/directory.rs
@@ -3,11 +3,11 @@
 use super::links::Links;
 use super::retire::Retirements;
 use crate::config::StoreSpec;
-use crate::control::{KeptKey, KeptList, KeptNews};
+use crate::control::{KeptChange, KeptKey, KeptList, KeptNews};
 use crate::dialect::EngineTime;
 use serde::{Deserialize, Serialize};
 use sillpin_core::Tokens;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -21,6 +21,9 @@
 /// and written in 100.
 pub const SAVE_MEMORY: Duration = Duration::from_millis(1_500);
 
+/// Changes of a store that are kept for boxes that lack some: more than a busy store makes in the second that a box needs to notice.
+const RECENT_CHANGES: usize = 400;
+
 /// What one store holds.
 #[derive(Debug, Default)]
 struct StoreState {
@@ -29,6 +32,32 @@
     whole: HashMap<KeptKey, Tokens>,
     used: Tokens,
     heard: Option<Instant>,
+    recent: Recent,
+}
+
+/// The newest changes of a store, in order.
+#[derive(Debug, Default)]
+struct Recent {
+    /// The position that they begin at.
+    since: u64,
+    changes: VecDeque<KeptChange>,
+}
+
+impl Recent {
+    fn push(&mut self, change: KeptChange) {
+        if self.changes.len() == RECENT_CHANGES {
+            let oldest = self.changes.pop_front();
+            self.since = oldest.map_or(self.since, |oldest| oldest.number);
+        }
+        self.changes.push_back(change);
+    }
+
+    /// All changes after a position, if none is missing.
+    fn after(&self, position: u64) -> Option<Vec<KeptChange>> {
+        let newer = |change: &&KeptChange| change.number > position;
+        let covers = self.since <= position;
+        covers.then(|| self.changes.iter().filter(newer).cloned().collect())
+    }
 }
 
 impl StoreState {
@@ -80,6 +109,10 @@
             epoch: list.epoch,
             next: list.next,
             heard: Some(asked),
+            recent: Recent {
+                since: list.next,
+                ..Recent::default()
+            },
             ..StoreState::default()
         };
         for (key, tokens) in list.whole {
@@ -108,6 +141,7 @@
         for change in news.changes {
             // Another box's word may have brought it before.
             if change.number > state.next {
+                state.recent.push(change.clone());
                 state.set(change.key, change.tokens);
             }
         }
@@ -116,6 +150,19 @@
         true
     }
 
+    /// Changes after a position of this life of a store, if all of them are still known.
+    pub fn changes_after(&self, addr: SocketAddr, position: Position) -> Option<Vec<KeptChange>> {
+        let state = self.stores.get(&addr)?;
+        let same_life = state.epoch == position.epoch;
+        same_life.then(|| state.recent.after(position.next))?
+    }
+
+    /// Whether changes that begin at a position of a life of a store go on from what is known.
+    pub fn follows(&self, addr: SocketAddr, begin: Position) -> bool {
+        let known = self.position(addr);
+        known.is_some_and(|known| known.epoch == begin.epoch && begin.next <= known.next)
+    }
+
     /// Another box found a store at a position; `false` if this box lacks something.
     pub fn confirm(&mut self, addr: SocketAddr, position: Position, asked: Instant) -> bool {
         let Some(state) = self.stores.get_mut(&addr) else {
--- a/crates/sillpin-gateway/src/peers/asker.rs
+++ b/crates/sillpin-gateway/src/peers/asker.rs
@@ -1,11 +1,12 @@
 //! Asks other boxes for what they know.
 
 use super::handout::{Handout, TransferId};
-use super::link::{BoxLinkClient, Copy, KeptCopy};
+use super::link::{BoxLinkClient, Copy, KeptContent, KeptCopy};
 use crate::beliefs::transfers::Transfers;
 use crate::beliefs::{BoxEntry, FleetHandle, FleetMsg, Reading, Source, Topic};
-use crate::control::KeptList;
+use crate::control::{KeptList, KeptNews};
 use crate::kept::Kept;
+use crate::kept::directory::Position;
 use crate::metrics::BoxMetrics;
 use derive_more::{Display, Error, From};
 use serde::de::DeserializeOwned;
@@ -100,18 +101,41 @@
     /// Asks a box for what it knows of a store and takes it over.
     pub async fn ask_kept(&self, from: &BoxEntry, store: SocketAddr, kept: &Kept) {
         let mut copying = self.begin(from, "kept parts", None);
-        let call = |client: BoxLinkClient| async move { client.kept(within(), store).await };
+        let after = kept.lock().position(store);
+        let call = |client: BoxLinkClient| async move { client.kept(within(), store, after).await };
         let copy = copying.take(call, |copy: &KeptCopy| copy.age_ms).await;
         let Some((copy, asked)) = copy else {
             return;
         };
-        let list = KeptList {
-            epoch: copy.position.epoch,
-            next: copy.position.next,
-            whole: copy.whole,
-            partial: Vec::new(),
-        };
-        kept.lock().take_list(store, list, asked);
+        let Position { epoch, next } = copy.position;
+        match copy.content {
+            KeptContent::Whole(whole) => {
+                let partial = Vec::new();
+                let list = KeptList {
+                    epoch,
+                    next,
+                    whole,
+                    partial,
+                };
+                kept.lock().take_list(store, list, asked);
+            }
+            KeptContent::Changes(changes) => {
+                let since = after.map_or(next, |after| after.next);
+                let mut directory = kept.lock();
+                // The box may have learned of a later life of the store meanwhile.
+                if !directory.follows(store, Position { epoch, next: since }) {
+                    return;
+                }
+                let news = KeptNews {
+                    epoch,
+                    next,
+                    lost: false,
+                    changes,
+                    clock: None,
+                };
+                directory.take_news(store, since, news, asked, asked);
+            }
+        }
     }
 
     fn begin<'a>(
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -49,8 +49,8 @@
 /// What the box that speaks for a zone does, in the choice of who does it.
 const SPEAKER: &str = "speaker";
 
-/// Largest word about kept parts: larger ones do not fit a datagram well, and boxes ask for a copy.
-const MAX_CHANGES: usize = 60;
+/// Changes in one word about kept parts: more do not fit a datagram.
+pub const MAX_CHANGES: usize = 60;
 
 /// How far a box knows a prefix.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
@@ -151,6 +151,29 @@
     pub changes: Vec<KeptChange>,
 }
 
+impl KeptWord {
+    /// The same in words of at most [`MAX_CHANGES`], each going on from the one before.
+    pub fn split(self) -> Vec<Self> {
+        let mut words: Vec<Self> = Vec::new();
+        let mut since = self.since;
+        for changes in self.changes.chunks(MAX_CHANGES) {
+            let next = changes.last().map_or(since, |change| change.number);
+            words.push(Self {
+                addr: self.addr,
+                since,
+                epoch: self.epoch,
+                next,
+                changes: changes.to_vec(),
+            });
+            since = next;
+        }
+        if let Some(last) = words.last_mut() {
+            last.next = self.next;
+        }
+        words
+    }
+}
+
 /// Sends digests and news.
 pub struct Gossip {
     /// This box.
@@ -229,9 +252,9 @@
                     self.send(socket, &Datagram::Loading(news), all).await;
                 }
                 Some(word) = self.words.recv() => {
-                    if word.changes.len() <= MAX_CHANGES {
-                        let zone = self.zone(&self.fleet.view());
-                        self.send(socket, &Datagram::Kept(word), zone).await;
+                    let zone = self.zone(&self.fleet.view());
+                    for word in word.split() {
+                        self.send(socket, &Datagram::Kept(word), zone.clone()).await;
                     }
                 }
             }
--- a/crates/sillpin-gateway/src/peers/ear.rs
+++ b/crates/sillpin-gateway/src/peers/ear.rs
@@ -8,6 +8,7 @@
 use crate::beliefs::{BoxEntry, FleetHandle, FleetMsg, Known, Topic};
 use crate::control::KeptNews;
 use crate::kept::Kept;
+use crate::kept::directory::Position;
 use crate::place::Loads;
 use crate::place::load::Outcome;
 use sillpin_telemetry::{event, events};
@@ -117,10 +118,12 @@
     /// Takes changes of a store. Whether any are missing shows in the next digest.
     fn take_word(&self, word: KeptWord) {
         let mut directory = self.kept.lock();
-        let position = directory.position(word.addr);
+        let begin = Position {
+            epoch: word.epoch,
+            next: word.since,
+        };
         let heard = directory.heard(word.addr);
-        let follows = position.is_some_and(|p| p.epoch == word.epoch && word.since <= p.next);
-        let (true, Some(heard)) = (follows, heard) else {
+        let (true, Some(heard)) = (directory.follows(word.addr, begin), heard) else {
             return;
         };
         let news = KeptNews {
--- a/crates/sillpin-gateway/src/peers/link.rs
+++ b/crates/sillpin-gateway/src/peers/link.rs
@@ -2,7 +2,7 @@
 
 use super::handout::{Handout, Handouts, TransferId};
 use crate::beliefs::{Copied, FleetHandle, Topic};
-use crate::control::KeptKey;
+use crate::control::{KeptChange, KeptKey};
 use crate::kept::Kept;
 use crate::kept::directory::Position;
 use serde::{Deserialize, Serialize};
@@ -33,19 +33,28 @@
 pub struct KeptCopy {
     /// Where the reading of changes goes on.
     pub position: Position,
-    /// Whole parts.
-    pub whole: Vec<(KeptKey, Tokens)>,
+    /// What the asking box lacks.
+    pub content: KeptContent,
     /// Since the store was asked, in milliseconds.
     pub age_ms: u64,
 }
 
+/// What a box that asks for a store lacks.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum KeptContent {
+    /// All whole parts.
+    Whole(Vec<(KeptKey, Tokens)>),
+    /// The changes after the position that it has reached.
+    Changes(Vec<KeptChange>),
+}
+
 /// The service that boxes offer to each other.
 #[tarpc::service]
 pub trait BoxLink {
     /// A [`Copy`] of what the box knows of a prefix beyond a revision.
     async fn copy(topic: Topic, after: KvRevision) -> Handout;
-    /// A [`KeptCopy`] of what the box knows of a store of kept KV cache.
-    async fn kept(store: SocketAddr) -> Handout;
+    /// A [`KeptCopy`] of what the box knows of a store of kept KV cache beyond a position, if the asking box has reached one.
+    async fn kept(store: SocketAddr, after: Option<Position>) -> Handout;
     /// The piece of a large document that begins at a byte, if it is still handed out.
     async fn more(transfer: TransferId, offset: u64) -> Option<Vec<u8>>;
 }
@@ -73,12 +82,17 @@
         })
     }
 
-    fn kept(&self, store: SocketAddr) -> Option<KeptCopy> {
+    fn kept(&self, store: SocketAddr, after: Option<Position>) -> Option<KeptCopy> {
         let directory = self.kept.lock();
         let age = directory.heard(store)?.elapsed();
+        let changes = after.and_then(|after| directory.changes_after(store, after));
+        let content = match changes {
+            Some(changes) => KeptContent::Changes(changes),
+            None => KeptContent::Whole(directory.whole(store)),
+        };
         Some(KeptCopy {
             position: directory.position(store)?,
-            whole: directory.whole(store),
+            content,
             age_ms: millis(age),
         })
     }
@@ -117,8 +131,8 @@
         self.answerer.hand_out(&self.published, document)
     }
 
-    async fn kept(self, _: Context, store: SocketAddr) -> Handout {
-        let document = self.answerer.kept(store);
+    async fn kept(self, _: Context, store: SocketAddr, after: Option<Position>) -> Handout {
+        let document = self.answerer.kept(store, after);
         self.answerer.hand_out(&self.kept, document)
     }
 
