--- a/crates/sillpin-http/src/body.rs
+++ b/crates/sillpin-http/src/body.rs
@@ -150,7 +150,7 @@
 ///
 /// A limit on the whole is a limit on size divided by the link's rate: over 10 Mbit/s a configuration of 0.85 MB took 0.9 s, was given up
 /// after 0.8 s and asked for again without end, with 5.9 MB thrown away on one box in 24 s.
-pub async fn read_while_arriving(
+async fn read_while_arriving(
     body: Incoming,
     limit: usize,
     silence: Duration,
@@ -186,6 +186,17 @@
     }
 }
 
+/// Like [`read_while_arriving`], for a JSON document.
+pub async fn read_json_while_arriving<T: DeserializeOwned>(
+    body: Incoming,
+    limit: usize,
+    silence: Duration,
+    arrived: &AtomicU64,
+) -> Result<T, ReadError> {
+    let text = read_while_arriving(body, limit, silence, arrived).await?;
+    serde_json::from_slice(&text).map_err(ReadError::Json)
+}
+
 /// Reads a whole body of at most `limit` bytes as a JSON document.
 pub async fn read_json<T, B>(body: B, limit: usize) -> Result<T, ReadError>
 where
--- a/crates/sillpin-http/src/client.rs
+++ b/crates/sillpin-http/src/client.rs
@@ -5,7 +5,7 @@
 //! met an idle connection just closed by the peer to another connection, but only when it gets the
 //! request back unsent; nothing of which a byte left is ever sent again here.
 
-use crate::body::{Body, ReadError, read_json};
+use crate::body::{Body, ReadError, read_json_while_arriving};
 use derive_more::{Display, Error};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, header};
@@ -15,6 +15,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 /// Time to open a connection before the peer counts as out of reach.
@@ -27,7 +28,7 @@
 const MAX_IDLE_PER_PEER: usize = 64;
 
 /// Longest JSON answer read.
-pub const MAX_JSON_LEN: usize = 4 << 20;
+const MAX_JSON_LEN: usize = 4 << 20;
 
 /// Whether the peer can have received any of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -145,22 +146,22 @@
         })
     }
 
-    /// Sends `doc` as JSON and reads a JSON answer; any status but 2xx is an error.
+    /// Sends `doc` as JSON and reads a JSON answer; any status but 2xx is an error. The call's time is that until the answer
+    /// begins, and between its parts.
     pub async fn call_json<T: Serialize, R: DeserializeOwned>(
         &self,
         call: Call<'_>,
         doc: Option<&T>,
     ) -> Result<R, CallError> {
-        let (step, peer) = (call.step, call.peer);
+        let (step, peer, silence) = (call.step, call.peer, call.timeout);
         let resp = self.call(call, doc).await?;
-        read_json(resp.into_body(), MAX_JSON_LEN)
-            .await
-            .map_err(|e| CallError {
-                step,
-                peer,
-                sent: Sent::Maybe,
-                fault: CallFault::Answer(e),
-            })
+        let answer = Answer {
+            step,
+            peer,
+            silence,
+            arrived: &AtomicU64::new(0),
+        };
+        answer.read_json(resp).await
     }
 
     /// Sends `doc` as JSON and waits for the head of a 2xx answer; any other status is an error.
@@ -206,6 +207,35 @@
     }
 }
 
+/// An answer that has begun.
+pub struct Answer<'a> {
+    /// What is being done, for errors.
+    pub step: &'static str,
+    /// Who answers.
+    pub peer: SocketAddr,
+    /// Longest wait for each next part.
+    pub silence: Duration,
+    /// Bytes of it that have arrived.
+    pub arrived: &'a AtomicU64,
+}
+
+impl Answer<'_> {
+    /// Reads it as a JSON document.
+    pub async fn read_json<R: DeserializeOwned>(
+        self,
+        resp: Response<Incoming>,
+    ) -> Result<R, CallError> {
+        let body = resp.into_body();
+        let read = read_json_while_arriving(body, MAX_JSON_LEN, self.silence, self.arrived).await;
+        read.map_err(|e| CallError {
+            step: self.step,
+            peer: self.peer,
+            sent: Sent::Maybe,
+            fault: CallFault::Answer(e),
+        })
+    }
+}
+
 /// One call of a peer.
 pub struct Call<'a> {
     /// What is being done, for errors.
--- a/crates/sillpin-platform/src/call.rs
+++ b/crates/sillpin-platform/src/call.rs
@@ -4,8 +4,7 @@
 use hyper::{Method, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use sillpin_http::body::{ReadError, read_while_arriving};
-use sillpin_http::client::{Call, CallFault, MAX_JSON_LEN};
+use sillpin_http::client::{Answer, Call, CallFault};
 use sillpin_http::{CallError, Client, Sent};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -142,15 +141,13 @@
         let (step, peer) = (call.step, call.peer);
         let resp = self.client.call(call, doc).await?;
         arriving();
-        let body = resp.into_body();
-        let read = read_while_arriving(body, MAX_JSON_LEN, self.timeout, arrived).await;
-        let parsed = read.and_then(|text| serde_json::from_slice(&text).map_err(ReadError::Json));
-        parsed.map_err(|e| CallError {
+        let answer = Answer {
             step,
             peer,
-            sent: Sent::Maybe,
-            fault: CallFault::Answer(e),
-        })
+            silence: self.timeout,
+            arrived,
+        };
+        answer.read_json(resp).await
     }
 
     fn meaning(&self, e: &CallError) -> PlatformFault {
