Count calls of the platform's store that are given up by the caller

A watch that is dropped because the box's turn has changed was counted nowhere, though the store has had it and charges it.

Test: a_call_that_is_abandoned_is_counted (the count was missing without it).

--- a/crates/sillpin-platform/src/call.rs
+++ b/crates/sillpin-platform/src/call.rs
@@ -8,7 +8,7 @@
 use sillpin_http::{CallError, Client, Sent};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -79,6 +79,24 @@
     pub counts: CallCounts,
 }
 
+/// Outcome of a call whose caller did not wait for its end.
+const ABANDONED: &str = "abandoned";
+
+/// Counts a call once it is over, also one that is dropped: the service has it all the same.
+struct Counting<'a> {
+    counts: &'a CallCounts,
+    step: &'static str,
+    outcome: &'static str,
+    arrived: &'a AtomicU64,
+}
+
+impl Drop for Counting<'_> {
+    fn drop(&mut self) {
+        let bytes = self.arrived.load(Ordering::Relaxed);
+        self.counts.count(self.step, self.outcome, bytes);
+    }
+}
+
 /// A call that the service may answer late.
 pub struct Waiting<F> {
     /// How long it may wait before it answers.
@@ -121,13 +139,17 @@
             timeout,
         };
         let arrived = AtomicU64::new(0);
+        let mut counting = Counting {
+            counts: &self.counts,
+            step,
+            outcome: ABANDONED,
+            arrived: &arrived,
+        };
         let reply = self.answer(call, doc, waiting.arriving, &arrived).await;
         let reply = reply.map_err(|e| self.fault(step, self.meaning(&e)));
-        let outcome = reply
+        counting.outcome = reply
             .as_ref()
             .map_or_else(|e| e.fault.name(), |_| "answered");
-        let arrived = arrived.into_inner();
-        self.counts.count(step, outcome, arrived);
         reply
     }
 
