Say which weights a request may run on and why, and what outdated engines wait for

Cause: the logs of the incident could not tell its hypotheses apart. They did not say how long a box had known of the wanted weights, why it allowed older ones, or why an engine with replaced weights had not been ordered.

Change: E340 says the wanted version, for how long it has been known, the oldest version allowed and why; E354, once a second from the holder of the duty, says how many engines serve replaced weights and what they wait for; sillpin_prompt_sendings counts prompts on newest and replaced weights. No decision changes.

--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -156,7 +156,12 @@
             "parts" => &placed.parts, "fetched" => placed.fetched, "kept" => placed.kept,
             "config" => run.config.version.0, "targets_at" => view.listed.revision.0,
             "left_ms" => run.time_left().as_millis(), "queue_ms" => chosen.queue_ms.round(),
-            "in_time" => placed.in_time);
+            "in_time" => placed.in_time, "wanted" => placed.weights.wanted.0,
+            "wanted_for_ms" => placed.weights.wanted_for.as_millis(),
+            "oldest" => placed.weights.oldest.0, "oldest_why" => placed.weights.why);
+        if let Some(version) = chosen.version {
+            self.metrics.prompt_sending(version < placed.weights.wanted);
+        }
         self.metrics.prompt_tokens("fetched", placed.fetched);
         self.metrics.prompt_tokens("other", placed.others);
     }
--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -69,6 +69,34 @@
     pub others: u64,
     /// Whether the first event can still come within the request's aim.
     pub in_time: bool,
+    /// Which weights the request may run on.
+    pub weights: AllowedWeights,
+}
+
+/// Which weights a request may run on, for logs as well.
+#[derive(Debug, Clone, Copy)]
+pub struct AllowedWeights {
+    /// The newest that operators want; none is known to be wanted if it is zero.
+    pub wanted: WeightVersion,
+    /// How long this box has known of them.
+    pub wanted_for: Duration,
+    /// Engines with older ones are no candidates; zero allows all.
+    pub oldest: WeightVersion,
+    /// Why it is so.
+    pub why: &'static str,
+}
+
+impl AllowedWeights {
+    /// Any weights do.
+    fn any(wanted: Option<&Wanted>, why: &'static str) -> Self {
+        let none = WeightVersion(0);
+        Self {
+            wanted: wanted.map_or(none, |wanted| wanted.version),
+            wanted_for: wanted.map_or(Duration::ZERO, |wanted| wanted.since.elapsed()),
+            oldest: none,
+            why,
+        }
+    }
 }
 
 /// The target chosen for a request, and for an engine where the prompt's parts are.
@@ -76,6 +104,7 @@
     /// The target and why.
     pub chosen: Chosen,
     plan: Option<Plan>,
+    weights: AllowedWeights,
 }
 
 impl Selected {
@@ -94,9 +123,10 @@
 
 impl Placed {
     /// A target that takes no prompt.
-    fn plain(chosen: Chosen) -> Self {
+    fn plain(chosen: Chosen, weights: AllowedWeights) -> Self {
         Self {
             chosen,
+            weights,
             engine: None,
             prompt_ms: 0.0,
             length: Tokens(0),
@@ -191,6 +221,7 @@
             _ => Some(Selected {
                 chosen: choose(&base)?,
                 plan: None,
+                weights: AllowedWeights::any(None, "no engine"),
             }),
         }
     }
@@ -222,13 +253,14 @@
         };
         let versions = served_versions(view, base.pool, &prompt.model);
         let plans: Vec<(WeightVersion, Plan)> = versions.into_iter().map(plan_for).collect();
+        let weights = self.allowed_weights(wanted, &plans, view);
         let prompt_choice = PromptChoice {
             model: &prompt.model,
             tokens: prompt.tokens,
             aim: run.route.aim,
             room: engine.room,
             wanted: wanted.map(|wanted| wanted.version),
-            oldest: self.oldest_weights(wanted, &plans, view),
+            oldest: weights.oldest,
             plans: &plans,
         };
         let chosen = choose(&Choice {
@@ -240,6 +272,7 @@
         Some(Selected {
             chosen,
             plan: plan.map(|(_, plan)| plan),
+            weights,
         })
     }
 
@@ -249,9 +282,13 @@
         let in_time = is_in_time(run, selected.expected_ms());
         let prompt = run.demand.prompt.as_ref();
         let length = prompt.map_or(Tokens(0), |prompt| prompt.tokens);
-        let Selected { chosen, plan } = selected;
+        let Selected {
+            chosen,
+            plan,
+            weights,
+        } = selected;
         let (Some(plan), Some(version)) = (plan, chosen.version) else {
-            return Placed::plain(chosen);
+            return Placed::plain(chosen, weights);
         };
         let zone = &chosen.target.zone;
         let fetch_time = run.route.aim.mul_f64(FETCH_AIMS);
@@ -266,6 +303,7 @@
         let shared: u64 = plan.shared.iter().map(|part| part.tokens.0).sum();
         Placed {
             in_time,
+            weights,
             chosen,
             parts: plan.describe(&sending),
             source: plan.main_source(&sending.fetch),
@@ -280,24 +318,29 @@
 
     /// Weights below which no request is sent: those that were replaced too long ago, once an engine
     /// serves the new ones. Without the store nobody brings engines to new weights, and the old ones go on.
-    fn oldest_weights(
+    fn allowed_weights(
         &self,
         wanted: Option<&Wanted>,
         plans: &[(WeightVersion, Plan)],
         view: &View,
-    ) -> WeightVersion {
-        let any = WeightVersion(0);
-        let Some(wanted) = wanted else {
-            return any;
+    ) -> AllowedWeights {
+        let Some(newest) = wanted else {
+            return AllowedWeights::any(wanted, "none wanted");
         };
         let limit = self.cfg.weights_limit.saturating_sub(OLD_WEIGHTS_MARGIN);
-        let over = wanted.since.elapsed() > limit;
-        let replaced = plans.iter().any(|(version, _)| *version >= wanted.version);
+        if newest.since.elapsed() <= limit {
+            return AllowedWeights::any(wanted, "wanted of late");
+        }
+        if !plans.iter().any(|(version, _)| *version >= newest.version) {
+            return AllowedWeights::any(wanted, "no engine serves them");
+        }
         let confirmed = view.operators.confirmed;
-        let in_touch = confirmed.is_some_and(|at| at.elapsed() < STORE_SILENCE);
-        match over && replaced && in_touch {
-            true => wanted.version,
-            false => any,
+        if confirmed.is_none_or(|at| at.elapsed() >= STORE_SILENCE) {
+            return AllowedWeights::any(wanted, "store silent");
+        }
+        AllowedWeights {
+            oldest: newest.version,
+            ..AllowedWeights::any(wanted, "replaced too long ago")
         }
     }
 }
--- a/crates/sillpin-gateway/src/metrics.rs
+++ b/crates/sillpin-gateway/src/metrics.rs
@@ -12,6 +12,7 @@
     requests: Counter<u64>,
     sendings: Counter<u64>,
     parts: Counter<u64>,
+    prompts: Counter<u64>,
     copies: Counter<u64>,
     copied_bytes: Counter<u64>,
     first: Histogram<f64>,
@@ -39,6 +40,10 @@
             copies: counter("sillpin_copies", "Copies asked of boxes by outcome"),
             copied_bytes: counter("sillpin_copied_bytes", "Bytes of copies by outcome"),
             parts: counter("sillpin_prompt_tokens", "Shared prompt tokens by source"),
+            prompts: counter(
+                "sillpin_prompt_sendings",
+                "Sendings to engines by whether newer weights were wanted",
+            ),
             first: histogram("sillpin_first_seconds", "Time to the answer's head"),
             whole: histogram("sillpin_whole_seconds", "Time to the answer's end"),
         }
@@ -68,6 +73,12 @@
         self.sendings.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// A prompt went to an engine with the newest weights, or with replaced ones.
+    pub fn prompt_sending(&self, replaced: bool) {
+        let weights = if replaced { "replaced" } else { "newest" };
+        self.prompts.add(1, &[KeyValue::new("weights", weights)]);
+    }
+
     /// Tokens of shared parts that came from `source`.
     pub fn prompt_tokens(&self, source: &'static str, tokens: u64) {
         self.parts.add(tokens, &[KeyValue::new("source", source)]);
--- a/crates/sillpin-gateway/src/weights/rollout.rs
+++ b/crates/sillpin-gateway/src/weights/rollout.rs
@@ -53,6 +53,9 @@
 /// A box that started so recently has not heard the others yet and takes all that are registered to be alive.
 const NEWCOMER: Duration = Duration::from_secs(3);
 
+/// Time between two lines about engines that serve replaced weights.
+const SAY_EVERY: Duration = Duration::from_secs(1);
+
 /// Holds the duty whenever nobody else does.
 pub struct Rollout<P, C> {
     /// This box.
@@ -81,6 +84,7 @@
     jobs: JoinSet<Loaded>,
     targets: Vec<TargetId>,
     resting: HashMap<TargetId, Instant>,
+    said: Option<Instant>,
 }
 
 impl<P: Platform, C: Control> Rollout<P, C> {
@@ -198,6 +202,7 @@
             return true;
         }
         let view = self.fleet.view();
+        self.say_outdated(&view, tenure, underway, now);
         let next = self.next_batch(&view, tenure, underway, now);
         if next.is_empty() {
             return true;
@@ -213,6 +218,24 @@
         true
     }
 
+    /// Says now and then which engines serve replaced weights, and what they wait for.
+    fn say_outdated(&self, view: &View, tenure: &Tenure, underway: &mut Underway, now: Instant) {
+        if underway.said.is_some_and(|at| now - at < SAY_EVERY) {
+            return;
+        }
+        let outdated = outdated(view);
+        let Some(oldest) = outdated.first() else {
+            return;
+        };
+        underway.said = Some(now);
+        let left_alone = |o: &&Outdated| !tenure.may_order_target(&o.target.id, now);
+        event!(self.log, events::WEIGHTS_OUTDATED,
+            "model" => oldest.model.as_str(), "wanted" => oldest.version.0,
+            "oldest" => oldest.serves.0, "engines" => outdated.len(),
+            "loading" => underway.jobs.len(), "resting" => underway.resting.len(),
+            "ordered_by_others" => outdated.iter().filter(left_alone).count());
+    }
+
     /// Engines to be ordered now.
     fn next_batch(
         &self,
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -171,4 +171,6 @@
     DUTY_NOT_TAKEN = 352, Info, "duty not taken", "Look at the store if it recurs.";
     /// An engine does not say what it does.
     ENGINE_SILENT = 353, Warning, "engine's report missing", "Look at the engine if it recurs.";
+    /// Engines serve weights that were replaced; said by the holder of the duty.
+    WEIGHTS_OUTDATED = 354, Info, "engines serve replaced weights", "Nothing to do while the count falls; else look at the engines that E250, E252 and E353 name.";
 }
