Keep the time of each named version of weights

Cause: a box kept one wanted version for each model and when it learned of it.

Change: beliefs::Wanted holds all versions that were named of late, each with its time; weights are replaced from the moment at which the first newer version was named. Which weights are allowed is a pure function now (place::allowed), with the same margin and exceptions as before.

--- a/crates/sillpin-gateway/src/beliefs/fleet.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet.rs
@@ -1,7 +1,7 @@
 //! The task that owns what the box knows of the fleet.
 
 use super::mirror::{Change, Mirror};
-use super::{BoxEntry, FleetMsg, FleetPort, Reading, Source, Topic, View, Wanted};
+use super::{BoxEntry, FleetMsg, FleetPort, Named, Reading, Source, Topic, View, Wanted};
 use crate::config::FleetConfig;
 use crate::control::{DecodeError, Presence, Published, Served, TargetEntry};
 use sillpin_core::{BoxId, ModelId, TargetId, WeightVersion};
@@ -253,14 +253,22 @@
     }
 
     fn want(&mut self, model: ModelId, version: WeightVersion, source: &Source, now: Instant) {
-        let known = self.wanted.get(&model).map(|wanted| wanted.version);
-        if known >= Some(version) {
+        let known = self.wanted.get(&model).map(|wanted| wanted.newest());
+        if known.is_some_and(|known| known.version >= version) {
             return;
         }
         event!(self.log, events::WEIGHTS_WANTED,
             "model" => model.as_str(), "version" => version.0, "source" => source.to_string());
-        let since = now;
-        self.wanted.insert(model, Wanted { version, since });
+        let named = Named {
+            version,
+            since: now,
+        };
+        self.wanted
+            .entry(model)
+            .and_modify(|wanted| {
+                wanted.note(named, now);
+            })
+            .or_insert_with(|| Wanted::new(named));
         self.view.wanted = Arc::new(self.wanted.clone());
     }
 
--- a/crates/sillpin-gateway/src/beliefs/mod.rs
+++ b/crates/sillpin-gateway/src/beliefs/mod.rs
@@ -9,8 +9,10 @@
 pub mod mirror;
 pub mod reader;
 pub mod transfers;
+pub mod wanted;
 
 use self::mirror::Mirror;
+pub use self::wanted::{Named, Wanted};
 use crate::config::FleetConfig;
 use crate::control::TargetEntry;
 use serde::{Deserialize, Serialize};
@@ -68,15 +70,6 @@
     pub gossip: SocketAddr,
 }
 
-/// Weights that operators want.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Wanted {
-    /// Their version.
-    pub version: WeightVersion,
-    /// When this box learned of it.
-    pub since: Instant,
-}
-
 /// How far a mirrored prefix is known.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Known {
--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -147,7 +147,7 @@
     }
 
     fn log_sending(&self, run: &Run, progress: &Progress, view: &View, placed: &Placed) {
-        let chosen = &placed.chosen;
+        let (chosen, weights) = (&placed.chosen, placed.weights);
         event!(self.log, events::SENDING,
             "request" => &run.demand.id, "target" => chosen.target.id.as_str(),
             "addr" => chosen.target.addr.to_string(), "offer" => progress.offered.len(),
@@ -156,11 +156,12 @@
             "parts" => &placed.parts, "fetched" => placed.fetched, "kept" => placed.kept,
             "config" => run.config.version.0, "targets_at" => view.listed.revision.0,
             "left_ms" => run.time_left().as_millis(), "queue_ms" => chosen.queue_ms.round(),
-            "in_time" => placed.in_time, "wanted" => placed.weights.wanted.0,
-            "wanted_for_ms" => placed.weights.wanted_for.as_millis(),
-            "oldest" => placed.weights.oldest.0, "oldest_why" => placed.weights.why);
-        if let Some(version) = chosen.version {
-            self.metrics.prompt_sending(version < placed.weights.wanted);
+            "in_time" => placed.in_time, "wanted" => weights.map_or(0, |w| w.wanted.0),
+            "wanted_for_ms" => weights.map_or(0, |w| w.wanted_for.as_millis()),
+            "oldest" => weights.map_or(0, |w| w.oldest.0),
+            "oldest_why" => weights.map_or("", |w| w.why));
+        if let (Some(version), Some(weights)) = (chosen.version, weights) {
+            self.metrics.prompt_sending(version < weights.wanted);
         }
         self.metrics.prompt_tokens("fetched", placed.fetched);
         self.metrics.prompt_tokens("other", placed.others);
@@ -238,8 +239,9 @@
             return true;
         };
         let view = self.fleet.view();
-        let wanted = view.wanted.get(&prompt.model).map(|wanted| wanted.version);
-        is_fresh(&view) && version >= wanted
+        let wanted = view.wanted.get(&prompt.model);
+        let newest = wanted.map(|wanted| wanted.newest().version);
+        is_fresh(&view) && version >= newest
     }
 
     /// An engine that refuses may say which weights it serves by now.
--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -4,10 +4,11 @@
 use super::answers::Refusal;
 use super::drive::Progress;
 use super::shared::Shared;
+use crate::beliefs::View;
 use crate::beliefs::fleet::served;
-use crate::beliefs::{View, Wanted};
 use crate::config::{EngineSpec, Priority};
 use crate::dialect::{Dialect, EngineSending, Prompt};
+use crate::place::allowed::{AllowedWeights, WeightsUse};
 use crate::place::choose::PromptChoice;
 use crate::place::parts::{Plan, PlanInputs, plan, salt};
 use crate::place::work::Work;
@@ -26,13 +27,6 @@
 /// Connections that a box may use at one target at least.
 const MIN_CONNECTIONS: u32 = 2;
 
-/// Requests stop going to replaced weights this long before they must not begin there any more: they may
-/// wait at the engine, and this box may have learned late that the weights were replaced.
-const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(2_500);
-
-/// Silence of the platform's store after which this box counts as out of touch with it.
-const STORE_SILENCE: Duration = Duration::from_secs(3);
-
 /// Prompt work takes this many times as long as its tokens explain: an engine makes other requests' tokens between
 /// pieces of a prompt.
 const SLOWED: f64 = 1.2;
@@ -69,34 +63,8 @@
     pub others: u64,
     /// Whether the first event can still come within the request's aim.
     pub in_time: bool,
-    /// Which weights the request may run on.
-    pub weights: AllowedWeights,
-}
-
-/// Which weights a request may run on, for logs as well.
-#[derive(Debug, Clone, Copy)]
-pub struct AllowedWeights {
-    /// The newest that operators want; none is known to be wanted if it is zero.
-    pub wanted: WeightVersion,
-    /// How long this box has known of them.
-    pub wanted_for: Duration,
-    /// Engines with older ones are no candidates; zero allows all.
-    pub oldest: WeightVersion,
-    /// Why it is so.
-    pub why: &'static str,
-}
-
-impl AllowedWeights {
-    /// Any weights do.
-    fn any(wanted: Option<&Wanted>, why: &'static str) -> Self {
-        let none = WeightVersion(0);
-        Self {
-            wanted: wanted.map_or(none, |wanted| wanted.version),
-            wanted_for: wanted.map_or(Duration::ZERO, |wanted| wanted.since.elapsed()),
-            oldest: none,
-            why,
-        }
-    }
+    /// Which weights the request may run on, for engines.
+    pub weights: Option<AllowedWeights>,
 }
 
 /// The target chosen for a request, and for an engine where the prompt's parts are.
@@ -104,7 +72,7 @@
     /// The target and why.
     pub chosen: Chosen,
     plan: Option<Plan>,
-    weights: AllowedWeights,
+    weights: Option<AllowedWeights>,
 }
 
 impl Selected {
@@ -123,10 +91,10 @@
 
 impl Placed {
     /// A target that takes no prompt.
-    fn plain(chosen: Chosen, weights: AllowedWeights) -> Self {
+    fn plain(chosen: Chosen) -> Self {
         Self {
             chosen,
-            weights,
+            weights: None,
             engine: None,
             prompt_ms: 0.0,
             length: Tokens(0),
@@ -221,7 +189,7 @@
             _ => Some(Selected {
                 chosen: choose(&base)?,
                 plan: None,
-                weights: AllowedWeights::any(None, "no engine"),
+                weights: None,
             }),
         }
     }
@@ -253,13 +221,19 @@
         };
         let versions = served_versions(view, base.pool, &prompt.model);
         let plans: Vec<(WeightVersion, Plan)> = versions.into_iter().map(plan_for).collect();
-        let weights = self.allowed_weights(wanted, &plans, view);
+        let weights = WeightsUse {
+            wanted,
+            limit: self.cfg.weights_limit,
+            confirmed: view.operators.confirmed,
+            now,
+        };
+        let weights = weights.allowed(plans.iter().map(|(version, _)| *version));
         let prompt_choice = PromptChoice {
             model: &prompt.model,
             tokens: prompt.tokens,
             aim: run.route.aim,
             room: engine.room,
-            wanted: wanted.map(|wanted| wanted.version),
+            wanted: wanted.map(|wanted| wanted.newest().version),
             oldest: weights.oldest,
             plans: &plans,
         };
@@ -272,7 +246,7 @@
         Some(Selected {
             chosen,
             plan: plan.map(|(_, plan)| plan),
-            weights,
+            weights: Some(weights),
         })
     }
 
@@ -288,7 +262,7 @@
             weights,
         } = selected;
         let (Some(plan), Some(version)) = (plan, chosen.version) else {
-            return Placed::plain(chosen, weights);
+            return Placed::plain(chosen);
         };
         let zone = &chosen.target.zone;
         let fetch_time = run.route.aim.mul_f64(FETCH_AIMS);
@@ -315,34 +289,6 @@
             others: shared - fetched,
         }
     }
-
-    /// Weights below which no request is sent: those that were replaced too long ago, once an engine
-    /// serves the new ones. Without the store nobody brings engines to new weights, and the old ones go on.
-    fn allowed_weights(
-        &self,
-        wanted: Option<&Wanted>,
-        plans: &[(WeightVersion, Plan)],
-        view: &View,
-    ) -> AllowedWeights {
-        let Some(newest) = wanted else {
-            return AllowedWeights::any(wanted, "none wanted");
-        };
-        let limit = self.cfg.weights_limit.saturating_sub(OLD_WEIGHTS_MARGIN);
-        if newest.since.elapsed() <= limit {
-            return AllowedWeights::any(wanted, "wanted of late");
-        }
-        if !plans.iter().any(|(version, _)| *version >= newest.version) {
-            return AllowedWeights::any(wanted, "no engine serves them");
-        }
-        let confirmed = view.operators.confirmed;
-        if confirmed.is_none_or(|at| at.elapsed() >= STORE_SILENCE) {
-            return AllowedWeights::any(wanted, "store silent");
-        }
-        AllowedWeights {
-            oldest: newest.version,
-            ..AllowedWeights::any(wanted, "replaced too long ago")
-        }
-    }
 }
 
 /// Versions of a model's weights that a pool's engines serve, each once.
--- a/crates/sillpin-gateway/src/kept/retire.rs
+++ b/crates/sillpin-gateway/src/kept/retire.rs
@@ -212,7 +212,7 @@
         if serving.is_empty() {
             continue;
         }
-        for version in 1..wanted.version.0 {
+        for version in 1..wanted.newest().version.0 {
             let version = WeightVersion(version);
             let newer = serving.iter().filter(|serves| **serves > version).count();
             let weights = Weights {
--- a/crates/sillpin-gateway/src/place/mod.rs
+++ b/crates/sillpin-gateway/src/place/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! - [`load`]: what this box has under way at each target, and how the target has behaved,
 //! - [`choose`]: the choice among the targets of a pool,
+//! - [`allowed`]: which weights a prompt may run on,
 //! - [`held`]: how long requests hold an engine's memory,
 //! - [`probe`]: whether targets out of reach are back,
 //! - [`parts`]: where the parts of a prompt come from and go to,
 //! - [`replaced`]: targets whose address belongs to another by now,
 //! - [`work`]: work at engines, own and told.
 
+pub mod allowed;
 pub mod choose;
 pub mod held;
 pub mod load;
--- a/crates/sillpin-gateway/src/weights/rollout.rs
+++ b/crates/sillpin-gateway/src/weights/rollout.rs
@@ -320,12 +320,13 @@
             let Some(serves) = served(target, model) else {
                 continue;
             };
-            if serves < wanted.version {
+            let newest = wanted.newest().version;
+            if serves < newest {
                 found.push(Outdated {
                     serves,
                     target: target.clone(),
                     model: model.clone(),
-                    version: wanted.version,
+                    version: newest,
                 });
             }
         }
--- /dev/null
+++ b/crates/sillpin-gateway/tests/allowed.rs
@@ -0,0 +1,100 @@
+//! Which weights a prompt may run on, as versions are named one after the other.
+
+use sillpin_core::WeightVersion;
+use sillpin_gateway::beliefs::{Named, Wanted};
+use sillpin_gateway::place::allowed::WeightsUse;
+use std::time::Duration;
+use tokio::time::{Instant, advance};
+
+/// No request begins on weights that were replaced longer ago.
+const LIMIT: Duration = Duration::from_secs(10);
+
+fn version(number: u64) -> WeightVersion {
+    WeightVersion(number)
+}
+
+fn named(number: u64) -> Named {
+    Named {
+        version: version(number),
+        since: Instant::now(),
+    }
+}
+
+/// The oldest weights that a box in touch with the store may use, of those that engines serve.
+fn oldest(wanted: &Wanted, served: &[u64]) -> u64 {
+    let now = Instant::now();
+    let weights = WeightsUse {
+        wanted: Some(wanted),
+        limit: LIMIT,
+        confirmed: Some(now),
+        now,
+    };
+    weights
+        .allowed(served.iter().copied().map(version))
+        .oldest
+        .0
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_later_version_leaves_the_time_of_an_earlier_one_alone() {
+    let mut wanted = Wanted::new(named(1));
+    advance(Duration::from_secs(60)).await;
+    wanted.note(named(2), Instant::now());
+    advance(Duration::from_secs(4)).await;
+    wanted.note(named(3), Instant::now());
+    advance(Duration::from_millis(3_400)).await;
+    assert_eq!(
+        oldest(&wanted, &[1, 2, 3]),
+        1,
+        "version 2 was named 7.4 s ago"
+    );
+    advance(Duration::from_millis(200)).await;
+    assert_eq!(
+        oldest(&wanted, &[1, 2, 3]),
+        2,
+        "version 2 was named 7.6 s ago"
+    );
+    advance(Duration::from_secs(4)).await;
+    assert_eq!(
+        oldest(&wanted, &[1, 2, 3]),
+        3,
+        "version 3 was named 7.6 s ago"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn of_two_times_for_one_version_the_earlier_counts() {
+    let start = Instant::now();
+    let mut wanted = Wanted::new(named(1));
+    advance(Duration::from_secs(5)).await;
+    assert!(wanted.note(named(2), Instant::now()));
+    let earlier = Named {
+        since: start + Duration::from_secs(1),
+        ..named(2)
+    };
+    assert!(wanted.note(earlier, Instant::now()));
+    assert!(!wanted.note(named(2), Instant::now()));
+    assert_eq!(wanted.replaced_at(version(1)), Some(earlier.since));
+    assert_eq!(wanted.replaced_at(version(2)), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn versions_of_long_ago_are_forgotten_but_not_that_older_weights_were_replaced() {
+    let start = Instant::now();
+    let mut wanted = Wanted::new(named(1));
+    for number in 2..200 {
+        advance(Duration::from_secs(60)).await;
+        wanted.note(named(number), Instant::now());
+    }
+    let replaced = wanted.replaced_at(version(1)).unwrap();
+    assert!(
+        replaced > start + Duration::from_secs(3_600),
+        "no entry of the first hour is left"
+    );
+    assert!(replaced.elapsed() >= Duration::from_secs(600));
+    assert_eq!(
+        oldest(&wanted, &[1, 198, 199]),
+        198,
+        "version 199 was named just now"
+    );
+}
--- a/crates/sillpin-gateway/tests/kept.rs
+++ b/crates/sillpin-gateway/tests/kept.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use rstest::rstest;
 use sillpin_core::{Tokens, WeightVersion};
-use sillpin_gateway::beliefs::{BoxEntry, Known, View, Wanted};
+use sillpin_gateway::beliefs::{BoxEntry, Known, Named, View, Wanted};
 use sillpin_gateway::control::{KeptChange, KeptKey, KeptList, KeptNews};
 use sillpin_gateway::dialect::{EngineTime, PartId, Salt};
 use sillpin_gateway::kept::directory::{BELIEF, Directory, Position};
@@ -292,10 +292,10 @@
         }
         (target(&format!("e{i}")), Arc::new(engine))
     });
-    let wanted = Wanted {
+    let wanted = Wanted::new(Named {
         version: WeightVersion(2),
         since: confirmed,
-    };
+    });
     View {
         entries: Arc::new(engines.collect()),
         wanted: Arc::new(HashMap::from([(name("m"), wanted)])),
