Tell boxes that start when weights were named

Change: boxes tell each other in their digests which versions they saw being named and how long ago, without the time on the way, so that a naming is never taken for older than it is. A box takes the earlier of two times, and a time that somebody saw goes before its own reading at its start. Where no box saw it (all of them started since), the new weights count as wanted for long once half of the engines serve them.

--- a/crates/sillpin-gateway/src/beliefs/fleet.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet.rs
@@ -117,6 +117,11 @@
                 revision,
                 asked,
             } => self.confirmed(topic, content, revision, asked),
+            FleetMsg::Named {
+                model,
+                named,
+                source,
+            } => self.want(model, named, &source, now),
             FleetMsg::StoreAway => self.away = Some(now),
             FleetMsg::Registered(entries) => self.register(entries),
             FleetMsg::Heard(entry) => self.hear(entry, now),
@@ -165,10 +170,12 @@
     ) {
         match topic {
             Topic::Operators => {
+                // What a box finds at its start was there before.
+                let witnessed = self.operators.known().confirmed.is_some();
                 let changes = self.operators.take(reading, asked);
                 let changed = !changes.is_empty();
                 for change in changes {
-                    self.operators_changed(change, source, now);
+                    self.operators_changed(change, witnessed, source, now);
                 }
                 if changed {
                     let entries = self.operators.entries();
@@ -214,7 +221,14 @@
         xxh3_64(lines.concat().as_bytes())
     }
 
-    fn operators_changed(&mut self, change: Change, source: &Source, now: Instant) {
+    /// Takes a change of what operators publish; `witnessed` if it happened while this box was there.
+    fn operators_changed(
+        &mut self,
+        change: Change,
+        witnessed: bool,
+        source: &Source,
+        now: Instant,
+    ) {
         let Change::Set(entry) = change else {
             return;
         };
@@ -226,7 +240,14 @@
             }
         } else if self.keys.is_weights(&entry.key) {
             match self.keys.weights(&entry.key, value) {
-                Ok(wanted) => self.want(wanted.model, wanted.version, source, now),
+                Ok(wanted) => {
+                    let named = Named {
+                        version: wanted.version,
+                        since: now,
+                        witnessed,
+                    };
+                    self.want(wanted.model, named, source, now);
+                }
                 Err(e) => self.undecodable(&e),
             }
         }
@@ -252,23 +273,23 @@
         self.view.config = Some(config);
     }
 
-    fn want(&mut self, model: ModelId, version: WeightVersion, source: &Source, now: Instant) {
-        let known = self.wanted.get(&model).map(|wanted| wanted.newest());
-        if known.is_some_and(|known| known.version >= version) {
+    /// Takes note that operators want weights, or of when they were named.
+    fn want(&mut self, model: ModelId, named: Named, source: &Source, now: Instant) {
+        let wanted = self.wanted.get_mut(&model);
+        let is_news = match wanted {
+            Some(wanted) => wanted.note(named, now),
+            None => {
+                self.wanted.insert(model.clone(), Wanted::new(named));
+                true
+            }
+        };
+        if !is_news {
             return;
         }
         event!(self.log, events::WEIGHTS_WANTED,
-            "model" => model.as_str(), "version" => version.0, "source" => source.to_string());
-        let named = Named {
-            version,
-            since: now,
-        };
-        self.wanted
-            .entry(model)
-            .and_modify(|wanted| {
-                wanted.note(named, now);
-            })
-            .or_insert_with(|| Wanted::new(named));
+            "model" => model.as_str(), "version" => named.version.0, "source" => source.to_string(),
+            "age_ms" => now.saturating_duration_since(named.since).as_millis(),
+            "witnessed" => named.witnessed);
         self.view.wanted = Arc::new(self.wanted.clone());
     }
 
--- a/crates/sillpin-gateway/src/beliefs/mod.rs
+++ b/crates/sillpin-gateway/src/beliefs/mod.rs
@@ -187,6 +187,15 @@
         /// When the store was asked.
         asked: Instant,
     },
+    /// Another box knows of a version of weights, or better than this one when it was named.
+    Named {
+        /// The model.
+        model: ModelId,
+        /// The version.
+        named: Named,
+        /// Who knew.
+        source: Source,
+    },
     /// The store did not answer this box.
     StoreAway,
     /// Boxes that are registered in the store.
--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -15,7 +15,7 @@
 use crate::place::{Choice, Chosen, choose};
 use rand::RngExt;
 use sillpin_core::{ModelId, PoolId, Tokens, WeightVersion};
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -219,15 +219,16 @@
             plan.spare_links(|store| draw < self.kept.links().share(store, now));
             (version, plan)
         };
-        let versions = served_versions(view, base.pool, &prompt.model);
-        let plans: Vec<(WeightVersion, Plan)> = versions.into_iter().map(plan_for).collect();
+        let serving = served_versions(view, base.pool, &prompt.model);
+        let plans: Vec<(WeightVersion, Plan)> = serving.keys().copied().map(plan_for).collect();
         let weights = WeightsUse {
             wanted,
+            serving: &serving,
             limit: self.cfg.weights_limit,
             confirmed: view.operators.confirmed,
             now,
         };
-        let weights = weights.allowed(plans.iter().map(|(version, _)| *version));
+        let weights = weights.allowed();
         let prompt_choice = PromptChoice {
             model: &prompt.model,
             tokens: prompt.tokens,
@@ -291,10 +292,14 @@
     }
 }
 
-/// Versions of a model's weights that a pool's engines serve, each once.
-fn served_versions(view: &View, pool: &PoolId, model: &ModelId) -> BTreeSet<WeightVersion> {
+/// Versions of a model's weights that a pool's engines serve, and how many engines serve each.
+fn served_versions(view: &View, pool: &PoolId, model: &ModelId) -> BTreeMap<WeightVersion, usize> {
     let engines = view.targets.values().filter(|target| target.pool == *pool);
-    engines.filter_map(|target| served(target, model)).collect()
+    let mut serving = BTreeMap::new();
+    for version in engines.filter_map(|target| served(target, model)) {
+        *serving.entry(version).or_default() += 1;
+    }
+    serving
 }
 
 /// Requests that one of `boxes` boxes may have under way at a target.
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -6,7 +6,7 @@
 use super::roles::{self, SMALL_FLEET};
 use super::stall::StallGuard;
 use crate::beliefs::transfers::Transfers;
-use crate::beliefs::{BoxEntry, FleetHandle, Known, View};
+use crate::beliefs::{BoxEntry, FleetHandle, Known, Named, View, Wanted};
 use crate::control::KeptChange;
 use crate::dialect::EngineTime;
 use crate::kept::Kept;
@@ -93,17 +93,43 @@
     /// Targets that it found replaced of late.
     #[serde(default)]
     pub replaced: Vec<TargetHash>,
+    /// Weights that operators named, and how long ago: a box that has just started cannot read that in the store.
+    #[serde(default)]
+    pub named: Vec<NamedAge>,
     /// Which parts it uses no more.
     pub retired: Vec<Retired>,
     /// Whether it is about to end.
     pub stopping: bool,
 }
 
+/// How long ago weights were named, as a box that saw it knows.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct NamedAge {
+    /// The model.
+    pub model: ModelId,
+    /// The version.
+    pub version: WeightVersion,
+    /// Milliseconds since then.
+    pub age_ms: u64,
+}
+
+impl NamedAge {
+    /// What the receiver may take for true. The time on the way is left out, so that the naming is never taken for older than it is, however
+    /// often boxes tell each other.
+    pub fn named(&self, now: Instant) -> Option<Named> {
+        Some(Named {
+            version: self.version,
+            since: now.checked_sub(Duration::from_millis(self.age_ms))?,
+            witnessed: true,
+        })
+    }
+}
+
 /// A datagram between boxes.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Datagram {
     /// How far a box knows what is published; sent in each round and at each change.
-    Digest(Digest),
+    Digest(Box<Digest>),
     /// What the holder of the weights duty does to an engine; sent at once to all.
     Loading(LoadNews),
     /// What a reader of a store has read; sent at once within the zone.
@@ -269,7 +295,7 @@
         self.kept
             .retirements()
             .update(&view, fullness, Instant::now());
-        let mut digest = self.digest(&view);
+        let mut digest = Box::new(self.digest(&view));
         let foreign = self.foreign(&view);
         let zone = self.zone(&view);
         self.send(socket, &Datagram::Digest(digest.clone()), zone)
@@ -338,6 +364,7 @@
             clock: directory.engine_time(now, Duration::ZERO),
             work: self.loads.told(),
             replaced: self.loads.replaced().told(now),
+            named: named_ages(view, now),
             retired: self.kept.retirements().told(now),
             stopping: self.stopping.is_cancelled(),
         }
@@ -388,6 +415,18 @@
     }
 }
 
+fn named_ages(view: &View, now: Instant) -> Vec<NamedAge> {
+    let of_model = |(model, wanted): (&ModelId, &Wanted)| -> Vec<NamedAge> {
+        let age = |named: &Named| NamedAge {
+            model: model.clone(),
+            version: named.version,
+            age_ms: millis(now - named.since),
+        };
+        wanted.witnessed().map(age).collect()
+    };
+    view.wanted.iter().flat_map(of_model).collect()
+}
+
 /// Hashes of what is published, as a box knows it.
 fn contents(view: &View) -> (u64, u64) {
     (view.operators.content, view.listed.content)
--- a/crates/sillpin-gateway/src/peers/ear.rs
+++ b/crates/sillpin-gateway/src/peers/ear.rs
@@ -1,11 +1,11 @@
 //! What is made of other boxes' datagrams.
 
 use super::asker::Asker;
-use super::digest::{Datagram, Digest, Extent, KeptExtent, KeptWord, LoadNews};
+use super::digest::{Datagram, Digest, Extent, KeptExtent, KeptWord, LoadNews, NamedAge};
 use super::lag::{Behind, Lag};
 use super::stall::StallGuard;
 use crate::beliefs::transfers::Transfers;
-use crate::beliefs::{BoxEntry, FleetHandle, FleetMsg, Known, Topic};
+use crate::beliefs::{BoxEntry, FleetHandle, FleetMsg, Known, Named, Source, Topic};
 use crate::control::KeptNews;
 use crate::kept::Kept;
 use crate::kept::directory::Position;
@@ -37,6 +37,10 @@
 /// After this long without anything arriving from the store, called anew, other boxes are asked.
 const STORE_AGAIN: Duration = Duration::from_millis(1_000);
 
+/// Times at which boxes learned of the same weights are taken for alike within this: each watches the store, which tells all
+/// within some ten milliseconds.
+const NAMED_JITTER: Duration = Duration::from_millis(100);
+
 /// Something that is being asked of another box, so that many digests cause one call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Asked {
@@ -100,7 +104,7 @@
                 continue;
             }
             match serde_json::from_slice::<Datagram>(&buf[..len]) {
-                Ok(Datagram::Digest(digest)) => self.take(digest).await,
+                Ok(Datagram::Digest(digest)) => self.take(*digest).await,
                 Ok(Datagram::Loading(news)) => self.take_news(news).await,
                 Ok(Datagram::Kept(word)) => self.take_word(word),
                 Ok(Datagram::Work(word)) => {
@@ -163,6 +167,7 @@
         self.kept.retirements().hear(from, retired, silence, now);
         self.kept.lock().take_clock(digest.clock, now);
         self.fleet.tell(FleetMsg::Heard(digest.from.clone())).await;
+        self.take_named(&digest.named, &digest.from, now).await;
         self.take_extent(Topic::Operators, digest.operators, &digest.from)
             .await;
         self.take_extent(Topic::Targets, digest.targets, &digest.from)
@@ -172,6 +177,31 @@
         }
     }
 
+    /// Another box knows when weights were named.
+    async fn take_named(&self, named: &[NamedAge], from: &BoxEntry, now: Instant) {
+        let view = self.fleet.view();
+        for age in named {
+            let Some(named) = age.named(now) else {
+                continue;
+            };
+            // Times of boxes that saw the same differ by what news take, and would change the view in each round.
+            let later = Named {
+                since: named.since + NAMED_JITTER,
+                ..named
+            };
+            let wanted = view.wanted.get(&age.model);
+            if wanted.is_some_and(|wanted| !wanted.is_news(&later)) {
+                continue;
+            }
+            let msg = FleetMsg::Named {
+                model: age.model.clone(),
+                named,
+                source: Source::Peer(from.id.clone()),
+            };
+            self.fleet.tell(msg).await;
+        }
+    }
+
     /// Another box knows a prefix so far: the same confirms what is known here, newer is asked for.
     async fn take_extent(&self, topic: Topic, theirs: Extent, from: &BoxEntry) {
         let Some(asked) = asked_at(theirs.age_ms) else {
--- a/crates/sillpin-gateway/tests/allowed.rs
+++ b/crates/sillpin-gateway/tests/allowed.rs
@@ -3,6 +3,7 @@
 use sillpin_core::WeightVersion;
 use sillpin_gateway::beliefs::{Named, Wanted};
 use sillpin_gateway::place::allowed::WeightsUse;
+use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::time::{Instant, advance};
 
@@ -17,22 +18,25 @@
     Named {
         version: version(number),
         since: Instant::now(),
+        witnessed: true,
     }
 }
 
-/// The oldest weights that a box in touch with the store may use, of those that engines serve.
+/// The oldest weights that a box in touch with the store may use, with one engine for each entry of `served`.
 fn oldest(wanted: &Wanted, served: &[u64]) -> u64 {
     let now = Instant::now();
+    let mut serving = BTreeMap::new();
+    for number in served {
+        *serving.entry(version(*number)).or_default() += 1;
+    }
     let weights = WeightsUse {
         wanted: Some(wanted),
+        serving: &serving,
         limit: LIMIT,
         confirmed: Some(now),
         now,
     };
-    weights
-        .allowed(served.iter().copied().map(version))
-        .oldest
-        .0
+    weights.allowed().oldest.0
 }
 
 #[tokio::test(start_paused = true)]
@@ -74,24 +78,58 @@
     };
     assert!(wanted.note(earlier, Instant::now()));
     assert!(!wanted.note(named(2), Instant::now()));
-    assert_eq!(wanted.replaced_at(version(1)), Some(earlier.since));
-    assert_eq!(wanted.replaced_at(version(2)), None);
+    assert_eq!(wanted.find(version(2)), Some(&earlier));
+    let unwitnessed = Named {
+        since: start,
+        witnessed: false,
+        ..earlier
+    };
+    assert!(!wanted.note(unwitnessed, Instant::now()), "nobody saw it");
+}
+
+/// After the loss of all boxes nobody knows when weights were named that the store says are wanted.
+#[tokio::test(start_paused = true)]
+async fn weights_that_nobody_saw_being_named_are_judged_by_how_many_engines_serve_them() {
+    let mut wanted = Wanted::new(Named {
+        witnessed: false,
+        ..named(2)
+    });
+    assert_eq!(
+        oldest(&wanted, &[1, 1, 1, 2]),
+        1,
+        "they may have been named just now"
+    );
+    assert_eq!(
+        oldest(&wanted, &[1, 1, 2, 2]),
+        2,
+        "they were named seconds ago"
+    );
+    advance(Duration::from_millis(7_600)).await;
+    assert_eq!(oldest(&wanted, &[1, 1, 1, 2]), 2);
+    assert!(
+        wanted.note(named(2), Instant::now()),
+        "a box that saw it turns up"
+    );
+    assert_eq!(oldest(&wanted, &[1, 1, 2, 2]), 1);
 }
 
 #[tokio::test(start_paused = true)]
 async fn versions_of_long_ago_are_forgotten_but_not_that_older_weights_were_replaced() {
-    let start = Instant::now();
     let mut wanted = Wanted::new(named(1));
     for number in 2..200 {
         advance(Duration::from_secs(60)).await;
         wanted.note(named(number), Instant::now());
     }
-    let replaced = wanted.replaced_at(version(1)).unwrap();
-    assert!(
-        replaced > start + Duration::from_secs(3_600),
-        "no entry of the first hour is left"
+    let ages: Vec<Duration> = wanted
+        .newer(version(1))
+        .map(|n| n.since.elapsed())
+        .collect();
+    assert!(ages.len() < 16, "boxes tell each other all of them");
+    assert_eq!(
+        ages[0],
+        Duration::from_secs(600),
+        "far longer than any limit"
     );
-    assert!(replaced.elapsed() >= Duration::from_secs(600));
     assert_eq!(
         oldest(&wanted, &[1, 198, 199]),
         198,
--- a/crates/sillpin-gateway/tests/kept.rs
+++ b/crates/sillpin-gateway/tests/kept.rs
@@ -295,6 +295,7 @@
     let wanted = Wanted::new(Named {
         version: WeightVersion(2),
         since: confirmed,
+        witnessed: true,
     });
     View {
         entries: Arc::new(engines.collect()),
