Send nothing to weights replaced too long ago although no engine serves newer ones

Cause: while no engine served the newest wanted weights, any were allowed, without a limit.

Change: if no engine serves weights that may be sent to, the newest that engines serve go on to the end of their time; after that a prompt is refused at once. The exception is bound to its reason: it holds for the limit after the store's return, as the box that has been in touch longest knows; boxes tell each other since when they have been in touch.

--- a/crates/sillpin-gateway/src/beliefs/fleet.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet.rs
@@ -122,6 +122,10 @@
                 named,
                 source,
             } => self.want(model, named, &source, now),
+            FleetMsg::Contact(since) => {
+                self.operators.join_contact(since);
+                self.view.operators = self.operators.known();
+            }
             FleetMsg::StoreAway => self.away = Some(now),
             FleetMsg::Registered(entries) => self.register(entries),
             FleetMsg::Heard(entry) => self.hear(entry, now),
--- a/crates/sillpin-gateway/src/beliefs/mirror.rs
+++ b/crates/sillpin-gateway/src/beliefs/mirror.rs
@@ -4,8 +4,13 @@
 use sillpin_platform::{KvEntry, KvRevision, Snapshot, WatchReply};
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::Instant;
 
+/// Silence of the platform's store after which this box counts as out of touch with it. Boxes that wait for others to read lose patience after two seconds at
+/// the most.
+pub const STORE_SILENCE: Duration = Duration::from_secs(3);
+
 /// A change of one key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
@@ -119,8 +124,17 @@
         Some(Change::Set(entry))
     }
 
+    /// Another box, which is in touch with the store, has been so since.
+    pub fn join_contact(&mut self, since: Instant) {
+        self.known.contact = self.known.contact.map(|own| own.min(since));
+    }
+
     /// Somebody found at `asked` that nothing has changed up to a revision.
     pub fn confirm(&mut self, revision: KvRevision, asked: Instant) {
+        let is_broken = |at: Instant| asked > at + STORE_SILENCE;
+        if self.known.confirmed.is_none_or(is_broken) {
+            self.known.contact = Some(asked);
+        }
         self.known.revision = self.known.revision.max(revision);
         self.known.confirmed = self.known.confirmed.max(Some(asked));
     }
--- a/crates/sillpin-gateway/src/beliefs/mod.rs
+++ b/crates/sillpin-gateway/src/beliefs/mod.rs
@@ -12,6 +12,7 @@
 pub mod wanted;
 
 use self::mirror::Mirror;
+pub use self::mirror::STORE_SILENCE;
 pub use self::wanted::{Named, Wanted};
 use crate::config::FleetConfig;
 use crate::control::TargetEntry;
@@ -77,6 +78,8 @@
     pub revision: KvRevision,
     /// When somebody last asked the store and found this.
     pub confirmed: Option<Instant>,
+    /// Since when it has been so without a break of more than [`STORE_SILENCE`], for some box of the fleet.
+    pub contact: Option<Instant>,
     /// Hash of what is known, alike in boxes that know the same; heartbeats do not change it.
     pub content: u64,
 }
@@ -111,6 +114,15 @@
     pub targets: Arc<Vec<KvEntry>>,
 }
 
+impl Known {
+    /// Since when this box has been in touch with the store, if it is.
+    pub fn in_touch(&self, now: Instant) -> Option<Instant> {
+        let confirmed = self.confirmed?;
+        let is_silent = now.saturating_duration_since(confirmed) >= STORE_SILENCE;
+        self.contact.filter(|_| !is_silent)
+    }
+}
+
 impl View {
     /// Boxes of the fleet, this one included.
     pub fn box_count(&self) -> usize {
@@ -196,6 +208,8 @@
         /// Who knew.
         source: Source,
     },
+    /// Another box has been in touch with the store since.
+    Contact(Instant),
     /// The store did not answer this box.
     StoreAway,
     /// Boxes that are registered in the store.
--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -225,7 +225,7 @@
             wanted,
             serving: &serving,
             limit: self.cfg.weights_limit,
-            confirmed: view.operators.confirmed,
+            in_touch: view.operators.in_touch(now),
             now,
         };
         let weights = weights.allowed();
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -96,6 +96,9 @@
     /// Weights that operators named, and how long ago: a box that has just started cannot read that in the store.
     #[serde(default)]
     pub named: Vec<NamedAge>,
+    /// For how long it has been in touch with the platform's store, if it is.
+    #[serde(default)]
+    pub contact_ms: Option<u64>,
     /// Which parts it uses no more.
     pub retired: Vec<Retired>,
     /// Whether it is about to end.
@@ -365,6 +368,7 @@
             work: self.loads.told(),
             replaced: self.loads.replaced().told(now),
             named: named_ages(view, now),
+            contact_ms: view.operators.in_touch(now).map(|at| millis(now - at)),
             retired: self.kept.retirements().told(now),
             stopping: self.stopping.is_cancelled(),
         }
--- a/crates/sillpin-gateway/src/peers/ear.rs
+++ b/crates/sillpin-gateway/src/peers/ear.rs
@@ -37,9 +37,9 @@
 /// After this long without anything arriving from the store, called anew, other boxes are asked.
 const STORE_AGAIN: Duration = Duration::from_millis(1_000);
 
-/// Times at which boxes learned of the same weights are taken for alike within this: each watches the store, which tells all
+/// Times at which boxes learned of the same, or reached the store, are taken for alike within this: each watches the store, which tells all
 /// within some ten milliseconds.
-const NAMED_JITTER: Duration = Duration::from_millis(100);
+const JITTER: Duration = Duration::from_millis(100);
 
 /// Something that is being asked of another box, so that many digests cause one call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -168,6 +168,7 @@
         self.kept.lock().take_clock(digest.clock, now);
         self.fleet.tell(FleetMsg::Heard(digest.from.clone())).await;
         self.take_named(&digest.named, &digest.from, now).await;
+        self.take_contact(digest.contact_ms, now).await;
         self.take_extent(Topic::Operators, digest.operators, &digest.from)
             .await;
         self.take_extent(Topic::Targets, digest.targets, &digest.from)
@@ -186,7 +187,7 @@
             };
             // Times of boxes that saw the same differ by what news take, and would change the view in each round.
             let later = Named {
-                since: named.since + NAMED_JITTER,
+                since: named.since + JITTER,
                 ..named
             };
             let wanted = view.wanted.get(&age.model);
@@ -202,6 +203,18 @@
         }
     }
 
+    /// Another box has been in touch with the store for so long: the store has been there.
+    async fn take_contact(&self, contact_ms: Option<u64>, now: Instant) {
+        let contact = contact_ms.map(Duration::from_millis);
+        let Some(since) = contact.and_then(|contact| now.checked_sub(contact)) else {
+            return;
+        };
+        let own = self.fleet.view().operators.contact;
+        if own.is_some_and(|own| since + JITTER < own) {
+            self.fleet.tell(FleetMsg::Contact(since)).await;
+        }
+    }
+
     /// Another box knows a prefix so far: the same confirms what is known here, newer is asked for.
     async fn take_extent(&self, topic: Topic, theirs: Extent, from: &BoxEntry) {
         let Some(asked) = asked_at(theirs.age_ms) else {
--- a/crates/sillpin-gateway/src/place/allowed.rs
+++ b/crates/sillpin-gateway/src/place/allowed.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Requests stop going to replaced weights this long before they must not begin there any more: they may
-/// wait at the engine, and this box may have learned late that the weights were replaced.
+/// Requests stop going to replaced weights this long before they must not begin there any more, if there are newer ones: they may wait at the
+/// engine. Engines' queues were up to 2.9 s long on days with late beginnings, mostly below 0.8 s.
 const QUEUE_MARGIN: Duration = Duration::from_millis(2_500);
 
-/// Silence of the platform's store after which this box counts as out of touch with it.
-const STORE_SILENCE: Duration = Duration::from_secs(3);
+/// Requests that wait at an engine are taken back this long before they must not begin there any more: this box may have learned late that
+/// the weights were replaced (0.4 s between two rounds of news), and an engine hears late that they are taken back.
+const BEGIN_MARGIN: Duration = Duration::from_millis(750);
 
 /// Nobody saw these weights being named, so for how long they have been wanted is not known. That this part of the engines serves them, or newer ones, shows
 /// that it has been for seconds, and leaves enough engines to do without the others.
@@ -39,8 +40,8 @@
     pub serving: &'a BTreeMap<WeightVersion, usize>,
     /// No request begins on weights that were replaced longer ago.
     pub limit: Duration,
-    /// When the platform's store was last known to say what is known here.
-    pub confirmed: Option<Instant>,
+    /// Since when this box has been in touch with the platform's store, if it is.
+    pub in_touch: Option<Instant>,
     /// Now.
     pub now: Instant,
 }
@@ -52,17 +53,28 @@
         let Some(wanted) = self.wanted else {
             return self.since(any, "none wanted");
         };
-        let silent = |at: Instant| self.now.saturating_duration_since(at) >= STORE_SILENCE;
-        if self.confirmed.is_none_or(silent) {
+        let Some(in_touch) = self.in_touch else {
             return self.since(any, "store silent");
-        }
-        let in_time = |version: &&WeightVersion| {
-            let until = self.usable_until(wanted, **version);
-            until.is_none_or(|until| self.now + QUEUE_MARGIN < until)
         };
-        match self.serving.keys().find(in_time) {
-            Some(oldest) => self.since(*oldest, "older ones were replaced too long ago"),
-            None => self.since(any, "no engine serves newer ones"),
+        let by = |version: &WeightVersion, margin| {
+            let until = self.usable_until(wanted, *version);
+            until.is_none_or(|until| self.now + margin < until)
+        };
+        let served = || self.serving.keys();
+        if let Some(oldest) = served().find(|version| by(version, QUEUE_MARGIN)) {
+            return self.since(*oldest, "older ones were replaced too long ago");
+        }
+        if let Some(newest) = served().rfind(|version| by(version, BEGIN_MARGIN)) {
+            return self.since(*newest, "no engine serves newer ones");
+        }
+        // While the store was away nobody could bring engines to new weights.
+        let newest = served().next_back();
+        match newest.filter(|_| self.now + BEGIN_MARGIN < in_touch + self.limit) {
+            Some(newest) => self.since(*newest, "the store has just come back"),
+            None => self.since(
+                wanted.newest().version,
+                "no engine serves weights that may be used",
+            ),
         }
     }
 
--- a/crates/sillpin-gateway/tests/allowed.rs
+++ b/crates/sillpin-gateway/tests/allowed.rs
@@ -24,6 +24,12 @@
 
 /// The oldest weights that a box in touch with the store may use, with one engine for each entry of `served`.
 fn oldest(wanted: &Wanted, served: &[u64]) -> u64 {
+    let long_ago = Instant::now() - Duration::from_secs(3_600);
+    oldest_in_touch_since(Some(long_ago), wanted, served)
+}
+
+/// The same for a box that has been in touch with the store since a moment, or is not.
+fn oldest_in_touch_since(in_touch: Option<Instant>, wanted: &Wanted, served: &[u64]) -> u64 {
     let now = Instant::now();
     let mut serving = BTreeMap::new();
     for number in served {
@@ -33,7 +39,7 @@
         wanted: Some(wanted),
         serving: &serving,
         limit: LIMIT,
-        confirmed: Some(now),
+        in_touch,
         now,
     };
     weights.allowed().oldest.0
@@ -136,3 +142,67 @@
         "version 199 was named just now"
     );
 }
+
+/// All engines served version 2 when versions 3 and 4 were named, and their loads were held up.
+#[tokio::test(start_paused = true)]
+async fn without_newer_engines_the_newest_are_used_to_the_end_of_their_time_and_no_longer() {
+    let mut wanted = Wanted::new(named(2));
+    advance(Duration::from_secs(60)).await;
+    wanted.note(named(3), Instant::now());
+    advance(Duration::from_secs(1)).await;
+    wanted.note(named(4), Instant::now());
+    advance(Duration::from_secs(7)).await;
+    assert_eq!(
+        oldest(&wanted, &[2, 2, 3]),
+        3,
+        "version 2 was replaced 8 s ago, version 3 7 s ago"
+    );
+    advance(Duration::from_secs(1)).await;
+    assert_eq!(
+        oldest(&wanted, &[2, 2, 3]),
+        3,
+        "9 s and 8 s ago, and nothing newer is served"
+    );
+    assert_eq!(
+        oldest(&wanted, &[2, 2, 2]),
+        2,
+        "9 s ago, and nothing newer is served"
+    );
+    advance(Duration::from_millis(300)).await;
+    assert_eq!(
+        oldest(&wanted, &[2, 2, 2]),
+        4,
+        "a prompt may reach its engine too late"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn weights_are_not_to_blame_for_the_time_without_the_store() {
+    let mut wanted = Wanted::new(named(1));
+    advance(Duration::from_secs(60)).await;
+    wanted.note(named(2), Instant::now());
+    advance(Duration::from_secs(20)).await;
+    assert_eq!(
+        oldest_in_touch_since(None, &wanted, &[1, 1, 2]),
+        0,
+        "out of touch"
+    );
+    let back = Some(Instant::now());
+    advance(Duration::from_secs(1)).await;
+    assert_eq!(
+        oldest_in_touch_since(back, &wanted, &[1, 1]),
+        1,
+        "nobody could load them"
+    );
+    assert_eq!(
+        oldest_in_touch_since(back, &wanted, &[1, 1, 2]),
+        2,
+        "somebody could"
+    );
+    advance(Duration::from_secs(9)).await;
+    assert_eq!(
+        oldest_in_touch_since(back, &wanted, &[1, 1]),
+        2,
+        "there was time enough"
+    );
+}
--- a/crates/sillpin-gateway/tests/beliefs.rs
+++ b/crates/sillpin-gateway/tests/beliefs.rs
@@ -6,7 +6,7 @@
 use sillpin_core::{ModelId, WeightVersion};
 use sillpin_gateway::beliefs::fleet::{Fleet, served};
 use sillpin_gateway::beliefs::mirror::Mirror;
-use sillpin_gateway::beliefs::{BoxEntry, Copied, FleetMsg, Reading, Source, Topic};
+use sillpin_gateway::beliefs::{BoxEntry, Copied, FleetMsg, Named, Reading, Source, Topic};
 use sillpin_gateway::config::ConfigVersion;
 use sillpin_gateway::control::Presence;
 use sillpin_platform::{KvEntry, KvRevision, Snapshot, WatchReply};
@@ -299,3 +299,55 @@
         .collect();
     assert_eq!(ids, ["box-3"]);
 }
+
+#[tokio::test(start_paused = true)]
+async fn being_in_touch_begins_anew_after_a_silence_of_the_store() {
+    let mut fleet = fleet();
+    let start = Instant::now();
+    let tell = |fleet: &mut Fleet<TestKeys>, asked| {
+        fleet.handle(whole(Topic::Operators, Vec::new(), 1, asked), asked);
+        fleet.view().operators.in_touch(asked)
+    };
+    assert_eq!(fleet.view().operators.in_touch(start), None);
+    for seconds in [0, 2, 4] {
+        let asked = start + Duration::from_secs(seconds);
+        assert_eq!(tell(&mut fleet, asked), Some(start));
+    }
+    let silent = start + Duration::from_secs(7);
+    assert_eq!(fleet.view().operators.in_touch(silent), None);
+    let back = start + Duration::from_secs(9);
+    assert_eq!(tell(&mut fleet, back), Some(back));
+    let others = start + Duration::from_secs(5);
+    fleet.handle(FleetMsg::Contact(others), back);
+    assert_eq!(fleet.view().operators.in_touch(back), Some(others));
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_a_box_finds_at_its_start_was_not_seen_being_named() {
+    let mut fleet = fleet();
+    let start = Instant::now();
+    let found = vec![entry("ops/weights/m", "2", 5)];
+    fleet.handle(whole(Topic::Operators, found, 5, start), start);
+    let later = start + Duration::from_secs(1);
+    let named = vec![entry("ops/weights/m", "3", 6)];
+    fleet.handle(changes(Topic::Operators, named, 6, later), later);
+    let model: ModelId = common::name("m");
+    let wanted = fleet.view().wanted[&model].clone();
+    let seen = |version| wanted.find(WeightVersion(version)).unwrap().witnessed;
+    assert_eq!((seen(2), seen(3)), (false, true));
+    let named = Named {
+        version: WeightVersion(2),
+        since: start,
+        witnessed: true,
+    };
+    let msg = FleetMsg::Named {
+        model: model.clone(),
+        named,
+        source: Source::Peer(common::name("box-2")),
+    };
+    fleet.handle(msg, later);
+    assert_eq!(
+        fleet.view().wanted[&model].find(WeightVersion(2)),
+        Some(&named)
+    );
+}
--- a/crates/sillpin-gateway/tests/kept.rs
+++ b/crates/sillpin-gateway/tests/kept.rs
@@ -303,6 +303,7 @@
         listed: Known {
             revision: KvRevision(1),
             confirmed: Some(confirmed),
+            contact: Some(confirmed),
             content: 0,
         },
         boxes: Arc::new(vec![BoxEntry {
