Take a prompt back from its engine before it can begin on weights replaced too long ago

Cause: a box stopped sending to replaced weights 2.5 s before the limit and did not look again; prompts waited up to 2.9 s in engines' queues. How long a queue is cannot be known from outside, so no margin bounds it: the limit has to be kept when the prompt begins, not when it is sent.

Change: while a box waits for the head of an answer, which comes when the prompt begins, it knows until when the prompt may begin and closes the engine's connection 0.75 s before the limit; the engine drops what it has not begun. A route that allows another run goes elsewhere, others are told that it may have run.

--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -16,7 +16,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use sillpin_core::WeightVersion;
 use std::time::Duration;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 /// Longest answer of a plain target that is held until it is whole.
 const MAX_WHOLE_ANSWER: usize = 8 << 20;
@@ -28,6 +28,12 @@
 /// Other requests may use a connection that rested longer.
 const MAX_IDLE: Duration = Duration::from_secs(30);
 
+/// Why a prompt was taken back from its engine.
+const EXPIRED: &str = "its weights were replaced too long ago for it to begin";
+
+/// How often a prompt that waits at its engine is looked at again: weights may be named meanwhile, and their limit is some seconds.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+
 /// An answer that was read whole.
 #[derive(Debug)]
 pub struct WholeAnswer {
@@ -107,6 +113,25 @@
     }
 }
 
+/// How the wait for the head of an answer ended.
+enum Waited {
+    /// It came, or the connection failed.
+    Ended(Result<Response<Incoming>, SendError>),
+    /// The request's time is over, or it is to go elsewhere.
+    Left,
+    /// Its weights were replaced too long ago for it to begin.
+    Expired,
+}
+
+/// When the wait for an answer ends, as far as the target's silence does not decide it.
+pub struct Leaving<L, B> {
+    /// Tells, each time that the target has been silent for long, whether the request is to go elsewhere.
+    pub may_leave: L,
+    /// Until when it may begin at the target; checked also while it waits there, since how long an engine's queue is cannot be
+    /// known: margins of seconds were used up in it.
+    pub begin_by: B,
+}
+
 /// What one sending needs.
 pub struct Attempt<'a> {
     /// The request.
@@ -120,9 +145,12 @@
 }
 
 impl<D: Dialect> Shared<D> {
-    /// Sends a request to one target. `may_leave` tells, each time that the target has been silent for long, whether
-    /// the request is to go elsewhere.
-    pub async fn attempt(&self, attempt: Attempt<'_>, may_leave: impl Fn() -> bool) -> Ended {
+    /// Sends a request to one target.
+    pub async fn attempt<L, B>(&self, attempt: Attempt<'_>, leaving: Leaving<L, B>) -> Ended
+    where
+        L: Fn() -> bool,
+        B: Fn() -> Option<Instant>,
+    {
         let run = attempt.run;
         let target = attempt.target.clone();
         let max_idle = match run.route.repeat {
@@ -137,33 +165,52 @@
             Ok(req) => req,
             Err(e) => return Ended::Unsent(e.to_string()),
         };
-        let resp = match self.wait_for_head(run, &mut conn, req, may_leave).await {
-            Some(Ok(resp)) => resp,
-            Some(Err(e @ SendError::Unsent { .. })) => return Ended::Unsent(e.to_string()),
-            Some(Err(e @ SendError::Unanswered { .. })) => return Ended::Unknown(e.to_string()),
-            None => return Ended::TimedOut("no answer in time".to_owned()),
+        let resp = match self.wait_for_head(run, &mut conn, req, leaving).await {
+            Waited::Ended(Ok(resp)) => resp,
+            Waited::Ended(Err(e @ SendError::Unsent { .. })) => {
+                return Ended::Unsent(e.to_string());
+            }
+            Waited::Ended(Err(e @ SendError::Unanswered { .. })) => {
+                return Ended::Unknown(e.to_string());
+            }
+            Waited::Left => return Ended::TimedOut("no answer in time".to_owned()),
+            Waited::Expired => return Ended::Unknown(EXPIRED.to_owned()),
         };
         self.judge(attempt, conn, resp).await
     }
 
-    /// Sends a request and waits for the head of the answer; `None` if the request's time is over or it is to go
-    /// elsewhere.
-    async fn wait_for_head(
+    /// Sends a request and waits for the head of the answer. A prompt begins with it.
+    async fn wait_for_head<L, B>(
         &self,
         run: &Run,
         conn: &mut Conn,
         req: Request<Full<Bytes>>,
-        may_leave: impl Fn() -> bool,
-    ) -> Option<Result<Response<Incoming>, SendError>> {
+        leaving: Leaving<L, B>,
+    ) -> Waited
+    where
+        L: Fn() -> bool,
+        B: Fn() -> Option<Instant>,
+    {
         let mut answer = std::pin::pin!(conn.send(req));
+        let mut silent_until = self.silence_until(run);
         loop {
-            let until = self.silence_until(run);
-            if let Ok(answered) = timeout_at(until, &mut answer).await {
-                return Some(answered);
+            let begin_by = (leaving.begin_by)();
+            if begin_by.is_some_and(|at| at <= Instant::now()) {
+                return Waited::Expired;
+            }
+            let look = begin_by
+                .unwrap_or(silent_until)
+                .min(Instant::now() + LOOK_EVERY);
+            if let Ok(answered) = timeout_at(look.min(silent_until), &mut answer).await {
+                return Waited::Ended(answered);
+            }
+            if Instant::now() < silent_until {
+                continue;
             }
-            if until >= run.deadline || may_leave() {
-                return None;
+            if silent_until >= run.deadline || (leaving.may_leave)() {
+                return Waited::Left;
             }
+            silent_until = self.silence_until(run);
         }
     }
 
--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -6,7 +6,7 @@
 
 use super::admit::{Run, is_fresh};
 use super::answers::Refusal;
-use super::attempt::{Attempt, Ended, WholeAnswer};
+use super::attempt::{Attempt, Ended, Leaving, WholeAnswer};
 use super::placing::Placed;
 use super::shared::Shared;
 use crate::beliefs::{FleetMsg, View};
@@ -134,14 +134,17 @@
             ticket: self.loads.start(&target.id, placed.work()),
         };
         let sent = Instant::now();
-        let may_leave = || self.should_leave(run, pool, progress);
-        let ended = self.attempt(attempt, may_leave).await;
+        let version = placed.chosen.version;
+        let leaving = Leaving {
+            may_leave: || self.should_leave(run, pool, progress),
+            begin_by: || self.begin_by(run, pool, version?),
+        };
+        let ended = self.attempt(attempt, leaving).await;
         if matches!(ended, Ended::Streaming(_)) {
             self.note_transfer(run, &placed, sent.elapsed());
         }
         let reached = !matches!(ended, Ended::Unsent(_));
         self.loads.note_reach(&target.zone, reached);
-        let version = placed.chosen.version;
         self.note(run, &target.id, version, &ended, progress);
         Ok(ended)
     }
--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -220,15 +220,10 @@
             (version, plan)
         };
         let serving = served_versions(view, base.pool, &prompt.model);
+        let weights = self
+            .weights_use(view, &prompt.model, &serving, now)
+            .allowed();
         let plans: Vec<(WeightVersion, Plan)> = serving.keys().copied().map(plan_for).collect();
-        let weights = WeightsUse {
-            wanted,
-            serving: &serving,
-            limit: self.cfg.weights_limit,
-            in_touch: view.operators.in_touch(now),
-            now,
-        };
-        let weights = weights.allowed();
         let prompt_choice = PromptChoice {
             model: &prompt.model,
             tokens: prompt.tokens,
@@ -251,6 +246,31 @@
         })
     }
 
+    /// Until when a prompt may begin at the target that was chosen for it, as far as is known by now.
+    pub fn begin_by(&self, run: &Run, pool: &PoolId, version: WeightVersion) -> Option<Instant> {
+        let model = &run.demand.prompt.as_ref()?.model;
+        let view = self.fleet.view();
+        let serving = served_versions(&view, pool, model);
+        let weights = self.weights_use(&view, model, &serving, Instant::now());
+        weights.begin_by(version)
+    }
+
+    fn weights_use<'a>(
+        &self,
+        view: &'a View,
+        model: &ModelId,
+        serving: &'a BTreeMap<WeightVersion, usize>,
+        now: Instant,
+    ) -> WeightsUse<'a> {
+        WeightsUse {
+            wanted: view.wanted.get(model),
+            serving,
+            limit: self.cfg.weights_limit,
+            in_touch: view.operators.in_touch(now),
+            now,
+        }
+    }
+
     /// What the chosen target is to be told. Notes which saves are asked for.
     fn prepare(&self, run: &Run, selected: Selected) -> Placed {
         let prompt_ms = selected.prompt_ms();
--- a/crates/sillpin-gateway/src/place/allowed.rs
+++ b/crates/sillpin-gateway/src/place/allowed.rs
@@ -78,6 +78,15 @@
         }
     }
 
+    /// Until when a prompt may begin on weights that it was sent to; `None` if nothing that is known ends their time. A moment that has passed tells that
+    /// it must not begin any more.
+    pub fn begin_by(&self, version: WeightVersion) -> Option<Instant> {
+        let replaced = self.wanted?.newer(version).map(|newer| newer.since).min()?;
+        let until = replaced + self.limit.saturating_sub(BEGIN_MARGIN);
+        let is_over = until <= self.now;
+        (!is_over || version < self.allowed().oldest).then_some(until)
+    }
+
     /// When the time of weights is over, if newer ones are wanted.
     fn usable_until(&self, wanted: &Wanted, version: WeightVersion) -> Option<Instant> {
         let until = |named: &Named| match named.witnessed || !self.is_widely_served(named.version) {
