Ask for a lost save again however often the part is wanted

Cause: Directory::should_save noted the time of each question, also of those that it answered with no. A part that prompts wanted more often than every 1.5 s (SAVE_MEMORY) put its next try off anew each time; if the first save was lost (the store had no room, the engine broke off), the part was not kept while it was in use, and each prompt read it anew.

Change: only a save that is asked for sets the clock.

Measured, the test's run: a part wanted every 0.4 s for 4 s was asked for at 0 s only before; at 0, 1.6 and 3.2 s now. What it is worth on a site was not played.

--- a/crates/sillpin-gateway/src/kept/directory.rs
+++ b/crates/sillpin-gateway/src/kept/directory.rs
@@ -7,6 +7,7 @@
 use crate::dialect::EngineTime;
 use serde::{Deserialize, Serialize};
 use sillpin_core::Tokens;
+use std::collections::hash_map::Entry;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -245,8 +246,13 @@
             return false;
         }
         self.asked.retain(|_, at| now - *at < SAVE_MEMORY);
-        let asked = self.asked.insert((addr, key.clone()), now);
-        asked.is_none()
+        match self.asked.entry((addr, key.clone())) {
+            Entry::Occupied(_) => false,
+            Entry::Vacant(unasked) => {
+                unasked.insert(now);
+                true
+            }
+        }
     }
 
     /// The moment `later` on the engines' clock, if it was read.
--- a/crates/sillpin-gateway/tests/kept.rs
+++ b/crates/sillpin-gateway/tests/kept.rs
@@ -208,6 +208,27 @@
     assert!(!directory.should_save(STORE, &key("b"), Tokens(100), now));
 }
 
+/// An engine was asked to keep a part that many prompts share, and the store had no room for it just then. Prompts with that
+/// part came several times a second, and each put the next try off anew: the part was kept only once they had ceased for a
+/// while, and was read anew for each of them until then.
+#[tokio::test(start_paused = true)]
+async fn a_save_that_was_lost_is_asked_for_again_however_often_the_part_is_wanted() {
+    let mut directory = Directory::default();
+    let step = Duration::from_millis(400);
+    let mut asked = Vec::new();
+    for round in 0..10u32 {
+        let now = Instant::now();
+        directory.take_list(STORE, list(1, &[]), now);
+        if directory.should_save(STORE, &key("b"), Tokens(100), now) {
+            asked.push(step * round);
+        }
+        tokio::time::advance(step).await;
+    }
+    // The first time that SAVE_MEMORY is over, and again after as long.
+    let ms = Duration::from_millis;
+    assert_eq!(asked, [ms(0), ms(1_600), ms(3_200)]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn the_engines_clock_is_never_ahead() {
     let mut directory = Directory::default();
