Free no part that a box says it still uses

Cause: a box's share of retired parts grows with how full the stores are and with the engines' entries, and never falls within its life. A box that starts anew (or that missed a moment in which more engines served the new weights) has not seen what the others saw, so it retires less. It says so in its digests, but the box that frees took the greater of that word and what it had known itself for 5 s: the argument "it has learned it too or has stopped fetching" holds for what the store says and not for how full the stores once were, and it was used for boxes that had just said the opposite. So parts could be freed under a fetch.

Change: the word of a box that was heard within 2 s and was in touch then counts as it is; the long-known share stands in for silent boxes and for those that say that they are out of touch, as before. So that a box that started anew does not hold parts back for good, boxes retire what others tell that they have retired.

Ruled out: to hold fetches of a new box back until it has heard others; a fleet of one zone, or of boxes that all start, would then fetch nothing.

Left: a box that the one that frees hears only through others (other zones of a large fleet) counts as silent; it takes over a share of a box in another zone after 4 s and more, since each box tells only of fetches that are over. Between the start of a box and its first digest the word of its earlier life counts, for at most 2 s.

--- a/crates/sillpin-gateway/src/kept/retire.rs
+++ b/crates/sillpin-gateway/src/kept/retire.rs
@@ -6,10 +6,10 @@
 //! nor saved any more, and the holder of the fleet's duty may free them. What no engine serves is retired
 //! whole.
 //!
-//! A part is never freed under a reader. Each box tells in its digests which share it has retired, and
-//! never goes back. A box that was not heard may at worst use what it knew when it was last in touch,
-//! because a box out of touch fetches nothing, unless all boxes are, and then nobody frees. Fetches are
-//! thrown away after a known time.
+//! A part is never freed under a reader. Each box tells in its digests which share it has retired, and never goes back
+//! within its life; a box that starts anew takes over what the others tell. A box that was not heard may at worst use
+//! what it knew when it was last in touch, because a box out of touch fetches nothing, unless all boxes are, and then
+//! nobody frees. Fetches are thrown away after a known time.
 
 use super::homes::{hash_pair, unit};
 use super::salt::SaltParts;
@@ -82,6 +82,13 @@
     store_silence: Duration,
 }
 
+impl Heard {
+    /// Whether the box may still use what it has not retired: it was heard of late, and said that it was in touch.
+    fn is_binding(&self, now: Instant) -> bool {
+        now - self.at < WORD_TIME && self.store_silence < TOUCH
+    }
+}
+
 /// What this box has retired, and what it knows of the others.
 #[derive(Debug, Default)]
 pub struct Retirements {
@@ -100,8 +107,7 @@
                 true => replaced.min(pressure),
                 false => replaced,
             };
-            let applied = self.applied.entry(weights).or_insert(0.0);
-            *applied = applied.max(share);
+            self.retire(weights, share);
         }
         let shares = self.applied.clone();
         self.history.push_back(Sample { at: now, shares });
@@ -111,6 +117,12 @@
         }
     }
 
+    /// Retires a share of a version's parts, unless more is retired.
+    fn retire(&mut self, weights: Weights, share: f64) {
+        let applied = self.applied.entry(weights).or_insert(0.0);
+        *applied = applied.max(share);
+    }
+
     /// What this box tells the others: shares that it applied so long ago that its fetches of these parts are
     /// over.
     pub fn told(&self, now: Instant) -> Vec<Retired> {
@@ -121,7 +133,8 @@
         self.applied.keys().map(told).collect()
     }
 
-    /// Takes what another box tells: what it has retired, and since when it has no word from the store.
+    /// Takes what another box tells: what it has retired, which this box retires too, and since when it has no word from the
+    /// store.
     pub fn hear(
         &mut self,
         from: BoxId,
@@ -129,7 +142,10 @@
         store_silence: Duration,
         now: Instant,
     ) {
-        let shares = retired.into_iter().map(|r| (r.weights, r.share)).collect();
+        let shares: Shares = retired.into_iter().map(|r| (r.weights, r.share)).collect();
+        for (weights, share) in &shares {
+            self.retire(weights.clone(), *share);
+        }
         let heard = Heard {
             at: now,
             shares,
@@ -160,17 +176,16 @@
         place_of(key) < share
     }
 
-    /// Share of a version's parts that no box fetches: told by every box, or known for so long that a box
-    /// that says nothing has either learned it too or stopped fetching.
+    /// Share of a version's parts that no box fetches: told by every box that is in touch, or known for so long that a box
+    /// that says nothing has either learned it too or stopped fetching. What a box says counts, however long this one has
+    /// known more: one that started anew has not seen how full the stores were before.
     pub fn unused_share(&self, weights: &Weights, view: &View, now: Instant) -> f64 {
         let long_known = self.known_at(weights, now, TOUCH + TOUCH_MARGIN + MAX_FETCH_TIME);
         let told_by = |id: &BoxId| {
-            let heard = self
-                .others
-                .get(id)
-                .filter(|heard| now - heard.at < WORD_TIME);
-            let share = heard.and_then(|heard| heard.shares.get(weights));
-            share.copied().unwrap_or(0.0).max(long_known)
+            let heard = self.others.get(id).filter(|heard| heard.is_binding(now));
+            heard.map_or(long_known, |heard| {
+                heard.shares.get(weights).copied().unwrap_or(0.0)
+            })
         };
         let told = view.boxes.iter().map(|peer| told_by(&peer.id));
         let known = self.known_at(weights, now, NEW_BOX);
--- a/crates/sillpin-gateway/tests/kept.rs
+++ b/crates/sillpin-gateway/tests/kept.rs
@@ -458,6 +458,77 @@
     );
 }
 
+/// A box was started anew while engines changed to new weights. By then there was room in the stores again, so it used parts of
+/// the replaced weights that the others had retired while the stores were full, and said so. The box that frees parts had known
+/// them to be retired for long and went by that: it freed parts that the new box's engines were fetching.
+#[tokio::test(start_paused = true)]
+async fn what_a_box_that_started_anew_still_uses_is_not_freed() {
+    let salt: SaltParts = "m/1".parse().unwrap();
+    let parts: Vec<KeptKey> = (0..400).map(|i| key(&format!("p{i}"))).collect();
+    let mut holder = Retirements::default();
+    let mut started = Retirements::default();
+    let step = Duration::from_millis(400);
+    let roomy = 0.5;
+    holder.update(&view(2, Instant::now()), FULL, Instant::now());
+    tokio::time::advance(Duration::from_secs(8)).await;
+    for round in 0..20u32 {
+        let now = Instant::now();
+        let view = view(2, now);
+        started.update(&view, roomy, now);
+        holder.update(&view, roomy, now);
+        holder.hear(name("box-2"), started.told(now), Duration::ZERO, now);
+        let unused = holder.unused_share(&old_weights(), &view, now);
+        let used = |key: &&KeptKey| !started.is_retired(&salt, key);
+        let freed = parts
+            .iter()
+            .filter(used)
+            .filter(|key| place_of(key) < unused);
+        assert_eq!(
+            freed.count(),
+            0,
+            "in use and freed, after {:?}",
+            step * round
+        );
+        tokio::time::advance(step).await;
+    }
+}
+
+/// A box that was started anew, when there was room in the stores again, used parts that all others had retired. As long as it does
+/// so nobody may free them, and the room stays taken.
+#[tokio::test(start_paused = true)]
+async fn a_box_that_started_anew_takes_over_what_others_have_retired() {
+    let mut holder = Retirements::default();
+    let mut started = Retirements::default();
+    let start = Instant::now();
+    holder.update(&view(2, start), FULL, start);
+    tokio::time::advance(MAX_FETCH_TIME).await;
+    let now = Instant::now();
+    let view = view(2, now);
+    let roomy = 0.5;
+    started.update(&view, roomy, now);
+    started.hear(name("box-1"), holder.told(now), Duration::ZERO, now);
+    started.update(&view, roomy, now);
+    tokio::time::advance(MAX_FETCH_TIME).await;
+    let now = Instant::now();
+    holder.update(&view, roomy, now);
+    holder.hear(name("box-2"), started.told(now), Duration::ZERO, now);
+    assert_eq!(holder.unused_share(&old_weights(), &view, now), 0.5);
+}
+
+/// A box that the store does not answer says so, and has stopped fetching: what it last used is no reason to keep parts.
+#[tokio::test(start_paused = true)]
+async fn a_box_that_says_that_it_is_out_of_touch_holds_nothing_back() {
+    let mut holder = Retirements::default();
+    let start = Instant::now();
+    holder.update(&view(2, start), FULL, start);
+    tokio::time::advance(Duration::from_secs(8)).await;
+    let now = Instant::now();
+    let silence = Duration::from_secs(8);
+    assert!(!Retirements::default().may_fetch(&view(0, start), now));
+    holder.hear(name("box-2"), told(0.0), silence, now);
+    assert_eq!(holder.unused_share(&old_weights(), &view(2, now), now), 0.5);
+}
+
 #[tokio::test(start_paused = true)]
 async fn without_the_store_boxes_fetch_on_only_if_none_of_them_reaches_it() {
     let mut retirements = Retirements::default();
