Count how long others have known a change from that change on

Cause: Lag kept one clock for each prefix and began anew whenever the box learned something.

Change: each change that the box lacks counts from when another box was first heard to know it; learning of it, by revision or by content, ends its time and no other's.

Tests: `behind` takes what both boxes know instead of a hash, so the three tests there were call it through a function; what they expect is unchanged. Ruled out: to go by revisions alone. The store's revision rises without changes, and a box that has caught up at a lower revision would seem behind since before (a test of its own).

--- a/crates/sillpin-gateway/src/peers/ear.rs
+++ b/crates/sillpin-gateway/src/peers/ear.rs
@@ -264,7 +264,7 @@
 
     /// Notes that another box knows more, and says so now and then.
     fn fell_behind(&self, topic: Topic, mine: Known, theirs: Extent, from: &BoxEntry) -> Behind {
-        let behind = self.lag().behind(topic, mine.content, Instant::now());
+        let behind = self.lag().behind(topic, mine, theirs, Instant::now());
         if behind.is_due {
             event!(self.log, events::BEHIND,
                 "what" => topic.name(), "for_ms" => behind.lasted.as_millis(),
