Pass targets over for each reason by itself

Cause: Load kept one moment until which a target rests, for four reasons: out of reach, refusing, loading weights, failing. Whatever ended one ended all. A try at the address of an engine that was loading weights ended the loading's rest, so prompts went there and were refused; news that an engine had loaded ended the rest of one out of reach, so requests tried it at a third of a second each; a failing target that was out of reach for a moment was tried at once instead of after 3 s.

Change: one moment for each reason. Being reached ends being out of reach; having loaded ends loading and refusing, which loading causes.

Measured, the tests' runs: three new tests of place.rs failed before, all 27 pass now. Not played on a site.

--- a/crates/sillpin-gateway/src/place/load.rs
+++ b/crates/sillpin-gateway/src/place/load.rs
@@ -37,6 +37,22 @@
 /// How long a failing target rests before it is tried again.
 const FAILING_REST: Duration = Duration::from_secs(3);
 
+/// Until when a target is passed over while others are there, for each reason: what ends one is no end of another.
+#[derive(Debug, Clone, Copy, Default)]
+struct Rests {
+    unreachable: Option<Instant>,
+    refusing: Option<Instant>,
+    loading: Option<Instant>,
+    failing: Option<Instant>,
+}
+
+impl Rests {
+    fn until(&self) -> Option<Instant> {
+        let first = self.unreachable.max(self.refusing);
+        first.max(self.loading).max(self.failing)
+    }
+}
+
 /// What is known of one target.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Load {
@@ -44,8 +60,7 @@
     pub in_flight: u32,
     /// Work of these requests, for engines.
     pub work: Work,
-    /// Passed over until then, while others are there.
-    pub rests_until: Option<Instant>,
+    rests: Rests,
     refusals: u32,
     failing: f64,
     outcomes: u32,
@@ -54,7 +69,7 @@
 impl Load {
     /// Whether the target is passed over.
     pub fn rests(&self, now: Instant) -> bool {
-        self.rests_until.is_some_and(|until| now < until)
+        self.rests.until().is_some_and(|until| now < until)
     }
 
     /// Share of the last requests that failed.
@@ -62,16 +77,12 @@
         self.failing
     }
 
-    fn rest(&mut self, now: Instant, time: Duration) {
-        self.rests_until = self.rests_until.max(Some(now + time));
-    }
-
     fn outcome(&mut self, now: Instant, failed: bool) {
         let sample = if failed { 1.0 } else { 0.0 };
         self.failing += OUTCOME_WEIGHT * (sample - self.failing);
         self.outcomes = self.outcomes.saturating_add(1);
         if self.failing > FAILING && self.outcomes >= MIN_OUTCOMES {
-            self.rest(now, FAILING_REST);
+            self.rests.failing = Some(now + FAILING_REST);
             self.failing = FAILING / 2.0;
         }
     }
@@ -224,15 +235,17 @@
             Outcome::Refused => {
                 let doubled = REFUSAL_REST * 2u32.pow(load.refusals.min(4));
                 load.refusals += 1;
-                load.rest(now, doubled.min(MAX_REFUSAL_REST));
+                let until = now + doubled.min(MAX_REFUSAL_REST);
+                load.rests.refusing = load.rests.refusing.max(Some(until));
             }
-            Outcome::Loading => load.rest(now, LOADING_REST),
+            Outcome::Loading => load.rests.loading = Some(now + LOADING_REST),
             Outcome::Loaded => {
                 load.refusals = 0;
-                load.rests_until = None;
+                load.rests.refusing = None;
+                load.rests.loading = None;
             }
-            Outcome::Unreachable => load.rest(now, UNREACHABLE_REST),
-            Outcome::Reachable => load.rests_until = None,
+            Outcome::Unreachable => load.rests.unreachable = Some(now + UNREACHABLE_REST),
+            Outcome::Reachable => load.rests.unreachable = None,
         }
     }
 
--- a/crates/sillpin-gateway/tests/place.rs
+++ b/crates/sillpin-gateway/tests/place.rs
@@ -116,6 +116,46 @@
     assert_eq!(setting.choose(None).as_deref(), Some("e1"));
 }
 
+/// An engine was out of reach for a moment and then ordered to load weights. A try at its address succeeded while it loaded, and
+/// with that it no longer counted as loading: prompts went to it and were refused.
+#[tokio::test(start_paused = true)]
+async fn an_engine_that_loads_is_passed_over_though_it_can_be_reached() {
+    let setting = Setting::new(three());
+    setting.loads.note(&target("e1"), Outcome::Unreachable);
+    setting.loads.note(&target("e1"), Outcome::Loading);
+    tokio::time::advance(Duration::from_millis(400)).await;
+    setting.loads.note(&target("e1"), Outcome::Reachable);
+    assert_ne!(setting.choose(None).as_deref(), Some("e1"));
+    setting.loads.note(&target("e1"), Outcome::Loaded);
+    assert_eq!(setting.choose(None).as_deref(), Some("e1"));
+}
+
+/// Another box said that an engine had loaded its weights, and this box, which could not reach that engine, tried it with
+/// requests again.
+#[tokio::test(start_paused = true)]
+async fn an_engine_that_has_loaded_is_passed_over_until_it_can_be_reached() {
+    let setting = Setting::new(three());
+    setting.loads.note(&target("e1"), Outcome::Loading);
+    setting.loads.note(&target("e1"), Outcome::Unreachable);
+    setting.loads.note(&target("e1"), Outcome::Loaded);
+    assert_ne!(setting.choose(None).as_deref(), Some("e1"));
+    setting.loads.note(&target("e1"), Outcome::Reachable);
+    assert_eq!(setting.choose(None).as_deref(), Some("e1"));
+}
+
+/// A plain target that failed request after request can be reached all the time: that is no reason to try it sooner.
+#[tokio::test(start_paused = true)]
+async fn a_failing_target_rests_though_it_can_be_reached() {
+    let setting = Setting::new(three());
+    for _ in 0..10 {
+        setting.loads.note(&target("e1"), Outcome::Failed);
+    }
+    setting.loads.note(&target("e1"), Outcome::Unreachable);
+    setting.loads.note(&target("e1"), Outcome::Reachable);
+    let load = setting.loads.get(&target("e1"));
+    assert!(load.rests(Instant::now()));
+}
+
 /// On a day with a zone cut off, requests went from one silent target of that zone to the next, a third of a
 /// second each, until they were given up.
 #[tokio::test(start_paused = true)]
