Let no list that comes late bring back a leaving target

Cause: two keepers of each zone read the platform's list of boxes and targets, and whatever comes last counted as newest: its version in gossip is one above the known. A reading that the platform answered late so undid what the other keeper had read and spread meanwhile, in all keepers, until the next reading; a leaving target was in use again.

Change: a reading says when it was asked for, and one asked for before a peer told a change is not taken.

Test: `read_box_list` takes that moment too, so the one call that was there passes it; what that test expects is unchanged.

Left: two keepers that change the list in the same round give it the same version and keep what each has until their next reading.

--- a/crates/sillpin-keeper/src/fleet/messages.rs
+++ b/crates/sillpin-keeper/src/fleet/messages.rs
@@ -8,6 +8,7 @@
 use sillpin_rpc::gossip::{Digest, Exchange, Item, ItemVersion, Organisation};
 use sillpin_rpc::peer_link::FleetStatus;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 
 /// One reading of a target.
 #[derive(Debug, Clone, PartialEq)]
@@ -22,8 +23,8 @@
 pub enum FleetMsg {
     /// Items of a peer.
     Apply(Vec<Item>),
-    /// The box list, as read.
-    BoxList(BoxList),
+    /// The box list, as read, and when it was asked for.
+    BoxList(BoxList, Instant),
     /// A revision, as read.
     Bundle(Accepted),
     /// Organisations, as read.
--- a/crates/sillpin-keeper/src/fleet/table.rs
+++ b/crates/sillpin-keeper/src/fleet/table.rs
@@ -194,8 +194,13 @@
         }
     }
 
-    /// Takes the box list as read from the platform.
-    pub fn read_box_list(&mut self, list: BoxList, now: Instant) {
+    /// Takes the box list as read from the platform. One that was asked for before a peer told a change may be older than that,
+    /// however late it came; the next reading decides.
+    pub fn read_box_list(&mut self, list: BoxList, asked: Instant, now: Instant) {
+        let known = self.items.get(&ItemKey::BoxList);
+        if known.is_some_and(|known| known.changed > asked) {
+            return;
+        }
         self.list_heard = Some(now);
         if self.box_list() == Some(&list) {
             return;
--- a/crates/sillpin-keeper/src/fleet/task.rs
+++ b/crates/sillpin-keeper/src/fleet/task.rs
@@ -84,7 +84,7 @@
         let now = Instant::now();
         match msg {
             FleetMsg::Apply(items) => self.apply(items, now),
-            FleetMsg::BoxList(list) => self.table.read_box_list(list, now),
+            FleetMsg::BoxList(list, asked) => self.table.read_box_list(list, asked, now),
             FleetMsg::Bundle(accepted) => self.adopt(accepted, now),
             FleetMsg::Organisations(list, version) => {
                 self.table.read_organisations(list, version, now);
--- a/crates/sillpin-keeper/src/platform.rs
+++ b/crates/sillpin-keeper/src/platform.rs
@@ -14,6 +14,7 @@
 use sillpin_telemetry::{event, events};
 use slog::Logger;
 use std::time::Duration;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 /// How long a watch waits.
@@ -120,10 +121,11 @@
             tokio::time::sleep(start_pause(&self.cfg)).await;
             loop {
                 self.my_turn("box list").await;
+                let asked = Instant::now();
                 let read = self.platform.box_list().await;
                 let wait = self.after(&read, &mut backoff, self.cfg.list_every).await;
                 if let Ok(list) = read {
-                    self.fleet.tell(FleetMsg::BoxList(list)).await;
+                    self.fleet.tell(FleetMsg::BoxList(list, asked)).await;
                 }
                 tokio::time::sleep(wait).await;
             }
--- a/crates/sillpin-keeper/tests/fleet.rs
+++ b/crates/sillpin-keeper/tests/fleet.rs
@@ -3,12 +3,12 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use sillpin_bundle::{Accepted, Bundle, SignedBundle, SignerKey};
-use sillpin_core::target::BoxList;
-use sillpin_core::{Incarnation, Revision};
+use sillpin_core::target::{BoxList, Presence, TargetEntry};
+use sillpin_core::{Incarnation, Revision, TargetKind};
 use sillpin_keeper::fleet::{FleetTable, Identity};
 use sillpin_rpc::gossip::{Item, ItemKey, ItemValue, ItemVersion, TargetState};
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, advance};
 
 fn identity(id: &str, key: &SignerKey) -> Identity {
     Identity {
@@ -160,7 +160,7 @@
     let key = SignerKey::generate();
     let now = Instant::now();
     let mut table = FleetTable::new(identity("box", &key), now);
-    table.read_box_list(BoxList::default(), now);
+    table.read_box_list(BoxList::default(), now, now);
     let gone = Item {
         key: ItemKey::Target("engine-1".parse().unwrap()),
         version: ItemVersion(9),
@@ -173,3 +173,48 @@
     table.apply(vec![gone], now);
     assert_eq!(table.stamp(), before);
 }
+
+/// A list of one engine.
+fn listed(presence: Presence) -> BoxList {
+    let engine = TargetEntry {
+        id: "engine-1".parse().unwrap(),
+        kind: TargetKind::Engine,
+        pool: "llm".parse().unwrap(),
+        zone: "kariakoo".parse().unwrap(),
+        addr: ([127, 0, 0, 1], 2).into(),
+        presence,
+        model: None,
+        link_rate: None,
+    };
+    BoxList {
+        boxes: Vec::new(),
+        targets: vec![engine],
+    }
+}
+
+/// The platform was slow to answer one of the two keepers of a zone that read the list of targets. What it told was older than what the
+/// other had read and spread meanwhile, but came later and so counted as newer: in all keepers of the fleet a leaving target was in
+/// use again until the next reading.
+#[tokio::test(start_paused = true)]
+async fn a_list_that_comes_late_does_not_bring_back_a_leaving_target() {
+    let key = SignerKey::generate();
+    let start = Instant::now();
+    let new = |id: &str| FleetTable::new(identity(id, &key), start);
+    let mut tables = [new("slow"), new("quick")];
+    tables[0].read_box_list(listed(Presence::Live), start, start);
+    gossip(&mut tables, 0, 1, start);
+    advance(Duration::from_secs(1)).await;
+    let asked = Instant::now();
+    advance(Duration::from_millis(500)).await;
+    let now = Instant::now();
+    tables[1].read_box_list(listed(Presence::Leaving), now, now);
+    gossip(&mut tables, 0, 1, now);
+    advance(Duration::from_secs(2)).await;
+    let now = Instant::now();
+    tables[0].read_box_list(listed(Presence::Live), asked, now);
+    gossip(&mut tables, 0, 1, now);
+    for table in &tables {
+        let views = table.target_views();
+        assert!(views[0].leaving, "{:?}", views[0]);
+    }
+}
