--- a/crates/sillpin-gateway/tests/lag.rs
+++ b/crates/sillpin-gateway/tests/lag.rs
@@ -14,6 +14,7 @@
     let mine = Known {
         revision: KvRevision(mine),
         confirmed: None,
+        contact: None,
         content: mine,
     };
     let theirs = Extent {
@@ -86,6 +87,7 @@
     let mine = Known {
         revision: KvRevision(4),
         confirmed: None,
+        contact: None,
         content: 5,
     };
     let theirs = Extent {
