Take a target's removal for a lapse only while the store is away

After most entries had lapsed, a box that learned of it by a copy counted from its own learning.

Change: a failed call means an outage only if the store has answered no box for a second; after a mass lapse the time runs from when the store was asked, for copies.

Measured: three new tests fail without the change and pass with it; the other 15 of the file are unchanged.

--- a/crates/sillpin-gateway/src/beliefs/fleet.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet.rs
@@ -19,6 +19,10 @@
 /// vanishes later has been removed.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
 
+/// A store that answered some box within this time is not away, whatever became of this box's call. An entry lapses after three heartbeats
+/// of 1.2 s without its target.
+const AWAY_SILENCE: Duration = Duration::from_secs(1);
+
 /// Share of the listed targets that no planned change removes at one revision.
 const MASS_LAPSE: f64 = 0.5;
 
@@ -126,7 +130,7 @@
                 self.operators.join_contact(since);
                 self.view.operators = self.operators.known();
             }
-            FleetMsg::StoreAway => self.away = Some(now),
+            FleetMsg::StoreAway => self.turned_away(now),
             FleetMsg::Registered(entries) => self.register(entries),
             FleetMsg::Heard(entry) => self.hear(entry, now),
             FleetMsg::Stopping(id) => self.forget(&id),
@@ -164,6 +168,14 @@
         changed
     }
 
+    /// A call to the store failed. If other boxes reach it, it is not away, and what vanishes has been removed.
+    fn turned_away(&mut self, now: Instant) {
+        let confirmed = self.listed.known().confirmed;
+        if confirmed.is_none_or(|at| now.saturating_duration_since(at) >= AWAY_SILENCE) {
+            self.away = Some(now);
+        }
+    }
+
     fn read(
         &mut self,
         topic: Topic,
@@ -189,9 +201,14 @@
                 self.view.operators = self.operators.known();
             }
             Topic::Targets => {
+                // Another box's knowledge is as old as its question to the store; the store's own answer is new.
+                let read_at = match source {
+                    Source::Store => now,
+                    Source::Peer(_) => asked.min(now),
+                };
                 let changes = self.listed.take(reading, asked);
                 if !changes.is_empty() {
-                    self.targets_changed(changes, source, now);
+                    self.targets_changed(changes, source, read_at, now);
                     self.view.copies.targets = self.listed.entries();
                     self.listed.set_content(self.targets_content());
                     self.publish_targets();
@@ -297,14 +314,20 @@
         self.view.wanted = Arc::new(self.wanted.clone());
     }
 
-    fn targets_changed(&mut self, changes: Vec<Change>, source: &Source, now: Instant) {
+    fn targets_changed(
+        &mut self,
+        changes: Vec<Change>,
+        source: &Source,
+        read_at: Instant,
+        now: Instant,
+    ) {
         let gone = changes
             .iter()
             .filter(|c| matches!(c, Change::Gone(_)))
             .count();
         let mass = gone as f64 > MASS_LAPSE * self.targets.len() as f64;
         let after_outage = self.away.map(|at| at + LAPSE_GRACE);
-        let after_mass = mass.then_some(now + LAPSE_GRACE);
+        let after_mass = mass.then_some(read_at + LAPSE_GRACE);
         let may_return = after_outage.max(after_mass).filter(|until| now < *until);
         for change in changes {
             match change {
--- a/crates/sillpin-gateway/tests/beliefs.rs
+++ b/crates/sillpin-gateway/tests/beliefs.rs
@@ -351,3 +351,75 @@
         Some(&named)
     );
 }
+
+/// A call of one box to the store was lost on the way, while the store answered all other boxes. A target's entry was removed in
+/// the same second, and the box took that for a lapse in an outage: it sent requests there for over two seconds more.
+#[tokio::test(start_paused = true)]
+async fn a_call_that_one_box_lost_is_no_outage_of_the_store() {
+    let mut fleet = fleet();
+    let now = Instant::now();
+    let all = (0..4).map(|i| entry(&format!("target/e{i}"), "ready 1", 4));
+    fleet.handle(whole(Topic::Targets, all.collect(), 4, now), now);
+    for revision in 5..8u64 {
+        tokio::time::advance(Duration::from_millis(400)).await;
+        let now = Instant::now();
+        let told = FleetMsg::Confirmed {
+            topic: Topic::Targets,
+            content: fleet.view().listed.content,
+            revision: KvRevision(revision),
+            asked: now,
+        };
+        fleet.handle(told, now);
+    }
+    fleet.handle(FleetMsg::StoreAway, Instant::now());
+    tokio::time::advance(Duration::from_millis(100)).await;
+    let now = Instant::now();
+    let removed = vec![gone("target/e1", 8)];
+    fleet.handle(changes(Topic::Targets, removed, 8, now), now);
+    assert!(!fleet.view().targets.contains_key(&target("e1")));
+}
+
+/// The store turned one box away for long and answered the others, from which the box learned what changed. Each of its own calls
+/// that failed began the time anew in which a removed entry may return, so each target that left got requests from that box for two
+/// seconds more.
+#[tokio::test(start_paused = true)]
+async fn a_removal_that_another_box_read_is_no_lapse_however_often_this_box_is_turned_away() {
+    let mut fleet = fleet();
+    let now = Instant::now();
+    let mut all: Vec<KvEntry> = (0..4)
+        .map(|i| entry(&format!("target/e{i}"), "ready 1", 4))
+        .collect();
+    fleet.handle(whole(Topic::Targets, all.clone(), 4, now), now);
+    for _ in 0..10 {
+        tokio::time::advance(Duration::from_millis(400)).await;
+        let now = Instant::now();
+        fleet.handle(FleetMsg::StoreAway, now);
+        fleet.handle(copied(Topic::Targets, &all, 4, 4, now), now);
+    }
+    all.remove(1);
+    let now = Instant::now();
+    fleet.handle(copied(Topic::Targets, &all, 4, 9, now), now);
+    assert!(!fleet.view().targets.contains_key(&target("e1")));
+}
+
+/// Most entries lapsed while the store was away. A box learned of it from another one that had asked the store 1.5 s before, and
+/// gave the targets their time to return from the moment at which it learned: it sent requests to targets that had ended 3.8 s
+/// after the store's return.
+#[tokio::test(start_paused = true)]
+async fn entries_may_return_for_as_long_in_all_boxes_whenever_a_box_learns_that_they_lapsed() {
+    let mut fleet = fleet();
+    let now = Instant::now();
+    let all = (0..4).map(|i| entry(&format!("target/e{i}"), "ready 1", 4));
+    fleet.handle(whole(Topic::Targets, all.collect(), 4, now), now);
+    let asked = now + Duration::from_secs(5);
+    tokio::time::advance(Duration::from_millis(6_500)).await;
+    let now = Instant::now();
+    fleet.handle(copied(Topic::Targets, &[], 4, 9, asked), now);
+    assert_eq!(fleet.view().targets.len(), 4, "they may still return");
+    tokio::time::advance(Duration::from_millis(900)).await;
+    fleet.sweep(Instant::now());
+    assert!(
+        fleet.view().targets.is_empty(),
+        "2.4 s after the store was asked"
+    );
+}
