Take the earlier of two times of a naming, whoever knows it, and tell all of them

A time that some box had witnessed went before an earlier one that another box had only read: a box that was frozen, or cut off, finds a version late and has then seen it appear. And boxes told only of versions that they had seen being named, so after the loss of all boxes one that started later than the others knew less than they.

Change: what two boxes know of a version is put together: the earlier time, and whether any saw it. All versions are told.

--- a/crates/sillpin-gateway/src/beliefs/wanted.rs
+++ b/crates/sillpin-gateway/src/beliefs/wanted.rs
@@ -29,12 +29,13 @@
 }
 
 impl Named {
-    /// Whether this is nearer to the truth than what is known of the same version: a box learns of a version after it was named, so
-    /// the earlier of two times is.
-    fn is_better_than(&self, known: &Named) -> bool {
-        match self.witnessed == known.witnessed {
-            true => self.since < known.since,
-            false => self.witnessed,
+    /// What two boxes know of the same version together. A box learns of a version after it was named, so of two times the earlier is
+    /// nearer to the truth, whoever knows it.
+    fn merged(&self, other: &Named) -> Named {
+        Named {
+            version: self.version,
+            since: self.since.min(other.since),
+            witnessed: self.witnessed || other.witnessed,
         }
     }
 }
@@ -62,21 +63,23 @@
         self.named.iter().find(|named| named.version == version)
     }
 
-    /// Whether a version, or when it was named, is better known than here.
+    /// Whether this says more of a version than is known here.
     pub fn is_news(&self, named: &Named) -> bool {
         let known = self.find(named.version);
-        known.is_none_or(|known| named.is_better_than(known))
+        known.is_none_or(|known| known.merged(named) != *known)
     }
 
     /// Takes note of a version; whether that was news.
     pub fn note(&mut self, named: Named, now: Instant) -> bool {
         let is_news = self.is_news(&named);
         if is_news {
+            let known = self.find(named.version);
+            let merged = known.map_or(named, |known| known.merged(&named));
             self.named.retain(|known| known.version != named.version);
             let at = self
                 .named
                 .partition_point(|known| known.version < named.version);
-            self.named.insert(at, named);
+            self.named.insert(at, merged);
         }
         self.forget(now);
         is_news
@@ -89,9 +92,9 @@
             .filter(move |named| named.version > version)
     }
 
-    /// Versions that a box saw being named, for other boxes.
-    pub fn witnessed(&self) -> impl Iterator<Item = &Named> {
-        self.named.iter().filter(|named| named.witnessed)
+    /// All that is known, for other boxes.
+    pub fn all(&self) -> impl Iterator<Item = &Named> {
+        self.named.iter()
     }
 
     fn forget(&mut self, now: Instant) {
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -105,7 +105,7 @@
     pub stopping: bool,
 }
 
-/// How long ago weights were named, as a box that saw it knows.
+/// How long ago weights were named, as far as a box knows.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct NamedAge {
     /// The model.
@@ -114,6 +114,8 @@
     pub version: WeightVersion,
     /// Milliseconds since then.
     pub age_ms: u64,
+    /// Whether a box saw it; if not, it was so at least that long ago.
+    pub witnessed: bool,
 }
 
 impl NamedAge {
@@ -123,7 +125,7 @@
         Some(Named {
             version: self.version,
             since: now.checked_sub(Duration::from_millis(self.age_ms))?,
-            witnessed: true,
+            witnessed: self.witnessed,
         })
     }
 }
@@ -425,8 +427,9 @@
             model: model.clone(),
             version: named.version,
             age_ms: millis(now - named.since),
+            witnessed: named.witnessed,
         };
-        wanted.witnessed().map(age).collect()
+        wanted.all().map(age).collect()
     };
     view.wanted.iter().flat_map(of_model).collect()
 }
