Bound the use of replaced weights after the store's return also for prompts under way

A prompt sent while the time after an outage of the store excuses old weights had no moment by which it is taken back; the box looked again each second, which is more than the margin.

Change: such a prompt may begin until that time is over.

--- a/crates/sillpin-gateway/src/place/allowed.rs
+++ b/crates/sillpin-gateway/src/place/allowed.rs
@@ -81,10 +81,14 @@
     /// Until when a prompt may begin on weights that it was sent to; `None` if nothing that is known ends their time. A moment that has passed tells that
     /// it must not begin any more.
     pub fn begin_by(&self, version: WeightVersion) -> Option<Instant> {
+        let limit = self.limit.saturating_sub(BEGIN_MARGIN);
         let replaced = self.wanted?.newer(version).map(|newer| newer.since).min()?;
-        let until = replaced + self.limit.saturating_sub(BEGIN_MARGIN);
-        let is_over = until <= self.now;
-        (!is_over || version < self.allowed().oldest).then_some(until)
+        let until = replaced + limit;
+        if self.now < until || version < self.allowed().oldest {
+            return Some(until);
+        }
+        // They go on although their time is over: for as long as the time without the store excuses it.
+        self.in_touch.map(|at| at + limit)
     }
 
     /// When the time of weights is over, if newer ones are wanted.
--- a/crates/sillpin-gateway/tests/allowed.rs
+++ b/crates/sillpin-gateway/tests/allowed.rs
@@ -262,3 +262,29 @@
         "version 2 has been known for 8 s"
     );
 }
+
+/// The store was away and has come back; a prompt was sent to the newest weights that are served just before the time after that was over. It waits
+/// at its engine: nobody knew until when it could begin, and the box looked again after up to a second.
+#[tokio::test(start_paused = true)]
+async fn a_prompt_sent_after_the_stores_return_is_taken_back_in_time_too() {
+    let mut wanted = Wanted::new(named(1));
+    advance(Duration::from_secs(60)).await;
+    wanted.note(named(2), Instant::now());
+    advance(Duration::from_secs(20)).await;
+    let back = Instant::now();
+    advance(Duration::from_millis(9_200)).await;
+    let serving = BTreeMap::from([(version(1), 2)]);
+    let weights = WeightsUse {
+        wanted: Some(&wanted),
+        serving: &serving,
+        limit: LIMIT,
+        in_touch: Some(back),
+        now: Instant::now(),
+    };
+    assert_eq!(weights.allowed().oldest, version(1), "it may be sent");
+    let begin_by = weights.begin_by(version(1));
+    assert!(
+        begin_by.is_some_and(|at| at < back + LIMIT),
+        "it may wait at its engine: {begin_by:?}"
+    );
+}
