Leave engines that take no prompts out of what is served

An engine that is about to leave and serves the new weights ended the use of the older ones, although no prompt can go there: all were refused.

Change: only engines that take prompts count.

--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -7,6 +7,7 @@
 use crate::beliefs::View;
 use crate::beliefs::fleet::served;
 use crate::config::{EngineSpec, Priority};
+use crate::control::{Presence, TargetEntry};
 use crate::dialect::{Dialect, EngineSending, Prompt};
 use crate::place::allowed::{AllowedWeights, WeightsUse};
 use crate::place::choose::PromptChoice;
@@ -17,6 +18,7 @@
 use sillpin_core::{ModelId, PoolId, Tokens, WeightVersion};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -312,9 +314,11 @@
     }
 }
 
-/// Versions of a model's weights that a pool's engines serve, and how many engines serve each.
+/// Versions of a model's weights that a pool's engines serve, and how many engines serve each. Engines that take no prompts count for nothing.
 fn served_versions(view: &View, pool: &PoolId, model: &ModelId) -> BTreeMap<WeightVersion, usize> {
-    let engines = view.targets.values().filter(|target| target.pool == *pool);
+    let takes_prompts =
+        |target: &&Arc<TargetEntry>| target.pool == *pool && target.presence == Presence::Ready;
+    let engines = view.targets.values().filter(takes_prompts);
     let mut serving = BTreeMap::new();
     for version in engines.filter_map(|target| served(target, model)) {
         *serving.entry(version).or_default() += 1;
