Hold nothing against an engine whose prompts were taken back

Prompts that were taken back because of their weights counted as failures of the engine; after eight of them it was passed over for three seconds, just when it had got its new weights.

Change: a sending that was taken back has an outcome of its own, which says nothing of the target's health.

--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -82,6 +82,8 @@
     Unknown(String),
     /// It may have run, and there is no time left.
     TimedOut(String),
+    /// It was taken back since its weights were replaced too long ago; it may have run. Nothing is wrong with the target.
+    TakenBack,
     /// It ran, and the answer is whole.
     Answered(WholeAnswer),
     /// It runs, and its events come.
@@ -97,6 +99,7 @@
             Ended::Failed(_) => "failed",
             Ended::Unknown(_) => "unknown",
             Ended::TimedOut(_) => "timed-out",
+            Ended::TakenBack => "taken-back",
             Ended::Answered(_) => "answered",
             Ended::Streaming(_) => "streaming",
         }
@@ -107,6 +110,7 @@
         match self {
             Ended::Unsent(why) | Ended::Unknown(why) | Ended::TimedOut(why) => why,
             Ended::NotRun { why, .. } => why,
+            Ended::TakenBack => EXPIRED,
             Ended::Failed(_) => "the target's own failure",
             Ended::Answered(_) | Ended::Streaming(_) => "",
         }
@@ -174,7 +178,7 @@
                 return Ended::Unknown(e.to_string());
             }
             Waited::Left => return Ended::TimedOut("no answer in time".to_owned()),
-            Waited::Expired => return Ended::Unknown(EXPIRED.to_owned()),
+            Waited::Expired => return Ended::TakenBack,
         };
         self.judge(attempt, conn, resp).await
     }
--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -92,12 +92,16 @@
                 Ended::Unknown(why) if !may_repeat(&run, &progress) => {
                     return Err(Refusal::unknown(why));
                 }
+                Ended::TakenBack if !may_repeat(&run, &progress) => {
+                    return Err(Refusal::unknown(ended.why()));
+                }
                 Ended::TimedOut(why) if !may_repeat(&run, &progress) => {
                     return Err(Refusal::timed_out(why));
                 }
                 Ended::Unsent(_)
                 | Ended::NotRun { .. }
                 | Ended::Unknown(_)
+                | Ended::TakenBack
                 | Ended::TimedOut(_) => {}
             }
         }
@@ -201,12 +205,15 @@
             self.prober.start(target, why);
         }
         let health = match ended {
-            Ended::Unsent(_) => Health::Unreachable,
-            Ended::NotRun { .. } => Health::Refused,
-            Ended::Failed(_) | Ended::Unknown(_) | Ended::TimedOut(_) => Health::Failed,
-            Ended::Answered(_) | Ended::Streaming(_) => Health::Served,
+            Ended::Unsent(_) => Some(Health::Unreachable),
+            Ended::NotRun { .. } => Some(Health::Refused),
+            Ended::Failed(_) | Ended::Unknown(_) | Ended::TimedOut(_) => Some(Health::Failed),
+            Ended::Answered(_) | Ended::Streaming(_) => Some(Health::Served),
+            Ended::TakenBack => None,
         };
-        self.loads.note(target, health);
+        if let Some(health) = health {
+            self.loads.note(target, health);
+        }
         match ended {
             Ended::Unsent(_) => {}
             Ended::NotRun { .. } => progress.arrivals += 1,
