Split the tests of kept parts by topic

Cause: `crates/sillpin-gateway/tests/kept.rs` had 518 lines and five topics: what a box believes of a store, changes as boxes tell them, homes and salts, retirement, and slow links.

Change: one test program `tests/kept/` with a file for each topic; the set-up that they share stands in its `main.rs`. The lines of the tests are the same (compared as sorted lines: nothing but headers differs); the names of the tests gain the module's name.

Ruled out: one test program a topic, which means four more programs to link.

Tests: 28 in `kept` before and after, 95 in sillpin-gateway after, all passed.

--- /dev/null
+++ b/crates/sillpin-gateway/tests/kept/homes.rs
@@ -0,0 +1,68 @@
+//! Which store a part belongs to, and how salts are written.
+
+use crate::common::store;
+use proptest::prelude::*;
+use rstest::rstest;
+use sillpin_core::Tokens;
+use sillpin_gateway::dialect::PartId;
+use sillpin_gateway::kept::homes::{Place, homes};
+use sillpin_gateway::kept::salt::SaltParts;
+
+#[test]
+fn small_parts_go_to_fast_stores_and_large_ones_to_roomy_ones() {
+    let stores = [
+        store("fast", 1, "za", 158_767, 0),
+        store("roomy-1", 2, "za", 1_885_363, 6),
+        store("roomy-2", 3, "zb", 1_885_363, 6),
+    ];
+    let first = |tokens, place| {
+        let found = homes(&stores, &PartId("a".to_owned()), Tokens(tokens), place);
+        found[0].id.to_string()
+    };
+    assert_eq!(first(531, Place::Last), "fast");
+    assert!(first(5_000, Place::Last).starts_with("roomy"));
+    assert!(
+        first(13_300, Place::Last).starts_with("roomy"),
+        "no store suits it"
+    );
+    assert_eq!(
+        first(2_520, Place::Inner),
+        "fast",
+        "all prompts of its sessions have it"
+    );
+}
+
+proptest! {
+    #[test]
+    fn equal_stores_share_parts_evenly(seed in 0u64..1_000) {
+        let stores = [
+            store("one", 2, "za", 1_885_363, 6),
+            store("two", 3, "zb", 1_885_363, 6),
+        ];
+        let at_one = (0..1_000)
+            .map(|i| PartId(format!("{seed}-{i}")))
+            .filter(|part| homes(&stores, part, Tokens(5_000), Place::Last)[0].id.as_str() == "one")
+            .count();
+        // Six standard deviations of a fair split of 1,000.
+        prop_assert!((405..=595).contains(&at_one), "{at_one} of 1,000");
+    }
+}
+
+#[rstest]
+#[case("m/1", Some((1, None)))]
+#[case("m/12/acme", Some((12, Some("acme"))))]
+#[case("m", None)]
+#[case("m/x", None)]
+#[case("m/1/acme/more", None)]
+#[case("", None)]
+fn salts_read_back(#[case] text: &str, #[case] expected: Option<(u64, Option<&str>)>) {
+    let read = text.parse::<SaltParts>().ok();
+    let seen = read.as_ref().map(|salt| {
+        let wall = salt.wall.as_ref().map(|org| org.as_str());
+        (salt.version.0, wall)
+    });
+    assert_eq!(seen, expected);
+    if let Some(salt) = read {
+        assert_eq!(salt.to_string(), text);
+    }
+}
--- /dev/null
+++ b/crates/sillpin-gateway/tests/kept/main.rs
@@ -0,0 +1,46 @@
+//! What is known of kept parts, and when they may be fetched and freed.
+
+mod changes;
+// Shared with the other tests of this crate.
+#[path = "../common/mod.rs"]
+mod common;
+mod directory;
+mod homes;
+mod links;
+mod retire;
+
+use sillpin_core::Tokens;
+use sillpin_gateway::control::{KeptChange, KeptKey, KeptList, KeptNews};
+use sillpin_gateway::dialect::{EngineTime, PartId, Salt};
+use std::net::SocketAddr;
+
+const STORE: SocketAddr = SocketAddr::V4(std::net::SocketAddrV4::new(
+    std::net::Ipv4Addr::LOCALHOST,
+    7,
+));
+
+fn key(part: &str) -> KeptKey {
+    KeptKey {
+        salt: Salt("m/1".to_owned()),
+        part: PartId(part.to_owned()),
+    }
+}
+
+fn list(epoch: u64, parts: &[&str]) -> KeptList {
+    KeptList {
+        epoch,
+        next: 10,
+        whole: parts.iter().map(|part| (key(part), Tokens(100))).collect(),
+        partial: Vec::new(),
+    }
+}
+
+fn news(epoch: u64, changes: Vec<KeptChange>) -> KeptNews {
+    KeptNews {
+        epoch,
+        next: 11,
+        lost: false,
+        changes,
+        clock: Some(EngineTime(5_000)),
+    }
+}
