Declare numbers and words by one macro each

Change: `number_type` and `word_type` in `sillpin-core/src/newtype.rs`. What a type derives beyond the common traits stands as an attribute of its declaration, so each type has the traits that it had. The macro of the ids that count keeps its own part, `next`, as `counter_type`.

Left as they are: `PartId`, `Salt`, `EngineTime` and `LeaseId`, whose traits differ or whose likeness is of shape only.

--- a/crates/sillpin-core/src/ids.rs
+++ b/crates/sillpin-core/src/ids.rs
@@ -3,6 +3,7 @@
 //! Names that people choose ([`BoxId`], [`OrgId`], ...) share one alphabet, so that they can stand
 //! in a URL, a metric label and a key of the platform's service without escaping.
 
+use crate::number_type;
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 use std::str::FromStr;
@@ -108,15 +109,13 @@
     ArmName, "arm"
 );
 
-macro_rules! number_type {
+macro_rules! counter_type {
     ($(#[$doc:meta])* $name:ident) => {
-        $(#[$doc])*
-        #[derive(
-            Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Display,
-            derive_more::FromStr, derive_more::From, Serialize, Deserialize,
-        )]
-        #[serde(transparent)]
-        pub struct $name(pub u64);
+        number_type!(
+            $(#[$doc])*
+            #[derive(derive_more::From, derive_more::FromStr)]
+            $name
+        );
 
         impl $name {
             /// The number after this one.
@@ -127,23 +126,23 @@
     };
 }
 
-number_type!(
+counter_type!(
     /// A position in the log of accepted bundles; a box adopts only a higher one.
     Revision
 );
-number_type!(
+counter_type!(
     /// A version of a model's weights.
     WeightVersion
 );
-number_type!(
+counter_type!(
     /// One writing of a kept block; never reused for the same block.
     Generation
 );
-number_type!(
+counter_type!(
     /// Orders a target's orders: a target that checks refuses a lower one.
     Fence
 );
-number_type!(
+counter_type!(
     /// One life of a process, in milliseconds since the Unix epoch at its start.
     Incarnation
 );
--- a/crates/sillpin-core/src/lib.rs
+++ b/crates/sillpin-core/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! - [`ids`]: newtypes for the names and numbers that identify things,
 //! - [`units`]: newtypes for sizes, rates and shares,
+//! - `newtype`: the macros that declare them,
 //! - [`block`]: prompt identity, the chain of block names ("docs/DESIGN.md", decision 1),
 //! - [`run`]: what a caller asked for,
 //! - [`target`]: what is known of a target,
@@ -12,6 +13,7 @@
 
 pub mod block;
 pub mod ids;
+mod newtype;
 pub mod outcome;
 pub mod run;
 pub mod sabotage;
--- a/crates/sillpin-core/src/outcome.rs
+++ b/crates/sillpin-core/src/outcome.rs
@@ -1,38 +1,25 @@
 //! What may truthfully be said about a request that did not get its whole answer.
 
 use crate::ids::RequestId;
-use derive_more::{Display, FromStr};
+use crate::newtype::word_type;
 use serde::{Deserialize, Serialize};
 
 /// Media type of a [`Problem`] (RFC 9457).
 pub const PROBLEM_MEDIA_TYPE: &str = "application/problem+json";
 
-/// Whether the request was carried out.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    Display,
-    FromStr,
-    Serialize,
-    Deserialize,
-)]
-#[serde(rename_all = "kebab-case")]
-pub enum Outcome {
-    /// No target has begun it, and none will.
-    #[display("not-run")]
-    NotRun,
-    /// It may or may not have been carried out.
-    #[display("unknown")]
-    Unknown,
-    /// A target carried it out.
-    #[display("ran")]
-    Ran,
+word_type! {
+    /// Whether the request was carried out.
+    pub enum Outcome {
+        /// No target has begun it, and none will.
+        #[display("not-run")]
+        NotRun,
+        /// It may or may not have been carried out.
+        #[display("unknown")]
+        Unknown,
+        /// A target carried it out.
+        #[display("ran")]
+        Ran,
+    }
 }
 
 /// An error answer: a problem document of RFC 9457 with the outcome.
--- a/crates/sillpin-core/src/run.rs
+++ b/crates/sillpin-core/src/run.rs
@@ -1,36 +1,22 @@
 //! What a caller asks for, apart from the prompt itself.
 
-use derive_more::{Display, FromStr};
-use serde::{Deserialize, Serialize};
+use crate::newtype::word_type;
 
-/// Priority class of a request, most urgent first.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    Display,
-    FromStr,
-    Serialize,
-    Deserialize,
-)]
-#[serde(rename_all = "kebab-case")]
-pub enum PriorityClass {
-    /// Somebody waits at the kerb or the counter.
-    #[display("urgent")]
-    Urgent,
-    /// Somebody waits at a desk.
-    #[default]
-    #[display("normal")]
-    Normal,
-    /// Nobody waits.
-    #[display("batch")]
-    Batch,
+word_type! {
+    /// Priority class of a request, most urgent first.
+    #[derive(Default)]
+    pub enum PriorityClass {
+        /// Somebody waits at the kerb or the counter.
+        #[display("urgent")]
+        Urgent,
+        /// Somebody waits at a desk.
+        #[default]
+        #[display("normal")]
+        Normal,
+        /// Nobody waits.
+        #[display("batch")]
+        Batch,
+    }
 }
 
 impl PriorityClass {
--- a/crates/sillpin-core/src/target.rs
+++ b/crates/sillpin-core/src/target.rs
@@ -1,65 +1,39 @@
 //! What is known of the targets and boxes: the box list and the targets' own load reports.
 
 use crate::ids::{BoxId, ModelId, PoolId, TargetId, WeightVersion, ZoneId};
+use crate::newtype::word_type;
 use crate::units::{BytesPerSec, Share, Tokens};
-use derive_more::{Display, FromStr};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// What a target does.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    Display,
-    FromStr,
-    Serialize,
-    Deserialize,
-)]
-#[serde(rename_all = "kebab-case")]
-pub enum TargetKind {
-    /// A model engine (a runner).
-    #[display("engine")]
-    Engine,
-    /// A plain service.
-    #[display("service")]
-    Service,
-    /// A store of kept blocks.
-    #[display("store")]
-    Store,
-    /// A store of weights.
-    #[display("weights")]
-    Weights,
+word_type! {
+    /// What a target does.
+    pub enum TargetKind {
+        /// A model engine (a runner).
+        #[display("engine")]
+        Engine,
+        /// A plain service.
+        #[display("service")]
+        Service,
+        /// A store of kept blocks.
+        #[display("store")]
+        Store,
+        /// A store of weights.
+        #[display("weights")]
+        Weights,
+    }
 }
 
-/// Whether new work may go somewhere.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    Display,
-    FromStr,
-    Serialize,
-    Deserialize,
-)]
-#[serde(rename_all = "kebab-case")]
-pub enum Presence {
-    /// It takes work.
-    #[display("live")]
-    Live,
-    /// It finishes what it has and takes no new work.
-    #[display("leaving")]
-    Leaving,
+word_type! {
+    /// Whether new work may go somewhere.
+    pub enum Presence {
+        /// It takes work.
+        #[display("live")]
+        Live,
+        /// It finishes what it has and takes no new work.
+        #[display("leaving")]
+        Leaving,
+    }
 }
 
 /// A target as the box list gives it.
--- a/crates/sillpin-core/src/units.rs
+++ b/crates/sillpin-core/src/units.rs
@@ -1,77 +1,28 @@
 //! Newtypes for sizes, rates and shares.
 
+use crate::number_type;
 use derive_more::{Add, AddAssign, Display, Error, From, FromStr, Sub, Sum};
 use serde::{Deserialize, Serialize};
 use std::str::FromStr;
 use std::time::Duration;
 
-/// A number of tokens.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    Display,
-    FromStr,
-    From,
-    Add,
-    AddAssign,
-    Sub,
-    Sum,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct Tokens(pub u64);
+number_type!(
+    /// A number of tokens.
+    #[derive(Add, AddAssign, From, FromStr, Sub, Sum)]
+    Tokens
+);
 
-/// A size in bytes.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    Display,
-    FromStr,
-    From,
-    Add,
-    AddAssign,
-    Sub,
-    Sum,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct Bytes(pub u64);
+number_type!(
+    /// A size in bytes.
+    #[derive(Add, AddAssign, From, FromStr, Sub, Sum)]
+    Bytes
+);
 
-/// A rate in bytes per second.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    Display,
-    FromStr,
-    From,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct BytesPerSec(pub u64);
+number_type!(
+    /// A rate in bytes per second.
+    #[derive(From, FromStr)]
+    BytesPerSec
+);
 
 impl BytesPerSec {
     /// Time to move `size` at this rate; `None` when the rate is zero.
--- a/crates/sillpin-gateway/src/config.rs
+++ b/crates/sillpin-gateway/src/config.rs
@@ -1,31 +1,16 @@
 //! What operators publish: routes, pools, stores and organisations, under one version.
 
 use derive_more::{Display, From, FromStr};
-use serde::{Deserialize, Serialize};
-use sillpin_core::{ModelId, OrgId, PoolId, Tokens, ZoneId};
+use sillpin_core::{ModelId, OrgId, PoolId, Tokens, ZoneId, number_type};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Version of a published configuration; rises in uneven steps.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    Display,
-    From,
-    FromStr,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct ConfigVersion(pub u64);
+number_type!(
+    /// Version of a published configuration; rises in uneven steps.
+    #[derive(From, FromStr)]
+    ConfigVersion
+);
 
 /// How often a request of a route may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/sillpin-platform/src/lib.rs
+++ b/crates/sillpin-platform/src/lib.rs
@@ -10,6 +10,7 @@
 
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
+use sillpin_core::number_type;
 use sillpin_core::target::BoxList;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -23,23 +24,10 @@
 /// Keys asked for in one page of a listing.
 const PAGE_LEN: usize = 500;
 
-/// Number of a change of the service; each change takes the next. Zero: the key does not exist.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    Display,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct KvRevision(pub u64);
+number_type!(
+    /// Number of a change of the service; each change takes the next. Zero: the key does not exist.
+    KvRevision
+);
 
 impl KvRevision {
     /// Expected by a write that creates its key.
--- a/crates/sillpin-rpc/src/gossip.rs
+++ b/crates/sillpin-rpc/src/gossip.rs
@@ -6,27 +6,14 @@
 use serde::{Deserialize, Serialize};
 use sillpin_bundle::Accepted;
 use sillpin_core::target::{BoxList, LoadReport};
-use sillpin_core::{ArmName, BoxId, Incarnation, OrgId, Revision, TargetId, ZoneId};
+use sillpin_core::{ArmName, BoxId, Incarnation, OrgId, Revision, TargetId, ZoneId, number_type};
 use sillpin_policy::guard::Breach;
 use std::net::SocketAddr;
 
-/// Counts the states of one item; the higher is newer.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    derive_more::Display,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct ItemVersion(pub u64);
+number_type!(
+    /// Counts the states of one item; the higher is newer.
+    ItemVersion
+);
 
 /// Names an item.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
