Read the log's settings in one place

Change: `Telemetry::start_as_set` reads them beside the declaration; the programs say only where the log goes. `start_with` has no other user and is private now. Nothing that a program does changes.

--- a/crates/sillpin-box/src/main.rs
+++ b/crates/sillpin-box/src/main.rs
@@ -37,9 +37,7 @@
         zone: cfg.zone.as_str(),
         collector: cfg.collector,
     };
-    let format = loaded.get("log", "format")?;
-    let level = loaded.get("log", "level")?;
-    let (telemetry, _guard) = Telemetry::start_with(&me, format, level, Output::Stdout)?;
+    let (telemetry, _guard) = Telemetry::start_as_set(&me, &loaded, Output::Stdout)?;
     let settings = reload::start(loaded, reloader, &cfg, hangups()?, telemetry.log.clone());
     let client = Client::default();
     let counts = CallCounts::default();
--- a/crates/sillpin-entry/src/main.rs
+++ b/crates/sillpin-entry/src/main.rs
@@ -5,6 +5,7 @@
 use sillpin_entry::settings::{EntryConfig, SCHEMA};
 use sillpin_settings::{Loaded, program};
 use sillpin_telemetry::Telemetry;
+use sillpin_telemetry::logs::Output;
 use sillpin_telemetry::program::{Identity, stop_on_sigterm};
 use std::error::Error;
 use std::process::ExitCode;
@@ -39,8 +40,7 @@
         zone: cfg.zone.as_str(),
         collector: cfg.collector,
     };
-    let format = loaded.get("log", "format")?;
-    let (telemetry, _guard) = Telemetry::start(&me, format, loaded.get("log", "level")?)?;
+    let (telemetry, _guard) = Telemetry::start_as_set(&me, loaded, Output::Stderr)?;
     ops::run(cfg, telemetry, stop_on_sigterm()?, |at| {
         println!("listening callers {}", at.callers);
         println!("listening http {}", at.http);
--- a/crates/sillpin-telemetry/src/program.rs
+++ b/crates/sillpin-telemetry/src/program.rs
@@ -3,7 +3,7 @@
 use crate::logs::{self, Format, Output};
 use crate::metrics::Metrics;
 use crate::traces::Traces;
-use sillpin_settings::{Key, Kind, Section};
+use sillpin_settings::{Key, Kind, Loaded, Section};
 use slog::{Level, Logger, o};
 use slog_async::AsyncGuard;
 use std::error::Error;
@@ -74,8 +74,18 @@
         Self::start_with(me, format, level, Output::Stderr)
     }
 
-    /// Like [`Telemetry::start`], with the log going elsewhere than to standard error.
-    pub fn start_with(
+    /// Like [`Telemetry::start`], with the log as [`LOG_SECTION`] is set and written to `output`.
+    pub fn start_as_set(
+        me: &Identity<'_>,
+        loaded: &Loaded,
+        output: Output,
+    ) -> Result<(Self, AsyncGuard), Box<dyn Error>> {
+        let format = loaded.get(LOG_SECTION.name, "format")?;
+        let level = loaded.get(LOG_SECTION.name, "level")?;
+        Self::start_with(me, format, level, output)
+    }
+
+    fn start_with(
         me: &Identity<'_>,
         format: Format,
         level: Level,
