Fill the queues of the policy's tests by one function

Cause: two tests of the fair queue had the same ten lines that put one organisation's requests into it, and spelled out each further one.

Change: `noisy_queue` and `push_as` in the test file. No assertion changes.

Tests: 16 in `policy.rs` before and after, all passed.

--- a/crates/sillpin-policy/tests/policy.rs
+++ b/crates/sillpin-policy/tests/policy.rs
@@ -173,27 +173,32 @@
     assert!(gaps.chance_of_return(Duration::from_secs(600)) < 0.01);
 }
 
-#[test]
-fn a_noisy_organisation_waits_behind_itself() {
-    let mut queue = FairQueue::default();
-    let class = PriorityClass::Normal;
-    for number in 0..100 {
-        queue.push(
-            class,
-            "noisy".parse().unwrap(),
-            100,
-            Cost(10),
+/// Requests in a queue, by a name and a number.
+type Named = FairQueue<(&'static str, u32)>;
+
+fn push_as(queue: &mut Named, class: PriorityClass, org: &str, request: (&'static str, u32)) {
+    queue.push(class, org.parse().unwrap(), 100, Cost(10), request);
+}
+
+/// A queue in which one organisation has `count` normal requests.
+fn noisy_queue(count: u32) -> Named {
+    let mut queue = Named::default();
+    for number in 0..count {
+        push_as(
+            &mut queue,
+            PriorityClass::Normal,
+            "noisy",
             ("noisy", number),
         );
     }
-    queue.push(class, "quiet".parse().unwrap(), 100, Cost(10), ("quiet", 0));
-    queue.push(
-        PriorityClass::Urgent,
-        "noisy".parse().unwrap(),
-        100,
-        Cost(10),
-        ("urgent", 0),
-    );
+    queue
+}
+
+#[test]
+fn a_noisy_organisation_waits_behind_itself() {
+    let mut queue = noisy_queue(100);
+    push_as(&mut queue, PriorityClass::Normal, "quiet", ("quiet", 0));
+    push_as(&mut queue, PriorityClass::Urgent, "noisy", ("urgent", 0));
     let order: Vec<_> = std::iter::from_fn(|| queue.pop()).take(3).collect();
     assert_eq!(order, [("urgent", 0), ("noisy", 0), ("quiet", 0)]);
 }
@@ -213,20 +218,10 @@
 
 #[test]
 fn a_request_that_goes_ahead_does_not_put_later_ones_behind_its_organisation() {
-    let mut queue = FairQueue::default();
-    let class = PriorityClass::Normal;
-    for number in 0..50 {
-        queue.push(
-            class,
-            "noisy".parse().unwrap(),
-            100,
-            Cost(10),
-            ("noisy", number),
-        );
-    }
+    let mut queue = noisy_queue(50);
     let last = queue.tickets().last().unwrap();
     assert_eq!(queue.take(last), Some(("noisy", 49)));
-    queue.push(class, "quiet".parse().unwrap(), 100, Cost(10), ("quiet", 0));
+    push_as(&mut queue, PriorityClass::Normal, "quiet", ("quiet", 0));
     let order: Vec<_> = std::iter::from_fn(|| queue.pop()).take(2).collect();
     assert_eq!(order, [("noisy", 0), ("quiet", 0)]);
 }
