Keep one sending of a request apart from its attempts

Cause: `crates/sillpin-entry/src/runs/drive.rs` (411 lines) both decided what follows a failed attempt and sent the request to an engine, read the answer and resumed it.

Change: the sending and reading stand in `send.rs` (171 lines); `drive.rs` (256) keeps the order of attempts. Functions moved as they were.

--- a/crates/sillpin-entry/src/runs/drive.rs
+++ b/crates/sillpin-entry/src/runs/drive.rs
@@ -1,9 +1,9 @@
 //! The task that carries one request through its attempts.
 
 use super::Call;
-use super::attempt::Attempt;
-use super::once::{self, Claim};
+use super::once;
 use super::prompt::{Plan, plan};
+use super::send::Broken;
 use crate::app::App;
 use crate::front::Failure;
 use crate::front::documents::Provenance;
@@ -11,12 +11,10 @@
 use crate::place::{PlaceRequest, Placed};
 use opentelemetry::KeyValue;
 use opentelemetry::trace::{Span, SpanKind};
-use sillpin_core::{AttemptId, Outcome, TargetId, WeightVersion};
-use sillpin_rpc::directory::{BlockHints, KeptObject};
+use sillpin_core::{Outcome, TargetId, WeightVersion};
+use sillpin_rpc::directory::BlockHints;
 use sillpin_rpc::records::AttemptRecord;
-use sillpin_targets::{
-    Engine, EngineError, EngineFault, ObjectRef, RunEvent, RunOrder, RunSummary,
-};
+use sillpin_targets::{Engine, EngineError, EngineFault, RunSummary};
 use sillpin_telemetry::traces::ActiveSpan;
 use sillpin_telemetry::{event, events};
 use std::time::Duration;
@@ -38,14 +36,6 @@
     Failed(Failure),
 }
 
-/// Why an attempt ended without the end mark.
-enum Broken {
-    /// The engine failed.
-    Engine(EngineError),
-    /// The caller has gone.
-    CallerGone,
-}
-
 /// Carries one request through its attempts.
 pub(super) struct Driver<E: Engine> {
     pub(super) app: App<E>,
@@ -201,7 +191,7 @@
         hints
     }
 
-    fn child_span(&self, name: &'static str, kind: SpanKind) -> ActiveSpan {
+    pub(super) fn child_span(&self, name: &'static str, kind: SpanKind) -> ActiveSpan {
         self.app
             .traces
             .span(name, kind, Some(self.span.span_context()))
@@ -246,140 +236,6 @@
         Failure::unknown(detail)
     }
 
-    fn order(&self, placed: &Placed) -> RunOrder {
-        let asked = &self.call.asked;
-        RunOrder {
-            attempt: AttemptId::generate(),
-            model: asked.model.clone(),
-            version: self.plan.version,
-            adapter: asked.adapter.clone(),
-            blocks: self.plan.blocks.clone(),
-            prompt: asked.prompt.clone(),
-            delivered: self.delivered.clone(),
-            start_index: self.tokens,
-            max_tokens: asked.max_tokens,
-            priority: self.plan.policy.priorities.engine_priority(self.call.class),
-            imports: placed.imports.iter().map(object).collect(),
-            parameters: asked.parameters.clone(),
-        }
-    }
-
-    async fn attempt(
-        &mut self,
-        placed: &Placed,
-        claim: Option<&mut Claim>,
-    ) -> Result<RunSummary, Broken> {
-        let mut span = self.child_span("target", SpanKind::Client);
-        span.set_attribute(KeyValue::new("target", placed.target.to_string()));
-        let order = self.order(placed);
-        let result = self.send_and_read(placed, &order, claim).await;
-        let said = match &result {
-            Ok(_) => "answered".to_owned(),
-            Err(Broken::CallerGone) => "caller gone".to_owned(),
-            Err(Broken::Engine(e)) => e.to_string(),
-        };
-        span.set_attribute(KeyValue::new("result", said.clone()));
-        self.attempts.push(AttemptRecord {
-            target: placed.target.clone(),
-            version: Some(self.plan.version),
-            candidates: placed.candidates.clone(),
-            result: said,
-        });
-        result
-    }
-
-    async fn send_and_read(
-        &mut self,
-        placed: &Placed,
-        order: &RunOrder,
-        mut claim: Option<&mut Claim>,
-    ) -> Result<RunSummary, Broken> {
-        let limits = self.app.cfg.limits;
-        if let Some(claim) = claim.as_deref_mut() {
-            claim.may_have_run();
-        }
-        let engine = self.app.engine.clone();
-        let started = Attempt::start(engine, placed.addr, order, limits.attempt, limits.silence);
-        let mut attempt = match started.await {
-            Ok(attempt) => attempt,
-            Err(e) => {
-                if let Some(claim) = claim.filter(|_| e.outcome == Outcome::NotRun) {
-                    claim.was_not_sent();
-                }
-                self.ran = self.ran.max(e.outcome);
-                return Err(Broken::Engine(e));
-            }
-        };
-        self.ran = Outcome::Unknown;
-        let read = self.read_with_resume(&mut attempt, placed).await;
-        if let (Ok(_), Some(claim)) = (&read, claim) {
-            claim.ran();
-        }
-        read
-    }
-
-    /// Reads an answer; one that breaks off is taken up again once at the same engine, which holds
-    /// it for a while.
-    async fn read_with_resume(
-        &mut self,
-        attempt: &mut Attempt<E>,
-        placed: &Placed,
-    ) -> Result<RunSummary, Broken> {
-        let mut resumed_at = None;
-        loop {
-            let broken = match self.read(attempt, placed).await {
-                Err(Broken::Engine(e)) => e,
-                done => return done,
-            };
-            let made_progress = resumed_at != Some(self.tokens);
-            let can_resume = matches!(broken.fault, EngineFault::Cut | EngineFault::Timeout);
-            if !can_resume || !made_progress {
-                return Err(Broken::Engine(broken));
-            }
-            resumed_at = Some(self.tokens);
-            let accept = self.app.cfg.limits.attempt;
-            if attempt.resume(self.tokens, accept).await.is_err() {
-                return Err(Broken::Engine(broken));
-            }
-        }
-    }
-
-    /// Reads an answer. With its first token the prompt is computed and its blocks are cached: the
-    /// owners of its root learn of it then, and not only when the whole answer has come.
-    async fn read(
-        &mut self,
-        attempt: &mut Attempt<E>,
-        placed: &Placed,
-    ) -> Result<RunSummary, Broken> {
-        let mut noted = false;
-        loop {
-            match attempt.next().await.map_err(Broken::Engine)? {
-                Some(RunEvent::Token { text, .. }) => {
-                    if !std::mem::replace(&mut noted, true) {
-                        self.note_use(placed);
-                    }
-                    self.deliver(text).await?;
-                }
-                Some(RunEvent::End { summary, .. }) => return Ok(summary),
-                None => return Err(Broken::CallerGone),
-            }
-        }
-    }
-
-    async fn deliver(&mut self, text: String) -> Result<(), Broken> {
-        let now = Instant::now();
-        if self.first_token.is_none() {
-            let after = now - self.plan.began;
-            self.first_token = Some(after);
-            self.app.metrics.first_token(&self.plan.labels, after);
-        }
-        self.last_token = Some(now);
-        self.tokens += 1;
-        self.delivered.push_str(&text);
-        let sent = self.tx.send(Delivery::Token(text)).await;
-        sent.map_err(|_| Broken::CallerGone)
-    }
-
     /// Whether another attempt may follow; otherwise the request's failure.
     fn after_failure(&mut self, target: TargetId, e: EngineError) -> Result<(), Failure> {
         event!(self.app.log, events::ATTEMPT_FAILED, "request" => %self.call.request,
@@ -398,14 +254,3 @@
         Ok(())
     }
 }
-
-fn object(kept: &KeptObject) -> ObjectRef {
-    ObjectRef {
-        block: kept.block,
-        generation: kept.generation,
-        store: kept.store.clone(),
-        addr: kept.addr,
-        len: kept.len,
-        checksum: kept.checksum.clone(),
-    }
-}
--- a/crates/sillpin-entry/src/runs/mod.rs
+++ b/crates/sillpin-entry/src/runs/mod.rs
@@ -16,5 +16,6 @@
 mod drive;
 pub mod once;
 mod prompt;
+mod send;
 
 pub use call::{Call, serve};
--- /dev/null
+++ b/crates/sillpin-entry/src/runs/send.rs
@@ -0,0 +1,171 @@
+//! One sending of a request to an engine, and the reading of its answer.
+
+use super::attempt::Attempt;
+use super::drive::{Delivery, Driver};
+use super::once::Claim;
+use crate::place::Placed;
+use opentelemetry::KeyValue;
+use opentelemetry::trace::{Span, SpanKind};
+use sillpin_core::{AttemptId, Outcome};
+use sillpin_rpc::directory::KeptObject;
+use sillpin_rpc::records::AttemptRecord;
+use sillpin_targets::{
+    Engine, EngineError, EngineFault, ObjectRef, RunEvent, RunOrder, RunSummary,
+};
+use tokio::time::Instant;
+
+/// Why an attempt ended without the end mark.
+pub(super) enum Broken {
+    /// The engine failed.
+    Engine(EngineError),
+    /// The caller has gone.
+    CallerGone,
+}
+
+impl<E: Engine> Driver<E> {
+    fn order(&self, placed: &Placed) -> RunOrder {
+        let asked = &self.call.asked;
+        RunOrder {
+            attempt: AttemptId::generate(),
+            model: asked.model.clone(),
+            version: self.plan.version,
+            adapter: asked.adapter.clone(),
+            blocks: self.plan.blocks.clone(),
+            prompt: asked.prompt.clone(),
+            delivered: self.delivered.clone(),
+            start_index: self.tokens,
+            max_tokens: asked.max_tokens,
+            priority: self.plan.policy.priorities.engine_priority(self.call.class),
+            imports: placed.imports.iter().map(object).collect(),
+            parameters: asked.parameters.clone(),
+        }
+    }
+
+    /// Sends the request to the engine that was chosen, and hands on what it answers.
+    pub(super) async fn attempt(
+        &mut self,
+        placed: &Placed,
+        claim: Option<&mut Claim>,
+    ) -> Result<RunSummary, Broken> {
+        let mut span = self.child_span("target", SpanKind::Client);
+        span.set_attribute(KeyValue::new("target", placed.target.to_string()));
+        let order = self.order(placed);
+        let result = self.send_and_read(placed, &order, claim).await;
+        let said = match &result {
+            Ok(_) => "answered".to_owned(),
+            Err(Broken::CallerGone) => "caller gone".to_owned(),
+            Err(Broken::Engine(e)) => e.to_string(),
+        };
+        span.set_attribute(KeyValue::new("result", said.clone()));
+        self.attempts.push(AttemptRecord {
+            target: placed.target.clone(),
+            version: Some(self.plan.version),
+            candidates: placed.candidates.clone(),
+            result: said,
+        });
+        result
+    }
+
+    async fn send_and_read(
+        &mut self,
+        placed: &Placed,
+        order: &RunOrder,
+        mut claim: Option<&mut Claim>,
+    ) -> Result<RunSummary, Broken> {
+        let limits = self.app.cfg.limits;
+        if let Some(claim) = claim.as_deref_mut() {
+            claim.may_have_run();
+        }
+        let engine = self.app.engine.clone();
+        let started = Attempt::start(engine, placed.addr, order, limits.attempt, limits.silence);
+        let mut attempt = match started.await {
+            Ok(attempt) => attempt,
+            Err(e) => {
+                if let Some(claim) = claim.filter(|_| e.outcome == Outcome::NotRun) {
+                    claim.was_not_sent();
+                }
+                self.ran = self.ran.max(e.outcome);
+                return Err(Broken::Engine(e));
+            }
+        };
+        self.ran = Outcome::Unknown;
+        let read = self.read_with_resume(&mut attempt, placed).await;
+        if let (Ok(_), Some(claim)) = (&read, claim) {
+            claim.ran();
+        }
+        read
+    }
+
+    /// Reads an answer; one that breaks off is taken up again once at the same engine, which holds
+    /// it for a while.
+    async fn read_with_resume(
+        &mut self,
+        attempt: &mut Attempt<E>,
+        placed: &Placed,
+    ) -> Result<RunSummary, Broken> {
+        let mut resumed_at = None;
+        loop {
+            let broken = match self.read(attempt, placed).await {
+                Err(Broken::Engine(e)) => e,
+                done => return done,
+            };
+            let made_progress = resumed_at != Some(self.tokens);
+            let can_resume = matches!(broken.fault, EngineFault::Cut | EngineFault::Timeout);
+            if !can_resume || !made_progress {
+                return Err(Broken::Engine(broken));
+            }
+            resumed_at = Some(self.tokens);
+            let accept = self.app.cfg.limits.attempt;
+            if attempt.resume(self.tokens, accept).await.is_err() {
+                return Err(Broken::Engine(broken));
+            }
+        }
+    }
+
+    /// Reads an answer. With its first token the prompt is computed and its blocks are cached: the
+    /// owners of its root learn of it then, and not only when the whole answer has come.
+    async fn read(
+        &mut self,
+        attempt: &mut Attempt<E>,
+        placed: &Placed,
+    ) -> Result<RunSummary, Broken> {
+        let mut noted = false;
+        loop {
+            match attempt.next().await.map_err(Broken::Engine)? {
+                Some(RunEvent::Token { text, .. }) => {
+                    if !std::mem::replace(&mut noted, true) {
+                        self.note_use(placed);
+                    }
+                    self.deliver(text).await?;
+                }
+                Some(RunEvent::End { summary, .. }) => return Ok(summary),
+                None => return Err(Broken::CallerGone),
+            }
+        }
+    }
+
+    async fn deliver(&mut self, text: String) -> Result<(), Broken> {
+        let now = Instant::now();
+        if self.first_token.is_none() {
+            let after = now - self.plan.began;
+            self.first_token = Some(after);
+            self.app.metrics.first_token(&self.plan.labels, after);
+        }
+        self.last_token = Some(now);
+        self.tokens += 1;
+        self.delivered.push_str(&text);
+        let sent = self.tx.send(Delivery::Token(text)).await;
+        sent.map_err(|_| Broken::CallerGone)
+    }
+}
+
+fn object(kept: &KeptObject) -> ObjectRef {
+    ObjectRef {
+        block: kept.block,
+        generation: kept.generation,
+        store: kept.store.clone(),
+        addr: kept.addr,
+        len: kept.len,
+        checksum: kept.checksum.clone(),
+    }
+}
