--- a/crates/sillpin-standin/src/engine/batch.rs
+++ b/crates/sillpin-standin/src/engine/batch.rs
@@ -1,13 +1,29 @@
 //! Continuous batching: each step computes one block of one prompt and one token of every run.
 
+use super::EngineShape;
 use super::cache::Cache;
-use super::{EngineShape, Progress};
 use sillpin_core::{AttemptId, BlockName};
 use sillpin_targets::{RunOrder, RunSummary};
 use std::collections::HashMap;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+/// How far a run has come.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Progress {
+    pub(super) produced: u32,
+    pub(super) ended: Option<RunSummary>,
+}
+
+impl Progress {
+    fn new(produced: u32) -> Self {
+        Self {
+            produced,
+            ended: None,
+        }
+    }
+}
+
 /// One run at the engine.
 pub(super) struct Run {
     pub(super) order: RunOrder,
--- a/crates/sillpin-standin/src/engine/mod.rs
+++ b/crates/sillpin-standin/src/engine/mod.rs
@@ -3,6 +3,8 @@
 
 mod batch;
 mod cache;
+mod shape;
+mod stream;
 mod transfer;
 
 use crate::query::param;
@@ -18,80 +20,18 @@
 use sillpin_http::{Body, BodySender, Client};
 use sillpin_load::oracle::ExpectedAnswer;
 use sillpin_targets::engine_http::VERSION_HEADER;
-use sillpin_targets::{ExportOrder, LoadOrder, RunEvent, RunOrder, RunSummary};
+use sillpin_targets::{ExportOrder, LoadOrder, RunOrder, RunSummary};
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
+pub use shape::EngineShape;
+
 /// Longest order accepted: a prompt with its block names.
 const MAX_ORDER_LEN: usize = 16 << 20;
 
-/// Size and speed of an engine.
-#[derive(Debug, Clone, Copy)]
-pub struct EngineShape {
-    /// Time of one step without prompt work.
-    pub step: Duration,
-    /// Time to compute one block of a prompt.
-    pub block: Duration,
-    /// Blocks computed in a step, at the most.
-    pub blocks_per_step: u32,
-    /// Runs in the batch.
-    pub max_batch: usize,
-    /// Runs that may wait.
-    pub max_waiting: usize,
-    /// Blocks that the cache holds.
-    pub cache_blocks: usize,
-    /// Bytes of one block when exported.
-    pub block_len: usize,
-    /// How old a load report is.
-    pub load_lag: Duration,
-    /// How late cache events are.
-    pub event_lag: Duration,
-    /// Each such cache event is lost (0: none).
-    pub gap_every: u64,
-    /// How long a run without a reader is kept for a resume.
-    pub keep_finished: Duration,
-    /// Whether orders below the highest fence seen are refused.
-    pub check_fence: bool,
-}
-
-impl Default for EngineShape {
-    fn default() -> Self {
-        Self {
-            step: Duration::from_millis(10),
-            block: Duration::from_millis(20),
-            blocks_per_step: 1,
-            max_batch: 16,
-            max_waiting: 256,
-            cache_blocks: 64,
-            block_len: 16 << 10,
-            load_lag: Duration::from_millis(200),
-            event_lag: Duration::from_millis(100),
-            gap_every: 0,
-            keep_finished: Duration::from_secs(3),
-            check_fence: true,
-        }
-    }
-}
-
-/// How far a run has come.
-#[derive(Debug, Clone, Copy)]
-struct Progress {
-    produced: u32,
-    ended: Option<RunSummary>,
-}
-
-impl Progress {
-    fn new(produced: u32) -> Self {
-        Self {
-            produced,
-            ended: None,
-        }
-    }
-}
-
 /// Faults set at run time.
 #[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 #[serde(default)]
@@ -269,66 +209,6 @@
         hyper::Response::new(body)
     }
 
-    async fn stream(
-        &self,
-        attempt: AttemptId,
-        mut cursor: u32,
-        answer: ExpectedAnswer,
-        mut progress: watch::Receiver<Progress>,
-        tx: BodySender,
-    ) {
-        loop {
-            let now = *progress.borrow_and_update();
-            let faults = self.lock().faults;
-            let answer = if faults.crossed {
-                ExpectedAnswer::of("another prompt")
-            } else {
-                answer
-            };
-            let attempt = if faults.crossed {
-                AttemptId::generate()
-            } else {
-                attempt
-            };
-            let cut = faults
-                .cut_at
-                .is_some_and(|at| cursor < at && now.produced >= at);
-            let mut lines = String::new();
-            let until = if cut {
-                faults.cut_at.unwrap_or(now.produced)
-            } else {
-                now.produced
-            };
-            for index in cursor..until {
-                let text = answer.token(index);
-                let token = RunEvent::Token {
-                    attempt,
-                    index,
-                    text,
-                };
-                push_line(&mut lines, &token);
-            }
-            cursor = cursor.max(until);
-            if let Some(summary) = now.ended.filter(|_| !cut && !faults.no_end_mark) {
-                push_line(&mut lines, &RunEvent::End { attempt, summary });
-            }
-            if !lines.is_empty() && tx.send(lines).await.is_err() {
-                return;
-            }
-            if cut {
-                return tx.abort("told to cut").await;
-            }
-            let changed = tokio::select! {
-                () = tx.closed() => return,
-                changed = progress.changed(), if now.ended.is_none() => changed.is_ok(),
-                () = std::future::ready(()), if now.ended.is_some() => return,
-            };
-            if !changed {
-                return tx.abort("run was cancelled").await;
-            }
-        }
-    }
-
     /// The newest report that is at least as old as the lag.
     fn load(&self) -> LoadReport {
         let mut state = self.lock();
@@ -400,8 +280,3 @@
         status(StatusCode::OK)
     }
 }
-
-fn push_line(lines: &mut String, event: &RunEvent) {
-    lines.push_str(&serde_json::to_string(event).unwrap_or_default());
-    lines.push('\n');
-}
