--- a/tests/testsuite/src/lib.rs
+++ b/tests/testsuite/src/lib.rs
@@ -2,14 +2,17 @@
 //!
 //! - [`process`]: one process, its listeners, and signals,
 //! - [`fleet`]: all processes of a fleet, with the settings and documents they need,
+//! - [`shape`]: how large a fleet is and how it is set up,
 //! - [`targets`] and [`bundles`]: the fleet's targets and bundles,
 //! - [`wait`]: waiting for an event instead of sleeping.
 
 pub mod bundles;
 pub mod fleet;
 pub mod process;
+pub mod shape;
 pub mod targets;
 pub mod wait;
 
-pub use fleet::{Fleet, FleetShape};
+pub use fleet::Fleet;
 pub use process::Process;
+pub use shape::FleetShape;
--- a/tests/testsuite/src/targets.rs
+++ b/tests/testsuite/src/targets.rs
@@ -1,7 +1,8 @@
 //! The targets of a fleet, each with its stand-in's process.
 
-use crate::fleet::{ENGINE_POOL, FleetShape, MODEL, SERVICE_POOL};
+use crate::fleet::{ENGINE_POOL, MODEL, SERVICE_POOL};
 use crate::process::Process;
+use crate::shape::FleetShape;
 use sillpin_core::target::{Presence, TargetEntry, TargetKind};
 use sillpin_core::{BytesPerSec, TargetId};
 use std::collections::BTreeMap;
