Describe an engine once for placement's tests and benchmark

Cause: `crates/sillpin-entry/tests/place.rs` and `benches/decision.rs` each built the same engine with its load report, 28 lines, that differ in name, zone and load.

Change: `tests/support/engine.rs` builds it; both include it. No assertion changes; the benchmark was compiled, not run.

--- a/crates/sillpin-entry/benches/decision.rs
+++ b/crates/sillpin-entry/benches/decision.rs
@@ -5,49 +5,25 @@
     reason = "the macro of the library writes a function without"
 )]
 
+#[path = "../tests/support/engine.rs"]
+mod engine;
+
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
-use sillpin_core::target::TargetEntry;
-use sillpin_core::{LoadReport, Presence, PriorityClass, Share, TargetKind, Tokens, WeightVersion};
+use sillpin_core::{PriorityClass, WeightVersion};
 use sillpin_entry::place::PlaceRequest;
 use sillpin_entry::place::placer::Placer;
 use sillpin_entry::snapshot::Snapshot;
 use sillpin_rpc::directory::BlockHints;
 use sillpin_rpc::entry_link::{FleetUpdate, TargetView};
-use sillpin_rpc::gossip::TargetState;
 use std::hint::black_box;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
 fn view(number: u32) -> TargetView {
-    TargetView {
-        entry: TargetEntry {
-            id: format!("engine-{number}").parse().unwrap(),
-            kind: TargetKind::Engine,
-            pool: "llm".parse().unwrap(),
-            zone: format!("zone-{}", number % 6).parse().unwrap(),
-            addr: ([127, 0, 0, 1], 9_000).into(),
-            presence: Presence::Live,
-            model: "mfano".parse().ok(),
-            link_rate: None,
-        },
-        state: Some(TargetState {
-            load: Some(LoadReport {
-                sequence: 1,
-                presence: Presence::Live,
-                running: number % 8,
-                slots: 16,
-                waiting: 0,
-                waiting_tokens: Tokens(1_000 * u64::from(number % 5)),
-                version: Some(WeightVersion(1)),
-                block_micros: 20_000,
-                cache_blocks: 60,
-                fill: Share::NONE,
-            }),
-            reachable: true,
-        }),
-        leaving: false,
-    }
+    let id = format!("engine-{number}");
+    let zone = format!("zone-{}", number % 6);
+    engine::view(&id, &zone, number % 8, u64::from(number % 5))
 }
 
 fn request(home: u64) -> PlaceRequest {
--- a/crates/sillpin-entry/tests/place.rs
+++ b/crates/sillpin-entry/tests/place.rs
@@ -1,15 +1,16 @@
 //! Placement under load: who waits, who goes, who is refused at once.
 
-use sillpin_core::target::TargetEntry;
-use sillpin_core::{LoadReport, Presence, PriorityClass, Share, TargetKind, Tokens, WeightVersion};
+#[path = "support/engine.rs"]
+mod engine;
+
+use sillpin_core::{PriorityClass, WeightVersion};
 use sillpin_entry::place::{PlaceRequest, PlacerHandle, Refusal, start};
 use sillpin_entry::snapshot::Snapshot;
 use sillpin_policy::PolicySet;
 use sillpin_policy::rendezvous::{CandidateHash, top};
 use sillpin_policy::set::PlacementKind;
 use sillpin_rpc::directory::BlockHints;
-use sillpin_rpc::entry_link::{FleetUpdate, TargetView};
-use sillpin_rpc::gossip::TargetState;
+use sillpin_rpc::entry_link::FleetUpdate;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -17,42 +18,14 @@
 
 const NAMES: [&str; 2] = ["engine-a", "engine-b"];
 
-fn view(name: &str, waiting_blocks: u64) -> TargetView {
-    TargetView {
-        entry: TargetEntry {
-            id: name.parse().unwrap(),
-            kind: TargetKind::Engine,
-            pool: "llm".parse().unwrap(),
-            zone: "zone".parse().unwrap(),
-            addr: ([127, 0, 0, 1], 1).into(),
-            presence: Presence::Live,
-            model: "mfano".parse().ok(),
-            link_rate: None,
-        },
-        state: Some(TargetState {
-            load: Some(LoadReport {
-                sequence: 1,
-                presence: Presence::Live,
-                running: 0,
-                slots: 16,
-                waiting: 0,
-                waiting_tokens: Tokens(1_000 * waiting_blocks),
-                version: Some(WeightVersion(1)),
-                block_micros: 20_000,
-                cache_blocks: 60,
-                fill: Share::NONE,
-            }),
-            reachable: true,
-        }),
-        leaving: false,
-    }
-}
-
 /// A placer whose engine A has `busy` blocks to compute and whose engine B is idle.
 fn placer(busy: u64) -> (PlacerHandle, watch::Sender<Arc<Snapshot>>) {
     let update = FleetUpdate {
         complete: true,
-        targets: vec![view(NAMES[0], busy), view(NAMES[1], 0)],
+        targets: vec![
+            engine::view(NAMES[0], "zone", 0, busy),
+            engine::view(NAMES[1], "zone", 0, 0),
+        ],
         ..FleetUpdate::default()
     };
     let snapshot = Snapshot::default().after(update);
