--- a/crates/sillpin-keeper/src/fleet/table.rs
+++ b/crates/sillpin-keeper/src/fleet/table.rs
@@ -91,15 +91,7 @@
             revision: self.revision(),
             leaving: self.leaving,
         };
-        let value = ItemValue::Box(state);
-        self.items.put(
-            Item {
-                key,
-                version,
-                value,
-            },
-            now,
-        );
+        self.put(key, version, ItemValue::Box(state), now);
     }
 
     /// From now on this box says that it leaves.
