--- a/crates/sillpin-gateway/tests/kept/retire.rs
+++ b/crates/sillpin-gateway/tests/kept/retire.rs
@@ -3,7 +3,7 @@
 use crate::common::{engine, name, target};
 use crate::{STORE, key};
 use sillpin_core::WeightVersion;
-use sillpin_gateway::beliefs::{BoxEntry, Known, View, Wanted};
+use sillpin_gateway::beliefs::{BoxEntry, Known, Named, View, Wanted};
 use sillpin_gateway::control::KeptKey;
 use sillpin_gateway::kept::retire::{MAX_FETCH_TIME, Retired, Retirements, Weights, place_of};
 use sillpin_gateway::kept::salt::SaltParts;
@@ -22,16 +22,18 @@
         }
         (target(&format!("e{i}")), Arc::new(engine))
     });
-    let wanted = Wanted {
+    let wanted = Wanted::new(Named {
         version: WeightVersion(2),
         since: confirmed,
-    };
+        witnessed: true,
+    });
     View {
         entries: Arc::new(engines.collect()),
         wanted: Arc::new(HashMap::from([(name("m"), wanted)])),
         listed: Known {
             revision: KvRevision(1),
             confirmed: Some(confirmed),
+            contact: Some(confirmed),
             content: 0,
         },
         boxes: Arc::new(vec![BoxEntry {
