A successor waits only for what is left of the time after each order

Cause: the record of orders names engines without times. A successor left each of them alone for lease_ms + 0.3 s from its taking, and wrote them down anew for a third holder.

Change: the record also says how long the last order to each engine was over when it was written (0 while one may go out). Since the record was written before the taking, that much of the time is over. Engines that were recorded but never ordered (they were silent) are not left alone. A record of an earlier version has no times: its engines count as ordered just now. A box of the earlier version reads the names as before.

Tests: three fail with the times written as 0 or cannot be told apart, one holds the reading of an old record.

--- a/crates/sillpin-gateway/src/weights/duty.rs
+++ b/crates/sillpin-gateway/src/weights/duty.rs
@@ -41,20 +41,56 @@
     pub fence: Fence,
     /// No order after this moment, unless the lease is renewed.
     pub orders_until: Instant,
-    /// Engines that the holder before ordered are left alone until then.
-    others_until: Instant,
-    /// Engines that the holder before ordered.
-    others: Vec<TargetId>,
-    /// Engines that this holder ordered, and when.
-    own: HashMap<TargetId, Instant>,
+    /// Engines that holders before ordered, and until when each is left alone.
+    others: HashMap<TargetId, Instant>,
+    /// Engines that this holder ordered or is about to order.
+    own: HashMap<TargetId, Own>,
     /// Revision of the record of orders.
     record: KvRevision,
 }
 
+/// What a holder knows of its own orders to an engine.
+#[derive(Debug, Default)]
+struct Own {
+    /// An order may go out at any time.
+    underway: bool,
+    /// When the last order had ended.
+    last: Option<Instant>,
+}
+
+impl Own {
+    /// How long ago the last order was, if there is or may be one.
+    fn age(&self, now: Instant) -> Option<Duration> {
+        match self.underway {
+            true => Some(Duration::ZERO),
+            false => self.last.map(|at| now - at),
+        }
+    }
+}
+
 /// Engines ordered of late, as recorded before each order.
 #[derive(Debug, Default, Serialize, Deserialize)]
 struct Ordered {
     targets: Vec<TargetId>,
+    /// How long the last order to each was over when this was written, in milliseconds, in the order of `targets`;
+    /// at least that much of the time between two holders' orders is over. None where a box of an earlier version wrote.
+    #[serde(default)]
+    ages_ms: Vec<u64>,
+}
+
+impl Ordered {
+    fn push(&mut self, target: TargetId, age: Duration) {
+        self.targets.push(target);
+        // Rounded down: an order is never taken for older than it is.
+        self.ages_ms.push(age.as_millis() as u64);
+    }
+
+    /// Each engine with the age of the last order to it.
+    fn entries(self) -> impl Iterator<Item = (TargetId, Duration)> {
+        let ages = self.ages_ms.into_iter().chain(std::iter::repeat(0));
+        let ages = ages.map(Duration::from_millis);
+        self.targets.into_iter().zip(ages)
+    }
 }
 
 impl Tenure {
@@ -65,7 +101,15 @@
 
     /// Whether an engine may be ordered now: no other holder's order to it can be near.
     pub fn may_order_target(&self, target: &TargetId, now: Instant) -> bool {
-        now >= self.others_until || !self.others.contains(target)
+        self.others.get(target).is_none_or(|until| now >= *until)
+    }
+
+    /// Takes note that orders to an engine are over for now, and when the last one had ended, if any went out.
+    pub fn ended(&mut self, target: &TargetId, last: Option<Instant>) {
+        if let Some(own) = self.own.get_mut(target) {
+            own.underway = false;
+            own.last = own.last.max(last);
+        }
     }
 
     /// Takes note of a renewal that was asked for at `asked`.
@@ -102,11 +146,16 @@
             .put(DUTY_KEY, self.me.as_str(), absent, Some(lease));
         let revision = put.await?;
         let (others, record) = self.take_record().await?;
+        let now = Instant::now();
+        let near = |age: Duration| self.left_alone().checked_sub(age);
+        let others = others
+            .entries()
+            .filter_map(|(target, age)| Some((target, now + near(age)?)))
+            .collect();
         let mut tenure = Tenure {
             lease,
             fence: Fence(revision.0),
             orders_until: asked,
-            others_until: Instant::now() + self.apart + TAKEOVER_MARGIN,
             others,
             own: HashMap::new(),
             record,
@@ -119,7 +168,7 @@
 
     /// Reads which engines the holder before ordered, and writes the record anew: a holder that was
     /// paused then fails to record, and so to order, any further engine.
-    async fn take_record(&self) -> Result<(Vec<TargetId>, KvRevision), PlatformError> {
+    async fn take_record(&self) -> Result<(Ordered, KvRevision), PlatformError> {
         let entry = self.platform.get(ORDERED_KEY).await?;
         let expect = entry
             .as_ref()
@@ -134,7 +183,12 @@
             }
         };
         let record = self.write_record(&ordered, expect).await?;
-        Ok((ordered.targets, record))
+        Ok((ordered, record))
+    }
+
+    /// How long after an order other holders leave the engine alone.
+    fn left_alone(&self) -> Duration {
+        self.apart + TAKEOVER_MARGIN
     }
 
     async fn write_record(
@@ -152,21 +206,32 @@
         tenure: &mut Tenure,
         targets: &[TargetId],
     ) -> Result<(), PlatformError> {
-        let now = Instant::now();
-        let recent = self.apart + LEASE;
-        tenure.own.retain(|_, at| now - *at < recent);
-        tenure
-            .own
-            .extend(targets.iter().map(|id| (id.clone(), now)));
-        let mut listed: Vec<TargetId> = tenure.own.keys().cloned().collect();
-        if now < tenure.others_until {
-            listed.extend(tenure.others.iter().cloned());
+        for target in targets {
+            tenure.own.entry(target.clone()).or_default().underway = true;
         }
-        let ordered = Ordered { targets: listed };
+        let ordered = self.ordered_of_late(tenure, Instant::now());
         tenure.record = self.write_record(&ordered, tenure.record).await?;
         Ok(())
     }
 
+    /// Engines whose last order, of whichever holder, is not long over; others are forgotten.
+    fn ordered_of_late(&self, tenure: &mut Tenure, now: Instant) -> Ordered {
+        let left_alone = self.left_alone();
+        let near = |age: Duration| age < left_alone;
+        tenure.own.retain(|_, own| own.age(now).is_some_and(near));
+        tenure.others.retain(|_, until| now < *until);
+        let mut ordered = Ordered::default();
+        for (target, own) in &tenure.own {
+            ordered.push(target.clone(), own.age(now).unwrap_or_default());
+        }
+        for (target, until) in &tenure.others {
+            if !tenure.own.contains_key(target) {
+                ordered.push(target.clone(), left_alone.saturating_sub(*until - now));
+            }
+        }
+        ordered
+    }
+
     /// Whether somebody holds the duty, and the revision from which a watch goes on. The key's own revision would not
     /// do: the store forgets its history after a while.
     async fn look(&self) -> Result<(bool, KvRevision), PlatformError> {
--- a/crates/sillpin-gateway/src/weights/load.rs
+++ b/crates/sillpin-gateway/src/weights/load.rs
@@ -35,6 +35,8 @@
     pub model: ModelId,
     /// What it serves now, if that is what was wanted.
     pub version: Option<WeightVersion>,
+    /// When the last order had ended, if any went out.
+    pub ordered: Option<Instant>,
 }
 
 /// A load of new weights.
@@ -60,15 +62,17 @@
 impl<C: Control> LoadJob<C> {
     /// Orders the load and waits until it is done.
     pub async fn run(self) -> Loaded {
-        let done = self.load().await;
+        let mut ordered = None;
+        let done = self.load(&mut ordered).await;
         Loaded {
             target: self.target.id.clone(),
             model: self.model.clone(),
             version: done.then_some(self.version),
+            ordered,
         }
     }
 
-    async fn load(&self) -> bool {
+    async fn load(&self, order_ended: &mut Option<Instant>) -> bool {
         tokio::time::sleep(NEWS_LEAD).await;
         let Some(report) = self.report().await else {
             return false;
@@ -92,6 +96,7 @@
         };
         let ordered = Instant::now();
         let outcome = self.control.order(self.target.addr, &order).await;
+        *order_ended = Some(Instant::now());
         let text = match &outcome {
             Ok(outcome) => outcome.to_string(),
             Err(e) => e.to_string(),
--- a/crates/sillpin-gateway/src/weights/rollout.rs
+++ b/crates/sillpin-gateway/src/weights/rollout.rs
@@ -146,6 +146,7 @@
                 }
                 Some(done) = underway.jobs.join_next() => {
                     if let Ok(loaded) = done {
+                        tenure.ended(&loaded.target, loaded.ordered);
                         self.loaded(loaded, &mut underway).await;
                     }
                 }
--- a/crates/sillpin-gateway/tests/duty.rs
+++ b/crates/sillpin-gateway/tests/duty.rs
@@ -4,7 +4,8 @@
 
 use common::{MemoryStore, name, target};
 use sillpin_core::TargetId;
-use sillpin_gateway::weights::duty::{Duty, Tenure};
+use sillpin_gateway::weights::duty::{Duty, ORDERED_KEY, Tenure};
+use sillpin_platform::{KvRevision, Platform};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -138,3 +139,90 @@
     duty(&store, "box-2").take().await.unwrap();
     assert!(began.elapsed() < Duration::from_millis(200));
 }
+
+/// Renews until the engine may be ordered; how long that took.
+async fn left_alone(duty: &Duty<MemoryStore>, tenure: &mut Tenure, id: &TargetId) -> Duration {
+    let began = Instant::now();
+    while order(duty, tenure, id).await.is_none() {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(duty.renew(tenure).await);
+    }
+    began.elapsed()
+}
+
+/// Weights are named every few seconds and the box that orders the loads is killed. Its successor left alone for over
+/// 3 s every engine that had been ordered within the last 4.4 s, on some days the whole fleet, although most of these
+/// orders were seconds old.
+#[tokio::test(start_paused = true)]
+async fn a_successor_waits_only_for_what_is_left_of_the_time_after_each_order() {
+    let store = MemoryStore::default();
+    let first = duty(&store, "box-1");
+    let mut tenure = first.take().await.unwrap();
+    let ordered_at = order(&first, &mut tenure, &target("e1")).await.unwrap();
+    tenure.ended(&target("e1"), Some(ordered_at));
+    while ordered_at.elapsed() < Duration::from_millis(1_900) {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(first.renew(&mut tenure).await);
+    }
+    order(&first, &mut tenure, &target("e2")).await.unwrap();
+    // The first holder dies here; its lease lapses 1.4 s later.
+    let second = duty(&store, "box-2");
+    let mut taken = second.take().await.unwrap();
+    let waited = left_alone(&second, &mut taken, &target("e1")).await;
+    assert!(waited < Duration::from_millis(1_600), "waited {waited:?}");
+    assert!(ordered_at.elapsed() > APART);
+    assert!(!taken.may_order_target(&target("e2"), Instant::now()));
+}
+
+/// Two boxes that held the duty die one after the other. The second wrote the first one's engines down anew, and the
+/// third left them alone as if they had just been ordered.
+#[tokio::test(start_paused = true)]
+async fn a_third_holder_does_not_begin_the_first_ones_time_anew() {
+    let store = MemoryStore::default();
+    let first = duty(&store, "box-1");
+    let mut tenure = first.take().await.unwrap();
+    order(&first, &mut tenure, &target("e1")).await.unwrap();
+    let second = duty(&store, "box-2");
+    let mut taken = second.take().await.unwrap();
+    let took_at = Instant::now();
+    while took_at.elapsed() < Duration::from_millis(2_500) {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(second.renew(&mut taken).await);
+    }
+    order(&second, &mut taken, &target("e2")).await.unwrap();
+    let third = duty(&store, "box-3");
+    let mut taken = third.take().await.unwrap();
+    let waited = left_alone(&third, &mut taken, &target("e1")).await;
+    assert!(waited < Duration::from_millis(1_000), "waited {waited:?}");
+    assert!(!taken.may_order_target(&target("e2"), Instant::now()));
+}
+
+/// An engine that stayed silent was written down before each try, but no order went out: a successor may order it at
+/// once.
+#[tokio::test(start_paused = true)]
+async fn an_engine_that_was_never_ordered_is_not_left_alone() {
+    let store = MemoryStore::default();
+    let first = duty(&store, "box-1");
+    let mut tenure = first.take().await.unwrap();
+    order(&first, &mut tenure, &target("e1")).await.unwrap();
+    tenure.ended(&target("e1"), None);
+    order(&first, &mut tenure, &target("e2")).await.unwrap();
+    let second = duty(&store, "box-2");
+    let taken = second.take().await.unwrap();
+    assert!(taken.may_order_target(&target("e1"), Instant::now()));
+    assert!(!taken.may_order_target(&target("e2"), Instant::now()));
+}
+
+/// Boxes are replaced one at a time: a record by a box of the version before names engines without times, and each
+/// of them counts as ordered just now.
+#[tokio::test(start_paused = true)]
+async fn a_record_without_times_counts_from_the_taking() {
+    let store = MemoryStore::default();
+    let absent = KvRevision::ABSENT;
+    let text = r#"{"targets":["e1"]}"#;
+    store.put(ORDERED_KEY, text, absent, None).await.unwrap();
+    let holder = duty(&store, "box-1");
+    let mut taken = holder.take().await.unwrap();
+    let waited = left_alone(&holder, &mut taken, &target("e1")).await;
+    assert!(waited > APART, "waited {waited:?}");
+}
