An order without an answer is given again at once, for the newest weights

Cause: after an order without an answer (0.6 s) the holder looked at the engine for 1.3 s more, let it rest for 0.8 s and began again with 0.25 s of notice: 3.2 s between two orders to an engine, and a place among those that load was held for 2.2 s of it.

Change: after each order the engine's report decides: served, busy (wait), or idle (order again, with the count of orders that it tells, for what is wanted now). Of two orders that expect the same count the engine carries out one, so a late one does no harm; the call's timeout is longer than reports are old. A load that was accepted is waited for as before, also when its reports fail.

--- a/crates/sillpin-gateway/src/weights/load.rs
+++ b/crates/sillpin-gateway/src/weights/load.rs
@@ -1,5 +1,6 @@
 //! One engine's load of new weights.
 
+use crate::beliefs::FleetHandle;
 use crate::beliefs::fleet::served;
 use crate::control::{Control, EngineReport, OrderOutcome, TargetEntry, WeightsOrder};
 use sillpin_core::{Fence, ModelId, TargetId, WeightVersion};
@@ -20,11 +21,11 @@
 /// Time between further looks; each is priced as a probe.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
-/// Longest wait for a load before it is ordered anew.
-const GIVE_UP: Duration = Duration::from_millis(4_000);
+/// Pause after an order without an answer: calls that fail at once are not repeated more often than this.
+const AGAIN: Duration = Duration::from_millis(100);
 
-/// An order that was lost shows in no report by then.
-const LOST: Duration = Duration::from_millis(1_200);
+/// Longest wait for a load, or for an order to be accepted, before other engines are let go first.
+const GIVE_UP: Duration = Duration::from_millis(4_000);
 
 /// How a load ended.
 #[derive(Debug)]
@@ -49,6 +50,8 @@
     pub model: ModelId,
     /// The weights.
     pub version: WeightVersion,
+    /// What is known of the fleet, for weights that are named meanwhile.
+    pub fleet: FleetHandle,
     /// Who orders.
     pub holder: String,
     /// The holder's fence.
@@ -59,85 +62,139 @@
     pub log: Logger,
 }
 
+/// How far a job is.
+struct Progress {
+    /// The weights to be loaded: those wanted at the last order.
+    version: WeightVersion,
+    /// The job ends without success after this moment.
+    until: Instant,
+    /// When the last order had ended, if any went out.
+    ordered: Option<Instant>,
+    /// Whether the engine said that it carries an order out.
+    accepted: bool,
+}
+
+impl Progress {
+    /// How long ago the last order had ended, in milliseconds.
+    fn ordered_ms(&self) -> u128 {
+        self.ordered.map_or(0, |at| at.elapsed().as_millis())
+    }
+}
+
+/// What an engine is to be asked next.
+enum Next {
+    /// Nothing: the job is over, and the weights are served or not.
+    Over(bool),
+    /// For a report, after a while.
+    Look(Duration),
+}
+
 impl<C: Control> LoadJob<C> {
     /// Orders the load and waits until it is done.
     pub async fn run(self) -> Loaded {
-        let mut ordered = None;
-        let done = self.load(&mut ordered).await;
+        tokio::time::sleep(NEWS_LEAD).await;
+        let mut progress = Progress {
+            version: self.version,
+            until: Instant::now() + GIVE_UP,
+            ordered: None,
+            accepted: false,
+        };
+        let done = self.load(&mut progress).await;
         Loaded {
             target: self.target.id.clone(),
             model: self.model.clone(),
-            version: done.then_some(self.version),
-            ordered,
+            version: done.then_some(progress.version),
+            ordered: progress.ordered,
         }
     }
 
-    async fn load(&self, order_ended: &mut Option<Instant>) -> bool {
-        tokio::time::sleep(NEWS_LEAD).await;
-        let Some(report) = self.report().await else {
-            return false;
-        };
-        if self.is_served(&report) {
-            return true;
+    async fn load(&self, progress: &mut Progress) -> bool {
+        loop {
+            let next = match self.report().await {
+                Some(report) => self.proceed(progress, &report).await,
+                // A load that is under way goes on.
+                None if progress.accepted => Next::Look(LOOK_EVERY),
+                None => Next::Over(false),
+            };
+            match next {
+                Next::Over(done) => return done,
+                Next::Look(_) if Instant::now() >= progress.until => break,
+                Next::Look(pause) => tokio::time::sleep(pause).await,
+            }
+        }
+        event!(self.log, events::WEIGHTS_FAILED,
+            "target" => self.target.id.as_str(), "version" => progress.version.0,
+            "after_ms" => progress.ordered_ms());
+        false
+    }
+
+    /// Waits while the engine loads, and orders when it does not.
+    async fn proceed(&self, progress: &mut Progress, report: &EngineReport) -> Next {
+        if self.is_served(report, progress.version) {
+            self.say_loaded(progress);
+            return Next::Over(true);
         }
         if report.busy {
-            return self.wait(Instant::now() + GIVE_UP, false).await;
+            return Next::Look(LOOK_EVERY);
         }
         if Instant::now() >= *self.until.borrow() {
-            return false;
+            return Next::Over(false);
         }
+        // Operators may have named further weights while an order went unanswered.
+        progress.version = self.wanted().max(self.version);
+        self.order(progress, report.orders_taken).await
+    }
+
+    async fn order(&self, progress: &mut Progress, orders_taken: u64) -> Next {
         let order = WeightsOrder {
             target: self.target.id.clone(),
             model: self.model.clone(),
-            version: self.version,
+            version: progress.version,
             holder: self.holder.clone(),
             fence: self.fence,
-            expected_orders: report.orders_taken,
+            expected_orders: orders_taken,
         };
-        let ordered = Instant::now();
         let outcome = self.control.order(self.target.addr, &order).await;
-        *order_ended = Some(Instant::now());
+        let now = Instant::now();
+        progress.ordered = Some(now);
         let text = match &outcome {
             Ok(outcome) => outcome.to_string(),
             Err(e) => e.to_string(),
         };
         event!(self.log, events::WEIGHTS_ORDERED,
             "target" => self.target.id.as_str(), "model" => self.model.as_str(),
-            "version" => self.version.0, "fence" => self.fence.0,
-            "orders_taken" => report.orders_taken, "outcome" => text);
+            "version" => order.version.0, "fence" => self.fence.0,
+            "orders_taken" => orders_taken, "outcome" => text);
         match outcome {
-            Ok(OrderOutcome::Already) => true,
-            Ok(OrderOutcome::Accepted) => self.wait(ordered + GIVE_UP, false).await,
-            Ok(OrderOutcome::Overtaken) => self.wait(ordered + GIVE_UP, true).await,
-            Ok(OrderOutcome::Refused) => false,
-            // It may have been taken all the same, or be taken late.
-            Err(_) => self.wait(ordered + GIVE_UP, true).await,
+            Ok(OrderOutcome::Already) => Next::Over(true),
+            Ok(OrderOutcome::Accepted) => {
+                progress.accepted = true;
+                progress.until = now + GIVE_UP;
+                Next::Look(FIRST_LOOK)
+            }
+            // The report was older than an order that came before.
+            Ok(OrderOutcome::Overtaken) => Next::Look(LOOK_EVERY),
+            Ok(OrderOutcome::Refused) => Next::Over(false),
+            // It may have been taken all the same, or be taken late: the next report tells. The call's timeout is longer
+            // than reports are old, and of two orders that expect the same count the engine carries out one.
+            Err(_) => Next::Look(AGAIN),
         }
     }
 
-    /// Looks until the weights are served. With `may_be_lost`, an engine that is idle after a while has
-    /// not got the order.
-    async fn wait(&self, until: Instant, may_be_lost: bool) -> bool {
-        let began = Instant::now();
-        tokio::time::sleep(FIRST_LOOK).await;
-        while Instant::now() < until {
-            if let Some(report) = self.report().await {
-                if self.is_served(&report) {
-                    event!(self.log, events::WEIGHTS_LOADED,
-                        "target" => self.target.id.as_str(), "version" => self.version.0,
-                        "after_ms" => began.elapsed().as_millis());
-                    return true;
-                }
-                if may_be_lost && !report.busy && began.elapsed() > LOST {
-                    break;
-                }
-            }
-            tokio::time::sleep(LOOK_EVERY).await;
+    /// The version that operators want now, as far as this box knows.
+    fn wanted(&self) -> WeightVersion {
+        let view = self.fleet.view();
+        view.wanted
+            .get(&self.model)
+            .map_or(self.version, |wanted| wanted.version)
+    }
+
+    fn say_loaded(&self, progress: &Progress) {
+        if progress.ordered.is_some() {
+            event!(self.log, events::WEIGHTS_LOADED,
+                "target" => self.target.id.as_str(), "version" => progress.version.0,
+                "after_ms" => progress.ordered_ms());
         }
-        event!(self.log, events::WEIGHTS_FAILED,
-            "target" => self.target.id.as_str(), "version" => self.version.0,
-            "after_ms" => began.elapsed().as_millis());
-        false
     }
 
     async fn report(&self) -> Option<EngineReport> {
@@ -152,11 +209,11 @@
         }
     }
 
-    fn is_served(&self, report: &EngineReport) -> bool {
+    fn is_served(&self, report: &EngineReport, version: WeightVersion) -> bool {
         let as_listed = TargetEntry {
             served: report.served.clone(),
             ..self.target.as_ref().clone()
         };
-        served(&as_listed, &self.model) >= Some(self.version)
+        served(&as_listed, &self.model) >= Some(version)
     }
 }
--- a/crates/sillpin-gateway/src/weights/rollout.rs
+++ b/crates/sillpin-gateway/src/weights/rollout.rs
@@ -292,6 +292,7 @@
             target,
             model,
             version,
+            fleet: self.fleet.clone(),
             holder: self.duty.me.to_string(),
             fence: tenure.fence,
             until: until.clone(),
--- /dev/null
+++ b/crates/sillpin-gateway/tests/rollout.rs
@@ -0,0 +1,325 @@
+//! Engines are brought to the weights that operators want, also beside trouble.
+
+mod common;
+
+use common::{MemoryStore, TestKeys, entry, name};
+use sillpin_core::{TargetId, WeightVersion};
+use sillpin_gateway::beliefs::fleet::Fleet;
+use sillpin_gateway::beliefs::{self, BoxEntry, FleetHandle, FleetMsg, Reading, Source, Topic};
+use sillpin_gateway::control::{
+    Control, ControlError, EngineReport, FreeOrder, KeptList, KeptNews, OrderOutcome, Served,
+    WeightsOrder,
+};
+use sillpin_gateway::kept::Kept;
+use sillpin_gateway::place::Loads;
+use sillpin_gateway::weights::duty::Duty;
+use sillpin_gateway::weights::rollout::Rollout;
+use sillpin_platform::{KvRevision, Snapshot};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// Least time between two holders' orders to one engine.
+const APART: Duration = Duration::from_millis(3_000);
+
+/// How long a load takes.
+const LOAD: Duration = Duration::from_millis(760);
+
+/// Time of a call that is answered.
+const CALL: Duration = Duration::from_millis(2);
+
+/// After that a call counts as unanswered.
+const CALL_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// An engine that loads weights when it is told to.
+#[derive(Default)]
+struct Engine {
+    version: u64,
+    orders_taken: u64,
+    /// Weights that it loads, and until when.
+    loading: Option<(u64, Instant)>,
+    /// Next orders that get no answer and are not carried out.
+    loses: u32,
+    /// Answers nothing.
+    silent: bool,
+    /// Versions ordered, and when each order arrived.
+    ordered: Vec<(u64, Instant)>,
+    reports: u32,
+    /// When it first served each version.
+    served_at: BTreeMap<u64, Instant>,
+}
+
+impl Engine {
+    fn settle(&mut self, now: Instant) {
+        if let Some((version, until)) = self.loading
+            && until <= now
+        {
+            self.version = version;
+            self.served_at.insert(version, until);
+            self.loading = None;
+        }
+    }
+
+    fn take(&mut self, order: &WeightsOrder, now: Instant) -> OrderOutcome {
+        if self.loading.is_some() || order.expected_orders != self.orders_taken {
+            return OrderOutcome::Overtaken;
+        }
+        if self.version == order.version.0 {
+            return OrderOutcome::Already;
+        }
+        self.orders_taken += 1;
+        self.loading = Some((order.version.0, now + LOAD));
+        OrderOutcome::Accepted
+    }
+}
+
+/// The engines of a test.
+#[derive(Clone, Default)]
+struct Engines {
+    all: Arc<Mutex<BTreeMap<TargetId, Engine>>>,
+}
+
+impl Engines {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<TargetId, Engine>> {
+        let mut all = self.all.lock().unwrap();
+        let now = Instant::now();
+        all.values_mut().for_each(|engine| engine.settle(now));
+        all
+    }
+
+    fn with<R>(&self, id: &str, f: impl FnOnce(&mut Engine) -> R) -> R {
+        f(self.lock().entry(name(id)).or_default())
+    }
+
+    /// How long after `since` the last of `ids` served `version` or a later one; waits for it.
+    async fn all_serve(&self, ids: &[String], version: u64, since: Instant) -> Duration {
+        while !ids.iter().all(|id| self.with(id, |e| e.version >= version)) {
+            assert!(since.elapsed() < Duration::from_secs(60), "not served");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let at = |id: &String| {
+            self.with(id, |e| {
+                *e.served_at.range(version..).next().map_or(&since, |s| s.1)
+            })
+        };
+        ids.iter().map(at).max().unwrap_or(since) - since
+    }
+
+    async fn unanswered(&self) -> ControlError {
+        tokio::time::sleep(CALL_TIMEOUT).await;
+        ControlError {
+            step: "a call",
+            peer: ([127, 0, 0, 1], 9).into(),
+            what: "no answer".to_owned(),
+        }
+    }
+}
+
+impl Control for Engines {
+    async fn report(&self, _: SocketAddr, id: &TargetId) -> Result<EngineReport, ControlError> {
+        let silent = self.with(id.as_str(), |e| {
+            e.reports += 1;
+            e.silent
+        });
+        if silent {
+            return Err(self.unanswered().await);
+        }
+        tokio::time::sleep(CALL).await;
+        Ok(self.with(id.as_str(), |e| EngineReport {
+            busy: e.loading.is_some(),
+            orders_taken: e.orders_taken,
+            served: vec![Served {
+                model: name("m"),
+                version: WeightVersion(e.version),
+            }],
+        }))
+    }
+
+    async fn order(
+        &self,
+        _: SocketAddr,
+        order: &WeightsOrder,
+    ) -> Result<OrderOutcome, ControlError> {
+        let now = Instant::now();
+        let lost = self.with(order.target.as_str(), |e| {
+            e.ordered.push((order.version.0, now));
+            let lost = e.silent || e.loses > 0;
+            e.loses = e.loses.saturating_sub(1);
+            lost
+        });
+        if lost {
+            return Err(self.unanswered().await);
+        }
+        tokio::time::sleep(CALL).await;
+        Ok(self.with(order.target.as_str(), |e| e.take(order, Instant::now())))
+    }
+
+    async fn kept_news(
+        &self,
+        _: SocketAddr,
+        _: u64,
+        _: Duration,
+    ) -> Result<KeptNews, ControlError> {
+        std::future::pending().await
+    }
+
+    async fn kept_list(&self, _: SocketAddr) -> Result<KeptList, ControlError> {
+        std::future::pending().await
+    }
+
+    async fn free(&self, _: SocketAddr, _: &FreeOrder) -> Result<(), ControlError> {
+        Ok(())
+    }
+}
+
+/// A box that holds the duty, and the engines of a fleet that serve version 1.
+struct Scene {
+    engines: Engines,
+    ids: Vec<String>,
+    fleet: FleetHandle,
+    revision: u64,
+    stopping: CancellationToken,
+}
+
+impl Drop for Scene {
+    fn drop(&mut self) {
+        self.stopping.cancel();
+    }
+}
+
+impl Scene {
+    async fn new(count: usize) -> Scene {
+        let log = sillpin_telemetry::logs::discard();
+        let engines = Engines::default();
+        let ids: Vec<String> = (0..count).map(|i| format!("e{i:02}")).collect();
+        for id in &ids {
+            engines.with(id, |e| e.version = 1);
+        }
+        let (fleet, port) = beliefs::channel();
+        let task = Fleet::new(name("box-1"), TestKeys, log.clone());
+        tokio::spawn(task.run(port));
+        let mut scene = Scene {
+            engines,
+            ids,
+            fleet,
+            revision: 1,
+            stopping: CancellationToken::new(),
+        };
+        scene.list().await;
+        tokio::spawn(scene.rollout(log).run());
+        // The duty is taken and nothing is left to do.
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        scene
+    }
+
+    fn rollout(&self, log: slog::Logger) -> Rollout<MemoryStore, Engines> {
+        let addr = ([127, 0, 0, 1], 1).into();
+        let me = BoxEntry {
+            id: name("box-1"),
+            zone: name("za"),
+            peers: addr,
+            gossip: addr,
+        };
+        Rollout {
+            duty: Duty {
+                platform: MemoryStore::default(),
+                me: me.id.clone(),
+                apart: APART,
+                log: log.clone(),
+            },
+            me,
+            control: self.engines.clone(),
+            fleet: self.fleet.clone(),
+            loads: Loads::default(),
+            kept: Kept::default(),
+            news: mpsc::channel(64).0,
+            stopping: self.stopping.clone(),
+            log,
+        }
+    }
+
+    async fn read(&mut self, topic: Topic, values: Vec<(String, String)>) {
+        self.revision += 1;
+        let entries = values
+            .iter()
+            .map(|(key, value)| entry(key, value, self.revision))
+            .collect();
+        let msg = FleetMsg::Read {
+            topic,
+            reading: Reading::Whole(Snapshot {
+                entries,
+                revision: KvRevision(self.revision),
+            }),
+            asked: Instant::now(),
+            source: Source::Store,
+        };
+        self.fleet.tell(msg).await;
+    }
+
+    async fn list(&mut self) {
+        let ready = |id: &String| (format!("target/{id}"), "ready 1".to_owned());
+        let values = self.ids.iter().map(ready).collect();
+        self.read(Topic::Targets, values).await;
+    }
+
+    /// Names weights; when that was.
+    async fn want(&mut self, version: u64) -> Instant {
+        let named = Instant::now();
+        let value = ("ops/weights/m".to_owned(), version.to_string());
+        self.read(Topic::Operators, vec![value]).await;
+        named
+    }
+}
+
+/// Engines leave orders unanswered for a while and carry them out late or never. The holder waited 1.9 s after each
+/// such order and 1 s more before the next, so an engine that lost two of them served replaced weights for over 6 s.
+#[tokio::test(start_paused = true)]
+async fn an_unanswered_order_is_given_again_at_once() {
+    let mut scene = Scene::new(1).await;
+    scene.engines.with("e00", |e| e.loses = 2);
+    let named = scene.want(2).await;
+    let took = scene.engines.all_serve(&scene.ids, 2, named).await;
+    assert!(took < Duration::from_millis(2_700), "took {took:?}");
+    let orders = scene.engines.with("e00", |e| e.ordered.len());
+    assert_eq!(orders, 3);
+}
+
+/// While an order stays unanswered, operators name further weights. The holder went on with the replaced ones.
+#[tokio::test(start_paused = true)]
+async fn an_order_that_is_given_again_names_the_newest_weights() {
+    let mut scene = Scene::new(1).await;
+    scene.engines.with("e00", |e| e.loses = 1);
+    scene.want(2).await;
+    while scene.engines.with("e00", |e| e.ordered.is_empty()) {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let named = scene.want(3).await;
+    let took = scene.engines.all_serve(&scene.ids, 3, named).await;
+    assert!(took < Duration::from_millis(1_600), "took {took:?}");
+    let versions: Vec<u64> = scene.engines.with("e00", |e| {
+        e.ordered.iter().map(|(version, _)| *version).collect()
+    });
+    assert_eq!(versions, [2, 3]);
+}
+
+/// An engine that took an order without answering is not ordered a second time.
+#[tokio::test(start_paused = true)]
+async fn an_order_that_was_taken_late_is_left_to_end() {
+    let mut scene = Scene::new(1).await;
+    scene.engines.with("e00", |e| e.loses = 1);
+    let named = scene.want(2).await;
+    while scene.engines.with("e00", |e| e.ordered.is_empty()) {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    scene.engines.with("e00", |e| {
+        e.orders_taken += 1;
+        e.loading = Some((2, Instant::now() + LOAD));
+    });
+    scene.engines.all_serve(&scene.ids, 2, named).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(scene.engines.with("e00", |e| e.ordered.len()), 1);
+}
