Engines that are silent take no place among those that load

Cause: an engine whose report failed held one of the places among the engines that load (5 of 18, 3 of 9) for 0.85 s, came back 0.8 s later and stood first in the order again (oldest weights, then name), so that engines that could be ordered waited. With half of 18 engines silent the other nine took 18.1 s.

Change: an engine that was silent when last tried is tried beside the places and after the others, and takes a place only when it carries an order out. At most twice as many engines are under way as load at once.

Test: the nine others take under 4.5 s (18.1 s before), the silent ones under 4.5 s from when they answer again.

--- a/crates/sillpin-gateway/src/weights/load.rs
+++ b/crates/sillpin-gateway/src/weights/load.rs
@@ -7,6 +7,7 @@
 use sillpin_telemetry::{event, events};
 use slog::Logger;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -38,6 +39,29 @@
     pub version: Option<WeightVersion>,
     /// When the last order had ended, if any went out.
     pub ordered: Option<Instant>,
+    /// Whether the engine did not answer.
+    pub silent: bool,
+}
+
+/// Whether an engine counts among those that load at once. An engine that was silent takes one
+/// when it carries an order out.
+#[derive(Debug, Clone, Default)]
+pub struct Place(Arc<AtomicBool>);
+
+impl Place {
+    /// A place that is taken or not.
+    pub fn new(taken: bool) -> Self {
+        Self(Arc::new(AtomicBool::new(taken)))
+    }
+
+    /// Whether it is taken.
+    pub fn is_taken(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn set(&self, taken: bool) {
+        self.0.store(taken, Ordering::Relaxed);
+    }
 }
 
 /// A load of new weights.
@@ -56,6 +80,8 @@
     pub holder: String,
     /// The holder's fence.
     pub fence: Fence,
+    /// Its place among the engines that load.
+    pub place: Place,
     /// Nothing is ordered after this moment.
     pub until: watch::Receiver<Instant>,
     /// Log.
@@ -72,6 +98,8 @@
     ordered: Option<Instant>,
     /// Whether the engine said that it carries an order out.
     accepted: bool,
+    /// Whether the engine did not answer when it was last asked for a report.
+    silent: bool,
 }
 
 impl Progress {
@@ -98,6 +126,7 @@
             until: Instant::now() + GIVE_UP,
             ordered: None,
             accepted: false,
+            silent: false,
         };
         let done = self.load(&mut progress).await;
         Loaded {
@@ -105,12 +134,15 @@
             model: self.model.clone(),
             version: done.then_some(progress.version),
             ordered: progress.ordered,
+            silent: progress.silent,
         }
     }
 
     async fn load(&self, progress: &mut Progress) -> bool {
         loop {
-            let next = match self.report().await {
+            let report = self.report().await;
+            progress.silent = report.is_none();
+            let next = match report {
                 Some(report) => self.proceed(progress, &report).await,
                 // A load that is under way goes on.
                 None if progress.accepted => Next::Look(LOOK_EVERY),
@@ -135,6 +167,7 @@
             return Next::Over(true);
         }
         if report.busy {
+            self.place.set(true);
             return Next::Look(LOOK_EVERY);
         }
         if Instant::now() >= *self.until.borrow() {
@@ -168,6 +201,7 @@
         match outcome {
             Ok(OrderOutcome::Already) => Next::Over(true),
             Ok(OrderOutcome::Accepted) => {
+                self.place.set(true);
                 progress.accepted = true;
                 progress.until = now + GIVE_UP;
                 Next::Look(FIRST_LOOK)
--- a/crates/sillpin-gateway/src/weights/rollout.rs
+++ b/crates/sillpin-gateway/src/weights/rollout.rs
@@ -1,7 +1,7 @@
 //! Which engines are ordered next.
 
 use super::duty::{Duty, RENEW_EVERY, Tenure};
-use super::load::{LoadJob, Loaded};
+use super::load::{LoadJob, Loaded, Place};
 use crate::beliefs::fleet::served;
 use crate::beliefs::{BoxEntry, FleetHandle, FleetMsg, View};
 use crate::control::{Control, Presence, TargetEntry};
@@ -16,7 +16,7 @@
 use sillpin_platform::Platform;
 use sillpin_telemetry::{event, events};
 use slog::Logger;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -31,6 +31,10 @@
 /// Engines ordered at once at least.
 const LEAST_AT_ONCE: usize = 3;
 
+/// Engines under way at once, as a multiple of those that load: beside these, some do not answer. Other boxes pass over all
+/// engines under way, so there may not be too many.
+const MOST_UNDERWAY: usize = 2;
+
 /// How often the holder looks for engines to order, beside changes of what it knows.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
@@ -82,11 +86,29 @@
 #[derive(Default)]
 struct Underway {
     jobs: JoinSet<Loaded>,
-    targets: Vec<TargetId>,
+    targets: HashMap<TargetId, Place>,
     resting: HashMap<TargetId, Instant>,
+    /// Engines that did not answer when they were last tried.
+    silent: HashSet<TargetId>,
     said: Option<Instant>,
 }
 
+impl Underway {
+    /// Engines that load or are about to.
+    fn loading(&self) -> usize {
+        self.targets.values().filter(|p| p.is_taken()).count()
+    }
+
+    /// Takes note of a job that is over.
+    fn ended(&mut self, loaded: &Loaded) {
+        self.targets.remove(&loaded.target);
+        match loaded.silent {
+            true => self.silent.insert(loaded.target.clone()),
+            false => self.silent.remove(&loaded.target),
+        };
+    }
+}
+
 impl<P: Platform, C: Control> Rollout<P, C> {
     /// Runs until the box is told to stop.
     pub async fn run(self) {
@@ -165,7 +187,7 @@
     }
 
     async fn loaded(&self, loaded: Loaded, underway: &mut Underway) {
-        underway.targets.retain(|id| *id != loaded.target);
+        underway.ended(&loaded);
         let Some(version) = loaded.version else {
             let until = Instant::now() + FAILED_REST;
             underway.resting.insert(loaded.target, until);
@@ -203,6 +225,7 @@
             return true;
         }
         let view = self.fleet.view();
+        underway.silent.retain(|id| view.targets.contains_key(id));
         self.say_outdated(&view, tenure, underway, now);
         let next = self.next_batch(&view, tenure, underway, now);
         if next.is_empty() {
@@ -233,7 +256,8 @@
         event!(self.log, events::WEIGHTS_OUTDATED,
             "model" => oldest.model.as_str(), "wanted" => oldest.version.0,
             "oldest" => oldest.serves.0, "engines" => outdated.len(),
-            "loading" => underway.jobs.len(), "resting" => underway.resting.len(),
+            "loading" => underway.loading(),
+            "silent" => underway.targets.len() - underway.loading(), "resting" => underway.resting.len(),
             "ordered_by_others" => outdated.iter().filter(left_alone).count());
     }
 
@@ -251,17 +275,28 @@
             .filter(|t| !t.served.is_empty())
             .count();
         let at_once = ((engines as f64 * SHARE_AT_ONCE) as usize).max(LEAST_AT_ONCE);
-        let free = at_once.saturating_sub(underway.jobs.len());
+        let mut places = at_once.saturating_sub(underway.loading());
+        let more = (at_once * MOST_UNDERWAY).saturating_sub(underway.targets.len());
         let may_order = |outdated: &Outdated| {
             let id = &outdated.target.id;
-            let known = underway.targets.contains(id) || underway.resting.contains_key(id);
+            let known = underway.targets.contains_key(id) || underway.resting.contains_key(id);
             !known && tenure.may_order_target(id, now)
         };
-        outdated(view)
+        // A silent engine takes no place until it answers.
+        let mut has_place = |outdated: &Outdated| {
+            if underway.silent.contains(&outdated.target.id) {
+                return true;
+            }
+            let free = places > 0;
+            places = places.saturating_sub(1);
+            free
+        };
+        let (silent, others): (Vec<_>, Vec<_>) = outdated(view)
             .into_iter()
             .filter(may_order)
-            .take(free)
-            .collect()
+            .filter(|outdated| has_place(outdated))
+            .partition(|outdated| underway.silent.contains(&outdated.target.id));
+        others.into_iter().chain(silent).take(more).collect()
     }
 
     fn start(
@@ -286,7 +321,8 @@
         };
         // Boxes that miss the news are refused by the engine and go elsewhere.
         let _ = self.news.try_send(news);
-        underway.targets.push(target.id.clone());
+        let place = Place::new(!underway.silent.contains(&target.id));
+        underway.targets.insert(target.id.clone(), place.clone());
         let job = LoadJob {
             control: self.control.clone(),
             target,
@@ -295,6 +331,7 @@
             fleet: self.fleet.clone(),
             holder: self.duty.me.to_string(),
             fence: tenure.fence,
+            place,
             until: until.clone(),
             log: self.log.clone(),
         };
--- a/crates/sillpin-gateway/tests/rollout.rs
+++ b/crates/sillpin-gateway/tests/rollout.rs
@@ -323,3 +323,24 @@
     tokio::time::sleep(Duration::from_secs(3)).await;
     assert_eq!(scene.engines.with("e00", |e| e.ordered.len()), 1);
 }
+
+/// Half of the engines are silent for seconds. They came first at each try and took places among the engines that load,
+/// 0.85 s each time, while the others waited.
+#[tokio::test(start_paused = true)]
+async fn silent_engines_do_not_hold_up_the_others() {
+    let mut scene = Scene::new(18).await;
+    let ids = scene.ids.clone();
+    let (silent, others) = ids.split_at(9);
+    for id in silent {
+        scene.engines.with(id, |e| e.silent = true);
+    }
+    let named = scene.want(2).await;
+    let took = scene.engines.all_serve(others, 2, named).await;
+    assert!(took < Duration::from_millis(4_500), "took {took:?}");
+    for id in silent {
+        scene.engines.with(id, |e| e.silent = false);
+    }
+    let back = Instant::now();
+    let took = scene.engines.all_serve(silent, 2, back).await;
+    assert!(took < Duration::from_millis(4_500), "took {took:?}");
+}
