--- a/crates/sillpin-gateway/src/beliefs/mod.rs
+++ b/crates/sillpin-gateway/src/beliefs/mod.rs
@@ -9,8 +9,11 @@
 pub mod mirror;
 pub mod reader;
 pub mod transfers;
+pub mod wanted;
 
 use self::mirror::Mirror;
+pub use self::mirror::STORE_SILENCE;
+pub use self::wanted::{Named, Wanted};
 use crate::config::FleetConfig;
 use crate::control::TargetEntry;
 use serde::{Deserialize, Serialize};
@@ -68,15 +71,6 @@
     pub gossip: SocketAddr,
 }
 
-/// Weights that operators want.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Wanted {
-    /// Their version.
-    pub version: WeightVersion,
-    /// When this box learned of it.
-    pub since: Instant,
-}
-
 /// How far a mirrored prefix is known.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Known {
@@ -84,6 +78,8 @@
     pub revision: KvRevision,
     /// When somebody last asked the store and found this.
     pub confirmed: Option<Instant>,
+    /// Since when it has been so without a break of more than [`STORE_SILENCE`], for some box of the fleet.
+    pub contact: Option<Instant>,
     /// Hash of what is known, alike in boxes that know the same; heartbeats do not change it.
     pub content: u64,
 }
@@ -118,6 +114,15 @@
     pub targets: Arc<Vec<KvEntry>>,
 }
 
+impl Known {
+    /// Since when this box has been in touch with the store, if it is.
+    pub fn in_touch(&self, now: Instant) -> Option<Instant> {
+        let confirmed = self.confirmed?;
+        let is_silent = now.saturating_duration_since(confirmed) >= STORE_SILENCE;
+        self.contact.filter(|_| !is_silent)
+    }
+}
+
 impl View {
     /// Boxes of the fleet, this one included.
     pub fn box_count(&self) -> usize {
@@ -194,6 +199,17 @@
         /// When the store was asked.
         asked: Instant,
     },
+    /// Another box knows of a version of weights, or better than this one when it was named.
+    Named {
+        /// The model.
+        model: ModelId,
+        /// The version.
+        named: Named,
+        /// Who knew.
+        source: Source,
+    },
+    /// Another box has been in touch with the store since.
+    Contact(Instant),
     /// The store did not answer this box.
     StoreAway,
     /// Boxes that are registered in the store.
--- a/crates/sillpin-gateway/src/weights/load.rs
+++ b/crates/sillpin-gateway/src/weights/load.rs
@@ -220,7 +220,7 @@
         let view = self.fleet.view();
         view.wanted
             .get(&self.model)
-            .map_or(self.version, |wanted| wanted.version)
+            .map_or(self.version, |wanted| wanted.newest().version)
     }
 
     fn say_loaded(&self, progress: &Progress) {
