Look at a load when it can be done, and more often after that

Cause: the holder looked at an engine 0.8 s after its order, when a load of 0.76 s never shows yet (1 of 1,130 looks; reports are 0.1 to 0.3 s old), and again 0.25 s later: 69 in 100 loads were seen done after 1.05 s, 21 after 1.3 s and 10 after 1.55 s, and their places stood empty meanwhile.

Change: first look after 0.9 s (23 in 100 are done), then every 0.1 s; after an order that came behind another 0.25 s as before, since the report would not show that one yet.

Test: nine engines, three at a time, took 3.84 s, now under 3.65 s with no more than three reports for each.

--- a/crates/sillpin-gateway/src/weights/load.rs
+++ b/crates/sillpin-gateway/src/weights/load.rs
@@ -16,11 +16,14 @@
 /// the weights that they began on: a run takes 0.1 to 0.5 s.
 const NEWS_LEAD: Duration = Duration::from_millis(250);
 
-/// First look after an order: a load takes 0.76 s.
-const FIRST_LOOK: Duration = Duration::from_millis(800);
+/// First look after an order: a load takes 0.76 s, and of 1,151 looks after 0.9 s 23 in 100 found it done.
+const FIRST_LOOK: Duration = Duration::from_millis(900);
 
-/// Time between further looks; each is priced as a probe.
-const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// Time between further looks: a place stands empty for up to this long. Each is priced as a probe.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// Pause after an order that came behind another: reports are some 0.1 to 0.3 s old, and do not show that one before.
+const OVERTAKEN: Duration = Duration::from_millis(250);
 
 /// Pause after an order without an answer: calls that fail at once are not repeated more often than this.
 const AGAIN: Duration = Duration::from_millis(100);
@@ -207,7 +210,7 @@
                 Next::Look(FIRST_LOOK)
             }
             // The report was older than an order that came before.
-            Ok(OrderOutcome::Overtaken) => Next::Look(LOOK_EVERY),
+            Ok(OrderOutcome::Overtaken) => Next::Look(OVERTAKEN),
             Ok(OrderOutcome::Refused) => Next::Over(false),
             // It may have been taken all the same, or be taken late: the next report tells. The call's timeout is longer
             // than reports are old, and of two orders that expect the same count the engine carries out one.
--- a/crates/sillpin-gateway/tests/rollout.rs
+++ b/crates/sillpin-gateway/tests/rollout.rs
@@ -29,6 +29,9 @@
 /// How long a load takes.
 const LOAD: Duration = Duration::from_millis(760);
 
+/// How old reports are: a load that has ended still shows as under way.
+const REPORT_AGE: Duration = Duration::from_millis(100);
+
 /// Time of a call that is answered.
 const CALL: Duration = Duration::from_millis(2);
 
@@ -51,6 +54,8 @@
     reports: u32,
     /// When it first served each version.
     served_at: BTreeMap<u64, Instant>,
+    /// What it served before its last load ended, and when that was.
+    before: Option<(u64, Instant)>,
 }
 
 impl Engine {
@@ -58,12 +63,26 @@
         if let Some((version, until)) = self.loading
             && until <= now
         {
+            self.before = Some((self.version, until));
             self.version = version;
             self.served_at.insert(version, until);
             self.loading = None;
         }
     }
 
+    fn report(&self, now: Instant) -> EngineReport {
+        let before = self.before.filter(|(_, ended)| now < *ended + REPORT_AGE);
+        let version = before.map_or(self.version, |(version, _)| version);
+        EngineReport {
+            busy: self.loading.is_some() || before.is_some(),
+            orders_taken: self.orders_taken,
+            served: vec![Served {
+                model: name("m"),
+                version: WeightVersion(version),
+            }],
+        }
+    }
+
     fn take(&mut self, order: &WeightsOrder, now: Instant) -> OrderOutcome {
         if self.loading.is_some() || order.expected_orders != self.orders_taken {
             return OrderOutcome::Overtaken;
@@ -129,14 +148,7 @@
             return Err(self.unanswered().await);
         }
         tokio::time::sleep(CALL).await;
-        Ok(self.with(id.as_str(), |e| EngineReport {
-            busy: e.loading.is_some(),
-            orders_taken: e.orders_taken,
-            served: vec![Served {
-                model: name("m"),
-                version: WeightVersion(e.version),
-            }],
-        }))
+        Ok(self.with(id.as_str(), |e| e.report(Instant::now())))
     }
 
     async fn order(
@@ -344,3 +356,16 @@
     let took = scene.engines.all_serve(silent, 2, back).await;
     assert!(took < Duration::from_millis(4_500), "took {took:?}");
 }
+
+/// Nine engines load three at a time. The holder looked at each when it could not be done yet and then only 0.25 s
+/// later, so that places stood empty.
+#[tokio::test(start_paused = true)]
+async fn a_place_is_given_on_soon_after_a_load_has_ended() {
+    let mut scene = Scene::new(9).await;
+    let named = scene.want(2).await;
+    let took = scene.engines.all_serve(&scene.ids, 2, named).await;
+    assert!(took < Duration::from_millis(3_650), "took {took:?}");
+    let reports = |id: &String| scene.engines.with(id, |e| e.reports);
+    let reports: u32 = scene.ids.iter().map(reports).sum();
+    assert!(reports <= 3 * 9, "{reports} reports");
+}
