Keep when weights were named in the record of the holder of the weights duty

Cause: what boxes tell each other is lost with all of them.

Change: the record that the holder writes before each order, and now once a second while engines serve replaced weights, also says how long ago weights were named. The next holder takes that over and tells all boxes. A time is short by the age of the record and the time without a holder, 2.4 s at the most, less than the margin at which boxes stop sending.

The new test fails without the taking over (short by 5.5 s) and passes with it. Each record is a call of the store: one a second for the some five seconds of a change.

--- a/crates/sillpin-gateway/src/beliefs/wanted.rs
+++ b/crates/sillpin-gateway/src/beliefs/wanted.rs
@@ -4,9 +4,12 @@
 //! that is named before an earlier one is served everywhere takes nothing away from that: with one time for each model, weights stayed in use
 //! as long as operators went on naming new ones.
 //!
-//! A box that starts reads what is wanted, not since when. Others tell it; only if nobody saw a version being named, its time is not known.
+//! A box that starts reads what is wanted, not since when. Others tell it, and after the loss of all boxes the record that the holder of the weights
+//! duty keeps in the platform's store; only if that fails too, a version's time is not known.
 
-use sillpin_core::WeightVersion;
+use serde::{Deserialize, Serialize};
+use sillpin_core::{ModelId, WeightVersion};
+use std::collections::HashMap;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -92,11 +95,6 @@
             .filter(move |named| named.version > version)
     }
 
-    /// All that is known, for other boxes.
-    pub fn all(&self) -> impl Iterator<Item = &Named> {
-        self.named.iter()
-    }
-
     fn forget(&mut self, now: Instant) {
         let is_old = |named: &Named| now.saturating_duration_since(named.since) >= MEMORY;
         let last_old = self.named.iter().rposition(is_old).unwrap_or(0);
@@ -104,3 +102,42 @@
         self.named.drain(..last_old.max(too_many));
     }
 }
+
+/// How long ago weights were named, as far as a box knows.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct NamedAge {
+    /// The model.
+    pub model: ModelId,
+    /// The version.
+    pub version: WeightVersion,
+    /// Milliseconds since then.
+    pub age_ms: u64,
+    /// Whether a box saw it; if not, it was so at least that long ago.
+    pub witnessed: bool,
+}
+
+impl NamedAge {
+    /// What a reader may take for true. The time on the way is left out, so that the naming is never taken for older than it is, however
+    /// often boxes tell each other.
+    pub fn named(&self, now: Instant) -> Option<Named> {
+        Some(Named {
+            version: self.version,
+            since: now.checked_sub(Duration::from_millis(self.age_ms))?,
+            witnessed: self.witnessed,
+        })
+    }
+}
+
+/// Everything that is known, for other boxes.
+pub fn ages(wanted: &HashMap<ModelId, Wanted>, now: Instant) -> Vec<NamedAge> {
+    let of_model = |(model, wanted): (&ModelId, &Wanted)| -> Vec<NamedAge> {
+        let age = |named: &Named| NamedAge {
+            model: model.clone(),
+            version: named.version,
+            age_ms: now.saturating_duration_since(named.since).as_millis() as u64,
+            witnessed: named.witnessed,
+        };
+        wanted.named.iter().map(age).collect()
+    };
+    wanted.iter().flat_map(of_model).collect()
+}
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -6,7 +6,8 @@
 use super::roles::{self, SMALL_FLEET};
 use super::stall::StallGuard;
 use crate::beliefs::transfers::Transfers;
-use crate::beliefs::{BoxEntry, FleetHandle, Known, Named, View, Wanted};
+use crate::beliefs::wanted::{NamedAge, ages};
+use crate::beliefs::{BoxEntry, FleetHandle, Known, View};
 use crate::control::KeptChange;
 use crate::dialect::EngineTime;
 use crate::kept::Kept;
@@ -105,31 +106,6 @@
     pub stopping: bool,
 }
 
-/// How long ago weights were named, as far as a box knows.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct NamedAge {
-    /// The model.
-    pub model: ModelId,
-    /// The version.
-    pub version: WeightVersion,
-    /// Milliseconds since then.
-    pub age_ms: u64,
-    /// Whether a box saw it; if not, it was so at least that long ago.
-    pub witnessed: bool,
-}
-
-impl NamedAge {
-    /// What the receiver may take for true. The time on the way is left out, so that the naming is never taken for older than it is, however
-    /// often boxes tell each other.
-    pub fn named(&self, now: Instant) -> Option<Named> {
-        Some(Named {
-            version: self.version,
-            since: now.checked_sub(Duration::from_millis(self.age_ms))?,
-            witnessed: self.witnessed,
-        })
-    }
-}
-
 /// A datagram between boxes.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Datagram {
@@ -369,7 +345,7 @@
             clock: directory.engine_time(now, Duration::ZERO),
             work: self.loads.told(),
             replaced: self.loads.replaced().told(now),
-            named: named_ages(view, now),
+            named: ages(&view.wanted, now),
             contact_ms: view.operators.in_touch(now).map(|at| millis(now - at)),
             retired: self.kept.retirements().told(now),
             stopping: self.stopping.is_cancelled(),
@@ -421,19 +397,6 @@
     }
 }
 
-fn named_ages(view: &View, now: Instant) -> Vec<NamedAge> {
-    let of_model = |(model, wanted): (&ModelId, &Wanted)| -> Vec<NamedAge> {
-        let age = |named: &Named| NamedAge {
-            model: model.clone(),
-            version: named.version,
-            age_ms: millis(now - named.since),
-            witnessed: named.witnessed,
-        };
-        wanted.all().map(age).collect()
-    };
-    view.wanted.iter().flat_map(of_model).collect()
-}
-
 /// Hashes of what is published, as a box knows it.
 fn contents(view: &View) -> (u64, u64) {
     (view.operators.content, view.listed.content)
--- a/crates/sillpin-gateway/src/peers/ear.rs
+++ b/crates/sillpin-gateway/src/peers/ear.rs
@@ -1,10 +1,11 @@
 //! What is made of other boxes' datagrams.
 
 use super::asker::Asker;
-use super::digest::{Datagram, Digest, Extent, KeptExtent, KeptWord, LoadNews, NamedAge};
+use super::digest::{Datagram, Digest, Extent, KeptExtent, KeptWord, LoadNews};
 use super::lag::{Behind, Lag};
 use super::stall::StallGuard;
 use crate::beliefs::transfers::Transfers;
+use crate::beliefs::wanted::NamedAge;
 use crate::beliefs::{BoxEntry, FleetHandle, FleetMsg, Known, Named, Source, Topic};
 use crate::control::KeptNews;
 use crate::kept::Kept;
--- a/crates/sillpin-gateway/src/weights/duty.rs
+++ b/crates/sillpin-gateway/src/weights/duty.rs
@@ -1,5 +1,6 @@
 //! Who holds the duty to order engines.
 
+use crate::beliefs::wanted::NamedAge;
 use serde::{Deserialize, Serialize};
 use sillpin_core::{BoxId, Fence, TargetId};
 use sillpin_platform::{KvRevision, LeaseId, Platform, PlatformError, PlatformFault};
@@ -25,6 +26,10 @@
 /// Nothing is ordered in the last part of a lease: an order may be under way this long.
 const QUIET_END: Duration = Duration::from_millis(500);
 
+/// Time between two records while engines serve replaced weights. After the loss of all boxes the times of namings are taken for later than they are by
+/// this, and by the time without a holder; boxes stop sending to replaced weights 2.5 s before they must. Each record is a call.
+const RECORD_EVERY: Duration = Duration::from_secs(1);
+
 /// Added to the wait before an engine that another holder ordered, for orders on their way.
 const TAKEOVER_MARGIN: Duration = Duration::from_millis(300);
 
@@ -45,8 +50,12 @@
     others: HashMap<TargetId, Instant>,
     /// Engines that this holder ordered or is about to order.
     own: HashMap<TargetId, Own>,
+    /// When weights were named, for the record: what the holder before wrote at first.
+    pub named: Vec<NamedAge>,
     /// Revision of the record of orders.
     record: KvRevision,
+    /// When the record was written.
+    recorded: Instant,
 }
 
 /// What a holder knows of its own orders to an engine.
@@ -76,6 +85,9 @@
     /// at least that much of the time between two holders' orders is over. None where a box of an earlier version wrote.
     #[serde(default)]
     ages_ms: Vec<u64>,
+    /// How long ago weights had been named when this was written. Boxes tell each other; this outlives the loss of all.
+    #[serde(default)]
+    named: Vec<NamedAge>,
 }
 
 impl Ordered {
@@ -104,6 +116,11 @@
         self.others.get(target).is_none_or(|until| now >= *until)
     }
 
+    /// Whether the record says anew how long ago weights were named, while engines serve replaced ones.
+    pub fn is_record_old(&self, now: Instant) -> bool {
+        now - self.recorded >= RECORD_EVERY
+    }
+
     /// Takes note that orders to an engine are over for now, and when the last one had ended, if any went out.
     pub fn ended(&mut self, target: &TargetId, last: Option<Instant>) {
         if let Some(own) = self.own.get_mut(target) {
@@ -145,10 +162,11 @@
             .platform
             .put(DUTY_KEY, self.me.as_str(), absent, Some(lease));
         let revision = put.await?;
-        let (others, record) = self.take_record().await?;
+        let (ordered, record) = self.take_record().await?;
         let now = Instant::now();
+        let named = ordered.named.clone();
         let near = |age: Duration| self.left_alone().checked_sub(age);
-        let others = others
+        let others = ordered
             .entries()
             .filter_map(|(target, age)| Some((target, now + near(age)?)))
             .collect();
@@ -158,7 +176,9 @@
             orders_until: asked,
             others,
             own: HashMap::new(),
+            named,
             record,
+            recorded: now,
         };
         tenure.renewed(asked);
         event!(self.log, events::DUTY_TAKEN, "fence" => revision.0,
@@ -209,8 +229,10 @@
         for target in targets {
             tenure.own.entry(target.clone()).or_default().underway = true;
         }
-        let ordered = self.ordered_of_late(tenure, Instant::now());
+        let now = Instant::now();
+        let ordered = self.ordered_of_late(tenure, now);
         tenure.record = self.write_record(&ordered, tenure.record).await?;
+        tenure.recorded = now;
         Ok(())
     }
 
@@ -220,7 +242,10 @@
         let near = |age: Duration| age < left_alone;
         tenure.own.retain(|_, own| own.age(now).is_some_and(near));
         tenure.others.retain(|_, until| now < *until);
-        let mut ordered = Ordered::default();
+        let mut ordered = Ordered {
+            named: tenure.named.clone(),
+            ..Ordered::default()
+        };
         for (target, own) in &tenure.own {
             ordered.push(target.clone(), own.age(now).unwrap_or_default());
         }
--- a/crates/sillpin-gateway/src/weights/rollout.rs
+++ b/crates/sillpin-gateway/src/weights/rollout.rs
@@ -3,7 +3,8 @@
 use super::duty::{Duty, RENEW_EVERY, Tenure};
 use super::load::{LoadJob, Loaded, Place};
 use crate::beliefs::fleet::served;
-use crate::beliefs::{BoxEntry, FleetHandle, FleetMsg, View};
+use crate::beliefs::wanted::{NamedAge, ages};
+use crate::beliefs::{BoxEntry, FleetHandle, FleetMsg, Source, View};
 use crate::control::{Control, Presence, TargetEntry};
 use crate::kept::Kept;
 use crate::kept::freer::Freer;
@@ -143,6 +144,7 @@
 
     /// Orders engines until the duty is lost or given up.
     async fn hold(&self, mut tenure: Tenure) {
+        self.learn_named(&tenure.named).await;
         let mut underway = Underway::default();
         let mut look = tokio::time::interval(LOOK_EVERY);
         let mut renew = tokio::time::interval(RENEW_EVERY);
@@ -186,6 +188,22 @@
         }
     }
 
+    /// Takes over when weights were named, as the holder before recorded it.
+    async fn learn_named(&self, named: &[NamedAge]) {
+        let now = Instant::now();
+        for age in named {
+            let Some(named) = age.named(now) else {
+                continue;
+            };
+            let msg = FleetMsg::Named {
+                model: age.model.clone(),
+                named,
+                source: Source::Store,
+            };
+            self.fleet.tell(msg).await;
+        }
+    }
+
     async fn loaded(&self, loaded: Loaded, underway: &mut Underway) {
         underway.ended(&loaded);
         let Some(version) = loaded.version else {
@@ -228,9 +246,11 @@
         underway.silent.retain(|id| view.targets.contains_key(id));
         self.say_outdated(&view, tenure, underway, now);
         let next = self.next_batch(&view, tenure, underway, now);
-        if next.is_empty() {
+        let is_due = tenure.is_record_old(now) && !outdated(&view).is_empty();
+        if next.is_empty() && !is_due {
             return true;
         }
+        tenure.named = ages(&view.wanted, now);
         let ids: Vec<TargetId> = next.iter().map(|n| n.target.id.clone()).collect();
         if let Err(e) = self.duty.record(tenure, &ids).await {
             event!(self.log, events::DUTY_LOST, "fence" => tenure.fence.0, "why" => e.to_string());
--- a/crates/sillpin-gateway/tests/rollout.rs
+++ b/crates/sillpin-gateway/tests/rollout.rs
@@ -195,6 +195,8 @@
     fleet: FleetHandle,
     revision: u64,
     stopping: CancellationToken,
+    platform: MemoryStore,
+    holder: tokio::task::JoinHandle<()>,
 }
 
 impl Drop for Scene {
@@ -205,6 +207,11 @@
 
 impl Scene {
     async fn new(count: usize) -> Scene {
+        Self::on(MemoryStore::default(), count).await
+    }
+
+    /// The same on a platform that other boxes have used.
+    async fn on(platform: MemoryStore, count: usize) -> Scene {
         let log = sillpin_telemetry::logs::discard();
         let engines = Engines::default();
         let ids: Vec<String> = (0..count).map(|i| format!("e{i:02}")).collect();
@@ -220,9 +227,11 @@
             fleet,
             revision: 1,
             stopping: CancellationToken::new(),
+            platform,
+            holder: tokio::spawn(async {}),
         };
         scene.list().await;
-        tokio::spawn(scene.rollout(log).run());
+        scene.holder = tokio::spawn(scene.rollout(log).run());
         // The duty is taken and nothing is left to do.
         tokio::time::sleep(Duration::from_millis(500)).await;
         scene
@@ -238,7 +247,7 @@
         };
         Rollout {
             duty: Duty {
-                platform: MemoryStore::default(),
+                platform: self.platform.clone(),
                 me: me.id.clone(),
                 apart: APART,
                 log: log.clone(),
@@ -369,3 +378,34 @@
     let reports: u32 = scene.ids.iter().map(reports).sum();
     assert!(reports <= 3 * 9, "{reports} reports");
 }
+
+/// All boxes lost power 5 s after version 2 was named, while no engine could be ordered. Those that started read that version 2 was wanted, not since
+/// when, and used version 1 for as long as if it had been named at their start.
+#[tokio::test(start_paused = true)]
+async fn when_weights_were_named_outlives_the_loss_of_all_boxes() {
+    let platform = MemoryStore::default();
+    let mut before = Scene::on(platform.clone(), 3).await;
+    for id in before.ids.clone() {
+        before.engines.with(&id, |e| e.silent = true);
+    }
+    before.want(1).await;
+    let named = before.want(2).await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    before.holder.abort();
+    let mut after = Scene::on(platform, 3).await;
+    after.want(2).await;
+    let known_for = |scene: &Scene| {
+        let view = scene.fleet.view();
+        let wanted = view.wanted.get(&name::<sillpin_core::ModelId>("m"))?;
+        Some(wanted.newest().since.elapsed())
+    };
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert!(
+        known_for(&after) < Some(Duration::from_secs(1)),
+        "just read"
+    );
+    // The lease of the holder lapses after 1.4 s.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let short_by = named.elapsed() - known_for(&after).unwrap();
+    assert!(short_by < Duration::from_secs(3), "short by {short_by:?}");
+}
