Mend what the review of replaced weights found besides

It has not seen what it finds after two seconds of silence. - Prompts were sent milliseconds before they were taken back.

--- a/crates/sillpin-gateway/src/beliefs/fleet.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet.rs
@@ -23,6 +23,10 @@
 /// of 1.2 s without its target.
 const AWAY_SILENCE: Duration = Duration::from_secs(1);
 
+/// Once this box has heard for so long neither from the store nor from others that do, it has not seen what it finds then. Without a disturbance it asks the
+/// store itself after two seconds at the most.
+const UNSEEN: Duration = Duration::from_secs(2);
+
 /// Share of the listed targets that no planned change removes at one revision.
 const MASS_LAPSE: f64 = 0.5;
 
@@ -186,8 +190,9 @@
     ) {
         match topic {
             Topic::Operators => {
-                // What a box finds at its start was there before.
-                let witnessed = self.operators.known().confirmed.is_some();
+                // What a box finds at its start, or after a silence, may have been there for long.
+                let confirmed = self.operators.known().confirmed;
+                let witnessed = confirmed.is_some_and(|at| asked.max(now) - at < UNSEEN);
                 let changes = self.operators.take(reading, asked);
                 let changed = !changes.is_empty();
                 for change in changes {
--- a/crates/sillpin-gateway/src/beliefs/wanted.rs
+++ b/crates/sillpin-gateway/src/beliefs/wanted.rs
@@ -128,7 +128,10 @@
     }
 }
 
-/// Everything that is known, for other boxes.
+/// Namings are told for so long: several times any limit on the use of replaced weights. Weights are named rarely, so that boxes mostly tell nothing.
+const TELL: Duration = Duration::from_secs(60);
+
+/// What is known of late namings, for boxes that start.
 pub fn ages(wanted: &HashMap<ModelId, Wanted>, now: Instant) -> Vec<NamedAge> {
     let of_model = |(model, wanted): (&ModelId, &Wanted)| -> Vec<NamedAge> {
         let age = |named: &Named| NamedAge {
@@ -137,7 +140,8 @@
             age_ms: now.saturating_duration_since(named.since).as_millis() as u64,
             witnessed: named.witnessed,
         };
-        wanted.named.iter().map(age).collect()
+        let is_late = |named: &&Named| now.saturating_duration_since(named.since) < TELL;
+        wanted.named.iter().filter(is_late).map(age).collect()
     };
     wanted.iter().flat_map(of_model).collect()
 }
--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -165,6 +165,13 @@
             Ok(conn) => conn,
             Err(e) => return Ended::Unsent(e.to_string()),
         };
+        if (leaving.begin_by)().is_some_and(|at| at <= Instant::now()) {
+            return Ended::NotRun {
+                why: EXPIRED.to_owned(),
+                weights: None,
+                misdirected: false,
+            };
+        }
         let req = match self.request(run, &attempt.sending) {
             Ok(req) => req,
             Err(e) => return Ended::Unsent(e.to_string()),
--- a/crates/sillpin-gateway/src/place/allowed.rs
+++ b/crates/sillpin-gateway/src/place/allowed.rs
@@ -10,9 +10,12 @@
 /// engine. Engines' queues were up to 2.9 s long on days with late beginnings, mostly below 0.8 s.
 const QUEUE_MARGIN: Duration = Duration::from_millis(2_500);
 
-/// Requests that wait at an engine are taken back this long before they must not begin there any more: this box may have learned late that
-/// the weights were replaced (0.4 s between two rounds of news), and an engine hears late that they are taken back.
-const BEGIN_MARGIN: Duration = Duration::from_millis(750);
+/// The same if there are none: long enough for most prompts to begin, since one that is taken back is lost, and one that is refused comes again.
+const LAST_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// Prompts that wait at an engine are taken back this long before they must not begin there any more: this box may have learned late that the weights were
+/// replaced, and the engine hears late that they are taken back. Boxes learned of 2,542 namings within 3 ms (99 in 100) to 224 ms.
+const BEGIN_MARGIN: Duration = Duration::from_millis(300);
 
 /// Nobody saw these weights being named, so for how long they have been wanted is not known. That this part of the engines serves them, or newer ones, shows
 /// that it has been for seconds, and leaves enough engines to do without the others.
@@ -64,12 +67,12 @@
         if let Some(oldest) = served().find(|version| by(version, QUEUE_MARGIN)) {
             return self.since(*oldest, "older ones were replaced too long ago");
         }
-        if let Some(newest) = served().rfind(|version| by(version, BEGIN_MARGIN)) {
+        if let Some(newest) = served().rfind(|version| by(version, LAST_MARGIN)) {
             return self.since(*newest, "no engine serves newer ones");
         }
         // While the store was away nobody could bring engines to new weights.
         let newest = served().next_back();
-        match newest.filter(|_| self.now + BEGIN_MARGIN < in_touch + self.limit) {
+        match newest.filter(|_| self.now + LAST_MARGIN < in_touch + self.limit) {
             Some(newest) => self.since(*newest, "the store has just come back"),
             None => self.since(
                 wanted.newest().version,
@@ -78,17 +81,12 @@
         }
     }
 
-    /// Until when a prompt may begin on weights that it was sent to; `None` if nothing that is known ends their time. A moment that has passed tells that
-    /// it must not begin any more.
+    /// Until when a prompt may begin on weights that it was sent to; `None` if nothing that is known ends their time. The time without the store does not
+    /// count: nobody could load newer ones.
     pub fn begin_by(&self, version: WeightVersion) -> Option<Instant> {
-        let limit = self.limit.saturating_sub(BEGIN_MARGIN);
         let replaced = self.wanted?.newer(version).map(|newer| newer.since).min()?;
-        let until = replaced + limit;
-        if self.now < until || version < self.allowed().oldest {
-            return Some(until);
-        }
-        // They go on although their time is over: for as long as the time without the store excuses it.
-        self.in_touch.map(|at| at + limit)
+        let counted = replaced.max(self.in_touch?);
+        Some(counted + self.limit.saturating_sub(BEGIN_MARGIN))
     }
 
     /// When the time of weights is over, if newer ones are wanted.
--- a/crates/sillpin-gateway/tests/beliefs.rs
+++ b/crates/sillpin-gateway/tests/beliefs.rs
@@ -423,3 +423,23 @@
         "2.4 s after the store was asked"
     );
 }
+
+/// All boxes were frozen for 5 s, and version 2 was named meanwhile. Awake again each found it and told the others that it had seen it being named at that moment,
+/// so version 1 was used for 5 s too long: 9 days of our own with such freezes had 792 beginnings over 10 s after the naming.
+#[tokio::test(start_paused = true)]
+async fn what_a_box_finds_after_a_silence_was_not_seen_being_named() {
+    let mut fleet = fleet();
+    let start = Instant::now();
+    let found = vec![entry("ops/weights/m", "1", 5)];
+    fleet.handle(whole(Topic::Operators, found, 5, start), start);
+    let awake = start + Duration::from_secs(5);
+    let named = vec![entry("ops/weights/m", "2", 6)];
+    fleet.handle(changes(Topic::Operators, named, 6, awake), awake);
+    let model: ModelId = common::name("m");
+    let wanted = fleet.view().wanted[&model].clone();
+    let second = wanted.find(WeightVersion(2)).unwrap();
+    assert!(
+        !second.witnessed || second.since < awake,
+        "it may have been named 5 s ago: {second:?}"
+    );
+}
