--- a/crates/sillpin-gateway/src/front/silence.rs
+++ b/crates/sillpin-gateway/src/front/silence.rs
@@ -53,7 +53,7 @@
 
     /// Whether another target can be expected to begin a request before its caller gives up.
     fn has_sooner(&self, run: &Run, pool: &PoolId, progress: &Progress) -> bool {
-        if !self.may_offer(progress) || !self.has_retry(pool) {
+        if !self.may_offer(progress) {
             return false;
         }
         let view = self.fleet.view();
@@ -65,6 +65,8 @@
             false => run.time_left(),
         };
         let expected = Duration::from_secs_f64(found.expected_ms() / 1000.0);
-        !found.chosen.rests && expected < left.min(run.time_left())
+        let is_sooner = !found.chosen.rests && expected < left.min(run.time_left());
+        // Last, since asking may use up what the box has earned.
+        is_sooner && self.has_retry(pool)
     }
 }
