--- a/crates/sillpin-gateway/src/beliefs/wanted.rs
+++ b/crates/sillpin-gateway/src/beliefs/wanted.rs
@@ -27,7 +27,8 @@
     pub version: WeightVersion,
     /// When it was named, as far as this box knows; never before it was.
     pub since: Instant,
-    /// Whether a box saw it being named. If not, it was wanted already when this box started, and may have been for long.
+    /// Whether a box saw it being named. If not, a box found it wanted when it started, or after it had heard nothing for seconds, and it may have been
+    /// so for long.
     pub witnessed: bool,
 }
 
--- a/crates/sillpin-gateway/src/place/allowed.rs
+++ b/crates/sillpin-gateway/src/place/allowed.rs
@@ -7,10 +7,11 @@
 use tokio::time::Instant;
 
 /// Requests stop going to replaced weights this long before they must not begin there any more, if there are newer ones: they may wait at the
-/// engine. Engines' queues were up to 2.9 s long on days with late beginnings, mostly below 0.8 s.
+/// engine. On days with late beginnings they waited up to 2.9 s there; what waits longer is taken back.
 const QUEUE_MARGIN: Duration = Duration::from_millis(2_500);
 
-/// The same if there are none: long enough for most prompts to begin, since one that is taken back is lost, and one that is refused comes again.
+/// The same if there are none. A prompt that is taken back is lost, one that is refused comes again: of 390 that were taken back, 84 had been sent up to
+/// that moment because there was no newer engine, and 4 were served elsewhere.
 const LAST_MARGIN: Duration = Duration::from_millis(1_000);
 
 /// Prompts that wait at an engine are taken back this long before they must not begin there any more: this box may have learned late that the weights were
