Have boxes drop datagrams and calls of other fleets

Cause: a port is given out again. Boxes that have not noticed go on telling it news, and a box of another fleet that listens there took them: it adopted the other fleet's newer configuration and targets. Shown by other_fleet.rs with the check off: a box whose own store holds nothing became ready by a configuration of another fleet's store.

Change: each datagram opens with eight bytes that name the fleet (its platform's store) and the format; calls between boxes name the fleet. What does not fit is dropped and counted (sillpin_datagrams, kind "foreign"). Datagrams are written in bincode instead of JSON. A secret was weighed: the settings hold none that boxes share, so the key separates fleets and proves nothing. Tests give each fleet an address of a platform of its own.

Result: other_fleet.rs fails with the check off, passes with it; path_streams.rs and thin_link.rs pass.

--- a/crates/sillpin-gateway/src/kept/reader.rs
+++ b/crates/sillpin-gateway/src/kept/reader.rs
@@ -4,7 +4,7 @@
 use crate::beliefs::{BoxEntry, FleetHandle};
 use crate::config::StoreSpec;
 use crate::control::{Control, ControlError};
-use crate::peers::digest::KeptWord;
+use crate::peers::datagram::KeptWord;
 use crate::peers::roles;
 use sillpin_telemetry::{event, events};
 use slog::Logger;
--- a/crates/sillpin-gateway/src/metrics.rs
+++ b/crates/sillpin-gateway/src/metrics.rs
@@ -15,6 +15,8 @@
     prompts: Counter<u64>,
     copies: Counter<u64>,
     copied_bytes: Counter<u64>,
+    datagrams: Counter<u64>,
+    datagram_bytes: Counter<u64>,
     first: Histogram<f64>,
     whole: Histogram<f64>,
 }
@@ -39,6 +41,8 @@
             sendings: counter("sillpin_sendings", "Sendings to targets by outcome"),
             copies: counter("sillpin_copies", "Copies asked of boxes by outcome"),
             copied_bytes: counter("sillpin_copied_bytes", "Bytes of copies by outcome"),
+            datagrams: counter("sillpin_datagrams", "Datagrams between boxes by kind"),
+            datagram_bytes: counter("sillpin_datagram_bytes", "Bytes of datagrams by kind"),
             parts: counter("sillpin_prompt_tokens", "Shared prompt tokens by source"),
             prompts: counter(
                 "sillpin_prompt_sendings",
@@ -59,6 +63,13 @@
         self.copied_bytes.add(bytes, &labels);
     }
 
+    /// So many datagrams of a kind, each of `len` bytes, were sent, received or dropped.
+    pub fn datagrams(&self, kind: &'static str, what: &'static str, count: usize, len: usize) {
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("what", what)];
+        self.datagrams.add(count as u64, &labels);
+        self.datagram_bytes.add((count * len) as u64, &labels);
+    }
+
     /// A request of `route` ended so.
     pub fn request(&self, route: &str, outcome: &'static str) {
         let labels = [
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -11,9 +11,11 @@
 use crate::kept::reader::Readers;
 use crate::kept::{self, Kept};
 use crate::metrics::BoxMetrics;
-use crate::peers::digest::{Gossip, KeptWord};
+use crate::peers::datagram::KeptWord;
+use crate::peers::digest::Gossip;
 use crate::peers::link::{self, Answerer};
 use crate::peers::registry::Registry;
+use crate::peers::wire::FleetKey;
 use crate::reload::Settings;
 use crate::settings::BoxConfig;
 use crate::weights::duty::Duty;
@@ -276,7 +278,9 @@
     let (fleet, log) = (shared.fleet.clone(), shared.log.clone());
     let stopping = shared.stopping.clone();
     let (news_tx, news) = mpsc::channel(NEWS_QUEUE);
+    let fleet_key = FleetKey::of(shared.cfg.platform);
     let answerer = Answerer {
+        fleet_key,
         fleet: fleet.clone(),
         kept: shared.kept.clone(),
         log: log.clone(),
@@ -291,6 +295,7 @@
     };
     tokio::spawn(registry.run());
     let gossip = Gossip {
+        fleet_key,
         me,
         settings,
         fleet: fleet.clone(),
--- a/crates/sillpin-gateway/src/peers/asker.rs
+++ b/crates/sillpin-gateway/src/peers/asker.rs
@@ -2,6 +2,7 @@
 
 use super::handout::{Handout, TransferId};
 use super::link::{BoxLinkClient, Copy, KeptContent, KeptCopy};
+use super::wire::FleetKey;
 use crate::beliefs::transfers::Transfers;
 use crate::beliefs::{BoxEntry, FleetHandle, FleetMsg, Reading, Source, Topic};
 use crate::control::{KeptList, KeptNews};
@@ -35,6 +36,8 @@
 /// Asks other boxes for what they know.
 #[derive(Clone)]
 pub struct Asker {
+    /// The fleet, which the asked box must be of.
+    pub fleet_key: FleetKey,
     /// What is on its way to this box.
     pub transfers: Transfers,
     /// Counts copies.
@@ -84,7 +87,9 @@
         fleet: &FleetHandle,
     ) {
         let mut copying = self.begin(from, topic.name(), Some(topic));
-        let call = |client: BoxLinkClient| async move { client.copy(within(), topic, after).await };
+        let key = self.fleet_key;
+        let call =
+            |client: BoxLinkClient| async move { client.copy(within(), key, topic, after).await };
         let copy: Option<(Copy, Instant)> = copying.take(call, |copy: &Copy| copy.age_ms).await;
         let Some((copy, asked)) = copy else {
             return;
@@ -102,7 +107,9 @@
     pub async fn ask_kept(&self, from: &BoxEntry, store: SocketAddr, kept: &Kept) {
         let mut copying = self.begin(from, "kept parts", None);
         let after = kept.lock().position(store);
-        let call = |client: BoxLinkClient| async move { client.kept(within(), store, after).await };
+        let key = self.fleet_key;
+        let call =
+            |client: BoxLinkClient| async move { client.kept(within(), key, store, after).await };
         let copy = copying.take(call, |copy: &KeptCopy| copy.age_ms).await;
         let Some((copy, asked)) = copy else {
             return;
--- a/crates/sillpin-gateway/src/peers/ear.rs
+++ b/crates/sillpin-gateway/src/peers/ear.rs
@@ -1,15 +1,17 @@
 //! What is made of other boxes' datagrams.
 
 use super::asker::Asker;
-use super::digest::{Datagram, Digest, Extent, KeptExtent, KeptWord, LoadNews};
+use super::datagram::{Datagram, Digest, Extent, KeptExtent, KeptWord, LoadNews};
 use super::lag::{Behind, Lag};
 use super::stall::StallGuard;
+use super::wire::{self, FleetKey, MAX_DATAGRAM, WireFault};
 use crate::beliefs::transfers::Transfers;
 use crate::beliefs::wanted::NamedAge;
 use crate::beliefs::{BoxEntry, FleetHandle, FleetMsg, Known, Named, Source, Topic};
 use crate::control::KeptNews;
 use crate::kept::Kept;
 use crate::kept::directory::Position;
+use crate::metrics::BoxMetrics;
 use crate::place::Loads;
 use crate::place::load::Outcome;
 use sillpin_platform::KvRevision;
@@ -25,9 +27,6 @@
 /// Wait after the socket reported an error: it may report the same one again at once.
 const ERROR_PAUSE: Duration = Duration::from_millis(20);
 
-/// Longest datagram read: 60 engines' work takes about 1,500 bytes, 60 changes of a store 6,000.
-const MAX_DATAGRAM: usize = 16_384;
-
 /// Taken off what a datagram tells of its age, for its way here.
 const WAY: Duration = Duration::from_millis(20);
 
@@ -67,6 +66,8 @@
 /// Hears what other boxes say.
 #[derive(Clone)]
 pub struct Ear {
+    /// The fleet; datagrams of others are dropped.
+    pub fleet_key: FleetKey,
     /// What the box knows.
     pub fleet: FleetHandle,
     /// Loads of targets.
@@ -83,6 +84,8 @@
     pub transfers: Transfers,
     /// Notices datagrams that waited in a stall.
     pub stall: StallGuard,
+    /// Counts datagrams.
+    pub metrics: BoxMetrics,
     /// Log.
     pub log: Logger,
 }
@@ -104,19 +107,30 @@
             if self.stall.is_stale() {
                 continue;
             }
-            match serde_json::from_slice::<Datagram>(&buf[..len]) {
-                Ok(Datagram::Digest(digest)) => self.take(*digest).await,
-                Ok(Datagram::Loading(news)) => self.take_news(news).await,
-                Ok(Datagram::Kept(word)) => self.take_word(word),
-                Ok(Datagram::Work(word)) => {
-                    self.loads.replaced().hear(&word.replaced, Instant::now());
-                    self.loads.hear(word.from, word.work);
+            match wire::decode(self.fleet_key, &buf[..len]) {
+                Ok(datagram) => {
+                    self.metrics.datagrams(datagram.name(), "received", 1, len);
+                    self.hear_one(datagram).await;
                 }
+                // Boxes of another fleet may go on for long at an address that was theirs: counted, not logged.
+                Err(WireFault::Foreign) => self.metrics.datagrams("foreign", "dropped", 1, len),
                 Err(e) => event!(self.log, events::GOSSIP_FAILED, "why" => e.to_string()),
             }
         }
     }
 
+    async fn hear_one(&self, datagram: Datagram) {
+        match datagram {
+            Datagram::Digest(digest) => self.take(*digest).await,
+            Datagram::Loading(news) => self.take_news(news).await,
+            Datagram::Kept(word) => self.take_word(word),
+            Datagram::Work(word) => {
+                self.loads.replaced().hear(&word.replaced, Instant::now());
+                self.loads.hear(word.from, word.work);
+            }
+        }
+    }
+
     async fn take_news(&self, news: LoadNews) {
         if !news.done {
             self.loads.note(&news.target, Outcome::Loading);
--- a/crates/sillpin-gateway/src/peers/lag.rs
+++ b/crates/sillpin-gateway/src/peers/lag.rs
@@ -1,6 +1,6 @@
 //! How long other boxes have known more than this one.
 
-use super::digest::Extent;
+use super::datagram::Extent;
 use crate::beliefs::{Known, Topic};
 use sillpin_platform::KvRevision;
 use std::collections::{HashMap, VecDeque};
--- a/crates/sillpin-gateway/src/peers/link.rs
+++ b/crates/sillpin-gateway/src/peers/link.rs
@@ -2,6 +2,7 @@
 
 use super::handout::{Handout, Handouts, TransferId};
 use super::millis;
+use super::wire::FleetKey;
 use crate::beliefs::{Copied, FleetHandle, Topic};
 use crate::control::{KeptChange, KeptKey};
 use crate::kept::Kept;
@@ -51,10 +52,11 @@
 /// The service that boxes offer to each other.
 #[tarpc::service]
 pub trait BoxLink {
-    /// A [`Copy`] of what the box knows of a prefix beyond a revision.
-    async fn copy(topic: Topic, after: KvRevision) -> Handout;
-    /// A [`KeptCopy`] of what the box knows of a store of kept KV cache beyond a position, if the asking box has reached one.
-    async fn kept(store: SocketAddr, after: Option<Position>) -> Handout;
+    /// A [`Copy`] of what the box knows of a prefix beyond a revision; nothing for a box of another fleet.
+    async fn copy(fleet: FleetKey, topic: Topic, after: KvRevision) -> Handout;
+    /// A [`KeptCopy`] of what the box knows of a store of kept KV cache beyond a position, if the asking box has reached one; nothing
+    /// for a box of another fleet.
+    async fn kept(fleet: FleetKey, store: SocketAddr, after: Option<Position>) -> Handout;
     /// The piece of a large document that begins at a byte, if it is still handed out.
     async fn more(transfer: TransferId, offset: u64) -> Option<Vec<u8>>;
 }
@@ -62,6 +64,8 @@
 /// What a box answers other boxes from.
 #[derive(Clone)]
 pub struct Answerer {
+    /// The fleet; boxes of others get nothing.
+    pub fleet_key: FleetKey,
     /// What it knows of the fleet.
     pub fleet: FleetHandle,
     /// What it knows of kept parts.
@@ -122,12 +126,24 @@
 }
 
 impl BoxLink for Server {
-    async fn copy(self, _: Context, topic: Topic, after: KvRevision) -> Handout {
+    async fn copy(self, _: Context, fleet: FleetKey, topic: Topic, after: KvRevision) -> Handout {
+        if fleet != self.answerer.fleet_key {
+            return Handout::Nothing;
+        }
         let document = self.answerer.copy(topic, after);
         self.answerer.hand_out(&self.published, document)
     }
 
-    async fn kept(self, _: Context, store: SocketAddr, after: Option<Position>) -> Handout {
+    async fn kept(
+        self,
+        _: Context,
+        fleet: FleetKey,
+        store: SocketAddr,
+        after: Option<Position>,
+    ) -> Handout {
+        if fleet != self.answerer.fleet_key {
+            return Handout::Nothing;
+        }
         let document = self.answerer.kept(store, after);
         self.answerer.hand_out(&self.kept, document)
     }
--- a/crates/sillpin-gateway/src/peers/mod.rs
+++ b/crates/sillpin-gateway/src/peers/mod.rs
@@ -5,7 +5,9 @@
 //! a box that the store turns away, or that starts while the store is down, learns from the others.
 //!
 //! - [`roles`]: which box reads what for its zone,
-//! - [`digest`]: the datagrams,
+//! - [`datagram`]: what they say in datagrams,
+//! - [`wire`]: how datagrams are written, and whose they are,
+//! - [`digest`]: who is told what, and when,
 //! - [`ear`]: what is made of them,
 //! - [`handout`]: documents for other boxes, the large ones piece by piece,
 //! - [`asker`]: asks other boxes for what they know,
@@ -15,6 +17,7 @@
 //! - [`registry`]: boxes registered in the store.
 
 pub mod asker;
+pub mod datagram;
 pub mod digest;
 pub mod ear;
 pub mod handout;
@@ -23,6 +26,7 @@
 pub mod registry;
 pub mod roles;
 pub mod stall;
+pub mod wire;
 
 use std::time::Duration;
 
--- a/crates/sillpin-gateway/src/weights/rollout.rs
+++ b/crates/sillpin-gateway/src/weights/rollout.rs
@@ -8,7 +8,7 @@
 use crate::control::{Control, Presence, TargetEntry};
 use crate::kept::Kept;
 use crate::kept::freer::Freer;
-use crate::peers::digest::LoadNews;
+use crate::peers::datagram::LoadNews;
 use crate::peers::roles;
 use crate::place::Loads;
 use crate::place::load::Outcome;
--- a/crates/sillpin-gateway/tests/lag.rs
+++ b/crates/sillpin-gateway/tests/lag.rs
@@ -1,7 +1,7 @@
 //! How long other boxes have known more than this one.
 
 use sillpin_gateway::beliefs::{Known, Topic};
-use sillpin_gateway::peers::digest::Extent;
+use sillpin_gateway::peers::datagram::Extent;
 use sillpin_gateway::peers::lag::{Behind, Lag};
 use sillpin_platform::KvRevision;
 use std::time::Duration;
