Tell lives of targets apart that start again under their ids, and use no target whose entry cannot be read

Cause: a target may start again under its id, and holds nothing of before; boxes knew it by its id alone. An entry that another writer had spoiled left the one before in force, and a state that nobody knows counted as leaving.

Change: Life, by when a target says that it started; compared where entries are taken (beliefs/fleet.rs), in Loads::follow and in the pool. News of weights and loads name the life; which of two is newer shows in the store's revision of the entry, not in the clock. An entry that cannot be read names no target.

--- a/crates/sillpin-gateway/src/beliefs/fleet.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet.rs
@@ -3,7 +3,7 @@
 use super::mirror::{Change, Mirror};
 use super::{BoxEntry, FleetMsg, FleetPort, Known, Named, Reading, Source, Topic, View, Wanted};
 use crate::config::FleetConfig;
-use crate::control::{DecodeError, Presence, Published, Served, TargetEntry};
+use crate::control::{DecodeError, Life, Presence, Published, Served, TargetEntry};
 use crate::place::index::TargetIndex;
 use sillpin_core::{BoxId, ModelId, TargetId, WeightVersion};
 use sillpin_platform::{KvEntry, KvRevision};
@@ -40,6 +40,7 @@
 /// What an engine was last seen to serve, beside its entry.
 #[derive(Debug, Clone)]
 struct Seen {
+    life: Option<Life>,
     model: ModelId,
     version: WeightVersion,
 }
@@ -192,9 +193,17 @@
             FleetMsg::Stopping(id) => self.forget(&id),
             FleetMsg::Serves {
                 target,
+                life,
                 model,
                 version,
-            } => self.serves(target, model, version),
+            } => {
+                let seen = Seen {
+                    life,
+                    model,
+                    version,
+                };
+                self.serves(target, seen);
+            }
         }
     }
 
@@ -406,9 +415,14 @@
         let value = entry.value.as_deref().unwrap_or_default();
         let target = match self.keys.target(&entry.key, value) {
             Ok(target) => target,
-            Err(e) => return self.undecodable(&e),
+            Err(e) => {
+                // Somebody else wrote it, or the target itself is not well: it names nobody to send requests to.
+                self.undecodable(&e);
+                return self.unlist_target(&entry.key, None);
+            }
         };
         self.lapsed.remove(&target.id);
+        self.take_life(&target);
         let before = self.targets.get(&target.id);
         if before.map(|t| t.presence) != Some(target.presence) {
             event!(self.log, events::TARGET_LISTED,
@@ -419,6 +433,17 @@
         self.targets.insert(target.id.clone(), Arc::new(target));
     }
 
+    /// What an earlier life of a target was seen to serve says nothing of this one, which may serve older weights.
+    fn take_life(&mut self, target: &TargetEntry) {
+        let before = self.targets.get(&target.id);
+        if before.is_none_or(|before| before.life == target.life) {
+            return;
+        }
+        self.seen.remove(&target.id);
+        event!(self.log, events::TARGET_RESTARTED, "target" => target.id.as_str(),
+            "addr" => target.addr.to_string(), "life" => target.life.map_or(0, |life| life.0));
+    }
+
     /// Drops a target whose entry vanished, unless the entry may return until some moment.
     fn unlist_target(&mut self, key: &str, may_return: Option<Instant>) {
         let id = key.strip_prefix(self.keys.target_prefix()).unwrap_or(key);
@@ -442,18 +467,20 @@
         }
     }
 
-    fn serves(&mut self, target: TargetId, model: ModelId, version: WeightVersion) {
-        let known = self
-            .targets
-            .get(&target)
-            .and_then(|entry| served(entry, &model));
+    fn serves(&mut self, target: TargetId, found: Seen) {
+        let entry = self.targets.get(&target);
+        // Which of two lives is the newer one shows in the target's entry.
+        if entry.is_some_and(|entry| entry.life != found.life) {
+            return;
+        }
+        let known = entry.and_then(|entry| served(entry, &found.model));
         let seen = self.seen.get(&target).map(|seen| seen.version);
-        if known >= Some(version) || seen >= Some(version) {
+        if known >= Some(found.version) || seen >= Some(found.version) {
             return;
         }
-        event!(self.log, events::TARGET_SERVES,
-            "target" => target.as_str(), "model" => model.as_str(), "version" => version.0);
-        self.seen.insert(target, Seen { model, version });
+        event!(self.log, events::TARGET_SERVES, "target" => target.as_str(),
+            "model" => found.model.as_str(), "version" => found.version.0);
+        self.seen.insert(target, found);
         self.targets_changed = true;
     }
 
@@ -518,8 +545,8 @@
     fn publish_targets(&mut self) {
         let current = |(id, entry): (&TargetId, &Arc<TargetEntry>)| {
             let entry = match self.seen.get(id) {
-                Some(seen) => Arc::new(with_served(entry, seen)),
-                None => entry.clone(),
+                Some(seen) if seen.life == entry.life => Arc::new(with_served(entry, seen)),
+                _ => entry.clone(),
             };
             (id.clone(), entry)
         };
--- a/crates/sillpin-gateway/src/beliefs/mod.rs
+++ b/crates/sillpin-gateway/src/beliefs/mod.rs
@@ -15,7 +15,7 @@
 pub use self::mirror::STORE_SILENCE;
 pub use self::wanted::{Named, Wanted};
 use crate::config::FleetConfig;
-use crate::control::TargetEntry;
+use crate::control::{Life, TargetEntry};
 use crate::place::index::TargetIndex;
 use serde::{Deserialize, Serialize};
 use sillpin_core::{BoxId, ModelId, TargetId, WeightVersion, ZoneId};
@@ -239,6 +239,8 @@
     Serves {
         /// The engine.
         target: TargetId,
+        /// The life of it that answered.
+        life: Option<Life>,
         /// The model.
         model: ModelId,
         /// The weights.
--- a/crates/sillpin-gateway/src/control.rs
+++ b/crates/sillpin-gateway/src/control.rs
@@ -27,11 +27,19 @@
     pub version: WeightVersion,
 }
 
+/// Tells lives of a target apart that has the same id in all of them: when it says that it started, by its own clock. Clocks go back too, so lives
+/// are not put in order by it: the newer one is that of the newer entry in the platform's store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Life(pub u64);
+
 /// A target as it publishes itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetEntry {
-    /// Its id; one for each of its lives.
+    /// Its id; it may start again under it.
     pub id: TargetId,
+    /// Which life it is in, if it says so.
+    pub life: Option<Life>,
     /// Its pool.
     pub pool: PoolId,
     /// Where it listens.
@@ -92,6 +100,8 @@
 /// What an engine says of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EngineReport {
+    /// Which life it is in, if it says so.
+    pub life: Option<Life>,
     /// Whether an order is being carried out.
     pub busy: bool,
     /// Orders that it has taken.
--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -161,7 +161,7 @@
             crate::config::Repeat::AtMostOnce => MAX_IDLE_ONCE,
             crate::config::Repeat::Freely => MAX_IDLE,
         };
-        let mut conn = match self.pool.get(&target.id, target.addr, max_idle).await {
+        let mut conn = match self.pool.get(&target, max_idle).await {
             Ok(conn) => conn,
             Err(e) => return Ended::Unsent(e.to_string()),
         };
--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -11,9 +11,10 @@
 use super::shared::Shared;
 use crate::beliefs::{FleetMsg, View};
 use crate::config::Repeat;
+use crate::control::TargetEntry;
 use crate::dialect::{Dialect, Sending};
 use crate::place::load::Outcome as Health;
-use crate::place::work::TargetHash;
+use crate::place::work::LifeHash;
 use hyper::Response;
 use sillpin_core::{PoolId, TargetId, WeightVersion};
 use sillpin_http::Body;
@@ -149,7 +150,7 @@
         }
         let reached = !matches!(ended, Ended::Unsent(_));
         self.loads.note_reach(&target.zone, reached);
-        self.note(run, &target.id, version, &ended, progress);
+        self.note(run, &target, version, &ended, progress);
         Ok(ended)
     }
 
@@ -195,14 +196,14 @@
     fn note(
         &self,
         run: &Run,
-        target: &TargetId,
+        target: &TargetEntry,
         version: Option<WeightVersion>,
         ended: &Ended,
         progress: &mut Progress,
     ) {
         self.metrics.sending(ended.name());
         if let Ended::Unsent(why) = ended {
-            self.prober.start(target, why);
+            self.prober.start(&target.id, why);
         }
         let health = match ended {
             Ended::Unsent(_) => Some(Health::Unreachable),
@@ -212,7 +213,7 @@
             Ended::TakenBack => None,
         };
         if let Some(health) = health {
-            self.loads.note(target, health);
+            self.loads.note_life(&target.id, target.life, health);
         }
         match ended {
             Ended::Unsent(_) => {}
@@ -231,12 +232,12 @@
             self.learn_weights(run, target, *weights);
             if *misdirected && self.is_replaced(run, version) {
                 let mut replaced = self.loads.replaced();
-                replaced.find(TargetHash::of(target), Instant::now());
+                replaced.find(LifeHash::of(target), Instant::now());
             }
         }
         if !matches!(ended, Ended::Answered(_) | Ended::Streaming(_)) {
             event!(self.log, events::SENDING_FAILED,
-                "request" => &run.demand.id, "target" => target.as_str(),
+                "request" => &run.demand.id, "target" => target.id.as_str(),
                 "outcome" => ended.name(), "why" => ended.why(),
                 "elapsed_ms" => run.arrival.elapsed().as_millis());
         }
@@ -255,11 +256,12 @@
     }
 
     /// An engine that refuses may say which weights it serves by now.
-    fn learn_weights(&self, run: &Run, target: &TargetId, weights: Option<WeightVersion>) {
+    fn learn_weights(&self, run: &Run, target: &TargetEntry, weights: Option<WeightVersion>) {
         let prompt = run.demand.prompt.as_ref();
         if let (Some(prompt), Some(version)) = (prompt, weights) {
             self.fleet.hint(FleetMsg::Serves {
-                target: target.clone(),
+                target: target.id.clone(),
+                life: target.life,
                 model: prompt.model.clone(),
                 version,
             });
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -61,7 +61,7 @@
     ) {
         let mut events = EventSplitter::after(progress.resume_after.take());
         loop {
-            let target = stream.target.id.clone();
+            let (target, life) = (stream.target.id.clone(), stream.target.life);
             let (id, waited) = (&run.demand.id, run.arrival.elapsed().as_millis());
             let why = match self
                 .pump(&run, &pool, &progress, stream, &mut events, &tx)
@@ -84,7 +84,7 @@
                 }
                 Pumped::TimeOver => "the request's time is over".to_owned(),
                 Pumped::Broken(why) => {
-                    self.loads.note(&target, Health::Failed);
+                    self.loads.note_life(&target, life, Health::Failed);
                     event!(self.log, events::SENDING_FAILED, "request" => id,
                         "target" => target.as_str(), "outcome" => "broken", "why" => &why,
                         "elapsed_ms" => run.arrival.elapsed().as_millis());
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -37,7 +37,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
-use tokio::time::Instant;
+use tokio::time::{Instant, MissedTickBehavior};
 use tokio_util::sync::CancellationToken;
 
 /// How long a stopping box still accepts connections: the balancer asks each second and takes a box
@@ -47,7 +47,7 @@
 /// Left of the time until SIGKILL when requests under way are given up.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
 
-/// How often connections and loads of targets that left are dropped.
+/// How often connections that rested too long are dropped.
 const PRUNE_EVERY: Duration = Duration::from_secs(1);
 
 /// Time between two lines about calls of the platform's store.
@@ -382,13 +382,22 @@
     }
 }
 
-/// Drops what belongs to targets that left.
+/// Drops what belongs to targets that left, and to earlier lives of those that are there.
 async fn prune<D: Dialect>(shared: Arc<Shared<D>>) {
     let mut every = tokio::time::interval(PRUNE_EVERY);
+    every.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut views = shared.fleet.subscribe();
+    let mut known = Arc::default();
     loop {
-        every.tick().await;
-        let view = shared.fleet.view();
-        shared.pool.prune(|id| view.targets.contains_key(id));
-        shared.loads.prune(|id| view.targets.contains_key(id));
+        let due = tokio::select! {
+            _ = every.tick() => true,
+            Ok(()) = views.changed() => false,
+        };
+        let targets = views.borrow_and_update().targets.clone();
+        if due || !Arc::ptr_eq(&known, &targets) {
+            shared.pool.prune(&targets);
+            shared.loads.follow(&targets);
+            known = targets;
+        }
     }
 }
--- a/crates/sillpin-gateway/src/peers/datagram.rs
+++ b/crates/sillpin-gateway/src/peers/datagram.rs
@@ -2,12 +2,12 @@
 
 use crate::beliefs::wanted::NamedAge;
 use crate::beliefs::{BoxEntry, Topic};
-use crate::control::KeptChange;
+use crate::control::{KeptChange, Life};
 use crate::dialect::EngineTime;
 use crate::kept::directory::Position;
 use crate::kept::homes::hash_pair;
 use crate::kept::retire::Retired;
-use crate::place::work::{EngineWork, TargetHash};
+use crate::place::work::{EngineWork, LifeHash};
 use serde::{Deserialize, Serialize};
 use sillpin_core::{BoxId, ModelId, TargetId, WeightVersion, ZoneId};
 use sillpin_platform::{KvEntry, KvRevision};
@@ -54,7 +54,7 @@
     /// Its prompt work at engines.
     pub work: Vec<EngineWork>,
     /// Targets that it found replaced of late.
-    pub replaced: Vec<TargetHash>,
+    pub replaced: Vec<LifeHash>,
     /// Weights that operators named, and how long ago: a box that has just started cannot read that in the store.
     pub named: Vec<NamedAge>,
     /// For how long it has been in touch with the platform's store, if it is.
@@ -107,7 +107,7 @@
     /// Its work.
     pub work: Vec<EngineWork>,
     /// Targets that it found replaced of late.
-    pub replaced: Vec<TargetHash>,
+    pub replaced: Vec<LifeHash>,
 }
 
 /// What becomes of an engine that gets new weights.
@@ -115,6 +115,8 @@
 pub struct LoadNews {
     /// The engine.
     pub target: TargetId,
+    /// The life of it that this is about.
+    pub life: Option<Life>,
     /// The model.
     pub model: ModelId,
     /// The weights.
@@ -274,7 +276,7 @@
     /// Its work at engines.
     pub work: Vec<EngineWork>,
     /// Targets that it found replaced of late.
-    pub replaced: Vec<TargetHash>,
+    pub replaced: Vec<LifeHash>,
     /// How far it knows what operators publish.
     pub operators: Extent,
     /// How far it knows the targets.
@@ -300,7 +302,7 @@
     /// Work of all boxes of the fleet at each engine.
     pub work: Vec<EngineWork>,
     /// Targets that were found replaced of late.
-    pub replaced: Vec<TargetHash>,
+    pub replaced: Vec<LifeHash>,
     /// How far the hub knows what operators publish.
     pub operators: Extent,
     /// How far it knows the targets.
@@ -317,7 +319,7 @@
     /// Work of the zone's boxes at each engine.
     pub work: Vec<EngineWork>,
     /// Targets that they found replaced of late.
-    pub replaced: Vec<TargetHash>,
+    pub replaced: Vec<LifeHash>,
     /// Loads of weights.
     pub loading: Vec<LoadNews>,
 }
--- a/crates/sillpin-gateway/src/peers/ear.rs
+++ b/crates/sillpin-gateway/src/peers/ear.rs
@@ -241,12 +241,15 @@
 
     async fn take_news(&self, news: LoadNews) {
         if !news.done {
-            self.loads.note(&news.target, Outcome::Loading);
+            self.loads
+                .note_life(&news.target, news.life, Outcome::Loading);
             return;
         }
-        self.loads.note(&news.target, Outcome::Loaded);
+        self.loads
+            .note_life(&news.target, news.life, Outcome::Loaded);
         let msg = FleetMsg::Serves {
             target: news.target,
+            life: news.life,
             model: news.model,
             version: news.version,
         };
--- a/crates/sillpin-gateway/src/peers/hub.rs
+++ b/crates/sillpin-gateway/src/peers/hub.rs
@@ -9,7 +9,7 @@
 //! it hears a better one. Two at a time, or none for a second, cost freshness only.
 
 use super::datagram::{BoxHash, Bulletin, LoadNews, News, Report, Sums, ZoneWord, chunks};
-use crate::place::work::{EngineWork, TargetHash, Work};
+use crate::place::work::{EngineWork, LifeHash, TargetHash, Work};
 use sillpin_core::ZoneId;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -68,7 +68,7 @@
     me: BoxHash,
     reports: BTreeMap<BoxHash, Reported>,
     zones: HashMap<ZoneId, HeardZone>,
-    replaced: HashMap<TargetHash, Instant>,
+    replaced: HashMap<LifeHash, Instant>,
     news: Vec<News>,
     loading: Vec<LoadNews>,
     bulletin: Option<HeardBulletin>,
@@ -132,7 +132,7 @@
         self.news.push(news);
     }
 
-    fn find_replaced(&mut self, replaced: &[TargetHash], now: Instant) {
+    fn find_replaced(&mut self, replaced: &[LifeHash], now: Instant) {
         for target in replaced {
             self.replaced.entry(*target).or_insert(now);
         }
--- a/crates/sillpin-gateway/src/place/choose.rs
+++ b/crates/sillpin-gateway/src/place/choose.rs
@@ -7,7 +7,7 @@
 use super::index::{Indexed, PoolTargets, TargetIndex};
 use super::load::{Load, Loads, Table};
 use super::parts::Plan;
-use super::work::{TargetHash, Work};
+use super::work::{LifeHash, TargetHash, Work};
 use crate::beliefs::fleet::served;
 use crate::control::TargetEntry;
 use crate::kept::homes::{hash_pair, unit};
@@ -176,7 +176,7 @@
 struct Search<'a> {
     choice: &'a Choice<'a>,
     others: Arc<HashMap<TargetHash, Work>>,
-    replaced: HashSet<TargetHash>,
+    replaced: HashSet<LifeHash>,
     /// Hash of the prompt's last shared part, for its homes.
     key: Option<u64>,
     table: Table<'a>,
@@ -257,7 +257,7 @@
     /// A target that can take the request, and what that costs; `place` is its place among the prompt's homes.
     fn candidate(&self, target: &Indexed, place: usize) -> Option<Chosen> {
         let (choice, entry) = (self.choice, &target.entry);
-        if choice.tried.contains(&entry.id) || self.replaced.contains(&target.hash) {
+        if choice.tried.contains(&entry.id) || self.replaced.contains(&target.life) {
             return None;
         }
         let mut load = self.table.get(&entry.id).copied().unwrap_or_default();
--- a/crates/sillpin-gateway/src/place/index.rs
+++ b/crates/sillpin-gateway/src/place/index.rs
@@ -1,6 +1,6 @@
 //! Targets by pool and zone, for decisions: made once when the targets change, not for each request.
 
-use super::work::TargetHash;
+use super::work::{LifeHash, TargetHash};
 use crate::beliefs::fleet::served;
 use crate::control::{Presence, TargetEntry};
 use crate::kept::homes::hash_pair;
@@ -15,6 +15,8 @@
     pub entry: Arc<TargetEntry>,
     /// Its short name.
     pub hash: TargetHash,
+    /// That of its life.
+    pub life: LifeHash,
     /// Hash of its name, for its rank among the homes of prompts.
     seed: u64,
 }
@@ -93,6 +95,7 @@
             }
             pool.all.push(Indexed {
                 hash: TargetHash::of(&entry.id),
+                life: LifeHash::of(entry),
                 seed: hash_pair(entry.id.as_str(), "home"),
                 entry: entry.clone(),
             });
--- a/crates/sillpin-gateway/src/place/load.rs
+++ b/crates/sillpin-gateway/src/place/load.rs
@@ -3,6 +3,7 @@
 use super::held::HeldTime;
 use super::replaced::Replaced;
 use super::work::{EngineWork, Others, TargetHash, Work};
+use crate::control::{Life, TargetEntry};
 use crate::peers::datagram::BoxHash;
 use sillpin_core::{BoxId, TargetId, ZoneId};
 use std::collections::HashMap;
@@ -65,6 +66,8 @@
     refusals: u32,
     failing: f64,
     outcomes: u32,
+    /// The target's life that all but the requests under way are about.
+    life: Option<Life>,
 }
 
 impl Load {
@@ -250,9 +253,18 @@
 
     /// Takes note of how a sending ended.
     pub fn note(&self, target: &TargetId, outcome: Outcome) {
+        self.note_life(target, None, outcome);
+    }
+
+    /// Takes note of how a sending to one life of a target ended, unless it is in another by now.
+    pub fn note_life(&self, target: &TargetId, life: Option<Life>, outcome: Outcome) {
         let now = Instant::now();
         let mut table = self.lock();
         let load = table.entry(target.clone()).or_default();
+        if life.is_some() && load.life.is_some() && life != load.life {
+            return;
+        }
+        load.life = load.life.or(life);
         match outcome {
             Outcome::Served => {
                 load.refusals = 0;
@@ -276,10 +288,25 @@
         }
     }
 
-    /// Forgets targets that `keep` does not name and that have nothing under way.
-    pub fn prune(&self, keep: impl Fn(&TargetId) -> bool) {
-        self.lock()
-            .retain(|id, load| load.in_flight > 0 || keep(id));
+    /// Forgets targets that are not listed and have nothing under way, and how targets behaved in earlier lives. What was sent to an earlier
+    /// life counts until it ends.
+    pub fn follow(&self, targets: &HashMap<TargetId, Arc<TargetEntry>>) {
+        let mut table = self.lock();
+        table.retain(|id, load| load.in_flight > 0 || targets.contains_key(id));
+        for (id, load) in table.iter_mut() {
+            let life = targets.get(id).and_then(|entry| entry.life);
+            if life.is_none() || load.life == life {
+                continue;
+            }
+            let restarted = load.life.is_some();
+            load.life = life;
+            if restarted {
+                load.rests = Rests::default();
+                load.refusals = 0;
+                load.failing = 0.0;
+                load.outcomes = 0;
+            }
+        }
     }
 }
 
--- a/crates/sillpin-gateway/src/place/probe.rs
+++ b/crates/sillpin-gateway/src/place/probe.rs
@@ -50,7 +50,7 @@
             let Some(entry) = entry else {
                 break false;
             };
-            if let Ok(conn) = Conn::open(entry.addr).await {
+            if let Ok(conn) = Conn::open(&entry).await {
                 self.loads.note_reach(&entry.zone, true);
                 self.pool.put(target.clone(), conn, None).await;
                 break true;
--- a/crates/sillpin-gateway/src/place/replaced.rs
+++ b/crates/sillpin-gateway/src/place/replaced.rs
@@ -1,10 +1,10 @@
 //! Targets whose address belongs to another by now.
 //!
-//! A target that starts anew has a new id, often at the same address, and its old entry stays listed for a few heartbeats.
-//! Whoever answers at the address says that it is not the target that was meant, and since an id never comes back, that
+//! A target that ends leaves its address to another, and its entry stays listed for a few heartbeats.
+//! Whoever answers at the address says that it is not the target that was meant, and until the target starts again, which its entry then tells, that
 //! is final. Each box that finds it out by itself spends a second sending on it, so boxes tell each other.
 
-use super::work::TargetHash;
+use super::work::LifeHash;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -19,19 +19,19 @@
 /// Targets that are known to be replaced.
 #[derive(Debug, Default)]
 pub struct Replaced {
-    until: HashMap<TargetHash, Instant>,
-    found: HashMap<TargetHash, Instant>,
+    until: HashMap<LifeHash, Instant>,
+    found: HashMap<LifeHash, Instant>,
 }
 
 impl Replaced {
     /// This box was told so by whoever has the address now.
-    pub fn find(&mut self, target: TargetHash, now: Instant) {
+    pub fn find(&mut self, target: LifeHash, now: Instant) {
         self.found.insert(target, now);
         self.hear(&[target], now);
     }
 
     /// Another box was told so.
-    pub fn hear(&mut self, targets: &[TargetHash], now: Instant) {
+    pub fn hear(&mut self, targets: &[LifeHash], now: Instant) {
         self.until.retain(|_, until| now < *until);
         for target in targets {
             self.until.entry(*target).or_insert(now + MEMORY);
@@ -39,13 +39,13 @@
     }
 
     /// What this box found of late, for the others.
-    pub fn told(&mut self, now: Instant) -> Vec<TargetHash> {
+    pub fn told(&mut self, now: Instant) -> Vec<LifeHash> {
         self.found.retain(|_, at| now - *at < TELL);
         self.found.keys().copied().collect()
     }
 
     /// All that are known to be replaced.
-    pub fn known(&self, now: Instant) -> HashSet<TargetHash> {
+    pub fn known(&self, now: Instant) -> HashSet<LifeHash> {
         let known = self.until.iter().filter(|(_, until)| now < **until);
         known.map(|(target, _)| *target).collect()
     }
--- a/crates/sillpin-gateway/src/place/work.rs
+++ b/crates/sillpin-gateway/src/place/work.rs
@@ -1,5 +1,6 @@
 //! Work at engines, this box's and what other boxes tell.
 
+use crate::control::TargetEntry;
 use crate::kept::homes::hash_pair;
 use crate::peers::datagram::BoxHash;
 use serde::{Deserialize, Serialize};
@@ -66,6 +67,20 @@
     }
 }
 
+/// Short name of one life of a target at one address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct LifeHash(u32);
+
+impl LifeHash {
+    /// The short name of the life that an entry tells of.
+    pub fn of(target: &TargetEntry) -> Self {
+        let life = target.life.map_or(0, |life| life.0);
+        let place = format!("{} {life}", target.addr);
+        Self(hash_pair(target.id.as_str(), &place) as u32)
+    }
+}
+
 /// Work of one box at an engine: prompts not read yet in whole milliseconds, tokens, requests. A tuple, since it is
 /// told several times a second.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/sillpin-gateway/src/pool.rs
+++ b/crates/sillpin-gateway/src/pool.rs
@@ -4,6 +4,7 @@
 //! that request. Anything unexpected closes it: bytes that are left over belong to no request. A
 //! failed send says whether any byte can have left, since that decides what the caller may be told.
 
+use crate::control::{Life, TargetEntry};
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::Full;
@@ -71,6 +72,7 @@
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     peer: SocketAddr,
+    life: Option<Life>,
     idle_since: Instant,
     keep_idle: Duration,
 }
@@ -82,8 +84,9 @@
 }
 
 impl Conn {
-    /// Opens a connection.
-    pub async fn open(peer: SocketAddr) -> Result<Self, SendError> {
+    /// Opens a connection to a target.
+    pub async fn open(target: &TargetEntry) -> Result<Self, SendError> {
+        let peer = target.addr;
         let unsent = |what: String| SendError::Unsent { peer, what };
         let tcp = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await;
         let tcp = match tcp {
@@ -102,6 +105,7 @@
             sender,
             driver: driver.abort_handle(),
             peer,
+            life: target.life,
             idle_since: Instant::now(),
             keep_idle: DEFAULT_IDLE,
         })
@@ -124,6 +128,11 @@
         })
     }
 
+    /// Whether it goes to the life of a target that its entry tells of.
+    fn is_to(&self, target: &TargetEntry) -> bool {
+        self.peer == target.addr && self.life == target.life
+    }
+
     fn is_fresh(&self, now: Instant, max_idle: Duration) -> bool {
         let idle = now - self.idle_since;
         !self.sender.is_closed() && self.sender.is_ready() && idle < self.keep_idle.min(max_idle)
@@ -152,24 +161,22 @@
         self.idle.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// A connection that has rested for less than `max_idle`, or a new one.
-    pub async fn get(
-        &self,
-        target: &TargetId,
-        peer: SocketAddr,
-        max_idle: Duration,
-    ) -> Result<Conn, SendError> {
+    /// A connection that has rested for less than `max_idle`, or a new one. Connections to an earlier life of the target are closed: it may have
+    /// ended without a word, and nobody could tell whether a request that was sent there ran.
+    pub async fn get(&self, target: &TargetEntry, max_idle: Duration) -> Result<Conn, SendError> {
         match self.take_idle(target, max_idle) {
             Some(conn) => Ok(conn),
-            None => Conn::open(peer).await,
+            None => Conn::open(target).await,
         }
     }
 
-    fn take_idle(&self, target: &TargetId, max_idle: Duration) -> Option<Conn> {
+    fn take_idle(&self, target: &TargetEntry, max_idle: Duration) -> Option<Conn> {
         let now = Instant::now();
         let mut idle = self.lock();
-        let conns = idle.get_mut(target)?;
-        conns.retain(|conn| conn.is_fresh(now, DEFAULT_IDLE.max(conn.keep_idle)));
+        let conns = idle.get_mut(&target.id)?;
+        conns.retain(|conn| {
+            conn.is_to(target) && conn.is_fresh(now, DEFAULT_IDLE.max(conn.keep_idle))
+        });
         let newest = conns
             .iter()
             .rposition(|conn| conn.is_fresh(now, max_idle))?;
@@ -191,13 +198,18 @@
         }
     }
 
-    /// Closes idle connections of targets that `keep` does not name, and those that rested too long.
-    pub fn prune(&self, keep: impl Fn(&TargetId) -> bool) {
+    /// Closes idle connections of targets that are not listed or in another life, and those that rested too long.
+    pub fn prune(&self, targets: &HashMap<TargetId, Arc<TargetEntry>>) {
         let now = Instant::now();
         let mut idle = self.lock();
-        idle.retain(|target, conns| {
-            conns.retain(|conn| conn.is_fresh(now, conn.keep_idle));
-            keep(target) && !conns.is_empty()
+        idle.retain(|id, conns| {
+            let target = targets.get(id);
+            let is_kept = |conn: &Conn| {
+                target.is_some_and(|target| conn.is_to(target))
+                    && conn.is_fresh(now, conn.keep_idle)
+            };
+            conns.retain(is_kept);
+            !conns.is_empty()
         });
     }
 }
--- a/crates/sillpin-gateway/src/weights/load.rs
+++ b/crates/sillpin-gateway/src/weights/load.rs
@@ -2,7 +2,7 @@
 
 use crate::beliefs::FleetHandle;
 use crate::beliefs::fleet::served;
-use crate::control::{Control, EngineReport, OrderOutcome, TargetEntry, WeightsOrder};
+use crate::control::{Control, EngineReport, Life, OrderOutcome, TargetEntry, WeightsOrder};
 use sillpin_core::{Fence, ModelId, TargetId, WeightVersion};
 use sillpin_telemetry::{event, events};
 use slog::Logger;
@@ -36,6 +36,8 @@
 pub struct Loaded {
     /// The engine.
     pub target: TargetId,
+    /// The life that it was last found in.
+    pub life: Option<Life>,
     /// The model.
     pub model: ModelId,
     /// What it serves now, if that is what was wanted.
@@ -93,6 +95,8 @@
 
 /// How far a job is.
 struct Progress {
+    /// The life that the engine was last found in.
+    life: Option<Life>,
     /// The weights to be loaded: those wanted at the last order.
     version: WeightVersion,
     /// The job ends without success after this moment.
@@ -125,6 +129,7 @@
     pub async fn run(self) -> Loaded {
         tokio::time::sleep(NEWS_LEAD).await;
         let mut progress = Progress {
+            life: self.target.life,
             version: self.version,
             until: Instant::now() + GIVE_UP,
             ordered: None,
@@ -134,6 +139,7 @@
         let done = self.load(&mut progress).await;
         Loaded {
             target: self.target.id.clone(),
+            life: progress.life,
             model: self.model.clone(),
             version: done.then_some(progress.version),
             ordered: progress.ordered,
@@ -145,6 +151,7 @@
         loop {
             let report = self.report().await;
             progress.silent = report.is_none();
+            self.take_life(progress, report.as_ref());
             let next = match report {
                 Some(report) => self.proceed(progress, &report).await,
                 // A load that is under way goes on.
@@ -163,6 +170,13 @@
         false
     }
 
+    /// An engine that started again has forgotten the order.
+    fn take_life(&self, progress: &mut Progress, report: Option<&EngineReport>) {
+        let life = report.and_then(|report| report.life).or(progress.life);
+        progress.accepted &= life == progress.life;
+        progress.life = life;
+    }
+
     /// Waits while the engine loads, and orders when it does not.
     async fn proceed(&self, progress: &mut Progress, report: &EngineReport) -> Next {
         if self.is_served(report, progress.version) {
--- a/crates/sillpin-gateway/src/weights/rollout.rs
+++ b/crates/sillpin-gateway/src/weights/rollout.rs
@@ -211,10 +211,11 @@
             underway.resting.insert(loaded.target, until);
             return;
         };
-        self.loads.note(&loaded.target, Outcome::Loaded);
-        let (target, model) = (loaded.target, loaded.model);
+        let (target, life, model) = (loaded.target, loaded.life, loaded.model);
+        self.loads.note_life(&target, life, Outcome::Loaded);
         let news = LoadNews {
             target: target.clone(),
+            life,
             model: model.clone(),
             version,
             done: true,
@@ -224,6 +225,7 @@
         self.fleet
             .tell(FleetMsg::Serves {
                 target,
+                life,
                 model,
                 version,
             })
@@ -332,9 +334,11 @@
             version,
             ..
         } = outdated;
-        self.loads.note(&target.id, Outcome::Loading);
+        self.loads
+            .note_life(&target.id, target.life, Outcome::Loading);
         let news = LoadNews {
             target: target.id.clone(),
+            life: target.life,
             model: model.clone(),
             version,
             done: false,
--- a/crates/sillpin-gateway/tests/beliefs.rs
+++ b/crates/sillpin-gateway/tests/beliefs.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{TestKeys, entry, target};
+use rstest::rstest;
 use sillpin_core::{ModelId, WeightVersion};
 use sillpin_gateway::beliefs::fleet::{Fleet, served};
 use sillpin_gateway::beliefs::mirror::Mirror;
@@ -259,6 +260,7 @@
     let model: ModelId = common::name("m");
     let hint = FleetMsg::Serves {
         target: target("e1"),
+        life: None,
         model: model.clone(),
         version: WeightVersion(2),
     };
@@ -443,3 +445,24 @@
         "it may have been named 5 s ago: {second:?}"
     );
 }
+
+#[rstest]
+#[case::unreadable("neither")]
+#[case::a_life_that_is_no_number("ready 1 soon")]
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_cannot_be_read_names_no_target_and_the_others_hold(#[case] value: &str) {
+    let mut fleet = fleet();
+    let now = Instant::now();
+    let two = vec![
+        entry("target/e1", "ready 1", 3),
+        entry("target/e2", "ready 1", 4),
+    ];
+    fleet.handle(whole(Topic::Targets, two, 4, now), now);
+    let two = vec![
+        entry("target/e1", value, 5),
+        entry("target/e2", "ready 1", 4),
+    ];
+    fleet.handle(whole(Topic::Targets, two, 5, now), now);
+    let listed: Vec<&str> = fleet.view().targets.keys().map(|id| id.as_str()).collect();
+    assert_eq!(listed, ["e2"]);
+}
--- a/crates/sillpin-gateway/tests/common/mod.rs
+++ b/crates/sillpin-gateway/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use sillpin_core::{ModelId, TargetId, WeightVersion, ZoneId};
 use sillpin_gateway::config::{ConfigVersion, FleetConfig, StoreSpec};
 use sillpin_gateway::control::{
-    DecodeError, Presence, Published, Served, TargetEntry, WantedWeights,
+    DecodeError, Life, Presence, Published, Served, TargetEntry, WantedWeights,
 };
 use sillpin_platform::{
     BoxLister, KvEntry, KvRevision, LeaseId, Platform, PlatformError, PlatformFault, Snapshot,
@@ -30,6 +30,7 @@
 pub fn engine(id: &str, zone: &str) -> TargetEntry {
     TargetEntry {
         id: name(id),
+        life: None,
         pool: name("llm"),
         addr: ([127, 0, 0, 1], 9).into(),
         zone: name(zone),
@@ -56,7 +57,7 @@
     }
 }
 
-/// Published values in a spelling of the tests' own: `target ID STATE VERSION`, a configuration's
+/// Published values in a spelling of the tests' own: `target ID STATE VERSION`, with a life behind them if there is one, a configuration's
 /// version, `MODEL VERSION`.
 #[derive(Debug, Clone, Copy)]
 pub struct TestKeys;
@@ -83,13 +84,17 @@
             key: key.to_owned(),
             what: "unreadable".to_owned(),
         };
-        let (state, version) = value.split_once(' ').ok_or_else(fault)?;
+        let mut words = value.split(' ');
+        let (state, version) = (words.next(), words.next());
+        let (state, version) = state.zip(version).ok_or_else(fault)?;
         let id = key.strip_prefix("target/").ok_or_else(fault)?;
         let mut entry = engine(id, "za");
         if state != "ready" {
             entry.presence = Presence::Leaving;
         }
         entry.served[0].version = version.parse().map_err(|_| fault())?;
+        let life = words.next().map(str::parse).transpose();
+        entry.life = life.map_err(|_| fault())?.map(Life);
         Ok(entry)
     }
 
--- a/crates/sillpin-gateway/tests/hub.rs
+++ b/crates/sillpin-gateway/tests/hub.rs
@@ -268,6 +268,7 @@
     let news = |index: usize| {
         News::Loading(LoadNews {
             target: target(&format!("e-{index}")),
+            life: None,
             model: name("m"),
             version: name("2"),
             done: false,
--- a/crates/sillpin-gateway/tests/place.rs
+++ b/crates/sillpin-gateway/tests/place.rs
@@ -10,7 +10,7 @@
 use sillpin_gateway::place::choose::PromptChoice;
 use sillpin_gateway::place::index::TargetIndex;
 use sillpin_gateway::place::load::Outcome;
-use sillpin_gateway::place::work::{EngineWork, TargetHash, Work};
+use sillpin_gateway::place::work::{EngineWork, LifeHash, TargetHash, Work};
 use sillpin_gateway::place::{Choice, Chosen, Loads, choose};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -359,7 +359,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_target_found_replaced_by_another_box_is_no_candidate_for_a_while() {
     let setting = Setting::new(three());
-    let hash = TargetHash::of(&target("e1"));
+    let hash = LifeHash::of(&engine("e1", "za"));
     let finder = Loads::default();
     finder.replaced().find(hash, Instant::now());
     let told = finder.replaced().told(Instant::now());
--- a/crates/sillpin-gateway/tests/rollout.rs
+++ b/crates/sillpin-gateway/tests/rollout.rs
@@ -74,6 +74,7 @@
         let before = self.before.filter(|(_, ended)| now < *ended + REPORT_AGE);
         let version = before.map_or(self.version, |(version, _)| version);
         EngineReport {
+            life: None,
             busy: self.loading.is_some() || before.is_some(),
             orders_taken: self.orders_taken,
             served: vec![Served {
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -108,7 +108,7 @@
     /// A configuration came into force.
     CONFIG_IN_FORCE = 310, Info, "configuration in force", "Nothing to do.";
     /// A published value cannot be read.
-    VALUE_UNREADABLE = 311, Error, "published value unreadable", "Look at who wrote it; the last good value stays in force.";
+    VALUE_UNREADABLE = 311, Error, "published value unreadable", "Look at who wrote it; a configuration stays as it was, a target is not used.";
     /// Operators want other weights.
     WEIGHTS_WANTED = 312, Info, "weights wanted", "Nothing to do.";
     /// A target's entry says whether it takes work.
@@ -119,6 +119,8 @@
     TARGET_UNLISTED = 315, Info, "target gone", "Nothing to do.";
     /// An engine serves other weights than its entry says.
     TARGET_SERVES = 316, Info, "engine serves other weights", "Nothing to do.";
+    /// A target started again under its id.
+    TARGET_RESTARTED = 319, Info, "target restarted", "Nothing to do: what was known of its earlier life is forgotten.";
     /// A target cannot be reached.
     TARGET_UNREACHABLE = 317, Warning, "target unreachable", "Replace the target if it was not stopped on purpose.";
     /// A target can be reached again.
