Glance at listings where age does not matter, and have hubs tell of boxes that join

Cause: each box of a large fleet listed the registry four times in fifty seconds and both published prefixes at its start, at the full price of a call; a watch from a listing that is seconds old brings the rest. The holder of the weights duty orders a quarter of the engines at once, and 64 of its news fitted the queue: the others were lost and boxes went on sending there.

Change: Platform::glance, a listing that may be some seconds old and confirms nothing; the first reading of each prefix and the first of the registry. In large fleets the registry is read each 16th round, since hubs tell their zones of boxes that they did not know. 1,024 news may wait.

--- /dev/null
+++ b/crates/sillpin-gateway/benches/decision.rs
@@ -0,0 +1,128 @@
+//! Time of one decision of a box: where the parts of a prompt are, and which engine gets it.
+//!
+//! With 256 engines and 58 stores, before engines were sorted when they change and stores ranked once: see docs/CAPACITY.md.
+
+#![allow(
+    missing_docs,
+    reason = "the macro of the library writes a function without"
+)]
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use common::{engine, name, store};
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use sillpin_core::{TargetId, Tokens, WeightVersion};
+use sillpin_gateway::config::{EngineSpec, FleetConfig};
+use sillpin_gateway::control::TargetEntry;
+use sillpin_gateway::dialect::{Part, PartId, Prompt};
+use sillpin_gateway::kept::Kept;
+use sillpin_gateway::place::choose::PromptChoice;
+use sillpin_gateway::place::index::TargetIndex;
+use sillpin_gateway::place::parts::{PlanInputs, plan, salt};
+use sillpin_gateway::place::work::EngineWork;
+use sillpin_gateway::place::{Choice, Loads, choose};
+use std::collections::HashMap;
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Stores of the largest fleet.
+const STORES: u16 = 58;
+
+const ZONES: usize = 5;
+
+fn engines(count: usize) -> HashMap<TargetId, Arc<TargetEntry>> {
+    let one = |index: usize| engine(&format!("e-{index}"), &format!("z{}", index % ZONES));
+    let all = (0..count).map(one);
+    all.map(|entry| (entry.id.clone(), Arc::new(entry)))
+        .collect()
+}
+
+fn prompt(number: u64) -> Prompt {
+    let part = |id: String, tokens| Part {
+        id: PartId(id),
+        tokens: Tokens(tokens),
+    };
+    Prompt {
+        model: name("m"),
+        parts: vec![
+            part(format!("first-{}", number % 4), 2_520),
+            part(format!("session-{number}"), 5_000),
+            part(format!("own-{number}"), 1_670),
+        ],
+        tokens: Tokens(9_190),
+        max_output: Tokens(16),
+    }
+}
+
+fn decision(c: &mut Criterion) {
+    let mut group = c.benchmark_group("gateway decision");
+    for (count, heard_late) in [(256, true), (256, false), (600, true)] {
+        let targets = engines(count);
+        let index = TargetIndex::new(&targets);
+        let loads = Loads::default();
+        let work = targets
+            .keys()
+            .map(|id| EngineWork::of(id, loads.get(id).work));
+        loads.hear_sums(work.collect(), &[]);
+        let stores = (0..STORES).map(|i| store(&format!("s-{i}"), 1_000 + i, "z0", 249_828, 1));
+        let config = FleetConfig {
+            stores: stores.collect(),
+            ..FleetConfig::default()
+        };
+        let spec = EngineSpec {
+            slots: 24,
+            room: Tokens(40_097),
+            token_bytes: 18_432,
+            models: vec![name("m")],
+        };
+        let (pool, zone, kept) = (name("llm"), name("z0"), Kept::default());
+        let mut number = 0;
+        let looks = if heard_late { "few" } else { "all" };
+        group.bench_function(BenchmarkId::new(looks, count), |b| {
+            b.iter(|| {
+                number += 1;
+                let (prompt, now) = (prompt(number), Instant::now());
+                let inputs = PlanInputs {
+                    config: &config,
+                    engine: &spec,
+                    kept: &kept,
+                    in_touch: true,
+                    now,
+                };
+                let version = WeightVersion(1);
+                let plans = [(
+                    version,
+                    plan(&prompt, &salt(&prompt, version, None), &inputs),
+                )];
+                let choice = Choice {
+                    targets: &index,
+                    heard_late,
+                    loads: &loads,
+                    pool: &pool,
+                    zone: &zone,
+                    most_in_flight: 100,
+                    tried: &[],
+                    body_len: 9_200,
+                    prompt: Some(PromptChoice {
+                        model: &prompt.model,
+                        tokens: prompt.tokens,
+                        aim: Duration::from_millis(500),
+                        room: spec.room,
+                        wanted: Some(version),
+                        oldest: version,
+                        plans: &plans,
+                    }),
+                    now,
+                };
+                black_box(choose(&choice).is_some())
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decision);
+criterion_main!(benches);
--- a/crates/sillpin-gateway/src/beliefs/fleet.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet.rs
@@ -188,7 +188,14 @@
                 self.view.operators = self.operators.known();
             }
             FleetMsg::StoreAway => self.turned_away(now),
-            FleetMsg::Registered(entries) => self.register(entries),
+            FleetMsg::Registered(entries) => {
+                for seen in self.boxes.values_mut() {
+                    seen.registered = false;
+                }
+                self.register(entries);
+            }
+            FleetMsg::RegisteredBefore(entries) => self.register(entries),
+            FleetMsg::Joined(entry) => self.register(vec![entry]),
             FleetMsg::Heard(entry) => self.hear(entry, now),
             FleetMsg::Stopping(id) => self.forget(&id),
             FleetMsg::Serves {
@@ -485,9 +492,6 @@
     }
 
     fn register(&mut self, entries: Vec<BoxEntry>) {
-        for seen in self.boxes.values_mut() {
-            seen.registered = false;
-        }
         for entry in entries.into_iter().filter(|entry| entry.id != self.me) {
             let heard = self.boxes.get(&entry.id).and_then(|seen| seen.heard);
             let registered = true;
--- a/crates/sillpin-gateway/src/beliefs/mirror.rs
+++ b/crates/sillpin-gateway/src/beliefs/mirror.rs
@@ -47,7 +47,22 @@
     /// than what is known changes nothing.
     pub fn take(&mut self, reading: Reading, asked: Instant) -> Vec<Change> {
         match reading {
-            Reading::Whole(snapshot) => self.replace(snapshot, asked),
+            Reading::Whole(snapshot) => {
+                let revision = snapshot.revision;
+                let is_news = revision >= self.known.revision;
+                let changes = self.replace(snapshot);
+                if is_news {
+                    self.confirm(revision, asked);
+                }
+                changes
+            }
+            // How fresh it is, the watch from there tells.
+            Reading::Glanced(snapshot) => {
+                let revision = snapshot.revision;
+                let changes = self.replace(snapshot);
+                self.known.revision = self.known.revision.max(revision);
+                changes
+            }
             Reading::Changes(reply) => self.apply(reply, asked),
             Reading::Copied(copied) => self.merge(copied, asked),
         }
@@ -60,7 +75,7 @@
         (newer.cloned().collect(), keys.collect())
     }
 
-    fn replace(&mut self, snapshot: Snapshot, asked: Instant) -> Vec<Change> {
+    fn replace(&mut self, snapshot: Snapshot) -> Vec<Change> {
         if snapshot.revision < self.known.revision {
             return Vec::new();
         }
@@ -74,7 +89,6 @@
         let differs = |entry: &&KvEntry| self.entries.get(&entry.key) != Some(*entry);
         changes.extend(read.values().filter(differs).cloned().map(Change::Set));
         self.entries = read;
-        self.confirm(snapshot.revision, asked);
         changes
     }
 
--- a/crates/sillpin-gateway/src/beliefs/mod.rs
+++ b/crates/sillpin-gateway/src/beliefs/mod.rs
@@ -163,6 +163,8 @@
 pub enum Reading {
     /// All of it.
     Whole(Snapshot),
+    /// All of it as it was a while ago.
+    Glanced(Snapshot),
     /// What changed.
     Changes(WatchReply),
     /// What another box knows beyond what this one knew.
@@ -231,6 +233,10 @@
     StoreAway,
     /// Boxes that are registered in the store.
     Registered(Vec<BoxEntry>),
+    /// Boxes that were registered in the store a while ago.
+    RegisteredBefore(Vec<BoxEntry>),
+    /// A box of the zone that its hub hears and did not know.
+    Joined(BoxEntry),
     /// A box was heard.
     Heard(BoxEntry),
     /// A box says that it stops.
--- a/crates/sillpin-gateway/src/beliefs/reader.rs
+++ b/crates/sillpin-gateway/src/beliefs/reader.rs
@@ -78,6 +78,7 @@
     /// Reads until the process ends.
     pub async fn run(self) {
         let mut whole = true;
+        let mut first = true;
         let mut failures: u32 = 0;
         loop {
             let turn = self.turn();
@@ -87,7 +88,7 @@
             }
             let asked = Instant::now();
             let read = tokio::select! {
-                read = self.read(whole, turn) => read,
+                read = self.read(whole, first, turn) => read,
                 () = self.hold_ends(turn) => continue,
             };
             self.transfers.set_watched(self.topic, read.is_ok());
@@ -99,6 +100,7 @@
                     }
                     failures = 0;
                     whole = false;
+                    let glanced = std::mem::take(&mut first);
                     self.pass_on(&reading, asked);
                     let (topic, source) = (self.topic, Source::Store);
                     let msg = FleetMsg::Read {
@@ -108,7 +110,9 @@
                         source,
                     };
                     self.fleet.tell(msg).await;
-                    tokio::time::sleep_until(asked + self.pause()).await;
+                    if !glanced {
+                        tokio::time::sleep_until(asked + self.pause()).await;
+                    }
                 }
                 Err(e) => {
                     whole = self.must_list(&e);
@@ -177,8 +181,13 @@
         }
     }
 
-    async fn read(&self, whole: bool, turn: Turn) -> Result<Reading, PlatformError> {
+    async fn read(&self, whole: bool, first: bool, turn: Turn) -> Result<Reading, PlatformError> {
         let known = self.fleet.view().known(self.topic).revision;
+        if first && known == KvRevision::ABSENT {
+            let _arriving = self.transfers.begin(self.topic);
+            let glanced = self.platform.glance(self.prefix).await;
+            return glanced.map(Reading::Glanced);
+        }
         if whole || known == KvRevision::ABSENT {
             let _arriving = self.transfers.begin(self.topic);
             let listed = self.platform.snapshot(self.prefix).await;
--- a/crates/sillpin-gateway/src/kept/homes.rs
+++ b/crates/sillpin-gateway/src/kept/homes.rs
@@ -6,6 +6,7 @@
 use crate::config::StoreSpec;
 use crate::dialect::PartId;
 use sillpin_core::{PoolId, Tokens};
+use std::cmp::Ordering;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The last shared part of a prompt may take at most this share of a store's room, so that small fast
@@ -38,20 +39,35 @@
         Place::Inner => INNER_PART_SHARE,
         Place::Last => LAST_PART_SHARE,
     };
-    let mut managed: Vec<&StoreSpec> = stores.iter().filter(|store| store.managed).collect();
-    let suits = |store: &StoreSpec| store.room.0 / max_share >= tokens.0;
-    let rank = |store: &StoreSpec| weighted_rank(&store.id, part, store.room);
-    managed.sort_by(|a, b| {
-        let suited = suits(b).cmp(&suits(a));
-        let class = match suits(a) && suits(b) {
-            true => a.first.cmp(&b.first),
+    let managed = stores.iter().filter(|store| store.managed);
+    let mut ranked: Vec<Ranked<'_>> = managed
+        .map(|store| Ranked {
+            suits: store.room.0 / max_share >= tokens.0,
+            rank: weighted_rank(&store.id, part, store.room),
+            store,
+        })
+        .collect();
+    ranked.sort_by(Ranked::order);
+    ranked.into_iter().map(|ranked| ranked.store).collect()
+}
+
+/// A store and what its place among the homes of a part follows from; reckoned once, since the order compares each many times.
+struct Ranked<'a> {
+    suits: bool,
+    rank: f64,
+    store: &'a StoreSpec,
+}
+
+impl Ranked<'_> {
+    fn order(a: &Self, b: &Self) -> Ordering {
+        let suited = b.suits.cmp(&a.suits);
+        let class = match a.suits && b.suits {
+            true => a.store.first.cmp(&b.store.first),
             // Where no store suits, the roomiest is best.
-            false => b.room.cmp(&a.room),
+            false => b.store.room.cmp(&a.store.room),
         };
-        let order = rank(b).total_cmp(&rank(a));
-        suited.then(class).then(order)
-    });
-    managed
+        suited.then(class).then(b.rank.total_cmp(&a.rank))
+    }
 }
 
 /// Weighted rendezvous hashing: the largest rank wins, and each store wins in proportion to its room.
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -53,8 +53,9 @@
 /// Time between two lines about calls of the platform's store.
 const CALLS_EVERY: Duration = Duration::from_secs(10);
 
-/// News of this box's orders that may wait to be sent.
-const NEWS_QUEUE: usize = 64;
+/// News that may wait to be sent. The holder of the weights duty orders a quarter of all engines at once, and what does not
+/// fit is lost: boxes then go on sending to engines that load.
+const NEWS_QUEUE: usize = 1_024;
 
 /// Media type of the metrics page.
 const METRICS_MEDIA_TYPE: &str = "text/plain; version=0.0.4";
--- a/crates/sillpin-gateway/src/peers/datagram.rs
+++ b/crates/sillpin-gateway/src/peers/datagram.rs
@@ -190,6 +190,8 @@
     Loading(LoadNews),
     /// What a reader of the platform's store has read.
     Published(PublishedWord),
+    /// A box of the zone that the hub did not know.
+    Joined(BoxEntry),
 }
 
 impl News {
@@ -198,7 +200,7 @@
         match self {
             News::Kept(word) => word.split().into_iter().map(News::Kept).collect(),
             News::Published(word) => word.split().into_iter().map(News::Published).collect(),
-            News::Loading(news) => vec![News::Loading(news)],
+            one @ (News::Loading(_) | News::Joined(_)) => vec![one],
         }
     }
 }
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -100,6 +100,7 @@
             stall: StallGuard::start(),
             metrics: self.metrics.clone(),
             name: self.name,
+            zone: self.me.zone.clone(),
             zone_news: self.zone_news.clone(),
             log: self.log.clone(),
         };
--- a/crates/sillpin-gateway/src/peers/ear.rs
+++ b/crates/sillpin-gateway/src/peers/ear.rs
@@ -19,6 +19,7 @@
 use crate::metrics::BoxMetrics;
 use crate::place::Loads;
 use crate::place::load::Outcome;
+use sillpin_core::ZoneId;
 use sillpin_platform::{KvRevision, WatchReply};
 use sillpin_telemetry::{event, events};
 use slog::Logger;
@@ -93,6 +94,8 @@
     pub metrics: BoxMetrics,
     /// This box's short name.
     pub name: BoxHash,
+    /// Its zone.
+    pub zone: ZoneId,
     /// How the news of a large zone spread.
     pub zone_news: ZoneNews,
     /// Log.
@@ -215,6 +218,7 @@
             News::Kept(word) => self.take_word(word),
             News::Loading(news) => self.take_news(news).await,
             News::Published(word) => self.take_published(word).await,
+            News::Joined(entry) => self.fleet.tell(FleetMsg::Joined(entry)).await,
         }
     }
 
@@ -293,6 +297,7 @@
         let retired = digest.retired;
         self.kept.retirements().hear(from, retired, silence, now);
         self.kept.lock().take_clock(digest.clock, now);
+        self.welcome(&digest.from);
         self.fleet.tell(FleetMsg::Heard(digest.from.clone())).await;
         self.take_named(&digest.named, &digest.from, now).await;
         self.take_contact(digest.contact_ms, now).await;
@@ -305,6 +310,15 @@
         }
     }
 
+    /// Has the zone told of a box that this one, if it is the hub, did not know: who passes bulletins on to it must know where it is.
+    fn welcome(&self, from: &BoxEntry) {
+        let view = self.fleet.view();
+        let is_known = view.boxes.iter().any(|peer| peer == from);
+        if !is_known && from.zone == self.zone {
+            self.zone_news.hub().join(from.clone());
+        }
+    }
+
     /// Another box knows when weights were named.
     async fn take_named(&self, named: &[NamedAge], from: &BoxEntry, now: Instant) {
         let view = self.fleet.view();
--- a/crates/sillpin-gateway/src/peers/hub.rs
+++ b/crates/sillpin-gateway/src/peers/hub.rs
@@ -9,6 +9,7 @@
 //! it hears a better one. Two at a time, or none for a second, cost freshness only.
 
 use super::datagram::{BoxHash, Bulletin, LoadNews, News, Report, Sums, ZoneWord, chunks};
+use crate::beliefs::BoxEntry;
 use crate::place::work::{EngineWork, LifeHash, TargetHash, Work};
 use sillpin_core::ZoneId;
 use std::collections::{BTreeMap, HashMap};
@@ -125,6 +126,11 @@
         self.zones.insert(word.zone, heard);
     }
 
+    /// A box of the zone was heard for the first time.
+    pub fn join(&mut self, entry: BoxEntry) {
+        self.push(News::Joined(entry));
+    }
+
     fn push(&mut self, news: News) {
         if self.news.len() >= MAX_NEWS {
             self.news.remove(0);
--- a/crates/sillpin-gateway/src/peers/registry.rs
+++ b/crates/sillpin-gateway/src/peers/registry.rs
@@ -21,15 +21,23 @@
 /// Time between two renewals: three may fail before the lease lapses.
 const RENEW_EVERY: Duration = Duration::from_millis(2_500);
 
-/// Rounds in which a box that starts reads who is there: others start at the same time, and have registered by the
-/// second.
-const FIRST_READS: u32 = 2;
+/// Round in which a box that starts reads for the second time who is there: others start at the same time, and have registered by
+/// then. The first time a glance will do: it only tells whom to ask.
+const WHOLE_READ: u32 = 1;
 
 /// Later it reads in every so many rounds; boxes hear of each other besides.
 const READ_ROUNDS: u32 = 3;
 
-/// The same in a large fleet, where each reading tells little and all of them cost a call a box.
-const LARGE_READ_ROUNDS: u32 = 8;
+/// The same in a large fleet, where each reading tells little and all of them cost a call a box; hubs tell of boxes that come.
+const LARGE_READ_ROUNDS: u32 = 16;
+
+/// How a round reads who is registered.
+#[derive(Debug, Clone, Copy)]
+enum Read {
+    Not,
+    Glance,
+    Whole,
+}
 
 /// Registers this box and reads who else is there.
 pub struct Registry<P> {
@@ -55,7 +63,11 @@
                 true => READ_ROUNDS,
                 false => LARGE_READ_ROUNDS,
             };
-            let read = round < FIRST_READS || round.is_multiple_of(rounds);
+            let read = match round {
+                0 => Read::Glance,
+                _ if round == WHOLE_READ || round.is_multiple_of(rounds) => Read::Whole,
+                _ => Read::Not,
+            };
             round += 1;
             lease = match self.round(lease, read).await {
                 Ok(lease) => Some(lease),
@@ -73,7 +85,7 @@
         }
     }
 
-    async fn round(&self, lease: Option<LeaseId>, read: bool) -> Result<LeaseId, PlatformError> {
+    async fn round(&self, lease: Option<LeaseId>, how: Read) -> Result<LeaseId, PlatformError> {
         let lease = match lease {
             Some(lease) => {
                 self.platform.renew_lease(lease).await?;
@@ -81,10 +93,11 @@
             }
             None => self.register().await?,
         };
-        if !read {
-            return Ok(lease);
-        }
-        let read = self.platform.snapshot(BOX_PREFIX).await?;
+        let read = match how {
+            Read::Not => return Ok(lease),
+            Read::Glance => self.platform.glance(BOX_PREFIX).await?,
+            Read::Whole => self.platform.snapshot(BOX_PREFIX).await?,
+        };
         let texts = read
             .entries
             .iter()
@@ -97,7 +110,11 @@
             }
         });
         let boxes: Vec<BoxEntry> = boxes.collect();
-        self.fleet.tell(FleetMsg::Registered(boxes)).await;
+        let msg = match how {
+            Read::Whole => FleetMsg::Registered(boxes),
+            Read::Glance | Read::Not => FleetMsg::RegisteredBefore(boxes),
+        };
+        self.fleet.tell(msg).await;
         Ok(lease)
     }
 
--- a/crates/sillpin-platform/src/lib.rs
+++ b/crates/sillpin-platform/src/lib.rs
@@ -159,6 +159,11 @@
         }
     }
 
+    /// The same as it was a while ago, some seconds at the most, at a fraction of the price; a watch from there brings the rest.
+    fn glance(&self, prefix: &str) -> impl Future<Output = Result<Snapshot, PlatformError>> + Send {
+        self.snapshot(prefix)
+    }
+
     /// Writes a key if its revision is `expect` ([`KvRevision::ABSENT`]: create), under a lease if
     /// one is given.
     fn put(
