--- a/crates/sillpin-gateway/src/beliefs/fleet.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet.rs
@@ -163,11 +163,14 @@
             FleetMsg::Passed {
                 topic,
                 after,
+                before,
                 reply,
                 asked,
             } => {
-                // Who lacks what came before asks for a copy, when it hears how far others are.
-                if self.known(topic).revision >= after {
+                // Who lacks what came before asks for a copy, when it hears how far others are. A lower revision with the same content
+                // lacks nothing: revisions count changes of other prefixes too.
+                let known = self.known(topic);
+                if known.revision >= after || known.content == before {
                     let source = Source::Passed;
                     self.read(topic, Reading::Changes(reply), asked, &source, now);
                 }
--- a/crates/sillpin-gateway/src/beliefs/mod.rs
+++ b/crates/sillpin-gateway/src/beliefs/mod.rs
@@ -174,6 +174,17 @@
     Copied(Copied),
 }
 
+impl Reading {
+    /// Revision up to which nothing is missing.
+    pub fn revision(&self) -> KvRevision {
+        match self {
+            Reading::Whole(snapshot) | Reading::Glanced(snapshot) => snapshot.revision,
+            Reading::Changes(reply) => reply.revision,
+            Reading::Copied(copied) => copied.revision,
+        }
+    }
+}
+
 /// What a box knows of a prefix beyond a revision that the box which asks for it has reached.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Copied {
@@ -205,6 +216,8 @@
         topic: Topic,
         /// The revision before them.
         after: KvRevision,
+        /// Hash of what was known before them.
+        before: u64,
         /// What changed.
         reply: WatchReply,
         /// When the store was asked.
--- a/crates/sillpin-gateway/src/beliefs/reader.rs
+++ b/crates/sillpin-gateway/src/beliefs/reader.rs
@@ -20,9 +20,18 @@
 /// with knowledge older than 1.5 s; each wait costs a call.
 const WATCH_WAIT: Duration = Duration::from_millis(500);
 
-/// How long a box that does not read for its zone waits for a change: the 30 s that the store allows, less a margin, since each
+/// How long a box that does not read for its zone waits for a change at most: the 30 s that the store allows, less a margin, since each
 /// call costs. On 59 boxes all calls of watches rise by 13% (912 to 1,034 in 60 s).
-const HOLD_WAIT: Duration = Duration::from_secs(25);
+const MAX_HOLD: Duration = Duration::from_secs(25);
+
+/// It waits for this part of the store's history: a watch that lasts longer begins before what the store remembers when nothing has
+/// changed meanwhile, fails, and costs a listing besides.
+const HOLD_PART: f64 = 0.75;
+
+/// How long to wait for a change in a store that remembers changes for `history`.
+pub fn hold_wait(history: Duration) -> Duration {
+    history.mul_f64(HOLD_PART).min(MAX_HOLD)
+}
 
 /// First and longest wait of such a box after a failure: other boxes tell it of changes meanwhile.
 const MIN_HOLD_BACKOFF: Duration = Duration::from_millis(1_000);
@@ -57,6 +66,8 @@
     pub fleet: FleetHandle,
     /// What is on its way to this box.
     pub transfers: Transfers,
+    /// How long to wait for a change where another box reads for the zone.
+    pub hold: Duration,
     /// News for the zone.
     pub news: mpsc::Sender<News>,
     /// Log.
@@ -78,7 +89,8 @@
     /// Reads until the process ends.
     pub async fn run(self) {
         let mut whole = true;
-        let mut first = true;
+        // What the view says may lag behind what was read last.
+        let mut reached = KvRevision::ABSENT;
         let mut failures: u32 = 0;
         loop {
             let turn = self.turn();
@@ -88,7 +100,7 @@
             }
             let asked = Instant::now();
             let read = tokio::select! {
-                read = self.read(whole, first, turn) => read,
+                read = self.read(whole, reached, turn) => read,
                 () = self.hold_ends(turn) => continue,
             };
             self.transfers.set_watched(self.topic, read.is_ok());
@@ -100,7 +112,8 @@
                     }
                     failures = 0;
                     whole = false;
-                    let glanced = std::mem::take(&mut first);
+                    let glanced = matches!(reading, Reading::Glanced(_));
+                    reached = reached.max(reading.revision());
                     self.pass_on(&reading, asked);
                     let (topic, source) = (self.topic, Source::Store);
                     let msg = FleetMsg::Read {
@@ -110,7 +123,8 @@
                         source,
                     };
                     self.fleet.tell(msg).await;
-                    if !glanced {
+                    // The watch from a glance follows at once, but not from nothing.
+                    if !glanced || reached == KvRevision::ABSENT {
                         tokio::time::sleep_until(asked + self.pause()).await;
                     }
                 }
@@ -131,9 +145,11 @@
         if self.topic != Topic::Targets || reply.changed.is_empty() {
             return;
         }
+        let known = self.fleet.view().known(self.topic);
         let word = PublishedWord {
             topic: self.topic,
-            after: self.fleet.view().known(self.topic).revision,
+            after: known.revision,
+            before: known.content,
             changed: reply.changed.clone(),
             revision: reply.revision,
             age_ms: asked.elapsed().as_millis() as u64,
@@ -181,20 +197,25 @@
         }
     }
 
-    async fn read(&self, whole: bool, first: bool, turn: Turn) -> Result<Reading, PlatformError> {
-        let known = self.fleet.view().known(self.topic).revision;
-        if first && known == KvRevision::ABSENT {
+    async fn read(
+        &self,
+        whole: bool,
+        reached: KvRevision,
+        turn: Turn,
+    ) -> Result<Reading, PlatformError> {
+        let known = self.fleet.view().known(self.topic).revision.max(reached);
+        if known == KvRevision::ABSENT {
             let _arriving = self.transfers.begin(self.topic);
             let glanced = self.platform.glance(self.prefix).await;
             return glanced.map(Reading::Glanced);
         }
-        if whole || known == KvRevision::ABSENT {
+        if whole {
             let _arriving = self.transfers.begin(self.topic);
             let listed = self.platform.snapshot(self.prefix).await;
             return listed.map(Reading::Whole);
         }
         let wait = match turn {
-            Turn::Holds => HOLD_WAIT,
+            Turn::Holds => self.hold,
             Turn::Reads | Turn::Rests => WATCH_WAIT,
         };
         let mut under_way = None;
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -1,7 +1,7 @@
 //! A box put together: listeners, tasks, and its stop.
 
 use crate::beliefs::fleet::Fleet;
-use crate::beliefs::reader::Reader;
+use crate::beliefs::reader::{Reader, hold_wait};
 use crate::beliefs::transfers::Transfers;
 use crate::beliefs::{self, BoxEntry, FleetHandle, Topic};
 use crate::config::CallerLimits;
@@ -156,7 +156,8 @@
     };
     let transfers = Transfers::default();
     let (words_tx, words) = mpsc::channel(NEWS_QUEUE);
-    start_readers(&adapter, &me, &fleet, &transfers, &words_tx, &log);
+    let hold = hold_wait(cfg.history);
+    start_readers(&adapter, &me, &fleet, &transfers, hold, &words_tx, &log);
     let kept = Kept::default();
     let shared = Arc::new(Shared::new(
         adapter.dialect.clone(),
@@ -231,6 +232,7 @@
     me: &BoxEntry,
     fleet: &FleetHandle,
     transfers: &Transfers,
+    hold: Duration,
     news: &mpsc::Sender<News>,
     log: &Logger,
 ) where
@@ -249,6 +251,7 @@
             me: me.clone(),
             fleet: fleet.clone(),
             transfers: transfers.clone(),
+            hold,
             news: news.clone(),
             log: log.clone(),
         };
@@ -326,6 +329,7 @@
             platform: adapter.platform.clone(),
             me: id,
             apart: shared.cfg.lease,
+            hold: hold_wait(shared.cfg.history),
             log: log.clone(),
         },
         control: adapter.control.clone(),
--- a/crates/sillpin-gateway/src/peers/ear.rs
+++ b/crates/sillpin-gateway/src/peers/ear.rs
@@ -256,6 +256,7 @@
         let PublishedWord {
             topic,
             after,
+            before,
             changed,
             revision,
             ..
@@ -264,6 +265,7 @@
         let msg = FleetMsg::Passed {
             topic,
             after,
+            before,
             reply,
             asked,
         };
--- a/crates/sillpin-gateway/src/settings.rs
+++ b/crates/sillpin-gateway/src/settings.rs
@@ -54,6 +54,12 @@
                 "",
                 "Boxes to ask first; they may be down",
             ),
+            Key::optional(
+                "history-s",
+                Kind::Decimal,
+                "20",
+                "For so many seconds the store remembers changes",
+            ),
         ],
     },
     Section {
@@ -155,6 +161,8 @@
     pub metrics: Option<SocketAddr>,
     /// The platform's store.
     pub platform: SocketAddr,
+    /// For how long the store remembers changes.
+    pub history: Duration,
     /// Boxes to ask first.
     pub seeds: Vec<SocketAddr>,
     /// Memory of this process in bytes.
@@ -196,6 +204,7 @@
             let number: f64 = loaded.get("promises", key)?;
             Ok::<_, Faults>(Duration::try_from_secs_f64(number * unit).unwrap_or(MAX_TIME))
         };
+        let history: f64 = loaded.get("platform", "history-s")?;
         let ip = loaded.get("box", "ip")?;
         let metrics_port: u16 = loaded.get("listen", "metrics-port")?;
         let metrics = (metrics_port != 0).then(|| SocketAddr::new(ip, metrics_port));
@@ -209,6 +218,7 @@
             gossip_port: loaded.get("listen", "gossip-port")?,
             metrics,
             platform: loaded.get("platform", "addr")?,
+            history: Duration::try_from_secs_f64(history).unwrap_or(MAX_TIME),
             seeds: loaded.list("platform", "seeds")?,
             memory: loaded.get::<u64>("limits", "memory-mb")? << 20,
             descriptors: loaded.get("limits", "descriptors")?,
--- a/crates/sillpin-gateway/src/weights/duty.rs
+++ b/crates/sillpin-gateway/src/weights/duty.rs
@@ -33,10 +33,6 @@
 /// Added to the wait before an engine that another holder ordered, for orders on their way.
 const TAKEOVER_MARGIN: Duration = Duration::from_millis(300);
 
-/// How long a box that is not the holder waits for news of the key; the platform allows 30 s. Each wait costs a call,
-/// and one more to look at the key after a wait without news.
-const WATCH_WAIT: Duration = Duration::from_secs(25);
-
 /// The duty, held.
 #[derive(Debug)]
 pub struct Tenure {
@@ -144,6 +140,9 @@
     pub me: BoxId,
     /// Least time between two holders' orders to one engine.
     pub apart: Duration,
+    /// How long a box that is not the holder waits for news of the key. Each wait costs a call, and one more to look at the key
+    /// after a wait without news.
+    pub hold: Duration,
     /// Log.
     pub log: Logger,
 }
@@ -268,7 +267,7 @@
     async fn wait_until_free(&self, since: KvRevision) -> Result<(), PlatformError> {
         let mut after = since;
         loop {
-            let reply = self.platform.watch(DUTY_KEY, after, WATCH_WAIT).await?;
+            let reply = self.platform.watch(DUTY_KEY, after, self.hold).await?;
             let of_key = |key: &str| key == DUTY_KEY;
             let last = reply.changed.iter().rfind(|entry| of_key(&entry.key));
             after = reply.revision;
--- a/crates/sillpin-gateway/tests/duty.rs
+++ b/crates/sillpin-gateway/tests/duty.rs
@@ -17,6 +17,7 @@
         platform: store.clone(),
         me: name(me),
         apart: APART,
+        hold: Duration::from_secs(25),
         log: sillpin_telemetry::logs::discard(),
     }
 }
--- a/crates/sillpin-gateway/tests/lives.rs
+++ b/crates/sillpin-gateway/tests/lives.rs
@@ -114,6 +114,7 @@
         false => FleetMsg::Passed {
             topic: Topic::Targets,
             after: KvRevision(3),
+            before: 0,
             reply: WatchReply {
                 changed,
                 revision: KvRevision(8),
@@ -139,6 +140,7 @@
     let msg = FleetMsg::Passed {
         topic: Topic::Targets,
         after: KvRevision(6),
+        before: 0,
         reply,
         asked: now,
     };
@@ -213,3 +215,25 @@
     let second = tokio::time::timeout(Duration::from_secs(5), listener.accept()).await;
     assert!(second.is_ok(), "the request went out on the old connection");
 }
+
+/// Revisions count changes of all prefixes, and who reads the store knows the newest.
+#[tokio::test(start_paused = true)]
+async fn changes_go_on_from_the_same_content_whatever_its_revision() {
+    let mut fleet = fleet();
+    let now = Instant::now();
+    fleet.handle(listed(vec![entry(E1, "ready 1 100", 3)], 3), now);
+    let before = fleet.view().listed.content;
+    let reply = WatchReply {
+        changed: vec![entry("target/e2", "ready 1 5", 9)],
+        revision: KvRevision(9),
+    };
+    let msg = FleetMsg::Passed {
+        topic: Topic::Targets,
+        after: KvRevision(6),
+        before,
+        reply,
+        asked: now,
+    };
+    fleet.handle(msg, now);
+    assert!(fleet.view().targets.contains_key(&target("e2")));
+}
--- a/crates/sillpin-gateway/tests/reader.rs
+++ b/crates/sillpin-gateway/tests/reader.rs
@@ -73,6 +73,7 @@
             me,
             fleet: fleet.clone(),
             transfers: transfers.clone(),
+            hold: Duration::from_secs(25),
             news: mpsc::channel(1).0,
             log,
         };
--- a/crates/sillpin-gateway/tests/rollout.rs
+++ b/crates/sillpin-gateway/tests/rollout.rs
@@ -252,6 +252,7 @@
                 platform: self.platform.clone(),
                 me: me.id.clone(),
                 apart: APART,
+                hold: Duration::from_secs(25),
                 log: log.clone(),
             },
             me,
