Have boxes that hear a hub wait there, not at the platform's store

Change: where a hub was heard within 0.6 s, a box reads what operators publish when the hub tells that it has changed; the reader of a large zone asks for targets each 0.5 s; boxes of large zones are alive for the choice of candidates if the hub hears them, and a candidate that is replaced leaves off; hubs begin sooner after a start.

--- a/crates/sillpin-gateway/src/beliefs/reader.rs
+++ b/crates/sillpin-gateway/src/beliefs/reader.rs
@@ -7,7 +7,8 @@
 use super::transfers::Transfers;
 use super::{BoxEntry, FleetHandle, FleetMsg, Reading, Source, Topic};
 use crate::peers::datagram::{News, PublishedWord};
-use crate::peers::roles;
+use crate::peers::roles::{self, SMALL_FLEET};
+use crate::place::Loads;
 use rand::RngExt;
 use sillpin_platform::{KvRevision, Platform, PlatformError, PlatformFault};
 use sillpin_telemetry::{event, events};
@@ -26,7 +27,7 @@
 
 /// It waits for this part of the store's history: a watch that lasts longer begins before what the store remembers when nothing has
 /// changed meanwhile, fails, and costs a listing besides.
-const HOLD_PART: f64 = 0.75;
+const HOLD_PART: f64 = 0.85;
 
 /// How long to wait for a change in a store that remembers changes for `history`.
 pub fn hold_wait(history: Duration) -> Duration {
@@ -44,6 +45,10 @@
 /// each answer costs a call. A leaving target may be sent requests for two seconds.
 const TARGETS_PAUSE: Duration = Duration::from_millis(900);
 
+/// The same in a large fleet, where what one box of a zone finds passes a hub before others hear it: with longer pauses half of the
+/// boxes lose patience and read for themselves.
+const LARGE_TARGETS_PAUSE: Duration = Duration::from_millis(400);
+
 /// How often a box that does not read looks whether it has to.
 const TURN_CHECK: Duration = Duration::from_millis(150);
 
@@ -68,6 +73,8 @@
     pub transfers: Transfers,
     /// How long to wait for a change where another box reads for the zone.
     pub hold: Duration,
+    /// Whether the hub of a large zone is heard.
+    pub loads: Loads,
     /// News for the zone.
     pub news: mpsc::Sender<News>,
     /// Log.
@@ -93,11 +100,18 @@
         let mut reached = KvRevision::ABSENT;
         let mut failures: u32 = 0;
         loop {
-            let turn = self.turn();
-            if turn == Turn::Rests || self.transfers.is_under_way(self.topic) {
+            let mut turn = self.turn();
+            if self.transfers.is_under_way(self.topic) {
                 tokio::time::sleep(TURN_CHECK).await;
                 continue;
             }
+            if turn == Turn::Rests {
+                self.transfers.set_watched(self.topic, false);
+                tokio::select! {
+                    () = tokio::time::sleep(TURN_CHECK) => continue,
+                    () = self.transfers.doubted(self.topic) => turn = Turn::Reads,
+                }
+            }
             let asked = Instant::now();
             let read = tokio::select! {
                 read = self.read(whole, reached, turn) => read,
@@ -161,6 +175,8 @@
     fn turn(&self) -> Turn {
         match (self.is_my_turn(), self.topic) {
             (true, _) => Turn::Reads,
+            // The hub tells within milliseconds that something has changed, and each wait at the store costs a call.
+            (false, Topic::Operators) if self.loads.hears_hub(Instant::now()) => Turn::Rests,
             (false, Topic::Operators) => Turn::Holds,
             (false, Topic::Targets) => Turn::Rests,
         }
@@ -191,8 +207,10 @@
     }
 
     fn pause(&self) -> Duration {
+        let large = self.fleet.view().box_count() > SMALL_FLEET;
         match self.topic {
             Topic::Operators => OPERATORS_PAUSE,
+            Topic::Targets if large => LARGE_TARGETS_PAUSE,
             Topic::Targets => TARGETS_PAUSE,
         }
     }
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -56,6 +56,7 @@
         dialect: D,
         settings: Settings,
         fleet: FleetHandle,
+        loads: Loads,
         kept: Kept,
         metrics: BoxMetrics,
         log: Logger,
@@ -64,7 +65,7 @@
         let cfg = settings.borrow().clone();
         let room = usize::try_from(cfg.memory / BODY_SHARE).unwrap_or(usize::MAX);
         let budget = RetryBudget::default();
-        let (loads, pool) = (Loads::default(), Pool::default());
+        let pool = Pool::default();
         let prober = Prober {
             loads: loads.clone(),
             pool: pool.clone(),
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -19,6 +19,7 @@
 use crate::peers::roster::Rosters;
 use crate::peers::spread::ZoneNews;
 use crate::peers::wire::FleetKey;
+use crate::place::Loads;
 use crate::reload::Settings;
 use crate::settings::BoxConfig;
 use crate::weights::duty::Duty;
@@ -156,13 +157,25 @@
     };
     let transfers = Transfers::default();
     let (words_tx, words) = mpsc::channel(NEWS_QUEUE);
-    let hold = hold_wait(cfg.history);
-    start_readers(&adapter, &me, &fleet, &transfers, hold, &words_tx, &log);
+    let loads = Loads::default();
+    start_readers(&adapter.keys, |topic, prefix| Reader {
+        platform: adapter.platform.clone(),
+        topic,
+        prefix,
+        me: me.clone(),
+        fleet: fleet.clone(),
+        transfers: transfers.clone(),
+        hold: hold_wait(cfg.history),
+        loads: loads.clone(),
+        news: words_tx.clone(),
+        log: log.clone(),
+    });
     let kept = Kept::default();
     let shared = Arc::new(Shared::new(
         adapter.dialect.clone(),
         settings.clone(),
         fleet.clone(),
+        loads,
         kept,
         BoxMetrics::new(&metrics.meter(), adapter.counts.clone()),
         log.clone(),
@@ -227,35 +240,18 @@
     }
 }
 
-fn start_readers<D, K, P, C>(
-    adapter: &Adapter<D, K, P, C>,
-    me: &BoxEntry,
-    fleet: &FleetHandle,
-    transfers: &Transfers,
-    hold: Duration,
-    news: &mpsc::Sender<News>,
-    log: &Logger,
-) where
+/// Starts a reader for each prefix; `of` makes one.
+fn start_readers<K, P>(keys: &K, of: impl Fn(Topic, &'static str) -> Reader<P>)
+where
     K: Published,
     P: Platform,
 {
     let topics = [
-        (Topic::Operators, adapter.keys.operator_prefix()),
-        (Topic::Targets, adapter.keys.target_prefix()),
+        (Topic::Operators, keys.operator_prefix()),
+        (Topic::Targets, keys.target_prefix()),
     ];
     for (topic, prefix) in topics {
-        let reader = Reader {
-            platform: adapter.platform.clone(),
-            topic,
-            prefix,
-            me: me.clone(),
-            fleet: fleet.clone(),
-            transfers: transfers.clone(),
-            hold,
-            news: news.clone(),
-            log: log.clone(),
-        };
-        tokio::spawn(reader.run());
+        tokio::spawn(of(topic, prefix).run());
     }
 }
 
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -139,9 +139,10 @@
                     let content = contents(&views.borrow_and_update());
                     if content != told {
                         told = content;
-                        // In a large zone whoever read the change tells the hub what it is.
-                        if !large {
-                            self.round(socket, false).await;
+                        // In a large zone the hub tells that something has changed, and who read it what that is.
+                        match large {
+                            true => at_once = true,
+                            false => self.round(socket, false).await,
                         }
                     }
                 }
--- a/crates/sillpin-gateway/src/peers/ear.rs
+++ b/crates/sillpin-gateway/src/peers/ear.rs
@@ -452,6 +452,13 @@
         if self.transfers.is_under_way(topic) {
             return Next::Wait;
         }
+        if topic == Topic::Operators && self.loads.hears_hub(Instant::now()) {
+            return match behind.is_doubted {
+                false => Next::Store,
+                true if behind.lasted >= STORE_AGAIN => Next::Box,
+                true => Next::Wait,
+            };
+        }
         let store_tells = topic == Topic::Operators && self.transfers.is_watched(topic);
         if !store_tells || behind.lasted >= STORE_AGAIN {
             return Next::Box;
--- a/crates/sillpin-gateway/src/peers/hub.rs
+++ b/crates/sillpin-gateway/src/peers/hub.rs
@@ -35,7 +35,7 @@
 const FAN_OUT: usize = 3;
 
 /// A box that starts waits for so long whether it hears a hub before it becomes one: several bulletins.
-const START_WAIT: Duration = Duration::from_millis(700);
+const START_WAIT: Duration = Duration::from_millis(450);
 
 /// Boxes that each box reports to: the hub, and one that takes over.
 const HUBS: usize = 2;
--- a/crates/sillpin-gateway/src/peers/registry.rs
+++ b/crates/sillpin-gateway/src/peers/registry.rs
@@ -26,7 +26,7 @@
 const WHOLE_READ: u32 = 1;
 
 /// Time until then: boxes of a fleet that starts as a whole do so within 0.3 s, and read much for themselves until they know each other.
-const FIRST_PAUSE: Duration = Duration::from_millis(900);
+const FIRST_PAUSE: Duration = Duration::from_millis(700);
 
 /// Later it reads in every so many rounds; boxes hear of each other besides.
 const READ_ROUNDS: u32 = 3;
--- a/crates/sillpin-gateway/src/place/load.rs
+++ b/crates/sillpin-gateway/src/place/load.rs
@@ -181,6 +181,12 @@
         others.hears(from, now)
     }
 
+    /// Whether the hub of a large zone is heard.
+    pub fn hears_hub(&self, now: Instant) -> bool {
+        let others = self.others.lock().unwrap_or_else(|e| e.into_inner());
+        others.hears_hub(now)
+    }
+
     /// Whether a box of the zone may live, as far as its hub tells.
     pub fn may_live(&self, id: &BoxId, now: Instant) -> bool {
         let others = self.others.lock().unwrap_or_else(|e| e.into_inner());
--- a/crates/sillpin-gateway/src/place/work.rs
+++ b/crates/sillpin-gateway/src/place/work.rs
@@ -55,6 +55,9 @@
 /// How long another box's word about its prompt work counts: three rounds of news.
 const WORD_TIME: Duration = Duration::from_millis(1_300);
 
+/// A hub tells something each 0.15 s; one that is silent for this long may be gone.
+const HUB_FRESH: Duration = Duration::from_millis(600);
+
 /// Short name of a target in news between boxes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -171,6 +174,12 @@
         direct || told.is_some_and(|told| told.members.contains(&BoxHash::anywhere(from)))
     }
 
+    /// Whether a hub was heard so lately that what it has to tell would have come.
+    pub fn hears_hub(&self, now: Instant) -> bool {
+        let told = self.told.as_ref();
+        told.is_some_and(|told| now - told.at < HUB_FRESH)
+    }
+
     /// Whether a box of the zone may live: the hub hears it, or no hub is heard.
     pub fn may_live(&self, id: &BoxId, now: Instant) -> bool {
         let told = self.told(now);
--- a/crates/sillpin-gateway/src/weights/rollout.rs
+++ b/crates/sillpin-gateway/src/weights/rollout.rs
@@ -9,6 +9,7 @@
 use crate::kept::Kept;
 use crate::kept::freer::Freer;
 use crate::peers::datagram::LoadNews;
+use crate::peers::hub::LARGE_ZONE;
 use crate::peers::roles;
 use crate::place::Loads;
 use crate::place::load::Outcome;
@@ -121,6 +122,7 @@
             }
             let taken = tokio::select! {
                 taken = self.duty.take() => taken,
+                () = self.is_replaced(started) => continue,
                 () = self.stopping.cancelled() => return,
             };
             match taken {
@@ -134,11 +136,25 @@
         }
     }
 
+    /// Resolves when others are to wait for the duty in this box's place.
+    async fn is_replaced(&self, started: Instant) {
+        while self.is_candidate(started, Instant::now()) {
+            tokio::time::sleep(CANDIDATE_CHECK).await;
+        }
+    }
+
     /// Whether this box is to wait for the duty. Safety does not hang on it: the lease decides who holds it.
     fn is_candidate(&self, started: Instant, now: Instant) -> bool {
         let newcomer = now - started < NEWCOMER;
-        let alive = |id: &BoxId| newcomer || self.loads.hears(id, now);
         let view = self.fleet.view();
+        let zone = view.boxes.iter().filter(|peer| peer.zone == self.me.zone);
+        // Boxes of a large zone hear each other through a hub alone.
+        let large = zone.count() >= LARGE_ZONE;
+        let alive = |id: &BoxId| match newcomer {
+            true => true,
+            false if large => self.loads.may_live(id, now),
+            false => self.loads.hears(id, now),
+        };
         roles::is_among(&view, &self.me, DUTY_ROLE, CANDIDATES, alive)
     }
 
