--- a/crates/sillpin-gateway/src/beliefs/reader.rs
+++ b/crates/sillpin-gateway/src/beliefs/reader.rs
@@ -10,6 +10,7 @@
 use crate::peers::roles::{self, SMALL_FLEET};
 use crate::place::Loads;
 use rand::RngExt;
+use sillpin_core::BoxId;
 use sillpin_platform::{KvRevision, Platform, PlatformError, PlatformFault};
 use sillpin_telemetry::{event, events};
 use slog::Logger;
@@ -49,6 +50,9 @@
 /// boxes lose patience and read for themselves.
 const LARGE_TARGETS_PAUSE: Duration = Duration::from_millis(400);
 
+/// Longest value in bytes that is passed on in datagrams: targets' entries take 300, namings of weights 50.
+const MAX_PASSED: usize = 2_000;
+
 /// How often a box that does not read looks whether it has to.
 const TURN_CHECK: Duration = Duration::from_millis(150);
 
@@ -151,12 +155,17 @@
         }
     }
 
-    /// Tells the zone which targets' entries changed. What operators publish may be long, and every box watches it.
+    /// Tells the zone what changed, if it fits datagrams: all boxes read for themselves what operators publish at length.
     fn pass_on(&self, reading: &Reading, asked: Instant) {
         let Reading::Changes(reply) = reading else {
             return;
         };
-        if self.topic != Topic::Targets || reply.changed.is_empty() {
+        let texts = reply
+            .changed
+            .iter()
+            .filter_map(|entry| entry.value.as_ref());
+        let longest = texts.map(String::len).max().unwrap_or_default();
+        if reply.changed.is_empty() || longest > MAX_PASSED {
             return;
         }
         let known = self.fleet.view().known(self.topic);
@@ -186,7 +195,9 @@
     fn is_my_turn(&self) -> bool {
         let view = self.fleet.view();
         let confirmed = view.known(self.topic).confirmed;
-        roles::should_read(&view, &self.me, self.prefix, confirmed, Instant::now())
+        let now = Instant::now();
+        let alive = |id: &BoxId| self.loads.may_live(id, now);
+        roles::should_read(&view, &self.me, self.prefix, alive, confirmed, now)
     }
 
     /// Resolves when a box that waits for a change has to read for its zone, or others know of a change; not while a
--- a/crates/sillpin-gateway/src/kept/freer.rs
+++ b/crates/sillpin-gateway/src/kept/freer.rs
@@ -1,14 +1,15 @@
 //! Frees parts that nobody uses any more. Run by the holder of the fleet's duty.
 
 use super::Kept;
-use super::retire::{Weights, place_of, weights_of};
+use super::retire::{place_of, weights_of};
 use super::salt::SaltParts;
 use crate::beliefs::{FleetHandle, View};
 use crate::config::StoreSpec;
 use crate::control::{Control, FreeOrder, KeptKey, PartialPart};
+use crate::dialect::Salt;
 use sillpin_telemetry::{event, events};
 use slog::Logger;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -92,19 +93,28 @@
 
     /// Parts of a store that no box fetches.
     fn unused(&self, store: &StoreSpec, view: &View, now: Instant) -> Vec<KeptKey> {
+        if !self.kept.retirements().has_any() {
+            return Vec::new();
+        }
         let whole = self.kept.lock().whole(store.addr);
         let retirements = self.kept.retirements();
-        let mut shares: BTreeMap<Weights, f64> = BTreeMap::new();
+        // A store holds thousands of parts under a few salts.
+        let mut shares: HashMap<Salt, f64> = HashMap::new();
+        let share_of = |salt: &Salt| match salt.0.parse::<SaltParts>() {
+            Ok(salt) => retirements.unused_share(&weights_of(&salt), view, now),
+            Err(_) => 0.0,
+        };
         let mut unused = Vec::new();
         for (key, _) in whole {
-            let Ok(salt) = key.salt.0.parse::<SaltParts>() else {
-                continue;
+            let share = match shares.get(&key.salt) {
+                Some(share) => *share,
+                None => {
+                    let share = share_of(&key.salt);
+                    shares.insert(key.salt.clone(), share);
+                    share
+                }
             };
-            let weights = weights_of(&salt);
-            let share = *shares
-                .entry(weights.clone())
-                .or_insert_with(|| retirements.unused_share(&weights, view, now));
-            if place_of(&key) < share {
+            if share > 0.0 && place_of(&key) < share {
                 unused.push(key);
             }
         }
--- a/crates/sillpin-gateway/src/kept/retire.rs
+++ b/crates/sillpin-gateway/src/kept/retire.rs
@@ -123,6 +123,11 @@
         *applied = applied.max(share);
     }
 
+    /// Whether any part of any version is retired.
+    pub fn has_any(&self) -> bool {
+        self.applied.values().any(|share| *share > 0.0)
+    }
+
     /// What this box tells the others: shares that it applied so long ago that its fetches of these parts are
     /// over.
     pub fn told(&self, now: Instant) -> Vec<Retired> {
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -23,7 +23,7 @@
 use crate::reload::Settings;
 use crate::settings::BoxConfig;
 use crate::weights::duty::Duty;
-use crate::weights::rollout::Rollout;
+use crate::weights::rollout::{ALONE, Rollout};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response};
 use sillpin_http::server::{BindError, HeadLimits, listen};
@@ -321,6 +321,10 @@
     tokio::spawn(gossip.run(socket));
     let rollout = Rollout {
         me: candidate,
+        alone: match shared.cfg.seeds.is_empty() {
+            true => Duration::ZERO,
+            false => ALONE,
+        },
         duty: Duty {
             platform: adapter.platform.clone(),
             me: id,
--- a/crates/sillpin-gateway/src/peers/ear.rs
+++ b/crates/sillpin-gateway/src/peers/ear.rs
@@ -40,6 +40,10 @@
 /// day within 240 ms.
 const STORE_FIRST: Duration = Duration::from_millis(300);
 
+/// How long the zone's reader goes first where a hub is heard: what is short comes with the news, in datagrams behind the one that says
+/// how far the hub knows.
+const NEWS_FIRST: Duration = Duration::from_millis(50);
+
 /// After this long without anything arriving from the store, called anew, other boxes are asked.
 const STORE_AGAIN: Duration = Duration::from_millis(1_000);
 
@@ -454,6 +458,7 @@
         }
         if topic == Topic::Operators && self.loads.hears_hub(Instant::now()) {
             return match behind.is_doubted {
+                false if behind.lasted < NEWS_FIRST => Next::Wait,
                 false => Next::Store,
                 true if behind.lasted >= STORE_AGAIN => Next::Box,
                 true => Next::Wait,
--- a/crates/sillpin-gateway/src/peers/roles.rs
+++ b/crates/sillpin-gateway/src/peers/roles.rs
@@ -46,15 +46,16 @@
     before < count
 }
 
-/// Whether this box is to read `thing` now, given when it was last known to be so.
+/// Whether this box is to read `thing` now, given which boxes live and when the thing was last known to be so.
 pub fn should_read(
     view: &View,
     me: &BoxEntry,
     thing: &str,
+    alive: impl Fn(&BoxId) -> bool,
     confirmed: Option<Instant>,
     now: Instant,
 ) -> bool {
-    is_old(confirmed, patience(me, thing), now) || is_reader(view, me, thing)
+    is_old(confirmed, patience(me, thing), now) || is_among(view, me, thing, READERS, alive)
 }
 
 /// How old a box lets its knowledge of `thing` grow before it reads by itself.
--- a/crates/sillpin-gateway/src/weights/rollout.rs
+++ b/crates/sillpin-gateway/src/weights/rollout.rs
@@ -59,6 +59,10 @@
 /// A box that started so recently has not heard the others yet and takes all that are registered to be alive.
 const NEWCOMER: Duration = Duration::from_secs(3);
 
+/// A box that was told of others and knows none yet waits for so long before it takes itself for the only one: it reads who is registered
+/// within a second.
+pub const ALONE: Duration = Duration::from_millis(1_200);
+
 /// Time between two lines about engines that serve replaced weights.
 const SAY_EVERY: Duration = Duration::from_secs(1);
 
@@ -66,6 +70,8 @@
 pub struct Rollout<P, C> {
     /// This box.
     pub me: BoxEntry,
+    /// How long it waits to hear of others, if it knows none.
+    pub alone: Duration,
     /// The duty.
     pub duty: Duty<P>,
     /// Calls of engines.
@@ -147,6 +153,10 @@
     fn is_candidate(&self, started: Instant, now: Instant) -> bool {
         let newcomer = now - started < NEWCOMER;
         let view = self.fleet.view();
+        // In a fleet that starts as a whole all boxes would take themselves for the first ones, until they know each other.
+        if view.boxes.is_empty() && now - started < self.alone {
+            return false;
+        }
         let zone = view.boxes.iter().filter(|peer| peer.zone == self.me.zone);
         // Boxes of a large zone hear each other through a hub alone.
         let large = zone.count() >= LARGE_ZONE;
--- a/crates/sillpin-gateway/tests/rollout.rs
+++ b/crates/sillpin-gateway/tests/rollout.rs
@@ -248,6 +248,7 @@
             link_mbps: 0,
         };
         Rollout {
+            alone: Duration::ZERO,
             duty: Duty {
                 platform: self.platform.clone(),
                 me: me.id.clone(),
