Tell through hubs which parts are retired

Cause, by reading: a part that no box was heard to use is freed five seconds after the holder of the duty retired it, on the word that every box which is in touch has learned that by then. In large zones boxes are in touch through bulletins, which did not say it; digests, which do, reach a box from one other at random each 0.8 s.

--- a/crates/sillpin-gateway/src/kept/retire.rs
+++ b/crates/sillpin-gateway/src/kept/retire.rs
@@ -138,6 +138,24 @@
         self.applied.keys().map(told).collect()
     }
 
+    /// What this box has retired. Through hubs all boxes learn it within a second: they hear too few digests to be sure to learn it from
+    /// those before parts are freed that nobody was heard to use.
+    pub fn applied(&self) -> Vec<Retired> {
+        let applied = self.applied.iter().filter(|(_, share)| **share > 0.0);
+        let retired = applied.map(|(weights, share)| Retired {
+            weights: weights.clone(),
+            share: *share,
+        });
+        retired.collect()
+    }
+
+    /// Retires what other boxes have retired.
+    pub fn learn(&mut self, applied: &[Retired]) {
+        for retired in applied {
+            self.retire(retired.weights.clone(), retired.share);
+        }
+    }
+
     /// Takes what another box tells: what it has retired, which this box retires too, and since when it has no word from the
     /// store.
     pub fn hear(
--- a/crates/sillpin-gateway/src/peers/datagram.rs
+++ b/crates/sillpin-gateway/src/peers/datagram.rs
@@ -325,6 +325,8 @@
     pub operators: Extent,
     /// How far it knows the targets.
     pub targets: Extent,
+    /// Which parts it uses no more.
+    pub retired: Vec<Retired>,
     /// What it has to tell the zone.
     pub news: Vec<News>,
 }
@@ -351,6 +353,8 @@
     pub operators: Extent,
     /// How far it knows the targets.
     pub targets: Extent,
+    /// Which parts no box is to use any more.
+    pub retired: Vec<Retired>,
 }
 
 /// What a hub tells those of other zones.
@@ -364,6 +368,8 @@
     pub work: Vec<EngineWork>,
     /// Targets that they found replaced of late.
     pub replaced: Vec<LifeHash>,
+    /// Which parts it uses no more.
+    pub retired: Vec<Retired>,
     /// Loads of weights.
     pub loading: Vec<LoadNews>,
 }
--- a/crates/sillpin-gateway/src/peers/ear.rs
+++ b/crates/sillpin-gateway/src/peers/ear.rs
@@ -169,6 +169,7 @@
         for news in &report.news {
             self.take_one(news.clone()).await;
         }
+        self.kept.retirements().learn(&report.retired);
         let roster = self.zone_news.rosters.of(&self.fleet.view());
         if let Some(from) = roster.find(report.from) {
             self.take_extent(Topic::Operators, report.operators, from)
@@ -190,6 +191,7 @@
         if let Some(sums) = sums {
             self.loads.hear_sums(sums.work, &members);
             self.loads.replaced().hear(&sums.replaced, now);
+            self.kept.retirements().learn(&sums.retired);
             let roster = self.zone_news.rosters.of(&self.fleet.view());
             if let Some(hub) = members.first().and_then(|hub| roster.find(*hub)) {
                 self.take_extent(Topic::Operators, sums.operators, hub)
@@ -206,6 +208,7 @@
         for loading in &word.loading {
             self.take_news(loading.clone()).await;
         }
+        self.kept.retirements().learn(&word.retired);
         self.zone_news.hub().zone_word(word, Instant::now());
         self.tell_loads();
     }
--- a/crates/sillpin-gateway/src/peers/hub.rs
+++ b/crates/sillpin-gateway/src/peers/hub.rs
@@ -10,6 +10,7 @@
 
 use super::datagram::{BoxHash, Bulletin, LoadNews, News, Report, Sums, ZoneWord, chunks};
 use crate::beliefs::BoxEntry;
+use crate::kept::retire::Retired;
 use crate::place::work::{EngineWork, LifeHash, TargetHash, Work};
 use sillpin_core::ZoneId;
 use std::collections::{BTreeMap, HashMap};
@@ -238,7 +239,13 @@
     }
 
     /// What this box tells the hubs of other zones now, if it is the hub.
-    pub fn word(&mut self, zone: &ZoneId, from: SocketAddr, now: Instant) -> Option<ZoneWord> {
+    pub fn word(
+        &mut self,
+        zone: &ZoneId,
+        from: SocketAddr,
+        retired: impl FnOnce() -> Vec<Retired>,
+        now: Instant,
+    ) -> Option<ZoneWord> {
         let loading = std::mem::take(&mut self.loading);
         if !self.is_hub(now) {
             return None;
@@ -249,6 +256,7 @@
             from,
             work: add_up(own),
             replaced: self.replaced.keys().copied().collect(),
+            retired: retired(),
             loading,
         })
     }
--- a/crates/sillpin-gateway/src/peers/spread.rs
+++ b/crates/sillpin-gateway/src/peers/spread.rs
@@ -86,6 +86,7 @@
             replaced: Vec::new(),
             operators: extent(view.operators),
             targets: extent(view.listed),
+            retired: self.kept.retirements().applied(),
         };
         let bulletins = self.zone_news.hub().bulletins(sums, now);
         for bulletin in bulletins {
@@ -131,6 +132,7 @@
                 replaced: self.loads.replaced().told(now),
                 operators: extent(view.operators),
                 targets: extent(view.listed),
+                retired: self.kept.retirements().applied(),
                 news,
             };
             self.zone_news.hub().report(report.clone(), now);
@@ -154,10 +156,11 @@
     }
 
     async fn tell_zones(&self, socket: &UdpSocket, roster: &Roster, now: Instant) {
+        let retired = || self.kept.retirements().applied();
         let word = self
             .zone_news
             .hub()
-            .word(&self.me.zone, self.me.gossip, now);
+            .word(&self.me.zone, self.me.gossip, retired, now);
         let Some(word) = word else {
             return;
         };
--- a/crates/sillpin-gateway/tests/hub.rs
+++ b/crates/sillpin-gateway/tests/hub.rs
@@ -109,6 +109,7 @@
                 replaced: Vec::new(),
                 operators: extent(),
                 targets: extent(),
+                retired: Vec::new(),
                 news: std::mem::take(&mut member.pending),
             };
             let mut to = member.hub.report_to(&all, now);
@@ -127,6 +128,7 @@
                 replaced: Vec::new(),
                 operators: extent(),
                 targets: extent(),
+                retired: Vec::new(),
             };
             let bulletins = self.members.get_mut(&me).unwrap().hub.bulletins(sums, now);
             for bulletin in bulletins {
@@ -303,6 +305,7 @@
         from,
         work: vec![engine_work(0), engine_work(99)],
         replaced: Vec::new(),
+        retired: Vec::new(),
         loading: Vec::new(),
     };
     let state = &mut zone.members.get_mut(&hub).unwrap().hub;
--- a/crates/sillpin-gateway/tests/kept/retire.rs
+++ b/crates/sillpin-gateway/tests/kept/retire.rs
@@ -266,3 +266,24 @@
         .count();
     assert!((400..600).contains(&low), "{low} of 1,000");
 }
+
+/// In a large zone a box hears few digests. Had it learned only from those what others retired, it might have gone on fetching parts that were
+/// freed after five seconds because nobody was heard to use them.
+#[tokio::test(start_paused = true)]
+async fn what_a_hub_tells_is_retired_at_once() {
+    let holder = {
+        let mut holder = Retirements::default();
+        holder.update(&view(4, Instant::now()), 0.0, Instant::now());
+        holder
+    };
+    let mut other = Retirements::default();
+    assert!(!other.has_any());
+    other.learn(&holder.applied());
+    assert_eq!(other.applied(), holder.applied());
+    let salt = SaltParts {
+        model: name("m"),
+        version: WeightVersion(1),
+        wall: None,
+    };
+    assert!(other.is_retired(&salt, &key("a")));
+}
