Look at engines of the zone where a prompt's parts are

Ruled out: lost knowledge of stores (5 of 6 tokens were asked to be fetched), queues at engines (0.1 s expected at the median).

Change: a prompt looks at two engines of its own zone and at two of the zone whose stores hold its longest part; the cost, which knows both ways, decides.

--- a/crates/sillpin-gateway/src/place/choose.rs
+++ b/crates/sillpin-gateway/src/place/choose.rs
@@ -210,10 +210,22 @@
         targets
     }
 
-    /// Two engines of the own zone, then a few more of all zones, and all if none of those takes requests.
+    /// The zone whose stores hold most of the prompt, if it is not the own one. A fetch from another zone takes a store's link for twice as
+    /// long, and what all fetches together take of the links decides how long each waits.
+    fn parts_zone(&self) -> Option<&ZoneId> {
+        let prompt = self.choice.prompt.as_ref()?;
+        let (_, newest) = prompt.plans.last()?;
+        newest.main_zone().filter(|zone| *zone != self.choice.zone)
+    }
+
+    /// Two engines of the own zone and of the one where the prompt's parts are, then a few more of all zones, and all if none of those takes requests.
     fn look_wider(&self, pool: &PoolTargets) -> Option<Chosen> {
         let own = self.ranked(pool.of_zone(self.choice.zone).iter());
-        let first = self.best_of(&own, FIRST_LOOK);
+        let near_parts = self
+            .parts_zone()
+            .map(|zone| self.ranked(pool.of_zone(zone).iter()));
+        let near_parts = near_parts.and_then(|near| self.best_of(&near, FIRST_LOOK));
+        let first = better(self.best_of(&own, FIRST_LOOK), near_parts);
         if first.as_ref().is_some_and(|found| self.is_soon(found)) {
             return first;
         }
--- a/crates/sillpin-gateway/src/place/parts.rs
+++ b/crates/sillpin-gateway/src/place/parts.rs
@@ -241,6 +241,13 @@
             .sum()
     }
 
+    /// The zone of the store that holds the longest part.
+    pub fn main_zone(&self) -> Option<&ZoneId> {
+        let held = self.shared.iter().filter(|part| !part.held.is_empty());
+        let longest = held.max_by_key(|part| part.tokens)?;
+        longest.held.first().map(|store| &store.zone)
+    }
+
     /// Where most fetched tokens come from.
     pub fn main_source(&self, fetch: &[Option<SocketAddr>]) -> Option<SocketAddr> {
         let parts = self.shared.iter().zip(fetch);
--- a/crates/sillpin-gateway/tests/place.rs
+++ b/crates/sillpin-gateway/tests/place.rs
@@ -2,14 +2,19 @@
 
 mod common;
 
-use common::{engine, name, target};
+use common::{engine, name, store, target};
 use rstest::rstest;
 use sillpin_core::{ModelId, TargetId, Tokens, WeightVersion, ZoneId};
 use sillpin_gateway::config::Priority;
+use sillpin_gateway::config::{EngineSpec, FleetConfig};
+use sillpin_gateway::control::{KeptKey, KeptList};
 use sillpin_gateway::control::{Presence, TargetEntry};
+use sillpin_gateway::dialect::{Part, PartId, Prompt};
+use sillpin_gateway::kept::Kept;
 use sillpin_gateway::place::choose::PromptChoice;
 use sillpin_gateway::place::index::TargetIndex;
 use sillpin_gateway::place::load::Outcome;
+use sillpin_gateway::place::parts::{Plan, PlanInputs, plan, salt};
 use sillpin_gateway::place::work::{EngineWork, LifeHash, TargetHash, Work};
 use sillpin_gateway::place::{Choice, Chosen, Loads, choose};
 use std::collections::HashMap;
@@ -38,6 +43,7 @@
     tried: Vec<TargetId>,
     most_in_flight: u32,
     body_len: usize,
+    heard_late: bool,
 }
 
 impl Setting {
@@ -48,6 +54,7 @@
             tried: Vec::new(),
             most_in_flight: 10,
             body_len: 0,
+            heard_late: false,
         }
     }
 
@@ -60,7 +67,7 @@
         let zone: ZoneId = name("za");
         let choice = Choice {
             targets: &TargetIndex::new(&self.targets),
-            heard_late: false,
+            heard_late: self.heard_late,
             loads: &self.loads,
             pool: &name("llm"),
             zone: &zone,
@@ -373,3 +380,80 @@
     tokio::time::advance(Duration::from_secs(4)).await;
     assert_eq!(setting.choose(None).as_deref(), Some("e1"));
 }
+
+/// Prompts that looked at engines of their box's zone alone fetched four parts of five from another zone. Each such fetch takes a store's link for
+/// twice as long, and with 82 in 100 of what the links carry if all stay in their zone, 13,290 fetches of a day came too late.
+#[rstest]
+#[case::engines_alike(0, 0, "zb")]
+#[case::a_short_queue_there(0, 30, "zb")]
+#[case::a_long_queue_there(0, 900, "za")]
+#[tokio::test(start_paused = true)]
+async fn a_prompt_goes_where_its_parts_are_though_others_are_heard_late(
+    #[case] here_ms: u32,
+    #[case] there_ms: u32,
+    #[case] zone: &str,
+) {
+    let engines = |zone: &'static str| (0..9).map(move |i| engine(&format!("{zone}-{i}"), zone));
+    let mut setting = Setting::new(targets(engines("za").chain(engines("zb")).collect()));
+    setting.heard_late = true;
+    let work = |zone: &'static str, ms: u32| {
+        engines(zone).map(move |e| EngineWork(TargetHash::of(&e.id), ms, 100, 1))
+    };
+    let told = work("za", here_ms).chain(work("zb", there_ms)).collect();
+    setting.loads.hear_sums(told, &[]);
+    let model = name("m");
+    let plans = [(WeightVersion(1), plan_kept_in("zb"))];
+    let prompt = PromptChoice {
+        plans: &plans,
+        ..long_prompt(&model)
+    };
+    let chosen = setting.find(Some(prompt)).unwrap();
+    assert_eq!(chosen.target.zone, name(zone));
+    assert!(chosen.candidates <= 4 || here_ms + there_ms > 500);
+}
+
+/// A prompt whose shared part a store of `zone` holds.
+fn plan_kept_in(zone: &str) -> Plan {
+    let part = |id: &str, tokens| Part {
+        id: PartId(id.to_owned()),
+        tokens: Tokens(tokens),
+    };
+    let prompt = Prompt {
+        model: name("m"),
+        parts: vec![part("session", 5_000), part("own", 4_000)],
+        tokens: Tokens(9_000),
+        max_output: Tokens(10),
+    };
+    let store = store("s", 7, zone, 1_722_605, 6);
+    let (kept, now) = (Kept::default(), Instant::now());
+    let salt = salt(&prompt, WeightVersion(1), None);
+    let key = KeptKey {
+        salt: salt.salt(),
+        part: PartId("session".to_owned()),
+    };
+    let list = KeptList {
+        epoch: 1,
+        next: 1,
+        whole: vec![(key, Tokens(5_000))],
+        partial: Vec::new(),
+    };
+    kept.lock().take_list(store.addr, list, now);
+    let config = FleetConfig {
+        stores: vec![store],
+        ..FleetConfig::default()
+    };
+    let engine = EngineSpec {
+        slots: 24,
+        room: Tokens(41_000),
+        token_bytes: 18_432,
+        models: vec![name("m")],
+    };
+    let inputs = PlanInputs {
+        config: &config,
+        engine: &engine,
+        kept: &kept,
+        in_touch: true,
+        now,
+    };
+    plan(&prompt, &salt, &inputs)
+}
