Have boxes that know nothing take no changes that others pass on

Of several words of changes all but the first said that they went on from content 0, which is what a box knows that has just started: it took them, told the newest revision, and others copied from it what was missing.

Change: only the first word names a content, and a box that knows nothing takes none.

--- a/crates/sillpin-gateway/src/beliefs/fleet.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet.rs
@@ -172,7 +172,8 @@
                 // Who lacks what came before asks for a copy, when it hears how far others are. A lower revision with the same content
                 // lacks nothing: revisions count changes of other prefixes too.
                 let known = self.known(topic);
-                if known.revision >= after || known.content == before {
+                let is_same = known.revision > KvRevision::ABSENT && before == Some(known.content);
+                if known.revision >= after || is_same {
                     let source = Source::Passed;
                     self.read(topic, Reading::Changes(reply), asked, &source, now);
                 }
--- a/crates/sillpin-gateway/src/beliefs/mod.rs
+++ b/crates/sillpin-gateway/src/beliefs/mod.rs
@@ -217,7 +217,7 @@
         /// The revision before them.
         after: KvRevision,
         /// Hash of what was known before them.
-        before: u64,
+        before: Option<u64>,
         /// What changed.
         reply: WatchReply,
         /// When the store was asked.
--- a/crates/sillpin-gateway/src/beliefs/reader.rs
+++ b/crates/sillpin-gateway/src/beliefs/reader.rs
@@ -172,7 +172,7 @@
         let word = PublishedWord {
             topic: self.topic,
             after: known.revision,
-            before: known.content,
+            before: Some(known.content),
             changed: reply.changed.clone(),
             revision: reply.revision,
             age_ms: asked.elapsed().as_millis() as u64,
--- a/crates/sillpin-gateway/src/peers/datagram.rs
+++ b/crates/sillpin-gateway/src/peers/datagram.rs
@@ -275,8 +275,8 @@
     pub topic: Topic,
     /// The revision before them: who knows less asks for a copy instead.
     pub after: KvRevision,
-    /// Hash of what was known before them; zero in all but the first of several words.
-    pub before: u64,
+    /// Hash of what was known before them; of several words only the first has one.
+    pub before: Option<u64>,
     /// What was written; entries without a value were deleted.
     pub changed: Vec<KvEntry>,
     /// Revision up to which nothing is missing.
@@ -303,7 +303,7 @@
                 ..self
             });
             after = revision;
-            self.before = 0;
+            self.before = None;
         }
         if let Some(last) = words.last_mut() {
             last.revision = self.revision;
--- a/crates/sillpin-gateway/tests/lives.rs
+++ b/crates/sillpin-gateway/tests/lives.rs
@@ -114,7 +114,7 @@
         false => FleetMsg::Passed {
             topic: Topic::Targets,
             after: KvRevision(3),
-            before: 0,
+            before: None,
             reply: WatchReply {
                 changed,
                 revision: KvRevision(8),
@@ -140,7 +140,7 @@
     let msg = FleetMsg::Passed {
         topic: Topic::Targets,
         after: KvRevision(6),
-        before: 0,
+        before: None,
         reply,
         asked: now,
     };
@@ -230,10 +230,33 @@
     let msg = FleetMsg::Passed {
         topic: Topic::Targets,
         after: KvRevision(6),
-        before,
+        before: Some(before),
         reply,
         asked: now,
     };
     fleet.handle(msg, now);
     assert!(fleet.view().targets.contains_key(&target("e2")));
 }
+
+/// A box that had just started took the last of several words for what follows from nothing, and told others that it knew the newest revision: they
+/// copied from it, and 205 of 262 targets lapsed in all zones for twenty seconds.
+#[rstest]
+#[case::the_last_of_several_words(None)]
+#[case::a_word_from_nothing(Some(0))]
+#[tokio::test(start_paused = true)]
+async fn a_box_that_knows_nothing_takes_no_changes(#[case] before: Option<u64>) {
+    let mut fleet = fleet();
+    let msg = FleetMsg::Passed {
+        topic: Topic::Targets,
+        after: KvRevision(300),
+        before,
+        reply: WatchReply {
+            changed: vec![entry(E1, "ready 1 100", 301)],
+            revision: KvRevision(301),
+        },
+        asked: Instant::now(),
+    };
+    fleet.handle(msg, Instant::now());
+    assert_eq!(fleet.view().listed.revision, KvRevision::ABSENT);
+    assert!(fleet.view().targets.is_empty());
+}
