--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -50,14 +50,22 @@
     pub stopping: CancellationToken,
 }
 
+/// What requests use and other tasks learn.
+pub struct Learned {
+    /// What is known of the fleet.
+    pub fleet: FleetHandle,
+    /// Loads of targets.
+    pub loads: Loads,
+    /// What the stores hold.
+    pub kept: Kept,
+}
+
 impl<D: Dialect> Shared<D> {
     /// Puts together what requests use.
     pub fn new(
         dialect: D,
         settings: Settings,
-        fleet: FleetHandle,
-        loads: Loads,
-        kept: Kept,
+        learned: Learned,
         metrics: BoxMetrics,
         log: Logger,
         stopping: CancellationToken,
@@ -65,6 +73,7 @@
         let cfg = settings.borrow().clone();
         let room = usize::try_from(cfg.memory / BODY_SHARE).unwrap_or(usize::MAX);
         let budget = RetryBudget::default();
+        let Learned { fleet, loads, kept } = learned;
         let pool = Pool::default();
         let prober = Prober {
             loads: loads.clone(),
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -7,6 +7,7 @@
 use crate::config::CallerLimits;
 use crate::control::{Control, Published};
 use crate::dialect::Dialect;
+use crate::front::shared::Learned;
 use crate::front::{Front, Shared};
 use crate::kept::reader::Readers;
 use crate::kept::{self, Kept};
@@ -170,13 +171,15 @@
         news: words_tx.clone(),
         log: log.clone(),
     });
-    let kept = Kept::default();
+    let learned = Learned {
+        fleet: fleet.clone(),
+        loads,
+        kept: Kept::default(),
+    };
     let shared = Arc::new(Shared::new(
         adapter.dialect.clone(),
         settings.clone(),
-        fleet.clone(),
-        loads,
-        kept,
+        learned,
         BoxMetrics::new(&metrics.meter(), adapter.counts.clone()),
         log.clone(),
         stopping.clone(),
