--- a/crates/sillpin-gateway/benches/decision.rs
+++ b/crates/sillpin-gateway/benches/decision.rs
@@ -1,6 +1,7 @@
 //! Time of one decision of a box: where the parts of a prompt are, and which engine gets it.
 //!
-//! With 256 engines and 58 stores, before engines were sorted when they change and stores ranked once: see docs/CAPACITY.md.
+//! With 256 engines and 58 stores a decision takes 14.3 us where few engines are looked at (one run on eight cores). The code before the index of
+//! targets was not measured.
 
 #![allow(
     missing_docs,
