Name requests that come again by a print, and say when a target ended under a request

The logs cannot tell whether a request that breaks off is the same each time, nor whether its target ended or a connection broke. E340 now has the print of caller, host, method, path and body, and E346 tells of each request that was on a target when its process ended: after an answer breaks off the box looks whether anybody listens at the target's address, 100 ms later once more, and follows its entry while it is silent. No decision uses either yet.

--- a/crates/sillpin-gateway/src/front/admit.rs
+++ b/crates/sillpin-gateway/src/front/admit.rs
@@ -6,6 +6,7 @@
 use crate::beliefs::View;
 use crate::config::{FleetConfig, Organisation, Priority, Route};
 use crate::dialect::{Demand, Dialect};
+use crate::fatal::RequestPrint;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, StatusCode};
@@ -42,6 +43,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: HeldBody,
+    /// What makes it like a request that came before.
+    pub print: RequestPrint,
 }
 
 impl Run {
@@ -91,7 +94,13 @@
                 ));
             }
         };
+        let caller = match &organisation {
+            Some(org) => org.id.as_str(),
+            None => demand.key.as_deref().unwrap_or_default(),
+        };
+        let print = RequestPrint::of(caller, &demand.host, &parts.method, &path, &body.bytes);
         Ok(Run {
+            print,
             demand,
             config,
             route,
--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -178,7 +178,7 @@
         };
         let resp = match self.wait_for_head(run, &mut conn, req, leaving).await {
             Waited::Ended(Ok(resp)) => resp,
-            Waited::Ended(Err(e @ SendError::Unsent { .. })) => {
+            Waited::Ended(Err(e @ (SendError::Unsent { .. } | SendError::Refused { .. }))) => {
                 return Ended::Unsent(e.to_string());
             }
             Waited::Ended(Err(e @ SendError::Unanswered { .. })) => {
--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -13,6 +13,7 @@
 use crate::config::Repeat;
 use crate::control::TargetEntry;
 use crate::dialect::{Dialect, Sending};
+use crate::fatal::witness::Broken;
 use crate::place::load::Outcome as Health;
 use crate::place::work::LifeHash;
 use hyper::Response;
@@ -157,7 +158,8 @@
     fn log_sending(&self, run: &Run, progress: &Progress, view: &View, placed: &Placed) {
         let (chosen, weights) = (&placed.chosen, placed.weights);
         event!(self.log, events::SENDING,
-            "request" => &run.demand.id, "target" => chosen.target.id.as_str(),
+            "request" => &run.demand.id, "print" => run.print.to_string(),
+            "target" => chosen.target.id.as_str(),
             "addr" => chosen.target.addr.to_string(), "offer" => progress.offered.len(),
             "cost_ms" => chosen.cost_ms.round(), "candidates" => chosen.candidates,
             "version" => chosen.version.map_or(0, |version| version.0),
@@ -196,12 +198,15 @@
     fn note(
         &self,
         run: &Run,
-        target: &TargetEntry,
+        target: &Arc<TargetEntry>,
         version: Option<WeightVersion>,
         ended: &Ended,
         progress: &mut Progress,
     ) {
         self.metrics.sending(ended.name());
+        if let Ended::Unknown(_) = ended {
+            self.broke_off(run, target);
+        }
         if let Ended::Unsent(why) = ended {
             self.prober.start(&target.id, why);
         }
@@ -243,6 +248,15 @@
         }
     }
 
+    /// The answer to a request broke off at a target, which may have ended.
+    pub fn broke_off(&self, run: &Run, target: &Arc<TargetEntry>) {
+        let broken = Broken {
+            id: run.demand.id.clone(),
+            print: run.print,
+        };
+        self.witness.broke_off(target, broken);
+    }
+
     /// Whether a misdirected request, sent for weights of `version`, shows that the target's address belongs to another.
     /// An engine also says so when it serves other weights; that is ruled out only while this box surely knows the newest.
     fn is_replaced(&self, run: &Run, version: Option<WeightVersion>) -> bool {
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -61,7 +61,8 @@
     ) {
         let mut events = EventSplitter::after(progress.resume_after.take());
         loop {
-            let (target, life) = (stream.target.id.clone(), stream.target.life);
+            let entry = stream.target.clone();
+            let (target, life) = (entry.id.clone(), entry.life);
             let (id, waited) = (&run.demand.id, run.arrival.elapsed().as_millis());
             let why = match self
                 .pump(&run, &pool, &progress, stream, &mut events, &tx)
@@ -84,6 +85,7 @@
                 }
                 Pumped::TimeOver => "the request's time is over".to_owned(),
                 Pumped::Broken(why) => {
+                    self.broke_off(&run, &entry);
                     self.loads.note_life(&target, life, Health::Failed);
                     event!(self.log, events::SENDING_FAILED, "request" => id,
                         "target" => target.as_str(), "outcome" => "broken", "why" => &why,
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -4,6 +4,7 @@
 use crate::beliefs::FleetHandle;
 use crate::budget::RetryBudget;
 use crate::dialect::Dialect;
+use crate::fatal::Witness;
 use crate::kept::Kept;
 use crate::metrics::BoxMetrics;
 use crate::place::Loads;
@@ -38,6 +39,8 @@
     pub pool: Pool,
     /// Looks after targets out of reach.
     pub prober: Prober,
+    /// Finds out whether targets ended under requests.
+    pub witness: Witness,
     /// Second sendings.
     pub budget: Mutex<RetryBudget>,
     /// Memory for bodies.
@@ -82,8 +85,10 @@
             log: log.clone(),
             probed: Arc::default(),
         };
+        let witness = Witness::new(pool.clone(), fleet.clone(), log.clone());
         Self {
             dialect,
+            witness,
             fleet,
             kept,
             loads,
--- a/crates/sillpin-gateway/src/lib.rs
+++ b/crates/sillpin-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`dialect`]: what a request says, and what is said to a target,
 //! - [`control`]: calls of targets and stores outside the request path,
 //! - [`beliefs`]: what the box knows of the fleet, with revision, source and age,
+//! - [`fatal`]: requests that end the targets that run them,
 //! - [`place`]: which target takes a request,
 //! - [`kept`]: which parts of prompts the stores hold, and what to free,
 //! - [`weights`]: the leased holder that brings engines to new weights,
@@ -21,6 +22,7 @@
 pub mod config;
 pub mod control;
 pub mod dialect;
+pub mod fatal;
 pub mod front;
 pub mod kept;
 pub mod metrics;
--- a/crates/sillpin-gateway/src/pool.rs
+++ b/crates/sillpin-gateway/src/pool.rs
@@ -57,6 +57,12 @@
         /// What went wrong.
         what: String,
     },
+    /// No byte left this box, and nobody listens at the target's address: its process has ended.
+    #[display("not sent to {peer}: connection refused")]
+    Refused {
+        /// The target.
+        peer: SocketAddr,
+    },
     /// The target may have it.
     #[display("no answer from {peer}: {what}")]
     Unanswered {
@@ -91,6 +97,9 @@
         let tcp = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await;
         let tcp = match tcp {
             Ok(Ok(tcp)) => tcp,
+            Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
+                return Err(SendError::Refused { peer });
+            }
             Ok(Err(e)) => return Err(unsent(format!("cannot connect: {e}"))),
             Err(_) => return Err(unsent("cannot connect in time".to_owned())),
         };
@@ -128,6 +137,11 @@
         })
     }
 
+    /// Whether the other side has closed it.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Whether it goes to the life of a target that its entry tells of.
     fn is_to(&self, target: &TargetEntry) -> bool {
         self.peer == target.addr && self.life == target.life
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -165,6 +165,8 @@
     CALLER_GONE = 344, Info, "caller gone", "Nothing to do.";
     /// A plain request was answered.
     REQUEST_ANSWERED = 345, Info, "request answered", "Nothing to do.";
+    /// A target's process ended while it had a request.
+    TARGET_ENDED = 346, Warning, "target ended under a request", "Compare the prints: one that recurs belongs to a request that ends what runs it.";
     /// The box holds the duty to order engines.
     DUTY_TAKEN = 350, Info, "duty taken", "Nothing to do.";
     /// The box lost the duty to order engines.
