Refuse requests that end the targets that run them, in all boxes

Cause: what a box learns of a request ended with that request. A caller's request that ends each engine that begins it came again under new ids, at any box, and was sent on each time.

Boxes now note under which requests targets ended, tell each other in digests, and in large zones through hubs, and refuse a request at once under which three ended. What two of them ended under is kept below one key of the platform's store for boxes that all start anew. A target counts as ended if it refuses connections while another one of its zone accepts them, or its entry tells of another life. Requests that were beside a fatal one are spared: who ended more targets explains the ends of the others, and a request that was served begins anew.

--- a/crates/sillpin-gateway/src/front/answers.rs
+++ b/crates/sillpin-gateway/src/front/answers.rs
@@ -43,6 +43,14 @@
         }
     }
 
+    /// The same, for a caller who is not to come back for so long.
+    pub fn come_back_after(self, wait: Duration) -> Self {
+        Self {
+            retry_after: Some(wait),
+            ..self
+        }
+    }
+
     /// The request is not acceptable and was not run.
     pub fn denied(status: StatusCode, why: impl Into<String>) -> Self {
         Self {
--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -57,6 +57,9 @@
     Failed(WholeAnswer),
 }
 
+/// Why a request that is known to end targets is sent to none.
+const FATAL: &str = "targets that ran this request have ended";
+
 impl<D: Dialect> Shared<D> {
     /// Sends a request until there is an answer to pass on.
     pub async fn drive(self: &Arc<Self>, run: Run) -> Result<Response<Body>, Refusal> {
@@ -120,6 +123,12 @@
         if left < MIN_TIME_LEFT {
             return Err(give_up(progress, "no time left"));
         }
+        if let Some(left) = self.is_fatal(run) {
+            return Err(match progress.runs {
+                0 => GivenUp::Refused(Refusal::not_run(FATAL).come_back_after(left)),
+                _ => give_up(progress, FATAL),
+            });
+        }
         if !self.may_offer(progress) {
             return Err(give_up(progress, "several targets refused"));
         }
@@ -145,7 +154,9 @@
             may_leave: || self.should_leave(run, pool, progress),
             begin_by: || self.begin_by(run, pool, version?),
         };
+        let sent_there = self.fatal.sent(run.print, LifeHash::of(&target));
         let ended = self.attempt(attempt, leaving).await;
+        sent_there.end(matches!(ended, Ended::TimedOut(_) | Ended::TakenBack));
         if matches!(ended, Ended::Streaming(_)) {
             self.note_transfer(run, &placed, sent.elapsed());
         }
@@ -209,6 +220,7 @@
         }
         if let Ended::Unsent(why) = ended {
             self.prober.start(&target.id, why);
+            self.witness.unreachable(target);
         }
         let health = match ended {
             Ended::Unsent(_) => Some(Health::Unreachable),
@@ -282,6 +294,13 @@
         }
     }
 
+    /// For how long a request is sent to no target, if targets ended under it.
+    pub fn is_fatal(&self, run: &Run) -> Option<Duration> {
+        let now = Instant::now();
+        let until = self.fatal.record().refused_until(run.print, now);
+        until.map(|until| until.saturating_duration_since(now))
+    }
+
     /// Whether a request may be offered to one more target.
     pub fn may_offer(&self, progress: &Progress) -> bool {
         progress.offered.len() < MAX_OFFERS
@@ -292,6 +311,9 @@
             true => "answered",
             false => "failed",
         };
+        if answer.status.is_success() {
+            self.fatal.record().served(run.print, Instant::now());
+        }
         let elapsed = run.arrival.elapsed();
         self.metrics.request(&run.route.name, outcome);
         self.metrics.head(elapsed);
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -11,6 +11,7 @@
 use super::shared::Shared;
 use crate::dialect::Dialect;
 use crate::place::load::Outcome as Health;
+use crate::place::work::LifeHash;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::header::CONTENT_LENGTH;
@@ -18,6 +19,7 @@
 use sillpin_http::{Body, BodySender};
 use sillpin_telemetry::{event, events};
 use std::sync::Arc;
+use tokio::time::Instant;
 
 /// How one target's part of a stream ended.
 enum Pumped {
@@ -69,6 +71,7 @@
                 .await
             {
                 Pumped::Whole => {
+                    self.fatal.record().served(run.print, Instant::now());
                     self.metrics.answered(run.arrival.elapsed());
                     self.metrics.request(&run.route.name, "answered");
                     event!(self.log, events::STREAM_WHOLE, "request" => id,
@@ -77,13 +80,17 @@
                     return;
                 }
                 Pumped::CallerGone => {
+                    self.fatal.sent(run.print, LifeHash::of(&entry)).end(true);
                     self.metrics.request(&run.route.name, "caller-gone");
                     event!(self.log, events::CALLER_GONE, "request" => id,
                         "target" => target.as_str(),
                         "elapsed_ms" => run.arrival.elapsed().as_millis());
                     return;
                 }
-                Pumped::TimeOver => "the request's time is over".to_owned(),
+                Pumped::TimeOver => {
+                    self.fatal.sent(run.print, LifeHash::of(&entry)).end(true);
+                    "the request's time is over".to_owned()
+                }
                 Pumped::Broken(why) => {
                     self.broke_off(&run, &entry);
                     self.loads.note_life(&target, life, Health::Failed);
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -4,7 +4,7 @@
 use crate::beliefs::FleetHandle;
 use crate::budget::RetryBudget;
 use crate::dialect::Dialect;
-use crate::fatal::Witness;
+use crate::fatal::{Fatal, Witness};
 use crate::kept::Kept;
 use crate::metrics::BoxMetrics;
 use crate::place::Loads;
@@ -39,6 +39,8 @@
     pub pool: Pool,
     /// Looks after targets out of reach.
     pub prober: Prober,
+    /// Requests that end the targets that run them.
+    pub fatal: Fatal,
     /// Finds out whether targets ended under requests.
     pub witness: Witness,
     /// Second sendings.
@@ -61,6 +63,8 @@
     pub loads: Loads,
     /// What the stores hold.
     pub kept: Kept,
+    /// Requests that end the targets that run them.
+    pub fatal: Fatal,
 }
 
 impl<D: Dialect> Shared<D> {
@@ -76,7 +80,12 @@
         let cfg = settings.borrow().clone();
         let room = usize::try_from(cfg.memory / BODY_SHARE).unwrap_or(usize::MAX);
         let budget = RetryBudget::default();
-        let Learned { fleet, loads, kept } = learned;
+        let Learned {
+            fleet,
+            loads,
+            kept,
+            fatal,
+        } = learned;
         let pool = Pool::default();
         let prober = Prober {
             loads: loads.clone(),
@@ -85,9 +94,10 @@
             log: log.clone(),
             probed: Arc::default(),
         };
-        let witness = Witness::new(pool.clone(), fleet.clone(), log.clone());
+        let witness = Witness::new(pool.clone(), fleet.clone(), fatal.clone(), log.clone());
         Self {
             dialect,
+            fatal,
             witness,
             fleet,
             kept,
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -7,6 +7,8 @@
 use crate::config::CallerLimits;
 use crate::control::{Control, Published};
 use crate::dialect::Dialect;
+use crate::fatal::Fatal;
+use crate::fatal::keep::Keep;
 use crate::front::shared::Learned;
 use crate::front::{Front, Shared};
 use crate::kept::reader::Readers;
@@ -175,6 +177,7 @@
         fleet: fleet.clone(),
         loads,
         kept: Kept::default(),
+        fatal: Fatal::new(log.clone()),
     };
     let shared = Arc::new(Shared::new(
         adapter.dialect.clone(),
@@ -304,6 +307,12 @@
         log: log.clone(),
     };
     tokio::spawn(registry.run());
+    let keep = Keep {
+        platform: adapter.platform.clone(),
+        fatal: shared.fatal.clone(),
+        log: log.clone(),
+    };
+    tokio::spawn(keep.run());
     let name = BoxHash::of(&me);
     let gossip = Gossip {
         fleet_key,
@@ -314,6 +323,7 @@
         fleet: fleet.clone(),
         loads: shared.loads.clone(),
         kept: shared.kept.clone(),
+        fatal: shared.fatal.clone(),
         news,
         words,
         transfers,
--- a/crates/sillpin-gateway/src/peers/datagram.rs
+++ b/crates/sillpin-gateway/src/peers/datagram.rs
@@ -5,6 +5,7 @@
 use crate::beliefs::{BoxEntry, Topic};
 use crate::control::{KeptChange, KeptKey, Life};
 use crate::dialect::EngineTime;
+use crate::fatal::FatalWord;
 use crate::kept::directory::Position;
 use crate::kept::homes::hash_pair;
 use crate::kept::retire::Retired;
@@ -62,6 +63,8 @@
     pub contact_ms: Option<u64>,
     /// Which parts it uses no more.
     pub retired: Vec<Retired>,
+    /// Requests under which targets ended.
+    pub fatal: Vec<FatalWord>,
     /// Whether it is about to end.
     pub stopping: bool,
 }
@@ -327,6 +330,8 @@
     pub targets: Extent,
     /// Which parts it uses no more.
     pub retired: Vec<Retired>,
+    /// Requests under which it saw targets end of late.
+    pub fatal: Vec<FatalWord>,
     /// What it has to tell the zone.
     pub news: Vec<News>,
 }
@@ -355,6 +360,8 @@
     pub targets: Extent,
     /// Which parts no box is to use any more.
     pub retired: Vec<Retired>,
+    /// Requests under which targets ended.
+    pub fatal: Vec<FatalWord>,
 }
 
 /// What a hub tells those of other zones.
@@ -370,6 +377,8 @@
     pub replaced: Vec<LifeHash>,
     /// Which parts it uses no more.
     pub retired: Vec<Retired>,
+    /// Requests under which targets ended.
+    pub fatal: Vec<FatalWord>,
     /// Loads of weights.
     pub loading: Vec<LoadNews>,
 }
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -11,6 +11,7 @@
 use crate::beliefs::transfers::Transfers;
 use crate::beliefs::wanted::ages;
 use crate::beliefs::{BoxEntry, FleetHandle, Known, View};
+use crate::fatal::Fatal;
 use crate::kept::Kept;
 use crate::metrics::BoxMetrics;
 use crate::place::Loads;
@@ -61,6 +62,8 @@
     pub loads: Loads,
     /// What is known of kept parts.
     pub kept: Kept,
+    /// Requests that end the targets that run them.
+    pub fatal: Fatal,
     /// News of this box's own orders, for all boxes.
     pub news: mpsc::Receiver<LoadNews>,
     /// News of what this box reads, for its zone.
@@ -88,6 +91,7 @@
             fleet: self.fleet.clone(),
             loads: self.loads.clone(),
             kept: self.kept.clone(),
+            fatal: self.fatal.clone(),
             asking: Arc::default(),
             asker: Asker {
                 fleet_key: self.fleet_key,
@@ -134,6 +138,11 @@
                     }
                 },
                 () = urgent.notified() => at_once = large,
+                // Callers come back within a second, and each time it costs a target.
+                () = self.fatal.found.notified() => match large {
+                    true => at_once = true,
+                    false => self.round(socket, false).await,
+                },
                 _ = rounds.tick() => self.round(socket, large).await,
                 Ok(()) = views.changed() => {
                     let content = contents(&views.borrow_and_update());
@@ -274,6 +283,7 @@
             named: ages(&view.wanted, now),
             contact_ms: view.operators.in_touch(now).map(|at| millis(now - at)),
             retired: self.kept.retirements().told(now),
+            fatal: self.fatal.record().told(now),
             stopping: self.stopping.is_cancelled(),
         }
     }
--- a/crates/sillpin-gateway/src/peers/ear.rs
+++ b/crates/sillpin-gateway/src/peers/ear.rs
@@ -11,6 +11,7 @@
 use crate::beliefs::transfers::Transfers;
 use crate::beliefs::wanted::NamedAge;
 use crate::beliefs::{BoxEntry, FleetHandle, FleetMsg, Known, Named, Source, Topic};
+use crate::fatal::Fatal;
 use crate::kept::Kept;
 use crate::kept::directory::Directory;
 use crate::metrics::BoxMetrics;
@@ -80,6 +81,8 @@
     pub loads: Loads,
     /// What is known of kept parts.
     pub kept: Kept,
+    /// Requests that end the targets that run them.
+    pub fatal: Fatal,
     /// Calls under way.
     pub asking: Asking,
     /// Asks the boxes that know more.
@@ -158,6 +161,7 @@
         let from = digest.from.id.clone();
         self.loads.hear(from.clone(), digest.work);
         self.loads.replaced().hear(&digest.replaced, now);
+        self.fatal.hear(&digest.fatal);
         let silence = digest.targets.age_ms.map(Duration::from_millis);
         let silence = silence.unwrap_or(Duration::MAX);
         let retired = digest.retired;
--- a/crates/sillpin-gateway/src/peers/ear/news.rs
+++ b/crates/sillpin-gateway/src/peers/ear/news.rs
@@ -31,6 +31,7 @@
             self.take_one(news.clone()).await;
         }
         self.kept.retirements().learn(&report.retired);
+        self.fatal.hear(&report.fatal);
         let roster = self.zone_news.rosters.of(&self.fleet.view());
         if let Some(from) = roster.find(report.from) {
             self.take_extent(Topic::Operators, report.operators, from)
@@ -53,6 +54,7 @@
             self.loads.hear_sums(sums.work, &members);
             self.loads.replaced().hear(&sums.replaced, now);
             self.kept.retirements().learn(&sums.retired);
+            self.fatal.hear(&sums.fatal);
             let roster = self.zone_news.rosters.of(&self.fleet.view());
             if let Some(hub) = members.first().and_then(|hub| roster.find(*hub)) {
                 self.take_extent(Topic::Operators, sums.operators, hub)
@@ -70,6 +72,7 @@
             self.take_news(loading.clone()).await;
         }
         self.kept.retirements().learn(&word.retired);
+        self.fatal.hear(&word.fatal);
         self.zone_news.hub().zone_word(word, Instant::now());
         self.tell_loads();
     }
--- a/crates/sillpin-gateway/src/peers/hub.rs
+++ b/crates/sillpin-gateway/src/peers/hub.rs
@@ -258,6 +258,7 @@
             work: add_up(own),
             replaced: self.replaced.keys().copied().collect(),
             retired: retired(),
+            fatal: Vec::new(),
             loading,
         })
     }
--- a/crates/sillpin-gateway/src/peers/spread.rs
+++ b/crates/sillpin-gateway/src/peers/spread.rs
@@ -87,6 +87,7 @@
             operators: extent(view.operators),
             targets: extent(view.listed),
             retired: self.kept.retirements().applied(),
+            fatal: self.fatal.record().told(now),
         };
         let bulletins = self.zone_news.hub().bulletins(sums, now);
         for bulletin in bulletins {
@@ -113,7 +114,8 @@
     ) {
         let work = self.loads.told();
         let silent = is_due(spread.reported, REPORT_EVERY, now);
-        if work == spread.work && spread.pending.is_empty() && !silent {
+        let fatal = self.fatal.record().found(now);
+        if work == spread.work && spread.pending.is_empty() && fatal.is_empty() && !silent {
             return;
         }
         spread.reported = Some(now);
@@ -133,6 +135,7 @@
                 operators: extent(view.operators),
                 targets: extent(view.listed),
                 retired: self.kept.retirements().applied(),
+                fatal: fatal.clone(),
                 news,
             };
             self.zone_news.hub().report(report.clone(), now);
@@ -161,9 +164,10 @@
             .zone_news
             .hub()
             .word(&self.me.zone, self.me.gossip, retired, now);
-        let Some(word) = word else {
+        let Some(mut word) = word else {
             return;
         };
+        word.fatal = self.fatal.record().told(now);
         let to = self.other_hubs(roster, now);
         self.send(socket, &Datagram::Zone(word), to).await;
     }
--- a/crates/sillpin-gateway/src/peers/wire.rs
+++ b/crates/sillpin-gateway/src/peers/wire.rs
@@ -13,7 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Changes whenever datagrams do, so that boxes of two builds drop each other's instead of misreading them.
-const FORMAT: u32 = 1;
+const FORMAT: u32 = 2;
 
 /// Bytes of the key in front of each datagram.
 const KEY_LEN: usize = 8;
--- a/crates/sillpin-gateway/src/place/work.rs
+++ b/crates/sillpin-gateway/src/place/work.rs
@@ -71,7 +71,7 @@
 }
 
 /// Short name of one life of a target at one address.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct LifeHash(u32);
 
--- /dev/null
+++ b/crates/sillpin-gateway/tests/fatal.rs
@@ -0,0 +1,183 @@
+//! Requests that end the targets that run them: who is refused, who is spared, and what boxes tell each other of it.
+
+mod common;
+
+use common::{engine, name};
+use proptest::prelude::*;
+use sillpin_gateway::control::TargetEntry;
+use sillpin_gateway::fatal::record::MAX_REQUESTS;
+use sillpin_gateway::fatal::{FatalWord, Record, RequestPrint};
+use sillpin_gateway::place::work::LifeHash;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const FATAL: RequestPrint = RequestPrint(1);
+const OTHER: RequestPrint = RequestPrint(2);
+
+fn life(number: usize) -> LifeHash {
+    LifeHash::of(&TargetEntry {
+        id: name(&format!("i-{number}")),
+        ..engine("i", "za")
+    })
+}
+
+/// So many targets ended under the fatal request alone.
+fn ended(record: &mut Record, lives: impl IntoIterator<Item = usize>, now: Instant) {
+    for number in lives {
+        record.ended(life(number), [FATAL], now);
+    }
+}
+
+fn is_refused(record: &Record, print: RequestPrint, now: Instant) -> bool {
+    record.refused_until(print, now).is_some()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_is_refused_from_the_third_ended_target_on() {
+    let (mut record, now) = (Record::default(), Instant::now());
+    ended(&mut record, [0, 1, 1, 1], now);
+    assert!(
+        !is_refused(&record, FATAL, now),
+        "the same target counts once"
+    );
+    ended(&mut record, [2], now);
+    assert!(is_refused(&record, FATAL, now));
+    let hour = now + Duration::from_secs(3_599);
+    assert!(is_refused(&record, FATAL, hour));
+    assert!(!is_refused(&record, FATAL, hour + Duration::from_secs(2)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_beside_a_fatal_one_is_spared() {
+    let (mut record, now) = (Record::default(), Instant::now());
+    for number in 0..3 {
+        record.ended(life(number), [FATAL, OTHER], now);
+    }
+    assert!(
+        !is_refused(&record, OTHER, now) && !is_refused(&record, FATAL, now),
+        "either may be the reason: each is sent on once more"
+    );
+    ended(&mut record, [3], now);
+    assert!(is_refused(&record, FATAL, now));
+    assert!(!is_refused(&record, OTHER, now));
+}
+
+#[tokio::test(start_paused = true)]
+async fn two_that_always_come_together_are_refused_after_one_more() {
+    let (mut record, now) = (Record::default(), Instant::now());
+    for number in 0..4 {
+        record.ended(life(number), [FATAL, OTHER], now);
+    }
+    assert!(is_refused(&record, OTHER, now) && is_refused(&record, FATAL, now));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_was_served_begins_anew() {
+    let (mut record, now) = (Record::default(), Instant::now());
+    ended(&mut record, [0, 1], now);
+    record.served(FATAL, now);
+    let later = now + Duration::from_secs(1);
+    ended(&mut record, [2, 3], later);
+    assert!(!is_refused(&record, FATAL, later));
+    ended(&mut record, [4], later);
+    assert!(is_refused(&record, FATAL, later));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_whose_caller_left_counts_if_its_target_ends_soon_after() {
+    let (mut record, now) = (Record::default(), Instant::now());
+    for number in 0..3 {
+        record.left(FATAL, life(number), now);
+        record.left(OTHER, life(number + 10), now);
+        record.ended(life(number), [RequestPrint(9 + number as u64)], now);
+    }
+    let late = now + Duration::from_secs(3);
+    for number in 10..13 {
+        record.ended(life(number), [RequestPrint(50)], late);
+    }
+    assert!(is_refused(&record, FATAL, now));
+    assert!(!is_refused(&record, OTHER, late), "it had left long before");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_target_that_another_box_saw_end_counts_for_what_was_left_there() {
+    let now = Instant::now();
+    let (mut here, mut there) = (Record::default(), Record::default());
+    for number in 0..3 {
+        here.left(FATAL, life(number), now);
+        there.ended(life(number), [OTHER], now);
+    }
+    here.hear(&there.told(now), now);
+    // Both have three: the next one decides.
+    ended(&mut here, [3], now);
+    assert!(is_refused(&here, FATAL, now));
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_is_remembered_is_bounded_and_the_fatal_stays() {
+    let (mut record, now) = (Record::default(), Instant::now());
+    ended(&mut record, 0..3, now);
+    for number in 0..3 * MAX_REQUESTS as u64 {
+        record.ended(life(100), [RequestPrint(10 + number)], now);
+    }
+    assert!(record.len() <= MAX_REQUESTS, "{}", record.len());
+    assert!(is_refused(&record, FATAL, now));
+    let word = bincode::serialize(&record.told(now)).unwrap();
+    assert!(word.len() < 2_000, "{} bytes", word.len());
+    let minutes = now + Duration::from_secs(61);
+    record.told(minutes);
+    assert_eq!(record.len(), 1, "the others are forgotten");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_box_that_starts_hears_of_every_fatal_request_however_many_others_there_are() {
+    let (mut record, now) = (Record::default(), Instant::now());
+    for print in 0..40 {
+        for number in 0..3 {
+            record.ended(life(print * 3 + number), [RequestPrint(print as u64)], now);
+        }
+    }
+    record.ended(life(999), (1_000..1_500).map(RequestPrint), now);
+    let later = now + Duration::from_secs(5);
+    let mut new = Record::default();
+    for _ in 0..8 {
+        new.hear(&record.told(later), later);
+    }
+    for print in 0..40 {
+        assert!(is_refused(&new, RequestPrint(print), later), "{print}");
+    }
+}
+
+proptest! {
+    /// Boxes that hear the same, in whatever order and however often, refuse the same.
+    #[test]
+    fn the_order_of_news_does_not_matter(
+        notes in prop::collection::vec((0usize..4, 1u64..4, 0usize..6, any::<bool>()), 1..30),
+        order in prop::collection::vec(0usize..4, 8),
+    ) {
+        let start = Instant::now();
+        let mut boxes: Vec<Record> = (0..4).map(|_| Record::default()).collect();
+        let mut now = start;
+        for (at, print, target, served) in notes {
+            // Longer than the ages told are rounded.
+            now += Duration::from_millis(5);
+            match served {
+                true => boxes[at].served(RequestPrint(print), now),
+                false => drop(boxes[at].ended(life(target), [RequestPrint(print)], now)),
+            }
+        }
+        let words: Vec<Vec<FatalWord>> = boxes.iter_mut().map(|record| record.told(now)).collect();
+        let mut one = Record::default();
+        let mut other = Record::default();
+        for word in &words {
+            one.hear(word, now);
+        }
+        for at in order.into_iter().chain([3, 2, 1, 0]) {
+            other.hear(&words[at], now);
+        }
+        for print in 1..4 {
+            let print = RequestPrint(print);
+            prop_assert_eq!(is_refused(&one, print, now), is_refused(&other, print, now));
+        }
+    }
+}
--- a/crates/sillpin-gateway/tests/hub.rs
+++ b/crates/sillpin-gateway/tests/hub.rs
@@ -110,6 +110,7 @@
                 operators: extent(),
                 targets: extent(),
                 retired: Vec::new(),
+                fatal: Vec::new(),
                 news: std::mem::take(&mut member.pending),
             };
             let mut to = member.hub.report_to(&all, now);
@@ -129,6 +130,7 @@
                 operators: extent(),
                 targets: extent(),
                 retired: Vec::new(),
+                fatal: Vec::new(),
             };
             let bulletins = self.members.get_mut(&me).unwrap().hub.bulletins(sums, now);
             for bulletin in bulletins {
@@ -306,6 +308,7 @@
         work: vec![engine_work(0), engine_work(99)],
         replaced: Vec::new(),
         retired: Vec::new(),
+        fatal: Vec::new(),
         loading: Vec::new(),
     };
     let state = &mut zone.members.get_mut(&hub).unwrap().hub;
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -167,6 +167,10 @@
     REQUEST_ANSWERED = 345, Info, "request answered", "Nothing to do.";
     /// A target's process ended while it had a request.
     TARGET_ENDED = 346, Warning, "target ended under a request", "Compare the prints: one that recurs belongs to a request that ends what runs it.";
+    /// A request is known to end the targets that run it.
+    REQUEST_FATAL = 347, Error, "request ends the targets that run it", "It is refused from now on: look for the print in E340 and tell its caller.";
+    /// What is known of such requests could not be kept in the platform's store, or read there.
+    FATAL_NOT_KEPT = 348, Warning, "requests that end targets not kept", "Look at the store if it recurs; boxes tell each other meanwhile.";
     /// The box holds the duty to order engines.
     DUTY_TAKEN = 350, Info, "duty taken", "Nothing to do.";
     /// The box lost the duty to order engines.
