--- a/crates/sillpin-gateway/src/fatal/mod.rs
+++ b/crates/sillpin-gateway/src/fatal/mod.rs
@@ -49,9 +49,14 @@
         self.record.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// A target ended under requests of this box.
-    pub fn ended(&self, life: LifeHash, under: impl IntoIterator<Item = RequestPrint>) {
-        let known = self.record().ended(life, under, Instant::now());
+    /// A target ended at `at`, under requests of this box.
+    pub fn ended(
+        &self,
+        life: LifeHash,
+        under: impl IntoIterator<Item = RequestPrint>,
+        at: Instant,
+    ) {
+        let known = self.record().ended(life, under, at, Instant::now());
         self.found.notify_waiters();
         self.log_known(&known, "this box");
     }
--- a/crates/sillpin-gateway/src/fatal/record.rs
+++ b/crates/sillpin-gateway/src/fatal/record.rs
@@ -143,24 +143,26 @@
 #[derive(Debug, Default)]
 pub struct Record {
     suspects: BTreeMap<RequestPrint, Suspect>,
+    /// Left by this box before there was an answer.
     left: VecDeque<Left>,
     told_fatal: Option<RequestPrint>,
     told_other: Option<RequestPrint>,
 }
 
 impl Record {
-    /// A target ended under requests of this box. Those that are known by it now are returned.
+    /// A target ended at `at`, under requests of this box. Those that are known by it now are returned.
     pub fn ended(
         &mut self,
         life: LifeHash,
         under: impl IntoIterator<Item = RequestPrint>,
+        at: Instant,
         now: Instant,
     ) -> Vec<RequestPrint> {
-        let mut prints = self.take_left(life, now);
+        let mut prints = self.take_left(life, at);
         prints.extend(under);
         prints.sort_unstable();
         prints.dedup();
-        prints.retain(|print| self.note(*print, life, now));
+        prints.retain(|print| self.note(*print, life, at, now));
         self.bound(now);
         prints.retain(|print| self.count(*print) >= KNOWN_AFTER);
         prints
@@ -176,10 +178,10 @@
         prints
     }
 
-    fn note(&mut self, print: RequestPrint, life: LifeHash, now: Instant) -> bool {
+    fn note(&mut self, print: RequestPrint, life: LifeHash, at: Instant, now: Instant) -> bool {
         let suspect = self.suspects.entry(print);
         let suspect = suspect.or_insert_with(|| Suspect::new(now));
-        let is_new = suspect.add(life, now);
+        let is_new = suspect.add(life, at);
         if is_new {
             suspect.changed = now;
             suspect.found = Some(now);
@@ -245,7 +247,7 @@
             let ended = now.checked_sub(Duration::from_millis(u64::from(*age)));
             if let Some(ended) = ended.filter(|_| !self.left.is_empty()) {
                 for print in self.take_left(*life, ended) {
-                    self.note(print, *life, now);
+                    self.note(print, *life, ended, now);
                 }
             }
         }
--- a/crates/sillpin-gateway/src/fatal/witness.rs
+++ b/crates/sillpin-gateway/src/fatal/witness.rs
@@ -98,8 +98,8 @@
         if !ended {
             return;
         }
-        self.fatal
-            .ended(life, under_way.iter().map(|broken| broken.print));
+        let prints = under_way.iter().map(|broken| broken.print);
+        self.fatal.ended(life, prints, began);
         for broken in under_way {
             event!(self.log, events::TARGET_ENDED, "request" => broken.id,
                 "print" => broken.print.to_string(), "target" => target.id.as_str(),
@@ -119,7 +119,7 @@
                     }
                     continue;
                 }
-                Err(SendError::Refused { .. }) if self.reaches_neighbour(target).await => {
+                Err(SendError::Refused { .. }) if self.refuses_alone(target).await => {
                     return true;
                 }
                 Err(_) if self.has_another_life(target) => return true,
@@ -129,6 +129,15 @@
         false
     }
 
+    /// Whether a target that has just refused a connection does so again after another one of its zone has accepted one: a cut may end between
+    /// the two.
+    async fn refuses_alone(&self, target: &TargetEntry) -> bool {
+        if !self.reaches_neighbour(target).await {
+            return false;
+        }
+        matches!(Conn::open(target).await, Err(SendError::Refused { .. }))
+    }
+
     /// Whether another target of the zone accepts connections.
     async fn reaches_neighbour(&self, target: &TargetEntry) -> bool {
         let view = self.fleet.view();
--- a/crates/sillpin-gateway/tests/fatal.rs
+++ b/crates/sillpin-gateway/tests/fatal.rs
@@ -24,7 +24,7 @@
 /// So many targets ended under the fatal request alone.
 fn ended(record: &mut Record, lives: impl IntoIterator<Item = usize>, now: Instant) {
     for number in lives {
-        record.ended(life(number), [FATAL], now);
+        record.ended(life(number), [FATAL], now, now);
     }
 }
 
@@ -51,7 +51,7 @@
 async fn a_request_beside_a_fatal_one_is_spared() {
     let (mut record, now) = (Record::default(), Instant::now());
     for number in 0..3 {
-        record.ended(life(number), [FATAL, OTHER], now);
+        record.ended(life(number), [FATAL, OTHER], now, now);
     }
     assert!(
         !is_refused(&record, OTHER, now) && !is_refused(&record, FATAL, now),
@@ -66,7 +66,7 @@
 async fn two_that_always_come_together_are_refused_after_one_more() {
     let (mut record, now) = (Record::default(), Instant::now());
     for number in 0..4 {
-        record.ended(life(number), [FATAL, OTHER], now);
+        record.ended(life(number), [FATAL, OTHER], now, now);
     }
     assert!(is_refused(&record, OTHER, now) && is_refused(&record, FATAL, now));
 }
@@ -89,11 +89,11 @@
     for number in 0..3 {
         record.left(FATAL, life(number), now);
         record.left(OTHER, life(number + 10), now);
-        record.ended(life(number), [RequestPrint(9 + number as u64)], now);
+        record.ended(life(number), [RequestPrint(9 + number as u64)], now, now);
     }
     let late = now + Duration::from_secs(3);
     for number in 10..13 {
-        record.ended(life(number), [RequestPrint(50)], late);
+        record.ended(life(number), [RequestPrint(50)], late, late);
     }
     assert!(is_refused(&record, FATAL, now));
     assert!(!is_refused(&record, OTHER, late), "it had left long before");
@@ -105,7 +105,7 @@
     let (mut here, mut there) = (Record::default(), Record::default());
     for number in 0..3 {
         here.left(FATAL, life(number), now);
-        there.ended(life(number), [OTHER], now);
+        there.ended(life(number), [OTHER], now, now);
     }
     here.hear(&there.told(now), now);
     // Both have three: the next one decides.
@@ -118,7 +118,7 @@
     let (mut record, now) = (Record::default(), Instant::now());
     ended(&mut record, 0..3, now);
     for number in 0..3 * MAX_REQUESTS as u64 {
-        record.ended(life(100), [RequestPrint(10 + number)], now);
+        record.ended(life(100), [RequestPrint(10 + number)], now, now);
     }
     assert!(record.len() <= MAX_REQUESTS, "{}", record.len());
     assert!(is_refused(&record, FATAL, now));
@@ -134,10 +134,15 @@
     let (mut record, now) = (Record::default(), Instant::now());
     for print in 0..40 {
         for number in 0..3 {
-            record.ended(life(print * 3 + number), [RequestPrint(print as u64)], now);
+            record.ended(
+                life(print * 3 + number),
+                [RequestPrint(print as u64)],
+                now,
+                now,
+            );
         }
     }
-    record.ended(life(999), (1_000..1_500).map(RequestPrint), now);
+    record.ended(life(999), (1_000..1_500).map(RequestPrint), now, now);
     let later = now + Duration::from_secs(5);
     let mut new = Record::default();
     for _ in 0..8 {
@@ -163,7 +168,7 @@
             now += Duration::from_millis(5);
             match served {
                 true => boxes[at].served(RequestPrint(print), now),
-                false => drop(boxes[at].ended(life(target), [RequestPrint(print)], now)),
+                false => drop(boxes[at].ended(life(target), [RequestPrint(print)], now, now)),
             }
         }
         let words: Vec<Vec<FatalWord>> = boxes.iter_mut().map(|record| record.told(now)).collect();
@@ -181,3 +186,16 @@
         }
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_target_that_ended_before_a_request_was_served_does_not_count_if_it_is_found_out_later() {
+    let (mut record, began) = (Record::default(), Instant::now());
+    ended(&mut record, [0, 1], began);
+    let served = began + Duration::from_millis(10);
+    record.served(FATAL, served);
+    let found = began + Duration::from_millis(500);
+    for number in 2..5 {
+        record.ended(life(number), [FATAL], began, found);
+    }
+    assert!(!is_refused(&record, FATAL, found));
+}
