Count the time in which a box was suspended

The steady clock stands still while a machine is suspended, and all ages were reckoned by it: a box that woke took what it knew for as fresh as before, and a holder of the weights duty its lease for held. The boot clock counts that time. How far the two have moved apart is read with every message of the fleet task, every datagram, every fetch and every order: what is known gets older by as much, datagrams that waited are thrown away, nothing is fetched until what is known was aged, and leases end (E306 says for how long the box slept).

--- a/crates/sillpin-gateway/src/beliefs/fleet.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet.rs
@@ -5,6 +5,7 @@
 pub use self::targets::served;
 use super::mirror::{Change, Mirror};
 use super::{BoxEntry, FleetMsg, FleetPort, Known, Named, Reading, Source, Topic, View, Wanted};
+use crate::awake::Awake;
 use crate::config::FleetConfig;
 use crate::control::{DecodeError, Life, Published, TargetEntry};
 use sillpin_core::{BoxId, ModelId, TargetId, WeightVersion};
@@ -68,6 +69,9 @@
     lapsed: HashMap<TargetId, Instant>,
     seen: HashMap<TargetId, Seen>,
     boxes: HashMap<BoxId, BoxSeen>,
+    awake: Awake,
+    /// When the box last woke, and how long it had been suspended.
+    woke: Option<(Instant, Duration)>,
     away: Option<Instant>,
     /// Whether the view lags behind the targets, or the boxes.
     targets_changed: bool,
@@ -90,6 +94,8 @@
             lapsed: HashMap::new(),
             seen: HashMap::new(),
             boxes: HashMap::new(),
+            awake: Awake::default(),
+            woke: None,
             away: None,
             targets_changed: false,
             boxes_changed: false,
@@ -97,6 +103,11 @@
         }
     }
 
+    /// Tells time asleep by `awake`.
+    pub fn with_awake(self, awake: Awake) -> Self {
+        Self { awake, ..self }
+    }
+
     /// Answers messages until all handles are gone.
     pub async fn run(mut self, mut port: FleetPort) {
         let mut sweep = tokio::time::interval(SWEEP);
@@ -149,11 +160,38 @@
 
     /// Takes one message; whether it changes nothing that others see.
     fn apply(&mut self, msg: FleetMsg, now: Instant) -> bool {
-        let is_known = self.is_known(&msg);
+        let woke = self.wake(now);
+        let is_known = self.is_known(&msg) && !woke;
         self.take(msg, now);
         is_known
     }
 
+    /// Makes what is known older by the time that the box was suspended; whether it was.
+    fn wake(&mut self, now: Instant) -> bool {
+        let slept = self.awake.slept();
+        let time = slept.saturating_sub(self.view.slept);
+        if time.is_zero() {
+            return false;
+        }
+        event!(self.log, events::BOX_SUSPENDED, "slept_ms" => time.as_millis());
+        self.woke = Some((now, time));
+        self.operators.age(time);
+        self.listed.age(time);
+        self.wanted.values_mut().for_each(|wanted| wanted.age(time));
+        self.view.operators = self.operators.known();
+        self.view.listed = self.listed.known();
+        self.view.wanted = Arc::new(self.wanted.clone());
+        self.view.slept = slept;
+        true
+    }
+
+    /// When the store was asked for what arrives now. A question from before the box was suspended is older by that.
+    fn asked(&self, at: Instant) -> Instant {
+        let slept = self.woke.filter(|(woke, _)| at < *woke);
+        let before = slept.and_then(|(_, time)| at.checked_sub(time));
+        before.unwrap_or(at)
+    }
+
     fn take(&mut self, msg: FleetMsg, now: Instant) {
         match msg {
             FleetMsg::Read {
@@ -161,7 +199,7 @@
                 reading,
                 asked,
                 source,
-            } => self.read(topic, reading, asked, &source, now),
+            } => self.read(topic, reading, self.asked(asked), &source, now),
             FleetMsg::Passed {
                 topic,
                 after,
@@ -174,7 +212,7 @@
                 let known = self.known(topic);
                 let is_same = known.revision > KvRevision::ABSENT && before == Some(known.content);
                 if known.revision >= after || is_same {
-                    let source = Source::Passed;
+                    let (source, asked) = (Source::Passed, self.asked(asked));
                     self.read(topic, Reading::Changes(reply), asked, &source, now);
                 }
             }
@@ -183,14 +221,14 @@
                 content,
                 revision,
                 asked,
-            } => self.confirmed(topic, content, revision, asked),
+            } => self.confirmed(topic, content, revision, self.asked(asked)),
             FleetMsg::Named {
                 model,
                 named,
                 source,
             } => self.want(model, named, &source, now),
             FleetMsg::Contact(since) => {
-                self.operators.join_contact(since);
+                self.operators.join_contact(self.asked(since));
                 self.view.operators = self.operators.known();
             }
             FleetMsg::StoreAway => self.turned_away(now),
@@ -222,6 +260,7 @@
 
     /// Drops what has waited long enough; whether that changed the view.
     pub fn sweep(&mut self, now: Instant) -> bool {
+        let woke = self.wake(now);
         let due = |at: &Instant| *at <= now;
         let gone: Vec<TargetId> = self
             .lapsed
@@ -244,7 +283,7 @@
             self.boxes_changed = true;
             self.publish();
         }
-        changed
+        changed || woke
     }
 
     /// A call to the store failed. If other boxes reach it, it is not away, and what vanishes has been removed.
--- a/crates/sillpin-gateway/src/beliefs/mirror.rs
+++ b/crates/sillpin-gateway/src/beliefs/mirror.rs
@@ -138,6 +138,11 @@
         Some(Change::Set(entry))
     }
 
+    /// The box was suspended for so long.
+    pub fn age(&mut self, time: Duration) {
+        self.known.age(time);
+    }
+
     /// Another box, which is in touch with the store, has been so since.
     pub fn join_contact(&mut self, since: Instant) {
         self.known.contact = self.known.contact.map(|own| own.min(since));
--- a/crates/sillpin-gateway/src/beliefs/mod.rs
+++ b/crates/sillpin-gateway/src/beliefs/mod.rs
@@ -23,6 +23,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
@@ -112,6 +113,8 @@
     pub boxes: Arc<Vec<BoxEntry>>,
     /// Raw entries, for other boxes.
     pub copies: Copies,
+    /// How long the box had been suspended in all when this was last made older by it.
+    pub slept: Duration,
 }
 
 /// Raw entries of the mirrored prefixes.
@@ -124,6 +127,13 @@
 }
 
 impl Known {
+    /// It is older by the time that the box was suspended.
+    fn age(&mut self, time: Duration) {
+        // What is older than the box's clock can tell was never confirmed.
+        self.confirmed = self.confirmed.and_then(|at| at.checked_sub(time));
+        self.contact = self.contact.and_then(|at| at.checked_sub(time));
+    }
+
     /// Since when this box has been in touch with the store, if it is.
     pub fn in_touch(&self, now: Instant) -> Option<Instant> {
         let confirmed = self.confirmed?;
--- a/crates/sillpin-gateway/src/beliefs/wanted.rs
+++ b/crates/sillpin-gateway/src/beliefs/wanted.rs
@@ -96,6 +96,13 @@
             .filter(move |named| named.version > version)
     }
 
+    /// The box was suspended for so long.
+    pub fn age(&mut self, time: Duration) {
+        for named in &mut self.named {
+            named.since = named.since.checked_sub(time).unwrap_or(named.since);
+        }
+    }
+
     fn forget(&mut self, now: Instant) {
         let is_old = |named: &Named| now.saturating_duration_since(named.since) >= MEMORY;
         let last_old = self.named.iter().rposition(is_old).unwrap_or(0);
--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -210,7 +210,10 @@
             config: &run.config,
             engine,
             kept: &self.kept,
-            in_touch: self.kept.retirements().may_fetch(view, now),
+            in_touch: self
+                .kept
+                .retirements()
+                .may_fetch(view, self.awake.slept(), now),
             now,
         };
         // One draw for all versions: what is spared under one must not be fetched under another.
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -1,6 +1,7 @@
 //! What all requests of a box use.
 
 use super::body_room::BodyRoom;
+use crate::awake::Awake;
 use crate::beliefs::FleetHandle;
 use crate::budget::RetryBudget;
 use crate::dialect::Dialect;
@@ -39,6 +40,8 @@
     pub pool: Pool,
     /// Looks after targets out of reach.
     pub prober: Prober,
+    /// Time asleep.
+    pub awake: Awake,
     /// Requests that end the targets that run them.
     pub fatal: Fatal,
     /// Finds out whether targets ended under requests.
@@ -65,6 +68,8 @@
     pub kept: Kept,
     /// Requests that end the targets that run them.
     pub fatal: Fatal,
+    /// Time asleep.
+    pub awake: Awake,
 }
 
 impl<D: Dialect> Shared<D> {
@@ -85,6 +90,7 @@
             loads,
             kept,
             fatal,
+            awake,
         } = learned;
         let pool = Pool::default();
         let prober = Prober {
@@ -97,6 +103,7 @@
         let witness = Witness::new(pool.clone(), fleet.clone(), fatal.clone(), log.clone());
         Self {
             dialect,
+            awake,
             fatal,
             witness,
             fleet,
--- a/crates/sillpin-gateway/src/kept/freer.rs
+++ b/crates/sillpin-gateway/src/kept/freer.rs
@@ -3,6 +3,7 @@
 use super::Kept;
 use super::retire::{place_of, weights_of};
 use super::salt::SaltParts;
+use crate::awake::Awake;
 use crate::beliefs::{FleetHandle, View};
 use crate::config::StoreSpec;
 use crate::control::{Control, FreeOrder, KeptKey, PartialPart};
@@ -43,8 +44,10 @@
     pub kept: Kept,
     /// What is known of the fleet.
     pub fleet: FleetHandle,
-    /// Nothing is ordered after this moment.
+    /// Nothing is ordered after this moment of [`Awake::now`].
     pub until: watch::Receiver<Instant>,
+    /// Time asleep.
+    pub awake: Awake,
     /// Log.
     pub log: Logger,
 }
@@ -159,7 +162,7 @@
         time: Duration,
         why: &'static str,
     ) {
-        if Instant::now() >= *self.until.borrow() {
+        if self.awake.now() >= *self.until.borrow() {
             return;
         }
         let (position, until) = {
--- a/crates/sillpin-gateway/src/kept/retire.rs
+++ b/crates/sillpin-gateway/src/kept/retire.rs
@@ -95,9 +95,28 @@
     applied: Shares,
     history: VecDeque<Sample>,
     others: HashMap<BoxId, Heard>,
+    /// Time asleep that what is known was made older by.
+    slept: Duration,
 }
 
 impl Retirements {
+    /// Makes what other boxes told older by the time that this one was suspended, which comes to `slept` in all.
+    pub fn wake(&mut self, slept: Duration) {
+        let time = slept.saturating_sub(self.slept);
+        self.slept = slept;
+        if !time.is_zero() {
+            // What is too old for the clock counts as not heard.
+            self.others
+                .retain(|_, heard| match heard.at.checked_sub(time) {
+                    Some(at) => {
+                        heard.at = at;
+                        true
+                    }
+                    None => false,
+                });
+        }
+    }
+
     /// Retires parts as the fullest store, `fullness` of whose room is used, and the engines' entries demand.
     /// Shares only grow.
     pub fn update(&mut self, view: &View, fullness: f64, now: Instant) {
@@ -179,7 +198,11 @@
 
     /// Whether this box may fetch: it knows what was retired of late, or nobody can free anything because
     /// the store answers no box.
-    pub fn may_fetch(&self, view: &View, now: Instant) -> bool {
+    pub fn may_fetch(&self, view: &View, slept: Duration, now: Instant) -> bool {
+        // What was known before the box was suspended may have been freed since, until its age is reckoned with that time.
+        if slept > view.slept || slept > self.slept {
+            return false;
+        }
         let confirmed = view.listed.confirmed;
         if confirmed.is_some_and(|at| now - at < TOUCH) {
             return true;
--- a/crates/sillpin-gateway/src/lib.rs
+++ b/crates/sillpin-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`config`]: routes, pools, stores and organisations as operators publish them,
 //! - [`dialect`]: what a request says, and what is said to a target,
 //! - [`control`]: calls of targets and stores outside the request path,
+//! - [`awake`]: time in which the box was suspended,
 //! - [`beliefs`]: what the box knows of the fleet, with revision, source and age,
 //! - [`fatal`]: requests that end the targets that run them,
 //! - [`place`]: which target takes a request,
@@ -17,6 +18,7 @@
 //! - [`reload`]: settings that change while the box runs,
 //! - [`ops`]: all of it put together.
 
+pub mod awake;
 pub mod beliefs;
 pub mod budget;
 pub mod config;
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -1,5 +1,6 @@
 //! A box put together: listeners, tasks, and its stop.
 
+use crate::awake::Awake;
 use crate::beliefs::fleet::Fleet;
 use crate::beliefs::reader::{Reader, hold_wait};
 use crate::beliefs::transfers::Transfers;
@@ -149,7 +150,9 @@
     event!(log, events::BOX_STARTED, "callers" => at.callers.to_string(),
         "platform" => cfg.platform.to_string(), "seeds" => cfg.seeds.len());
     let (fleet, port) = beliefs::channel();
+    let awake = Awake::default();
     let task = Fleet::new(cfg.id.clone(), adapter.keys.clone(), log.clone());
+    let task = task.with_awake(awake.clone());
     tokio::spawn(task.run(port));
     let me = BoxEntry {
         id: cfg.id.clone(),
@@ -178,6 +181,7 @@
         loads,
         kept: Kept::default(),
         fatal: Fatal::new(log.clone()),
+        awake,
     };
     let shared = Arc::new(Shared::new(
         adapter.dialect.clone(),
@@ -324,6 +328,7 @@
         loads: shared.loads.clone(),
         kept: shared.kept.clone(),
         fatal: shared.fatal.clone(),
+        awake: shared.awake.clone(),
         news,
         words,
         transfers,
@@ -343,6 +348,7 @@
             me: id,
             apart: shared.cfg.lease,
             hold: hold_wait(shared.cfg.history),
+            awake: shared.awake.clone(),
             log: log.clone(),
         },
         control: adapter.control.clone(),
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -8,6 +8,7 @@
 use super::spread::{Spread, TELL_EVERY, ZoneNews};
 use super::stall::StallGuard;
 use super::wire::{self, FleetKey};
+use crate::awake::Awake;
 use crate::beliefs::transfers::Transfers;
 use crate::beliefs::wanted::ages;
 use crate::beliefs::{BoxEntry, FleetHandle, Known, View};
@@ -62,6 +63,8 @@
     pub loads: Loads,
     /// What is known of kept parts.
     pub kept: Kept,
+    /// Time asleep.
+    pub awake: Awake,
     /// Requests that end the targets that run them.
     pub fatal: Fatal,
     /// News of this box's own orders, for all boxes.
@@ -101,7 +104,7 @@
             },
             lag: Arc::default(),
             transfers: self.transfers.clone(),
-            stall: StallGuard::start(),
+            stall: StallGuard::start(self.awake.clone()),
             metrics: self.metrics.clone(),
             name: self.name,
             zone: self.me.zone.clone(),
@@ -203,9 +206,11 @@
         let view = self.fleet.view();
         let stores = view.config.as_ref().map(|config| config.stores.as_slice());
         let fullness = self.kept.lock().fullness(stores.unwrap_or_default());
-        self.kept
-            .retirements()
-            .update(&view, fullness, Instant::now());
+        {
+            let mut retirements = self.kept.retirements();
+            retirements.wake(self.awake.slept());
+            retirements.update(&view, fullness, Instant::now());
+        }
         if large {
             return;
         }
--- a/crates/sillpin-gateway/src/peers/stall.rs
+++ b/crates/sillpin-gateway/src/peers/stall.rs
@@ -3,6 +3,7 @@
 //! Datagrams that waited while a process was frozen look as if they had just arrived, and their ages would
 //! be taken for true. After a stall, what had been waiting is thrown away.
 
+use crate::awake::Awake;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -19,31 +20,37 @@
 #[derive(Debug)]
 struct State {
     ticked: Instant,
+    /// Time asleep by then.
+    slept: Duration,
     discard_until: Option<Instant>,
 }
 
 impl State {
-    fn look(&mut self, now: Instant) {
-        if now - self.ticked > STALL {
+    fn look(&mut self, now: Instant, slept: Duration) {
+        if now - self.ticked > STALL || slept > self.slept {
             self.discard_until = Some(now + DISCARD);
         }
+        self.slept = slept;
     }
 }
 
 /// Notices stalls; clones share it.
 #[derive(Debug, Clone)]
 pub struct StallGuard {
+    awake: Awake,
     state: Arc<Mutex<State>>,
 }
 
 impl StallGuard {
     /// Starts the ticks.
-    pub fn start() -> Self {
+    pub fn start(awake: Awake) -> Self {
         let state = State {
             ticked: Instant::now(),
+            slept: awake.slept(),
             discard_until: None,
         };
         let guard = Self {
+            awake,
             state: Arc::new(Mutex::new(state)),
         };
         tokio::spawn(guard.clone().tick());
@@ -53,18 +60,18 @@
     async fn tick(self) {
         loop {
             tokio::time::sleep(TICK).await;
-            let now = Instant::now();
+            let (now, slept) = (Instant::now(), self.awake.slept());
             let mut state = self.state.lock().unwrap_or_else(|e| e.into_inner());
-            state.look(now);
+            state.look(now, slept);
             state.ticked = now;
         }
     }
 
     /// Whether what arrives now may have waited in a stall.
     pub fn is_stale(&self) -> bool {
-        let now = Instant::now();
+        let (now, slept) = (Instant::now(), self.awake.slept());
         let mut state = self.state.lock().unwrap_or_else(|e| e.into_inner());
-        state.look(now);
+        state.look(now, slept);
         state.discard_until.is_some_and(|until| now < until)
     }
 }
--- a/crates/sillpin-gateway/src/weights/duty.rs
+++ b/crates/sillpin-gateway/src/weights/duty.rs
@@ -1,5 +1,6 @@
 //! Who holds the duty to order engines.
 
+use crate::awake::Awake;
 use crate::beliefs::wanted::NamedAge;
 use serde::{Deserialize, Serialize};
 use sillpin_core::{BoxId, Fence, TargetId};
@@ -40,7 +41,7 @@
     pub lease: LeaseId,
     /// Orders this holder's orders behind those of all before.
     pub fence: Fence,
-    /// No order after this moment, unless the lease is renewed.
+    /// No order after this moment of [`Awake::now`], unless the lease is renewed.
     pub orders_until: Instant,
     /// Engines that holders before ordered, and until when each is left alone.
     others: HashMap<TargetId, Instant>,
@@ -102,7 +103,7 @@
 }
 
 impl Tenure {
-    /// Whether an order may go out now.
+    /// Whether an order may go out at this moment of [`Awake::now`].
     pub fn may_order(&self, now: Instant) -> bool {
         now < self.orders_until
     }
@@ -125,7 +126,7 @@
         }
     }
 
-    /// Takes note of a renewal that was asked for at `asked`.
+    /// Takes note of a renewal that was asked for at `asked` of [`Awake::now`].
     pub fn renewed(&mut self, asked: Instant) {
         self.orders_until = asked + LEASE - QUIET_END;
     }
@@ -143,6 +144,8 @@
     /// How long a box that is not the holder waits for news of the key. Each wait costs a call, and one more to look at the key
     /// after a wait without news.
     pub hold: Duration,
+    /// Time asleep: a lease that ran out meanwhile allows nothing.
+    pub awake: Awake,
     /// Log.
     pub log: Logger,
 }
@@ -154,7 +157,7 @@
         if held {
             self.wait_until_free(at).await?;
         }
-        let asked = Instant::now();
+        let asked = self.awake.now();
         let lease = self.platform.grant_lease(LEASE).await?;
         let absent = KvRevision::ABSENT;
         let put = self
@@ -288,7 +291,7 @@
 
     /// Renews the lease; `false` if the duty is lost.
     pub async fn renew(&self, tenure: &mut Tenure) -> bool {
-        let asked = Instant::now();
+        let asked = self.awake.now();
         match self.platform.renew_lease(tenure.lease).await {
             Ok(()) => {
                 tenure.renewed(asked);
@@ -299,7 +302,7 @@
                 false
             }
             Err(e) => {
-                let over = tenure.orders_until + QUIET_END < Instant::now();
+                let over = tenure.orders_until + QUIET_END < self.awake.now();
                 if over {
                     event!(self.log, events::DUTY_LOST,
                         "fence" => tenure.fence.0, "why" => e.to_string());
--- a/crates/sillpin-gateway/tests/duty.rs
+++ b/crates/sillpin-gateway/tests/duty.rs
@@ -4,6 +4,7 @@
 
 use common::{MemoryStore, name, target};
 use sillpin_core::TargetId;
+use sillpin_gateway::awake::Awake;
 use sillpin_gateway::weights::duty::{Duty, ORDERED_KEY, Tenure};
 use sillpin_platform::{KvRevision, Platform};
 use std::time::Duration;
@@ -18,6 +19,7 @@
         me: name(me),
         apart: APART,
         hold: Duration::from_secs(25),
+        awake: Awake::manual(),
         log: sillpin_telemetry::logs::discard(),
     }
 }
--- a/crates/sillpin-gateway/tests/kept/retire.rs
+++ b/crates/sillpin-gateway/tests/kept/retire.rs
@@ -149,7 +149,7 @@
     let mut retirements = Retirements::default();
     let start = Instant::now();
     retirements.update(&view(4, start), FULL, start);
-    assert!(retirements.may_fetch(&view(4, start), start));
+    assert!(retirements.may_fetch(&view(4, start), Duration::ZERO, start));
     // Out of touch after 2.5 s, half a second of margin, and the last fetch.
     let rounds = (Duration::from_millis(3_100) + MAX_FETCH_TIME).as_millis() / 100;
     for _ in 0..rounds {
@@ -158,7 +158,7 @@
         retirements.update(&view(4, now), FULL, now);
         let unused = retirements.unused_share(&old_weights(), &view(4, now), now);
         // The other box, silent and out of touch since the start, applies the same rule to itself.
-        let may_fetch = Retirements::default().may_fetch(&view(4, start), now);
+        let may_fetch = Retirements::default().may_fetch(&view(4, start), Duration::ZERO, now);
         assert!(unused == 0.0 || !may_fetch, "after {:?}", now - start);
     }
     let now = Instant::now();
@@ -234,7 +234,7 @@
     tokio::time::advance(Duration::from_secs(8)).await;
     let now = Instant::now();
     let silence = Duration::from_secs(8);
-    assert!(!Retirements::default().may_fetch(&view(0, start), now));
+    assert!(!Retirements::default().may_fetch(&view(0, start), Duration::ZERO, now));
     holder.hear(name("box-2"), told(0.0), silence, now);
     assert_eq!(holder.unused_share(&old_weights(), &view(2, now), now), 0.5);
 }
@@ -247,16 +247,16 @@
     let now = Instant::now();
     let stale = view(0, start);
     assert!(
-        !retirements.may_fetch(&stale, now),
+        !retirements.may_fetch(&stale, Duration::ZERO, now),
         "the other box is not heard"
     );
     retirements.hear(name("box-2"), Vec::new(), Duration::ZERO, now);
     assert!(
-        !retirements.may_fetch(&stale, now),
+        !retirements.may_fetch(&stale, Duration::ZERO, now),
         "the other box reaches the store"
     );
     retirements.hear(name("box-2"), Vec::new(), Duration::from_secs(5), now);
-    assert!(retirements.may_fetch(&stale, now));
+    assert!(retirements.may_fetch(&stale, Duration::ZERO, now));
 }
 
 #[test]
--- a/crates/sillpin-gateway/tests/rollout.rs
+++ b/crates/sillpin-gateway/tests/rollout.rs
@@ -4,6 +4,7 @@
 
 use common::{MemoryStore, TestKeys, entry, name};
 use sillpin_core::{TargetId, WeightVersion};
+use sillpin_gateway::awake::Awake;
 use sillpin_gateway::beliefs::fleet::Fleet;
 use sillpin_gateway::beliefs::{self, BoxEntry, FleetHandle, FleetMsg, Reading, Source, Topic};
 use sillpin_gateway::control::{
@@ -254,6 +255,7 @@
                 me: me.id.clone(),
                 apart: APART,
                 hold: Duration::from_secs(25),
+                awake: Awake::manual(),
                 log: log.clone(),
             },
             me,
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -105,6 +105,8 @@
     SETTINGS_RELOADED = 304, Info, "settings reloaded", "Nothing to do; keys listed as waiting take effect at the next start.";
     /// The settings were read again and are not acceptable.
     SETTINGS_REFUSED = 305, Error, "settings not acceptable", "Correct the file; the box goes on with its last settings.";
+    /// The box was suspended: its steady clock stood still.
+    BOX_SUSPENDED = 306, Warning, "box was suspended", "Look at the machine if it recurs; what the box knew counts as older by that time.";
     /// A configuration came into force.
     CONFIG_IN_FORCE = 310, Info, "configuration in force", "Nothing to do.";
     /// A published value cannot be read.
