Count the time asleep for connections that rest

A target closes connections that rest by its own clock, also while this box is suspended; a request that may run once would go out on one that is gone. With a test that fails without it (the connection is taken again).

--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -92,7 +92,7 @@
             fatal,
             awake,
         } = learned;
-        let pool = Pool::default();
+        let pool = Pool::new(awake.clone());
         let prober = Prober {
             loads: loads.clone(),
             pool: pool.clone(),
--- a/crates/sillpin-gateway/src/pool.rs
+++ b/crates/sillpin-gateway/src/pool.rs
@@ -4,6 +4,7 @@
 //! that request. Anything unexpected closes it: bytes that are left over belong to no request. A
 //! failed send says whether any byte can have left, since that decides what the caller may be told.
 
+use crate::awake::Awake;
 use crate::control::{Life, TargetEntry};
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -79,6 +80,7 @@
     driver: AbortHandle,
     peer: SocketAddr,
     life: Option<Life>,
+    /// By [`Awake::now`], from when it went back to the pool.
     idle_since: Instant,
     keep_idle: Duration,
 }
@@ -167,10 +169,18 @@
 /// Idle connections by target; clones share them.
 #[derive(Clone, Default)]
 pub struct Pool {
+    /// Targets close idle connections by their own clocks, also while this box is suspended.
+    awake: Awake,
     idle: Arc<Mutex<HashMap<TargetId, Vec<Conn>>>>,
 }
 
 impl Pool {
+    /// An empty pool that counts time asleep by `awake`.
+    pub fn new(awake: Awake) -> Self {
+        let idle = Arc::default();
+        Self { awake, idle }
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<TargetId, Vec<Conn>>> {
         self.idle.lock().unwrap_or_else(|e| e.into_inner())
     }
@@ -185,7 +195,7 @@
     }
 
     fn take_idle(&self, target: &TargetEntry, max_idle: Duration) -> Option<Conn> {
-        let now = Instant::now();
+        let now = self.awake.now();
         let mut idle = self.lock();
         let conns = idle.get_mut(&target.id)?;
         conns.retain(|conn| {
@@ -203,7 +213,7 @@
         if conn.sender.ready().await.is_err() {
             return;
         }
-        conn.idle_since = Instant::now();
+        conn.idle_since = self.awake.now();
         conn.keep_idle = keep_idle.map_or(DEFAULT_IDLE, |idle| idle.saturating_sub(IDLE_MARGIN));
         let mut idle = self.lock();
         let conns = idle.entry(target).or_default();
@@ -214,7 +224,7 @@
 
     /// Closes idle connections of targets that are not listed or in another life, and those that rested too long.
     pub fn prune(&self, targets: &HashMap<TargetId, Arc<TargetEntry>>) {
-        let now = Instant::now();
+        let now = self.awake.now();
         let mut idle = self.lock();
         idle.retain(|id, conns| {
             let target = targets.get(id);
--- a/crates/sillpin-gateway/tests/awake.rs
+++ b/crates/sillpin-gateway/tests/awake.rs
@@ -5,14 +5,17 @@
 
 mod common;
 
-use common::{MemoryStore, TestKeys, entry, name};
+use common::{MemoryStore, TestKeys, engine, entry, name};
 use sillpin_gateway::awake::Awake;
 use sillpin_gateway::beliefs::fleet::Fleet;
 use sillpin_gateway::beliefs::{BoxEntry, FleetMsg, Reading, Source, Topic};
+use sillpin_gateway::control::TargetEntry;
 use sillpin_gateway::kept::retire::Retirements;
+use sillpin_gateway::pool::Pool;
 use sillpin_gateway::weights::duty::Duty;
 use sillpin_platform::{KvRevision, Snapshot};
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::time::Instant;
 
 const SLEEP: Duration = Duration::from_secs(5);
@@ -119,3 +122,24 @@
     }
     assert_eq!(awake.slept(), Duration::ZERO);
 }
+
+#[tokio::test]
+async fn a_connection_that_rested_through_the_time_asleep_is_not_used() {
+    let awake = Awake::manual();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let target = TargetEntry {
+        addr: listener.local_addr().unwrap(),
+        ..engine("i-1", "za")
+    };
+    let pool = Pool::new(awake.clone());
+    let long = Duration::from_secs(30);
+    let conn = pool.get(&target, long).await.unwrap();
+    let _first = listener.accept().await.unwrap();
+    pool.put(target.id.clone(), conn, Some(long)).await;
+    let conn = pool.get(&target, long).await.unwrap();
+    pool.put(target.id.clone(), conn, Some(long)).await;
+    awake.suspend(Duration::from_secs(40));
+    let _new = pool.get(&target, long).await.unwrap();
+    let second = tokio::time::timeout(Duration::from_secs(5), listener.accept());
+    assert!(second.await.is_ok(), "a new connection is opened");
+}
