Have a caller in the soak whose request ends targets, and end and restart them

A target that ends refuses connections and comes back under another id; the books check how often the request reaches targets once boxes in touch must know it.

--- a/crates/sillpin-gateway/src/fatal/witness.rs
+++ b/crates/sillpin-gateway/src/fatal/witness.rs
@@ -117,7 +117,7 @@
                         self.pool.put(target.id.clone(), conn, None).await;
                         return false;
                     }
-                    continue;
+                    tokio::time::sleep(LOOK_EVERY).await;
                 }
                 Err(SendError::Refused { .. }) if self.refuses_alone(target).await => {
                     return true;
--- a/crates/sillpin-standin/src/fault.rs
+++ b/crates/sillpin-standin/src/fault.rs
@@ -68,11 +68,15 @@
     }
 }
 
+/// Time between two tries to listen again.
+const BIND_PAUSE: Duration = Duration::from_millis(20);
+
 /// The proxy; clones share it.
 #[derive(Clone)]
 pub struct FaultProxy {
     target: SocketAddr,
     faults: Arc<watch::Sender<Faults>>,
+    down: Arc<watch::Sender<bool>>,
     link: Option<Link>,
 }
 
@@ -88,6 +92,7 @@
         Self {
             target,
             faults: Arc::new(watch::Sender::new(Faults::default())),
+            down: Arc::default(),
             link: None,
         }
     }
@@ -113,6 +118,11 @@
         self.faults.send_replace(faults);
     }
 
+    /// Down: all connections are cut and nobody listens, as where a process has ended; or up again.
+    pub fn set_down(&self, down: bool) {
+        self.down.send_replace(down);
+    }
+
     /// Answers one request of the control interface.
     pub async fn handle(self, req: Request<Incoming>) -> Response {
         match read_json(req.into_body(), 4096).await {
@@ -124,11 +134,32 @@
         }
     }
 
-    /// Forwards the connections of `listener` without end.
+    /// Forwards the connections of `listener` without end. After it was down it listens at the same address.
     pub async fn run(self, listener: TcpListener) {
+        let mut down = self.down.subscribe();
+        let addr = listener.local_addr();
+        let mut listening = Some(listener);
         loop {
-            if let Ok((caller, _)) = listener.accept().await {
-                tokio::spawn(self.clone().forward(caller));
+            let Some(listener) = &listening else {
+                let up = down.wait_for(|down| !down).await.is_ok();
+                let Some(addr) = addr.as_ref().ok().filter(|_| up) else {
+                    return;
+                };
+                match TcpListener::bind(addr).await {
+                    Ok(listener) => listening = Some(listener),
+                    // The last connections are still closing.
+                    Err(_) => tokio::time::sleep(BIND_PAUSE).await,
+                }
+                continue;
+            };
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted.ok(),
+                _ = down.wait_for(|down| *down) => None,
+            };
+            match accepted {
+                Some((caller, _)) => drop(tokio::spawn(self.clone().forward(caller))),
+                None if *down.borrow() => listening = None,
+                None => {}
             }
         }
     }
@@ -144,8 +175,9 @@
         let _ = target.set_nodelay(true);
         let (caller_rx, caller_tx) = caller.into_split();
         let (target_rx, target_tx) = target.into_split();
-        let mut cut = self.faults.subscribe();
+        let (mut cut, mut down) = (self.faults.subscribe(), self.down.subscribe());
         tokio::select! {
+            _ = down.wait_for(|down| *down) => {}
             () = self.copy(Direction::Request, caller_rx, target_tx) => {}
             () = self.copy(Direction::Answer, target_rx, caller_tx) => {}
             _ = cut.wait_for(|faults| faults.cut) => {}
