Let a name stand for the fleet, and log what is withheld

Cause: the key by which boxes know their fleet was made from the address at which they reach the store. `[platform] fleet` names the fleet; without it the address stands for it, as before.

E349 tells which request was withheld and its print.

--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -124,6 +124,9 @@
             return Err(give_up(progress, "no time left"));
         }
         if let Some(left) = self.is_fatal(run) {
+            self.metrics.sending("withheld");
+            event!(self.log, events::REQUEST_WITHHELD, "request" => &run.demand.id,
+                "print" => run.print.to_string(), "for_ms" => left.as_millis());
             return Err(match progress.runs {
                 0 => GivenUp::Refused(Refusal::not_run(FATAL).come_back_after(left)),
                 _ => give_up(progress, FATAL),
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -295,7 +295,7 @@
     let (fleet, log) = (shared.fleet.clone(), shared.log.clone());
     let stopping = shared.stopping.clone();
     let (news_tx, news) = mpsc::channel(NEWS_QUEUE);
-    let fleet_key = FleetKey::of(shared.cfg.platform);
+    let fleet_key = FleetKey::new(shared.cfg.fleet.as_deref(), shared.cfg.platform);
     let answerer = Answerer {
         fleet_key,
         fleet: fleet.clone(),
--- a/crates/sillpin-gateway/src/peers/wire.rs
+++ b/crates/sillpin-gateway/src/peers/wire.rs
@@ -21,11 +21,19 @@
 /// Longest datagram: what a receiver's buffer holds. 256 engines' work takes 3,000 bytes, 60 changes of a store as many.
 pub const MAX_DATAGRAM: usize = 16_384;
 
-/// Tells fleets apart: boxes of one fleet share a platform's store.
+/// Tells fleets apart: boxes of one fleet share a platform's store, mostly at one address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FleetKey(u64);
 
 impl FleetKey {
+    /// The key of the fleet called `name`, or whose store is at `platform` if it has no name.
+    pub fn new(name: Option<&str>, platform: SocketAddr) -> Self {
+        match name {
+            Some(name) => Self(xxh3_64(format!("{FORMAT} fleet {name}").as_bytes())),
+            None => Self::of(platform),
+        }
+    }
+
     /// The key of the fleet whose store is at `platform`.
     pub fn of(platform: SocketAddr) -> Self {
         Self(xxh3_64(format!("{FORMAT} {platform}").as_bytes()))
--- a/crates/sillpin-gateway/src/settings.rs
+++ b/crates/sillpin-gateway/src/settings.rs
@@ -48,6 +48,12 @@
         name: "platform",
         keys: &[
             Key::required("addr", Kind::Addr, "The platform's store"),
+            Key::optional(
+                "fleet",
+                Kind::Text,
+                "",
+                "Name of the fleet, alike on all its boxes, where they reach the store at different addresses; else the store's address stands for it",
+            ),
             Key::optional(
                 "seeds",
                 Kind::AddrList,
@@ -161,6 +167,8 @@
     pub metrics: Option<SocketAddr>,
     /// The platform's store.
     pub platform: SocketAddr,
+    /// Name of the fleet, if it has one.
+    pub fleet: Option<String>,
     /// For how long the store remembers changes.
     pub history: Duration,
     /// Boxes to ask first.
@@ -204,6 +212,7 @@
             let number: f64 = loaded.get("promises", key)?;
             Ok::<_, Faults>(Duration::try_from_secs_f64(number * unit).unwrap_or(MAX_TIME))
         };
+        let fleet: String = loaded.get("platform", "fleet")?;
         let history: f64 = loaded.get("platform", "history-s")?;
         let ip = loaded.get("box", "ip")?;
         let metrics_port: u16 = loaded.get("listen", "metrics-port")?;
@@ -218,6 +227,7 @@
             gossip_port: loaded.get("listen", "gossip-port")?,
             metrics,
             platform: loaded.get("platform", "addr")?,
+            fleet: Some(fleet).filter(|name| !name.is_empty()),
             history: Duration::try_from_secs_f64(history).unwrap_or(MAX_TIME),
             seeds: loaded.list("platform", "seeds")?,
             memory: loaded.get::<u64>("limits", "memory-mb")? << 20,
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -173,6 +173,8 @@
     REQUEST_FATAL = 347, Error, "request ends the targets that run it", "It is refused from now on: look for the print in E340 and tell its caller.";
     /// What is known of such requests could not be kept in the platform's store, or read there.
     FATAL_NOT_KEPT = 348, Warning, "requests that end targets not kept", "Look at the store if it recurs; boxes tell each other meanwhile.";
+    /// A request that is known to end targets was sent to none.
+    REQUEST_WITHHELD = 349, Info, "request withheld", "Look for E347 with its print, and tell its caller.";
     /// The box holds the duty to order engines.
     DUTY_TAKEN = 350, Info, "duty taken", "Nothing to do.";
     /// The box lost the duty to order engines.
