Forget ends before a request was served

A request keeps eight ended targets at most, and those from before it was served took the room: one that is served now and then and later ends every target would never have been known. They are dropped, and not taken again from what others tell. Test: two ends and a serving six times over, then three ends; not refused before, refused now, also in a box that hears of it.

--- a/crates/sillpin-gateway/src/fatal/record.rs
+++ b/crates/sillpin-gateway/src/fatal/record.rs
@@ -60,6 +60,7 @@
 /// What is known of one request.
 #[derive(Debug, Clone)]
 struct Suspect {
+    /// Targets that ended under it since it was last served.
     ended: BTreeMap<LifeHash, Instant>,
     served: Option<Instant>,
     changed: Instant,
@@ -77,15 +78,14 @@
         }
     }
 
-    /// Targets that ended under it since it was last served.
-    fn ended(&self) -> impl Iterator<Item = (&LifeHash, &Instant)> {
-        let counts =
-            |(_, at): &(&LifeHash, &Instant)| self.served.is_none_or(|served| **at > served);
-        self.ended.iter().filter(counts)
+    fn count(&self) -> usize {
+        self.ended.len()
     }
 
-    fn count(&self) -> usize {
-        self.ended().count()
+    /// It was served at `at`: what ended before did not end because of it.
+    fn serve(&mut self, at: Instant) {
+        self.served = self.served.max(Some(at));
+        self.ended.retain(|_, ended| *ended > at);
     }
 
     fn last(&self) -> Option<Instant> {
@@ -107,7 +107,8 @@
             *known = at.min(*known);
             return false;
         }
-        if self.ended.len() >= MAX_ENDED {
+        let is_explained = self.served.is_some_and(|served| at <= served);
+        if is_explained || self.ended.len() >= MAX_ENDED {
             return false;
         }
         self.ended.insert(life, at);
@@ -209,7 +210,7 @@
     /// A request was served: nothing ended because of it so far.
     pub fn served(&mut self, print: RequestPrint, now: Instant) {
         if let Some(suspect) = self.suspects.get_mut(&print) {
-            suspect.served = Some(now);
+            suspect.serve(now);
             suspect.changed = now;
             suspect.found = Some(now);
         }
@@ -227,10 +228,8 @@
             let mut there = others.filter(|(_, other)| other.ended.contains_key(life));
             there.any(|(_, other)| explains(other.count(), count))
         };
-        let unexplained = suspect
-            .ended()
-            .filter(|(life, _)| !is_explained(life))
-            .count();
+        let ended = suspect.ended.keys();
+        let unexplained = ended.filter(|life| !is_explained(life)).count();
         let until = suspect.last()? + FATAL_MEMORY;
         (unexplained >= KNOWN_AFTER && now < until).then_some(until)
     }
@@ -267,15 +266,15 @@
         let ago = |age: u32| now.checked_sub(Duration::from_millis(u64::from(age)));
         let known = self.suspects.get(&word.print).cloned();
         let mut suspect = known.unwrap_or_else(|| Suspect::new(now));
-        let mut is_news = false;
+        let served = word.served.and_then(ago);
+        // Boxes reckon the same moment a little differently.
+        let mut is_news = served > suspect.served.map(|at| at + FRESH);
+        if let Some(served) = served {
+            suspect.serve(served);
+        }
         for (life, age) in &word.ended {
             is_news |= ago(*age).is_some_and(|at| suspect.add(*life, at));
         }
-        let served = word.served.and_then(ago);
-        // Boxes reckon the same moment a little differently.
-        let known_served = suspect.served.map(|at| at + FRESH);
-        is_news |= served > known_served;
-        suspect.served = suspect.served.max(served);
         if is_news {
             suspect.changed = now;
         }
--- a/crates/sillpin-gateway/tests/fatal.rs
+++ b/crates/sillpin-gateway/tests/fatal.rs
@@ -199,3 +199,19 @@
     }
     assert!(!is_refused(&record, FATAL, found));
 }
+
+#[tokio::test(start_paused = true)]
+async fn ends_before_a_request_was_served_leave_room_for_later_ones() {
+    let (mut record, mut now) = (Record::default(), Instant::now());
+    for round in 0..6 {
+        ended(&mut record, [2 * round, 2 * round + 1], now);
+        now += Duration::from_millis(10);
+        record.served(FATAL, now);
+        now += Duration::from_millis(10);
+    }
+    ended(&mut record, [100, 101, 102], now);
+    assert!(is_refused(&record, FATAL, now));
+    let mut other = Record::default();
+    other.hear(&record.told(now), now);
+    assert!(is_refused(&other, FATAL, now));
+}
