--- a/crates/sillpin-gateway/src/beliefs/fleet.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet.rs
@@ -1,10 +1,13 @@
 //! The task that owns what the box knows of the fleet.
 
+mod boxes;
+mod sleep;
 mod targets;
 
+use self::boxes::BoxSeen;
 pub use self::targets::served;
 use super::mirror::{Change, Mirror};
-use super::{BoxEntry, FleetMsg, FleetPort, Known, Named, Reading, Source, Topic, View, Wanted};
+use super::{FleetMsg, FleetPort, Known, Named, Reading, Source, Topic, View, Wanted};
 use crate::awake::Awake;
 use crate::config::FleetConfig;
 use crate::control::{DecodeError, Life, Published, TargetEntry};
@@ -34,9 +37,6 @@
 /// Share of the listed targets that no planned change removes at one revision.
 const MASS_LAPSE: f64 = 0.5;
 
-/// Silence after which a box that is not registered counts as gone: several rounds of gossip.
-const BOX_SILENCE: Duration = Duration::from_secs(6);
-
 /// How often entries that wait for a deadline are looked at.
 const SWEEP: Duration = Duration::from_millis(250);
 
@@ -48,13 +48,6 @@
     version: WeightVersion,
 }
 
-#[derive(Debug, Clone)]
-struct BoxSeen {
-    entry: BoxEntry,
-    registered: bool,
-    heard: Option<Instant>,
-}
-
 /// What the box knows of the fleet; pure state.
 pub struct Fleet<K> {
     me: BoxId,
@@ -166,32 +159,6 @@
         is_known
     }
 
-    /// Makes what is known older by the time that the box was suspended; whether it was.
-    fn wake(&mut self, now: Instant) -> bool {
-        let slept = self.awake.slept();
-        let time = slept.saturating_sub(self.view.slept);
-        if time.is_zero() {
-            return false;
-        }
-        event!(self.log, events::BOX_SUSPENDED, "slept_ms" => time.as_millis());
-        self.woke = Some((now, time));
-        self.operators.age(time);
-        self.listed.age(time);
-        self.wanted.values_mut().for_each(|wanted| wanted.age(time));
-        self.view.operators = self.operators.known();
-        self.view.listed = self.listed.known();
-        self.view.wanted = Arc::new(self.wanted.clone());
-        self.view.slept = slept;
-        true
-    }
-
-    /// When the store was asked for what arrives now. A question from before the box was suspended is older by that.
-    fn asked(&self, at: Instant) -> Instant {
-        let slept = self.woke.filter(|(woke, _)| at < *woke);
-        let before = slept.and_then(|(_, time)| at.checked_sub(time));
-        before.unwrap_or(at)
-    }
-
     fn take(&mut self, msg: FleetMsg, now: Instant) {
         match msg {
             FleetMsg::Read {
@@ -272,12 +239,8 @@
             self.lapsed.remove(id);
             self.drop_target(id, "its entry did not return after the store's outage");
         }
-        let before = self.boxes.len();
-        self.boxes.retain(|_, seen| {
-            let heard = seen.heard.is_some_and(|at| now - at < BOX_SILENCE);
-            seen.registered || heard
-        });
-        let changed = !gone.is_empty() || before != self.boxes.len();
+        let some_silent = self.forget_silent(now);
+        let changed = some_silent || !gone.is_empty();
         if changed {
             self.targets_changed = true;
             self.boxes_changed = true;
@@ -429,45 +392,6 @@
         self.view.wanted = Arc::new(self.wanted.clone());
     }
 
-    fn register(&mut self, entries: Vec<BoxEntry>) {
-        for entry in entries.into_iter().filter(|entry| entry.id != self.me) {
-            let heard = self.boxes.get(&entry.id).and_then(|seen| seen.heard);
-            let registered = true;
-            let id = entry.id.clone();
-            let seen = BoxSeen {
-                entry,
-                registered,
-                heard,
-            };
-            self.boxes.insert(id, seen);
-        }
-        self.boxes_changed = true;
-    }
-
-    fn hear(&mut self, entry: BoxEntry, now: Instant) {
-        if entry.id == self.me {
-            return;
-        }
-        let known = self.boxes.get(&entry.id);
-        let new = known.is_none_or(|seen| seen.entry != entry);
-        let registered = known.is_some_and(|seen| seen.registered);
-        let seen = BoxSeen {
-            entry: entry.clone(),
-            registered,
-            heard: Some(now),
-        };
-        self.boxes.insert(entry.id, seen);
-        if new {
-            self.boxes_changed = true;
-        }
-    }
-
-    fn forget(&mut self, id: &BoxId) {
-        if self.boxes.remove(id).is_some() {
-            self.boxes_changed = true;
-        }
-    }
-
     /// Brings the view up to date. Done once for all messages that wait: a change of weights brings hundreds.
     fn publish(&mut self) {
         if std::mem::take(&mut self.targets_changed) {
@@ -477,12 +401,6 @@
             self.publish_boxes();
         }
     }
-
-    fn publish_boxes(&mut self) {
-        let mut boxes: Vec<BoxEntry> = self.boxes.values().map(|b| b.entry.clone()).collect();
-        boxes.sort_by(|a, b| a.id.cmp(&b.id));
-        self.view.boxes = Arc::new(boxes);
-    }
 }
 
 /// Hash of raw entries.
