Keep ends that a request is cleared of while there is room

Dropping them at once made the order of news matter: a box that heard of an end noted later elsewhere, and of the serving, refused or not by which came first. Now the oldest of them goes when an end that counts needs the room.

--- a/crates/sillpin-gateway/src/fatal/record.rs
+++ b/crates/sillpin-gateway/src/fatal/record.rs
@@ -60,7 +60,8 @@
 /// What is known of one request.
 #[derive(Debug, Clone)]
 struct Suspect {
-    /// Targets that ended under it since it was last served.
+    /// Targets that ended under it, and when. Those that it is cleared of stay while there is room: another box may have noted the same end a little
+    /// later than it was served.
     ended: BTreeMap<LifeHash, Instant>,
     served: Option<Instant>,
     changed: Instant,
@@ -78,14 +79,21 @@
         }
     }
 
-    fn count(&self) -> usize {
-        self.ended.len()
+    /// Whether a target that ended at `at` did not end because of it: it was served since.
+    fn is_cleared(&self, at: Instant) -> bool {
+        self.served.is_some_and(|served| at <= served)
+    }
+
+    /// Targets that ended under it since it was last served.
+    fn lives(&self) -> impl Iterator<Item = &LifeHash> {
+        let ended = self.ended.iter();
+        ended
+            .filter(|(_, at)| !self.is_cleared(**at))
+            .map(|(life, _)| life)
     }
 
-    /// It was served at `at`: what ended before did not end because of it.
-    fn serve(&mut self, at: Instant) {
-        self.served = self.served.max(Some(at));
-        self.ended.retain(|_, ended| *ended > at);
+    fn count(&self) -> usize {
+        self.lives().count()
     }
 
     fn last(&self) -> Option<Instant> {
@@ -107,14 +115,23 @@
             *known = at.min(*known);
             return false;
         }
-        let is_explained = self.served.is_some_and(|served| at <= served);
-        if is_explained || self.ended.len() >= MAX_ENDED {
+        if self.ended.len() >= MAX_ENDED && !self.make_room(at) {
             return false;
         }
         self.ended.insert(life, at);
         true
     }
 
+    /// Forgets an end that it is cleared of, for one at `at` that counts; whether there was any.
+    fn make_room(&mut self, at: Instant) -> bool {
+        if self.is_cleared(at) {
+            return false;
+        }
+        let cleared = self.ended.iter().filter(|(_, at)| self.is_cleared(**at));
+        let oldest = cleared.min_by_key(|(_, at)| **at).map(|(life, _)| *life);
+        oldest.is_some_and(|life| self.ended.remove(&life).is_some())
+    }
+
     fn word(&self, print: RequestPrint, now: Instant) -> FatalWord {
         let age = |at: Instant| {
             let age = now.saturating_duration_since(at);
@@ -210,7 +227,7 @@
     /// A request was served: nothing ended because of it so far.
     pub fn served(&mut self, print: RequestPrint, now: Instant) {
         if let Some(suspect) = self.suspects.get_mut(&print) {
-            suspect.serve(now);
+            suspect.served = Some(now);
             suspect.changed = now;
             suspect.found = Some(now);
         }
@@ -228,8 +245,7 @@
             let mut there = others.filter(|(_, other)| other.ended.contains_key(life));
             there.any(|(_, other)| explains(other.count(), count))
         };
-        let ended = suspect.ended.keys();
-        let unexplained = ended.filter(|life| !is_explained(life)).count();
+        let unexplained = suspect.lives().filter(|life| !is_explained(life)).count();
         let until = suspect.last()? + FATAL_MEMORY;
         (unexplained >= KNOWN_AFTER && now < until).then_some(until)
     }
@@ -269,9 +285,7 @@
         let served = word.served.and_then(ago);
         // Boxes reckon the same moment a little differently.
         let mut is_news = served > suspect.served.map(|at| at + FRESH);
-        if let Some(served) = served {
-            suspect.serve(served);
-        }
+        suspect.served = suspect.served.max(served);
         for (life, age) in &word.ended {
             is_news |= ago(*age).is_some_and(|at| suspect.add(*life, at));
         }
