Clear requests of targets that end at the same moment as others

Tests: waves of five; two and ten fatal requests at once are known after five ends at most. E347 is now logged for what is refused, not for what has three ends.

--- a/crates/sillpin-gateway/src/fatal/record.rs
+++ b/crates/sillpin-gateway/src/fatal/record.rs
@@ -1,8 +1,8 @@
 //! What is known of requests under which targets ended; pure state.
 //!
 //! One ended target says nothing of the requests that it had: each of dozens is as likely to have been the reason as the others. So all of them are
-//! noted, and only a request under which [`KNOWN_AFTER`] targets ended is sent to no more. Two things clear a request: it was served since, or other
-//! requests that are known already explain why its targets ended.
+//! noted, and only a request under which [`KNOWN_AFTER`] targets ended is sent to no more. Three things clear a request: it was served since, other
+//! requests that are known already explain why its targets ended, or other targets ended at the same moment.
 //!
 //! Boxes tell each other what they noted. What two of them know together is the union of the ended targets and the later of the times at which the
 //! request was served, so it does not matter in which order, how often or by which way they hear it.
@@ -10,7 +10,7 @@
 use super::RequestPrint;
 use crate::place::work::LifeHash;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::Bound;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -32,6 +32,13 @@
 /// Ended targets that are remembered of one request.
 const MAX_ENDED: usize = 8;
 
+/// Targets that end within this time of each other end at the same moment: boxes find out within some ten milliseconds and tell each other at once. Longer, and
+/// several fatal requests that each end a target a second would clear each other.
+const SAME_MOMENT: Duration = Duration::from_millis(60);
+
+/// If so many other targets end at the same moment, whatever ended them ended this one too: a request ends one target after the other.
+const MASS_END: usize = 3;
+
 /// A request is told by every word for so long after it changed: several rounds of news.
 const FRESH: Duration = Duration::from_secs(2);
 
@@ -182,7 +189,7 @@
         prints.dedup();
         prints.retain(|print| self.note(*print, life, at, now));
         self.bound(now);
-        prints.retain(|print| self.count(*print) >= KNOWN_AFTER);
+        prints.retain(|print| self.refused_until(*print, now).is_some());
         prints
     }
 
@@ -245,11 +252,29 @@
             let mut there = others.filter(|(_, other)| other.ended.contains_key(life));
             there.any(|(_, other)| explains(other.count(), count))
         };
-        let unexplained = suspect.lives().filter(|life| !is_explained(life)).count();
+        let is_alone = |life: &&LifeHash| !is_explained(life) && !self.is_mass_end(suspect, life);
+        let unexplained = suspect.lives().filter(is_alone).count();
         let until = suspect.last()? + FATAL_MEMORY;
         (unexplained >= KNOWN_AFTER && now < until).then_some(until)
     }
 
+    /// Whether a target ended together with others that did not have the request.
+    fn is_mass_end(&self, suspect: &Suspect, life: &LifeHash) -> bool {
+        let Some(at) = suspect.ended.get(life) else {
+            return false;
+        };
+        let is_near = |other: &Instant| {
+            other.saturating_duration_since(*at) < SAME_MOMENT
+                && at.saturating_duration_since(*other) < SAME_MOMENT
+        };
+        let ended = self.suspects.values().flat_map(|other| &other.ended);
+        let beside: BTreeSet<&LifeHash> = ended
+            .filter(|(other, at)| is_near(at) && !suspect.ended.contains_key(*other))
+            .map(|(other, _)| other)
+            .collect();
+        beside.len() >= MASS_END
+    }
+
     /// Ended targets that count for a request.
     fn count(&self, print: RequestPrint) -> usize {
         self.suspects.get(&print).map_or(0, Suspect::count)
@@ -267,10 +292,10 @@
             }
         }
         for word in words {
-            let before = self.count(word.print);
+            let before = self.refused_until(word.print, now);
             self.hear_one(word, now);
-            let after = self.count(word.print);
-            if before < KNOWN_AFTER && after >= KNOWN_AFTER {
+            let after = self.refused_until(word.print, now);
+            if before.is_none() && after.is_some() {
                 known.push(word.print);
             }
         }
