--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -123,7 +123,7 @@
         if left < MIN_TIME_LEFT {
             return Err(give_up(progress, "no time left"));
         }
-        if let Some(left) = self.is_fatal(run) {
+        if let Some(left) = self.withheld_for(run) {
             self.metrics.sending("withheld");
             event!(self.log, events::REQUEST_WITHHELD, "request" => &run.demand.id,
                 "print" => run.print.to_string(), "for_ms" => left.as_millis());
@@ -298,7 +298,7 @@
     }
 
     /// For how long a request is sent to no target, if targets ended under it.
-    pub fn is_fatal(&self, run: &Run) -> Option<Duration> {
+    pub fn withheld_for(&self, run: &Run) -> Option<Duration> {
         let now = Instant::now();
         let until = self.fatal.record().refused_until(run.print, now);
         until.map(|until| until.saturating_duration_since(now))
--- a/crates/sillpin-gateway/src/front/silence.rs
+++ b/crates/sillpin-gateway/src/front/silence.rs
@@ -53,7 +53,7 @@
 
     /// Whether another target can be expected to begin a request before its caller gives up.
     fn has_sooner(&self, run: &Run, pool: &PoolId, progress: &Progress) -> bool {
-        if !self.may_offer(progress) || self.is_fatal(run).is_some() {
+        if !self.may_offer(progress) || self.withheld_for(run).is_some() {
             return false;
         }
         let view = self.fleet.view();
