Send nothing to the targets of evacuated zones

Cause: evacuations stood in the store among what operators publish, and nothing read them. Change: they are heard by every way by which a configuration is (watch, listing, copies of other boxes, the hub's word), hold until their end is heard, and take the zone's targets out of the index from which every sending is chosen: first and second sendings, resumed streams, looks for a sooner target. While all of a pool's targets are evacuated, requests are refused at once, with 0.5 to 1.5 s until they may come back. Orders of weights go on: engines must not come back with replaced weights, and no request runs by them. Stores of kept parts are no targets of requests and stay in use. Events 307 and 308 tell start and end with revision, source and age.

--- a/crates/sillpin-gateway/src/beliefs/fleet.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet.rs
@@ -1,13 +1,14 @@
 //! The task that owns what the box knows of the fleet.
 
 mod boxes;
+mod evacuated;
 mod sleep;
 mod targets;
 
 use self::boxes::BoxSeen;
 pub use self::targets::served;
 use super::mirror::{Change, Mirror};
-use super::{FleetMsg, FleetPort, Known, Named, Reading, Source, Topic, View, Wanted};
+use super::{Evacuations, FleetMsg, FleetPort, Known, Named, Reading, Source, Topic, View, Wanted};
 use crate::awake::Awake;
 use crate::config::FleetConfig;
 use crate::control::{DecodeError, Life, Published, TargetEntry};
@@ -57,6 +58,7 @@
     listed: Mirror,
     config: Option<Arc<FleetConfig>>,
     wanted: HashMap<ModelId, Wanted>,
+    evacuations: Evacuations,
     targets: HashMap<TargetId, Arc<TargetEntry>>,
     /// Vanished while the store was away; kept until the given moment.
     lapsed: HashMap<TargetId, Instant>,
@@ -83,6 +85,7 @@
             listed: Mirror::default(),
             config: None,
             wanted: HashMap::new(),
+            evacuations: Evacuations::default(),
             targets: HashMap::new(),
             lapsed: HashMap::new(),
             seen: HashMap::new(),
@@ -328,6 +331,14 @@
         source: &Source,
         now: Instant,
     ) {
+        if let Some(zone) = self.keys.evacuation(change.key()) {
+            match zone {
+                Ok(zone) => self.evacuation_changed(zone, &change, source, now),
+                Err(e) => self.undecodable(&e),
+            }
+            return;
+        }
+        // A configuration or a version of weights that was deleted stays in force.
         let Change::Set(entry) = change else {
             return;
         };
--- /dev/null
+++ b/crates/sillpin-gateway/src/beliefs/fleet/evacuated.rs
@@ -0,0 +1,41 @@
+//! Zones that operators evacuate.
+
+use super::super::mirror::Change;
+use super::Fleet;
+use crate::beliefs::Source;
+use crate::control::Published;
+use sillpin_core::ZoneId;
+use sillpin_telemetry::{event, events};
+use std::sync::Arc;
+use tokio::time::Instant;
+
+impl<K: Published> Fleet<K> {
+    /// The evacuation of a zone was asked for, or taken back.
+    pub(super) fn evacuation_changed(
+        &mut self,
+        zone: ZoneId,
+        change: &Change,
+        source: &Source,
+        now: Instant,
+    ) {
+        match change {
+            Change::Set(entry) => {
+                if !self.evacuations.begin(zone.clone(), entry.revision, now) {
+                    return;
+                }
+                event!(self.log, events::EVACUATION_BEGAN, "zone" => zone.as_str(),
+                    "revision" => entry.revision.0, "source" => source.to_string());
+            }
+            Change::Gone(_) => {
+                let Some(ended) = self.evacuations.end(&zone) else {
+                    return;
+                };
+                event!(self.log, events::EVACUATION_ENDED, "zone" => zone.as_str(),
+                    "revision" => ended.revision.0, "source" => source.to_string(),
+                    "age_ms" => now.saturating_duration_since(ended.since).as_millis());
+            }
+        }
+        self.view.evacuations = Arc::new(self.evacuations.clone());
+        self.targets_changed = true;
+    }
+}
--- a/crates/sillpin-gateway/src/beliefs/fleet/targets.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet/targets.rs
@@ -129,7 +129,7 @@
             (id.clone(), entry)
         };
         self.view.targets = Arc::new(self.targets.iter().map(current).collect());
-        self.view.index = Arc::new(TargetIndex::new(&self.view.targets));
+        self.view.index = Arc::new(TargetIndex::without(&self.view.targets, &self.evacuations));
         self.view.entries = Arc::new(self.targets.clone());
     }
 }
--- a/crates/sillpin-gateway/src/beliefs/mirror.rs
+++ b/crates/sillpin-gateway/src/beliefs/mirror.rs
@@ -20,6 +20,16 @@
     Gone(String),
 }
 
+impl Change {
+    /// The key.
+    pub fn key(&self) -> &str {
+        match self {
+            Change::Set(entry) => &entry.key,
+            Change::Gone(key) => key,
+        }
+    }
+}
+
 /// All keys below a prefix, as of a revision.
 #[derive(Debug, Default)]
 pub struct Mirror {
--- a/crates/sillpin-gateway/src/beliefs/mod.rs
+++ b/crates/sillpin-gateway/src/beliefs/mod.rs
@@ -5,12 +5,14 @@
 //! platform's store ([`reader`]) and from other boxes, so a box that the store turns away goes on
 //! learning. Configurations never go back within a process's life.
 
+pub mod evacuation;
 pub mod fleet;
 pub mod mirror;
 pub mod reader;
 pub mod transfers;
 pub mod wanted;
 
+pub use self::evacuation::Evacuations;
 use self::mirror::Mirror;
 pub use self::mirror::STORE_SILENCE;
 pub use self::wanted::{Named, Wanted};
@@ -18,7 +20,7 @@
 use crate::control::{Life, TargetEntry};
 use crate::place::index::TargetIndex;
 use serde::{Deserialize, Serialize};
-use sillpin_core::{BoxId, ModelId, TargetId, WeightVersion, ZoneId};
+use sillpin_core::{BoxId, ModelId, PoolId, TargetId, WeightVersion, ZoneId};
 use sillpin_platform::{KvEntry, KvRevision, Snapshot, WatchReply};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -101,12 +103,14 @@
     pub operators: Known,
     /// Targets that are listed, leaving ones included.
     pub targets: Arc<HashMap<TargetId, Arc<TargetEntry>>>,
-    /// The same by pool and zone, without leaving ones.
+    /// The same by pool and zone, without leaving ones and those of evacuated zones.
     pub index: Arc<TargetIndex>,
     /// Targets just as their entries say, without what this box learned besides.
     pub entries: Arc<HashMap<TargetId, Arc<TargetEntry>>>,
     /// How far targets are known.
     pub listed: Known,
+    /// Zones that operators have evacuated.
+    pub evacuations: Arc<Evacuations>,
     /// Wanted weights.
     pub wanted: Arc<HashMap<ModelId, Wanted>>,
     /// Other boxes that live, as far as known.
@@ -148,6 +152,13 @@
         self.boxes.len() + 1
     }
 
+    /// Whether a pool has targets and all of them are in evacuated zones.
+    pub fn is_evacuated(&self, pool: &PoolId) -> bool {
+        let of_pool = self.targets.values().filter(|target| target.pool == *pool);
+        let mut zones = of_pool.map(|target| &target.zone).peekable();
+        zones.peek().is_some() && zones.all(|zone| self.evacuations.covers(zone))
+    }
+
     /// How far a prefix is known.
     pub fn known(&self, topic: Topic) -> Known {
         match topic {
--- a/crates/sillpin-gateway/src/control.rs
+++ b/crates/sillpin-gateway/src/control.rs
@@ -68,7 +68,7 @@
     /// Prefix of targets' entries.
     fn target_prefix(&self) -> &'static str;
 
-    /// Prefix of what operators publish: the configuration and wanted weights.
+    /// Prefix of what operators publish: the configuration, wanted weights and evacuations.
     fn operator_prefix(&self) -> &'static str;
 
     /// Whether the configuration lies at `key`.
@@ -77,6 +77,9 @@
     /// Whether wanted weights lie at `key`.
     fn is_weights(&self, key: &str) -> bool;
 
+    /// The availability zone whose evacuation stands at `key`, whatever its value says; `None` if `key` is of another kind.
+    fn evacuation(&self, key: &str) -> Option<Result<ZoneId, DecodeError>>;
+
     /// Decodes a target's entry.
     fn target(&self, key: &str, value: &str) -> Result<TargetEntry, DecodeError>;
 
--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -17,6 +17,7 @@
 use crate::place::load::Outcome as Health;
 use crate::place::work::LifeHash;
 use hyper::Response;
+use rand::RngExt;
 use sillpin_core::{PoolId, TargetId, WeightVersion};
 use sillpin_http::Body;
 use sillpin_telemetry::{event, events};
@@ -57,6 +58,13 @@
     Failed(WholeAnswer),
 }
 
+/// When callers may come back, on average, while all targets that could serve them are in evacuated zones: an evacuation lasts for seconds at
+/// least, and callers that come back sooner are refused again. Spread evenly over half of it to one and a half, so that they don't return as one.
+const EVACUATED_WAIT: Duration = Duration::from_secs(1);
+
+/// Why a request is sent to no target while there are some.
+const EVACUATED: &str = "all zones that have targets for it are evacuated";
+
 /// Why a request that is known to end targets is sent to none.
 const FATAL: &str = "targets that ran this request have ended";
 
@@ -137,7 +145,7 @@
         }
         let view = self.fleet.view();
         let Some(mut placed) = self.place(run, pool, &view, progress) else {
-            return Err(give_up(progress, "no target is free"));
+            return Err(self.no_target(pool, &view, progress));
         };
         if progress.arrivals > 0 && !self.take_retry(pool) {
             return Err(give_up(progress, "retry budget used up"));
@@ -304,6 +312,15 @@
         until.map(|until| until.saturating_duration_since(now))
     }
 
+    /// Ends a request for which there is no target.
+    fn no_target(&self, pool: &PoolId, view: &View, progress: &mut Progress) -> GivenUp {
+        if progress.runs > 0 || !view.is_evacuated(pool) {
+            return give_up(progress, "no target is free");
+        }
+        let wait = EVACUATED_WAIT.mul_f64(rand::rng().random_range(0.5..1.5));
+        GivenUp::Refused(Refusal::not_run(EVACUATED).come_back_after(wait))
+    }
+
     /// Whether a request may be offered to one more target.
     pub fn may_offer(&self, progress: &Progress) -> bool {
         progress.offered.len() < MAX_OFFERS
--- a/crates/sillpin-gateway/src/place/index.rs
+++ b/crates/sillpin-gateway/src/place/index.rs
@@ -1,6 +1,7 @@
 //! Targets by pool and zone, for decisions: made once when the targets change, not for each request.
 
 use super::work::{LifeHash, TargetHash};
+use crate::beliefs::Evacuations;
 use crate::beliefs::fleet::served;
 use crate::control::{Presence, TargetEntry};
 use crate::kept::homes::hash_pair;
@@ -75,10 +76,19 @@
 impl TargetIndex {
     /// Sorts targets by pool and zone; those that leave are left out.
     pub fn new(targets: &HashMap<TargetId, Arc<TargetEntry>>) -> Self {
+        Self::without(targets, &Evacuations::default())
+    }
+
+    /// The same without targets of evacuated zones. Whatever chooses a target chooses from here, so no sending of any kind goes to such a zone.
+    pub fn without(
+        targets: &HashMap<TargetId, Arc<TargetEntry>>,
+        evacuations: &Evacuations,
+    ) -> Self {
         let mut pools: HashMap<PoolId, PoolTargets> = HashMap::new();
         let mut ready: Vec<&Arc<TargetEntry>> = targets
             .values()
             .filter(|target| target.presence == Presence::Ready)
+            .filter(|target| !evacuations.covers(&target.zone))
             .collect();
         ready.sort_by(|a, b| (&a.zone, &a.id).cmp(&(&b.zone, &b.id)));
         for entry in ready {
--- a/crates/sillpin-gateway/tests/beliefs.rs
+++ b/crates/sillpin-gateway/tests/beliefs.rs
@@ -467,3 +467,70 @@
     let listed: Vec<&str> = fleet.view().targets.keys().map(|id| id.as_str()).collect();
     assert_eq!(listed, ["e2"]);
 }
+
+fn is_evacuated(fleet: &Fleet<TestKeys>) -> bool {
+    fleet.view().evacuations.covers(&common::name("za"))
+}
+
+/// The index from which targets are chosen has those of `za`.
+fn takes_requests(fleet: &Fleet<TestKeys>) -> bool {
+    fleet.view().index.pool(&common::name("llm")).is_some()
+}
+
+const EVACUATION: &str = "ops/evacuate/za";
+
+/// However a box hears of an evacuation and of its end, the later one counts, and older news change nothing.
+#[rstest]
+#[case::watched(false)]
+#[case::copied_from_another_box(true)]
+#[tokio::test(start_paused = true)]
+async fn an_evacuation_holds_until_its_end_is_heard(#[case] from_a_box: bool) {
+    let mut fleet = fleet();
+    let now = Instant::now();
+    let engines = vec![entry("target/e1", "ready 1", 1)];
+    fleet.handle(whole(Topic::Targets, engines, 1, now), now);
+    let before = vec![entry("ops/config", "7", 2)];
+    fleet.handle(whole(Topic::Operators, before.clone(), 2, now), now);
+    assert!(takes_requests(&fleet));
+    let mut during = before.clone();
+    during.push(entry(EVACUATION, "{}", 5));
+    let began = match from_a_box {
+        true => copied(Topic::Operators, &during, 2, 5, now),
+        false => changes(Topic::Operators, vec![entry(EVACUATION, "{}", 5)], 5, now),
+    };
+    fleet.handle(began, now);
+    assert!(is_evacuated(&fleet) && !takes_requests(&fleet));
+    fleet.handle(copied(Topic::Operators, &before, 0, 4, now), now);
+    assert!(is_evacuated(&fleet), "an older copy does not end it");
+    let ended = match from_a_box {
+        true => copied(Topic::Operators, &before, 5, 8, now),
+        false => changes(Topic::Operators, vec![gone(EVACUATION, 8)], 8, now),
+    };
+    fleet.handle(ended, now);
+    assert!(!is_evacuated(&fleet) && takes_requests(&fleet));
+    let late = changes(Topic::Operators, vec![entry(EVACUATION, "{}", 5)], 8, now);
+    fleet.handle(late, now);
+    assert!(
+        !is_evacuated(&fleet),
+        "news that come late do not bring it back"
+    );
+}
+
+/// A store that has forgotten its history is listed anew: what is missing there was taken back, what stands there holds.
+#[tokio::test(start_paused = true)]
+async fn a_listing_begins_and_ends_evacuations() {
+    let mut fleet = fleet();
+    let now = Instant::now();
+    let other = entry("ops/evacuate/zb", "", 3);
+    let first = vec![entry(EVACUATION, "{}", 2), other.clone()];
+    fleet.handle(whole(Topic::Operators, first, 3, now), now);
+    assert!(is_evacuated(&fleet));
+    let later = vec![other, entry("ops/evacuate/No Zone", "{}", 6)];
+    fleet.handle(whole(Topic::Operators, later, 9, now), now);
+    assert!(!is_evacuated(&fleet));
+    assert_eq!(
+        fleet.view().evacuations.count(),
+        1,
+        "what names no zone does not count"
+    );
+}
--- a/crates/sillpin-gateway/tests/common/mod.rs
+++ b/crates/sillpin-gateway/tests/common/mod.rs
@@ -79,6 +79,14 @@
         key.starts_with("ops/weights/")
     }
 
+    fn evacuation(&self, key: &str) -> Option<Result<ZoneId, DecodeError>> {
+        let zone = key.strip_prefix("ops/evacuate/")?;
+        Some(zone.parse().map_err(|_| DecodeError {
+            key: key.to_owned(),
+            what: "no zone".to_owned(),
+        }))
+    }
+
     fn target(&self, key: &str, value: &str) -> Result<TargetEntry, DecodeError> {
         let fault = || DecodeError {
             key: key.to_owned(),
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -123,6 +123,10 @@
     TARGET_SERVES = 316, Info, "engine serves other weights", "Nothing to do.";
     /// A target started again under its id.
     TARGET_RESTARTED = 319, Info, "target restarted", "Nothing to do: what was known of its earlier life is forgotten.";
+    /// Operators evacuate an availability zone.
+    EVACUATION_BEGAN = 307, Warning, "zone evacuated", "Nothing to do: no request goes to the zone's targets until the evacuation is taken back.";
+    /// An evacuation was taken back.
+    EVACUATION_ENDED = 308, Info, "zone's evacuation ended", "Nothing to do: the zone's targets take requests again.";
     /// A target cannot be reached.
     TARGET_UNREACHABLE = 317, Warning, "target unreachable", "Replace the target if it was not stopped on purpose.";
     /// A target can be reached again.
