Share the limit for cold targets among the boxes of their zone

Cause: nothing read that a target is cold. One that comes back looks free to every box, and all send to it in the same second. Change: entries tell how long a target stays cold and pools what it bears meanwhile. Boxes of its zone divide that by rank among those that they know, without a word between them; boxes of other zones send nothing there. A box that cannot know the others (started less than 3 s ago, not read who is registered, out of touch) sends only where no warm target can take the request, once in 20 s. Targets that could not be reached and those of a zone whose evacuation has ended count as cold for as long as a start takes. Settings: warm-up-overage, warm-up-slack. Other way, by calculation: a share of the rate for each box; 71 boxes with 0.15 a second each need a whole request each to send any, 24 of a zone at once where 21 are allowed.

--- a/crates/sillpin-gateway/benches/decision.rs
+++ b/crates/sillpin-gateway/benches/decision.rs
@@ -116,6 +116,7 @@
                         oldest: version,
                         plans: &plans,
                     }),
+                    gate: None,
                     now,
                 };
                 black_box(choose(&choice).is_some())
--- a/crates/sillpin-gateway/src/beliefs/fleet.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet.rs
@@ -63,6 +63,8 @@
     /// Vanished while the store was away; kept until the given moment.
     lapsed: HashMap<TargetId, Instant>,
     seen: HashMap<TargetId, Seen>,
+    /// Until when targets are cold.
+    cold: HashMap<TargetId, Instant>,
     boxes: HashMap<BoxId, BoxSeen>,
     awake: Awake,
     /// When the box last woke, and how long it had been suspended.
@@ -89,6 +91,7 @@
             targets: HashMap::new(),
             lapsed: HashMap::new(),
             seen: HashMap::new(),
+            cold: HashMap::new(),
             boxes: HashMap::new(),
             awake: Awake::default(),
             woke: None,
@@ -207,6 +210,7 @@
                     seen.registered = false;
                 }
                 self.register(entries);
+                self.view.has_registered = true;
             }
             FleetMsg::RegisteredBefore(entries) => self.register(entries),
             FleetMsg::Joined(entry) => self.register(vec![entry]),
--- a/crates/sillpin-gateway/src/beliefs/fleet/targets.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet/targets.rs
@@ -9,6 +9,7 @@
 use sillpin_platform::KvEntry;
 use sillpin_telemetry::{event, events};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -41,13 +42,13 @@
         let may_return = after_outage.max(after_mass).filter(|until| now < *until);
         for change in changes {
             match change {
-                Change::Set(entry) => self.list_target(&entry, source),
+                Change::Set(entry) => self.list_target(&entry, source, now),
                 Change::Gone(key) => self.unlist_target(&key, may_return),
             }
         }
     }
 
-    fn list_target(&mut self, entry: &KvEntry, source: &Source) {
+    fn list_target(&mut self, entry: &KvEntry, source: &Source, now: Instant) {
         let value = entry.value.as_deref().unwrap_or_default();
         let target = match self.keys.target(&entry.key, value) {
             Ok(target) => target,
@@ -66,9 +67,18 @@
                 "addr" => target.addr.to_string(), "presence" => format!("{:?}", target.presence),
                 "revision" => entry.revision.0, "source" => source.to_string());
         }
+        self.warms_up(&target.id, target.cold, now);
         self.targets.insert(target.id.clone(), Arc::new(target));
     }
 
+    /// A target stays cold for `time` from now: what it says is as old as its entry, so it is rather taken for cold too long.
+    pub(super) fn warms_up(&mut self, target: &TargetId, time: Duration, now: Instant) {
+        if !time.is_zero() {
+            let until = self.cold.entry(target.clone()).or_insert(now);
+            *until = (now + time).max(*until);
+        }
+    }
+
     /// What an earlier life of a target was seen to serve says nothing of this one, which may serve older weights.
     fn take_life(&mut self, target: &TargetEntry) {
         let before = self.targets.get(&target.id);
@@ -98,6 +108,7 @@
 
     pub(super) fn drop_target(&mut self, id: &TargetId, why: &'static str) {
         self.seen.remove(id);
+        self.cold.remove(id);
         if self.targets.remove(id).is_some() {
             event!(self.log, events::TARGET_UNLISTED, "target" => id.as_str(), "why" => why);
         }
@@ -128,6 +139,9 @@
             };
             (id.clone(), entry)
         };
+        let now = Instant::now();
+        self.cold.retain(|_, until| now < *until);
+        self.view.cold = Arc::new(self.cold.clone());
         self.view.targets = Arc::new(self.targets.iter().map(current).collect());
         self.view.index = Arc::new(TargetIndex::without(&self.view.targets, &self.evacuations));
         self.view.entries = Arc::new(self.targets.clone());
--- a/crates/sillpin-gateway/src/beliefs/mod.rs
+++ b/crates/sillpin-gateway/src/beliefs/mod.rs
@@ -107,6 +107,8 @@
     pub index: Arc<TargetIndex>,
     /// Targets just as their entries say, without what this box learned besides.
     pub entries: Arc<HashMap<TargetId, Arc<TargetEntry>>>,
+    /// Until when targets are cold, as far as is known.
+    pub cold: Arc<HashMap<TargetId, Instant>>,
     /// How far targets are known.
     pub listed: Known,
     /// Zones that operators have evacuated.
@@ -115,6 +117,8 @@
     pub wanted: Arc<HashMap<ModelId, Wanted>>,
     /// Other boxes that live, as far as known.
     pub boxes: Arc<Vec<BoxEntry>>,
+    /// Whether this box has read in the platform's store who is registered.
+    pub has_registered: bool,
     /// Raw entries, for other boxes.
     pub copies: Copies,
     /// How long the box had been suspended in all when this was last made older by it.
--- a/crates/sillpin-gateway/src/config.rs
+++ b/crates/sillpin-gateway/src/config.rs
@@ -89,13 +89,24 @@
     pub models: Vec<ModelId>,
 }
 
+/// What a target bears after it has started while others serve.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WarmUp {
+    /// How long it is cold after its start.
+    pub time: Duration,
+    /// Requests a second that it bears meanwhile, of all boxes together.
+    pub per_s: f64,
+}
+
 /// A group of targets that serve the same requests.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Pool {
     /// Its name.
     pub id: PoolId,
     /// Connections that one target accepts from all boxes together; 0: unknown.
     pub max_connections: u32,
+    /// What its targets bear while they are cold; `None`: as much as when they are warm.
+    pub warm_up: Option<WarmUp>,
     /// What its engines can hold; `None`: plain services.
     pub engine: Option<EngineSpec>,
 }
--- a/crates/sillpin-gateway/src/control.rs
+++ b/crates/sillpin-gateway/src/control.rs
@@ -52,6 +52,8 @@
     pub presence: Presence,
     /// Weights that it serves.
     pub served: Vec<Served>,
+    /// For how long it was to stay cold when it said so; zero: it is warm.
+    pub cold: Duration,
 }
 
 /// A version of weights that operators want everywhere.
--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -5,12 +5,13 @@
 use super::drive::Progress;
 use super::shared::Shared;
 use crate::beliefs::View;
-use crate::config::{EngineSpec, Priority};
+use crate::config::{EngineSpec, Pool, Priority};
 use crate::dialect::{Dialect, EngineSending, Prompt};
 use crate::peers::roles::SMALL_FLEET;
 use crate::place::allowed::{AllowedWeights, WeightsUse};
 use crate::place::choose::PromptChoice;
 use crate::place::parts::{Plan, PlanInputs, plan, salt};
+use crate::place::slow_start::{Crew, Gate, KNOWS_AFTER};
 use crate::place::work::Work;
 use crate::place::{Choice, Chosen, choose};
 use rand::RngExt;
@@ -173,6 +174,7 @@
         let engine = spec.and_then(|spec| spec.engine.as_ref());
         let connections = spec.map_or(0, |spec| spec.max_connections);
         let most_in_flight = connection_share(connections, view.box_count());
+        let now = Instant::now();
         let base = Choice {
             targets: &view.index,
             heard_late: view.box_count() > SMALL_FLEET,
@@ -183,7 +185,8 @@
             tried: &progress.offered,
             body_len: run.body.bytes.len(),
             prompt: None,
-            now: Instant::now(),
+            gate: spec.and_then(|spec| self.gate(spec, view, now)),
+            now,
         };
         match (engine, &run.demand.prompt) {
             (Some(engine), Some(prompt)) => self.select_engine(run, base, view, engine, prompt),
@@ -195,6 +198,23 @@
         }
     }
 
+    /// What cold targets of a pool get, if it has any that bear little.
+    fn gate<'a>(&'a self, pool: &Pool, view: &'a View, now: Instant) -> Option<Gate<'a>> {
+        let has_started = now.saturating_duration_since(self.started) >= KNOWS_AFTER;
+        let in_touch = view.operators.in_touch(now).is_some();
+        Some(Gate {
+            cold: &view.cold,
+            warm_up: pool.warm_up?,
+            rules: self.cfg.warm_up,
+            crew: Crew {
+                me: &self.cfg.id,
+                zone: &self.cfg.zone,
+                others: &view.boxes,
+                is_known: has_started && view.has_registered && in_touch,
+            },
+        })
+    }
+
     fn select_engine(
         &self,
         run: &Run,
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -56,6 +56,8 @@
     pub log: Logger,
     /// Cancelled when the box is told to stop.
     pub stopping: CancellationToken,
+    /// When the box started.
+    pub started: Instant,
 }
 
 /// What requests use and other tasks learn.
@@ -116,6 +118,7 @@
             metrics,
             log,
             stopping,
+            started: Instant::now(),
             cfg,
             settings,
         }
--- a/crates/sillpin-gateway/src/place/choose.rs
+++ b/crates/sillpin-gateway/src/place/choose.rs
@@ -7,6 +7,7 @@
 use super::index::{Indexed, PoolTargets, TargetIndex};
 use super::load::{Load, Loads, Table};
 use super::parts::Plan;
+use super::slow_start::{ColdUse, Gate};
 use super::work::{LifeHash, TargetHash, Work};
 use crate::beliefs::fleet::served;
 use crate::control::TargetEntry;
@@ -79,6 +80,8 @@
     pub body_len: usize,
     /// The request's prompt, for engines.
     pub prompt: Option<PromptChoice<'a>>,
+    /// What cold targets get, if they get less.
+    pub gate: Option<Gate<'a>>,
     /// Now.
     pub now: Instant,
 }
@@ -156,8 +159,16 @@
 
 /// The cheapest target, if any can take the request.
 pub fn choose(choice: &Choice<'_>) -> Option<Chosen> {
+    let found = choose_with(choice, ColdUse::Part);
+    match &choice.gate {
+        Some(gate) if !gate.crew.is_known => found.or_else(|| choose_with(choice, ColdUse::Lone)),
+        _ => found,
+    }
+}
+
+fn choose_with(choice: &Choice<'_>, cold: ColdUse) -> Option<Chosen> {
     let pool = choice.targets.pool(choice.pool)?;
-    let search = Search::new(choice);
+    let search = Search::new(choice, cold);
     if choice.prompt.is_none() || !choice.heard_late {
         return search.best_of(&search.ranked(pool.all.iter()), usize::MAX);
     }
@@ -175,6 +186,7 @@
 /// What one choice needs besides what is asked.
 struct Search<'a> {
     choice: &'a Choice<'a>,
+    cold: ColdUse,
     others: Arc<HashMap<TargetHash, Work>>,
     replaced: HashSet<LifeHash>,
     /// Hash of the prompt's last shared part, for its homes.
@@ -183,7 +195,7 @@
 }
 
 impl<'a> Search<'a> {
-    fn new(choice: &'a Choice<'a>) -> Self {
+    fn new(choice: &'a Choice<'a>, cold: ColdUse) -> Self {
         let affinity = choice
             .prompt
             .as_ref()
@@ -198,6 +210,7 @@
             key: affinity.map(|key| hash_pair(&key.part.0, "")),
             table: choice.loads.table(),
             choice,
+            cold,
         }
     }
 
@@ -266,12 +279,24 @@
         best.map(|best| Chosen { candidates, ..best })
     }
 
+    /// Whether a target is warm, or bears one more request.
+    fn is_admitted(&self, entry: &TargetEntry) -> bool {
+        let Some(gate) = &self.choice.gate else {
+            return true;
+        };
+        let mut slow_start = self.choice.loads.slow_start();
+        slow_start.admits(gate, entry, self.cold, self.choice.now)
+    }
+
     /// A target that can take the request, and what that costs; `place` is its place among the prompt's homes.
     fn candidate(&self, target: &Indexed, place: usize) -> Option<Chosen> {
         let (choice, entry) = (self.choice, &target.entry);
         if choice.tried.contains(&entry.id) || self.replaced.contains(&target.life) {
             return None;
         }
+        if !self.is_admitted(entry) {
+            return None;
+        }
         let mut load = self.table.get(&entry.id).copied().unwrap_or_default();
         if load.in_flight >= choice.most_in_flight {
             return None;
--- a/crates/sillpin-gateway/src/place/load.rs
+++ b/crates/sillpin-gateway/src/place/load.rs
@@ -2,6 +2,7 @@
 
 use super::held::HeldTime;
 use super::replaced::Replaced;
+use super::slow_start::SlowStart;
 use super::work::{EngineWork, Others, TargetHash, Work};
 use crate::control::{Life, TargetEntry};
 use crate::peers::datagram::BoxHash;
@@ -136,6 +137,7 @@
     others: Arc<Mutex<Others>>,
     held: Arc<Mutex<HeldTime>>,
     replaced: Arc<Mutex<Replaced>>,
+    slow_start: Arc<Mutex<SlowStart>>,
 }
 
 impl Loads {
@@ -204,6 +206,11 @@
         self.replaced.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// What was sent to cold targets.
+    pub fn slow_start(&self) -> MutexGuard<'_, SlowStart> {
+        self.slow_start.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     /// How long a token of an engine's memory is held, in milliseconds.
     pub fn held_ms(&self) -> f64 {
         self.held.lock().unwrap_or_else(|e| e.into_inner()).ms()
@@ -244,6 +251,7 @@
 
     /// Counts a request at a target until the ticket is dropped.
     pub fn start(&self, target: &TargetId, work: Work) -> Ticket {
+        self.slow_start().note_sent(target, Instant::now());
         let mut table = self.lock();
         let load = table.entry(target.clone()).or_default();
         load.in_flight += 1;
@@ -290,13 +298,19 @@
                 load.rests.loading = None;
             }
             Outcome::Unreachable => load.rests.unreachable = Some(now + UNREACHABLE_REST),
-            Outcome::Reachable => load.rests.unreachable = None,
+            Outcome::Reachable => {
+                if load.rests.unreachable.take().is_some() {
+                    self.slow_start().returned(target, now);
+                }
+            }
         }
     }
 
     /// Forgets targets that are not listed and have nothing under way, and how targets behaved in earlier lives. What was sent to an earlier
     /// life counts until it ends.
     pub fn follow(&self, targets: &HashMap<TargetId, Arc<TargetEntry>>) {
+        let now = Instant::now();
+        self.slow_start().follow(|id| targets.contains_key(id), now);
         let mut table = self.lock();
         table.retain(|id, load| load.in_flight > 0 || targets.contains_key(id));
         for (id, load) in table.iter_mut() {
--- a/crates/sillpin-gateway/src/place/mod.rs
+++ b/crates/sillpin-gateway/src/place/mod.rs
@@ -7,6 +7,7 @@
 //! - [`held`]: how long requests hold an engine's memory,
 //! - [`probe`]: whether targets out of reach are back,
 //! - [`parts`]: where the parts of a prompt come from and go to,
+//! - [`slow_start`]: what cold targets get,
 //! - [`replaced`]: targets whose address belongs to another by now,
 //! - [`work`]: work at engines, own and told.
 
@@ -18,6 +19,7 @@
 pub mod parts;
 pub mod probe;
 pub mod replaced;
+pub mod slow_start;
 pub mod work;
 
 pub use choose::{Choice, Chosen, choose};
--- a/crates/sillpin-gateway/src/settings.rs
+++ b/crates/sillpin-gateway/src/settings.rs
@@ -128,6 +128,18 @@
                 "10",
                 "Window in which second sendings are counted, in seconds",
             ),
+            Key::optional(
+                "warm-up-overage",
+                Kind::Decimal,
+                "1",
+                "All boxes together send a cold target at most so many times the requests a second that its pool names",
+            ),
+            Key::optional(
+                "warm-up-slack",
+                Kind::Decimal,
+                "0",
+                "And in any second so many beyond that",
+            ),
             Key::optional(
                 "weights-ms",
                 Kind::Decimal,
@@ -185,6 +197,8 @@
     pub lease: Duration,
     /// Second sendings allowed.
     pub retries: RetryRules,
+    /// What cold targets may get.
+    pub warm_up: WarmUpRules,
     /// No request begins on weights that were replaced longer ago.
     pub weights_limit: Duration,
     /// How long a part stays worth keeping after its last use.
@@ -204,6 +218,15 @@
     pub window: Duration,
 }
 
+/// What all boxes together may send a cold target in any second, beside what its pool says that it bears.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WarmUpRules {
+    /// As a multiple of that.
+    pub overage: f64,
+    /// Requests beyond it.
+    pub slack: f64,
+}
+
 impl BoxConfig {
     /// Takes the values out of checked settings.
     pub fn from_loaded(loaded: &Loaded) -> Result<Self, Faults> {
@@ -240,6 +263,10 @@
                 slack: loaded.get("promises", "retry-slack")?,
                 window: time("retry-window-s", 1.0)?,
             },
+            warm_up: WarmUpRules {
+                overage: loaded.get("promises", "warm-up-overage")?,
+                slack: loaded.get("promises", "warm-up-slack")?,
+            },
             weights_limit: time("weights-ms", 0.001)?,
             reuse: time("reuse-s", 1.0)?,
             collector: collectors.first().copied(),
--- a/crates/sillpin-gateway/tests/common/mod.rs
+++ b/crates/sillpin-gateway/tests/common/mod.rs
@@ -40,6 +40,7 @@
             model: name("m"),
             version: WeightVersion(1),
         }],
+        cold: Duration::ZERO,
     }
 }
 
--- a/crates/sillpin-gateway/tests/herd.rs
+++ b/crates/sillpin-gateway/tests/herd.rs
@@ -145,6 +145,7 @@
                     oldest: WeightVersion(0),
                     plans: &plans,
                 }),
+                gate: None,
                 now,
             };
             let chosen = choose(&choice).unwrap();
--- a/crates/sillpin-gateway/tests/place.rs
+++ b/crates/sillpin-gateway/tests/place.rs
@@ -75,6 +75,7 @@
             tried: &self.tried,
             body_len: self.body_len,
             prompt,
+            gate: None,
             now: Instant::now(),
         };
         choose(&choice)
