Keep requests and what is kept of their prompts in the regions that operators allow

Cause: regions that routes and organisations name were not read; a request could go to any zone. Change: targets and stores of zones outside of them are no candidates; what route and organisation say both binds. A zone whose region the settings don't tell is outside. A request for which none is left is refused at once and has not run. Boxes never pass a body on. Setting: zones (platform).

--- a/crates/sillpin-core/src/ids.rs
+++ b/crates/sillpin-core/src/ids.rs
@@ -84,6 +84,10 @@
     /// An availability zone.
     ZoneId, "availability zone"
 );
+name_type!(
+    /// A region: availability zones near each other.
+    RegionId, "region"
+);
 name_type!(
     /// An organisation whose callers use the system.
     OrgId, "organisation"
--- a/crates/sillpin-core/src/lib.rs
+++ b/crates/sillpin-core/src/lib.rs
@@ -23,7 +23,7 @@
 pub use block::{BlockName, PromptScope};
 pub use ids::{
     AdapterId, ArmName, AttemptId, BoxId, Fence, Generation, Incarnation, ModelId, OrgId, PoolId,
-    RequestId, Revision, TargetId, WeightVersion, ZoneId,
+    RegionId, RequestId, Revision, TargetId, WeightVersion, ZoneId,
 };
 pub use outcome::{Outcome, Problem};
 pub use run::PriorityClass;
--- a/crates/sillpin-gateway/benches/decision.rs
+++ b/crates/sillpin-gateway/benches/decision.rs
@@ -11,7 +11,7 @@
 #[path = "../tests/common/mod.rs"]
 mod common;
 
-use common::{engine, name, store};
+use common::{anywhere, engine, name, store};
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use sillpin_core::{TargetId, Tokens, WeightVersion};
 use sillpin_gateway::config::{EngineSpec, FleetConfig};
@@ -90,6 +90,7 @@
                     config: &config,
                     engine: &spec,
                     kept: &kept,
+                    residency: anywhere(),
                     in_touch: true,
                     now,
                 };
@@ -116,6 +117,7 @@
                         oldest: version,
                         plans: &plans,
                     }),
+                    residency: anywhere(),
                     gate: None,
                     now,
                 };
--- a/crates/sillpin-gateway/src/config.rs
+++ b/crates/sillpin-gateway/src/config.rs
@@ -1,7 +1,7 @@
 //! What operators publish: routes, pools, stores and organisations, under one version.
 
 use derive_more::{Display, From, FromStr};
-use sillpin_core::{ModelId, OrgId, PoolId, Tokens, ZoneId, number_type};
+use sillpin_core::{ModelId, OrgId, PoolId, RegionId, Tokens, ZoneId, number_type};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -74,6 +74,8 @@
     pub max_runs: u32,
     /// Whether callers need no key.
     pub public: bool,
+    /// Regions that its requests must not leave; empty: none.
+    pub regions: Vec<RegionId>,
 }
 
 /// What is known of the engines of a pool.
@@ -143,6 +145,8 @@
     pub priority: Option<Priority>,
     /// Whether it shares no kept part with others.
     pub isolated: bool,
+    /// Regions that its requests must not leave; empty: none.
+    pub regions: Vec<RegionId>,
 }
 
 /// Limits on what a caller may send.
--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -11,6 +11,7 @@
 use crate::place::allowed::{AllowedWeights, WeightsUse};
 use crate::place::choose::PromptChoice;
 use crate::place::parts::{Plan, PlanInputs, plan, salt};
+use crate::place::residency::Residency;
 use crate::place::slow_start::{Crew, Gate, KNOWS_AFTER};
 use crate::place::work::Work;
 use crate::place::{Choice, Chosen, choose};
@@ -185,6 +186,7 @@
             tried: &progress.offered,
             body_len: run.body.bytes.len(),
             prompt: None,
+            residency: self.residency(run),
             gate: spec.and_then(|spec| self.gate(spec, view, now)),
             now,
         };
@@ -198,6 +200,15 @@
         }
     }
 
+    /// Where a request, and what is kept of its prompt, may go.
+    fn residency<'a>(&'a self, run: &'a Run) -> Residency<'a> {
+        Residency {
+            route: &run.route.regions,
+            organisation: run.organisation.as_ref().map_or(&[], |org| &org.regions),
+            regions: &self.cfg.zones,
+        }
+    }
+
     /// What cold targets of a pool get, if it has any that bear little.
     fn gate<'a>(&'a self, pool: &Pool, view: &'a View, now: Instant) -> Option<Gate<'a>> {
         let has_started = now.saturating_duration_since(self.started) >= KNOWS_AFTER;
@@ -230,6 +241,7 @@
             config: &run.config,
             engine,
             kept: &self.kept,
+            residency: base.residency,
             in_touch: self
                 .kept
                 .retirements()
--- a/crates/sillpin-gateway/src/place/choose.rs
+++ b/crates/sillpin-gateway/src/place/choose.rs
@@ -7,6 +7,7 @@
 use super::index::{Indexed, PoolTargets, TargetIndex};
 use super::load::{Load, Loads, Table};
 use super::parts::Plan;
+use super::residency::Residency;
 use super::slow_start::{ColdUse, Gate};
 use super::work::{LifeHash, TargetHash, Work};
 use crate::beliefs::fleet::served;
@@ -80,6 +81,8 @@
     pub body_len: usize,
     /// The request's prompt, for engines.
     pub prompt: Option<PromptChoice<'a>>,
+    /// Where it may go.
+    pub residency: Residency<'a>,
     /// What cold targets get, if they get less.
     pub gate: Option<Gate<'a>>,
     /// Now.
@@ -294,6 +297,9 @@
         if choice.tried.contains(&entry.id) || self.replaced.contains(&target.life) {
             return None;
         }
+        if !choice.residency.allows(&entry.zone) {
+            return None;
+        }
         if !self.is_admitted(entry) {
             return None;
         }
--- a/crates/sillpin-gateway/src/place/mod.rs
+++ b/crates/sillpin-gateway/src/place/mod.rs
@@ -8,6 +8,7 @@
 //! - [`probe`]: whether targets out of reach are back,
 //! - [`parts`]: where the parts of a prompt come from and go to,
 //! - [`slow_start`]: what cold targets get,
+//! - [`residency`]: regions that a request may reach,
 //! - [`replaced`]: targets whose address belongs to another by now,
 //! - [`work`]: work at engines, own and told.
 
@@ -19,6 +20,7 @@
 pub mod parts;
 pub mod probe;
 pub mod replaced;
+pub mod residency;
 pub mod slow_start;
 pub mod work;
 
--- a/crates/sillpin-gateway/src/place/parts.rs
+++ b/crates/sillpin-gateway/src/place/parts.rs
@@ -7,6 +7,7 @@
 use crate::kept::retire::MAX_FETCH_TIME;
 use crate::kept::salt::SaltParts;
 use crate::kept::{Directory, Kept};
+use crate::place::residency::Residency;
 use derive_more::Display;
 use sillpin_core::{Tokens, WeightVersion, ZoneId};
 use std::collections::BTreeSet;
@@ -100,6 +101,8 @@
     pub engine: &'a EngineSpec,
     /// What the stores hold.
     pub kept: &'a Kept,
+    /// Where what is kept of the prompt may be.
+    pub residency: Residency<'a>,
     /// Whether this box is in touch, so that it may fetch.
     pub in_touch: bool,
     /// Now.
@@ -156,7 +159,8 @@
     }
     let directory = inputs.kept.lock();
     let used = |store: &StoreSpec| directory.used(store.addr);
-    let homes = homes(&inputs.config.stores, &key.part, tokens, place);
+    let mut homes = homes(&inputs.config.stores, &key.part, tokens, place);
+    homes.retain(|store| inputs.residency.allows(&store.zone));
     let holds = |store: &&&StoreSpec| directory.holds(store.addr, &key, tokens, inputs.now);
     let held: Vec<StoreSpec> = homes.iter().filter(holds).copied().cloned().collect();
     if !held.is_empty() {
--- a/crates/sillpin-gateway/src/settings.rs
+++ b/crates/sillpin-gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of `sillpin-box`.
 
+use crate::place::residency::{ZoneRegion, ZoneRegions};
 use sillpin_core::{BoxId, ZoneId};
 use sillpin_settings::{Faults, Key, Kind, Loaded, Schema, Section};
 use sillpin_telemetry::program::{LOG_SECTION, TRACES_SECTION};
@@ -60,6 +61,12 @@
                 "",
                 "Boxes to ask first; they may be down",
             ),
+            Key::optional(
+                "zones",
+                Kind::List,
+                "",
+                "Region of each availability zone, as ZONE/REGION; needed where requests must not leave a region",
+            ),
             Key::optional(
                 "history-s",
                 Kind::Decimal,
@@ -181,6 +188,8 @@
     pub platform: SocketAddr,
     /// Name of the fleet, if it has one.
     pub fleet: Option<String>,
+    /// Region of each zone.
+    pub zones: ZoneRegions,
     /// For how long the store remembers changes.
     pub history: Duration,
     /// Boxes to ask first.
@@ -235,6 +244,7 @@
             let number: f64 = loaded.get("promises", key)?;
             Ok::<_, Faults>(Duration::try_from_secs_f64(number * unit).unwrap_or(MAX_TIME))
         };
+        let zones: Vec<ZoneRegion> = loaded.list("platform", "zones")?;
         let fleet: String = loaded.get("platform", "fleet")?;
         let history: f64 = loaded.get("platform", "history-s")?;
         let ip = loaded.get("box", "ip")?;
@@ -251,6 +261,7 @@
             metrics,
             platform: loaded.get("platform", "addr")?,
             fleet: Some(fleet).filter(|name| !name.is_empty()),
+            zones: zones.into_iter().map(|z| (z.zone, z.region)).collect(),
             history: Duration::try_from_secs_f64(history).unwrap_or(MAX_TIME),
             seeds: loaded.list("platform", "seeds")?,
             memory: loaded.get::<u64>("limits", "memory-mb")? << 20,
--- a/crates/sillpin-gateway/tests/common/mod.rs
+++ b/crates/sillpin-gateway/tests/common/mod.rs
@@ -8,12 +8,13 @@
 use sillpin_gateway::control::{
     DecodeError, Life, Presence, Published, Served, TargetEntry, WantedWeights,
 };
+use sillpin_gateway::place::residency::{Residency, ZoneRegions};
 use sillpin_platform::{
     BoxLister, KvEntry, KvRevision, LeaseId, Platform, PlatformError, PlatformFault, Snapshot,
     WatchReply,
 };
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, LazyLock, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -44,6 +45,16 @@
     }
 }
 
+/// No region is named.
+pub fn anywhere<'a>() -> Residency<'a> {
+    static REGIONS: LazyLock<ZoneRegions> = LazyLock::new(ZoneRegions::default);
+    Residency {
+        route: &[],
+        organisation: &[],
+        regions: &REGIONS,
+    }
+}
+
 /// A managed store.
 pub fn store(id: &str, port: u16, zone: &str, room: u64, first_ms: u64) -> StoreSpec {
     StoreSpec {
--- a/crates/sillpin-gateway/tests/herd.rs
+++ b/crates/sillpin-gateway/tests/herd.rs
@@ -5,7 +5,7 @@
 
 mod common;
 
-use common::{engine, name, target};
+use common::{anywhere, engine, name, target};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
@@ -145,6 +145,7 @@
                     oldest: WeightVersion(0),
                     plans: &plans,
                 }),
+                residency: anywhere(),
                 gate: None,
                 now,
             };
@@ -188,6 +189,7 @@
         config: &FleetConfig::default(),
         engine: &engine,
         kept: &Kept::default(),
+        residency: anywhere(),
         in_touch: true,
         now: Instant::now(),
     };
--- a/crates/sillpin-gateway/tests/parts.rs
+++ b/crates/sillpin-gateway/tests/parts.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{name, store};
+use common::{anywhere, name, store};
 use rstest::rstest;
 use sillpin_core::{Tokens, WeightVersion, ZoneId};
 use sillpin_gateway::config::{EngineSpec, FleetConfig, StoreSpec};
@@ -71,6 +71,7 @@
         config: &config,
         engine: &engine,
         kept: &kept,
+        residency: anywhere(),
         in_touch: true,
         now,
     };
--- a/crates/sillpin-gateway/tests/place.rs
+++ b/crates/sillpin-gateway/tests/place.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{engine, name, store, target};
+use common::{anywhere, engine, name, store, target};
 use rstest::rstest;
 use sillpin_core::{ModelId, TargetId, Tokens, WeightVersion, ZoneId};
 use sillpin_gateway::config::Priority;
@@ -75,6 +75,7 @@
             tried: &self.tried,
             body_len: self.body_len,
             prompt,
+            residency: anywhere(),
             gate: None,
             now: Instant::now(),
         };
@@ -453,6 +454,7 @@
         config: &config,
         engine: &engine,
         kept: &kept,
+        residency: anywhere(),
         in_touch: true,
         now,
     };
--- a/crates/sillpin-gateway/tests/slow_start.rs
+++ b/crates/sillpin-gateway/tests/slow_start.rs
@@ -254,13 +254,13 @@
         step += 1;
         tokio::time::advance(STEP).await;
     }
-    let most = sent.values_mut().map(most_in_a_second).max();
+    let most = sent.values_mut().map(|at| most_in_a_second(at)).max();
     let all = sent.values().map(Vec::len).sum();
     (most.unwrap_or_default(), all)
 }
 
 /// The most of these moments that lie in any one second.
-fn most_in_a_second(moments: &mut Vec<Instant>) -> usize {
+fn most_in_a_second(moments: &mut [Instant]) -> usize {
     moments.sort_unstable();
     let mut first = 0;
     let mut most = 0;
