Log what boxes tell each other

Cause: at 300 boxes the bytes between boxes could not be told apart by kind without fetching each box's metrics page. Change: event 336, each 10 s: datagrams and bytes by kind, sent, received, passed on, dropped; the totals of this life of the box.

--- a/crates/sillpin-gateway/src/metrics.rs
+++ b/crates/sillpin-gateway/src/metrics.rs
@@ -4,8 +4,13 @@
 use opentelemetry::metrics::{AsyncInstrument, Counter, Histogram, Meter};
 use sillpin_platform::call::{CallCounts, Tally};
 use sillpin_telemetry::metrics::TIME_BOUNDS;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+/// Datagrams and their bytes, by kind and by whether they were sent, received or dropped.
+type PeerTraffic = BTreeMap<(&'static str, &'static str), (u64, u64)>;
+
 /// The box's instruments.
 #[derive(Clone)]
 pub struct BoxMetrics {
@@ -17,6 +22,8 @@
     copied_bytes: Counter<u64>,
     datagrams: Counter<u64>,
     datagram_bytes: Counter<u64>,
+    /// The same for the log.
+    peer_traffic: Arc<Mutex<PeerTraffic>>,
     first: Histogram<f64>,
     whole: Histogram<f64>,
 }
@@ -43,6 +50,7 @@
             copied_bytes: counter("sillpin_copied_bytes", "Bytes of copies by outcome"),
             datagrams: counter("sillpin_datagrams", "Datagrams between boxes by kind"),
             datagram_bytes: counter("sillpin_datagram_bytes", "Bytes of datagrams by kind"),
+            peer_traffic: Arc::default(),
             parts: counter("sillpin_prompt_tokens", "Shared prompt tokens by source"),
             prompts: counter(
                 "sillpin_prompt_sendings",
@@ -66,8 +74,27 @@
     /// So many datagrams of a kind, each of `len` bytes, were sent, received or dropped.
     pub fn datagrams(&self, kind: &'static str, what: &'static str, count: usize, len: usize) {
         let labels = [KeyValue::new("kind", kind), KeyValue::new("what", what)];
-        self.datagrams.add(count as u64, &labels);
-        self.datagram_bytes.add((count * len) as u64, &labels);
+        let (count, bytes) = (count as u64, (count * len) as u64);
+        self.datagrams.add(count, &labels);
+        self.datagram_bytes.add(bytes, &labels);
+        let mut traffic = self.peer_traffic();
+        let sum = traffic.entry((kind, what)).or_default();
+        sum.0 += count;
+        sum.1 += bytes;
+    }
+
+    fn peer_traffic(&self) -> MutexGuard<'_, PeerTraffic> {
+        self.peer_traffic.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// What this box and others told each other since its start, for the log.
+    pub fn describe_peer_traffic(&self) -> String {
+        let traffic = self.peer_traffic();
+        let line = |((kind, what), (count, bytes)): (&(&str, &str), &(u64, u64))| {
+            format!("{kind} {what}: {count} ({bytes} bytes)")
+        };
+        let lines: Vec<String> = traffic.iter().map(line).collect();
+        lines.join(", ")
     }
 
     /// A request of `route` ended so.
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -55,8 +55,8 @@
 /// How often connections that rested too long are dropped.
 const PRUNE_EVERY: Duration = Duration::from_secs(1);
 
-/// Time between two lines about calls of the platform's store.
-const CALLS_EVERY: Duration = Duration::from_secs(10);
+/// Time between two lines about calls of the platform's store and about traffic between boxes.
+const TRAFFIC_EVERY: Duration = Duration::from_secs(10);
 
 /// News that may wait to be sent. The holder of the weights duty orders a quarter of all engines at once, and what does not
 /// fit is lost: boxes then go on sending to engines that load.
@@ -211,6 +211,7 @@
     tokio::spawn(prune(shared.clone()));
     let end = CancellationToken::new();
     let shared_log = shared.log.clone();
+    let shared_metrics = shared.metrics.clone();
     let front = Front::new(shared);
     let ready = front.clone();
     let answer_ready = move |req| ready.clone().ready(req);
@@ -218,7 +219,11 @@
     if let Some(listener) = listeners.metrics {
         serve_metrics(listener, metrics, &end);
     }
-    tokio::spawn(log_calls(adapter.counts.clone(), shared_log));
+    tokio::spawn(log_traffic(
+        adapter.counts.clone(),
+        shared_metrics,
+        shared_log,
+    ));
     let limits_of = fleet.clone();
     let server = Server::on(listeners.callers)
         .http1_only()
@@ -392,9 +397,9 @@
     tokio::spawn(Server::on(listener).run(end.clone(), page));
 }
 
-/// Logs now and then how often the platform's store was called: each call is priced.
-async fn log_calls(counts: CallCounts, log: Logger) {
-    let mut every = tokio::time::interval(CALLS_EVERY);
+/// Logs now and then how often the platform's store was called, which is priced, and what boxes told each other.
+async fn log_traffic(counts: CallCounts, metrics: BoxMetrics, log: Logger) {
+    let mut every = tokio::time::interval(TRAFFIC_EVERY);
     every.tick().await;
     loop {
         every.tick().await;
@@ -404,6 +409,7 @@
         };
         let calls: Vec<String> = counts.all().iter().map(of).collect();
         event!(log, events::STORE_CALLS, "calls" => calls.join(", "));
+        event!(log, events::PEER_TRAFFIC, "datagrams" => metrics.describe_peer_traffic());
     }
 }
 
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -151,6 +151,8 @@
     KEPT_STORE_LOST = 330, Warning, "store of kept KV cache lost", "Look at that store; prompts are read anew meanwhile.";
     /// A store of kept KV cache answers again.
     KEPT_STORE_BACK = 331, Info, "store of kept KV cache back", "Nothing to do.";
+    /// What this box and others told each other since its start, by kind.
+    PEER_TRAFFIC = 336, Info, "traffic between boxes", "Nothing to do; compare with what the box's link carries.";
     /// A store of kept KV cache was listed.
     KEPT_STORE_LISTED = 332, Info, "store of kept KV cache listed", "Nothing to do.";
     /// Events of a store were lost, or it restarted.
