--- a/crates/sillpin-gateway/src/metrics.rs
+++ b/crates/sillpin-gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of a box.
 
+use crate::beliefs::{FleetHandle, View};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{AsyncInstrument, Counter, Histogram, Meter};
 use sillpin_platform::call::{CallCounts, Tally};
@@ -133,6 +134,24 @@
     }
 }
 
+/// Gauges of what keeps targets from taking all requests that they could.
+pub fn observe_fleet(meter: &Meter, fleet: FleetHandle) {
+    let observe = |of: fn(&View) -> usize| {
+        let fleet = fleet.clone();
+        move |observer: &dyn AsyncInstrument<u64>| observer.observe(of(&fleet.view()) as u64, &[])
+    };
+    meter
+        .u64_observable_gauge("sillpin_evacuated_zones")
+        .with_description("Zones that operators have evacuated")
+        .with_callback(observe(|view| view.evacuations.count()))
+        .build();
+    meter
+        .u64_observable_gauge("sillpin_cold_targets")
+        .with_description("Targets that were cold when they were last heard of")
+        .with_callback(observe(|view| view.cold.len()))
+        .build();
+}
+
 /// Counters of calls of the platform's store, and of what they brought.
 fn observe_calls(meter: &Meter, calls: CallCounts) {
     let observe = |of: fn(Tally) -> u64| {
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -14,7 +14,7 @@
 use crate::front::{Front, Shared};
 use crate::kept::reader::Readers;
 use crate::kept::{self, Kept};
-use crate::metrics::BoxMetrics;
+use crate::metrics::{BoxMetrics, observe_fleet};
 use crate::peers::datagram::{BoxHash, News};
 use crate::peers::digest::Gossip;
 use crate::peers::hub::Hub;
@@ -150,6 +150,7 @@
     event!(log, events::BOX_STARTED, "callers" => at.callers.to_string(),
         "platform" => cfg.platform.to_string(), "seeds" => cfg.seeds.len());
     let (fleet, port) = beliefs::channel();
+    observe_fleet(&metrics.meter(), fleet.clone());
     let awake = Awake::default();
     let task = Fleet::new(cfg.id.clone(), adapter.keys.clone(), log.clone());
     let task = task.with_awake(awake.clone());
