Read the limits that targets name, log them and count them

Cause of the incident as far as it was known: no log line told what an answer says of a limit, so that "no box reads it" and "each box keeps it by itself" looked alike. Now E309, E355 and E356 tell when a target names a limit, changes it, ends it or names one that cannot be read, E340 the limit of the target that is sent to, and sillpin_limited_targets how many name one. Nothing is decided by it yet.

A limit ends only by a success without one whose request was sent after this box last heard of it.

--- a/crates/sillpin-core/src/lib.rs
+++ b/crates/sillpin-core/src/lib.rs
@@ -28,4 +28,4 @@
 pub use outcome::{Outcome, Problem};
 pub use run::PriorityClass;
 pub use target::{LoadReport, Presence, TargetKind};
-pub use units::{Bytes, BytesPerSec, Share, Tokens};
+pub use units::{Bytes, BytesPerSec, RequestRate, Share, Tokens};
--- a/crates/sillpin-core/src/units.rs
+++ b/crates/sillpin-core/src/units.rs
@@ -102,3 +102,58 @@
         Share::try_from(units)
     }
 }
+
+/// Requests a second, in thousandths; written as a decimal number of requests a second.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Display,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+#[display("{}", self.per_s())]
+pub struct RequestRate(u32);
+
+/// Text that is no number of requests a second: not decimal, below zero, or without end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("invalid rate: a decimal number of requests a second, zero or above")]
+pub struct InvalidRate;
+
+impl RequestRate {
+    /// Thousandths in one request a second.
+    const UNITS: f64 = 1000.0;
+
+    /// Requests a second.
+    pub fn per_s(self) -> f64 {
+        f64::from(self.0) / Self::UNITS
+    }
+}
+
+impl TryFrom<f64> for RequestRate {
+    type Error = InvalidRate;
+
+    /// A rate above what can be written, some millions a second, becomes the largest one.
+    fn try_from(per_s: f64) -> Result<Self, InvalidRate> {
+        if !per_s.is_finite() || per_s < 0.0 {
+            return Err(InvalidRate);
+        }
+        Ok(Self((per_s * Self::UNITS).round() as u32))
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = InvalidRate;
+
+    fn from_str(s: &str) -> Result<Self, InvalidRate> {
+        let per_s: f64 = s.trim().parse().map_err(|_| InvalidRate)?;
+        Self::try_from(per_s)
+    }
+}
--- a/crates/sillpin-gateway/src/dialect.rs
+++ b/crates/sillpin-gateway/src/dialect.rs
@@ -8,7 +8,7 @@
 use hyper::http::request;
 use hyper::{HeaderMap, StatusCode};
 use serde::{Deserialize, Serialize};
-use sillpin_core::{ModelId, OrgId, TargetId, Tokens, WeightVersion};
+use sillpin_core::{ModelId, OrgId, RequestRate, TargetId, Tokens, WeightVersion};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -179,6 +179,17 @@
     pub closes: bool,
     /// Whether the body is encoded, so that it is not what the target made.
     pub encoded: bool,
+    /// What the target takes of all boxes together, if it names a limit.
+    pub limit: Option<LimitWord>,
+}
+
+/// What a target says of the requests that it takes of all boxes together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LimitWord {
+    /// No more than these.
+    Rate(RequestRate),
+    /// It names a limit that cannot be read.
+    Unreadable,
 }
 
 /// Reads and writes heads. Decides nothing.
--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -9,6 +9,8 @@
 use crate::control::TargetEntry;
 use crate::dialect::{AnswerHead, Dialect, Sending};
 use crate::place::Ticket;
+use crate::place::named_limit::{Heard, log_limit};
+use crate::place::work::LifeHash;
 use crate::pool::{Conn, SendError};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -176,6 +178,7 @@
             Ok(req) => req,
             Err(e) => return Ended::Unsent(e.to_string()),
         };
+        let sent = Instant::now();
         let resp = match self.wait_for_head(run, &mut conn, req, leaving).await {
             Waited::Ended(Ok(resp)) => resp,
             Waited::Ended(Err(e @ (SendError::Unsent { .. } | SendError::Refused { .. }))) => {
@@ -187,7 +190,7 @@
             Waited::Left => return Ended::TimedOut("no answer in time".to_owned()),
             Waited::Expired => return Ended::TakenBack,
         };
-        self.judge(attempt, conn, resp).await
+        self.judge(attempt, conn, resp, sent).await
     }
 
     /// Sends a request and waits for the head of the answer. A prompt begins with it.
@@ -239,12 +242,20 @@
         Ok(req)
     }
 
-    async fn judge(&self, attempt: Attempt<'_>, conn: Conn, resp: Response<Incoming>) -> Ended {
+    /// How a sending ended whose answer's head came for a request sent at `sent`.
+    async fn judge(
+        &self,
+        attempt: Attempt<'_>,
+        conn: Conn,
+        resp: Response<Incoming>,
+        sent: Instant,
+    ) -> Ended {
         let (parts, body) = resp.into_parts();
         let head = self.dialect.read_answer(parts.status, &parts.headers);
         if head.request_id.as_deref() != Some(attempt.run.demand.id.as_str()) {
             return Ended::Unknown("the answer is another request's".to_owned());
         }
+        self.note_limit(&attempt.target, parts.status, &head, sent);
         if head.not_run || parts.status == StatusCode::MISDIRECTED_REQUEST {
             let why = format!("refused with {}", parts.status.as_u16());
             let weights = head.weights;
@@ -288,6 +299,31 @@
         }
     }
 
+    /// Takes note of the limit that a target names, or does not. Who says that it is not the one that was meant speaks for another target.
+    fn note_limit(
+        &self,
+        target: &TargetEntry,
+        status: StatusCode,
+        head: &AnswerHead,
+        sent: Instant,
+    ) {
+        let is_other = head.target.as_ref().is_some_and(|id| *id != target.id);
+        if status == StatusCode::MISDIRECTED_REQUEST || is_other {
+            return;
+        }
+        let heard = Heard {
+            sent,
+            word: head.limit,
+            success: status.is_success() && head.signed && !head.not_run,
+        };
+        let life = LifeHash::of(target);
+        let now = Instant::now();
+        let change = self.loads.named_limits().answered(life, heard, now);
+        if let Some(change) = change {
+            log_limit(&self.log, target.id.as_str(), change, "answer");
+        }
+    }
+
     /// Reads the rest of a refusal and keeps the connection, without making the caller wait.
     fn recycle(
         &self,
--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -179,10 +179,12 @@
 
     fn log_sending(&self, run: &Run, progress: &Progress, view: &View, placed: &Placed) {
         let (chosen, weights) = (&placed.chosen, placed.weights);
+        let limit = self.loads.named_limits().rate(LifeHash::of(&chosen.target));
         event!(self.log, events::SENDING,
             "request" => &run.demand.id, "print" => run.print.to_string(),
             "target" => chosen.target.id.as_str(),
             "addr" => chosen.target.addr.to_string(), "offer" => progress.offered.len(),
+            "limit_per_s" => limit.map_or(String::new(), |rate| rate.to_string()),
             "cost_ms" => chosen.cost_ms.round(), "candidates" => chosen.candidates,
             "version" => chosen.version.map_or(0, |version| version.0),
             "parts" => &placed.parts, "fetched" => placed.fetched, "kept" => placed.kept,
--- a/crates/sillpin-gateway/src/metrics.rs
+++ b/crates/sillpin-gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms of a box.
 
 use crate::beliefs::{FleetHandle, View};
+use crate::place::Loads;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{AsyncInstrument, Counter, Histogram, Meter};
 use sillpin_platform::call::{CallCounts, Tally};
@@ -152,6 +153,18 @@
         .build();
 }
 
+/// A gauge of targets that name a limit.
+pub fn observe_limits(meter: &Meter, loads: Loads) {
+    let limited = move |observer: &dyn AsyncInstrument<u64>| {
+        observer.observe(loads.named_limits().count() as u64, &[]);
+    };
+    meter
+        .u64_observable_gauge("sillpin_limited_targets")
+        .with_description("Targets that name a limit on the requests of all boxes together")
+        .with_callback(limited)
+        .build();
+}
+
 /// Counters of calls of the platform's store, and of what they brought.
 fn observe_calls(meter: &Meter, calls: CallCounts) {
     let observe = |of: fn(Tally) -> u64| {
--- a/crates/sillpin-gateway/src/place/load.rs
+++ b/crates/sillpin-gateway/src/place/load.rs
@@ -1,13 +1,14 @@
 //! What this box has under way at each target, and how the target has behaved.
 
 use super::held::HeldTime;
+use super::named_limit::NamedLimits;
 use super::replaced::Replaced;
 use super::slow_start::SlowStart;
-use super::work::{EngineWork, Others, TargetHash, Work};
+use super::work::{EngineWork, LifeHash, Others, TargetHash, Work};
 use crate::control::{Life, TargetEntry};
 use crate::peers::datagram::BoxHash;
 use sillpin_core::{BoxId, TargetId, ZoneId};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -138,6 +139,7 @@
     held: Arc<Mutex<HeldTime>>,
     replaced: Arc<Mutex<Replaced>>,
     slow_start: Arc<Mutex<SlowStart>>,
+    named_limits: Arc<Mutex<NamedLimits>>,
 }
 
 impl Loads {
@@ -211,6 +213,11 @@
         self.slow_start.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Limits that targets name.
+    pub fn named_limits(&self) -> MutexGuard<'_, NamedLimits> {
+        self.named_limits.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     /// How long a token of an engine's memory is held, in milliseconds.
     pub fn held_ms(&self) -> f64 {
         self.held.lock().unwrap_or_else(|e| e.into_inner()).ms()
@@ -311,6 +318,9 @@
     pub fn follow(&self, targets: &HashMap<TargetId, Arc<TargetEntry>>) {
         let now = Instant::now();
         self.slow_start().follow(|id| targets.contains_key(id), now);
+        let lives: HashSet<LifeHash> = targets.values().map(|entry| LifeHash::of(entry)).collect();
+        let is_listed = |life| lives.contains(&life);
+        self.named_limits().follow(is_listed, now);
         let mut table = self.lock();
         table.retain(|id, load| load.in_flight > 0 || targets.contains_key(id));
         for (id, load) in table.iter_mut() {
--- a/crates/sillpin-gateway/src/place/mod.rs
+++ b/crates/sillpin-gateway/src/place/mod.rs
@@ -7,6 +7,7 @@
 //! - [`held`]: how long requests hold an engine's memory,
 //! - [`probe`]: whether targets out of reach are back,
 //! - [`parts`]: where the parts of a prompt come from and go to,
+//! - [`named_limit`]: limits that targets name,
 //! - [`slow_start`]: what cold targets get,
 //! - [`residency`]: regions that a request may reach,
 //! - [`replaced`]: targets whose address belongs to another by now,
@@ -17,6 +18,7 @@
 pub mod held;
 pub mod index;
 pub mod load;
+pub mod named_limit;
 pub mod parts;
 pub mod probe;
 pub mod replaced;
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -127,6 +127,12 @@
     EVACUATION_BEGAN = 307, Warning, "zone evacuated", "Nothing to do: no request goes to the zone's targets until the evacuation is taken back.";
     /// An evacuation was taken back.
     EVACUATION_ENDED = 308, Info, "zone's evacuation ended", "Nothing to do: the zone's targets take requests again.";
+    /// A target names a limit, or another one than before.
+    TARGET_LIMITED = 309, Warning, "target limits its requests", "Look at what the target lacks; requests beyond its limit go elsewhere or are refused.";
+    /// A target names no limit any more.
+    TARGET_UNLIMITED = 355, Info, "target's limit ended", "Nothing to do.";
+    /// A target names a limit that cannot be read.
+    LIMIT_UNREADABLE = 356, Error, "target's limit unreadable", "Look at the target: the limit is a decimal number; it gets few requests meanwhile.";
     /// A target cannot be reached.
     TARGET_UNREACHABLE = 317, Warning, "target unreachable", "Replace the target if it was not stopped on purpose.";
     /// A target can be reached again.
