Take the sharing of a limit out of slow start, so that other limits of the fleet use the same

No behaviour changes. SharedLimits divides any number of requests in any period among the boxes of a target's zone and counts what this box sent; slow start only tells which targets are cold. Crew and Lone are now Sharers and Admission::Unsure. The property tests of slow start (33) hold with the same bounds, with the types' new names.

--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -10,9 +10,10 @@
 use crate::peers::roles::SMALL_FLEET;
 use crate::place::allowed::{AllowedWeights, WeightsUse};
 use crate::place::choose::PromptChoice;
+use crate::place::limits::Gate;
 use crate::place::parts::{Plan, PlanInputs, plan, salt};
 use crate::place::residency::Residency;
-use crate::place::slow_start::{Crew, Gate, KNOWS_AFTER};
+use crate::place::shared_limit::{KNOWS_AFTER, Sharers};
 use crate::place::work::Work;
 use crate::place::{Choice, Chosen, choose};
 use rand::RngExt;
@@ -187,7 +188,7 @@
             body_len: run.body.bytes.len(),
             prompt: None,
             residency: self.residency(run),
-            gate: spec.and_then(|spec| self.gate(spec, view, now)),
+            gate: spec.map(|spec| self.gate(spec, view, now)),
             now,
         };
         match (engine, &run.demand.prompt) {
@@ -209,21 +210,21 @@
         }
     }
 
-    /// What cold targets of a pool get, if it has any that bear little.
-    fn gate<'a>(&'a self, pool: &Pool, view: &'a View, now: Instant) -> Option<Gate<'a>> {
+    /// What limited targets of a pool get.
+    fn gate<'a>(&'a self, pool: &Pool, view: &'a View, now: Instant) -> Gate<'a> {
         let has_started = now.saturating_duration_since(self.started) >= KNOWS_AFTER;
-        let in_touch = view.operators.in_touch(now).is_some();
-        Some(Gate {
+        Gate {
             cold: &view.cold,
-            warm_up: pool.warm_up?,
+            warm_up: pool.warm_up,
             rules: self.cfg.warm_up,
-            crew: Crew {
+            sharers: Sharers {
                 me: &self.cfg.id,
                 zone: &self.cfg.zone,
                 others: &view.boxes,
-                is_known: has_started && view.has_registered && in_touch,
+                is_settled: has_started && view.has_registered,
+                is_in_touch: view.operators.in_touch(now).is_some(),
             },
-        })
+        }
     }
 
     fn select_engine(
--- a/crates/sillpin-gateway/src/place/choose.rs
+++ b/crates/sillpin-gateway/src/place/choose.rs
@@ -5,10 +5,11 @@
 //! key, and at more only if none of those is free.
 
 use super::index::{Indexed, PoolTargets, TargetIndex};
+use super::limits::Gate;
 use super::load::{Load, Loads, Table};
 use super::parts::Plan;
 use super::residency::Residency;
-use super::slow_start::{ColdUse, Gate};
+use super::shared_limit::Admission;
 use super::work::{LifeHash, TargetHash, Work};
 use crate::beliefs::fleet::served;
 use crate::control::TargetEntry;
@@ -83,7 +84,7 @@
     pub prompt: Option<PromptChoice<'a>>,
     /// Where it may go.
     pub residency: Residency<'a>,
-    /// What cold targets get, if they get less.
+    /// What limited targets get.
     pub gate: Option<Gate<'a>>,
     /// Now.
     pub now: Instant,
@@ -162,16 +163,18 @@
 
 /// The cheapest target, if any can take the request.
 pub fn choose(choice: &Choice<'_>) -> Option<Chosen> {
-    let found = choose_with(choice, ColdUse::Part);
+    let found = choose_with(choice, Admission::Part);
     match &choice.gate {
-        Some(gate) if !gate.crew.is_known => found.or_else(|| choose_with(choice, ColdUse::Lone)),
+        Some(gate) if !gate.sharers.is_sure() => {
+            found.or_else(|| choose_with(choice, Admission::Unsure))
+        }
         _ => found,
     }
 }
 
-fn choose_with(choice: &Choice<'_>, cold: ColdUse) -> Option<Chosen> {
+fn choose_with(choice: &Choice<'_>, admission: Admission) -> Option<Chosen> {
     let pool = choice.targets.pool(choice.pool)?;
-    let search = Search::new(choice, cold);
+    let search = Search::new(choice, admission);
     if choice.prompt.is_none() || !choice.heard_late {
         return search.best_of(&search.ranked(pool.all.iter()), usize::MAX);
     }
@@ -189,7 +192,7 @@
 /// What one choice needs besides what is asked.
 struct Search<'a> {
     choice: &'a Choice<'a>,
-    cold: ColdUse,
+    admission: Admission,
     others: Arc<HashMap<TargetHash, Work>>,
     replaced: HashSet<LifeHash>,
     /// Hash of the prompt's last shared part, for its homes.
@@ -198,7 +201,7 @@
 }
 
 impl<'a> Search<'a> {
-    fn new(choice: &'a Choice<'a>, cold: ColdUse) -> Self {
+    fn new(choice: &'a Choice<'a>, admission: Admission) -> Self {
         let affinity = choice
             .prompt
             .as_ref()
@@ -213,7 +216,7 @@
             key: affinity.map(|key| hash_pair(&key.part.0, "")),
             table: choice.loads.table(),
             choice,
-            cold,
+            admission,
         }
     }
 
@@ -282,13 +285,13 @@
         best.map(|best| Chosen { candidates, ..best })
     }
 
-    /// Whether a target is warm, or bears one more request.
+    /// Whether a target's limits let this box send it one more request.
     fn is_admitted(&self, entry: &TargetEntry) -> bool {
         let Some(gate) = &self.choice.gate else {
             return true;
         };
-        let mut slow_start = self.choice.loads.slow_start();
-        slow_start.admits(gate, entry, self.cold, self.choice.now)
+        let mut limits = self.choice.loads.limits();
+        limits.admits(gate, entry, self.admission, self.choice.now)
     }
 
     /// A target that can take the request, and what that costs; `place` is its place among the prompt's homes.
--- /dev/null
+++ b/crates/sillpin-gateway/src/place/limits.rs
@@ -0,0 +1,77 @@
+//! Which limits hold at a target, and whether this box may send to it.
+
+use super::shared_limit::{Admission, SharedLimit, SharedLimits, Sharers};
+use super::slow_start::{self, SlowStart};
+use crate::config::WarmUp;
+use crate::control::TargetEntry;
+use crate::settings::WarmUpRules;
+use sillpin_core::TargetId;
+use std::collections::HashMap;
+use tokio::time::Instant;
+
+/// What one decision needs to know of limits.
+#[derive(Debug, Clone, Copy)]
+pub struct Gate<'a> {
+    /// Until when targets are cold, as they say or operators let expect.
+    pub cold: &'a HashMap<TargetId, Instant>,
+    /// What a cold target of the pool bears; `None`: as much as a warm one.
+    pub warm_up: Option<WarmUp>,
+    /// What is allowed beyond that.
+    pub rules: WarmUpRules,
+    /// Who shares the limits.
+    pub sharers: Sharers<'a>,
+}
+
+/// Limits of targets, and what this box has sent them.
+#[derive(Debug)]
+pub struct Limits {
+    /// Targets that have just started.
+    pub slow_start: SlowStart,
+    shared: SharedLimits,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            slow_start: SlowStart::default(),
+            shared: SharedLimits::new(slow_start::PERIOD),
+        }
+    }
+}
+
+impl Limits {
+    /// Whether this box may send one more request to a target now.
+    pub fn admits(
+        &mut self,
+        gate: &Gate<'_>,
+        target: &TargetEntry,
+        how: Admission,
+        now: Instant,
+    ) -> bool {
+        let limit = self.cold_limit(gate, target, now);
+        limit.is_none_or(|limit| self.shared.admits(&gate.sharers, target, limit, how, now))
+    }
+
+    fn cold_limit(
+        &self,
+        gate: &Gate<'_>,
+        target: &TargetEntry,
+        now: Instant,
+    ) -> Option<SharedLimit> {
+        let warm_up = gate.warm_up?;
+        let told = gate.cold.get(&target.id).copied();
+        let is_cold = self.slow_start.is_cold(&target.id, told, warm_up, now);
+        is_cold.then(|| slow_start::limit(warm_up, gate.rules))
+    }
+
+    /// Takes note that a request goes to a target.
+    pub fn note_sent(&mut self, target: &TargetId, now: Instant) {
+        self.shared.note_sent(target, now);
+    }
+
+    /// Forgets targets that are not listed, and sendings that do not count any more.
+    pub fn follow(&mut self, is_listed: impl Fn(&TargetId) -> bool, now: Instant) {
+        self.slow_start.follow(&is_listed);
+        self.shared.follow(is_listed, now);
+    }
+}
--- a/crates/sillpin-gateway/src/place/load.rs
+++ b/crates/sillpin-gateway/src/place/load.rs
@@ -1,9 +1,9 @@
 //! What this box has under way at each target, and how the target has behaved.
 
 use super::held::HeldTime;
+use super::limits::Limits;
 use super::named_limit::NamedLimits;
 use super::replaced::Replaced;
-use super::slow_start::SlowStart;
 use super::work::{EngineWork, LifeHash, Others, TargetHash, Work};
 use crate::control::{Life, TargetEntry};
 use crate::peers::datagram::BoxHash;
@@ -138,7 +138,7 @@
     others: Arc<Mutex<Others>>,
     held: Arc<Mutex<HeldTime>>,
     replaced: Arc<Mutex<Replaced>>,
-    slow_start: Arc<Mutex<SlowStart>>,
+    limits: Arc<Mutex<Limits>>,
     named_limits: Arc<Mutex<NamedLimits>>,
 }
 
@@ -208,9 +208,9 @@
         self.replaced.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// What was sent to cold targets.
-    pub fn slow_start(&self) -> MutexGuard<'_, SlowStart> {
-        self.slow_start.lock().unwrap_or_else(|e| e.into_inner())
+    /// Limits of targets, and what was sent to them.
+    pub fn limits(&self) -> MutexGuard<'_, Limits> {
+        self.limits.lock().unwrap_or_else(|e| e.into_inner())
     }
 
     /// Limits that targets name.
@@ -258,7 +258,7 @@
 
     /// Counts a request at a target until the ticket is dropped.
     pub fn start(&self, target: &TargetId, work: Work) -> Ticket {
-        self.slow_start().note_sent(target, Instant::now());
+        self.limits().note_sent(target, Instant::now());
         let mut table = self.lock();
         let load = table.entry(target.clone()).or_default();
         load.in_flight += 1;
@@ -307,7 +307,7 @@
             Outcome::Unreachable => load.rests.unreachable = Some(now + UNREACHABLE_REST),
             Outcome::Reachable => {
                 if load.rests.unreachable.take().is_some() {
-                    self.slow_start().returned(target, now);
+                    self.limits().slow_start.returned(target, now);
                 }
             }
         }
@@ -317,7 +317,7 @@
     /// life counts until it ends.
     pub fn follow(&self, targets: &HashMap<TargetId, Arc<TargetEntry>>) {
         let now = Instant::now();
-        self.slow_start().follow(|id| targets.contains_key(id), now);
+        self.limits().follow(|id| targets.contains_key(id), now);
         let lives: HashSet<LifeHash> = targets.values().map(|entry| LifeHash::of(entry)).collect();
         let is_listed = |life| lives.contains(&life);
         self.named_limits().follow(is_listed, now);
--- a/crates/sillpin-gateway/src/place/mod.rs
+++ b/crates/sillpin-gateway/src/place/mod.rs
@@ -7,6 +7,8 @@
 //! - [`held`]: how long requests hold an engine's memory,
 //! - [`probe`]: whether targets out of reach are back,
 //! - [`parts`]: where the parts of a prompt come from and go to,
+//! - [`limits`]: which limits hold at a target,
+//! - [`shared_limit`]: how boxes share what one target may get of all of them,
 //! - [`named_limit`]: limits that targets name,
 //! - [`slow_start`]: what cold targets get,
 //! - [`residency`]: regions that a request may reach,
@@ -17,12 +19,14 @@
 pub mod choose;
 pub mod held;
 pub mod index;
+pub mod limits;
 pub mod load;
 pub mod named_limit;
 pub mod parts;
 pub mod probe;
 pub mod replaced;
 pub mod residency;
+pub mod shared_limit;
 pub mod slow_start;
 pub mod work;
 
--- a/crates/sillpin-gateway/tests/slow_start.rs
+++ b/crates/sillpin-gateway/tests/slow_start.rs
@@ -14,7 +14,8 @@
 use sillpin_gateway::beliefs::BoxEntry;
 use sillpin_gateway::config::WarmUp;
 use sillpin_gateway::control::TargetEntry;
-use sillpin_gateway::place::slow_start::{ColdUse, Crew, Gate, KNOWS_AFTER, SlowStart};
+use sillpin_gateway::place::limits::{Gate, Limits};
+use sillpin_gateway::place::shared_limit::{Admission, KNOWS_AFTER, Sharers};
 use sillpin_gateway::settings::WarmUpRules;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -75,7 +76,7 @@
     ended: Option<Instant>,
     cut_since: Option<Instant>,
     others: Arc<Vec<BoxEntry>>,
-    state: SlowStart,
+    state: Limits,
 }
 
 struct Fleet {
@@ -103,7 +104,7 @@
             ended: None,
             cut_since: None,
             others: Arc::default(),
-            state: SlowStart::default(),
+            state: Limits::default(),
         };
         Self {
             boxes: (0..count).map(one).collect(),
@@ -136,7 +137,7 @@
                         ended: None,
                         cut_since: None,
                         others: Arc::default(),
-                        state: SlowStart::default(),
+                        state: Limits::default(),
                     });
                 }
             }
@@ -156,7 +157,7 @@
     fn start_anew(&mut self, index: usize, now: Instant) {
         let one = &mut self.boxes[index];
         one.began = now;
-        one.state = SlowStart::default();
+        one.state = Limits::default();
         one.others = Arc::default();
     }
 
@@ -224,21 +225,22 @@
                 .is_none_or(|at| now < at + Duration::from_secs(3));
             let gate = Gate {
                 cold: &cold,
-                warm_up: WARM_UP,
+                warm_up: Some(WARM_UP),
                 rules: RULES,
-                crew: Crew {
+                sharers: Sharers {
                     me: &one.entry.id,
                     zone: &zone,
                     others: &others,
-                    is_known: in_touch && now >= one.began + KNOWS_AFTER,
+                    is_settled: now >= one.began + KNOWS_AFTER,
+                    is_in_touch: in_touch,
                 },
             };
             for target in &targets {
-                let admits = |state: &mut SlowStart, how| state.admits(&gate, target, how, now);
-                let lone = !gate.crew.is_known;
+                let admits = |state: &mut Limits, how| state.admits(&gate, target, how, now);
+                let lone = !gate.sharers.is_sure();
                 while !is_limited
-                    || admits(&mut one.state, ColdUse::Part)
-                    || (lone && admits(&mut one.state, ColdUse::Lone))
+                    || admits(&mut one.state, Admission::Part)
+                    || (lone && admits(&mut one.state, Admission::Unsure))
                 {
                     one.state.note_sent(&target.id, now);
                     let opened = Duration::from_millis(fleet.rng.random_range(0..=OPENING_MS));
