Send targets no more than they name, all boxes together

What callers saw: a target in need that named 1.9 requests a second got 17 in four seconds (16 are borne) and became slower for all of them. Cause: no box read what it named.

Mend: the limit goes through the same SharedLimits as that of cold targets, as whole requests in four seconds, half of what is borne beyond it held back for boxes that do not know each other. Whatever is sent counts: first and second sendings, resumed streams. It is not strict: a box out of touch with the store goes on with the boxes that it knew, and boxes of zones without a target of the pool share it, whose callers nobody else serves. A target that names less than one request in five seconds gets that one, since only answers tell that a limit has ended; one that ended is lifted in three steps. What such a target cannot take goes to others or is refused at once, 503 and not run, with the time until there is room, spread.

--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -318,7 +318,7 @@
         };
         let life = LifeHash::of(target);
         let now = Instant::now();
-        let change = self.loads.named_limits().answered(life, heard, now);
+        let change = self.loads.limits().named.answered(life, heard, now);
         if let Some(change) = change {
             log_limit(&self.log, target.id.as_str(), change, "answer");
         }
--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -65,6 +65,9 @@
 /// Why a request is sent to no target while there are some.
 const EVACUATED: &str = "all zones that have targets for it are evacuated";
 
+/// Why a request is sent to no target while there are some that are not free: waiting for them helps nobody.
+const LIMITED: &str = "its targets limit their requests and get all that they take";
+
 /// Why a request that is known to end targets is sent to none.
 const FATAL: &str = "targets that ran this request have ended";
 
@@ -145,7 +148,7 @@
         }
         let view = self.fleet.view();
         let Some(mut placed) = self.place(run, pool, &view, progress) else {
-            return Err(self.no_target(pool, &view, progress));
+            return Err(self.no_target(run, pool, &view, progress));
         };
         if progress.arrivals > 0 && !self.take_retry(pool) {
             return Err(give_up(progress, "retry budget used up"));
@@ -179,7 +182,7 @@
 
     fn log_sending(&self, run: &Run, progress: &Progress, view: &View, placed: &Placed) {
         let (chosen, weights) = (&placed.chosen, placed.weights);
-        let limit = self.loads.named_limits().rate(LifeHash::of(&chosen.target));
+        let limit = self.loads.limits().named.rate(LifeHash::of(&chosen.target));
         event!(self.log, events::SENDING,
             "request" => &run.demand.id, "print" => run.print.to_string(),
             "target" => chosen.target.id.as_str(),
@@ -315,10 +318,17 @@
     }
 
     /// Ends a request for which there is no target.
-    fn no_target(&self, pool: &PoolId, view: &View, progress: &mut Progress) -> GivenUp {
-        if progress.runs > 0 || !view.is_evacuated(pool) {
+    fn no_target(&self, run: &Run, pool: &PoolId, view: &View, progress: &mut Progress) -> GivenUp {
+        if progress.runs > 0 {
             return give_up(progress, "no target is free");
         }
+        if !view.is_evacuated(pool) {
+            let Some(wait) = self.limited_for(run, pool, view) else {
+                return give_up(progress, "no target is free");
+            };
+            self.metrics.sending("limited");
+            return GivenUp::Refused(Refusal::not_run(LIMITED).come_back_after(wait));
+        }
         let wait = EVACUATED_WAIT.mul_f64(rand::rng().random_range(0.5..1.5));
         GivenUp::Refused(Refusal::not_run(EVACUATED).come_back_after(wait))
     }
--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -1,7 +1,7 @@
 //! Pool, target and parts of one sending.
 
 use super::admit::Run;
-use super::answers::Refusal;
+use super::answers::{COME_BACK, Refusal};
 use super::drive::Progress;
 use super::shared::Shared;
 use crate::beliefs::View;
@@ -44,6 +44,9 @@
 /// that are in time first, but finishes a piece that it has begun.
 const LATE_WORK: f64 = 0.25;
 
+/// Longest mean time after which a caller comes back whom limits of targets keep out: limits are counted in periods of four seconds.
+const MAX_LIMITED_WAIT: Duration = Duration::from_secs(4);
+
 /// What a target is to be told, and why it was chosen.
 pub struct Placed {
     /// The target and why.
@@ -210,8 +213,21 @@
         }
     }
 
+    /// How long a caller is to stay away whose request no target of a pool may get, if limits are why. Callers come back spread over as long again, so that
+    /// they don't return as one.
+    pub fn limited_for(&self, run: &Run, pool: &PoolId, view: &View) -> Option<Duration> {
+        let now = Instant::now();
+        let gate = self.gate(run.config.pool(pool)?, view, now);
+        let mut limits = self.loads.limits();
+        let targets = view.index.pool(pool)?.all.iter();
+        let waits = targets.filter_map(|target| limits.wait(&gate, &target.entry, now));
+        let wait = waits.min()?.clamp(COME_BACK, MAX_LIMITED_WAIT);
+        Some(wait.mul_f64(rand::rng().random_range(0.5..1.5)))
+    }
+
     /// What limited targets of a pool get.
     fn gate<'a>(&'a self, pool: &Pool, view: &'a View, now: Instant) -> Gate<'a> {
+        let targets = view.index.pool(&pool.id);
         let has_started = now.saturating_duration_since(self.started) >= KNOWS_AFTER;
         Gate {
             cold: &view.cold,
@@ -223,6 +239,7 @@
                 others: &view.boxes,
                 is_settled: has_started && view.has_registered,
                 is_in_touch: view.operators.in_touch(now).is_some(),
+                pool_zones: targets.map_or(&[], |targets| &targets.zone_names),
             },
         }
     }
--- a/crates/sillpin-gateway/src/place/index.rs
+++ b/crates/sillpin-gateway/src/place/index.rs
@@ -44,6 +44,8 @@
 pub struct PoolTargets {
     /// All of them, those of a zone next to each other.
     pub all: Vec<Indexed>,
+    /// Zones that have any, in order.
+    pub zone_names: Vec<ZoneId>,
     zones: HashMap<ZoneId, std::ops::Range<usize>>,
     serving: HashMap<ModelId, Serving>,
 }
@@ -94,6 +96,9 @@
         for entry in ready {
             let pool = pools.entry(entry.pool.clone()).or_default();
             let index = pool.all.len();
+            if pool.zone_names.last() != Some(&entry.zone) {
+                pool.zone_names.push(entry.zone.clone());
+            }
             let zone = pool.zones.entry(entry.zone.clone());
             zone.or_insert(index..index).end = index + 1;
             for served_model in &entry.served {
--- a/crates/sillpin-gateway/src/place/limits.rs
+++ b/crates/sillpin-gateway/src/place/limits.rs
@@ -1,12 +1,15 @@
 //! Which limits hold at a target, and whether this box may send to it.
 
+use super::named_limit::{self, NamedLimits};
 use super::shared_limit::{Admission, SharedLimit, SharedLimits, Sharers};
 use super::slow_start::{self, SlowStart};
+use super::work::LifeHash;
 use crate::config::WarmUp;
 use crate::control::TargetEntry;
 use crate::settings::WarmUpRules;
 use sillpin_core::TargetId;
 use std::collections::HashMap;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// What one decision needs to know of limits.
@@ -27,6 +30,8 @@
 pub struct Limits {
     /// Targets that have just started.
     pub slow_start: SlowStart,
+    /// What targets name.
+    pub named: NamedLimits,
     shared: SharedLimits,
 }
 
@@ -34,7 +39,8 @@
     fn default() -> Self {
         Self {
             slow_start: SlowStart::default(),
-            shared: SharedLimits::new(slow_start::PERIOD),
+            named: NamedLimits::default(),
+            shared: SharedLimits::new(slow_start::PERIOD.max(named_limit::MAX_PERIOD)),
         }
     }
 }
@@ -48,8 +54,35 @@
         how: Admission,
         now: Instant,
     ) -> bool {
-        let limit = self.cold_limit(gate, target, now);
-        limit.is_none_or(|limit| self.shared.admits(&gate.sharers, target, limit, how, now))
+        let mut limits = self.of(gate, target, now).into_iter().flatten();
+        limits.all(|limit| self.shared.admits(&gate.sharers, target, limit, how, now))
+    }
+
+    /// How long this box has to wait until it may send one more request to a target; `None`: no limit is in its way.
+    pub fn wait(
+        &mut self,
+        gate: &Gate<'_>,
+        target: &TargetEntry,
+        now: Instant,
+    ) -> Option<Duration> {
+        let limits = self.of(gate, target, now).into_iter().flatten();
+        let waits = limits.filter_map(|limit| {
+            let free = self.shared.free_at(&gate.sharers, target, limit, now);
+            // Other boxes send it one request in each of so many parts of the period.
+            let others = || now + limit.period / limit.whole.max(1);
+            Some(free.unwrap_or_else(others)).filter(|at| *at > now)
+        });
+        waits.max().map(|at| at - now)
+    }
+
+    /// The limits that hold at a target.
+    fn of(&self, gate: &Gate<'_>, target: &TargetEntry, now: Instant) -> [Option<SharedLimit>; 2] {
+        let cold = self.cold_limit(gate, target, now);
+        let named = match self.named.is_empty() {
+            true => None,
+            false => self.named.limit(LifeHash::of(target), now),
+        };
+        [cold, named]
     }
 
     fn cold_limit(
--- a/crates/sillpin-gateway/src/place/load.rs
+++ b/crates/sillpin-gateway/src/place/load.rs
@@ -2,7 +2,6 @@
 
 use super::held::HeldTime;
 use super::limits::Limits;
-use super::named_limit::NamedLimits;
 use super::replaced::Replaced;
 use super::work::{EngineWork, LifeHash, Others, TargetHash, Work};
 use crate::control::{Life, TargetEntry};
@@ -139,7 +138,6 @@
     held: Arc<Mutex<HeldTime>>,
     replaced: Arc<Mutex<Replaced>>,
     limits: Arc<Mutex<Limits>>,
-    named_limits: Arc<Mutex<NamedLimits>>,
 }
 
 impl Loads {
@@ -213,11 +211,6 @@
         self.limits.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Limits that targets name.
-    pub fn named_limits(&self) -> MutexGuard<'_, NamedLimits> {
-        self.named_limits.lock().unwrap_or_else(|e| e.into_inner())
-    }
-
     /// How long a token of an engine's memory is held, in milliseconds.
     pub fn held_ms(&self) -> f64 {
         self.held.lock().unwrap_or_else(|e| e.into_inner()).ms()
@@ -320,7 +313,7 @@
         self.limits().follow(|id| targets.contains_key(id), now);
         let lives: HashSet<LifeHash> = targets.values().map(|entry| LifeHash::of(entry)).collect();
         let is_listed = |life| lives.contains(&life);
-        self.named_limits().follow(is_listed, now);
+        self.limits().named.follow(is_listed, now);
         let mut table = self.lock();
         table.retain(|id, load| load.in_flight > 0 || targets.contains_key(id));
         for (id, load) in table.iter_mut() {
--- a/crates/sillpin-gateway/src/place/named_limit.rs
+++ b/crates/sillpin-gateway/src/place/named_limit.rs
@@ -4,6 +4,7 @@
 //! not matter by which way or in which order they come. A limit ends only by a success without one whose request was sent after the target last named
 //! it: answers overtake each other, and failures and refusals may be made by something before the target.
 
+use super::shared_limit::SharedLimit;
 use super::work::LifeHash;
 use crate::dialect::LimitWord;
 use serde::{Deserialize, Serialize};
@@ -15,6 +16,21 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// The time in which requests at a target are counted against the limit that it names.
+const PERIOD: Duration = Duration::from_secs(4);
+
+/// What a target bears beyond what it names: so many times that, and so many requests, in each period.
+const OVERAGE: f64 = 1.5;
+const SLACK: f64 = 5.0;
+
+/// A target that names a lower limit, or takes nothing, gets one request in this time all the same: only answers tell that a limit has ended.
+pub const MAX_PERIOD: Duration = Duration::from_secs(5);
+
+/// A limit that ended is lifted step by step: it doubles at once and after each of these steps. All boxes would else come back to a target, which was in need
+/// just now, in one moment.
+const LIFT_STEP: Duration = Duration::from_secs(2);
+const LIFT_STEPS: i32 = 3;
+
 /// Taken for a limit that cannot be read, if none is known: the target needs to be spared, and one request a second tells when that is over.
 const UNREADABLE_PER_S: f64 = 1.0;
 
@@ -76,6 +92,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Known {
     rate: Option<RequestRate>,
+    /// The limit that it named last.
+    last: Option<RequestRate>,
     at: Instant,
     /// When this box learned that it was so at `at`; not aged, to be compared with when its requests were sent.
     learned: Instant,
@@ -177,6 +195,7 @@
     ) -> Option<LimitChange> {
         let known = self.known.entry(target).or_insert(Known {
             rate: None,
+            last: None,
             at,
             learned: now,
             changed: now,
@@ -185,6 +204,7 @@
         });
         let before = known.rate;
         known.rate = rate;
+        known.last = rate.or(known.last);
         known.at = at;
         known.learned = now;
         if !differ(before, rate) {
@@ -204,6 +224,23 @@
         self.known.get(&target)?.rate
     }
 
+    /// Whether no limit is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    /// What all boxes together may send to a target.
+    pub fn limit(&self, target: LifeHash, now: Instant) -> Option<SharedLimit> {
+        let known = self.known.get(&target)?;
+        if let Some(rate) = known.rate {
+            return Some(limit(rate.per_s()));
+        }
+        let lifted = now.saturating_duration_since(known.learned);
+        let steps = (lifted.as_secs_f64() / LIFT_STEP.as_secs_f64()) as i32;
+        let before = known.last?.per_s().max(1.0 / MAX_PERIOD.as_secs_f64());
+        (steps < LIFT_STEPS).then(|| limit(before * 2f64.powi(steps + 1)))
+    }
+
     /// How many targets name a limit.
     pub fn count(&self) -> usize {
         let named = self.known.values().filter(|known| known.rate.is_some());
@@ -281,6 +318,24 @@
     }
 }
 
+/// What all boxes together may send to a target that names `per_s` requests a second.
+fn limit(per_s: f64) -> SharedLimit {
+    let per_s = per_s.max(1.0 / MAX_PERIOD.as_secs_f64());
+    let wanted = per_s * PERIOD.as_secs_f64();
+    let (whole, period) = match wanted < 1.0 {
+        true => (1, Duration::from_secs_f64(1.0 / per_s)),
+        false => {
+            let borne = wanted * OVERAGE + SLACK;
+            (SharedLimit::whole_of(wanted, borne), PERIOD)
+        }
+    };
+    SharedLimit {
+        whole,
+        period,
+        strict: false,
+    }
+}
+
 /// Whether two limits differ so far that it matters.
 fn differ(a: Option<RequestRate>, b: Option<RequestRate>) -> bool {
     let (Some(a), Some(b)) = (a, b) else {
--- a/crates/sillpin-gateway/src/place/shared_limit.rs
+++ b/crates/sillpin-gateway/src/place/shared_limit.rs
@@ -6,7 +6,7 @@
 //! there is a reserve ([`RESERVE`]), and a box that cannot know who lives takes no part ([`UNSURE_EVERY`]).
 //!
 //! Boxes of other zones send nothing there: what they know of the zone's boxes is older, and while a zone is cut off each side would take the whole
-//! limit for its own.
+//! limit for its own. Limits that are not strict are shared with the boxes of zones that have no such target, whose callers nobody else serves.
 //!
 //! Whatever is sent counts: first and second sendings, and streams that are resumed.
 
@@ -51,6 +51,8 @@
     pub is_settled: bool,
     /// Whether it is in touch with the platform's store, so that it hears who starts and ends.
     pub is_in_touch: bool,
+    /// Zones that have targets of the pool.
+    pub pool_zones: &'a [ZoneId],
 }
 
 impl Sharers<'_> {
@@ -67,8 +69,9 @@
     pub whole: u32,
     /// The period.
     pub period: Duration,
-    /// Whether a box takes its part only while it hears who starts and ends. Otherwise one that is out of touch goes on with the boxes that it knew.
-    pub needs_touch: bool,
+    /// Whether only boxes of the target's zone take part, and only while they hear who starts and ends. Otherwise a box that is out of touch goes on
+    /// with the others that it knew, and boxes of zones without a target of the pool take part as well.
+    pub strict: bool,
 }
 
 impl SharedLimit {
@@ -113,8 +116,8 @@
 #[derive(Debug, Default)]
 pub struct SharedLimits {
     sent: HashMap<TargetId, VecDeque<Instant>>,
-    /// This box's place at targets, among `others`.
-    places: HashMap<TargetId, Place>,
+    /// This box's place at targets, for strict limits and others, among `others` and while the pools have targets in the zones that stand beside it.
+    places: HashMap<(TargetId, bool), (Place, Vec<ZoneId>)>,
     others: Arc<Vec<BoxEntry>>,
     seldom: HashMap<TargetId, Seldom>,
     /// The longest time in which sendings are counted.
@@ -132,7 +135,7 @@
 
     /// Forgets targets that are not listed, and sendings that do not count any more.
     pub fn follow(&mut self, is_listed: impl Fn(&TargetId) -> bool, now: Instant) {
-        self.places.retain(|id, _| is_listed(id));
+        self.places.retain(|(id, _), _| is_listed(id));
         self.seldom.retain(|id, _| is_listed(id));
         let longest = self.longest;
         self.sent
@@ -160,15 +163,39 @@
         how: Admission,
         now: Instant,
     ) -> bool {
-        let in_touch = sharers.is_in_touch || !limit.needs_touch;
-        if !sharers.is_settled || !in_touch {
+        let Some(part) = self.part(sharers, target, limit) else {
             let may = how == Admission::Unsure && *sharers.zone == target.zone;
             return may && now >= self.seldom_from(sharers, &target.id, now);
-        }
-        let part = self.place(sharers, target).part(limit.whole);
+        };
         self.sent_within(&target.id, limit.period + OPENING, now) < part
     }
 
+    /// When this box may send one more request to a target with a limit, unless others send it all that it may get.
+    pub fn free_at(
+        &mut self,
+        sharers: &Sharers<'_>,
+        target: &TargetEntry,
+        limit: SharedLimit,
+        now: Instant,
+    ) -> Option<Instant> {
+        let part = self.part(sharers, target, limit).filter(|part| *part > 0)?;
+        let sent = self.sent.get(&target.id).into_iter().flatten();
+        // Once the last but `part` is forgotten, there is room.
+        let blocking = sent.rev().nth(part as usize - 1);
+        Some(blocking.map_or(now, |at| *at + limit.period + OPENING))
+    }
+
+    /// This box's part of a limit in each period; `None`: it cannot know.
+    fn part(
+        &mut self,
+        sharers: &Sharers<'_>,
+        target: &TargetEntry,
+        limit: SharedLimit,
+    ) -> Option<u32> {
+        let knows = sharers.is_settled && (sharers.is_in_touch || !limit.strict);
+        knows.then(|| self.place(sharers, target, limit.strict).part(limit.whole))
+    }
+
     fn sent_within(&self, target: &TargetId, time: Duration, now: Instant) -> u32 {
         let sent = self.sent.get(target).into_iter().flatten();
         let newest = sent.rev().take_while(|at| now - **at < time);
@@ -188,41 +215,47 @@
         self.seldom.entry(target.clone()).or_insert_with(first).from
     }
 
-    /// This box's place among those that share the limits of a target.
-    fn place(&mut self, sharers: &Sharers<'_>, target: &TargetEntry) -> Place {
+    /// This box's place among those that share a limit of a target.
+    fn place(&mut self, sharers: &Sharers<'_>, target: &TargetEntry, strict: bool) -> Place {
         if !Arc::ptr_eq(&self.others, sharers.others) {
             self.others = sharers.others.clone();
             self.places.clear();
         }
-        let known = self.places.get(&target.id).copied();
-        known.unwrap_or_else(|| {
-            let place = place(sharers, target);
-            self.places.insert(target.id.clone(), place);
-            place
-        })
+        let key = (target.id.clone(), strict);
+        let known = self.places.get(&key);
+        if let Some((place, _)) = known.filter(|(_, zones)| zones == sharers.pool_zones) {
+            return *place;
+        }
+        let place = place(sharers, target, strict);
+        self.places
+            .insert(key, (place, sharers.pool_zones.to_vec()));
+        place
     }
 }
 
-/// A box's place among those of the target's zone, by rank. If the zone has no box, those of all zones share.
-fn place(sharers: &Sharers<'_>, target: &TargetEntry) -> Place {
-    let of_zone = |zone: &ZoneId| *zone == target.zone;
-    let near = sharers.others.iter().filter(|other| of_zone(&other.zone));
-    let near: Vec<&BoxEntry> = near.collect();
-    let sharing: Vec<&BoxEntry> = match (of_zone(sharers.zone), near.is_empty()) {
-        (false, false) => {
-            return Place {
-                ahead: u32::MAX,
-                boxes: 1,
-            };
-        }
-        (false, true) => sharers.others.iter().collect(),
-        (true, _) => near,
-    };
+/// The place of a box that takes no part.
+const NO_PLACE: Place = Place {
+    ahead: u32::MAX,
+    boxes: 1,
+};
+
+/// A box's place among those that share a limit of a target, by rank. If the target's zone has no box, those of all zones share.
+fn place(sharers: &Sharers<'_>, target: &TargetEntry, strict: bool) -> Place {
+    let is_left_alone = |zone: &ZoneId| !strict && !sharers.pool_zones.contains(zone);
+    let shares = |zone: &ZoneId| *zone == target.zone || is_left_alone(zone);
+    let is_near = |zone: &ZoneId| *zone == target.zone;
+    let others = sharers.others.iter();
+    let zone_has_box = is_near(sharers.zone) || others.clone().any(|other| is_near(&other.zone));
+    if zone_has_box && !shares(sharers.zone) {
+        return NO_PLACE;
+    }
+    let sharing = others.filter(|other| !zone_has_box || shares(&other.zone));
     let rank = |id: &BoxId| (hash_pair(id.as_str(), target.id.as_str()), id.clone());
     let own = rank(sharers.me);
-    let ahead = sharing.iter().filter(|other| rank(&other.id) > own).count();
-    Place {
-        ahead: ahead as u32,
-        boxes: sharing.len() as u32 + 1,
+    let mut place = Place { ahead: 0, boxes: 1 };
+    for other in sharing {
+        place.boxes += 1;
+        place.ahead += u32::from(rank(&other.id) > own);
     }
+    place
 }
--- a/crates/sillpin-gateway/src/place/slow_start.rs
+++ b/crates/sillpin-gateway/src/place/slow_start.rs
@@ -48,6 +48,6 @@
     SharedLimit {
         whole: SharedLimit::whole_of(warm_up.per_s, borne),
         period: PERIOD,
-        needs_touch: true,
+        strict: true,
     }
 }
--- a/crates/sillpin-gateway/tests/named_limit.rs
+++ b/crates/sillpin-gateway/tests/named_limit.rs
@@ -173,3 +173,38 @@
     }
     assert_eq!(other.count(), 300);
 }
+
+#[rstest]
+#[case("0", 1, 5_000)]
+#[case("0.1", 1, 5_000)]
+#[case("0.22", 1, 4_545)]
+#[case("0.25", 1, 4_000)]
+#[case("1.8", 7, 4_000)]
+#[case("10", 32, 4_000)]
+#[case("50", 152, 4_000)]
+#[tokio::test(start_paused = true)]
+async fn a_limit_is_shared_as_whole_requests_with_a_reserve(
+    #[case] named: &str,
+    #[case] whole: u32,
+    #[case] period_ms: u128,
+) {
+    let mut limits = NamedLimits::default();
+    limits.answered(life("a"), naming(named), Instant::now());
+    let limit = limits.limit(life("a"), Instant::now()).unwrap();
+    assert_eq!((limit.whole, limit.period.as_millis()), (whole, period_ms));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_limit_that_ended_is_lifted_step_by_step() {
+    let mut limits = NamedLimits::default();
+    limits.answered(life("a"), naming("2"), Instant::now());
+    advance(Duration::from_millis(10)).await;
+    limits.answered(life("a"), silent(Instant::now(), true), Instant::now());
+    let mut wholes = Vec::new();
+    for _ in 0..4 {
+        let limit = limits.limit(life("a"), Instant::now());
+        wholes.push(limit.map(|limit| limit.whole));
+        advance(Duration::from_secs(2)).await;
+    }
+    assert_eq!(wholes, [Some(14), Some(26), Some(50), None]);
+}
--- a/crates/sillpin-gateway/tests/slow_start.rs
+++ b/crates/sillpin-gateway/tests/slow_start.rs
@@ -233,6 +233,7 @@
                     others: &others,
                     is_settled: now >= one.began + KNOWS_AFTER,
                     is_in_touch: in_touch,
+                    pool_zones: &[],
                 },
             };
             for target in &targets {
