Let boxes that stop take no part of shared limits

A box that is told to stop says so, and the others take over its part at once, while its callers go on for seconds on what they have open. Several that stop in the same moment each count the others as gone, and each takes as much as one of the few that are left. Now a box that stops sends nothing to a limited or cold target.

--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -238,6 +238,7 @@
                 zone: &self.cfg.zone,
                 others: &view.boxes,
                 is_settled: has_started && view.has_registered,
+                is_stopping: self.stopping.is_cancelled(),
                 is_in_touch: view.operators.in_touch(now).is_some(),
                 pool_zones: targets.map_or(&[], |targets| &targets.zone_names),
             },
--- a/crates/sillpin-gateway/src/place/shared_limit.rs
+++ b/crates/sillpin-gateway/src/place/shared_limit.rs
@@ -49,6 +49,9 @@
     pub others: &'a Arc<Vec<BoxEntry>>,
     /// Whether this box has run long enough to know the others and to be known by them, and has read who is registered.
     pub is_settled: bool,
+    /// Whether this box is about to end: the others take over its part as soon as they hear of it, while callers go on for seconds on what they have open
+    /// here.
+    pub is_stopping: bool,
     /// Whether it is in touch with the platform's store, so that it hears who starts and ends.
     pub is_in_touch: bool,
     /// Zones that have targets of the pool.
@@ -56,9 +59,9 @@
 }
 
 impl Sharers<'_> {
-    /// Whether this box can know all that share a limit with it.
+    /// Whether this box takes its part of every limit.
     pub fn is_sure(&self) -> bool {
-        self.is_settled && self.is_in_touch
+        self.is_settled && self.is_in_touch && !self.is_stopping
     }
 }
 
@@ -164,8 +167,10 @@
         now: Instant,
     ) -> bool {
         let Some(part) = self.part(sharers, target, limit) else {
-            let may = how == Admission::Unsure && *sharers.zone == target.zone;
-            return may && now >= self.seldom_from(sharers, &target.id, now);
+            // Callers of a box that stops find another one; those of one that cannot know may not.
+            let may = how == Admission::Unsure && !sharers.is_stopping;
+            let is_near = *sharers.zone == target.zone;
+            return may && is_near && now >= self.seldom_from(sharers, &target.id, now);
         };
         self.sent_within(&target.id, limit.period + OPENING, now) < part
     }
@@ -185,15 +190,16 @@
         Some(blocking.map_or(now, |at| *at + limit.period + OPENING))
     }
 
-    /// This box's part of a limit in each period; `None`: it cannot know.
+    /// This box's part of a limit in each period; `None`: it cannot know, or takes none any more.
     fn part(
         &mut self,
         sharers: &Sharers<'_>,
         target: &TargetEntry,
         limit: SharedLimit,
     ) -> Option<u32> {
-        let knows = sharers.is_settled && (sharers.is_in_touch || !limit.strict);
-        knows.then(|| self.place(sharers, target, limit.strict).part(limit.whole))
+        let hears = sharers.is_in_touch || !limit.strict;
+        let takes_part = sharers.is_settled && !sharers.is_stopping && hears;
+        takes_part.then(|| self.place(sharers, target, limit.strict).part(limit.whole))
     }
 
     fn sent_within(&self, target: &TargetId, time: Duration, now: Instant) -> u32 {
--- a/crates/sillpin-gateway/tests/limited_fleet.rs
+++ b/crates/sillpin-gateway/tests/limited_fleet.rs
@@ -247,6 +247,7 @@
                 zone: &self.entries[from].zone,
                 others: &self.others[from],
                 is_settled: one.began == 0 || started >= KNOWS_AFTER,
+                is_stopping: false,
                 is_in_touch: !one.cut,
                 pool_zones: &self.zones,
             },
--- a/crates/sillpin-gateway/tests/shared_limit.rs
+++ b/crates/sillpin-gateway/tests/shared_limit.rs
@@ -54,6 +54,7 @@
             zone: &me.zone,
             others: &others,
             is_settled: true,
+            is_stopping: false,
             is_in_touch: in_touch,
             pool_zones,
         };
@@ -129,6 +130,7 @@
         zone: &all[0].zone,
         others: &others,
         is_settled: true,
+        is_stopping: false,
         is_in_touch: true,
         pool_zones: &zones,
     };
--- a/crates/sillpin-gateway/tests/slow_start.rs
+++ b/crates/sillpin-gateway/tests/slow_start.rs
@@ -67,6 +67,8 @@
     CutOff,
     /// All boxes start anew, none knows another.
     AllStart,
+    /// Nine of ten boxes are told to stop in the same moment, and go on with what their callers have open.
+    Stop,
 }
 
 /// One box, and what it believes of others.
@@ -75,6 +77,7 @@
     began: Instant,
     ended: Option<Instant>,
     cut_since: Option<Instant>,
+    stopping: Option<Instant>,
     others: Arc<Vec<BoxEntry>>,
     state: Limits,
 }
@@ -103,6 +106,7 @@
             began: long_ago,
             ended: None,
             cut_since: None,
+            stopping: None,
             others: Arc::default(),
             state: Limits::default(),
         };
@@ -136,11 +140,17 @@
                         began: now,
                         ended: None,
                         cut_since: None,
+                        stopping: None,
                         others: Arc::default(),
                         state: Limits::default(),
                     });
                 }
             }
+            Trouble::Stop => {
+                for index in self.some(0.9) {
+                    self.boxes[index].stopping = Some(now);
+                }
+            }
             Trouble::CutOff => {
                 for index in self.some(0.33) {
                     self.boxes[index].cut_since = Some(now);
@@ -176,7 +186,9 @@
             let one = &self.boxes[other];
             // Whoever started later has to hear of all; the others know of it once they heard it.
             let from = one.began.max(self.boxes[of].began) + start;
-            let is_known = now >= from && one.ended.is_none_or(|at| now < at + end);
+            // A box that stops tells so; half of the words are as late as those of starts.
+            let stops = one.stopping.is_some_and(|at| now >= at + start / 2);
+            let is_known = now >= from && !stops && one.ended.is_none_or(|at| now < at + end);
             if other != of && is_known {
                 known.push(one.entry.clone());
             }
@@ -232,6 +244,7 @@
                     zone: &zone,
                     others: &others,
                     is_settled: now >= one.began + KNOWS_AFTER,
+                    is_stopping: one.stopping.is_some(),
                     is_in_touch: in_touch,
                     pool_zones: &[],
                 },
@@ -285,7 +298,8 @@
         Trouble::StartAnew,
         Trouble::Replaced,
         Trouble::CutOff,
-        Trouble::AllStart
+        Trouble::AllStart,
+        Trouble::Stop
     )]
     trouble: Trouble,
     #[values(1, 2)] seed: u64,
