Refuse at once what no engine can begin in time

What callers saw: with twice as many users for ten seconds less was served in time than with half as many more, and nothing was refused.

Change: a prompt that would begin later than its aim behind three times the queue that the box knows of is refused (503, not run, E357 with the inputs), with the time by which it would be late, spread, as Retry-After. What the caller waited before counts, by what is left of the time that its route allows, so callers who come back late go behind those who can be in time. A queue below 20 ms takes whatever comes. Requests that may have run are not refused. In fleets of more than 16 boxes 250 ms are taken off the queue, since boxes hear of it that late.

--- a/crates/sillpin-gateway/src/front/admit.rs
+++ b/crates/sillpin-gateway/src/front/admit.rs
@@ -54,6 +54,13 @@
         own.unwrap_or(self.route.priority)
     }
 
+    /// How long its caller has waited. One that will wait less long than the route allows has been refused before, or lost its connection.
+    pub fn waited(&self) -> Duration {
+        let patience = self.demand.patience.unwrap_or(self.route.timeout);
+        let before = self.route.timeout.saturating_sub(patience);
+        before + self.arrival.elapsed()
+    }
+
     /// Time left until its deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -5,7 +5,7 @@
 //! target while time and budget last.
 
 use super::admit::{Run, is_fresh};
-use super::answers::Refusal;
+use super::answers::{COME_BACK, Refusal};
 use super::attempt::{Attempt, Ended, Leaving, WholeAnswer};
 use super::placing::Placed;
 use super::shared::Shared;
@@ -68,6 +68,9 @@
 /// Why a request is sent to no target while there are some that are not free: waiting for them helps nobody.
 const LIMITED: &str = "its targets limit their requests and get all that they take";
 
+/// Why a request is sent to no target while all are busy.
+const OVERLOADED: &str = "no target can begin it in time";
+
 /// Why a request that is known to end targets is sent to none.
 const FATAL: &str = "targets that ran this request have ended";
 
@@ -150,6 +153,9 @@
         let Some(mut placed) = self.place(run, pool, &view, progress) else {
             return Err(self.no_target(run, pool, &view, progress));
         };
+        if let Some(refusal) = self.overloaded(run, &placed, progress) {
+            return Err(GivenUp::Refused(refusal));
+        }
         if progress.arrivals > 0 && !self.take_retry(pool) {
             return Err(give_up(progress, "retry budget used up"));
         }
@@ -333,6 +339,26 @@
         GivenUp::Refused(Refusal::not_run(EVACUATED).come_back_after(wait))
     }
 
+    /// Refuses a request that no target can begin in time, unless it may have run: its caller has more of it than a refusal says.
+    fn overloaded(&self, run: &Run, placed: &Placed, progress: &Progress) -> Option<Refusal> {
+        if progress.runs > 0 {
+            return None;
+        }
+        let boxes = self.fleet.view().box_count();
+        let expected = placed.expected(run, boxes)?;
+        let late = expected.refused_for(rand::rng().random())?;
+        let wait = late.max(COME_BACK);
+        let wait = wait.mul_f64(rand::rng().random_range(0.5..1.5));
+        self.metrics.sending("overloaded");
+        event!(self.log, events::OVERLOADED, "request" => &run.demand.id, "route" => &run.route.name,
+            "target" => placed.chosen.target.id.as_str(),
+            "organisation" => run.organisation.as_ref().map_or("", |org| org.id.as_str()),
+            "waited_ms" => expected.waited.as_millis(), "aim_ms" => expected.aim.as_millis(),
+            "queue_ms" => expected.queue.as_millis(), "own_ms" => expected.own.as_millis(),
+            "retry_after_ms" => wait.as_millis());
+        Some(Refusal::not_run(OVERLOADED).come_back_after(wait))
+    }
+
     /// Whether a request may be offered to one more target.
     pub fn may_offer(&self, progress: &Progress) -> bool {
         progress.offered.len() < MAX_OFFERS
--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -18,11 +18,16 @@
 use crate::place::{Choice, Chosen, choose};
 use rand::RngExt;
 use sillpin_core::{ModelId, PoolId, Tokens, WeightVersion};
+use sillpin_policy::overload::{Expected, READING_FACTOR};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// In a large fleet a box hears of others' work that late, in milliseconds: by the time that a prompt comes to an engine, so much of what was ahead is
+/// done, and looked at without that most engines would seem busy at loads that they serve well.
+pub const HEARD_LATE_MS: f64 = 250.0;
+
 /// Share of a target's connections that all boxes together use; the rest is for boxes that this one
 /// does not know of.
 const CONNECTION_SHARE: f64 = 0.85;
@@ -30,10 +35,6 @@
 /// Connections that a box may use at one target at least.
 const MIN_CONNECTIONS: u32 = 2;
 
-/// Prompt work takes this many times as long as its tokens explain: an engine makes other requests' tokens between
-/// pieces of a prompt.
-const SLOWED: f64 = 1.2;
-
 /// Times of a request's aim after which a fetch for it is thrown away and its prompt read. A fetch waits in the engine's
 /// queue too, and one thrown away is read at a price, so it gets longer than the aim; but while it waits it takes
 /// memory, so it is not borne for ever. Measured on two fleets, worth of days with trouble: with aims of
@@ -122,6 +123,23 @@
         )
     }
 
+    /// What is expected of the request at its target, for one that takes a prompt in a fleet of so many boxes.
+    pub fn expected(&self, run: &Run, boxes: usize) -> Option<Expected> {
+        self.engine.as_ref()?;
+        let heard_late = if boxes > SMALL_FLEET {
+            HEARD_LATE_MS
+        } else {
+            0.0
+        };
+        let millis = |ms: f64| Duration::from_secs_f64(ms.max(0.0) / 1000.0);
+        Some(Expected {
+            waited: run.waited(),
+            aim: run.route.aim,
+            queue: millis(self.chosen.queue_ms - heard_late),
+            own: millis(self.prompt_ms),
+        })
+    }
+
     /// The request's urgency: one that comes late whatever is done goes behind all that can be in time.
     pub fn priority(&self, run: &Run) -> Priority {
         match self.in_time {
@@ -133,7 +151,7 @@
 
 /// Whether a request's first event can still come within its aim, with so much prompt work ahead of it and of its own.
 fn is_in_time(run: &Run, work_ms: f64) -> bool {
-    let work = Duration::from_secs_f64(work_ms * SLOWED / 1000.0);
+    let work = Duration::from_secs_f64(work_ms * READING_FACTOR / 1000.0);
     run.arrival.elapsed() + work < run.route.aim
 }
 
--- a/crates/sillpin-gateway/tests/common/mod.rs
+++ b/crates/sillpin-gateway/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod engines;
 pub mod gossip;
 
 use sillpin_core::target::BoxList;
--- a/crates/sillpin-policy/src/lib.rs
+++ b/crates/sillpin-policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`placement`]: which engine takes a request,
 //! - [`keeping`]: which blocks are worth holding in a store,
 //! - [`admission`]: whose request goes next, and which is refused at once,
+//! - [`overload`]: which request no target can begin in time,
 //! - [`arms`]: which arm of a rollout a prompt belongs to,
 //! - [`guard`]: when an arm's traffic goes back to the control arm,
 //! - [`set`]: the parameters of all of them, as a bundle carries them.
@@ -14,6 +15,7 @@
 pub mod arms;
 pub mod guard;
 pub mod keeping;
+pub mod overload;
 pub mod placement;
 pub mod rendezvous;
 pub mod set;
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -187,6 +187,8 @@
     FATAL_NOT_KEPT = 348, Warning, "requests that end targets not kept", "Look at the store if it recurs; boxes tell each other meanwhile.";
     /// A request that is known to end targets was sent to none.
     REQUEST_WITHHELD = 349, Info, "request withheld", "Look for E347 with its print, and tell its caller.";
+    /// A request was refused since no target could begin it in time.
+    OVERLOADED = 357, Info, "refused: overloaded", "Add targets if it recurs: queue_ms is the work ahead at the target that would have begun it soonest.";
     /// The box holds the duty to order engines.
     DUTY_TAKEN = 350, Info, "duty taken", "Nothing to do.";
     /// The box lost the duty to order engines.
