Refuse for queues that stand, not for one that a single prompt meets

Change: only while a queue of 20 ms stands on average of late (half-life 0.5 s) is anything refused; the known queue counts once and the standing one twice, in place of three times the known one; whoever meets less than 20 ms is served, and a prompt with less than 20 ms of its own is refused only for the queue that it meets. In large fleets what was heard 250 ms late counts as done for the standing queue, and as 20 ms at least for the one that is met.

--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -341,11 +341,12 @@
 
     /// Refuses a request that no target can begin in time, unless it may have run: its caller has more of it than a refusal says.
     fn overloaded(&self, run: &Run, placed: &Placed, progress: &Progress) -> Option<Refusal> {
+        let queue = placed.queue(self.fleet.view().box_count())?;
+        let standing_ms = self.loads.note_queue(queue, Instant::now());
         if progress.runs > 0 {
             return None;
         }
-        let boxes = self.fleet.view().box_count();
-        let expected = placed.expected(run, boxes)?;
+        let expected = placed.expected(run, queue, standing_ms);
         let late = expected.refused_for(rand::rng().random())?;
         let wait = late.max(COME_BACK);
         let wait = wait.mul_f64(rand::rng().random_range(0.5..1.5));
@@ -355,6 +356,7 @@
             "organisation" => run.organisation.as_ref().map_or("", |org| org.id.as_str()),
             "waited_ms" => expected.waited.as_millis(), "aim_ms" => expected.aim.as_millis(),
             "queue_ms" => expected.queue.as_millis(), "own_ms" => expected.own.as_millis(),
+            "standing_ms" => expected.standing.as_millis(),
             "retry_after_ms" => wait.as_millis());
         Some(Refusal::not_run(OVERLOADED).come_back_after(wait))
     }
--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -14,6 +14,7 @@
 use crate::place::parts::{Plan, PlanInputs, plan, salt};
 use crate::place::residency::Residency;
 use crate::place::shared_limit::{KNOWS_AFTER, Sharers};
+use crate::place::standing::Queue;
 use crate::place::work::Work;
 use crate::place::{Choice, Chosen, choose};
 use rand::RngExt;
@@ -24,10 +25,6 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// In a large fleet a box hears of others' work that late, in milliseconds: by the time that a prompt comes to an engine, so much of what was ahead is
-/// done, and looked at without that most engines would seem busy at loads that they serve well.
-pub const HEARD_LATE_MS: f64 = 250.0;
-
 /// Share of a target's connections that all boxes together use; the rest is for boxes that this one
 /// does not know of.
 const CONNECTION_SHARE: f64 = 0.85;
@@ -123,21 +120,22 @@
         )
     }
 
-    /// What is expected of the request at its target, for one that takes a prompt in a fleet of so many boxes.
-    pub fn expected(&self, run: &Run, boxes: usize) -> Option<Expected> {
+    /// Work ahead of a prompt at its target, in a fleet of so many boxes; `None` for a request without one.
+    pub fn queue(&self, boxes: usize) -> Option<Queue> {
         self.engine.as_ref()?;
-        let heard_late = if boxes > SMALL_FLEET {
-            HEARD_LATE_MS
-        } else {
-            0.0
-        };
+        Some(Queue::heard(self.chosen.queue_ms, boxes > SMALL_FLEET))
+    }
+
+    /// What is expected of a prompt behind a queue, where so much has stood at targets of late, in milliseconds.
+    pub fn expected(&self, run: &Run, queue: Queue, standing_ms: f64) -> Expected {
         let millis = |ms: f64| Duration::from_secs_f64(ms.max(0.0) / 1000.0);
-        Some(Expected {
+        Expected {
             waited: run.waited(),
             aim: run.route.aim,
-            queue: millis(self.chosen.queue_ms - heard_late),
+            queue: millis(queue.met_ms),
+            standing: millis(standing_ms),
             own: millis(self.prompt_ms),
-        })
+        }
     }
 
     /// The request's urgency: one that comes late whatever is done goes behind all that can be in time.
--- a/crates/sillpin-gateway/src/place/load.rs
+++ b/crates/sillpin-gateway/src/place/load.rs
@@ -3,6 +3,7 @@
 use super::held::HeldTime;
 use super::limits::Limits;
 use super::replaced::Replaced;
+use super::standing::{Queue, StandingQueue};
 use super::work::{EngineWork, LifeHash, Others, TargetHash, Work};
 use crate::control::{Life, TargetEntry};
 use crate::peers::datagram::BoxHash;
@@ -137,6 +138,7 @@
     zones: Arc<Mutex<HashMap<ZoneId, Reach>>>,
     others: Arc<Mutex<Others>>,
     held: Arc<Mutex<HeldTime>>,
+    standing: Arc<Mutex<StandingQueue>>,
     replaced: Arc<Mutex<Replaced>>,
     limits: Arc<Mutex<Limits>>,
     /// This box has found that a target names a limit, another one, or none any more.
@@ -219,6 +221,12 @@
         self.held.lock().unwrap_or_else(|e| e.into_inner()).ms()
     }
 
+    /// An engine was chosen; what has stood at engines of late, in milliseconds.
+    pub fn note_queue(&self, queue: Queue, now: Instant) -> f64 {
+        let mut standing = self.standing.lock().unwrap_or_else(|e| e.into_inner());
+        standing.note(queue, now)
+    }
+
     fn note_held(&self, tokens: f64, time: Duration, now: Instant) {
         let mut held = self.held.lock().unwrap_or_else(|e| e.into_inner());
         held.note(tokens, time, now);
--- a/crates/sillpin-gateway/src/place/mod.rs
+++ b/crates/sillpin-gateway/src/place/mod.rs
@@ -11,6 +11,7 @@
 //! - [`shared_limit`]: how boxes share what one target may get of all of them,
 //! - [`named_limit`]: limits that targets name,
 //! - [`slow_start`]: what cold targets get,
+//! - [`standing`]: the queue that has stood at engines of late,
 //! - [`residency`]: regions that a request may reach,
 //! - [`replaced`]: targets whose address belongs to another by now,
 //! - [`work`]: work at engines, own and told.
@@ -28,6 +29,7 @@
 pub mod residency;
 pub mod shared_limit;
 pub mod slow_start;
+pub mod standing;
 pub mod work;
 
 pub use choose::{Choice, Chosen, choose};
--- a/crates/sillpin-gateway/tests/common/engines.rs
+++ b/crates/sillpin-gateway/tests/common/engines.rs
@@ -12,6 +12,7 @@
 use sillpin_gateway::place::choose::PromptChoice;
 use sillpin_gateway::place::index::TargetIndex;
 use sillpin_gateway::place::parts::{Plan, PlanInputs, plan, salt};
+use sillpin_gateway::place::standing::Queue;
 use sillpin_gateway::place::work::{EngineWork, TargetHash, Work};
 use sillpin_gateway::place::{Choice, Chosen, Loads, Ticket, choose};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -188,6 +189,13 @@
         self.rng.random()
     }
 
+    /// What a prompt meets at the engine that a box chose for it, and what has stood at those that it chose of late, in milliseconds.
+    pub fn meets(&self, (at, chosen): &(usize, Chosen)) -> (f64, f64) {
+        let queue = Queue::heard(chosen.queue_ms, self.lag.is_known);
+        let standing_ms = self.boxes[*at].note_queue(queue, Instant::now());
+        (queue.met_ms, standing_ms)
+    }
+
     /// Sends a prompt to the engine that was chosen for it; its caller gives it up after `patience`.
     pub fn send(&mut self, (at, chosen): (usize, Chosen), patience: Duration) {
         let now = Instant::now();
--- a/crates/sillpin-policy/src/overload.rs
+++ b/crates/sillpin-policy/src/overload.rs
@@ -12,13 +12,18 @@
 /// A prompt takes so many times as long as its tokens explain: a target makes other requests' tokens between pieces of it.
 pub const READING_FACTOR: f64 = 1.2;
 
-/// A target with a shorter queue takes whatever comes: it is about to be free, and a request that is late anyway is served rather than refused.
+/// A request with less work of its own is refused only for the queue that it meets, however long its caller has waited: refusing it frees next to nothing,
+/// and targets begin it between pieces of longer ones.
+const SHORT: Duration = Duration::from_millis(20);
+
+/// While a shorter queue stands at targets they are not asked for more than they can take, whatever a single request meets; and one that meets a shorter
+/// queue is in nobody's way. Both are served rather than refused, also if they are late.
 const LEAST_QUEUE: Duration = Duration::from_millis(20);
 
-/// A request waits so many times as long as the queue that a box knows of explains: it waits for memory and for what is fetched besides, and others'
-/// sendings of the last tenth of a second are not known yet. So the known queue stays below a third of an aim, and requests with shorter aims are in
-/// time behind it too.
-const QUEUE_FACTOR: f64 = 3.0;
+/// Beyond the queue that a box knows of, a request waits so many times as long as the one that has stood of late: for memory, for what is fetched
+/// besides, and behind what others sent in the last tenth of a second. So what stands stays below a third of an aim, and requests with shorter aims are
+/// in time behind it too.
+const STANDING_FACTOR: f64 = 2.0;
 
 /// A request is refused if it would begin later than in so many aims, drawn evenly from these: boxes that see the same queue refuse a part of what
 /// comes, not all or nothing by turns.
@@ -34,6 +39,8 @@
     pub aim: Duration,
     /// Work that is known to be ahead of it at the target.
     pub queue: Duration,
+    /// What was ahead of requests at the targets that were chosen of late, on average.
+    pub standing: Duration,
     /// Work of its own until it begins.
     pub own: Duration,
 }
@@ -41,11 +48,14 @@
 impl Expected {
     /// By how much the request would be late, if it is to be refused for that; `draw` is a number from 0 to 1 drawn for it.
     pub fn refused_for(&self, draw: f64) -> Option<Duration> {
-        if self.queue < LEAST_QUEUE {
+        if self.standing < LEAST_QUEUE || self.queue < LEAST_QUEUE {
             return None;
         }
-        let begins =
-            self.waited + self.queue.mul_f64(QUEUE_FACTOR) + self.own.mul_f64(READING_FACTOR);
+        let besides = match self.own < SHORT {
+            true => Duration::ZERO,
+            false => self.waited + self.standing.mul_f64(STANDING_FACTOR),
+        };
+        let begins = besides + self.queue + self.own.mul_f64(READING_FACTOR);
         let bound = self
             .aim
             .mul_f64(LEAST_AIMS + (MOST_AIMS - LEAST_AIMS) * draw);
