Have boxes that hear late look at limited engines of which they have a part

Change: such a box looks at all limited engines of its zone besides; those that it may not send to are no candidates.

The new test fails without the change; the property tests of both limits send all that boxes may, so their bounds hold as before.

--- a/crates/sillpin-gateway/src/place/choose.rs
+++ b/crates/sillpin-gateway/src/place/choose.rs
@@ -245,6 +245,7 @@
             .map(|zone| self.ranked(pool.of_zone(zone).iter()));
         let near_parts = near_parts.and_then(|near| self.best_of(&near, FIRST_LOOK));
         let first = better(self.best_of(&own, FIRST_LOOK), near_parts);
+        let first = better(first, self.best_of(&self.limited(&own), usize::MAX));
         if first.as_ref().is_some_and(|found| self.is_soon(found)) {
             return first;
         }
@@ -259,6 +260,21 @@
         self.best_of(&all, usize::MAX)
     }
 
+    /// Those of the targets that are limited. Few boxes have a part of what one may get, and two engines drawn for a prompt are seldom the ones where its
+    /// box has it.
+    fn limited<'t>(&self, targets: &[&'t Indexed]) -> Vec<&'t Indexed> {
+        let Some(gate) = &self.choice.gate else {
+            return Vec::new();
+        };
+        let limits = self.choice.loads.limits();
+        if !limits.has_any(gate) {
+            return Vec::new();
+        }
+        let is_limited =
+            |target: &&&Indexed| limits.is_limited(gate, &target.entry, self.choice.now);
+        targets.iter().filter(is_limited).copied().collect()
+    }
+
     /// Whether a prompt need not look further than at an engine that was found.
     fn is_soon(&self, found: &Chosen) -> bool {
         let aim = self.choice.prompt.as_ref().map_or(0.0, |p| millis(p.aim));
--- a/crates/sillpin-gateway/src/place/limits.rs
+++ b/crates/sillpin-gateway/src/place/limits.rs
@@ -58,6 +58,17 @@
         limits.all(|limit| self.shared.admits(&gate.sharers, target, limit, how, now))
     }
 
+    /// Whether any target may be limited.
+    pub fn has_any(&self, gate: &Gate<'_>) -> bool {
+        let cold = gate.warm_up.is_some() && (!gate.cold.is_empty() || self.slow_start.has_any());
+        cold || !self.named.is_empty()
+    }
+
+    /// Whether a target is limited.
+    pub fn is_limited(&self, gate: &Gate<'_>, target: &TargetEntry, now: Instant) -> bool {
+        self.of(gate, target, now).iter().any(Option::is_some)
+    }
+
     /// How long this box has to wait until it may send one more request to a target; `None`: no limit is in its way.
     pub fn wait(
         &mut self,
--- a/crates/sillpin-gateway/src/place/slow_start.rs
+++ b/crates/sillpin-gateway/src/place/slow_start.rs
@@ -24,6 +24,11 @@
         self.returned.insert(target.clone(), now);
     }
 
+    /// Whether any target was out of reach and came back.
+    pub fn has_any(&self) -> bool {
+        !self.returned.is_empty()
+    }
+
     /// Forgets targets that are not listed.
     pub fn follow(&mut self, is_listed: impl Fn(&TargetId) -> bool) {
         self.returned.retain(|id, _| is_listed(id));
--- a/crates/sillpin-gateway/tests/place.rs
+++ b/crates/sillpin-gateway/tests/place.rs
@@ -9,14 +9,18 @@
 use sillpin_gateway::config::{EngineSpec, FleetConfig};
 use sillpin_gateway::control::{KeptKey, KeptList};
 use sillpin_gateway::control::{Presence, TargetEntry};
-use sillpin_gateway::dialect::{Part, PartId, Prompt};
+use sillpin_gateway::dialect::{LimitWord, Part, PartId, Prompt};
 use sillpin_gateway::kept::Kept;
 use sillpin_gateway::place::choose::PromptChoice;
 use sillpin_gateway::place::index::TargetIndex;
+use sillpin_gateway::place::limits::Gate;
 use sillpin_gateway::place::load::Outcome;
+use sillpin_gateway::place::named_limit::Heard;
 use sillpin_gateway::place::parts::{Plan, PlanInputs, plan, salt};
+use sillpin_gateway::place::shared_limit::Sharers;
 use sillpin_gateway::place::work::{EngineWork, LifeHash, TargetHash, Work};
 use sillpin_gateway::place::{Choice, Chosen, Loads, choose};
+use sillpin_gateway::settings::WarmUpRules;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -76,7 +80,23 @@
             body_len: self.body_len,
             prompt,
             residency: anywhere(),
-            gate: None,
+            gate: Some(Gate {
+                cold: &HashMap::new(),
+                warm_up: None,
+                rules: WarmUpRules {
+                    overage: 1.5,
+                    slack: 5.0,
+                },
+                sharers: Sharers {
+                    me: &name("b"),
+                    zone: &zone,
+                    others: &Arc::default(),
+                    is_settled: true,
+                    is_stopping: false,
+                    is_in_touch: true,
+                    pool_zones: &[],
+                },
+            }),
             now: Instant::now(),
         };
         choose(&choice)
@@ -414,6 +434,45 @@
     assert!(chosen.candidates <= 4 || here_ms + there_ms > 500);
 }
 
+/// On a day on which engines were replaced by cold ones in series, 27 of 60 of them got a fraction of what they may, and the others all that was left: a
+/// box with a part of what a cold engine may get looked at two others for most prompts.
+#[tokio::test(start_paused = true)]
+async fn a_box_that_hears_late_looks_at_each_limited_engine_of_which_it_has_a_part() {
+    for limited in 0..9 {
+        let engines = || (0..9).map(|i| engine(&format!("za-{i}"), "za"));
+        let mut setting = Setting::new(targets(engines().collect()));
+        setting.heard_late = true;
+        let the_limited = engines().nth(limited).unwrap();
+        let busy = engines().filter(|e| e.id != the_limited.id);
+        let work = busy.map(|e| EngineWork(TargetHash::of(&e.id), 200, 100, 1));
+        setting.loads.hear_sums(work.collect(), &[]);
+        let heard = Heard {
+            sent: Instant::now(),
+            word: Some(LimitWord::Rate("2".parse().unwrap())),
+            success: true,
+        };
+        let life = LifeHash::of(&the_limited);
+        let now = Instant::now();
+        setting.loads.limits().named.answered(life, heard, now);
+        let model = name("m");
+        let plans = [(WeightVersion(1), plan_kept_in("za"))];
+        let prompt = || PromptChoice {
+            plans: &plans,
+            ..long_prompt(&model)
+        };
+        for _ in 0..8 {
+            let chosen = setting.find(Some(prompt())).unwrap();
+            assert_eq!(chosen.target.id, the_limited.id);
+            setting.loads.limits().note_sent(&the_limited.id, now);
+        }
+        let chosen = setting.find(Some(prompt())).unwrap();
+        assert_ne!(
+            chosen.target.id, the_limited.id,
+            "it has got all that it may"
+        );
+    }
+}
+
 /// A prompt whose shared part a store of `zone` holds.
 fn plan_kept_in(zone: &str) -> Plan {
     let part = |id: &str, tokens| Part {
