--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -65,7 +65,7 @@
 /// Why a request is sent to no target while there are some.
 const EVACUATED: &str = "all zones that have targets for it are evacuated";
 
-/// Why a request is sent to no target while there are some that are not free: waiting for them helps nobody.
+/// Why a request is sent to no target while its targets have got all that they take.
 const LIMITED: &str = "its targets limit their requests and get all that they take";
 
 /// Why a request is sent to no target while all are busy.
@@ -339,7 +339,7 @@
         GivenUp::Refused(Refusal::not_run(EVACUATED).come_back_after(wait))
     }
 
-    /// Refuses a request that no target can begin in time, unless it may have run: its caller has more of it than a refusal says.
+    /// Refuses a request that no target can begin in time, unless it may have run: a refusal would say that it has not.
     fn overloaded(&self, run: &Run, placed: &Placed, progress: &Progress) -> Option<Refusal> {
         let queue = placed.queue(self.fleet.view().box_count())?;
         let standing_ms = self.loads.note_queue(queue, Instant::now());
