--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -9,7 +9,7 @@
 use crate::control::TargetEntry;
 use crate::dialect::{AnswerHead, Dialect, Sending};
 use crate::place::Ticket;
-use crate::place::named_limit::{Heard, log_limit};
+use crate::place::words::limit::{Heard, log_limit};
 use crate::place::work::LifeHash;
 use crate::pool::{Conn, SendError};
 use bytes::Bytes;
@@ -318,7 +318,9 @@
         };
         let life = LifeHash::of(target);
         let now = Instant::now();
-        let change = self.loads.limits().named.answered(life, heard, now);
+        let change = self
+            .loads
+            .words(|words| words.limits.answered(life, heard, now));
         if let Some(change) = change {
             self.loads.limit_found.notify_waiters();
             log_limit(&self.log, target.id.as_str(), change, "answer");
--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -188,7 +188,9 @@
 
     fn log_sending(&self, run: &Run, progress: &Progress, view: &View, placed: &Placed) {
         let (chosen, weights) = (&placed.chosen, placed.weights);
-        let limit = self.loads.limits().named.rate(LifeHash::of(&chosen.target));
+        let limit = self
+            .loads
+            .words(|words| words.limits.rate(LifeHash::of(&chosen.target)));
         event!(self.log, events::SENDING,
             "request" => &run.demand.id, "print" => run.print.to_string(),
             "target" => chosen.target.id.as_str(),
@@ -270,8 +272,11 @@
         {
             self.learn_weights(run, target, *weights);
             if *misdirected && self.is_replaced(run, version) {
-                let mut replaced = self.loads.replaced();
-                replaced.find(LifeHash::of(target), Instant::now());
+                let mut limits = self.loads.limits();
+                limits
+                    .words
+                    .replaced
+                    .find(LifeHash::of(target), Instant::now());
             }
         }
         if !matches!(ended, Ended::Answered(_) | Ended::Streaming(_)) {
--- a/crates/sillpin-gateway/src/metrics.rs
+++ b/crates/sillpin-gateway/src/metrics.rs
@@ -156,7 +156,7 @@
 /// A gauge of targets that name a limit.
 pub fn observe_limits(meter: &Meter, loads: Loads) {
     let limited = move |observer: &dyn AsyncInstrument<u64>| {
-        observer.observe(loads.limits().named.count() as u64, &[]);
+        observer.observe(loads.words(|words| words.limits.count()) as u64, &[]);
     };
     meter
         .u64_observable_gauge("sillpin_limited_targets")
--- a/crates/sillpin-gateway/src/peers/datagram.rs
+++ b/crates/sillpin-gateway/src/peers/datagram.rs
@@ -9,7 +9,7 @@
 use crate::kept::directory::Position;
 use crate::kept::homes::hash_pair;
 use crate::kept::retire::Retired;
-use crate::place::named_limit::LimitNews;
+use crate::place::words::limit::LimitNews;
 use crate::place::work::{EngineWork, LifeHash};
 use serde::{Deserialize, Serialize};
 use sillpin_core::{BoxId, ModelId, TargetId, Tokens, WeightVersion, ZoneId};
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -214,7 +214,8 @@
             retirements.wake(self.awake.slept());
             retirements.update(&view, fullness, Instant::now());
         }
-        self.loads.limits().named.wake(self.awake.slept());
+        self.loads
+            .words(|words| words.limits.wake(self.awake.slept()));
         if large {
             return;
         }
@@ -239,7 +240,9 @@
         };
         to.extend(others.sample(&mut rand::rng(), fan_out).copied());
         let from = self.me.id.clone();
-        let replaced = self.loads.replaced().told(Instant::now());
+        let replaced = self
+            .loads
+            .words(|words| words.replaced.told(Instant::now()));
         let word = WorkWord {
             from,
             work,
@@ -288,12 +291,12 @@
                 .collect(),
             clock: directory.engine_time(now, Duration::ZERO),
             work: self.loads.told(),
-            replaced: self.loads.replaced().told(now),
+            replaced: self.loads.words(|words| words.replaced.told(now)),
             named: ages(&view.wanted, now),
             contact_ms: view.operators.in_touch(now).map(|at| millis(now - at)),
             retired: self.kept.retirements().told(now),
             fatal: self.fatal.record().told(now),
-            limits: self.loads.limits().named.told(now),
+            limits: self.loads.words(|words| words.limits.told(now)),
             stopping: self.stopping.is_cancelled(),
         }
     }
--- a/crates/sillpin-gateway/src/peers/ear.rs
+++ b/crates/sillpin-gateway/src/peers/ear.rs
@@ -16,7 +16,7 @@
 use crate::kept::directory::Directory;
 use crate::metrics::BoxMetrics;
 use crate::place::Loads;
-use crate::place::named_limit::{LimitNews, log_limit};
+use crate::place::words::limit::{LimitNews, log_limit};
 use crate::place::work::LifeHash;
 use sillpin_core::ZoneId;
 use sillpin_platform::KvRevision;
@@ -145,7 +145,8 @@
             Datagram::Loading(news) => self.take_news(news).await,
             Datagram::Kept(word) => self.take_word(word),
             Datagram::Work(word) => {
-                self.loads.replaced().hear(&word.replaced, Instant::now());
+                self.loads
+                    .words(|words| words.replaced.hear(&word.replaced, Instant::now()));
                 self.loads.hear(word.from, word.work);
             }
             Datagram::Report(report) => self.take_report(report).await,
@@ -162,7 +163,8 @@
         let now = Instant::now();
         let from = digest.from.id.clone();
         self.loads.hear(from.clone(), digest.work);
-        self.loads.replaced().hear(&digest.replaced, now);
+        self.loads
+            .words(|words| words.replaced.hear(&digest.replaced, now));
         self.fatal.hear(&digest.fatal);
         self.take_limits(&digest.limits);
         let silence = digest.targets.age_ms.map(Duration::from_millis);
@@ -186,7 +188,9 @@
         if news.is_empty() {
             return;
         }
-        let changes = self.loads.limits().named.hear(news, Instant::now());
+        let changes = self
+            .loads
+            .words(|words| words.limits.hear(news, Instant::now()));
         if changes.is_empty() {
             return;
         }
--- a/crates/sillpin-gateway/src/peers/ear/news.rs
+++ b/crates/sillpin-gateway/src/peers/ear/news.rs
@@ -53,7 +53,8 @@
         self.zone_news.hub().hear_bulletin(&members, now);
         if let Some(sums) = sums {
             self.loads.hear_sums(sums.work, &members);
-            self.loads.replaced().hear(&sums.replaced, now);
+            self.loads
+                .words(|words| words.replaced.hear(&sums.replaced, now));
             self.kept.retirements().learn(&sums.retired);
             self.fatal.hear(&sums.fatal);
             self.take_limits(&sums.limits);
--- a/crates/sillpin-gateway/src/peers/spread.rs
+++ b/crates/sillpin-gateway/src/peers/spread.rs
@@ -88,7 +88,7 @@
             targets: extent(view.listed),
             retired: self.kept.retirements().applied(),
             fatal: self.fatal.record().told(now),
-            limits: self.loads.limits().named.told(now),
+            limits: self.loads.words(|words| words.limits.told(now)),
         };
         let bulletins = self.zone_news.hub().bulletins(sums, now);
         for bulletin in bulletins {
@@ -116,7 +116,7 @@
         let work = self.loads.told();
         let silent = is_due(spread.reported, REPORT_EVERY, now);
         let fatal = self.fatal.record().found(now);
-        let limits = self.loads.limits().named.found(now);
+        let limits = self.loads.words(|words| words.limits.found(now));
         let is_quiet = spread.pending.is_empty() && fatal.is_empty() && limits.is_empty();
         if work == spread.work && is_quiet && !silent {
             return;
@@ -134,7 +134,7 @@
             let report = Report {
                 from: me,
                 work: work.clone(),
-                replaced: self.loads.replaced().told(now),
+                replaced: self.loads.words(|words| words.replaced.told(now)),
                 operators: extent(view.operators),
                 targets: extent(view.listed),
                 retired: self.kept.retirements().applied(),
@@ -172,7 +172,7 @@
             return;
         };
         word.fatal = self.fatal.record().told(now);
-        word.limits = self.loads.limits().named.told(now);
+        word.limits = self.loads.words(|words| words.limits.told(now));
         let to = self.other_hubs(roster, now);
         self.send(socket, &Datagram::Zone(word), to).await;
     }
--- a/crates/sillpin-gateway/src/place/choose.rs
+++ b/crates/sillpin-gateway/src/place/choose.rs
@@ -207,12 +207,13 @@
             .as_ref()
             .and_then(|p| p.any_plan())
             .and_then(Plan::affinity);
+        let replaced = choice.loads.words(|words| words.replaced.known(choice.now));
         Self {
             others: match choice.prompt {
                 Some(_) => choice.loads.others(choice.now),
                 None => Arc::default(),
             },
-            replaced: choice.loads.replaced().known(choice.now),
+            replaced,
             key: affinity.map(|key| hash_pair(&key.part.0, "")),
             table: choice.loads.table(),
             choice,
--- a/crates/sillpin-gateway/src/place/limits.rs
+++ b/crates/sillpin-gateway/src/place/limits.rs
@@ -1,8 +1,8 @@
 //! Which limits hold at a target, and whether this box may send to it.
 
-use super::named_limit::{self, NamedLimits};
 use super::shared_limit::{Admission, SharedLimit, SharedLimits, Sharers};
 use super::slow_start::{self, SlowStart};
+use super::words::{Words, limit};
 use super::work::LifeHash;
 use crate::config::WarmUp;
 use crate::control::TargetEntry;
@@ -30,8 +30,8 @@
 pub struct Limits {
     /// Targets that have just started.
     pub slow_start: SlowStart,
-    /// What targets name.
-    pub named: NamedLimits,
+    /// What targets say of themselves.
+    pub words: Words,
     shared: SharedLimits,
 }
 
@@ -39,8 +39,8 @@
     fn default() -> Self {
         Self {
             slow_start: SlowStart::default(),
-            named: NamedLimits::default(),
-            shared: SharedLimits::new(slow_start::PERIOD.max(named_limit::MAX_PERIOD)),
+            words: Words::default(),
+            shared: SharedLimits::new(slow_start::PERIOD.max(limit::MAX_PERIOD)),
         }
     }
 }
@@ -61,7 +61,7 @@
     /// Whether any target may be limited.
     pub fn has_any(&self, gate: &Gate<'_>) -> bool {
         let cold = gate.warm_up.is_some() && (!gate.cold.is_empty() || self.slow_start.has_any());
-        cold || !self.named.is_empty()
+        cold || !self.words.limits.is_empty()
     }
 
     /// Whether a target is limited.
@@ -89,9 +89,10 @@
     /// The limits that hold at a target.
     fn of(&self, gate: &Gate<'_>, target: &TargetEntry, now: Instant) -> [Option<SharedLimit>; 2] {
         let cold = self.cold_limit(gate, target, now);
-        let named = match self.named.is_empty() {
+        let limits = &self.words.limits;
+        let named = match limits.is_empty() {
             true => None,
-            false => self.named.limit(LifeHash::of(target), now),
+            false => limits.limit(LifeHash::of(target), now),
         };
         [cold, named]
     }
--- a/crates/sillpin-gateway/src/place/load.rs
+++ b/crates/sillpin-gateway/src/place/load.rs
@@ -2,8 +2,8 @@
 
 use super::held::HeldTime;
 use super::limits::Limits;
-use super::replaced::Replaced;
 use super::standing::{Queue, StandingQueue};
+use super::words::Words;
 use super::work::{EngineWork, LifeHash, Others, TargetHash, Work};
 use crate::control::{Life, TargetEntry};
 use crate::peers::datagram::BoxHash;
@@ -139,7 +139,6 @@
     others: Arc<Mutex<Others>>,
     held: Arc<Mutex<HeldTime>>,
     standing: Arc<Mutex<StandingQueue>>,
-    replaced: Arc<Mutex<Replaced>>,
     limits: Arc<Mutex<Limits>>,
     /// This box has found that a target names a limit, another one, or none any more.
     pub limit_found: Arc<Notify>,
@@ -206,16 +205,16 @@
         others.sum(now)
     }
 
-    /// Targets whose address belongs to another by now.
-    pub fn replaced(&self) -> MutexGuard<'_, Replaced> {
-        self.replaced.lock().unwrap_or_else(|e| e.into_inner())
-    }
-
-    /// Limits of targets, and what was sent to them.
+    /// Limits of targets, what they say of themselves, and what was sent to them.
     pub fn limits(&self) -> MutexGuard<'_, Limits> {
         self.limits.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Does something with what targets say of themselves. The lock is let go with the result.
+    pub fn words<T>(&self, with: impl FnOnce(&mut Words) -> T) -> T {
+        with(&mut self.limits().words)
+    }
+
     /// How long a token of an engine's memory is held, in milliseconds.
     pub fn held_ms(&self) -> f64 {
         self.held.lock().unwrap_or_else(|e| e.into_inner()).ms()
@@ -324,7 +323,7 @@
         self.limits().follow(|id| targets.contains_key(id), now);
         let lives: HashSet<LifeHash> = targets.values().map(|entry| LifeHash::of(entry)).collect();
         let is_listed = |life| lives.contains(&life);
-        self.limits().named.follow(is_listed, now);
+        self.words(|words| words.limits.follow(is_listed, now));
         let mut table = self.lock();
         table.retain(|id, load| load.in_flight > 0 || targets.contains_key(id));
         for (id, load) in table.iter_mut() {
--- a/crates/sillpin-gateway/src/place/mod.rs
+++ b/crates/sillpin-gateway/src/place/mod.rs
@@ -9,11 +9,10 @@
 //! - [`parts`]: where the parts of a prompt come from and go to,
 //! - [`limits`]: which limits hold at a target,
 //! - [`shared_limit`]: how boxes share what one target may get of all of them,
-//! - [`named_limit`]: limits that targets name,
 //! - [`slow_start`]: what cold targets get,
 //! - [`standing`]: the queue that has stood at engines of late,
 //! - [`residency`]: regions that a request may reach,
-//! - [`replaced`]: targets whose address belongs to another by now,
+//! - [`words`]: what targets say of themselves beside their answers,
 //! - [`work`]: work at engines, own and told.
 
 pub mod allowed;
@@ -22,14 +21,13 @@
 pub mod index;
 pub mod limits;
 pub mod load;
-pub mod named_limit;
 pub mod parts;
 pub mod probe;
-pub mod replaced;
 pub mod residency;
 pub mod shared_limit;
 pub mod slow_start;
 pub mod standing;
+pub mod words;
 pub mod work;
 
 pub use choose::{Choice, Chosen, choose};
--- a/crates/sillpin-gateway/src/place/named_limit.rs
+++ b/crates/sillpin-gateway/src/place/words/limit.rs
@@ -4,9 +4,9 @@
 //! not matter by which way or in which order they come. A limit ends only by a success without one whose request was sent after the target last named
 //! it: answers overtake each other, and failures and refusals may be made by something before the target.
 
-use super::shared_limit::SharedLimit;
-use super::work::LifeHash;
 use crate::dialect::LimitWord;
+use crate::place::shared_limit::SharedLimit;
+use crate::place::work::LifeHash;
 use serde::{Deserialize, Serialize};
 use sillpin_core::RequestRate;
 use sillpin_telemetry::{event, events};
--- a/crates/sillpin-gateway/src/place/replaced.rs
+++ b/crates/sillpin-gateway/src/place/words/replaced.rs
@@ -4,7 +4,7 @@
 //! Whoever answers at the address says that it is not the target that was meant, and until the target starts again, which its entry then tells, that
 //! is final. Each box that finds it out by itself spends a second sending on it, so boxes tell each other.
 
-use super::work::LifeHash;
+use crate::place::work::LifeHash;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 use tokio::time::Instant;
--- a/crates/sillpin-gateway/tests/limited_fleet.rs
+++ b/crates/sillpin-gateway/tests/limited_fleet.rs
@@ -16,8 +16,8 @@
 use sillpin_gateway::kept::homes::hash_pair;
 use sillpin_gateway::peers::roles::SMALL_FLEET;
 use sillpin_gateway::place::limits::{Gate, Limits};
-use sillpin_gateway::place::named_limit::{Heard, LimitNews};
 use sillpin_gateway::place::shared_limit::{Admission, KNOWS_AFTER, Sharers};
+use sillpin_gateway::place::words::limit::{Heard, LimitNews};
 use sillpin_gateway::place::work::LifeHash;
 use sillpin_gateway::settings::WarmUpRules;
 use std::collections::HashMap;
@@ -71,15 +71,15 @@
     type Word = LimitNews;
 
     fn found(&mut self, now: Instant) -> Vec<LimitNews> {
-        self.named.found(now)
+        self.words.limits.found(now)
     }
 
     fn told(&mut self, now: Instant) -> Vec<LimitNews> {
-        self.named.told(now)
+        self.words.limits.told(now)
     }
 
     fn hear(&mut self, words: &[LimitNews], now: Instant) {
-        self.named.hear(words, now);
+        self.words.limits.hear(words, now);
     }
 }
 
@@ -286,7 +286,10 @@
                 success: true,
             };
             let life = LifeHash::of(&self.targets[answer.target]);
-            one.memory.named.answered(life, heard, Instant::now());
+            one.memory
+                .words
+                .limits
+                .answered(life, heard, Instant::now());
         }
     }
 
--- a/crates/sillpin-gateway/tests/named_limit.rs
+++ b/crates/sillpin-gateway/tests/named_limit.rs
@@ -7,7 +7,7 @@
 use sillpin_core::RequestRate;
 use sillpin_gateway::control::TargetEntry;
 use sillpin_gateway::dialect::LimitWord;
-use sillpin_gateway::place::named_limit::{Heard, NamedLimits};
+use sillpin_gateway::place::words::limit::{Heard, NamedLimits};
 use sillpin_gateway::place::work::LifeHash;
 use std::time::Duration;
 use tokio::time::{Instant, advance};
--- a/crates/sillpin-gateway/tests/place.rs
+++ b/crates/sillpin-gateway/tests/place.rs
@@ -15,9 +15,9 @@
 use sillpin_gateway::place::index::TargetIndex;
 use sillpin_gateway::place::limits::Gate;
 use sillpin_gateway::place::load::Outcome;
-use sillpin_gateway::place::named_limit::Heard;
 use sillpin_gateway::place::parts::{Plan, PlanInputs, plan, salt};
 use sillpin_gateway::place::shared_limit::Sharers;
+use sillpin_gateway::place::words::limit::Heard;
 use sillpin_gateway::place::work::{EngineWork, LifeHash, TargetHash, Work};
 use sillpin_gateway::place::{Choice, Chosen, Loads, choose};
 use sillpin_gateway::settings::WarmUpRules;
@@ -390,15 +390,25 @@
     let setting = Setting::new(three());
     let hash = LifeHash::of(&engine("e1", "za"));
     let finder = Loads::default();
-    finder.replaced().find(hash, Instant::now());
-    let told = finder.replaced().told(Instant::now());
-    setting.loads.replaced().hear(&told, Instant::now());
+    finder.words(|words| words.replaced.find(hash, Instant::now()));
+    let told = finder.words(|words| words.replaced.told(Instant::now()));
+    setting
+        .loads
+        .words(|words| words.replaced.hear(&told, Instant::now()));
     assert_ne!(setting.choose(None).as_deref(), Some("e1"));
-    let heard = setting.loads.replaced().told(Instant::now());
+    let heard = setting
+        .loads
+        .words(|words| words.replaced.told(Instant::now()));
     assert!(heard.is_empty(), "only who found it tells it");
     tokio::time::advance(Duration::from_secs(3)).await;
-    setting.loads.replaced().hear(&told, Instant::now());
-    assert!(finder.replaced().told(Instant::now()).is_empty());
+    setting
+        .loads
+        .words(|words| words.replaced.hear(&told, Instant::now()));
+    assert!(
+        finder
+            .words(|words| words.replaced.told(Instant::now()))
+            .is_empty()
+    );
     tokio::time::advance(Duration::from_secs(4)).await;
     assert_eq!(setting.choose(None).as_deref(), Some("e1"));
 }
@@ -453,7 +463,9 @@
         };
         let life = LifeHash::of(&the_limited);
         let now = Instant::now();
-        setting.loads.limits().named.answered(life, heard, now);
+        setting
+            .loads
+            .words(|words| words.limits.answered(life, heard, now));
         let model = name("m");
         let plans = [(WeightVersion(1), plan_kept_in("za"))];
         let prompt = || PromptChoice {
