Read what targets say of leaving and of rest, log it and count it

The adapter now reads Server-Leaving and the Retry-After of refusals from the head of any answer; E358 and E359 log it, sillpin_leaving_targets and sillpin_backing_off_targets count it. No decision uses it: choices are as before.

--- a/crates/sillpin-gateway/src/dialect.rs
+++ b/crates/sillpin-gateway/src/dialect.rs
@@ -179,8 +179,28 @@
     pub closes: bool,
     /// Whether the body is encoded, so that it is not what the target made.
     pub encoded: bool,
-    /// What the target takes of all boxes together, if it names a limit.
+    /// What the target says of itself.
+    pub words: TargetWords,
+}
+
+/// What a target says of itself beside its answer, whatever it answers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TargetWords {
+    /// What it takes of all boxes together, if it names a limit.
     pub limit: Option<LimitWord>,
+    /// Whether it leaves.
+    pub leaving: bool,
+    /// For how long it wants no requests from this box, if it says so.
+    pub retry_after: Option<RetryAfter>,
+}
+
+/// For how long a target wants no requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryAfter {
+    /// For so long.
+    Wait(Duration),
+    /// It names a time that cannot be read.
+    Unreadable,
 }
 
 /// What a target says of the requests that it takes of all boxes together.
--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -9,7 +9,7 @@
 use crate::control::TargetEntry;
 use crate::dialect::{AnswerHead, Dialect, Sending};
 use crate::place::Ticket;
-use crate::place::words::limit::{Heard, log_limit};
+use crate::place::words::{Change, Said, log_change};
 use crate::place::work::LifeHash;
 use crate::pool::{Conn, SendError};
 use bytes::Bytes;
@@ -33,6 +33,12 @@
 /// Why a prompt was taken back from its engine.
 const EXPIRED: &str = "its weights were replaced too long ago for it to begin";
 
+/// Statuses by which a target turns a request away for now.
+const TURNED_AWAY: [StatusCode; 2] = [
+    StatusCode::SERVICE_UNAVAILABLE,
+    StatusCode::TOO_MANY_REQUESTS,
+];
+
 /// How often a prompt that waits at its engine is looked at again: weights may be named meanwhile, and their limit is some seconds.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
 
@@ -255,7 +261,7 @@
         if head.request_id.as_deref() != Some(attempt.run.demand.id.as_str()) {
             return Ended::Unknown("the answer is another request's".to_owned());
         }
-        self.note_limit(&attempt.target, parts.status, &head, sent);
+        self.note_words(&attempt.target, parts.status, &head, sent);
         if head.not_run || parts.status == StatusCode::MISDIRECTED_REQUEST {
             let why = format!("refused with {}", parts.status.as_u16());
             let weights = head.weights;
@@ -299,8 +305,8 @@
         }
     }
 
-    /// Takes note of the limit that a target names, or does not. Who says that it is not the one that was meant speaks for another target.
-    fn note_limit(
+    /// Takes note of what a target says of itself. Who says that it is not the one that was meant speaks for another target.
+    fn note_words(
         &self,
         target: &TargetEntry,
         status: StatusCode,
@@ -311,19 +317,21 @@
         if status == StatusCode::MISDIRECTED_REQUEST || is_other {
             return;
         }
-        let heard = Heard {
+        let said = Said {
             sent,
-            word: head.limit,
+            words: head.words,
             success: status.is_success() && head.signed && !head.not_run,
+            turned_away: TURNED_AWAY.contains(&status),
         };
         let life = LifeHash::of(target);
-        let now = Instant::now();
-        let change = self
+        let changes = self
             .loads
-            .words(|words| words.limits.answered(life, heard, now));
-        if let Some(change) = change {
-            self.loads.limit_found.notify_waiters();
-            log_limit(&self.log, target.id.as_str(), change, "answer");
+            .words(|words| words.take(life, said, Instant::now()));
+        for change in changes {
+            if let Change::Limit(_) = change {
+                self.loads.limit_found.notify_waiters();
+            }
+            log_change(&self.log, target.id.as_str(), change);
         }
     }
 
--- a/crates/sillpin-gateway/src/metrics.rs
+++ b/crates/sillpin-gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::beliefs::{FleetHandle, View};
 use crate::place::Loads;
+use crate::place::words::Words;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{AsyncInstrument, Counter, Histogram, Meter};
 use sillpin_platform::call::{CallCounts, Tally};
@@ -9,6 +10,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Datagrams and their bytes, by kind and by whether they were sent, received or dropped.
 type PeerTraffic = BTreeMap<(&'static str, &'static str), (u64, u64)>;
@@ -153,15 +155,28 @@
         .build();
 }
 
-/// A gauge of targets that name a limit.
-pub fn observe_limits(meter: &Meter, loads: Loads) {
-    let limited = move |observer: &dyn AsyncInstrument<u64>| {
-        observer.observe(loads.words(|words| words.limits.count()) as u64, &[]);
+/// Gauges of targets that say something which keeps requests from them.
+pub fn observe_words(meter: &Meter, loads: Loads) {
+    let observe = |of: fn(&Words) -> usize| {
+        let loads = loads.clone();
+        move |observer: &dyn AsyncInstrument<u64>| {
+            observer.observe(loads.words(|words| of(words)) as u64, &[]);
+        }
     };
     meter
         .u64_observable_gauge("sillpin_limited_targets")
         .with_description("Targets that name a limit on the requests of all boxes together")
-        .with_callback(limited)
+        .with_callback(observe(|words| words.limits.count()))
+        .build();
+    meter
+        .u64_observable_gauge("sillpin_leaving_targets")
+        .with_description("Targets that told this box that they leave")
+        .with_callback(observe(|words| words.leaving.count()))
+        .build();
+    meter
+        .u64_observable_gauge("sillpin_backing_off_targets")
+        .with_description("Targets that want no requests from this box for a while")
+        .with_callback(observe(|words| words.backoffs.all(Instant::now()).count()))
         .build();
 }
 
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -14,7 +14,7 @@
 use crate::front::{Front, Shared};
 use crate::kept::reader::Readers;
 use crate::kept::{self, Kept};
-use crate::metrics::{BoxMetrics, observe_fleet, observe_limits};
+use crate::metrics::{BoxMetrics, observe_fleet, observe_words};
 use crate::peers::datagram::{BoxHash, News};
 use crate::peers::digest::Gossip;
 use crate::peers::hub::Hub;
@@ -165,7 +165,7 @@
     let transfers = Transfers::default();
     let (words_tx, words) = mpsc::channel(NEWS_QUEUE);
     let loads = Loads::default();
-    observe_limits(&metrics.meter(), loads.clone());
+    observe_words(&metrics.meter(), loads.clone());
     start_readers(&adapter.keys, |topic, prefix| Reader {
         platform: adapter.platform.clone(),
         topic,
--- a/crates/sillpin-gateway/src/peers/digest.rs
+++ b/crates/sillpin-gateway/src/peers/digest.rs
@@ -214,8 +214,7 @@
             retirements.wake(self.awake.slept());
             retirements.update(&view, fullness, Instant::now());
         }
-        self.loads
-            .words(|words| words.limits.wake(self.awake.slept()));
+        self.loads.words(|words| words.wake(self.awake.slept()));
         if large {
             return;
         }
--- a/crates/sillpin-gateway/src/place/load.rs
+++ b/crates/sillpin-gateway/src/place/load.rs
@@ -323,7 +323,7 @@
         self.limits().follow(|id| targets.contains_key(id), now);
         let lives: HashSet<LifeHash> = targets.values().map(|entry| LifeHash::of(entry)).collect();
         let is_listed = |life| lives.contains(&life);
-        self.words(|words| words.limits.follow(is_listed, now));
+        self.words(|words| words.follow(is_listed, now));
         let mut table = self.lock();
         table.retain(|id, load| load.in_flight > 0 || targets.contains_key(id));
         for (id, load) in table.iter_mut() {
--- a/crates/sillpin-gateway/src/place/words/limit.rs
+++ b/crates/sillpin-gateway/src/place/words/limit.rs
@@ -119,8 +119,6 @@
 #[derive(Debug, Default)]
 pub struct NamedLimits {
     known: BTreeMap<LifeHash, Known>,
-    /// Time asleep that what is known has been aged by.
-    slept: Duration,
     /// The last one told in turn.
     told: Option<LifeHash>,
 }
@@ -247,13 +245,8 @@
         named.count()
     }
 
-    /// Makes what is known older by the time that the box was suspended, `slept` in all since its start: what others tell is newer.
-    pub fn wake(&mut self, slept: Duration) {
-        let time = slept.saturating_sub(self.slept);
-        self.slept = slept;
-        if time.is_zero() {
-            return;
-        }
+    /// Makes what is known older by the time that the box was suspended: what others tell is newer.
+    pub fn age(&mut self, time: Duration) {
         for known in self.known.values_mut() {
             known.at = known.at.checked_sub(time).unwrap_or(known.at);
         }
--- a/crates/sillpin-gateway/tests/named_limit.rs
+++ b/crates/sillpin-gateway/tests/named_limit.rs
@@ -141,7 +141,7 @@
     other.answered(life("a"), silent(sent, true), sent);
     let mut told = other.told(sent);
     told[0].age_ms = 5_000;
-    one.wake(Duration::from_secs(10));
+    one.age(Duration::from_secs(10));
     advance(Duration::from_secs(6)).await;
     one.hear(&told, Instant::now());
     assert_eq!(one.rate(life("a")), None);
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -133,6 +133,10 @@
     TARGET_UNLIMITED = 355, Info, "target's limit ended", "Nothing to do.";
     /// A target names a limit that cannot be read.
     LIMIT_UNREADABLE = 356, Error, "target's limit unreadable", "Look at the target: the limit is a decimal number; it gets few requests meanwhile.";
+    /// A target said in an answer that it leaves.
+    TARGET_LEAVES = 358, Info, "target says that it leaves", "Nothing to do: it gets no further requests from this box.";
+    /// A target turned a request away and said for how long it wants no other from this box.
+    TARGET_BACKS_OFF = 359, Info, "target wants no requests for a while", "Look at what the target lacks if it recurs.";
     /// A target cannot be reached.
     TARGET_UNREACHABLE = 317, Warning, "target unreachable", "Replace the target if it was not stopped on purpose.";
     /// A target can be reached again.
