Send nothing to a target whose answer said that it leaves

What callers saw: while the platform's store was away, requests went on to an engine that had told the boxes, in answers that they passed on, that it leaves; such a request may be cut when it ends. Cause: no box read the header. Change: a life that leaves by its own word is no candidate of any choice: first and second sendings, resumed streams. It is remembered while its entry is listed and a minute after, whatever the entry says: while the store is away, or when older writes arrive late, it goes on saying that the target takes requests. A new life is not concerned.

--- a/crates/sillpin-gateway/src/place/choose.rs
+++ b/crates/sillpin-gateway/src/place/choose.rs
@@ -194,7 +194,8 @@
     choice: &'a Choice<'a>,
     admission: Admission,
     others: Arc<HashMap<TargetHash, Work>>,
-    replaced: HashSet<LifeHash>,
+    /// Targets that get nothing from this box, by their own words.
+    closed: HashSet<LifeHash>,
     /// Hash of the prompt's last shared part, for its homes.
     key: Option<u64>,
     table: Table<'a>,
@@ -207,13 +208,13 @@
             .as_ref()
             .and_then(|p| p.any_plan())
             .and_then(Plan::affinity);
-        let replaced = choice.loads.words(|words| words.replaced.known(choice.now));
+        let closed = choice.loads.words(|words| words.closed(choice.now));
         Self {
             others: match choice.prompt {
                 Some(_) => choice.loads.others(choice.now),
                 None => Arc::default(),
             },
-            replaced,
+            closed,
             key: affinity.map(|key| hash_pair(&key.part.0, "")),
             table: choice.loads.table(),
             choice,
@@ -314,7 +315,7 @@
     /// A target that can take the request, and what that costs; `place` is its place among the prompt's homes.
     fn candidate(&self, target: &Indexed, place: usize) -> Option<Chosen> {
         let (choice, entry) = (self.choice, &target.entry);
-        if choice.tried.contains(&entry.id) || self.replaced.contains(&target.life) {
+        if choice.tried.contains(&entry.id) || self.closed.contains(&target.life) {
             return None;
         }
         if !choice.residency.allows(&entry.zone) {
--- a/crates/sillpin-gateway/src/place/words/mod.rs
+++ b/crates/sillpin-gateway/src/place/words/mod.rs
@@ -20,6 +20,7 @@
 use crate::dialect::{RetryAfter, TargetWords};
 use sillpin_telemetry::{event, events};
 use slog::Logger;
+use std::collections::HashSet;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -88,6 +89,13 @@
         changes
     }
 
+    /// Targets that get no requests from this box.
+    pub fn closed(&self, now: Instant) -> HashSet<LifeHash> {
+        let mut closed = self.replaced.known(now);
+        closed.extend(self.leaving.all());
+        closed
+    }
+
     /// Makes what is known older by the time that the box was suspended, `slept` in all since its start.
     pub fn wake(&mut self, slept: Duration) {
         let time = slept.saturating_sub(self.slept);
