Send nothing to a target in the time in which it wants none

What callers saw: while engines shed, each box came back to them every 0.25 to 1 s, though their refusals named 3 s; 290 requests met such engines in nine seconds and none was run, and callers were told that no target was free. Change: a target that turned a request away with 503 or 429 is no candidate of any choice until the time that it named is over; of several such times the one that ends last holds, each box keeps its own, time asleep counts, a new life is not concerned. If all targets that a request may go to want none, it is refused at once, 503, not run, with the time that is left and up to 0.4 s more.

--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -68,6 +68,9 @@
 /// Why a request is sent to no target while its targets have got all that they take.
 const LIMITED: &str = "its targets limit their requests and get all that they take";
 
+/// Why a request is sent to no target in a time in which its targets want none.
+const BACKED_OFF: &str = "its targets want no requests for a while";
+
 /// Why a request is sent to no target while all are busy.
 const OVERLOADED: &str = "no target can begin it in time";
 
@@ -333,6 +336,10 @@
         if progress.runs > 0 {
             return give_up(progress, "no target is free");
         }
+        if let Some(wait) = self.backed_off_for(run, pool, view) {
+            self.metrics.sending("backed-off");
+            return GivenUp::Refused(Refusal::not_run(BACKED_OFF).come_back_after(wait));
+        }
         if !view.is_evacuated(pool) {
             let Some(wait) = self.limited_for(run, pool, view) else {
                 return give_up(progress, "no target is free");
--- a/crates/sillpin-gateway/src/front/placing.rs
+++ b/crates/sillpin-gateway/src/front/placing.rs
@@ -45,6 +45,9 @@
 /// Longest mean time after which a caller comes back whom limits of targets keep out: limits are counted in periods of four seconds.
 const MAX_LIMITED_WAIT: Duration = Duration::from_secs(4);
 
+/// Callers whom targets keep out for a time come back spread over this after its end, so that they don't return as one.
+const BACKED_OFF_SPREAD: Duration = Duration::from_millis(400);
+
 /// What a target is to be told, and why it was chosen.
 pub struct Placed {
     /// The target and why.
@@ -229,6 +232,18 @@
         }
     }
 
+    /// How long a caller is to stay away whose request may go to targets only that want none from this box: until the first of them takes one again.
+    pub fn backed_off_for(&self, run: &Run, pool: &PoolId, view: &View) -> Option<Duration> {
+        let residency = self.residency(run);
+        let targets = view.index.pool(pool)?.all.iter();
+        let allowed = targets.filter(|target| residency.allows(&target.entry.zone));
+        let lives = allowed.map(|target| target.life);
+        let wait = self
+            .loads
+            .words(|words| words.backed_off(lives, Instant::now()))?;
+        Some(wait + BACKED_OFF_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0)))
+    }
+
     /// How long a caller is to stay away whose request no target of a pool may get, if limits are why. Callers come back spread over as long again, so that
     /// they don't return as one.
     pub fn limited_for(&self, run: &Run, pool: &PoolId, view: &View) -> Option<Duration> {
--- a/crates/sillpin-gateway/src/place/words/mod.rs
+++ b/crates/sillpin-gateway/src/place/words/mod.rs
@@ -93,9 +93,25 @@
     pub fn closed(&self, now: Instant) -> HashSet<LifeHash> {
         let mut closed = self.replaced.known(now);
         closed.extend(self.leaving.all());
+        closed.extend(self.backoffs.all(now));
         closed
     }
 
+    /// How long all of these targets want no requests from this box, those that are gone left out; `None` if one of them takes requests, or none is there.
+    pub fn backed_off(
+        &self,
+        targets: impl Iterator<Item = LifeHash>,
+        now: Instant,
+    ) -> Option<Duration> {
+        let replaced = self.replaced.known(now);
+        let is_gone = |target: &LifeHash| replaced.contains(target) || self.leaving.has(*target);
+        let there = targets.filter(|target| !is_gone(target));
+        let waits: Option<Vec<Duration>> = there
+            .map(|target| self.backoffs.left(target, now))
+            .collect();
+        waits?.into_iter().min()
+    }
+
     /// Makes what is known older by the time that the box was suspended, `slept` in all since its start.
     pub fn wake(&mut self, slept: Duration) {
         let time = slept.saturating_sub(self.slept);
--- a/crates/sillpin-gateway/tests/words.rs
+++ b/crates/sillpin-gateway/tests/words.rs
@@ -105,6 +105,25 @@
     assert_eq!(left(&words, target), None);
 }
 
+#[tokio::test(start_paused = true)]
+async fn callers_are_kept_out_until_the_first_target_takes_requests() {
+    let mut words = Words::default();
+    let [a, b, gone] = ["i-1", "i-2", "i-3"].map(|id| life_of(id, 1));
+    let now = Instant::now();
+    let kept_out = |words: &Words, targets: &[LifeHash]| {
+        let wait = words.backed_off(targets.iter().copied(), now);
+        wait.map(|wait| wait.as_secs_f64())
+    };
+    words.take(a, wait(3.0), now);
+    assert_eq!(kept_out(&words, &[a]), Some(3.0));
+    assert_eq!(kept_out(&words, &[a, b]), None, "one takes requests");
+    assert_eq!(kept_out(&words, &[]), None);
+    words.take(b, wait(0.5), now);
+    words.take(gone, leaving(), now);
+    assert_eq!(kept_out(&words, &[a, b, gone]), Some(0.5));
+    assert_eq!(kept_out(&words, &[gone]), None);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_life_that_leaves_is_remembered_while_it_is_listed_and_a_while_after() {
     let mut words = Words::default();
