Put what is read of the platform's store in order by its era first

What callers saw: after the store came back from a copy, requests went to a target that had written that it leaves, and would have for good; configurations below the old revision were not in force either. Cause: listings, changes, copies of other boxes and what boxes tell each other were put in order by revision alone, and revisions go back and are given out again. Change: the adapter reads Store-Era and gives each revision the era of the answer that it came in; a revision of a later era comes behind all of earlier ones, in whatever compares two (mirror, copies between boxes, lag, datagrams, fences of orders).

--- a/crates/sillpin-gateway/src/beliefs/fleet.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet.rs
@@ -378,7 +378,7 @@
             return;
         }
         event!(self.log, events::CONFIG_IN_FORCE,
-            "version" => config.version.0, "revision" => entry.revision.0,
+            "version" => config.version.0, "revision" => entry.revision.to_string(),
             "source" => source.to_string(), "routes" => config.routes.len(),
             "bytes" => entry.value.as_ref().map_or(0, String::len),
             "before" => in_force.map_or(0, |version| version.0));
--- a/crates/sillpin-gateway/src/beliefs/fleet/evacuated.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet/evacuated.rs
@@ -24,14 +24,14 @@
                     return;
                 }
                 event!(self.log, events::EVACUATION_BEGAN, "zone" => zone.as_str(),
-                    "revision" => entry.revision.0, "source" => source.to_string());
+                    "revision" => entry.revision.to_string(), "source" => source.to_string());
             }
             Change::Gone(_) => {
                 let Some(ended) = self.evacuations.end(&zone) else {
                     return;
                 };
                 event!(self.log, events::EVACUATION_ENDED, "zone" => zone.as_str(),
-                    "revision" => ended.revision.0, "source" => source.to_string(),
+                    "revision" => ended.revision.to_string(), "source" => source.to_string(),
                     "age_ms" => now.saturating_duration_since(ended.since).as_millis());
                 self.return_cold(&zone, now);
             }
--- a/crates/sillpin-gateway/src/beliefs/fleet/targets.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet/targets.rs
@@ -65,7 +65,7 @@
             event!(self.log, events::TARGET_LISTED,
                 "target" => target.id.as_str(), "pool" => target.pool.as_str(),
                 "addr" => target.addr.to_string(), "presence" => format!("{:?}", target.presence),
-                "revision" => entry.revision.0, "source" => source.to_string());
+                "revision" => entry.revision.to_string(), "source" => source.to_string());
         }
         self.warms_up(&target.id, target.cold, now);
         self.targets.insert(target.id.clone(), Arc::new(target));
--- a/crates/sillpin-gateway/src/front/drive.rs
+++ b/crates/sillpin-gateway/src/front/drive.rs
@@ -202,7 +202,7 @@
             "cost_ms" => chosen.cost_ms.round(), "candidates" => chosen.candidates,
             "version" => chosen.version.map_or(0, |version| version.0),
             "parts" => &placed.parts, "fetched" => placed.fetched, "kept" => placed.kept,
-            "config" => run.config.version.0, "targets_at" => view.listed.revision.0,
+            "config" => run.config.version.0, "targets_at" => view.listed.revision.to_string(),
             "left_ms" => run.time_left().as_millis(), "queue_ms" => chosen.queue_ms.round(),
             "in_time" => placed.in_time, "wanted" => weights.map_or(0, |w| w.wanted.0),
             "wanted_for_ms" => weights.map_or(0, |w| w.wanted_for.as_millis()),
--- a/crates/sillpin-gateway/src/peers/ear.rs
+++ b/crates/sillpin-gateway/src/peers/ear.rs
@@ -304,7 +304,7 @@
             event!(self.log, events::BEHIND,
                 "what" => topic.name(), "for_ms" => behind.lasted.as_millis(),
                 "peer" => from.id.as_str(),
-                "revision" => mine.revision.0, "theirs" => theirs.revision.0);
+                "revision" => mine.revision.to_string(), "theirs" => theirs.revision.to_string());
         }
         behind
     }
--- a/crates/sillpin-gateway/tests/common/mod.rs
+++ b/crates/sillpin-gateway/tests/common/mod.rs
@@ -305,12 +305,12 @@
         if known != expect.0 {
             return Err(Self::failed(PlatformFault::Conflict));
         }
-        if lease.is_some_and(|lease| !state.leases.contains_key(&lease.0)) {
+        if lease.is_some_and(|lease| !state.leases.contains_key(&lease.id)) {
             return Err(Self::failed(PlatformFault::LeaseLapsed));
         }
         state.revision += 1;
         let revision = state.revision;
-        let lease = lease.map(|lease| lease.0);
+        let lease = lease.map(|lease| lease.id);
         let value = (value.to_owned(), revision, lease);
         state.values.insert(key.to_owned(), value);
         drop(state);
@@ -341,13 +341,13 @@
         state.next_lease += 1;
         let id = state.next_lease;
         state.leases.insert(id, (Instant::now() + ttl, ttl));
-        Ok(LeaseId(id))
+        Ok(LeaseId::from(id))
     }
 
     async fn renew_lease(&self, lease: LeaseId) -> Result<(), PlatformError> {
         self.call().await?;
         let mut state = self.lock();
-        match state.leases.get_mut(&lease.0) {
+        match state.leases.get_mut(&lease.id) {
             Some((until, ttl)) => {
                 *until = Instant::now() + *ttl;
                 Ok(())
--- a/crates/sillpin-platform/src/call.rs
+++ b/crates/sillpin-platform/src/call.rs
@@ -1,7 +1,7 @@
 //! Calls of a platform's service over HTTP and JSON, whatever its paths and documents.
 
 use crate::{PlatformError, PlatformFault};
-use hyper::{Method, StatusCode};
+use hyper::{HeaderMap, Method, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use sillpin_http::client::{Answer, Call, CallFault};
@@ -98,13 +98,31 @@
 }
 
 /// A call that the service may answer late.
-pub struct Waiting<F> {
+pub struct Waiting<F = fn()> {
     /// How long it may wait before it answers.
     pub wait: Duration,
     /// Called when its answer begins to arrive.
     pub arriving: F,
 }
 
+impl Waiting {
+    /// The service answers at once.
+    pub fn none() -> Self {
+        Self {
+            wait: Duration::ZERO,
+            arriving: || (),
+        }
+    }
+}
+
+/// An answer of the service.
+pub struct Answered<R> {
+    /// Its headers.
+    pub head: HeaderMap,
+    /// Its document.
+    pub doc: R,
+}
+
 impl Caller {
     /// Calls the service.
     pub async fn call<T: Serialize, R: DeserializeOwned>(
@@ -114,11 +132,8 @@
         path: &str,
         doc: Option<&T>,
     ) -> Result<R, PlatformError> {
-        let waiting = Waiting {
-            wait: Duration::ZERO,
-            arriving: || (),
-        };
-        self.call_for(step, method, path, doc, waiting).await
+        self.call_for(step, method, path, doc, Waiting::none())
+            .await
     }
 
     /// Calls the service, which may wait before it answers.
@@ -130,6 +145,19 @@
         doc: Option<&T>,
         waiting: Waiting<impl FnOnce() + Send>,
     ) -> Result<R, PlatformError> {
+        let answered = self.answered(step, method, path, doc, waiting).await?;
+        Ok(answered.doc)
+    }
+
+    /// The same for callers that read the answer's headers.
+    pub async fn answered<T: Serialize, R: DeserializeOwned>(
+        &self,
+        step: &'static str,
+        method: Method,
+        path: &str,
+        doc: Option<&T>,
+        waiting: Waiting<impl FnOnce() + Send>,
+    ) -> Result<Answered<R>, PlatformError> {
         let timeout = self.timeout + waiting.wait;
         let call = Call {
             step,
@@ -159,17 +187,19 @@
         doc: Option<&T>,
         arriving: impl FnOnce(),
         arrived: &AtomicU64,
-    ) -> Result<R, CallError> {
+    ) -> Result<Answered<R>, CallError> {
         let (step, peer) = (call.step, call.peer);
         let resp = self.client.call(call, doc).await?;
         arriving();
+        let head = resp.headers().clone();
         let answer = Answer {
             step,
             peer,
             silence: self.timeout,
             arrived,
         };
-        answer.read_json(resp).await
+        let doc = answer.read_json(resp).await?;
+        Ok(Answered { head, doc })
     }
 
     fn meaning(&self, e: &CallError) -> PlatformFault {
--- a/crates/sillpin-platform/src/lib.rs
+++ b/crates/sillpin-platform/src/lib.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 use sillpin_core::number_type;
 use sillpin_core::target::BoxList;
+use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -25,19 +26,73 @@
 const PAGE_LEN: usize = 500;
 
 number_type!(
-    /// Number of a change of the service; each change takes the next. Zero: the key does not exist.
-    KvRevision
+    /// Counts how often the service came back from a copy, and lost what was written since.
+    StoreEra
 );
 
+/// A change of the service. Within an era each change takes the next number; a later era gives numbers out again, and all its changes come behind those
+/// of earlier ones. Zero: the key does not exist.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct KvRevision(pub u64);
+
+/// Bits of a revision that hold its number: a thousand changes a second for 30 years.
+const NUMBER_BITS: u32 = 40;
+
 impl KvRevision {
     /// Expected by a write that creates its key.
     pub const ABSENT: KvRevision = KvRevision(0);
+
+    /// The change `number` of an era.
+    pub fn in_era(era: StoreEra, number: u64) -> Self {
+        Self(era.0 << NUMBER_BITS | number)
+    }
+
+    /// The era that it belongs to.
+    pub fn era(self) -> StoreEra {
+        StoreEra(self.0 >> NUMBER_BITS)
+    }
+
+    /// Its number in its era.
+    pub fn number(self) -> u64 {
+        self.0 & ((1 << NUMBER_BITS) - 1)
+    }
+}
+
+impl fmt::Display for KvRevision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.era() {
+            StoreEra(0) => write!(f, "{}", self.number()),
+            era => write!(f, "{era}:{}", self.number()),
+        }
+    }
 }
 
 /// A lease granted by the service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct LeaseId(pub u64);
+#[serde(from = "u64", into = "u64")]
+#[display("{id}")]
+pub struct LeaseId {
+    /// Its name.
+    pub id: u64,
+    /// The era that it was granted in. In later ones it is over, also if the copy has it: what was written under it may be gone.
+    pub era: StoreEra,
+}
+
+impl From<u64> for LeaseId {
+    fn from(id: u64) -> Self {
+        let era = StoreEra::default();
+        Self { id, era }
+    }
+}
+
+impl From<LeaseId> for u64 {
+    fn from(lease: LeaseId) -> Self {
+        lease.id
+    }
+}
 
 /// One key with its value.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/sillpin-standin/src/platform/kv.rs
+++ b/crates/sillpin-standin/src/platform/kv.rs
@@ -124,7 +124,7 @@
 
     pub(super) fn grant(&mut self, ttl: Duration) -> LeaseId {
         self.last_lease += 1;
-        let lease = LeaseId(self.last_lease);
+        let lease = LeaseId::from(self.last_lease);
         let expires = Instant::now() + ttl;
         self.leases.insert(lease, Lease { ttl, expires });
         lease
--- a/crates/sillpin-standin/src/platform/mod.rs
+++ b/crates/sillpin-standin/src/platform/mod.rs
@@ -204,8 +204,10 @@
             return self.serve_key(key, query, req).await;
         }
         if let Some(lease) = path.strip_prefix("/v1/leases/") {
-            let lease = lease.strip_suffix("/renew").and_then(|id| id.parse().ok());
-            return self.renew(lease.map(LeaseId));
+            let lease = lease
+                .strip_suffix("/renew")
+                .and_then(|id| id.parse::<u64>().ok());
+            return self.renew(lease.map(LeaseId::from));
         }
         match path.as_str() {
             "/v1/list" => self.list(query),
