Believe no copy of the store that a target which has left is back

What callers would have seen: with eras in order, a target that had said that it leaves, or whose entry had been removed, got requests again as soon as the store came back from a copy in which it had not: 152 and 153 of as many in four seconds, until it wrote again. Cause: within an era the newest entry is the truth; a copy is the newest entry and older than what boxes know. Change: boxes remember who left, in which life and in which era. An entry of a later era that says otherwise is not believed: for good if that life had said that it leaves; for eight seconds if its entry had been removed, by when the store drops an entry that nobody writes. A target that the copy lacks stays in use for the time in which entries return, as after any outage.

--- a/crates/sillpin-gateway/src/beliefs/fleet.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet.rs
@@ -1,11 +1,13 @@
 //! The task that owns what the box knows of the fleet.
 
 mod boxes;
+mod departed;
 mod evacuated;
 mod sleep;
 mod targets;
 
 use self::boxes::BoxSeen;
+use self::departed::Departures;
 pub use self::targets::served;
 use super::mirror::{Change, Mirror};
 use super::{Evacuations, FleetMsg, FleetPort, Known, Named, Reading, Source, Topic, View, Wanted};
@@ -63,6 +65,7 @@
     /// Vanished while the store was away; kept until the given moment.
     lapsed: HashMap<TargetId, Instant>,
     seen: HashMap<TargetId, Seen>,
+    departures: Departures,
     /// Until when targets are cold.
     cold: HashMap<TargetId, Instant>,
     boxes: HashMap<BoxId, BoxSeen>,
@@ -91,6 +94,7 @@
             targets: HashMap::new(),
             lapsed: HashMap::new(),
             seen: HashMap::new(),
+            departures: Departures::default(),
             cold: HashMap::new(),
             boxes: HashMap::new(),
             awake: Awake::default(),
@@ -247,7 +251,8 @@
             self.drop_target(id, "its entry did not return after the store's outage");
         }
         let some_silent = self.forget_silent(now);
-        let changed = some_silent || !gone.is_empty();
+        let some_shown = self.departures.sweep(now);
+        let changed = some_silent || some_shown || !gone.is_empty();
         if changed {
             self.targets_changed = true;
             self.boxes_changed = true;
--- a/crates/sillpin-gateway/src/beliefs/fleet/targets.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet/targets.rs
@@ -68,6 +68,7 @@
                 "revision" => entry.revision.to_string(), "source" => source.to_string());
         }
         self.warms_up(&target.id, target.cold, now);
+        self.departures.listed(&target, entry.revision.era(), now);
         self.targets.insert(target.id.clone(), Arc::new(target));
     }
 
@@ -109,7 +110,9 @@
     pub(super) fn drop_target(&mut self, id: &TargetId, why: &'static str) {
         self.seen.remove(id);
         self.cold.remove(id);
-        if self.targets.remove(id).is_some() {
+        if let Some(target) = self.targets.remove(id) {
+            let era = self.listed.known().revision.era();
+            self.departures.removed(&target, era, Instant::now());
             event!(self.log, events::TARGET_UNLISTED, "target" => id.as_str(), "why" => why);
         }
     }
@@ -132,14 +135,17 @@
     }
 
     pub(super) fn publish_targets(&mut self) {
+        let now = Instant::now();
         let current = |(id, entry): (&TargetId, &Arc<TargetEntry>)| {
-            let entry = match self.seen.get(id) {
+            let mut entry = match self.seen.get(id) {
                 Some(seen) if seen.life == entry.life => Arc::new(with_served(entry, seen)),
                 _ => entry.clone(),
             };
+            if self.departures.hides(&entry, now) {
+                Arc::make_mut(&mut entry).presence = Presence::Leaving;
+            }
             (id.clone(), entry)
         };
-        let now = Instant::now();
         self.cold.retain(|_, until| now < *until);
         self.view.cold = Arc::new(self.cold.clone());
         self.view.targets = Arc::new(self.targets.iter().map(current).collect());
