Hold an evacuation that the store lost until operators have written it again

What callers would have seen: with eras in order, requests went to an evacuated zone as soon as the store came back from a copy that lacks the evacuation: 60 and 65 in one and a half seconds, until operators wrote it again. Cause: a key that is absent from a listing was taken for one that was deleted. Change: within ten seconds of the store's return from a copy, the evacuation whose key is gone holds on; it ends then, unless it has been written again. E325 tells of the return, its era and from whom the box heard.

--- a/crates/sillpin-gateway/src/beliefs/evacuation.rs
+++ b/crates/sillpin-gateway/src/beliefs/evacuation.rs
@@ -16,6 +16,8 @@
     pub revision: KvRevision,
     /// Since when this box has known of it.
     pub since: Instant,
+    /// Until when it holds although its key is gone: the store may have lost it, and operators write it again.
+    doubted: Option<Instant>,
 }
 
 /// Evacuations in force, by zone. Whatever zones operators name stand here, also those of no target.
@@ -40,18 +42,34 @@
         match self.zones.entry(zone) {
             Entry::Occupied(mut known) => {
                 known.get_mut().revision = revision;
+                known.get_mut().doubted = None;
                 false
             }
             Entry::Vacant(free) => {
                 free.insert(Evacuation {
                     revision,
                     since: now,
+                    doubted: None,
                 });
                 true
             }
         }
     }
 
+    /// The key of an evacuation is gone, which means nothing before `until`.
+    pub fn doubt(&mut self, zone: &ZoneId, until: Instant) {
+        if let Some(known) = self.zones.get_mut(zone) {
+            known.doubted = Some(until);
+        }
+    }
+
+    /// Zones whose evacuation operators have not written again in time.
+    pub fn due(&self, now: Instant) -> Vec<ZoneId> {
+        let is_due = |known: &Evacuation| known.doubted.is_some_and(|until| until <= now);
+        let due = self.zones.iter().filter(|(_, known)| is_due(known));
+        due.map(|(zone, _)| zone.clone()).collect()
+    }
+
     /// Takes note that the evacuation of a zone was taken back; what was known of it.
     pub fn end(&mut self, zone: &ZoneId) -> Option<Evacuation> {
         self.zones.remove(zone)
--- a/crates/sillpin-gateway/src/beliefs/fleet.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet.rs
@@ -15,7 +15,7 @@
 use crate::config::FleetConfig;
 use crate::control::{DecodeError, Life, Published, TargetEntry};
 use sillpin_core::{BoxId, ModelId, TargetId, WeightVersion};
-use sillpin_platform::{KvEntry, KvRevision};
+use sillpin_platform::{KvEntry, KvRevision, StoreEra};
 use sillpin_telemetry::{event, events};
 use slog::Logger;
 use std::collections::HashMap;
@@ -73,6 +73,10 @@
     /// When the box last woke, and how long it had been suspended.
     woke: Option<(Instant, Duration)>,
     away: Option<Instant>,
+    /// The store's era, once it has been read.
+    era: Option<StoreEra>,
+    /// When the store was found to have come back from a copy.
+    restored: Option<Instant>,
     /// Whether the view lags behind the targets, or the boxes.
     targets_changed: bool,
     boxes_changed: bool,
@@ -100,6 +104,8 @@
             awake: Awake::default(),
             woke: None,
             away: None,
+            era: None,
+            restored: None,
             targets_changed: false,
             boxes_changed: false,
             view: View::default(),
@@ -252,7 +258,8 @@
         }
         let some_silent = self.forget_silent(now);
         let some_shown = self.departures.sweep(now);
-        let changed = some_silent || some_shown || !gone.is_empty();
+        let some_ended = self.end_lost_evacuations(now);
+        let changed = some_silent || some_shown || some_ended || !gone.is_empty();
         if changed {
             self.targets_changed = true;
             self.boxes_changed = true;
@@ -284,6 +291,7 @@
         source: &Source,
         now: Instant,
     ) {
+        self.see_era(reading.revision().era(), source, now);
         match topic {
             Topic::Operators => {
                 // What a box finds at its start, or after a silence, may have been there for long.
@@ -319,6 +327,19 @@
         }
     }
 
+    /// The store has come back from a copy, unless its era is known: what vanishes now may be written again.
+    fn see_era(&mut self, era: StoreEra, source: &Source, now: Instant) {
+        let before = self.era.unwrap_or(era);
+        self.era = Some(before.max(era));
+        if era <= before {
+            return;
+        }
+        event!(self.log, events::STORE_RESTORED, "era" => era.0, "before" => before.0,
+            "source" => source.to_string());
+        self.restored = Some(now);
+        self.away = Some(now);
+    }
+
     fn confirmed(&mut self, topic: Topic, content: u64, revision: KvRevision, asked: Instant) {
         let mirror = match topic {
             Topic::Operators => &mut self.operators,
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -137,6 +137,8 @@
     TARGET_LEAVES = 358, Info, "target says that it leaves", "Nothing to do: it gets no further requests from this box.";
     /// A target turned a request away and said for how long it wants no other from this box.
     TARGET_BACKS_OFF = 359, Info, "target wants no requests for a while", "Look at what the target lacks if it recurs.";
+    /// The platform's store came back from a copy and lost what was written since.
+    STORE_RESTORED = 325, Warning, "platform's store came back from a copy", "Look whether operators' last changes stand there again.";
     /// A target cannot be reached.
     TARGET_UNREACHABLE = 317, Warning, "target unreachable", "Replace the target if it was not stopped on purpose.";
     /// A target can be reached again.
