Leave all engines alone while the store has lost which of them were ordered

What would have happened: a store that comes back from a copy has lost the record of engines that were ordered last. The next holder of the weights duty took it at once and ordered an engine that another holder had ordered a moment ago: two holders within the time that must lie between them. Cause: a record that is missing, or from before, was taken for one that names all late orders. Change: the record says in which era of the store it was complete. A holder that finds another one leaves all engines alone for as long as after an order, and until that is over writes the record as incomplete, for whoever follows.

--- a/crates/sillpin-gateway/src/weights/duty.rs
+++ b/crates/sillpin-gateway/src/weights/duty.rs
@@ -4,7 +4,7 @@
 use crate::beliefs::wanted::NamedAge;
 use serde::{Deserialize, Serialize};
 use sillpin_core::{BoxId, Fence, TargetId};
-use sillpin_platform::{KvRevision, LeaseId, Platform, PlatformError, PlatformFault};
+use sillpin_platform::{KvRevision, LeaseId, Platform, PlatformError, PlatformFault, StoreEra};
 use sillpin_telemetry::{event, events};
 use slog::Logger;
 use std::collections::HashMap;
@@ -47,6 +47,10 @@
     others: HashMap<TargetId, Instant>,
     /// Engines that this holder ordered or is about to order.
     own: HashMap<TargetId, Own>,
+    /// Until when all engines are left alone: the store lost which of them were ordered before.
+    lost_until: Option<Instant>,
+    /// The era whose orders the record has until then.
+    recorded_era: StoreEra,
     /// When weights were named, for the record: what the holder before wrote at first.
     pub named: Vec<NamedAge>,
     /// Revision of the record of orders.
@@ -85,6 +89,9 @@
     /// How long ago weights had been named when this was written. Boxes tell each other; this outlives the loss of all.
     #[serde(default)]
     named: Vec<NamedAge>,
+    /// The era of the store whose orders it has. A later one has lost what was recorded last.
+    #[serde(default)]
+    era: StoreEra,
 }
 
 impl Ordered {
@@ -110,7 +117,16 @@
 
     /// Whether an engine may be ordered now: no other holder's order to it can be near.
     pub fn may_order_target(&self, target: &TargetId, now: Instant) -> bool {
-        self.others.get(target).is_none_or(|until| now >= *until)
+        let is_over = |until: &Instant| now >= *until;
+        self.lost_until.as_ref().is_none_or(is_over) && self.others.get(target).is_none_or(is_over)
+    }
+
+    /// The era whose orders are all recorded.
+    fn era(&self, now: Instant) -> StoreEra {
+        match self.lost_until.is_some_and(|until| now < until) {
+            true => self.recorded_era,
+            false => KvRevision(self.fence.0).era(),
+        }
     }
 
     /// Whether the record says anew how long ago weights were named, while engines serve replaced ones.
@@ -167,6 +183,9 @@
         let (ordered, record) = self.take_record().await?;
         let now = Instant::now();
         let named = ordered.named.clone();
+        let recorded_era = ordered.era;
+        let is_lost = recorded_era != revision.era();
+        let lost_until = is_lost.then(|| now + self.left_alone());
         let near = |age: Duration| self.left_alone().checked_sub(age);
         let others = ordered
             .entries()
@@ -178,13 +197,15 @@
             orders_until: asked,
             others,
             own: HashMap::new(),
+            lost_until,
+            recorded_era,
             named,
             record,
             recorded: now,
         };
         tenure.renewed(asked);
         event!(self.log, events::DUTY_TAKEN, "fence" => revision.0,
-            "ordered_by_others" => tenure.others.len());
+            "ordered_by_others" => tenure.others.len(), "record_lost" => is_lost);
         Ok(tenure)
     }
 
@@ -246,6 +267,7 @@
         tenure.others.retain(|_, until| now < *until);
         let mut ordered = Ordered {
             named: tenure.named.clone(),
+            era: tenure.era(now),
             ..Ordered::default()
         };
         for (target, own) in &tenure.own {
--- a/crates/sillpin-gateway/tests/common/mod.rs
+++ b/crates/sillpin-gateway/tests/common/mod.rs
@@ -14,7 +14,7 @@
 use sillpin_gateway::place::residency::{Residency, ZoneRegions};
 use sillpin_platform::{
     BoxLister, KvEntry, KvRevision, LeaseId, Platform, PlatformError, PlatformFault, Snapshot,
-    WatchReply,
+    StoreEra, WatchReply,
 };
 use std::collections::BTreeMap;
 use std::sync::{Arc, LazyLock, Mutex, MutexGuard};
@@ -221,6 +221,16 @@
         state.forgotten = state.revision;
     }
 
+    /// Comes back without anything that was written, in the next era.
+    pub fn lose_all(&self) {
+        let mut state = self.lock();
+        let era = KvRevision(state.revision).era();
+        state.values.clear();
+        state.leases.clear();
+        state.revision = KvRevision::in_era(StoreEra(era.0 + 1), 1).0;
+        state.forgotten = state.revision;
+    }
+
     /// Leaves watches that begin from now on without an answer, or answers again.
     pub fn set_silent(&self, silent: bool) {
         self.lock().silent = silent;
--- a/crates/sillpin-gateway/tests/duty.rs
+++ b/crates/sillpin-gateway/tests/duty.rs
@@ -229,3 +229,27 @@
     let waited = left_alone(&holder, &mut taken, &target("e1")).await;
     assert!(waited > APART, "waited {waited:?}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_holder_leaves_all_engines_alone_while_the_store_has_lost_which_were_ordered() {
+    let store = MemoryStore::default();
+    let first = duty(&store, "box-1");
+    let mut tenure = first.take().await.unwrap();
+    let ordered_at = order(&first, &mut tenure, &target("e1")).await.unwrap();
+    store.lose_all();
+    assert!(!first.renew(&mut tenure).await, "its lease is lost");
+    let second = duty(&store, "box-2");
+    let mut taken = second.take().await.unwrap();
+    assert!(taken.fence > tenure.fence);
+    // It writes the record, which the next one must not believe.
+    second.record(&mut taken, &[]).await.unwrap();
+    second.give_up(&taken).await;
+    let third = duty(&store, "box-3");
+    let mut taken = third.take().await.unwrap();
+    left_alone(&third, &mut taken, &target("e1")).await;
+    assert!(ordered_at.elapsed() > APART);
+    let fourth = duty(&store, "box-4");
+    third.give_up(&taken).await;
+    let taken = fourth.take().await.unwrap();
+    assert!(taken.may_order_target(&target("e2"), Instant::now()));
+}
