Write requests that end targets again when the store lost them

What would have happened: boxes that all started anew after a drill of the store would have sent such a request to three targets more. Cause: a box noted what it had written and took it for kept. Change: when the store is in a later era, what was written counts as lost, and is written again.

--- a/crates/sillpin-gateway/src/fatal/keep.rs
+++ b/crates/sillpin-gateway/src/fatal/keep.rs
@@ -5,13 +5,16 @@
 
 use super::record::KNOWN_AFTER;
 use super::{Fatal, FatalWord, RequestPrint};
+use crate::beliefs::{FleetHandle, View};
 use crate::place::work::LifeHash;
 use serde::{Deserialize, Serialize};
-use sillpin_platform::{KvEntry, KvRevision, Platform, PlatformError, PlatformFault};
+use sillpin_platform::{KvEntry, KvRevision, Platform, PlatformError, PlatformFault, StoreEra};
 use sillpin_telemetry::{event, events};
 use slog::Logger;
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// Where it is kept.
@@ -48,6 +51,8 @@
     pub platform: P,
     /// What the box knows.
     pub fatal: Fatal,
+    /// Tells when the store has come back from a copy.
+    pub fleet: FleetHandle,
     /// Log.
     pub log: Logger,
 }
@@ -67,13 +72,19 @@
         let keeping = async {
             // Ended targets that the store is known to hold, by request.
             let mut written: HashMap<RequestPrint, usize> = HashMap::new();
+            let mut views = self.fleet.subscribe();
+            let mut era = StoreEra::default();
             loop {
                 let found = noticed.found.notified();
                 if self.has_news(&written) {
                     self.write(&mut written).await;
                     continue;
                 }
-                found.await;
+                tokio::select! {
+                    () = found => {}
+                    // The copy may be older than what was written.
+                    () = later_era(&mut views, &mut era) => written.clear(),
+                }
             }
         };
         tokio::join!(restoring, keeping);
@@ -184,6 +195,21 @@
     }
 }
 
+/// Resolves when the store is in a later era than the last one.
+async fn later_era(views: &mut watch::Receiver<Arc<View>>, last: &mut StoreEra) {
+    loop {
+        let now = views.borrow_and_update().operators.revision.era();
+        if now > *last {
+            *last = now;
+            return;
+        }
+        if views.changed().await.is_err() {
+            // The process ends.
+            return std::future::pending().await;
+        }
+    }
+}
+
 fn unix_ms() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
     now.map_or(0, |now| u64::try_from(now.as_millis()).unwrap_or(u64::MAX))
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -321,6 +321,7 @@
     let keep = Keep {
         platform: adapter.platform.clone(),
         fatal: shared.fatal.clone(),
+        fleet: fleet.clone(),
         log: log.clone(),
     };
     tokio::spawn(keep.run());
