Play fleets of which a part saw the store's new eras

24 plays of 2, 7 and 40 boxes, half of which never reach the store, with copies between boxes in any order: all end with what the store says, and a box that saw the new era learns nothing from one that did not.

--- /dev/null
+++ b/crates/sillpin-gateway/tests/eras.rs
@@ -0,0 +1,219 @@
+//! Fleets of which a part has seen the store's new era.
+
+mod common;
+
+use common::TestKeys;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rstest::rstest;
+use sillpin_gateway::beliefs::fleet::Fleet;
+use sillpin_gateway::beliefs::mirror::Mirror;
+use sillpin_gateway::beliefs::{Copied, FleetMsg, Reading, Source, Topic};
+use sillpin_gateway::control::Presence;
+use sillpin_platform::{KvEntry, KvRevision, Snapshot, StoreEra, WatchReply};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::time::{Instant, advance};
+
+/// Targets' entries below the watched prefix.
+const TARGETS: u64 = 6;
+
+/// Longer than any entry is doubted.
+const SETTLED: Duration = Duration::from_secs(20);
+
+/// The platform's store, which may come back from a copy.
+#[derive(Clone, Default)]
+struct Store {
+    era: u64,
+    number: u64,
+    /// Deleted keys have no value.
+    entries: BTreeMap<String, KvEntry>,
+}
+
+impl Store {
+    fn write(&mut self, key: &str, value: Option<&str>) {
+        self.number += 1;
+        let revision = self.revision();
+        let entry = KvEntry {
+            key: key.to_owned(),
+            value: value.map(str::to_owned),
+            revision,
+        };
+        self.entries.insert(key.to_owned(), entry);
+    }
+
+    fn revision(&self) -> KvRevision {
+        KvRevision::in_era(StoreEra(self.era), self.number)
+    }
+
+    /// What its answers say, in the era that they name.
+    fn answered(&self) -> impl Iterator<Item = KvEntry> + '_ {
+        let era = StoreEra(self.era);
+        self.entries.values().cloned().map(move |entry| KvEntry {
+            revision: KvRevision::in_era(era, entry.revision.number()),
+            ..entry
+        })
+    }
+
+    fn restore(&mut self, copy: &Store) {
+        let era = self.era + 1;
+        *self = Store {
+            era,
+            ..copy.clone()
+        };
+    }
+
+    /// All that stands there.
+    fn listing(&self) -> Snapshot {
+        let entries = self.answered().filter(|entry| entry.value.is_some());
+        Snapshot {
+            entries: entries.collect(),
+            revision: self.revision(),
+        }
+    }
+
+    /// A watch from a revision; a listing if history is lost.
+    fn read(&self, after: KvRevision) -> Reading {
+        let revision = self.revision();
+        if after.era() != revision.era() || after > revision || after == KvRevision::ABSENT {
+            return Reading::Whole(self.listing());
+        }
+        let changed = self.answered().filter(|entry| entry.revision > after);
+        Reading::Changes(WatchReply {
+            changed: changed.collect(),
+            revision,
+        })
+    }
+}
+
+fn boxes(count: usize) -> Vec<Fleet<TestKeys>> {
+    let log = sillpin_telemetry::logs::discard();
+    let one = |index| Fleet::new(common::name(&format!("box-{index}")), TestKeys, log.clone());
+    (0..count).map(one).collect()
+}
+
+fn reads(fleet: &mut Fleet<TestKeys>, store: &Store) {
+    let now = Instant::now();
+    let msg = FleetMsg::Read {
+        topic: Topic::Targets,
+        reading: store.read(fleet.view().listed.revision),
+        asked: now,
+        source: Source::Store,
+    };
+    fleet.handle(msg, now);
+}
+
+/// A box takes what another one knows beyond it, if it does.
+fn copies(to: &mut Fleet<TestKeys>, entries: &[KvEntry], revision: KvRevision) {
+    let after = to.view().listed.revision;
+    if revision <= after {
+        return;
+    }
+    let (changed, keys) = Mirror::since(entries, after);
+    let now = Instant::now();
+    let msg = FleetMsg::Read {
+        topic: Topic::Targets,
+        reading: Reading::Copied(Copied {
+            changed,
+            keys,
+            revision,
+        }),
+        asked: now,
+        source: Source::Peer(common::name("other")),
+    };
+    to.handle(msg, now);
+}
+
+fn asks(boxes: &mut [Fleet<TestKeys>], to: usize, from: usize) {
+    let view = boxes[from].view();
+    let (entries, revision) = (view.copies.targets.clone(), view.listed.revision);
+    copies(&mut boxes[to], &entries, revision);
+}
+
+/// Targets that take requests, as a box believes.
+fn ready(fleet: &Fleet<TestKeys>) -> Vec<String> {
+    let targets = fleet.view().targets.iter();
+    let ready = targets.filter(|(_, entry)| entry.presence == Presence::Ready);
+    let mut ids: Vec<String> = ready.map(|(id, _)| format!("target/{id}")).collect();
+    ids.sort();
+    ids
+}
+
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn all_boxes_end_with_what_the_store_says_whichever_of_them_saw_its_new_eras(
+    #[values(2, 7, 40)] count: usize,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut store = Store::default();
+    let mut copy = store.clone();
+    let mut boxes = boxes(count);
+    for _ in 0..400 {
+        advance(Duration::from_millis(rng.random_range(0..100))).await;
+        let key = format!("target/e{}", rng.random_range(0..TARGETS));
+        match rng.random_range(0..100) {
+            0..10 => store.write(&key, Some("ready 1")),
+            10..15 => store.write(&key, Some("leaving 1")),
+            15..18 => store.write(&key, None),
+            18..28 => store.write("other", Some("")),
+            28 => copy = store.clone(),
+            29 => store.restore(&copy),
+            // Some boxes never reach the store.
+            30..50 => reads(&mut boxes[rng.random_range(0..count.div_ceil(2))], &store),
+            _ => {
+                let to = rng.random_range(0..count);
+                asks(&mut boxes, to, rng.random_range(0..count));
+            }
+        }
+    }
+    // Targets write again what is so.
+    for index in 0..TARGETS {
+        let value = *["ready 1", "leaving 1"].choose(&mut rng).unwrap();
+        store.write(&format!("target/e{index}"), Some(value));
+    }
+    reads(&mut boxes[0], &store);
+    (1..count).for_each(|to| asks(&mut boxes, to, 0));
+    advance(SETTLED).await;
+    for fleet in &mut boxes {
+        fleet.sweep(Instant::now());
+    }
+    let listing = store.listing().entries;
+    let says_ready = listing
+        .iter()
+        .filter(|entry| entry.value.as_deref() == Some("ready 1"));
+    let expected: Vec<String> = says_ready.map(|entry| entry.key.clone()).collect();
+    let said_leaving = |id: &String| !expected.contains(id);
+    for fleet in &boxes {
+        let found = ready(fleet);
+        assert!(
+            !found.iter().any(said_leaving),
+            "{found:?}, not {expected:?}"
+        );
+        assert_eq!(fleet.view().listed.revision, store.revision());
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_box_that_saw_the_new_era_learns_nothing_from_one_that_did_not() {
+    let mut store = Store::default();
+    store.write("target/e1", Some("ready 1"));
+    let copy = store.clone();
+    (0..9).for_each(|_| store.write("other", Some("")));
+    store.write("target/e2", Some("ready 1"));
+    let mut boxes = boxes(2);
+    boxes.iter_mut().for_each(|fleet| reads(fleet, &store));
+    store.restore(&copy);
+    store.write("target/e1", Some("leaving 1"));
+    reads(&mut boxes[0], &store);
+    asks(&mut boxes, 0, 1);
+    assert_eq!(ready(&boxes[0]), ["target/e2"], "it may be written again");
+    asks(&mut boxes, 1, 0);
+    assert_eq!(ready(&boxes[1]), ["target/e2"]);
+    advance(SETTLED).await;
+    for fleet in &mut boxes {
+        fleet.sweep(Instant::now());
+        assert!(ready(fleet).is_empty());
+    }
+}
