--- a/crates/sillpin-gateway/src/beliefs/fleet/targets.rs
+++ b/crates/sillpin-gateway/src/beliefs/fleet/targets.rs
@@ -69,6 +69,10 @@
         }
         self.warms_up(&target.id, target.cold, now);
         self.departures.listed(&target, entry.revision.era(), now);
+        if self.departures.hides(&target, now) {
+            event!(self.log, events::TARGET_DOUBTED, "target" => target.id.as_str(),
+                "revision" => entry.revision.to_string(), "source" => source.to_string());
+        }
         self.targets.insert(target.id.clone(), Arc::new(target));
     }
 
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -117,6 +117,8 @@
     TARGET_LISTED = 313, Info, "target listed", "Nothing to do.";
     /// A target's entry vanished while the store was away.
     TARGET_LAPSED = 314, Warning, "target's entry lapsed", "Nothing to do: it is used until it is clear that the entry does not return.";
+    /// The store's copy has a target as one that takes requests which had left before.
+    TARGET_DOUBTED = 337, Info, "target of a copy not believed", "Nothing to do: it gets no requests until it has written its entry again.";
     /// A target is gone.
     TARGET_UNLISTED = 315, Info, "target gone", "Nothing to do.";
     /// An engine serves other weights than its entry says.
