Release new versions of targets gradually, and roll them back when they are worse

Cause: an order to move a service's traffic onto targets of another version was read nowhere. The new targets got requests like all others from their first entry on, whatever they answered, and nobody wrote the order's status.

Change: orders are mirrored like evacuations and kept by revision. While a release runs, the new targets are left out of the index of targets; each box sends a scheduled fraction of its own requests to them (sillpin-policy, release.rs: a small part, a short load test, the small part again, then the whole load), at most one attempt of a request, so that all boxes together keep to the allowance without a word to each other. Boxes count the responses of both versions by route, send each other the counts with their reports, bulletins and digests, and each judges them. A rollback holds from the first box that decides it, also without the store; a success only once the store has accepted it. One box of each zone writes first, under the status's revision. A box that starts learns the phase from others or from the status.

Ruled out: limits shared by rank (placement/shared_limit.rs). They need every box to know the others, and leave boxes of other zones without a part; a fraction of its own requests needs neither. Weighed on paper, not measured. The judge of policy arms (guard.rs) is left as it is: it decides on 2 in 100 more failures of 30 samples, which chance gives in a canary of a few requests a second.

The format of datagrams changes, so boxes of two builds don't hear each other's.

--- a/crates/sillpin-gateway/src/control.rs
+++ b/crates/sillpin-gateway/src/control.rs
@@ -2,7 +2,7 @@
 
 use crate::config::FleetConfig;
 use crate::dialect::{EngineTime, PartId, Salt};
-use derive_more::{Display, Error};
+use derive_more::{Display, Error, From, FromStr};
 use serde::{Deserialize, Serialize};
 use sillpin_core::{Fence, ModelId, PoolId, TargetId, Tokens, WeightVersion, ZoneId};
 use std::future::Future;
@@ -34,6 +34,24 @@
 #[serde(transparent)]
 pub struct Life(pub u64);
 
+/// Version of a target's software; free text.
+#[derive(
+    Debug,
+    Clone,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Display,
+    From,
+    FromStr,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct SoftwareVersion(pub String);
+
 /// A target as it publishes itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetEntry {
@@ -55,6 +73,8 @@
     pub served: Vec<Served>,
     /// Remaining time of its warm-up when it was published; zero if it is warm.
     pub cold: Duration,
+    /// Version of its software, if it names one.
+    pub software: Option<SoftwareVersion>,
 }
 
 /// Version of a model's weights that operators request on all engines.
@@ -66,12 +86,50 @@
     pub version: WeightVersion,
 }
 
+/// An order of operators to move a pool's traffic onto targets with another version of their software.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReleaseOrder {
+    /// The pool.
+    pub pool: PoolId,
+    /// The new version.
+    pub version: SoftwareVersion,
+    /// Time within which the release is to end.
+    pub duration: Duration,
+}
+
+/// Phase of a release. Boxes that know different phases adopt the later one: a rollback ends what a box still sends
+/// to the new version, and a success is only known from the platform store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
+pub enum ReleasePhase {
+    /// This box does not know yet: it has just started.
+    #[display("unknown")]
+    Unknown,
+    /// The new version gets a part of the requests.
+    #[display("running")]
+    Running,
+    /// The new version gets no requests.
+    #[display("rolled back")]
+    RolledBack,
+    /// The new version gets all requests.
+    #[display("succeeded")]
+    Succeeded,
+}
+
+/// Phase of a release, as recorded in the platform store for operators.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReleaseStatus {
+    /// The new version.
+    pub version: SoftwareVersion,
+    /// The phase.
+    pub phase: ReleasePhase,
+}
+
 /// Keys of published values in the platform store, and their decoding.
 pub trait PublishedFormat: Clone + Send + Sync + 'static {
     /// Prefix of targets' entries.
     fn target_prefix(&self) -> &'static str;
 
-    /// Prefix of what operators publish: the configuration, desired weights and evacuations.
+    /// Prefix of what operators publish: the configuration, desired weights, evacuations and releases.
     fn operator_prefix(&self) -> &'static str;
 
     /// Whether `key` is that of the configuration.
@@ -92,6 +150,21 @@
 
     /// Decodes desired weights.
     fn weights(&self, key: &str, value: &str) -> Result<WantedWeights, DecodeError>;
+
+    /// The pool whose release `key` orders, whatever its value; `None` if `key` is of another kind.
+    fn release_pool(&self, key: &str) -> Option<Result<PoolId, DecodeError>>;
+
+    /// Decodes the order of a release.
+    fn release(&self, key: &str, value: &str) -> Result<ReleaseOrder, DecodeError>;
+
+    /// Key under which the status of a pool's release is recorded for operators.
+    fn release_status_key(&self, pool: &PoolId) -> String;
+
+    /// Decodes the status of a release.
+    fn release_status(&self, key: &str, value: &str) -> Result<ReleaseStatus, DecodeError>;
+
+    /// Encodes the status of a release.
+    fn encode_release_status(&self, status: &ReleaseStatus) -> String;
 }
 
 /// A published value that cannot be decoded.
--- a/crates/sillpin-gateway/src/fleet_state/fleet.rs
+++ b/crates/sillpin-gateway/src/fleet_state/fleet.rs
@@ -3,6 +3,7 @@
 mod boxes;
 mod departed;
 mod evacuated;
+mod released;
 mod suspension;
 mod targets;
 
@@ -11,13 +12,13 @@
 pub use self::targets::served;
 use super::mirror::{Change, Mirror};
 use super::{
-    DesiredVersion, DesiredVersions, Evacuations, FleetMsg, FleetPort, Reading, Source, SyncState,
-    Topic, View,
+    DesiredVersion, DesiredVersions, Evacuations, FleetMsg, FleetPort, Reading, Releases, Source,
+    SyncState, Topic, View,
 };
 use crate::config::FleetConfig;
 use crate::control::{DecodeError, Life, PublishedFormat, TargetEntry};
 use crate::suspend_clock::SuspendClock;
-use sillpin_core::{BoxId, ModelId, TargetId, WeightVersion};
+use sillpin_core::{BoxId, ModelId, PoolId, TargetId, WeightVersion};
 use sillpin_platform::{KvEntry, KvRevision, StoreEra};
 use sillpin_telemetry::{event, events};
 use slog::Logger;
@@ -67,6 +68,9 @@
     config: Option<Arc<FleetConfig>>,
     desired: HashMap<ModelId, DesiredVersions>,
     evacuations: Evacuations,
+    releases: Releases,
+    /// Pools whose succeeded release excludes no targets any more.
+    settled: Vec<PoolId>,
     targets: HashMap<TargetId, Arc<TargetEntry>>,
     /// Targets whose entries disappeared while the store was unreachable, and until when they are
     /// kept.
@@ -102,6 +106,8 @@
             config: None,
             desired: HashMap::new(),
             evacuations: Evacuations::default(),
+            releases: Releases::default(),
+            settled: Vec::new(),
             targets: HashMap::new(),
             expired: HashMap::new(),
             observed_weights: HashMap::new(),
@@ -233,6 +239,7 @@
                 desired,
                 source,
             } => self.record_desired(model, desired, &source, now),
+            FleetMsg::ReleasePhase { update, source } => self.apply_phase(&update, &source, now),
             FleetMsg::Contact(since) => {
                 self.operators_mirror
                     .extend_contact(self.adjust_for_suspension(since));
@@ -286,7 +293,8 @@
         let any_removed = self.remove_unresponsive_peers(now);
         let any_usable = self.departures.sweep(now);
         let any_ended = self.end_lost_evacuations(now);
-        let changed = any_removed || any_usable || any_ended || !overdue.is_empty();
+        let any_settled = self.settle_releases(now);
+        let changed = any_removed || any_usable || any_ended || any_settled || !overdue.is_empty();
         if changed {
             self.targets_changed = true;
             self.boxes_changed = true;
@@ -342,7 +350,7 @@
                 // A copy is as old as the other box's read of the store; the store's own response
                 // is new.
                 let read_at = match source {
-                    Source::Store => now,
+                    Source::Store | Source::Own => now,
                     Source::Peer(_) | Source::Relayed => requested_at.min(now),
                 };
                 let changes = self.targets_mirror.apply(reading, requested_at);
@@ -406,6 +414,13 @@
             }
             return;
         }
+        if let Some(pool) = self.keys.release_pool(change.key()) {
+            match pool {
+                Ok(pool) => self.apply_release(pool, &change, witnessed, source, now),
+                Err(e) => self.log_unreadable(&e),
+            }
+            return;
+        }
         // A configuration or a weights version that was deleted stays in force.
         let Change::Set(entry) = change else {
             return;
--- a/crates/sillpin-gateway/src/fleet_state/fleet/evacuated.rs
+++ b/crates/sillpin-gateway/src/fleet_state/fleet/evacuated.rs
@@ -12,7 +12,7 @@
 
 /// Time after the store recovers within which operators write again what it lost. An acknowledged
 /// evacuation is not ended before: a zone that stays empty for too long costs only capacity.
-const REWRITE_TIMEOUT: Duration = Duration::from_secs(10);
+pub(super) const REWRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
 impl<K: PublishedFormat> Fleet<K> {
     /// Applies the request for a zone's evacuation, or its revocation.
--- a/crates/sillpin-gateway/src/fleet_state/fleet/suspension.rs
+++ b/crates/sillpin-gateway/src/fleet_state/fleet/suspension.rs
@@ -24,6 +24,8 @@
         self.view.operators_sync = self.operators_mirror.known();
         self.view.targets_sync = self.targets_mirror.known();
         self.view.desired = Arc::new(self.desired.clone());
+        self.releases.add_suspended_time(time);
+        self.view.releases = Arc::new(self.releases.clone());
         self.view.suspended = suspended;
         true
     }
--- a/crates/sillpin-gateway/src/fleet_state/fleet/targets.rs
+++ b/crates/sillpin-gateway/src/fleet_state/fleet/targets.rs
@@ -4,6 +4,7 @@
 use super::{EXPIRY_GRACE, Fleet, MASS_EXPIRY_SHARE, ObservedWeights};
 use crate::control::{Presence, PublishedFormat, Served, TargetEntry};
 use crate::fleet_state::Source;
+use crate::fleet_state::releases::ReleaseRole;
 use crate::placement::index::TargetIndex;
 use sillpin_core::{ModelId, TargetId, WeightVersion};
 use sillpin_platform::KvEntry;
@@ -164,10 +165,21 @@
         self.cold.retain(|_, until| now < *until);
         self.view.cold = Arc::new(self.cold.clone());
         self.view.targets = Arc::new(self.targets.iter().map(current).collect());
-        self.view.index = Arc::new(TargetIndex::without_evacuated_zones(
-            &self.view.targets,
-            &self.evacuations,
-        ));
+        let with_control = self.pools_with_control();
+        self.releases.record_control(&with_control);
+        let index_of = |wanted: ReleaseRole| {
+            let is_wanted = |target: &TargetEntry| {
+                !self.evacuations.contains(&target.zone)
+                    && self.release_role(target, &with_control, now) == wanted
+            };
+            Arc::new(TargetIndex::of(&self.view.targets, is_wanted))
+        };
+        let (index, canaries) = (
+            index_of(ReleaseRole::Serving),
+            index_of(ReleaseRole::Canary),
+        );
+        self.view.index = index;
+        self.view.canaries = canaries;
         self.view.entries = Arc::new(self.targets.clone());
     }
 }
--- a/crates/sillpin-gateway/src/fleet_state/mod.rs
+++ b/crates/sillpin-gateway/src/fleet_state/mod.rs
@@ -11,15 +11,18 @@
 pub mod fleet;
 pub mod mirror;
 pub mod reader;
+pub mod releases;
 pub mod transfers;
 
 pub use self::desired::{DesiredVersion, DesiredVersions};
 pub use self::evacuation::Evacuations;
 use self::mirror::Mirror;
 pub use self::mirror::STORE_TIMEOUT;
+pub use self::releases::{PhaseUpdate, Release, Releases};
 use crate::config::FleetConfig;
 use crate::control::{Life, TargetEntry};
 use crate::placement::index::TargetIndex;
+use crate::releases::Cohort;
 use serde::{Deserialize, Serialize};
 use sillpin_core::{BoxId, ModelId, PoolId, TargetId, WeightVersion, ZoneId};
 use sillpin_platform::{KvEntry, KvRevision, Snapshot, WatchReply};
@@ -64,6 +67,9 @@
     /// The box that reads the store for the zone, relayed by the hub.
     #[display("zone's reader")]
     Relayed,
+    /// This box's own decision.
+    #[display("this box")]
+    Own,
 }
 
 /// Another box of the fleet, or this one.
@@ -106,8 +112,11 @@
     /// Targets that are listed, leaving ones included, with the weights that this box found them to
     /// serve.
     pub targets: Arc<HashMap<TargetId, Arc<TargetEntry>>>,
-    /// These targets by pool and zone, without leaving ones and those of evacuated zones.
+    /// These targets by pool and zone, without leaving ones, those of evacuated zones and those that releases exclude.
     pub index: Arc<TargetIndex>,
+    /// Targets with the new version of a running release, by pool and zone, without leaving ones and those of
+    /// evacuated zones.
+    pub canaries: Arc<TargetIndex>,
     /// Targets exactly as their entries state.
     pub entries: Arc<HashMap<TargetId, Arc<TargetEntry>>>,
     /// Until when targets are cold, which means that they are warming up, as far as known.
@@ -116,6 +125,8 @@
     pub targets_sync: SyncState,
     /// Zones that operators have evacuated.
     pub evacuations: Arc<Evacuations>,
+    /// Releases that operators have ordered.
+    pub releases: Arc<Releases>,
     /// Desired weights versions, by model.
     pub desired: Arc<HashMap<ModelId, DesiredVersions>>,
     /// Other boxes that are up, as far as known.
@@ -155,6 +166,14 @@
 }
 
 impl View {
+    /// Returns the targets that serve requests of a cohort.
+    pub fn targets_of(&self, cohort: Cohort) -> &TargetIndex {
+        match cohort {
+            Cohort::Control => &self.index,
+            Cohort::Canary => &self.canaries,
+        }
+    }
+
     /// Returns the number of boxes of the fleet, this one included.
     pub fn box_count(&self) -> usize {
         self.boxes.len() + 1
@@ -272,6 +291,13 @@
         /// Where it came from.
         source: Source,
     },
+    /// A phase of a release, from this box or another one.
+    ReleasePhase {
+        /// The phase.
+        update: PhaseUpdate,
+        /// Where it came from.
+        source: Source,
+    },
     /// Another box has been in contact with the store since then.
     Contact(Instant),
     /// A call of this box to the store failed.
--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -70,6 +70,8 @@
     pub in_flight: InFlightGuard,
     /// The target.
     pub target: std::sync::Arc<TargetEntry>,
+    /// When the request was sent to it.
+    pub sent: Instant,
 }
 
 /// Outcome of an attempt.
@@ -299,6 +301,7 @@
                 conn,
                 in_flight: attempt.in_flight,
                 target: attempt.target,
+                sent,
             }));
         }
         let limited = http_body_util::Limited::new(body, MAX_COMPLETE_RESPONSE);
--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -16,6 +16,7 @@
 use crate::fleet_state::{FleetMsg, View};
 use crate::placement::load::Outcome as Health;
 use crate::placement::work::IncarnationHash;
+use crate::releases::{Assignment, Cohort};
 use hyper::Response;
 use rand::RngExt;
 use sillpin_core::{PoolId, TargetId, WeightVersion};
@@ -48,6 +49,10 @@
     pub resume_after: Option<String>,
     /// Error response of a target, passed on if no other target does better.
     pub failure: Option<CompleteResponse>,
+    /// Version of the targets that the next attempt goes to. At most one attempt goes to the new version of a release.
+    pub cohort: Cohort,
+    /// Part of the current attempt in a release.
+    pub assignment: Option<Assignment>,
 }
 
 /// Why no further target is tried.
@@ -86,8 +91,13 @@
     ) -> Result<Response<Body>, Refusal> {
         let pool = self.pick_pool(&request)?;
         self.count_request(&pool);
+        let assignment = self
+            .releases
+            .assign(&self.fleet.view(), &pool, Instant::now());
         let mut progress = Progress {
             resume_after: request.head.resume_after.clone(),
+            cohort: assignment.as_ref().map_or(Cohort::Control, |a| a.cohort),
+            assignment,
             ..Progress::default()
         };
         loop {
@@ -157,7 +167,7 @@
             return Err(end_unserved(progress, "several targets refused"));
         }
         let view = self.fleet.view();
-        let Some(mut prepared) = self.prepare_attempt(request, pool, &view, progress) else {
+        let Some(mut prepared) = self.prepare_in_cohort(request, pool, &view, progress) else {
             return Err(self.refuse_without_target(request, pool, &view, progress));
         };
         if let Some(refusal) = self.refuse_if_overloaded(request, &prepared, progress) {
@@ -169,6 +179,7 @@
         let target = prepared.chosen.target.clone();
         self.log_attempt(request, progress, &view, &prepared);
         progress.offered.push(target.id.clone());
+        progress.cohort = Cohort::Control;
         let attempt = Attempt {
             request,
             target: target.clone(),
@@ -195,6 +206,7 @@
         let reached = !matches!(outcome, AttemptOutcome::Unsent(_));
         self.loads.record_reachability(&target.zone, reached);
         self.record_outcome(request, &target, version, &outcome, progress);
+        self.record_for_release(request, &target, &outcome, sent, progress);
         Ok(outcome)
     }
 
--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -21,6 +21,7 @@
 pub mod idle_timeout;
 pub mod refusal;
 pub mod relay;
+pub mod release;
 pub mod selection;
 pub mod shared;
 
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -12,6 +12,7 @@
 use crate::dialect::Dialect;
 use crate::placement::load::Outcome as Health;
 use crate::placement::work::IncarnationHash;
+use crate::releases::tracker::Response as VersionResponse;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::header::CONTENT_LENGTH;
@@ -33,6 +34,19 @@
     Broken(String),
 }
 
+impl RelayEnd {
+    /// What a stream that was requested at `sent` and has ended now tells about its target's version.
+    fn response(&self, sent: Instant) -> Option<VersionResponse> {
+        match self {
+            RelayEnd::Complete | RelayEnd::DeadlineReached => {
+                Some(VersionResponse::Served(sent.elapsed()))
+            }
+            RelayEnd::Broken(_) => Some(VersionResponse::Broken),
+            RelayEnd::CallerDisconnected => None,
+        }
+    }
+}
+
 impl<D: Dialect> Shared<D> {
     /// Returns the response for a stream's caller; a background task sends the events.
     pub fn relay(
@@ -66,10 +80,15 @@
             let entry = stream.target.clone();
             let (target, life) = (entry.id.clone(), entry.life);
             let (id, waited) = (&request.head.id, request.arrival.elapsed().as_millis());
-            let reason = match self
+            let sent = stream.sent;
+            let end = self
                 .relay_target(&request, &pool, &progress, stream, &mut events, &tx)
-                .await
-            {
+                .await;
+            let assignment = progress.assignment.take();
+            if let Some(response) = end.response(sent) {
+                self.record_response(&request, &entry, response, assignment);
+            }
+            let reason = match end {
                 RelayEnd::Complete => {
                     self.fatal
                         .record()
--- a/crates/sillpin-gateway/src/front/selection.rs
+++ b/crates/sillpin-gateway/src/front/selection.rs
@@ -10,6 +10,7 @@
 use crate::peers::roles::SMALL_FLEET;
 use crate::placement::allowed::{AllowedWeights, WeightsInputs};
 use crate::placement::choose::PromptInputs;
+use crate::placement::index::TargetIndex;
 use crate::placement::limits::LimitContext;
 use crate::placement::parts::{Plan, PlanInputs, plan, salt};
 use crate::placement::residency::Residency;
@@ -215,7 +216,7 @@
         let max_in_flight = connection_share(connections, view.box_count());
         let now = Instant::now();
         let base = ChoiceInputs {
-            targets: &view.index,
+            targets: view.targets_of(progress.cohort),
             reported_late: view.box_count() > SMALL_FLEET,
             loads: &self.loads,
             pool,
@@ -339,7 +340,7 @@
             });
             (version, plan)
         };
-        let serving = served_versions(view, base.pool, &prompt.model);
+        let serving = served_versions(base.targets, base.pool, &prompt.model);
         let weights = self
             .weights_use(view, &prompt.model, serving, now)
             .allowed();
@@ -375,7 +376,7 @@
     ) -> Option<Instant> {
         let model = &request.head.prompt.as_ref()?.model;
         let view = self.fleet.view();
-        let serving = served_versions(&view, pool, model);
+        let serving = served_versions(&view.index, pool, model);
         let weights = self.weights_use(&view, model, serving, Instant::now());
         weights.latest_start(version)
     }
@@ -441,12 +442,12 @@
 /// Versions of a model's weights that a pool's engines serve, with the number of engines serving each. Engines that
 /// accept no prompts are not counted.
 fn served_versions<'a>(
-    view: &'a View,
+    index: &'a TargetIndex,
     pool: &PoolId,
     model: &ModelId,
 ) -> &'a BTreeMap<WeightVersion, usize> {
     static NONE: BTreeMap<WeightVersion, usize> = BTreeMap::new();
-    let targets = view.index.pool(pool);
+    let targets = index.pool(pool);
     let serving = targets.and_then(|targets| targets.serving(model));
     serving.unwrap_or(&NONE)
 }
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -10,6 +10,7 @@
 use crate::placement::Loads;
 use crate::placement::probe::Prober;
 use crate::pool::ConnectionPool;
+use crate::releases::ReleaseTracker;
 use crate::reload::Settings;
 use crate::settings::BoxConfig;
 use crate::suspend_clock::SuspendClock;
@@ -42,6 +43,8 @@
     pub prober: Prober,
     /// Counts time in which the box was suspended.
     pub suspend_clock: SuspendClock,
+    /// This box's part in releases.
+    pub releases: ReleaseTracker,
     /// Record of requests that crash targets.
     pub fatal: FatalRequests,
     /// Determines whether targets crashed while running requests.
@@ -72,6 +75,8 @@
     pub fatal: FatalRequests,
     /// Counts time in which the box was suspended.
     pub suspend_clock: SuspendClock,
+    /// This box's part in releases.
+    pub releases: ReleaseTracker,
 }
 
 impl<D: Dialect> Shared<D> {
@@ -93,6 +98,7 @@
             cache_stores,
             fatal,
             suspend_clock,
+            releases,
         } = handles;
         let pool = ConnectionPool::new(suspend_clock.clone());
         let prober = Prober {
@@ -107,6 +113,7 @@
         Self {
             dialect,
             suspend_clock,
+            releases,
             fatal,
             crash_detector,
             fleet,
--- a/crates/sillpin-gateway/src/lib.rs
+++ b/crates/sillpin-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`placement`]: selection of a target for a request,
 //! - [`cache_stores`]: directory of the parts that cache stores hold, and which to free,
 //! - [`weights`]: loading of new weights on engines, by an elected leader,
+//! - [`releases`]: gradual releases of new versions of targets,
 //! - [`peers`]: communication between boxes,
 //! - [`front`]: listeners, life cycle of a request, streams,
 //! - [`reload`]: settings that change while the box runs,
@@ -31,6 +32,7 @@
 pub mod peers;
 pub mod placement;
 pub mod pool;
+pub mod releases;
 pub mod reload;
 pub mod settings;
 pub mod suspend_clock;
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -23,6 +23,8 @@
 use crate::peers::wire::FleetKey;
 use crate::peers::zone_sender::ZoneGossip;
 use crate::placement::Loads;
+use crate::releases::ReleaseTracker;
+use crate::releases::supervisor::ReleaseSupervisor;
 use crate::reload::Settings;
 use crate::settings::BoxConfig;
 use crate::suspend_clock::SuspendClock;
@@ -185,6 +187,7 @@
         cache_stores: CacheStores::default(),
         fatal: FatalRequests::new(log.clone()),
         suspend_clock,
+        releases: ReleaseTracker::new(cfg.canary_share),
     };
     let shared = Arc::new(Shared::new(
         adapter.dialect.clone(),
@@ -289,6 +292,7 @@
     shared: &Arc<Shared<D>>,
 ) where
     D: Dialect,
+    K: PublishedFormat,
     P: Platform,
     C: Control,
 {
@@ -319,6 +323,16 @@
         log: log.clone(),
     };
     tokio::spawn(registry.run());
+    let supervisor = ReleaseSupervisor {
+        platform: adapter.platform.clone(),
+        keys: adapter.keys.clone(),
+        me: me.clone(),
+        fleet: fleet.clone(),
+        tracker: shared.releases.clone(),
+        stopping: stopping.clone(),
+        log: log.clone(),
+    };
+    tokio::spawn(supervisor.run());
     let persist = CrashRecordSync {
         platform: adapter.platform.clone(),
         fatal: shared.fatal.clone(),
@@ -337,6 +351,7 @@
         loads: shared.loads.clone(),
         cache_stores: shared.cache_stores.clone(),
         fatal: shared.fatal.clone(),
+        releases: shared.releases.clone(),
         suspend_clock: shared.suspend_clock.clone(),
         updates,
         zone_updates,
--- a/crates/sillpin-gateway/src/peers/datagram.rs
+++ b/crates/sillpin-gateway/src/peers/datagram.rs
@@ -11,6 +11,7 @@
 use crate::fleet_state::{BoxEntry, Topic};
 use crate::placement::signals::limit::LimitUpdate;
 use crate::placement::work::{EngineWork, IncarnationHash};
+use crate::releases::ReleaseUpdate;
 use serde::{Deserialize, Serialize};
 use sillpin_core::{BoxId, ModelId, TargetId, Tokens, WeightVersion, ZoneId};
 use sillpin_platform::{KvEntry, KvRevision};
@@ -69,6 +70,8 @@
     pub fatal: Vec<CrashReport>,
     /// Rate limits that targets report.
     pub limits: Vec<LimitUpdate>,
+    /// Releases, with the responses that the sender counted, or its zone in a message to another zone.
+    pub releases: Vec<ReleaseUpdate>,
     /// Whether it is shutting down.
     pub stopping: bool,
 }
@@ -345,6 +348,8 @@
     pub fatal: Vec<CrashReport>,
     /// Rate limits that it recently observed targets set or lift.
     pub limits: Vec<LimitUpdate>,
+    /// Releases, with the responses that it counted.
+    pub releases: Vec<ReleaseUpdate>,
     /// Updates for the zone.
     pub updates: Vec<ZoneUpdate>,
 }
@@ -378,6 +383,8 @@
     pub fatal: Vec<CrashReport>,
     /// Rate limits that targets report.
     pub limits: Vec<LimitUpdate>,
+    /// Releases, with the responses that the fleet counted.
+    pub releases: Vec<ReleaseUpdate>,
 }
 
 /// What a hub sends to the hubs of other zones.
@@ -397,6 +404,8 @@
     pub fatal: Vec<CrashReport>,
     /// Rate limits that targets report.
     pub limits: Vec<LimitUpdate>,
+    /// Releases, with the responses that the zone counted.
+    pub releases: Vec<ReleaseUpdate>,
     /// Loads of weights at engines.
     pub load_updates: Vec<WeightLoadUpdate>,
 }
--- a/crates/sillpin-gateway/src/peers/hub.rs
+++ b/crates/sillpin-gateway/src/peers/hub.rs
@@ -275,6 +275,7 @@
             retired: retired(),
             fatal: Vec::new(),
             limits: Vec::new(),
+            releases: Vec::new(),
             load_updates,
         })
     }
--- a/crates/sillpin-gateway/src/peers/receiver.rs
+++ b/crates/sillpin-gateway/src/peers/receiver.rs
@@ -14,12 +14,14 @@
 use crate::fleet_state::desired::DesiredVersionAge;
 use crate::fleet_state::transfers::Transfers;
 use crate::fleet_state::{
-    BoxEntry, DesiredVersion, FleetHandle, FleetMsg, Source, SyncState, Topic,
+    BoxEntry, DesiredVersion, FleetHandle, FleetMsg, PhaseUpdate, Source, SyncState, Topic,
 };
 use crate::metrics::BoxMetrics;
 use crate::placement::Loads;
 use crate::placement::signals::limit::{LimitUpdate, log_limit};
 use crate::placement::work::IncarnationHash;
+use crate::releases::evidence::EvidenceSource;
+use crate::releases::{ReleaseTracker, ReleaseUpdate};
 use sillpin_core::ZoneId;
 use sillpin_platform::KvRevision;
 use sillpin_telemetry::{event, events};
@@ -89,6 +91,8 @@
     pub cache_stores: CacheStores,
     /// Requests that crash the targets that run them.
     pub fatal: FatalRequests,
+    /// Releases.
+    pub releases: ReleaseTracker,
     /// Calls in progress.
     pub fetches: FetchesInProgress,
     /// Fetches copies from boxes that have newer data.
@@ -176,6 +180,12 @@
             .signals(|signals| signals.replaced.apply_update(&digest.replaced, now));
         self.fatal.apply_update(&digest.fatal);
         self.apply_limits(&digest.limits);
+        let counts = match digest.from.zone == self.zone {
+            true => EvidenceSource::Box(BoxHash::of(&digest.from)),
+            false => EvidenceSource::Zone(digest.from.zone.clone()),
+        };
+        self.apply_releases(counts, &digest.releases, Source::Peer(from.clone()))
+            .await;
         let data_age = digest.targets_sync.age_ms.map(Duration::from_millis);
         let data_age = data_age.unwrap_or(Duration::MAX);
         let retired = digest.retired;
@@ -218,6 +228,35 @@
         }
     }
 
+    /// Applies what another box sent of releases: their phases, and counts of `counted_by`.
+    async fn apply_releases(
+        &self,
+        counted_by: EvidenceSource,
+        updates: &[ReleaseUpdate],
+        source: Source,
+    ) {
+        let now = Instant::now();
+        for update in updates {
+            self.releases.store(counted_by.clone(), update, now);
+            let phase = PhaseUpdate {
+                pool: update.pool.clone(),
+                revision: update.revision,
+                since: update
+                    .age_ms
+                    .and_then(|age| now.checked_sub(Duration::from_millis(age))),
+                phase: update.phase,
+                is_recorded: update.is_recorded,
+            };
+            if self.fleet.view().releases.adds_information(&phase) {
+                let msg = FleetMsg::ReleasePhase {
+                    update: phase,
+                    source: source.clone(),
+                };
+                self.fleet.send(msg).await;
+            }
+        }
+    }
+
     /// Adds a box that is new to this one to the next bulletin, if this box is the hub: boxes that
     /// relay bulletins to it need its address.
     fn announce_new_box(&self, from: &BoxEntry) {
--- a/crates/sillpin-gateway/src/peers/receiver/zone.rs
+++ b/crates/sillpin-gateway/src/peers/receiver/zone.rs
@@ -3,13 +3,14 @@
 use super::{GossipReceiver, queried_at};
 use crate::cache_stores::directory::Position;
 use crate::control::{StoreChanges, StoreListing};
-use crate::fleet_state::{FleetMsg, Topic};
+use crate::fleet_state::{FleetMsg, Source, Topic};
 use crate::peers::datagram::{
     Bulletin, PublishedChanges, Report, StoreListingUpdate, StoreUpdate, WeightLoadUpdate,
     ZoneSummary, ZoneUpdate,
 };
 use crate::peers::hub::relay_children;
 use crate::placement::load::Outcome;
+use crate::releases::evidence::EvidenceSource;
 use sillpin_platform::WatchReply;
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
@@ -36,6 +37,9 @@
             .apply_shares(&report.retired);
         self.fatal.apply_update(&report.fatal);
         self.apply_limits(&report.limits);
+        let counted_by = EvidenceSource::Box(report.from);
+        self.apply_releases(counted_by, &report.releases, Source::Relayed)
+            .await;
         let roster = self.zone_gossip.rosters.of(&self.fleet.view());
         if let Some(from) = roster.find(report.from) {
             self.apply_sync_summary(Topic::Operators, report.operators_sync, from)
@@ -62,6 +66,8 @@
             self.cache_stores.retirements().apply_shares(&sums.retired);
             self.fatal.apply_update(&sums.fatal);
             self.apply_limits(&sums.limits);
+            self.apply_releases(EvidenceSource::Fleet, &sums.releases, Source::Relayed)
+                .await;
             let roster = self.zone_gossip.rosters.of(&self.fleet.view());
             if let Some(hub) = members.first().and_then(|hub| roster.find(*hub)) {
                 self.apply_sync_summary(Topic::Operators, sums.operators_sync, hub)
@@ -84,6 +90,9 @@
             .apply_shares(&summary.retired);
         self.fatal.apply_update(&summary.fatal);
         self.apply_limits(&summary.limits);
+        let counted_by = EvidenceSource::Zone(summary.zone.clone());
+        self.apply_releases(counted_by, &summary.releases, Source::Relayed)
+            .await;
         self.zone_gossip
             .hub()
             .apply_zone_summary(summary, Instant::now());
--- a/crates/sillpin-gateway/src/peers/sender.rs
+++ b/crates/sillpin-gateway/src/peers/sender.rs
@@ -19,6 +19,8 @@
 use crate::metrics::BoxMetrics;
 use crate::placement::Loads;
 use crate::placement::work::EngineWork;
+use crate::releases::ReleaseTracker;
+use crate::releases::evidence::EvidenceScope;
 use crate::reload::Settings;
 use crate::suspend_clock::SuspendClock;
 use rand::seq::IndexedRandom;
@@ -72,6 +74,8 @@
     pub suspend_clock: SuspendClock,
     /// Requests that crash the targets that run them.
     pub fatal: FatalRequests,
+    /// Releases.
+    pub releases: ReleaseTracker,
     /// Loads of weights that this box starts, for all boxes.
     pub updates: mpsc::Receiver<WeightLoadUpdate>,
     /// Updates that this box reads from stores, for its zone.
@@ -100,6 +104,7 @@
             loads: self.loads.clone(),
             cache_stores: self.cache_stores.clone(),
             fatal: self.fatal.clone(),
+            releases: self.releases.clone(),
             fetches: Arc::default(),
             client: PeerClient {
                 fleet_key: self.fleet_key,
@@ -124,7 +129,7 @@
         let mut rounds = tokio::time::interval(ROUND_INTERVAL);
         rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut views = self.fleet.subscribe();
-        let mut sent_content = (0, 0);
+        let mut sent_content = Content::default();
         let mut work_due = Instant::now();
         let mut sent_work = Vec::new();
         let mut zone_state = ZoneSendState::default();
@@ -158,7 +163,7 @@
                 () = limit_changed.notified(), if !large => self.round(socket, false).await,
                 _ = rounds.tick() => self.round(socket, large).await,
                 Ok(()) = views.changed() => {
-                    let content = content_hashes(&views.borrow_and_update());
+                    let content = Content::of(&views.borrow_and_update());
                     if content != sent_content {
                         sent_content = content;
                         // In a large zone the hub's bulletin states that something has changed, and
@@ -239,6 +244,9 @@
         self.send(socket, &Datagram::Digest(digest.clone()), zone)
             .await;
         digest.stores.clear();
+        digest.releases = self
+            .releases
+            .updates_to_send(&view, EvidenceScope::Zone, Instant::now());
         self.send(socket, &Datagram::Digest(digest), foreign).await;
     }
 
@@ -319,6 +327,7 @@
             limits: self
                 .loads
                 .signals(|signals| signals.limits.updates_to_send(now)),
+            releases: self.releases.updates_to_send(view, EvidenceScope::Own, now),
             stopping: self.stopping.is_cancelled(),
         }
     }
@@ -370,9 +379,22 @@
     }
 }
 
-/// Returns hashes of what is published, as far as this box knows it.
-fn content_hashes(view: &View) -> (u64, u64) {
-    (view.operators_sync.content, view.targets_sync.content)
+/// Hashes of what a box sends immediately when it changes.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Content {
+    operators: u64,
+    targets: u64,
+    release_phases: u64,
+}
+
+impl Content {
+    fn of(view: &View) -> Self {
+        Self {
+            operators: view.operators_sync.content,
+            targets: view.targets_sync.content,
+            release_phases: view.releases.phases(),
+        }
+    }
 }
 
 /// Summarises the sync state of a prefix for other boxes.
--- a/crates/sillpin-gateway/src/peers/wire.rs
+++ b/crates/sillpin-gateway/src/peers/wire.rs
@@ -14,7 +14,7 @@
 
 /// Incremented when datagrams change, so that boxes of two builds drop each other's datagrams
 /// instead of misreading them.
-const FORMAT: u32 = 2;
+const FORMAT: u32 = 3;
 
 /// Length of the key at the start of each datagram, in bytes.
 const KEY_LEN: usize = 8;
--- a/crates/sillpin-gateway/src/peers/zone_sender.rs
+++ b/crates/sillpin-gateway/src/peers/zone_sender.rs
@@ -6,6 +6,7 @@
 use super::sender::{GossipSender, sync_summary};
 use crate::fleet_state::View;
 use crate::placement::work::EngineWork;
+use crate::releases::evidence::EvidenceScope;
 use rand::seq::IndexedRandom;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -99,6 +100,9 @@
             limits: self
                 .loads
                 .signals(|signals| signals.limits.updates_to_send(now)),
+            releases: self
+                .releases
+                .updates_to_send(&view, EvidenceScope::Fleet, now),
         };
         let bulletins = self.zone_gossip.hub().bulletins(sums, now);
         for bulletin in bulletins {
@@ -127,7 +131,10 @@
         let is_report_due = is_due(state.report_sent, MAX_REPORT_INTERVAL, now);
         let fatal = self.fatal.record().observed(now);
         let limits = self.loads.signals(|signals| signals.limits.observed(now));
-        let has_no_updates = state.pending.is_empty() && fatal.is_empty() && limits.is_empty();
+        let releases = self.releases.updates_to_send(view, EvidenceScope::Own, now);
+        let counts = releases.iter().any(|update| !update.evidence.is_empty());
+        let has_no_updates =
+            state.pending.is_empty() && fatal.is_empty() && limits.is_empty() && !counts;
         if work == state.work && has_no_updates && !is_report_due {
             return;
         }
@@ -152,6 +159,7 @@
                 retired: self.cache_stores.retirements().applied(),
                 fatal: fatal.clone(),
                 limits: limits.clone(),
+                releases: releases.clone(),
                 updates,
             };
             self.zone_gossip.hub().apply_report(report.clone(), now);
@@ -188,6 +196,9 @@
         summary.limits = self
             .loads
             .signals(|signals| signals.limits.updates_to_send(now));
+        summary.releases =
+            self.releases
+                .updates_to_send(&self.fleet.view(), EvidenceScope::Zone, now);
         let to = self.other_hubs(roster, now);
         self.send(socket, &Datagram::Zone(summary), to).await;
     }
@@ -212,6 +223,10 @@
         self.send(socket, &Datagram::Digest(digest.clone()), any)
             .await;
         digest.stores.clear();
+        // Reports and zone summaries have the counts.
+        for update in &mut digest.releases {
+            update.evidence.clear();
+        }
         let mut to = self.hub_addrs(roster, now);
         if self.zone_gossip.hub().is_active() {
             to.extend(self.other_hubs(roster, now));
--- a/crates/sillpin-gateway/src/placement/index.rs
+++ b/crates/sillpin-gateway/src/placement/index.rs
@@ -3,7 +3,6 @@
 use super::work::{IncarnationHash, TargetHash};
 use crate::cache_stores::homes::hash_pair;
 use crate::control::{Presence, TargetEntry};
-use crate::fleet_state::Evacuations;
 use crate::fleet_state::fleet::served;
 use sillpin_core::{ModelId, PoolId, TargetId, WeightVersion, ZoneId};
 use std::collections::{BTreeMap, HashMap};
@@ -79,20 +78,20 @@
 impl TargetIndex {
     /// Builds the index of all targets that are ready.
     pub fn new(targets: &HashMap<TargetId, Arc<TargetEntry>>) -> Self {
-        Self::without_evacuated_zones(targets, &Evacuations::default())
+        Self::of(targets, |_| true)
     }
 
-    /// Builds the index of all ready targets outside evacuated zones. All choices of targets use
-    /// this index, so no request of any kind is sent to an evacuated zone.
-    pub fn without_evacuated_zones(
+    /// Builds the index of the ready targets that are `included`. All choices of targets use an
+    /// index, so no request of any kind is sent to a target that is not in one.
+    pub fn of(
         targets: &HashMap<TargetId, Arc<TargetEntry>>,
-        evacuations: &Evacuations,
+        included: impl Fn(&TargetEntry) -> bool,
     ) -> Self {
         let mut pools: HashMap<PoolId, PoolTargets> = HashMap::new();
         let mut ready: Vec<&Arc<TargetEntry>> = targets
             .values()
             .filter(|target| target.presence == Presence::Ready)
-            .filter(|target| !evacuations.contains(&target.zone))
+            .filter(|target| included(target))
             .collect();
         ready.sort_by(|a, b| (&a.zone, &a.id).cmp(&(&b.zone, &b.id)));
         for entry in ready {
--- a/crates/sillpin-gateway/src/settings.rs
+++ b/crates/sillpin-gateway/src/settings.rs
@@ -147,6 +147,12 @@
                 "0",
                 "Requests allowed beyond that in any second",
             ),
+            Key::optional(
+                "canary-share",
+                Kind::Fraction,
+                "0.1",
+                "Fraction of a pool's requests that a new version of its targets may get before its release has succeeded",
+            ),
             Key::optional(
                 "weights-ms",
                 Kind::Decimal,
@@ -208,6 +214,8 @@
     pub retries: RetryRules,
     /// Limits on requests to cold targets.
     pub warm_up: WarmUpRules,
+    /// Fraction of a pool's requests that a new version may get before its release has succeeded.
+    pub canary_share: f64,
     /// Time after which no request starts on weights that were replaced.
     pub weights_limit: Duration,
     /// A stored part that is read again within this time of its last use counts as worth storing.
@@ -279,6 +287,7 @@
                 overage: loaded.get("promises", "warm-up-overage")?,
                 slack: loaded.get("promises", "warm-up-slack")?,
             },
+            canary_share: loaded.get("promises", "canary-share")?,
             weights_limit: time("weights-ms", 0.001)?,
             reuse: time("reuse-s", 1.0)?,
             collector: collectors.first().copied(),
--- a/crates/sillpin-gateway/tests/common/gossip.rs
+++ b/crates/sillpin-gateway/tests/common/gossip.rs
@@ -204,6 +204,7 @@
             retired: Vec::new(),
             fatal: Vec::new(),
             limits: Vec::new(),
+            releases: Vec::new(),
             updates: Vec::new(),
         };
         self.boxes[from].hub.apply_report(report.clone(), now);
@@ -228,6 +229,7 @@
             retired: Vec::new(),
             fatal: Vec::new(),
             limits: Vec::new(),
+            releases: Vec::new(),
         };
         for bulletin in self.boxes[hub].hub.bulletins(sums, now) {
             self.relay(hub, &bulletin.members, &messages, now);
--- a/crates/sillpin-gateway/tests/common/mod.rs
+++ b/crates/sillpin-gateway/tests/common/mod.rs
@@ -6,10 +6,11 @@
 pub mod gossip;
 
 use sillpin_core::target::BoxList;
-use sillpin_core::{ModelId, TargetId, WeightVersion, ZoneId};
+use sillpin_core::{ModelId, PoolId, TargetId, WeightVersion, ZoneId};
 use sillpin_gateway::config::{ConfigVersion, FleetConfig, StoreSpec};
 use sillpin_gateway::control::{
-    DecodeError, Life, Presence, PublishedFormat, Served, TargetEntry, WantedWeights,
+    DecodeError, Life, Presence, PublishedFormat, ReleaseOrder, ReleasePhase, ReleaseStatus,
+    Served, TargetEntry, WantedWeights,
 };
 use sillpin_gateway::placement::residency::{Residency, ZoneRegions};
 use sillpin_platform::{
@@ -45,6 +46,7 @@
             version: WeightVersion(1),
         }],
         cold: Duration::ZERO,
+        software: None,
     }
 }
 
@@ -140,6 +142,48 @@
             version: name(value),
         })
     }
+
+    fn release_pool(&self, key: &str) -> Option<Result<PoolId, DecodeError>> {
+        key.strip_prefix("ops/release/").map(|pool| Ok(name(pool)))
+    }
+
+    fn release(&self, key: &str, value: &str) -> Result<ReleaseOrder, DecodeError> {
+        let (version, seconds) = value.split_once(' ').ok_or_else(|| DecodeError {
+            key: key.to_owned(),
+            what: "invalid value".to_owned(),
+        })?;
+        Ok(ReleaseOrder {
+            pool: name(key.strip_prefix("ops/release/").unwrap_or(key)),
+            version: name(version),
+            duration: Duration::from_secs(name(seconds)),
+        })
+    }
+
+    fn release_status_key(&self, pool: &PoolId) -> String {
+        format!("release-status/{pool}")
+    }
+
+    fn release_status(&self, key: &str, value: &str) -> Result<ReleaseStatus, DecodeError> {
+        let phases = [
+            ReleasePhase::Running,
+            ReleasePhase::RolledBack,
+            ReleasePhase::Succeeded,
+        ];
+        let (version, text) = value.split_once(' ').unwrap_or_default();
+        let phase = phases.into_iter().find(|phase| phase.to_string() == text);
+        let phase = phase.ok_or_else(|| DecodeError {
+            key: key.to_owned(),
+            what: "invalid phase".to_owned(),
+        })?;
+        Ok(ReleaseStatus {
+            version: name(version),
+            phase,
+        })
+    }
+
+    fn encode_release_status(&self, status: &ReleaseStatus) -> String {
+        format!("{} {}", status.version, status.phase)
+    }
 }
 
 /// An entry of the platform store.
--- a/crates/sillpin-gateway/tests/hub.rs
+++ b/crates/sillpin-gateway/tests/hub.rs
@@ -116,6 +116,7 @@
                 retired: Vec::new(),
                 fatal: Vec::new(),
                 limits: Vec::new(),
+                releases: Vec::new(),
                 updates: std::mem::take(&mut member.pending),
             };
             let mut to = member.hub.report_recipients(&all, now);
@@ -137,6 +138,7 @@
                 retired: Vec::new(),
                 fatal: Vec::new(),
                 limits: Vec::new(),
+                releases: Vec::new(),
             };
             let bulletins = self.members.get_mut(&me).unwrap().hub.bulletins(sums, now);
             for bulletin in bulletins {
@@ -323,6 +325,7 @@
         retired: Vec::new(),
         fatal: Vec::new(),
         limits: Vec::new(),
+        releases: Vec::new(),
         load_updates: Vec::new(),
     };
     let state = &mut zone.members.get_mut(&hub).unwrap().hub;
--- a/crates/sillpin-policy/src/lib.rs
+++ b/crates/sillpin-policy/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`overload`]: chooses the requests that are refused because they cannot start in time,
 //! - [`arms`]: assigns prompts to the arms of a rollout,
 //! - [`guard`]: decides when an arm's traffic goes back to the control arm,
+//! - [`release`]: decides how much traffic a new version of targets gets, and when it is rolled back,
 //! - [`set`]: holds the parameters of all of them, as bundles contain them.
 //!
 //! Callers pass in the time and the random numbers, so a decision can be replayed and explained.
@@ -17,6 +18,7 @@
 pub mod keeping;
 pub mod overload;
 pub mod placement;
+pub mod release;
 pub mod rendezvous;
 pub mod set;
 
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -207,4 +207,18 @@
     ENGINE_REPORT_FAILED = 353, Warning, "engine's report missing", "Look at the engine if it recurs.";
     /// Engines serve weights that were replaced; logged by the leader.
     WEIGHTS_OUTDATED = 354, Info, "engines serve replaced weights", "Nothing to do while the count decreases; otherwise look at the engines in E250, E252 and E353.";
+    /// Operators ordered the release of a new version of a pool's targets.
+    RELEASE_ORDERED = 360, Info, "release ordered", "Nothing to do: the new version gets a small part of the pool's requests, later all of them.";
+    /// A release is rolled back: its new version gets no more requests.
+    RELEASE_ROLLED_BACK = 361, Warning, "release rolled back", "Look at the E363 of the box that decided it: it has the route and the responses of both versions.";
+    /// A release has succeeded: the new version gets all requests.
+    RELEASE_SUCCEEDED = 362, Info, "release succeeded", "Nothing to do.";
+    /// This box decided that a release is rolled back.
+    RELEASE_REGRESSED = 363, Warning, "new version is worse", "Compare the responses of both versions in this record; mend the new version before it is ordered again.";
+    /// Operators withdrew the order of a release, or it cannot be read.
+    RELEASE_WITHDRAWN = 364, Warning, "release withdrawn", "Nothing to do: the new version gets no requests unless the pool has no other targets.";
+    /// The status of a release could not be recorded in the platform's store.
+    RELEASE_NOT_RECORDED = 365, Warning, "status of a release not recorded", "Check the store if it recurs.";
+    /// The part of a pool's requests for the new version of a release changed.
+    RELEASE_STEP = 366, Info, "step of a release", "Nothing to do.";
 }
