Drop the response that was not read for longest when memory for bodies is short

Cause: a caller that stops reading holds its complete response, up to 8 MB, for as long as it keeps its connection open; only bodies of requests were counted. A few dozen such callers are enough for a box with 160 MB.

Change: bodies of responses count within the same quarter of the memory, from their arrival until the caller has taken them. Where a further body does not fit, the response that was not read for longest, 0.5 s at least, is dropped and its connection ends with an error (E367). Responses up to 16 KiB are left to the connection's buffer.

What a stream holds for its caller was bounded already: 16 events and 16 KiB.

Tests (tests/body_memory.rs): 500 callers that read nothing, with memory for ten responses; a slow one that is kept while others are dropped; memory that is used again.

--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -5,6 +5,7 @@
 //! and complete.
 
 use super::admit::AdmittedRequest;
+use super::body_memory::BufferedBody;
 use super::shared::Shared;
 use crate::control::TargetEntry;
 use crate::dialect::{AttemptHead, Dialect, ResponseHead};
@@ -51,7 +52,7 @@
     /// Headers.
     pub headers: HeaderMap,
     /// Body.
-    pub body: Bytes,
+    pub body: BufferedBody,
 }
 
 /// A streaming response whose head has arrived.
@@ -304,9 +305,9 @@
                 sent,
             }));
         }
-        let limited = http_body_util::Limited::new(body, MAX_COMPLETE_RESPONSE);
-        let body = match timeout_at(attempt.request.deadline, limited.collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
+        let reading = self.body_memory.read(body, MAX_COMPLETE_RESPONSE);
+        let body = match timeout_at(attempt.request.deadline, reading).await {
+            Ok(Ok(body)) => body,
             Ok(Err(e)) => return AttemptOutcome::Unknown(format!("the answer broke off: {e}")),
             Err(_) => {
                 return AttemptOutcome::TimedOut("the answer did not end in time".to_owned());
--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -107,13 +107,13 @@
                 Err(NoAttempt::Refused(refusal)) => return Err(refusal),
                 Err(NoAttempt::Failed(response)) => {
                     self.log_response(&request, &response);
-                    return Ok(self.forward_failure(response));
+                    return Ok(self.forward_failure(&request, response));
                 }
             };
             match outcome {
                 AttemptOutcome::Completed(response) => {
                     self.log_response(&request, &response);
-                    return Ok(self.forward_response(response));
+                    return Ok(self.forward_response(&request, response));
                 }
                 AttemptOutcome::Streaming(stream) => {
                     return Ok(self.clone().relay(request, pool, progress, *stream));
@@ -121,7 +121,7 @@
                 AttemptOutcome::Failed(response) => {
                     if !may_rerun(&request, &progress) {
                         self.log_response(&request, &response);
-                        return Ok(self.forward_failure(response));
+                        return Ok(self.forward_failure(&request, response));
                     }
                     progress.failure = Some(response);
                 }
@@ -465,8 +465,14 @@
     }
 
     /// Builds the caller's response from a target's complete response.
-    fn forward_response(&self, response: CompleteResponse) -> Response<Body> {
-        let mut resp = Response::new(Body::full(response.body));
+    fn forward_response(
+        &self,
+        request: &AdmittedRequest,
+        response: CompleteResponse,
+    ) -> Response<Body> {
+        let id = &request.head.id;
+        let body = self.body_memory.response_body(id, response.body);
+        let mut resp = Response::new(body);
         *resp.status_mut() = response.status;
         *resp.headers_mut() = self.dialect.write_response(&response.headers);
         resp
@@ -474,13 +480,17 @@
 
     /// Builds the caller's response from a target's error response. A status which implies that the request did not
     /// run is replaced, because the target has not confirmed that.
-    fn forward_failure(&self, response: CompleteResponse) -> Response<Body> {
+    fn forward_failure(
+        &self,
+        request: &AdmittedRequest,
+        response: CompleteResponse,
+    ) -> Response<Body> {
         const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
         if NOT_RUN_STATUSES.contains(&response.status.as_u16()) {
             let reason = format!("the target answered with {}", response.status.as_u16());
             return Refusal::unknown(reason).response(&self.dialect, None);
         }
-        self.forward_response(response)
+        self.forward_response(request, response)
     }
 }
 
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -20,7 +20,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-/// Request bodies may occupy one part in `BODY_SHARE` of the process's memory.
+/// Bodies of requests and responses may occupy one part in `BODY_SHARE` of the process's memory.
 const BODY_SHARE: u64 = 4;
 
 /// State shared by all requests.
@@ -51,7 +51,7 @@
     pub crash_detector: CrashDetector,
     /// Retry budget.
     pub budget: Mutex<RetryBudget>,
-    /// Memory for request bodies.
+    /// Memory for bodies.
     pub body_memory: BodyMemory,
     /// Metrics.
     pub metrics: BoxMetrics,
@@ -122,7 +122,7 @@
             pool,
             prober,
             budget: Mutex::new(budget),
-            body_memory: BodyMemory::new(max_len),
+            body_memory: BodyMemory::new(max_len, log.clone()),
             metrics,
             log,
             stopping,
--- a/crates/sillpin-http/src/body.rs
+++ b/crates/sillpin-http/src/body.rs
@@ -1,5 +1,6 @@
 //! Body type for requests and responses: in memory, streamed through a channel, or forwarded.
 
+use crate::evictable::EvictableBody;
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use http_body_util::{BodyExt, Full};
@@ -23,6 +24,8 @@
     Channel(mpsc::Receiver<io::Result<Bytes>>),
     /// Forwarded from a peer, with back-pressure.
     Incoming(Incoming),
+    /// Complete, in memory that may be taken back.
+    Evictable(EvictableBody),
 }
 
 impl Body {
@@ -55,6 +58,10 @@
         match self.get_mut() {
             Body::Full(body) => Pin::new(body).poll_frame(cx).map_err(io::Error::other),
             Body::Incoming(body) => Pin::new(body).poll_frame(cx).map_err(io::Error::other),
+            Body::Evictable(body) => {
+                let piece = body.next_piece();
+                Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
+            }
             Body::Channel(rx) => {
                 let chunk = ready!(rx.poll_recv(cx));
                 Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
@@ -66,6 +73,8 @@
         match self {
             Body::Full(body) => body.is_end_stream(),
             Body::Incoming(body) => body.is_end_stream(),
+            // An evicted body has an error to deliver.
+            Body::Evictable(_) => false,
             Body::Channel(_) => false,
         }
     }
@@ -74,6 +83,7 @@
         match self {
             Body::Full(body) => body.size_hint(),
             Body::Incoming(body) => body.size_hint(),
+            Body::Evictable(body) => SizeHint::with_exact(body.len() as u64),
             Body::Channel(_) => SizeHint::default(),
         }
     }
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -221,4 +221,6 @@
     RELEASE_NOT_RECORDED = 365, Warning, "status of a release not recorded", "Check the store if it recurs.";
     /// The part of a pool's requests for the new version of a release changed.
     RELEASE_STEP = 366, Info, "step of a release", "Nothing to do.";
+    /// A response was dropped because its caller did not read it and its memory was needed.
+    RESPONSE_EVICTED = 367, Warning, "response dropped: caller reads too slowly", "Nothing to do unless it recurs for callers that should be fast: then give the box more memory (`memory-mb`).";
 }
