Read what fails, or is new, by few boxes first

Cause: a box whose data of a resource is older than 1.5 to 2 s reads it itself. In a zone of 214 boxes all of them do so together when the zone's reader fails, and a box that has just started knows no others and so is the reader of everything: 985 boxes called each of 88 cache stores at once, the stores refused nearly all of them, the readers too, and nobody's data ever got newer.

Change: while a hub relays what others read, the age from which a box reads by itself grows with its rank, so that the number of boxes that try doubles each 0.4 s; all have tried after 4.4 s. A box starts at most four readers of stores at once and then one each 50 ms, and schedules its own listing anew when the fleet proves larger than it knew.

--- a/crates/sillpin-gateway/src/cache_stores/reader.rs
+++ b/crates/sillpin-gateway/src/cache_stores/reader.rs
@@ -7,7 +7,7 @@
 use crate::control::{Control, ControlError, StoreChanges, StoreListing};
 use crate::fleet_state::{BoxEntry, FleetHandle, View};
 use crate::peers::datagram::{MAX_CHANGES, StoreListingUpdate, StoreUpdate, ZoneUpdate};
-use crate::peers::roles::{Role, SMALL_FLEET};
+use crate::peers::roles::{DataState, Role, SMALL_FLEET};
 use crate::placement::Loads;
 use rand::RngExt;
 use sillpin_core::BoxId;
@@ -41,6 +41,15 @@
 /// restarted together, nothing was fetched for 1.7 s, and engines needed 3 s to prefill what had arrived in one.
 const LIST_SPREAD: Duration = Duration::from_millis(4);
 
+/// Time per store in which a box starts to read stores, on average, and the largest number that it starts at once. Until a
+/// starting box knows the others, it is the reader of every store: all boxes of a large fleet together would list all
+/// stores, whose number grows with the fleet too.
+const START_INTERVAL: Duration = Duration::from_millis(50);
+const MAX_STARTS: u32 = 4;
+
+/// Growth of the known fleet from which a listing is scheduled again.
+const RESCHEDULE_FACTOR: usize = 2;
+
 /// Time after which a box that knows no other box assumes that it is the only one: it reads the registered boxes within some 20 ms
 /// of its start.
 const DISCOVERY_TIMEOUT: Duration = Duration::from_millis(250);
@@ -71,8 +80,8 @@
 enum Listing {
     /// Not scheduled, since the number of boxes is not known yet.
     Unscheduled,
-    /// Scheduled for this time.
-    At(Instant),
+    /// Scheduled for this time, in a fleet of this many boxes.
+    At(Instant, usize),
     /// Listed, or no longer needed.
     Done,
 }
@@ -80,10 +89,17 @@
 impl Listing {
     fn at(self) -> Option<Instant> {
         match self {
-            Listing::At(at) => Some(at),
+            Listing::At(at, _) => Some(at),
             Listing::Unscheduled | Listing::Done => None,
         }
     }
+
+    fn no_sooner_than(self, earliest: Instant) -> Self {
+        match self {
+            Listing::At(at, boxes) => Listing::At(at.max(earliest), boxes),
+            Listing::Unscheduled | Listing::Done => self,
+        }
+    }
 }
 
 /// A store that the configuration names.
@@ -106,9 +122,15 @@
     /// Schedules the listing after this box's start at random, as soon as the number of boxes is known.
     fn schedule_listing(&mut self, view: &View, now: Instant) {
         let is_known = !view.boxes.is_empty() || now - self.since >= DISCOVERY_TIMEOUT;
-        if self.listing == Listing::Unscheduled && is_known {
+        let must_schedule = match self.listing {
+            Listing::Unscheduled => is_known,
+            Listing::At(_, boxes) => view.box_count() >= RESCHEDULE_FACTOR * boxes,
+            Listing::Done => false,
+        };
+        if must_schedule {
             let spread = LIST_SPREAD * u32::try_from(view.box_count()).unwrap_or(u32::MAX);
-            self.listing = Listing::At(now + spread.mul_f64(rand::rng().random()));
+            let at = now + spread.mul_f64(rand::rng().random());
+            self.listing = Listing::At(at, view.box_count());
         }
         if self.listing != Listing::Unscheduled && self.is_polled() {
             self.listing = Listing::Done;
@@ -116,6 +138,35 @@
     }
 }
 
+/// Limits how many readers a box starts.
+#[derive(Debug)]
+struct Starts {
+    /// When the next one may start if none has been saved up.
+    next: Instant,
+}
+
+impl Starts {
+    fn new(now: Instant) -> Self {
+        Self {
+            next: Self::earliest(now),
+        }
+    }
+
+    fn earliest(now: Instant) -> Instant {
+        now.checked_sub(START_INTERVAL * MAX_STARTS).unwrap_or(now)
+    }
+
+    /// Returns whether a reader may start now, and counts it.
+    fn take(&mut self, now: Instant) -> bool {
+        self.next = self.next.max(Self::earliest(now));
+        if self.next > now {
+            return false;
+        }
+        self.next += START_INTERVAL;
+        true
+    }
+}
+
 /// Tracks the stores that the configuration names, and starts a reader for each one that this box is to poll. One task manages
 /// them all, since most boxes of a large zone poll one store of dozens.
 pub async fn run<C: Control>(readers: Readers<C>) {
@@ -124,6 +175,7 @@
     let mut check = tokio::time::interval(TURN_CHECK_INTERVAL);
     check.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut views = readers.fleet.subscribe();
+    let mut starts = Starts::new(Instant::now());
     loop {
         let listings = || tracked.values().map(|store| store.listing);
         let listing = listings().filter_map(Listing::at).min();
@@ -146,7 +198,7 @@
             let stores = config.as_ref().map_or(&[][..], |config| &config.stores);
             readers.track(&mut tracked, stores);
         }
-        readers.start_due(&mut tracked, &view);
+        readers.start_due(&mut tracked, &view, &mut starts);
     }
 }
 
@@ -186,34 +238,44 @@
     }
 
     /// Starts the readers of the stores that this box is to poll now.
-    fn start_due(&self, tracked: &mut HashMap<SocketAddr, TrackedStore>, view: &View) {
+    fn start_due(
+        &self,
+        tracked: &mut HashMap<SocketAddr, TrackedStore>,
+        view: &View,
+        starts: &mut Starts,
+    ) {
         let now = Instant::now();
+        let is_relayed = self.loads.is_hub_responsive(now);
         let large = view.box_count() > SMALL_FLEET;
         for (addr, store) in tracked.iter_mut() {
             store.schedule_listing(view, now);
             if store.listing == Listing::Unscheduled || store.is_polled() {
                 continue;
             }
-            let is_due = store.listing.at().is_some_and(|at| at <= now);
-            if is_due {
-                store.listing = Listing::Done;
-            }
             if store.reader.take().is_some() {
                 store.since = now;
             }
             let last_confirmed = self.cache_stores.lock().last_confirmed(*addr);
-            let is_due = is_due && last_confirmed.is_none();
+            if last_confirmed.is_some() {
+                store.listing = Listing::Done;
+            }
+            let is_due = store.listing.at().is_some_and(|at| at <= now);
             // In a large fleet the zone's reader sends its results to all others; they do not all poll dozens of stores whenever
             // one is lost.
-            let last_confirmed = last_confirmed.or(large.then_some(store.since));
+            let data = DataState {
+                confirmed: last_confirmed.or(large.then_some(store.since)),
+                is_relayed,
+            };
             let alive = |id: &BoxId| self.loads.may_be_alive(id, now);
-            if !store
-                .role
-                .should_read(view, &self.me, alive, last_confirmed, now)
-                && !is_due
-            {
+            let should_read = store.role.should_read(view, &self.me, alive, data, now);
+            if !(should_read || is_due) {
                 continue;
             }
+            if !starts.take(now) {
+                store.listing = store.listing.no_sooner_than(starts.next);
+                continue;
+            }
+            store.listing = Listing::Done;
             let reader = StoreReader {
                 control: self.control.clone(),
                 addr: *addr,
@@ -308,11 +370,13 @@
     /// Returns whether this box polls for its zone, or its data is too old to wait for the box that does.
     fn should_poll(&mut self) -> bool {
         let (view, now) = (self.fleet.view(), Instant::now());
-        let last_confirmed = self.cache_stores.lock().last_confirmed(self.addr);
+        let data = DataState {
+            confirmed: self.cache_stores.lock().last_confirmed(self.addr),
+            is_relayed: self.loads.is_hub_responsive(now),
+        };
         let loads = &self.loads;
         let alive = |id: &BoxId| loads.may_be_alive(id, now);
-        self.role
-            .should_read(&view, &self.me, alive, last_confirmed, now)
+        self.role.should_read(&view, &self.me, alive, data, now)
     }
 
     /// Sends a listing to the zone if it is short; other boxes request a copy of a long one.
--- a/crates/sillpin-gateway/src/fleet_state/reader.rs
+++ b/crates/sillpin-gateway/src/fleet_state/reader.rs
@@ -7,7 +7,7 @@
 use super::transfers::Transfers;
 use super::{BoxEntry, FleetHandle, FleetMsg, Reading, Source, Topic};
 use crate::peers::datagram::{PublishedChanges, ZoneUpdate};
-use crate::peers::roles::{self, SMALL_FLEET};
+use crate::peers::roles::{self, DataState, SMALL_FLEET};
 use crate::placement::Loads;
 use rand::RngExt;
 use sillpin_core::BoxId;
@@ -210,7 +210,11 @@
         let confirmed = view.known(self.topic).confirmed;
         let now = Instant::now();
         let alive = |id: &BoxId| self.loads.may_be_alive(id, now);
-        roles::should_read(&view, &self.me, self.prefix, alive, confirmed, now)
+        let data = DataState {
+            confirmed,
+            is_relayed: self.loads.is_hub_responsive(now),
+        };
+        roles::should_read(&view, &self.me, self.prefix, alive, data, now)
     }
 
     /// Resolves when a box that waits for a change has to read for its zone, or other boxes know of
--- a/crates/sillpin-gateway/src/peers/roles.rs
+++ b/crates/sillpin-gateway/src/peers/roles.rs
@@ -27,6 +27,13 @@
 /// others.
 const MAX_AGE_SPREAD: Duration = Duration::from_millis(500);
 
+/// Number of boxes that read a resource at the age limit, beside its reader.
+const FIRST_READERS: usize = 3;
+
+/// Time in which the number of boxes that read an outdated resource doubles: enough for one read
+/// and its relaying, which ends the need of all others.
+const RANK_DELAY: Duration = Duration::from_millis(400);
+
 /// Returns whether this box is the reader of `resource` for its zone.
 pub fn is_reader(view: &View, me: &BoxEntry, resource: &str) -> bool {
     is_among_first(view, me, resource, READERS, |_| true)
@@ -41,28 +48,43 @@
     count: usize,
     alive: impl Fn(&BoxId) -> bool,
 ) -> bool {
+    rank(view, me, resource, alive) < count
+}
+
+/// Returns the number of boxes of the zone that are `alive` and come before this one in the order
+/// for `resource`.
+fn rank(view: &View, me: &BoxEntry, resource: &str, alive: impl Fn(&BoxId) -> bool) -> usize {
     let rank = |id: &str| hash_pair(id, resource);
     let own_rank = rank(me.id.as_str());
     let zone = view.boxes.iter().filter(|peer| peer.zone == me.zone);
     let alive = zone.filter(|peer| alive(&peer.id));
-    let ranked_higher = alive
+    alive
         .filter(|peer| rank(peer.id.as_str()) > own_rank)
-        .count();
-    ranked_higher < count
+        .count()
 }
 
-/// Returns whether this box has to read `resource` now. `alive` returns whether a box is up,
-/// `confirmed` is when the data was last found current.
+/// What a box has of a resource, and whether it can get more without reading it.
+#[derive(Debug, Clone, Copy)]
+pub struct DataState {
+    /// When the data was last found current.
+    pub confirmed: Option<Instant>,
+    /// Whether the zone's hub relays what other boxes read. Then a failing resource is tried by a
+    /// few boxes at first and by more of them the longer it fails. If all boxes of a large zone
+    /// tried it together, it could not recover under their load.
+    pub is_relayed: bool,
+}
+
+/// Returns whether this box has to read `resource` now. `alive` returns whether a box is up.
 pub fn should_read(
     view: &View,
     me: &BoxEntry,
     resource: &str,
     alive: impl Fn(&BoxId) -> bool,
-    confirmed: Option<Instant>,
+    data: DataState,
     now: Instant,
 ) -> bool {
-    is_outdated(confirmed, max_age(me, resource), now)
-        || is_among_first(view, me, resource, READERS, alive)
+    let rank = rank(view, me, resource, alive);
+    rank < READERS || is_outdated(data, max_age(me, resource), rank, now)
 }
 
 /// Returns the age of its data of `resource` from which a box reads by itself.
@@ -70,8 +92,21 @@
     MAX_AGE + MAX_AGE_SPREAD.mul_f64(to_unit_interval(hash_pair(me.id.as_str(), resource)))
 }
 
-fn is_outdated(confirmed: Option<Instant>, max_age: Duration, now: Instant) -> bool {
-    confirmed.is_none_or(|at| now.saturating_duration_since(at) > max_age)
+fn is_outdated(data: DataState, max_age: Duration, rank: usize, now: Instant) -> bool {
+    let Some(at) = data.confirmed else {
+        return true;
+    };
+    let delay = match data.is_relayed {
+        true => rank_delay(rank),
+        false => Duration::ZERO,
+    };
+    now.saturating_duration_since(at) > max_age + delay
+}
+
+/// Returns the time by which a box waits longer than the first ones in the order for a resource.
+fn rank_delay(rank: usize) -> Duration {
+    let position = (rank + 1) as f64 / FIRST_READERS as f64;
+    RANK_DELAY.mul_f64(position.log2().max(0.0))
 }
 
 /// Time between two checks of which box reads. The result changes only when boxes start and stop,
@@ -84,7 +119,8 @@
     resource: String,
     max_age: Duration,
     checked: Option<Instant>,
-    is_reader: bool,
+    /// Number of boxes that come before this one.
+    rank: usize,
 }
 
 impl Role {
@@ -94,29 +130,28 @@
             max_age: max_age(me, &resource),
             resource,
             checked: None,
-            is_reader: false,
+            rank: usize::MAX,
         }
     }
 
     /// Returns whether this box was the reader at the last check.
     pub fn is_reader(&self) -> bool {
-        self.is_reader
+        self.rank < READERS
     }
 
-    /// Returns whether this box has to read now. `confirmed` is when the data was last found
-    /// current, `alive` returns whether a box is up.
+    /// Returns whether this box has to read now. `alive` returns whether a box is up.
     pub fn should_read(
         &mut self,
         view: &View,
         me: &BoxEntry,
         alive: impl Fn(&BoxId) -> bool,
-        confirmed: Option<Instant>,
+        data: DataState,
         now: Instant,
     ) -> bool {
         if self.checked.is_none_or(|at| now - at >= CHECK_INTERVAL) {
             self.checked = Some(now);
-            self.is_reader = is_among_first(view, me, &self.resource, READERS, alive);
+            self.rank = rank(view, me, &self.resource, alive);
         }
-        self.is_reader || is_outdated(confirmed, self.max_age, now)
+        self.is_reader() || is_outdated(data, self.max_age, self.rank, now)
     }
 }
--- a/crates/sillpin-gateway/tests/cache_stores/listing.rs
+++ b/crates/sillpin-gateway/tests/cache_stores/listing.rs
@@ -37,6 +37,7 @@
 struct Store {
     running: Arc<AtomicUsize>,
     refused: Arc<AtomicUsize>,
+    listed: Arc<AtomicUsize>,
 }
 
 fn refused(peer: SocketAddr) -> ControlError {
@@ -77,6 +78,7 @@
     }
 
     async fn list_store(&self, addr: SocketAddr) -> Result<StoreListing, ControlError> {
+        self.listed.fetch_add(1, Ordering::Relaxed);
         let running = self.running.fetch_add(1, Ordering::Relaxed);
         tokio::time::sleep(CALL).await;
         self.running.fetch_sub(1, Ordering::Relaxed);
@@ -114,10 +116,10 @@
     fleet.send(FleetMsg::RegisteredStale(registered)).await;
 }
 
-/// Gives a box a configuration that names a store.
-async fn send_config(fleet: &FleetHandle) {
+/// Gives a box a configuration that names a number of stores.
+async fn send_config(fleet: &FleetHandle, stores: u16) {
     let snapshot = Snapshot {
-        entries: vec![entry("ops/config", "7", 5)],
+        entries: vec![entry("ops/config", &format!("7 {stores}"), 5)],
         revision: KvRevision(5),
     };
     let msg = FleetMsg::Read {
@@ -166,7 +168,7 @@
             send_boxes(fleet, index).await;
         }
         if at == config_after {
-            send_config(fleet).await;
+            send_config(fleet, 1).await;
         }
     };
     for at in [Duration::ZERO, Duration::from_millis(20)] {
@@ -187,3 +189,35 @@
     let refused = store.refused.load(Ordering::Relaxed);
     assert_eq!(refused, 0, "too many concurrent listings");
 }
+
+/// Guards against a fleet that starts as a whole and whose boxes each list all stores at once, before they know each
+/// other: the stores refused nearly all connections of 985 boxes, and no box could read any of them.
+#[tokio::test(start_paused = true)]
+async fn a_box_that_knows_no_others_yet_lists_a_few_stores_at_a_time() {
+    const STORES: u16 = 88;
+    /// Time in which a starting box reads which others there are.
+    const DISCOVERY: Duration = Duration::from_millis(700);
+    let store = Store::default();
+    let log = sillpin_telemetry::logs::discard();
+    let (fleet, port) = fleet_state::channel();
+    let me = box_entry(0);
+    tokio::spawn(Fleet::new(me.id.clone(), TestKeys, log.clone()).run(port));
+    let (updates, _received) = mpsc::channel(100);
+    tokio::spawn(reader::run(Readers {
+        control: store.clone(),
+        me,
+        cache_stores: CacheStores::default(),
+        loads: Loads::default(),
+        fleet: fleet.clone(),
+        updates,
+        log,
+    }));
+    send_config(&fleet, STORES).await;
+    tokio::time::sleep(DISCOVERY).await;
+    let listed = store.listed.load(Ordering::Relaxed);
+    assert!((4..=20).contains(&listed), "{listed} listings");
+    // A box without others has to read all of them.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let listed = store.listed.load(Ordering::Relaxed);
+    assert!(listed >= usize::from(STORES), "{listed} listings");
+}
--- a/crates/sillpin-gateway/tests/common/mod.rs
+++ b/crates/sillpin-gateway/tests/common/mod.rs
@@ -75,7 +75,8 @@
 }
 
 /// Format of published values in tests: `STATE VERSION` for a target, followed by its incarnation if there is one; a
-/// number for the version of a configuration or of weights.
+/// number for the version of a configuration or of weights. A configuration names one cache store, or as many as a
+/// second number states.
 #[derive(Debug, Clone, Copy)]
 pub struct TestKeys;
 
@@ -124,13 +125,16 @@
     }
 
     fn config(&self, key: &str, value: &str) -> Result<FleetConfig, DecodeError> {
-        let version: u64 = value.parse().map_err(|_| DecodeError {
+        let (version, stores) = value.split_once(' ').unwrap_or((value, "1"));
+        let version: u64 = version.parse().map_err(|_| DecodeError {
             key: key.to_owned(),
             what: "invalid value".to_owned(),
         })?;
         Ok(FleetConfig {
             version: ConfigVersion(version),
-            stores: vec![store("s", 7, "za", 1_000, 1)],
+            stores: (0..name::<u16>(stores))
+                .map(|index| store(&format!("s-{index}"), 7 + index, "za", 1_000, 1))
+                .collect(),
             ..FleetConfig::default()
         })
     }
