Let few boxes read a long listing of targets at their start

Cause: every box reads all targets from the platform's store when it starts: 21 pages, some 4 MB, by 985 boxes. The store's link of 1,000 Mbit/s needs 32 s for them; calls time out meanwhile and are made again.

Change: a box reads the first page. If there are more, three boxes of each zone read them all, and the others get copies from these, as boxes that lack changes do already. Until its copy arrives, a box serves with the targets of the first page, which it reads again each 3 s so that it notices targets that leave; it reads everything itself if no copy has come after 10 to 20 s. A listing that fits a page is read as before.

--- a/crates/sillpin-gateway/src/fleet_state/mirror.rs
+++ b/crates/sillpin-gateway/src/fleet_state/mirror.rs
@@ -74,6 +74,7 @@
                 self.known.revision = self.known.revision.max(revision);
                 changes
             }
+            Reading::Part(snapshot) => self.apply_part(snapshot),
             Reading::Changes(reply) => self.apply_changes(reply, requested_at),
             Reading::Copied(copied) => self.apply_copy(copied, requested_at),
         }
@@ -108,6 +109,27 @@
         changes
     }
 
+    /// Applies the first entries, unless all are known. Entries from an earlier part that are missing in this one were
+    /// deleted.
+    fn apply_part(&mut self, part: Snapshot) -> Vec<Change> {
+        if self.known.revision != KvRevision::ABSENT {
+            return Vec::new();
+        }
+        let Some(last) = part.entries.last().map(|entry| entry.key.clone()) else {
+            return Vec::new();
+        };
+        let read: HashSet<&String> = part.entries.iter().map(|entry| &entry.key).collect();
+        let earlier = self.entries.range(..=last).map(|(key, _)| key);
+        let deleted: Vec<String> = earlier.filter(|key| !read.contains(key)).cloned().collect();
+        for key in &deleted {
+            self.entries.remove(key);
+        }
+        let mut changes: Vec<Change> = deleted.into_iter().map(Change::Deleted).collect();
+        let entries = part.entries.into_iter();
+        changes.extend(entries.filter_map(|entry| self.apply_entry(entry)));
+        changes
+    }
+
     fn apply_changes(&mut self, reply: WatchReply, requested_at: Instant) -> Vec<Change> {
         let mut changes = Vec::new();
         for entry in reply.changed {
--- a/crates/sillpin-gateway/src/fleet_state/mod.rs
+++ b/crates/sillpin-gateway/src/fleet_state/mod.rs
@@ -216,6 +216,8 @@
     Complete(Snapshot),
     /// All of it, from a read that may be stale.
     Stale(Snapshot),
+    /// The first entries in the order of keys. Nothing is known of the others.
+    Part(Snapshot),
     /// The changes.
     Changes(WatchReply),
     /// What another box has beyond this one's revision.
@@ -227,6 +229,7 @@
     pub fn revision(&self) -> KvRevision {
         match self {
             Reading::Complete(snapshot) | Reading::Stale(snapshot) => snapshot.revision,
+            Reading::Part(_) => KvRevision::ABSENT,
             Reading::Changes(reply) => reply.revision,
             Reading::Copied(copied) => copied.revision,
         }
--- a/crates/sillpin-gateway/src/fleet_state/reader.rs
+++ b/crates/sillpin-gateway/src/fleet_state/reader.rs
@@ -11,7 +11,7 @@
 use crate::placement::Loads;
 use rand::RngExt;
 use sillpin_core::BoxId;
-use sillpin_platform::{KvRevision, Platform, PlatformError, PlatformFault};
+use sillpin_platform::{KvRevision, Platform, PlatformError, PlatformFault, Snapshot};
 use sillpin_telemetry::{event, events};
 use slog::Logger;
 use std::time::Duration;
@@ -62,6 +62,20 @@
 /// 50.
 const MAX_SENT_VALUE: usize = 2_000;
 
+/// Number of boxes of a zone that read a long listing at their start.
+const FIRST_LISTERS: usize = 3;
+
+/// Time in which a box that starts learns which other boxes there are.
+const MEMBERSHIP_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Time for which a box that starts waits for a copy of a long listing, and the range over which boxes spread that read
+/// it themselves then. Meanwhile they serve with the targets of its first page.
+const COPY_WAIT: Duration = Duration::from_secs(10);
+const COPY_WAIT_SPREAD: Duration = Duration::from_secs(10);
+
+/// Time between two reads of the first page meanwhile. Targets that leave go on serving for longer.
+const FIRST_PAGE_INTERVAL: Duration = Duration::from_secs(3);
+
 /// Time between two checks of a box that does not read whether it has to.
 const MODE_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -251,9 +265,7 @@
     ) -> Result<Reading, PlatformError> {
         let known = self.fleet.view().known(self.topic).revision.max(reached);
         if known == KvRevision::ABSENT {
-            let _transfer = self.transfers.begin(self.topic);
-            let snapshot = self.platform.stale_snapshot(self.prefix).await;
-            return snapshot.map(Reading::Stale);
+            return self.read_first().await;
         }
         if must_list_next {
             let _transfer = self.transfers.begin(self.topic);
@@ -275,6 +287,60 @@
         changes.map(Reading::Changes)
     }
 
+    /// Reads a prefix for the first time. If the listing of targets is long, few boxes of the zone read all of it, and the
+    /// others get copies from them: all boxes together would need minutes of the store's link. Until then a box serves
+    /// with the targets of the first page, which it reads again and again.
+    async fn read_first(&self) -> Result<Reading, PlatformError> {
+        let began = Instant::now();
+        let wait = COPY_WAIT + COPY_WAIT_SPREAD.mul_f64(rand::rng().random());
+        loop {
+            let transfer = self.transfers.begin(self.topic);
+            let first = self.platform.stale_first_page(self.prefix).await?;
+            if first.is_complete {
+                return Ok(Reading::Stale(first.snapshot));
+            }
+            if self.topic == Topic::Operators || self.must_list_all(began, wait) {
+                let all = self.platform.stale_other_pages(self.prefix, first.snapshot);
+                return all.await.map(Reading::Stale);
+            }
+            drop(transfer);
+            let msg = FleetMsg::Read {
+                topic: self.topic,
+                reading: Reading::Part(first.snapshot),
+                requested_at: Instant::now(),
+                source: Source::Store,
+            };
+            self.fleet.send(msg).await;
+            if self.copy_arrives(began, wait).await {
+                // The copy is in the view already.
+                return Ok(Reading::Part(Snapshot::default()));
+            }
+        }
+    }
+
+    /// Waits for a copy from another box. Returns whether one has arrived; if not, this box is to read again.
+    async fn copy_arrives(&self, began: Instant, wait: Duration) -> bool {
+        let refresh = Instant::now() + FIRST_PAGE_INTERVAL;
+        while self.fleet.view().known(self.topic).revision == KvRevision::ABSENT {
+            let is_due = Instant::now() >= refresh || self.must_list_all(began, wait);
+            if is_due && !self.transfers.is_in_progress(self.topic) {
+                return false;
+            }
+            tokio::time::sleep(MODE_CHECK_INTERVAL).await;
+        }
+        true
+    }
+
+    /// Returns whether this box is one of those that read a long listing, or has waited too long for a copy.
+    fn must_list_all(&self, began: Instant, wait: Duration) -> bool {
+        let (view, now) = (self.fleet.view(), Instant::now());
+        let waited = now - began;
+        let knows_others = view.has_registered || waited >= MEMBERSHIP_WAIT;
+        let alive = |id: &BoxId| self.loads.may_be_alive(id, now);
+        let is_first = || roles::is_among_first(&view, &self.me, self.prefix, FIRST_LISTERS, alive);
+        (knows_others && is_first()) || waited >= wait
+    }
+
     /// Returns whether a failure requires a new listing. A watch from the known revision misses
     /// nothing unless the store has dropped that history, and what operators publish is too large
     /// to be listed for other failures. Targets' entries may expire in an outage, and are few.
--- a/crates/sillpin-gateway/tests/common/mod.rs
+++ b/crates/sillpin-gateway/tests/common/mod.rs
@@ -14,8 +14,8 @@
 };
 use sillpin_gateway::placement::residency::{Residency, ZoneRegions};
 use sillpin_platform::{
-    BoxLister, KvEntry, KvRevision, LeaseId, Platform, PlatformError, PlatformFault, Snapshot,
-    StoreEra, WatchReply,
+    BoxLister, FirstPage, KvEntry, KvRevision, LeaseId, Platform, PlatformError, PlatformFault,
+    Snapshot, StoreEra, WatchReply,
 };
 use std::collections::BTreeMap;
 use std::sync::{Arc, LazyLock, Mutex, MutexGuard};
@@ -219,6 +219,8 @@
     transfer_time: Duration,
     /// The wait time that each watch so far requested.
     waits: Vec<Duration>,
+    first_pages: usize,
+    long_listings: usize,
 }
 
 impl State {
@@ -247,6 +249,9 @@
     changed: Arc<Notify>,
 }
 
+/// Number of keys on a page of a listing.
+pub const PAGE_LEN: usize = 500;
+
 /// Duration of a call.
 const CALL_TIME: Duration = Duration::from_millis(4);
 
@@ -289,6 +294,12 @@
         self.lock().transfer_time = transfer_time;
     }
 
+    /// Numbers of first pages that were read, and of listings that were read to their end after one.
+    pub fn listings(&self) -> (usize, usize) {
+        let state = self.lock();
+        (state.first_pages, state.long_listings)
+    }
+
     /// The wait time that each watch so far requested.
     pub fn waits(&self) -> Vec<Duration> {
         self.lock().waits.clone()
@@ -343,6 +354,26 @@
         Ok(rest.take(limit).collect())
     }
 
+    async fn stale_first_page(&self, prefix: &str) -> Result<FirstPage, PlatformError> {
+        let mut snapshot = self.snapshot(prefix).await?;
+        let is_complete = snapshot.entries.len() <= PAGE_LEN;
+        snapshot.entries.truncate(PAGE_LEN);
+        self.lock().first_pages += 1;
+        Ok(FirstPage {
+            snapshot,
+            is_complete,
+        })
+    }
+
+    async fn stale_other_pages(
+        &self,
+        prefix: &str,
+        _: Snapshot,
+    ) -> Result<Snapshot, PlatformError> {
+        self.lock().long_listings += 1;
+        self.snapshot(prefix).await
+    }
+
     async fn snapshot(&self, prefix: &str) -> Result<Snapshot, PlatformError> {
         self.call().await?;
         let entries = self.entries_below(prefix);
--- a/crates/sillpin-platform/src/lib.rs
+++ b/crates/sillpin-platform/src/lib.rs
@@ -118,7 +118,7 @@
 }
 
 /// All keys with a prefix.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Snapshot {
     /// The entries, ordered by key.
     pub entries: Vec<KvEntry>,
@@ -180,6 +180,15 @@
     pub fault: PlatformFault,
 }
 
+/// The first page of a listing.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FirstPage {
+    /// Its keys, and the revision from which a watch of them continues.
+    pub snapshot: Snapshot,
+    /// Whether there are no other pages.
+    pub is_complete: bool,
+}
+
 /// The platform's key-value service and box list.
 pub trait Platform: Clone + Send + Sync + 'static {
     /// Returns the entry of a key, or `None` if it does not exist.
@@ -226,6 +235,28 @@
         self.snapshot(prefix)
     }
 
+    /// Starts [`Platform::stale_snapshot`]: returns its first page, and whether that is all.
+    fn stale_first_page(
+        &self,
+        prefix: &str,
+    ) -> impl Future<Output = Result<FirstPage, PlatformError>> + Send {
+        async move {
+            Ok(FirstPage {
+                snapshot: self.stale_snapshot(prefix).await?,
+                is_complete: true,
+            })
+        }
+    }
+
+    /// Completes [`Platform::stale_snapshot`] after its first page.
+    fn stale_other_pages(
+        &self,
+        _prefix: &str,
+        first: Snapshot,
+    ) -> impl Future<Output = Result<Snapshot, PlatformError>> + Send {
+        async move { Ok(first) }
+    }
+
     /// Writes a key if its revision is `expect`, under a lease if one is given. With
     /// [`KvRevision::ABSENT`] the key is created.
     fn put(
