Poll targets only once the other boxes are known

Cause: a box that knows no others is the reader of its zone. When a fleet starts, its targets write their entries one after the other, and each of 985 boxes read all of them by its own watch: the store's link was full, and the list of boxes, by which they would have known better, did not get through.

Change: after its listing and the watch that confirms it, a box polls targets when it has read which other boxes there are, or after 5 to 10 s.

Test: 40 boxes that don't know each other make one watch each in the two seconds in which targets come, before two each (run with the wait set to zero).

--- a/crates/sillpin-gateway/src/fleet_state/reader.rs
+++ b/crates/sillpin-gateway/src/fleet_state/reader.rs
@@ -62,6 +62,13 @@
 /// 50.
 const MAX_SENT_VALUE: usize = 2_000;
 
+/// Number of reads that a box makes at its start whichever others there are: the listing, and the watch that confirms it.
+const FIRST_READS: u32 = 2;
+
+/// Longest time for which a box that starts waits until it has read which others there are before it polls targets. Boxes
+/// spread over the second half of it.
+const FIRST_POLL_WAIT: Duration = Duration::from_secs(10);
+
 /// Number of boxes of a zone that read a long listing at their start.
 const FIRST_LISTERS: usize = 3;
 
@@ -126,8 +133,14 @@
         // The view may not yet include the last read.
         let mut reached = KvRevision::ABSENT;
         let mut failures: u32 = 0;
+        let mut reads: u32 = 0;
+        let poll_from =
+            Instant::now() + FIRST_POLL_WAIT.mul_f64(rand::rng().random_range(0.5..1.0));
         loop {
-            let mut mode = self.mode();
+            let mut mode = match reads < FIRST_READS || Instant::now() >= poll_from {
+                true => self.mode(),
+                false => self.mode_before_poll(),
+            };
             if self.transfers.is_in_progress(self.topic) {
                 tokio::time::sleep(MODE_CHECK_INTERVAL).await;
                 continue;
@@ -152,6 +165,7 @@
                             "prefix" => self.prefix, "failures" => failures);
                     }
                     failures = 0;
+                    reads += 1;
                     must_list_next = false;
                     let is_stale = matches!(reading, Reading::Stale(_));
                     reached = reached.max(reading.revision());
@@ -218,6 +232,16 @@
         }
     }
 
+    /// Returns how a box reads that has just started. It does not poll targets before it knows which box does so for its
+    /// zone: targets of a fleet that starts as a whole all write their entries then, and if each box read them, nothing
+    /// else would get through the store's link.
+    fn mode_before_poll(&self) -> ReadMode {
+        match self.topic == Topic::Targets && !self.fleet.view().has_registered {
+            true => ReadMode::Idle,
+            false => self.mode(),
+        }
+    }
+
     /// Returns whether this box reads for its zone, or its data is too old to wait for the reader.
     fn must_read(&self) -> bool {
         let view = self.fleet.view();
--- a/crates/sillpin-gateway/tests/long_listing.rs
+++ b/crates/sillpin-gateway/tests/long_listing.rs
@@ -160,3 +160,26 @@
     }
     assert_eq!(store.listings().1, 0);
 }
+
+/// Guards against a fleet that starts before its targets and whose boxes each read all entries as they are written: the
+/// store's link was full for half a minute, and no box could read which others there are.
+#[tokio::test(start_paused = true)]
+async fn targets_are_not_polled_by_a_box_that_does_not_know_the_others() {
+    let (store, boxes) = start(0).await;
+    for index in 0..20 {
+        sleep(Duration::from_millis(100)).await;
+        let key = format!("target/i-{index:05}");
+        let put = store.put(&key, "ready 1", KvRevision::ABSENT, None);
+        put.await.unwrap();
+    }
+    let watches = store.waits().len();
+    assert!(
+        watches <= BOXES,
+        "{watches} watches before the boxes know each other"
+    );
+    register(&boxes).await;
+    sleep(Duration::from_millis(1_500)).await;
+    // Without a hub, each box reads by itself when its data is too old.
+    sleep(Duration::from_secs(3)).await;
+    assert!(boxes.iter().all(|fleet| known(fleet) == 20));
+}
