Leave a store's polls to its reader and two substitutes where a hub relays them

Cause: a store of kept parts holds few polls open. Boxes that poll it because their zone's reader has brought nothing for a while each held such a place for half a second; the reader was turned away (429), so that all went on to poll.

Change: where the zone's hub is heard, only the first ranks poll for the zone; polls that only fill in don't wait at the store. A box lists 16 stores itself at its start, drawn at random, and gets the others from boxes that list them.

--- a/crates/sillpin-gateway/src/cache_stores/reader.rs
+++ b/crates/sillpin-gateway/src/cache_stores/reader.rs
@@ -10,6 +10,7 @@
 use crate::peers::roles::{DataState, Role, SMALL_FLEET};
 use crate::placement::Loads;
 use rand::RngExt;
+use rand::seq::IndexedRandom;
 use sillpin_core::BoxId;
 use sillpin_telemetry::{event, events};
 use slog::Logger;
@@ -47,6 +48,10 @@
 const START_INTERVAL: Duration = Duration::from_millis(50);
 const MAX_STARTS: u32 = 4;
 
+/// Number of stores that a box lists by itself after its start. The content of the others comes from boxes that list them:
+/// otherwise the listings after a restart of all boxes would grow with boxes times stores.
+const OWN_LISTINGS: usize = 16;
+
 /// Growth of the known fleet from which a listing is scheduled again.
 const RESCHEDULE_FACTOR: usize = 2;
 
@@ -224,12 +229,17 @@
             self.cache_stores.lock().forget(*addr);
             false
         });
+        let own = stores.sample(&mut rand::rng(), OWN_LISTINGS);
+        let own: HashSet<SocketAddr> = own.map(|store| store.addr).collect();
         for addr in configured {
             tracked.entry(addr).or_insert_with(|| {
                 self.cache_stores.lock().track(addr, Instant::now());
                 TrackedStore {
                     since: Instant::now(),
-                    listing: Listing::Unscheduled,
+                    listing: match own.contains(&addr) {
+                        true => Listing::Unscheduled,
+                        false => Listing::Done,
+                    },
                     role: Role::new(&self.me, addr.to_string()),
                     reader: None,
                 }
@@ -267,7 +277,8 @@
                 is_relayed,
             };
             let alive = |id: &BoxId| self.loads.may_be_alive(id, now);
-            let should_read = store.role.should_read(view, &self.me, alive, data, now);
+            let should_read = store.role.should_read(view, &self.me, alive, data, now)
+                && (!is_relayed || store.role.is_substitute());
             if !(should_read || is_due) {
                 continue;
             }
@@ -376,7 +387,8 @@
         };
         let loads = &self.loads;
         let alive = |id: &BoxId| loads.may_be_alive(id, now);
-        self.role.should_read(&view, &self.me, alive, data, now)
+        let should_read = self.role.should_read(&view, &self.me, alive, data, now);
+        should_read && (!data.is_relayed || self.role.is_substitute())
     }
 
     /// Sends a listing to the zone if it is short; other boxes request a copy of a long one.
@@ -409,7 +421,10 @@
                 .apply_list(self.addr, list, requested_at);
             return Ok(());
         };
-        let wait = match self.cache_stores.lock().has_clock() {
+        // A store holds few polls open. If boxes that only fill in for its reader took these places, the reader could not
+        // poll, and all boxes would go on to fill in.
+        let may_wait = self.role.is_reader() || !self.is_large_fleet();
+        let wait = match may_wait && self.cache_stores.lock().has_clock() {
             true => POLL_TIMEOUT,
             false => Duration::ZERO,
         };
--- a/crates/sillpin-gateway/src/peers/roles.rs
+++ b/crates/sillpin-gateway/src/peers/roles.rs
@@ -139,6 +139,11 @@
         self.rank < READERS
     }
 
+    /// Returns whether this box was one of those that replace the reader at the last check.
+    pub fn is_substitute(&self) -> bool {
+        self.rank <= FIRST_READERS
+    }
+
     /// Returns whether this box has to read now. `alive` returns whether a box is up.
     pub fn should_read(
         &mut self,
--- a/crates/sillpin-gateway/tests/cache_stores/listing.rs
+++ b/crates/sillpin-gateway/tests/cache_stores/listing.rs
@@ -16,6 +16,7 @@
 use sillpin_gateway::dialect::EngineTime;
 use sillpin_gateway::fleet_state::fleet::Fleet;
 use sillpin_gateway::fleet_state::{self, BoxEntry, FleetHandle, FleetMsg, Reading, Source, Topic};
+use sillpin_gateway::peers::datagram::BoxHash;
 use sillpin_gateway::placement::Loads;
 use sillpin_platform::{KvRevision, Snapshot};
 use std::net::SocketAddr;
@@ -38,6 +39,7 @@
     running: Arc<AtomicUsize>,
     refused: Arc<AtomicUsize>,
     listed: Arc<AtomicUsize>,
+    is_failing: bool,
 }
 
 fn refused(peer: SocketAddr) -> ControlError {
@@ -82,7 +84,7 @@
         let running = self.running.fetch_add(1, Ordering::Relaxed);
         tokio::time::sleep(CALL).await;
         self.running.fetch_sub(1, Ordering::Relaxed);
-        if running >= MAX_CONCURRENT {
+        if running >= MAX_CONCURRENT || self.is_failing {
             self.refused.fetch_add(1, Ordering::Relaxed);
             return Err(refused(addr));
         }
@@ -221,3 +223,53 @@
     let listed = store.listed.load(Ordering::Relaxed);
     assert!(listed >= usize::from(STORES), "{listed} listings");
 }
+
+/// Guards against a store that fails and is called by every box of a large zone, so that it cannot recover: the zone's
+/// reader and the boxes that replace it are enough.
+#[tokio::test(start_paused = true)]
+async fn a_store_that_fails_is_called_by_few_boxes_of_a_zone_with_a_hub() {
+    let mut boxes = Vec::new();
+    for index in 0..BOXES {
+        let store = Store {
+            is_failing: true,
+            ..Store::default()
+        };
+        let log = sillpin_telemetry::logs::discard();
+        let (fleet, port) = fleet_state::channel();
+        let me = box_entry(index);
+        tokio::spawn(Fleet::new(me.id.clone(), TestKeys, log.clone()).run(port));
+        let (updates, received) = mpsc::channel(100);
+        let loads = Loads::default();
+        tokio::spawn(reader::run(Readers {
+            control: store.clone(),
+            me,
+            cache_stores: CacheStores::default(),
+            loads: loads.clone(),
+            fleet: fleet.clone(),
+            updates,
+            log,
+        }));
+        send_boxes(&fleet, index).await;
+        send_config(&fleet, 1).await;
+        boxes.push((store, loads, fleet, received));
+    }
+    let members: Vec<BoxHash> = (0..BOXES).map(|i| BoxHash::of(&box_entry(i))).collect();
+    let mut after_start = Vec::new();
+    for round in 0..100 {
+        for (_, loads, _, _) in &boxes {
+            loads.apply_zone_totals(Vec::new(), &members);
+        }
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        // Each box has tried it once by then.
+        if round == 10 {
+            after_start = boxes
+                .iter()
+                .map(|of| of.0.listed.load(Ordering::Relaxed))
+                .collect();
+        }
+    }
+    let calling = boxes.iter().zip(&after_start);
+    let calling = calling.filter(|(of, before)| of.0.listed.load(Ordering::Relaxed) > **before);
+    let count = calling.count();
+    assert!((3..=12).contains(&count), "{count} boxes");
+}
