--- a/crates/sillpin-policy/src/release.rs
+++ b/crates/sillpin-policy/src/release.rs
@@ -182,7 +182,7 @@
     }
 
     /// Returns the number of complete responses of `class` and higher ones.
-    fn from_class(&self, class: usize) -> u32 {
+    fn at_least(&self, class: usize) -> u32 {
         self.served.iter().skip(class).sum()
     }
 
@@ -191,8 +191,7 @@
     fn slow_class(&self) -> usize {
         const UNUSUAL: f64 = 0.05;
         const MARGIN: usize = 1;
-        let fraction =
-            |class: usize| f64::from(self.from_class(class)) / f64::from(self.complete());
+        let fraction = |class: usize| f64::from(self.at_least(class)) / f64::from(self.complete());
         let usual = (0..CLASSES).find(|class| fraction(*class) <= UNUSUAL);
         usual.unwrap_or(CLASSES) + MARGIN
     }
@@ -256,8 +255,8 @@
     }
     let slow = control.slow_class();
     let is_slower = is_excess(
-        (canary.from_class(slow), canary.complete()),
-        (control.from_class(slow), control.complete()),
+        (canary.at_least(slow), canary.complete()),
+        (control.at_least(slow), control.complete()),
     );
     is_slower.then_some(Regression::Latency)
 }
