--- a/crates/sillpin-gateway/src/releases/supervisor.rs
+++ b/crates/sillpin-gateway/src/releases/supervisor.rs
@@ -65,6 +65,16 @@
     until: Instant,
 }
 
+impl Backoff {
+    /// Returns the pause after one more failed call.
+    fn after(last: Option<&Backoff>, now: Instant) -> Self {
+        let doubled = last.map_or(MIN_BACKOFF, |last| last.length * 2);
+        let length = doubled.min(MAX_BACKOFF);
+        let until = now + length.mul_f64(rand::random_range(0.5..1.0));
+        Self { length, until }
+    }
+}
+
 /// What to do about a release now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Step {
@@ -146,12 +156,8 @@
             }
             Err(e) => {
                 event!(self.log, events::RELEASE_NOT_RECORDED, "pool" => pool.as_str(), "why" => e.to_string());
-                let last = backoffs
-                    .get(pool)
-                    .map_or(MIN_BACKOFF / 2, |last| last.length);
-                let length = (last * 2).min(MAX_BACKOFF);
-                let until = now + length.mul_f64(rand::random_range(0.5..1.0));
-                backoffs.insert(pool.clone(), Backoff { length, until });
+                let next = Backoff::after(backoffs.get(pool), now);
+                backoffs.insert(pool.clone(), next);
             }
         }
     }
