Do not take a version for the serving one while only a part of the targets is known

Cause: a box that starts in a large fleet serves with the first page of targets. If that page had targets of the new version of a release only, the box let them serve all requests and could record the release as succeeded, on which the earlier targets are stopped.

Change: while only a part of the targets is known, every pool counts as one that may have earlier targets, and no version serves alone.

Test: on the code before, a part with one target of the new version had it serve (1 serving, 0 canaries; 0 and 1 now).

--- a/crates/sillpin-gateway/src/fleet_state/fleet/released.rs
+++ b/crates/sillpin-gateway/src/fleet_state/fleet/released.rs
@@ -7,6 +7,7 @@
 use crate::control::{PublishedFormat, ReleasePhase, TargetEntry};
 use crate::fleet_state::Source;
 use sillpin_core::PoolId;
+use sillpin_platform::KvRevision;
 use sillpin_telemetry::{event, events};
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -90,8 +91,19 @@
         self.changed_targets.add_all();
     }
 
-    /// Returns pools that have targets with another version than that of their release.
-    pub(super) fn pools_with_control(&self) -> HashSet<PoolId> {
+    /// Returns pools that have targets with another version than that of their release, or may have them.
+    pub(super) fn pools_with_control(&mut self) -> HashSet<PoolId> {
+        if self.targets_mirror.known().revision == KvRevision::ABSENT {
+            // Only a part of the targets is known.
+            let releases = self.releases.iter();
+            return releases.map(|release| release.order.pool.clone()).collect();
+        }
+        let with_control = self.pools_with_listed_control();
+        self.releases.record_control(&with_control);
+        with_control
+    }
+
+    fn pools_with_listed_control(&self) -> HashSet<PoolId> {
         let is_control = |target: &&Arc<TargetEntry>| {
             let release = self.releases.find(&target.pool);
             release.is_some_and(|release| target.software.as_ref() != Some(&release.order.version))
--- a/crates/sillpin-gateway/src/fleet_state/fleet/targets.rs
+++ b/crates/sillpin-gateway/src/fleet_state/fleet/targets.rs
@@ -204,7 +204,6 @@
         self.view.targets = Arc::new(self.targets.keys().filter_map(current).collect());
         self.view.entries = Arc::new(self.targets.clone());
         let with_control = self.pools_with_control();
-        self.releases.record_control(&with_control);
         let index_of = |wanted: ReleaseRole| {
             let is_wanted = |target: &TargetEntry| {
                 !self.evacuations.contains(&target.zone)
--- a/crates/sillpin-gateway/src/fleet_state/mod.rs
+++ b/crates/sillpin-gateway/src/fleet_state/mod.rs
@@ -166,6 +166,19 @@
 }
 
 impl View {
+    /// Returns whether all targets of a pool have the version of its release; no, while only a part of the targets is
+    /// known.
+    pub fn serves_alone(&self, pool: &PoolId) -> bool {
+        let is_complete = self.targets_sync.revision > KvRevision::ABSENT;
+        let (release, targets) = (self.releases.find(pool), self.index.pool(pool));
+        let release = release.filter(|_| is_complete);
+        release.zip(targets).is_some_and(|(release, targets)| {
+            let version = Some(&release.order.version);
+            let mut targets = targets.all();
+            targets.all(|target| target.entry.software.as_ref() == version)
+        })
+    }
+
     /// Returns the targets that serve requests of a cohort.
     pub fn targets_of(&self, cohort: Cohort) -> &TargetIndex {
         match cohort {
--- a/crates/sillpin-gateway/src/fleet_state/releases.rs
+++ b/crates/sillpin-gateway/src/fleet_state/releases.rs
@@ -86,8 +86,10 @@
     fn role(&self, target: &TargetEntry, has_control: bool, now: Instant) -> ReleaseRole {
         let is_new = target.software.as_ref() == Some(&self.order.version);
         match (self.phase, is_new) {
-            (ReleasePhase::Running, true) if self.had_control => ReleaseRole::Canary,
-            (ReleasePhase::Unknown, true) if self.had_control => ReleaseRole::Excluded,
+            (ReleasePhase::Running, true) if self.had_control || has_control => ReleaseRole::Canary,
+            (ReleasePhase::Unknown, true) if self.had_control || has_control => {
+                ReleaseRole::Excluded
+            }
             (ReleasePhase::RolledBack, true)
                 if has_control || (self.had_control && !self.is_withdrawn) =>
             {
@@ -240,8 +242,8 @@
         settled.map(|release| release.order.pool.clone()).collect()
     }
 
-    /// Returns the part of a target in the release of its pool. `has_control` states whether the pool has targets
-    /// with another version than the new one.
+    /// Returns the part of a target in the release of its pool. `has_control` states whether the pool has, or may have,
+    /// targets with another version than the new one.
     pub fn role(&self, target: &TargetEntry, has_control: bool, now: Instant) -> ReleaseRole {
         let release = self.by_pool.get(&target.pool);
         release.map_or(ReleaseRole::Serving, |release| {
--- a/crates/sillpin-gateway/src/releases/supervisor.rs
+++ b/crates/sillpin-gateway/src/releases/supervisor.rs
@@ -180,7 +180,7 @@
     }
 
     fn next_running_step(&self, view: &View, release: &Release, now: Instant) -> Step {
-        if serves_alone(view, release) {
+        if view.serves_alone(&release.order.pool) {
             let known_for = now.saturating_duration_since(release.phase_since);
             return self.record_if_due(view, ReleasePhase::Succeeded, known_for);
         }
@@ -315,16 +315,6 @@
         .mul_f64(sillpin_policy::release::CUTOVER_END)
 }
 
-/// Returns whether all targets of the pool have the version of the release already.
-fn serves_alone(view: &View, release: &Release) -> bool {
-    let targets = view.index.pool(&release.order.pool);
-    let version = Some(&release.order.version);
-    targets.is_some_and(|targets| {
-        let mut targets = targets.all();
-        targets.all(|target| target.entry.software.as_ref() == version)
-    })
-}
-
 /// Returns whether the new version has targets, and none of them is warming up; near the end of the release warm-ups
 /// are not waited for.
 fn is_warm(view: &View, release: &Release, elapsed: Duration, now: Instant) -> bool {
--- a/crates/sillpin-gateway/tests/common/mod.rs
+++ b/crates/sillpin-gateway/tests/common/mod.rs
@@ -74,7 +74,8 @@
     }
 }
 
-/// Format of published values in tests: `STATE VERSION` for a target, followed by its incarnation if there is one; a
+/// Format of published values in tests: `STATE VERSION` for a target, followed by its incarnation and the version of its
+/// software if it has them; a
 /// number for the version of a configuration or of weights. A configuration names one cache store, or as many as a
 /// second number states.
 #[derive(Debug, Clone, Copy)]
@@ -121,6 +122,7 @@
         entry.served[0].version = version.parse().map_err(|_| error())?;
         let life = fields.next().map(str::parse).transpose();
         entry.life = life.map_err(|_| error())?.map(Life);
+        entry.software = fields.next().map(|software| software.to_owned().into());
         Ok(entry)
     }
 
--- a/crates/sillpin-gateway/tests/releases.rs
+++ b/crates/sillpin-gateway/tests/releases.rs
@@ -8,6 +8,7 @@
 use sillpin_gateway::fleet_state::fleet::Fleet;
 use sillpin_gateway::fleet_state::{BoxEntry, FleetMsg, PhaseUpdate, Reading, Source, Topic};
 use sillpin_gateway::peers::datagram::BoxHash;
+use sillpin_gateway::placement::index::PoolTargets;
 use sillpin_gateway::releases::RouteEvidence;
 use sillpin_gateway::releases::evidence::{Evidence, EvidenceScope, EvidenceSource, RouteHash};
 use sillpin_platform::{KvEntry, KvRevision, Snapshot, StoreEra, WatchReply};
@@ -30,9 +31,26 @@
 }
 
 fn read(fleet: &mut Fleet<TestKeys>, reading: Reading) {
+    read_topic(fleet, Topic::Operators, reading);
+}
+
+fn read_targets(fleet: &mut Fleet<TestKeys>, reading: Reading) {
+    read_topic(fleet, Topic::Targets, reading);
+}
+
+/// Returns the entry of a ready target with a version of its software.
+fn target_entry(id: &str, software: &str) -> KvEntry {
+    KvEntry {
+        key: format!("target/{id}"),
+        value: Some(format!("ready 1 0 {software}")),
+        revision: KvRevision(6),
+    }
+}
+
+fn read_topic(fleet: &mut Fleet<TestKeys>, topic: Topic, reading: Reading) {
     let now = Instant::now();
     let msg = FleetMsg::Read {
-        topic: Topic::Operators,
+        topic,
         reading,
         requested_at: now,
         source: Source::Store,
@@ -136,6 +154,45 @@
     );
 }
 
+/// Guards against a box that knows the first page of targets only, finds none with another version on it, and takes the
+/// new version for the one that serves.
+#[tokio::test(start_paused = true)]
+async fn a_part_of_the_targets_does_not_show_that_a_version_serves_alone() {
+    let mut fleet = with_order();
+    let pool = name("llm");
+    let is_served_by = |fleet: &Fleet<TestKeys>| {
+        let view = fleet.view();
+        let serving = view.index.pool(&pool).map_or(0, PoolTargets::len);
+        let canaries = view.canaries.pool(&pool).map_or(0, PoolTargets::len);
+        (serving, canaries)
+    };
+    let new = target_entry("e-1", "v2");
+    let (entries, revision) = (vec![new.clone()], KvRevision(6));
+    let part = Snapshot { entries, revision };
+    read_targets(&mut fleet, Reading::Part(part));
+    assert_eq!(is_served_by(&fleet), (0, 1));
+    assert!(!fleet.view().serves_alone(&pool));
+    let entries = vec![new, target_entry("e-2", "v1")];
+    read_targets(
+        &mut fleet,
+        Reading::Complete(Snapshot { entries, revision }),
+    );
+    assert_eq!(is_served_by(&fleet), (1, 1));
+    assert!(!fleet.view().serves_alone(&pool));
+}
+
+/// Guards against an order that names the version of all targets and withholds them.
+#[tokio::test(start_paused = true)]
+async fn a_version_that_all_targets_have_serves_alone() {
+    let mut fleet = with_order();
+    let (entries, revision) = (vec![target_entry("e-1", "v2")], KvRevision(6));
+    read_targets(
+        &mut fleet,
+        Reading::Complete(Snapshot { entries, revision }),
+    );
+    assert!(fleet.view().serves_alone(&name("llm")));
+}
+
 /// Guards against counts that arrive twice, in another order or not at all, and that are added up more than once.
 #[tokio::test(start_paused = true)]
 async fn repeated_messages_count_once() {
