--- a/crates/sillpin-gateway/tests/cache_stores/listing.rs
+++ b/crates/sillpin-gateway/tests/cache_stores/listing.rs
@@ -16,15 +16,16 @@
 use sillpin_gateway::dialect::EngineTime;
 use sillpin_gateway::fleet_state::fleet::Fleet;
 use sillpin_gateway::fleet_state::{self, BoxEntry, FleetHandle, FleetMsg, Reading, Source, Topic};
-use sillpin_gateway::peers::datagram::BoxHash;
+use sillpin_gateway::peers::datagram::{BoxHash, ZoneUpdate};
+use sillpin_gateway::peers::zone_sender::REPORT_INTERVAL;
 use sillpin_gateway::placement::Loads;
 use sillpin_platform::{KvRevision, Snapshot};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
-use tokio::sync::mpsc;
-use tokio::time::Instant;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{Instant, timeout};
 
 const BOXES: usize = 71;
 
@@ -39,9 +40,25 @@
     running: Arc<AtomicUsize>,
     refused: Arc<AtomicUsize>,
     listed: Arc<AtomicUsize>,
+    /// Notified of each listing.
+    listing: Arc<Notify>,
     is_failing: bool,
 }
 
+impl Store {
+    /// Returns the number of listings that were requested.
+    fn listed(&self) -> usize {
+        self.listed.load(Ordering::Relaxed)
+    }
+
+    /// Waits until this many listings were requested.
+    async fn wait_for_listings(&self, count: usize) {
+        while self.listed() < count {
+            self.listing.notified().await;
+        }
+    }
+}
+
 fn refused(peer: SocketAddr) -> ControlError {
     ControlError {
         step: "a call",
@@ -81,6 +98,7 @@
 
     async fn list_store(&self, addr: SocketAddr) -> Result<StoreListing, ControlError> {
         self.listed.fetch_add(1, Ordering::Relaxed);
+        self.listing.notify_one();
         let running = self.running.fetch_add(1, Ordering::Relaxed);
         tokio::time::sleep(CALL).await;
         self.running.fetch_sub(1, Ordering::Relaxed);
@@ -133,6 +151,42 @@
     fleet.send(msg).await;
 }
 
+/// A box that reads stores.
+struct TestBox {
+    store: Store,
+    fleet: FleetHandle,
+    cache_stores: CacheStores,
+    loads: Loads,
+    /// Keeps the queue of updates for the zone open.
+    _updates: mpsc::Receiver<ZoneUpdate>,
+}
+
+/// Starts a box that reads `store`.
+fn start_box(index: usize, store: &Store) -> TestBox {
+    let log = sillpin_telemetry::logs::discard();
+    let (fleet, port) = fleet_state::channel();
+    let me = box_entry(index);
+    tokio::spawn(Fleet::new(me.id.clone(), TestKeys, log.clone()).run(port));
+    let (updates, received) = mpsc::channel(100);
+    let (cache_stores, loads) = (CacheStores::default(), Loads::default());
+    tokio::spawn(reader::run(Readers {
+        control: store.clone(),
+        me,
+        cache_stores: cache_stores.clone(),
+        loads: loads.clone(),
+        fleet: fleet.clone(),
+        updates,
+        log,
+    }));
+    TestBox {
+        store: store.clone(),
+        fleet,
+        cache_stores,
+        loads,
+        _updates: received,
+    }
+}
+
 /// All boxes start together and receive nothing but the list of registered boxes. Guards against concurrent listings: when boxes
 /// received that list last, 100 boxes listed 13 stores immediately, and two in three listings were refused.
 #[rstest]
@@ -145,25 +199,7 @@
 ) {
     let store = Store::default();
     let addr: SocketAddr = ([127, 0, 0, 1], 7).into();
-    let mut boxes = Vec::new();
-    for index in 0..BOXES {
-        let log = sillpin_telemetry::logs::discard();
-        let (fleet, port) = fleet_state::channel();
-        let me = box_entry(index);
-        tokio::spawn(Fleet::new(me.id.clone(), TestKeys, log.clone()).run(port));
-        let (updates, received) = mpsc::channel(100);
-        let cache_stores = CacheStores::default();
-        tokio::spawn(reader::run(Readers {
-            control: store.clone(),
-            me,
-            cache_stores: cache_stores.clone(),
-            loads: Loads::default(),
-            fleet: fleet.clone(),
-            updates,
-            log,
-        }));
-        boxes.push((cache_stores, fleet, received));
-    }
+    let boxes: Vec<TestBox> = (0..BOXES).map(|index| start_box(index, &store)).collect();
     let began = Instant::now();
     let send_due = async |fleet: &FleetHandle, index: usize, at: Duration| {
         if at == boxes_after {
@@ -175,13 +211,13 @@
     };
     for at in [Duration::ZERO, Duration::from_millis(20)] {
         tokio::time::sleep_until(began + at).await;
-        for (index, (_, fleet, _)) in boxes.iter().enumerate() {
-            send_due(fleet, index, at).await;
+        for (index, of) in boxes.iter().enumerate() {
+            send_due(&of.fleet, index, at).await;
         }
     }
     // A fetch also needs the engines' clock, for its deadline.
-    let knows = |(cache_stores, _, _): &(CacheStores, _, _)| {
-        let directory = cache_stores.lock();
+    let knows = |of: &TestBox| {
+        let directory = of.cache_stores.lock();
         directory.is_known(addr, Instant::now()) && directory.has_clock()
     };
     while !boxes.iter().all(knows) {
@@ -200,28 +236,15 @@
     /// Time in which a starting box reads which others there are.
     const DISCOVERY: Duration = Duration::from_millis(700);
     let store = Store::default();
-    let log = sillpin_telemetry::logs::discard();
-    let (fleet, port) = fleet_state::channel();
-    let me = box_entry(0);
-    tokio::spawn(Fleet::new(me.id.clone(), TestKeys, log.clone()).run(port));
-    let (updates, _received) = mpsc::channel(100);
-    tokio::spawn(reader::run(Readers {
-        control: store.clone(),
-        me,
-        cache_stores: CacheStores::default(),
-        loads: Loads::default(),
-        fleet: fleet.clone(),
-        updates,
-        log,
-    }));
-    send_config(&fleet, STORES).await;
-    tokio::time::sleep(DISCOVERY).await;
-    let listed = store.listed.load(Ordering::Relaxed);
-    assert!((4..=20).contains(&listed), "{listed} listings");
+    let only = start_box(0, &store);
+    send_config(&only.fleet, STORES).await;
+    let too_many = timeout(DISCOVERY, store.wait_for_listings(21)).await;
+    let listed = store.listed();
+    assert!(too_many.is_err() && listed >= 4, "{listed} listings");
     // A box without others has to read all of them.
-    tokio::time::sleep(Duration::from_secs(5)).await;
-    let listed = store.listed.load(Ordering::Relaxed);
-    assert!(listed >= usize::from(STORES), "{listed} listings");
+    let all = store.wait_for_listings(usize::from(STORES));
+    let all = timeout(Duration::from_secs(5), all).await;
+    assert!(all.is_ok(), "{} listings", store.listed());
 }
 
 /// Guards against a store that fails and is called by every box of a large zone, so that it cannot recover: the zone's
@@ -234,42 +257,26 @@
             is_failing: true,
             ..Store::default()
         };
-        let log = sillpin_telemetry::logs::discard();
-        let (fleet, port) = fleet_state::channel();
-        let me = box_entry(index);
-        tokio::spawn(Fleet::new(me.id.clone(), TestKeys, log.clone()).run(port));
-        let (updates, received) = mpsc::channel(100);
-        let loads = Loads::default();
-        tokio::spawn(reader::run(Readers {
-            control: store.clone(),
-            me,
-            cache_stores: CacheStores::default(),
-            loads: loads.clone(),
-            fleet: fleet.clone(),
-            updates,
-            log,
-        }));
-        send_boxes(&fleet, index).await;
-        send_config(&fleet, 1).await;
-        boxes.push((store, loads, fleet, received));
+        let started = start_box(index, &store);
+        send_boxes(&started.fleet, index).await;
+        send_config(&started.fleet, 1).await;
+        boxes.push(started);
     }
     let members: Vec<BoxHash> = (0..BOXES).map(|i| BoxHash::of(&box_entry(i))).collect();
+    let mut bulletins = tokio::time::interval(REPORT_INTERVAL);
     let mut after_start = Vec::new();
     for round in 0..100 {
-        for (_, loads, _, _) in &boxes {
-            loads.apply_zone_totals(Vec::new(), &members);
+        bulletins.tick().await;
+        for of in &boxes {
+            of.loads.apply_zone_totals(Vec::new(), &members);
         }
-        tokio::time::sleep(Duration::from_millis(150)).await;
         // Each box has tried it once by then.
-        if round == 10 {
-            after_start = boxes
-                .iter()
-                .map(|of| of.0.listed.load(Ordering::Relaxed))
-                .collect();
+        if round == 11 {
+            after_start = boxes.iter().map(|of| of.store.listed()).collect();
         }
     }
     let calling = boxes.iter().zip(&after_start);
-    let calling = calling.filter(|(of, before)| of.0.listed.load(Ordering::Relaxed) > **before);
+    let calling = calling.filter(|(of, before)| of.store.listed() > **before);
     let count = calling.count();
     assert!((3..=12).contains(&count), "{count} boxes");
 }
