Share the pause after failed calls, and the newtype of free text

The supervisor of releases had a backoff of its own beside the readers', and the version of a target's software repeated the derives of two other texts.

--- a/crates/sillpin-core/src/newtype.rs
+++ b/crates/sillpin-core/src/newtype.rs
@@ -1,6 +1,6 @@
-//! Macros that declare number newtypes and string enums with uniform traits and formats.
+//! Macros that declare number and text newtypes and string enums with uniform traits and formats.
 //!
-//! Other crates may use [`number_type`](crate::number_type) too; they need the dependencies
+//! Other crates may use [`number_type`](crate::number_type) and [`text_type`](crate::text_type) too; they need the dependencies
 //! `derive_more` and `serde`.
 
 /// Declares a newtype of an unsigned integer, displayed and serialised as the plain number. Further
@@ -18,6 +18,20 @@
     };
 }
 
+/// Declares a newtype of free text, displayed and serialised as the plain text.
+#[macro_export]
+macro_rules! text_type {
+    ($(#[$attr:meta])* $name:ident) => {
+        $(#[$attr])*
+        #[derive(
+            Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, ::derive_more::Display,
+            ::derive_more::From, ::derive_more::FromStr, ::serde::Serialize, ::serde::Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub String);
+    };
+}
+
 /// Declares an enum without fields whose variants are serialised in kebab case.
 macro_rules! string_enum {
     ($(#[$attr:meta])* pub enum $name:ident { $($words:tt)* }) => {
--- a/crates/sillpin-gateway/src/control.rs
+++ b/crates/sillpin-gateway/src/control.rs
@@ -2,9 +2,9 @@
 
 use crate::config::FleetConfig;
 use crate::dialect::{EngineTime, PartId, Salt};
-use derive_more::{Display, Error, From, FromStr};
+use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
-use sillpin_core::{Fence, ModelId, PoolId, TargetId, Tokens, WeightVersion, ZoneId};
+use sillpin_core::{Fence, ModelId, PoolId, TargetId, Tokens, WeightVersion, ZoneId, text_type};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -34,23 +34,10 @@
 #[serde(transparent)]
 pub struct Life(pub u64);
 
-/// Version of a target's software; free text.
-#[derive(
-    Debug,
-    Clone,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    Display,
-    From,
-    FromStr,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct SoftwareVersion(pub String);
+text_type!(
+    /// Version of a target's software; free text.
+    SoftwareVersion
+);
 
 /// A target as it publishes itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/sillpin-gateway/src/dialect.rs
+++ b/crates/sillpin-gateway/src/dialect.rs
@@ -8,46 +8,20 @@
 use hyper::http::request;
 use hyper::{HeaderMap, StatusCode};
 use serde::{Deserialize, Serialize};
-use sillpin_core::{ModelId, OrgId, RequestRate, TargetId, Tokens, WeightVersion};
+use sillpin_core::{ModelId, OrgId, RequestRate, TargetId, Tokens, WeightVersion, text_type};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Name of a part of a prompt.
-#[derive(
-    Debug,
-    Clone,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    Display,
-    From,
-    FromStr,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct PartId(pub String);
+text_type!(
+    /// Name of a part of a prompt.
+    PartId
+);
 
-/// Separates parts computed with different weights or for isolated organisations: a part is only found under the salt
-/// that it was stored under.
-#[derive(
-    Debug,
-    Clone,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    Display,
-    From,
-    FromStr,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct Salt(pub String);
+text_type!(
+    /// Separates parts computed with different weights or for isolated organisations: a part is only found under the salt
+    /// that it was stored under.
+    Salt
+);
 
 /// Time on the clock that all engines and cache stores share, in milliseconds.
 #[derive(
--- a/crates/sillpin-gateway/src/fleet_state/reader.rs
+++ b/crates/sillpin-gateway/src/fleet_state/reader.rs
@@ -6,6 +6,7 @@
 
 use super::transfers::Transfers;
 use super::{BoxEntry, FleetHandle, FleetMsg, Reading, Source, Topic};
+use crate::backoff::backoff;
 use crate::peers::datagram::{PublishedChanges, ZoneUpdate};
 use crate::peers::roles::{self, DataState, SMALL_FLEET};
 use crate::placement::Loads;
@@ -393,11 +394,3 @@
         tokio::time::sleep(backoff(failures, MIN_BACKOFF, MAX_BACKOFF)).await;
     }
 }
-
-/// Returns the wait after a number of consecutive failures, with jitter, so that the boxes don't
-/// all call the store at the moment when it recovers.
-fn backoff(failures: u32, least: Duration, longest: Duration) -> Duration {
-    let doubled = least * 2u32.pow(failures.min(4));
-    let most = doubled.min(longest);
-    most.mul_f64(rand::rng().random_range(0.5..1.0))
-}
--- a/crates/sillpin-gateway/src/lib.rs
+++ b/crates/sillpin-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! values. The platform's formats of requests, keys and settings are hidden behind the traits of [`dialect`] and
 //! [`control`], which an adapter implements.
 //!
+//! - [`backoff`]: pauses after failed calls of the platform's store,
 //! - [`config`]: routes, pools, cache stores and organisations as operators publish them,
 //! - [`dialect`]: contents of requests and responses,
 //! - [`control`]: calls of engines and cache stores outside the request path,
@@ -19,6 +20,7 @@
 //! - [`reload`]: settings that change while the box runs,
 //! - [`ops`]: assembly of a box.
 
+pub mod backoff;
 pub mod budget;
 pub mod cache_stores;
 pub mod config;
--- a/crates/sillpin-gateway/src/releases/supervisor.rs
+++ b/crates/sillpin-gateway/src/releases/supervisor.rs
@@ -6,6 +6,7 @@
 
 use super::evidence::Counts;
 use super::tracker::ReleaseTracker;
+use crate::backoff::backoff;
 use crate::cache_stores::homes::{hash_pair, to_unit_interval};
 use crate::control::{PublishedFormat, ReleasePhase, ReleaseStatus};
 use crate::fleet_state::{BoxEntry, FleetHandle, FleetMsg, PhaseUpdate, Release, Source, View};
@@ -58,23 +59,14 @@
     pub log: Logger,
 }
 
-/// Pause after failed calls about one pool.
+/// Failed calls about one pool.
 #[derive(Debug, Clone, Copy)]
-struct Backoff {
-    length: Duration,
+struct Failures {
+    count: u32,
+    /// End of the pause after the last one.
     until: Instant,
 }
 
-impl Backoff {
-    /// Returns the pause after one more failed call.
-    fn after(last: Option<&Backoff>, now: Instant) -> Self {
-        let doubled = last.map_or(MIN_BACKOFF, |last| last.length * 2);
-        let length = doubled.min(MAX_BACKOFF);
-        let until = now + length.mul_f64(rand::random_range(0.5..1.0));
-        Self { length, until }
-    }
-}
-
 /// What to do about a release now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Step {
@@ -93,7 +85,7 @@
         let mut every = tokio::time::interval(CHECK_INTERVAL);
         every.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut views = self.fleet.subscribe();
-        let mut backoffs: HashMap<PoolId, Backoff> = HashMap::new();
+        let mut failures: HashMap<PoolId, Failures> = HashMap::new();
         let mut fractions: HashMap<PoolId, f64> = HashMap::new();
         while !self.stopping.is_cancelled() {
             let view = views.borrow_and_update().clone();
@@ -108,7 +100,7 @@
             every.tick().await;
             for release in open {
                 self.log_step(release, &mut fractions);
-                self.supervise(&view, release, &mut backoffs).await;
+                self.supervise(&view, release, &mut failures).await;
             }
         }
     }
@@ -132,13 +124,11 @@
         &self,
         view: &View,
         release: &Release,
-        backoffs: &mut HashMap<PoolId, Backoff>,
+        failures: &mut HashMap<PoolId, Failures>,
     ) {
         let now = Instant::now();
         let pool = &release.order.pool;
-        let is_backing_off = backoffs
-            .get(pool)
-            .is_some_and(|backoff| now < backoff.until);
+        let is_backing_off = failures.get(pool).is_some_and(|last| now < last.until);
         let result = match self.next_step(view, release, now) {
             Step::Wait => return,
             Step::RollBack => {
@@ -151,13 +141,15 @@
         };
         match result {
             Ok(update) => {
-                backoffs.remove(pool);
+                failures.remove(pool);
                 self.send(update, Source::Store).await;
             }
             Err(e) => {
                 event!(self.log, events::RELEASE_NOT_RECORDED, "pool" => pool.as_str(), "why" => e.to_string());
-                let next = Backoff::after(backoffs.get(pool), now);
-                backoffs.insert(pool.clone(), next);
+                let count = failures.get(pool).map_or(0, |last| last.count);
+                let until = now + backoff(count, MIN_BACKOFF, MAX_BACKOFF);
+                let count = count + 1;
+                failures.insert(pool.clone(), Failures { count, until });
             }
         }
     }
