--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -444,54 +444,6 @@
     pub fn may_offer(&self, progress: &Progress) -> bool {
         progress.offered.len() < MAX_OFFERS
     }
-
-    fn log_response(&self, request: &AdmittedRequest, response: &CompleteResponse) {
-        let outcome = match response.status.is_success() {
-            true => "answered",
-            false => "failed",
-        };
-        if response.status.is_success() {
-            self.fatal
-                .record()
-                .served(request.fingerprint, Instant::now());
-        }
-        let elapsed = request.arrival.elapsed();
-        self.metrics.request(&request.route.name, outcome);
-        self.metrics.response_head(elapsed);
-        self.metrics.response_end(elapsed);
-        event!(self.log, events::REQUEST_ANSWERED, "request" => &request.head.id,
-            "route" => &request.route.name, "status" => response.status.as_u16(),
-            "elapsed_ms" => elapsed.as_millis());
-    }
-
-    /// Builds the caller's response from a target's complete response.
-    fn forward_response(
-        &self,
-        request: &AdmittedRequest,
-        response: CompleteResponse,
-    ) -> Response<Body> {
-        let id = &request.head.id;
-        let body = self.body_memory.response_body(id, response.body);
-        let mut resp = Response::new(body);
-        *resp.status_mut() = response.status;
-        *resp.headers_mut() = self.dialect.write_response(&response.headers);
-        resp
-    }
-
-    /// Builds the caller's response from a target's error response. A status which implies that the request did not
-    /// run is replaced, because the target has not confirmed that.
-    fn forward_failure(
-        &self,
-        request: &AdmittedRequest,
-        response: CompleteResponse,
-    ) -> Response<Body> {
-        const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
-        if NOT_RUN_STATUSES.contains(&response.status.as_u16()) {
-            let reason = format!("the target answered with {}", response.status.as_u16());
-            return Refusal::unknown(reason).response(&self.dialect, None);
-        }
-        self.forward_response(request, response)
-    }
 }
 
 /// Returns the result of a request that no target served; it depends on whether the request may have run.
--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -2,13 +2,15 @@
 //!
 //! - [`shared`]: state shared by all requests,
 //! - [`admit`]: route, organisation and body of a request,
-//! - [`body_memory`]: memory for request bodies,
+//! - [`body_memory`]: memory for bodies of requests and responses,
 //! - [`dispatch`]: attempts until there is a response,
 //! - [`selection`]: selection of pool, target and prompt plan for an attempt,
 //! - [`attempt`]: one attempt and its outcome,
 //! - [`relay`]: relaying of event streams,
 //! - [`idle_timeout`]: when to abandon a target that sends nothing,
 //! - [`events`]: splitting a stream into complete events,
+//! - [`release`]: the part of requests in the release of their pool,
+//! - [`response`]: responses of targets that are passed on,
 //! - [`refusal`]: responses that the box creates itself,
 //! - [`handler`]: the listeners' handlers.
 
@@ -22,6 +24,7 @@
 pub mod refusal;
 pub mod relay;
 pub mod release;
+pub mod response;
 pub mod selection;
 pub mod shared;
 
--- a/crates/sillpin-gateway/tests/election.rs
+++ b/crates/sillpin-gateway/tests/election.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::{MemoryStore, name, target};
+use common::memory_store::MemoryStore;
+use common::{name, target};
 use sillpin_core::TargetId;
 use sillpin_gateway::suspend_clock::SuspendClock;
 use sillpin_gateway::weights::election::{Election, Leadership, ORDERED_KEY};
--- a/crates/sillpin-gateway/tests/long_listing.rs
+++ b/crates/sillpin-gateway/tests/long_listing.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::{MemoryStore, PAGE_LEN, TestKeys, name};
+use common::memory_store::{MemoryStore, PAGE_LEN};
+use common::{TestKeys, name};
 use sillpin_gateway::fleet_state::fleet::Fleet;
 use sillpin_gateway::fleet_state::reader::Reader;
 use sillpin_gateway::fleet_state::transfers::Transfers;
--- a/crates/sillpin-gateway/tests/reader.rs
+++ b/crates/sillpin-gateway/tests/reader.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::{MemoryStore, TestKeys, name};
+use common::memory_store::MemoryStore;
+use common::{TestKeys, name};
 use sillpin_gateway::config::ConfigVersion;
 use sillpin_gateway::fleet_state::fleet::Fleet;
 use sillpin_gateway::fleet_state::reader::Reader;
--- a/crates/sillpin-gateway/tests/rollout.rs
+++ b/crates/sillpin-gateway/tests/rollout.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::{MemoryStore, TestKeys, entry, name};
+use common::memory_store::MemoryStore;
+use common::{TestKeys, entry, name};
 use sillpin_core::{TargetId, WeightVersion};
 use sillpin_gateway::cache_stores::CacheStores;
 use sillpin_gateway::control::{
--- a/crates/sillpin-gateway/tests/suspend.rs
+++ b/crates/sillpin-gateway/tests/suspend.rs
@@ -6,7 +6,8 @@
 
 mod common;
 
-use common::{MemoryStore, TestKeys, engine, entry, name};
+use common::memory_store::MemoryStore;
+use common::{TestKeys, engine, entry, name};
 use sillpin_gateway::cache_stores::retire::Retirements;
 use sillpin_gateway::control::TargetEntry;
 use sillpin_gateway::fleet_state::fleet::Fleet;
