--- a/crates/sillpin-gateway/src/fleet_state/fleet/changes.rs
+++ b/crates/sillpin-gateway/src/fleet_state/fleet/changes.rs
@@ -1,4 +1,4 @@
-//! What has changed of the targets, so that an update costs as much as the change, whatever the size of the fleet.
+//! What has changed of the targets, so that an update doesn't format and hash the entries of all of them.
 
 use crate::control::TargetEntry;
 use sillpin_core::TargetId;
