Specify scheduling under hard load; settings, row kinds and accepted event gaps for it

Rows of work get kinds, so that sums over all boxes arrive without new messages. Routes keep the pause between events that their callers accept, which was only used for the callers' timeout. The settings have a switch for each part.

--- a/crates/sillpin-gateway/src/config.rs
+++ b/crates/sillpin-gateway/src/config.rs
@@ -70,6 +70,8 @@
     pub latency_objective: Duration,
     /// Callers of a stream give up after this time without an event, also before the first one.
     pub event_timeout: Duration,
+    /// Longest pause between events of a stream that its callers accept; `None` if the route names none.
+    pub max_event_gap: Option<Duration>,
     /// Priority of its requests, unless the organisation has its own.
     pub priority: Priority,
     /// Pools that serve it.
--- a/crates/sillpin-gateway/src/placement/work.rs
+++ b/crates/sillpin-gateway/src/placement/work.rs
@@ -4,7 +4,7 @@
 use crate::control::TargetEntry;
 use crate::peers::datagram::BoxHash;
 use serde::{Deserialize, Serialize};
-use sillpin_core::{BoxId, TargetId, Tokens};
+use sillpin_core::{BoxId, OrgId, TargetId, Tokens, ZoneId};
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -70,6 +70,33 @@
     }
 }
 
+/// What a row of [`EngineWork`] is about. Boxes send each other rows of several kinds under hashes
+/// that differ, so hubs add them up without knowing the kinds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RowKind<'a> {
+    /// Short prompts in flight at an engine, named by its id: tokens and number.
+    Streams,
+    /// Prefill times that were measured in a pool, named by its id: milliseconds, tokens and number.
+    Rates,
+    /// Work that an organisation asks of a pool per second.
+    Usage(&'a OrgId),
+    /// Boxes of a zone that find an engine silent: their number.
+    Silent(&'a ZoneId),
+}
+
+impl TargetHash {
+    /// Returns the hash for rows of a kind about an engine or pool.
+    pub fn for_rows(name: &str, kind: RowKind<'_>) -> Self {
+        let salt = match kind {
+            RowKind::Streams => "streams".to_owned(),
+            RowKind::Rates => "rates".to_owned(),
+            RowKind::Usage(org) => format!("usage {org}"),
+            RowKind::Silent(zone) => format!("silent {zone}"),
+        };
+        Self(hash_pair(name, &salt) as u32)
+    }
+}
+
 /// Hash of one incarnation of a target at one address, used in messages between boxes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/crates/sillpin-gateway/src/settings.rs
+++ b/crates/sillpin-gateway/src/settings.rs
@@ -167,10 +167,51 @@
             ),
         ],
     },
+    Section {
+        name: "scheduling",
+        keys: &[
+            Key::optional(
+                "immediate-updates",
+                SWITCH,
+                AUTO,
+                "Whether the boxes of a zone send each other changes of their work at engines at once; auto: in zones of up to 64 boxes",
+            ),
+            Key::optional(
+                "learned-speeds",
+                SWITCH,
+                AUTO,
+                "Whether estimates use the speed of engines that boxes measure; auto: in fleets of more than 16 boxes",
+            ),
+            Key::optional(
+                "stream-engines",
+                SWITCH,
+                AUTO,
+                "Whether some engines of a pool are reserved for short prompts; auto: if routes of different priority share the pool, one of them names an accepted pause between events, and the zone has 12 engines or more",
+            ),
+            Key::optional(
+                "fair-admission",
+                SWITCH,
+                AUTO,
+                "Whether requests are refused by their organisation's share under overload, and if they can't end in time; auto: if the configuration has organisations",
+            ),
+            Key::optional(
+                "silent-engines",
+                SWITCH,
+                AUTO,
+                "Whether boxes look for engines that stop sending and tell each other; auto: if a route of the pool names an accepted pause between events",
+            ),
+        ],
+    },
     TRACES_SECTION,
     LOG_SECTION,
 ];
 
+/// Values of a key that switches a part of the scheduling.
+const SWITCH: Kind = Kind::OneOf(&[AUTO, "off"]);
+
+/// Default of such a key: the part is in use where the configuration asks for it.
+const AUTO: &str = "auto";
+
 /// Settings of the box.
 #[derive(Debug, Clone)]
 pub struct BoxConfig {
@@ -220,10 +261,40 @@
     pub weights_limit: Duration,
     /// A stored part that is read again within this time of its last use counts as worth storing.
     pub reuse: Duration,
+    /// Parts of the scheduling that may be in use.
+    pub scheduling: SchedulingSettings,
     /// Collector of traces.
     pub collector: Option<SocketAddr>,
 }
 
+/// Parts of the scheduling that may be in use where the configuration asks for them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SchedulingSettings {
+    /// Changes of the work at engines are sent to the boxes of the zone at once.
+    pub immediate_updates: bool,
+    /// Estimates use the measured speed of engines.
+    pub learned_speeds: bool,
+    /// Some engines of a pool are reserved for short prompts.
+    pub stream_engines: bool,
+    /// Under overload requests are refused by their organisation's share, and if they can't end in time.
+    pub fair_admission: bool,
+    /// Boxes look for engines that stop sending.
+    pub silent_engines: bool,
+}
+
+impl SchedulingSettings {
+    fn from_loaded(loaded: &Loaded) -> Result<Self, Faults> {
+        let is_auto = |key| Ok::<_, Faults>(loaded.get::<String>("scheduling", key)? == AUTO);
+        Ok(Self {
+            immediate_updates: is_auto("immediate-updates")?,
+            learned_speeds: is_auto("learned-speeds")?,
+            stream_engines: is_auto("stream-engines")?,
+            fair_admission: is_auto("fair-admission")?,
+            silent_engines: is_auto("silent-engines")?,
+        })
+    }
+}
+
 /// How many retries all boxes together may make to a pool.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryRules {
@@ -290,6 +361,7 @@
             canary_share: loaded.get("promises", "canary-share")?,
             weights_limit: time("weights-ms", 0.001)?,
             reuse: time("reuse-s", 1.0)?,
+            scheduling: SchedulingSettings::from_loaded(loaded)?,
             collector: collectors.first().copied(),
         })
     }
