Reserve engines of a zone for short prompts

Cause: while an engine prefills chunks of long prompts, each token of every stream on it takes the time of a chunk, so streams of urgent short prompts miss their deadlines although their engine works.

Change: in pools that serve routes of different priorities, of which one states an accepted pause, the first k usable engines of each zone with 12 or more take short prompts. k follows the short prompts in flight at all boxes (rows of kind Streams), rises at once and falls slowly. Long prompts use the other engines, and at most a fifth of the time of stream engines that prefill nothing. Standing queues are kept for each kind. With the setting off, or without such a configuration, choices are as before.

--- a/crates/sillpin-gateway/benches/decision.rs
+++ b/crates/sillpin-gateway/benches/decision.rs
@@ -116,6 +116,7 @@
                     }),
                     residency: anywhere(),
                     limit_context: None,
+                    streams: None,
                     now,
                 };
                 black_box(choose(&choice).is_some())
--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -184,7 +184,7 @@
             request,
             target: target.clone(),
             head: attempt_head(request, progress, &mut prepared),
-            in_flight: self.loads.start(&target.id, prepared.work()),
+            in_flight: self.start_work(&prepared),
         };
         let sent = Instant::now();
         let version = prepared.chosen.version;
@@ -421,7 +421,9 @@
         progress: &Progress,
     ) -> Option<Refusal> {
         let queue = prepared.queue(self.fleet.view().box_count())?;
-        let standing_ms = self.loads.record_queue(queue, Instant::now());
+        let standing_ms = self
+            .loads
+            .record_queue(prepared.chosen.kind, queue, Instant::now());
         if progress.runs > 0 {
             return None;
         }
--- a/crates/sillpin-gateway/src/front/selection.rs
+++ b/crates/sillpin-gateway/src/front/selection.rs
@@ -16,11 +16,13 @@
 use crate::placement::residency::Residency;
 use crate::placement::shared_limit::{MEMBERSHIP_DELAY, ShareGroup};
 use crate::placement::standing::Queue;
+use crate::placement::stream_engines::{PromptKind, StreamInputs, StreamRules, stream_work};
 use crate::placement::work::Work;
-use crate::placement::{ChoiceInputs, ChosenTarget, choose};
+use crate::placement::{ChoiceInputs, ChosenTarget, InFlightGuard, choose};
 use rand::RngExt;
 use sillpin_core::{ModelId, PoolId, Tokens, WeightVersion};
 use sillpin_policy::overload::{PREFILL_FACTOR, StartEstimate};
+use sillpin_telemetry::{event, events};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -75,6 +77,8 @@
     pub in_time: bool,
     /// Weights that the request may run on, for engines.
     pub weights: Option<AllowedWeights>,
+    /// Work of the response's stream, if the prompt is short.
+    pub stream: Option<Work>,
 }
 
 /// The target selected for a request, with the prompt plan if it is an engine.
@@ -115,6 +119,7 @@
             fetched: 0,
             not_fetched: 0,
             in_time: true,
+            stream: None,
         }
     }
 
@@ -227,6 +232,7 @@
             prompt: None,
             residency: self.residency(request),
             limit_context: spec.map(|spec| self.limit_context(spec, view, now)),
+            streams: None,
             now,
         };
         match (engine, &request.head.prompt) {
@@ -315,7 +321,7 @@
         engine: &EngineSpec,
         prompt: &Prompt,
     ) -> Option<SelectedTarget> {
-        let now = base.now;
+        let (now, pool) = (base.now, base.pool);
         let desired = view.desired.get(&prompt.model);
         let org = request.organisation.as_deref();
         let inputs = PlanInputs {
@@ -356,8 +362,10 @@
         };
         let chosen = choose(&ChoiceInputs {
             prompt: Some(prompt_choice),
+            streams: self.stream_inputs(request, &base, view, engine, prompt),
             ..base
         })?;
+        self.log_stream_engines(pool, now);
         let version = chosen.version?;
         let plan = plans.into_iter().find(|(of, _)| *of == version);
         Some(SelectedTarget {
@@ -367,6 +375,53 @@
         })
     }
 
+    /// Returns the input for the choice between stream engines and others, if the pool has stream engines.
+    fn stream_inputs(
+        &self,
+        request: &AdmittedRequest,
+        base: &ChoiceInputs<'_>,
+        view: &View,
+        engine: &EngineSpec,
+        prompt: &Prompt,
+    ) -> Option<StreamInputs> {
+        if !self.cfg.scheduling.stream_engines {
+            return None;
+        }
+        let rules = StreamRules::of(&request.config, base.pool, engine)?;
+        let prefill_ms = Plan::prefill_time_ms(prompt.tokens);
+        let others = view.boxes.iter();
+        Some(StreamInputs {
+            rules,
+            kind: rules.kind(prefill_ms),
+            prefill_ms,
+            zone_boxes: 1 + others.filter(|other| other.zone == *base.zone).count(),
+            draw: rand::rng().random(),
+        })
+    }
+
+    /// Logs the numbers of stream engines of a pool if they have changed, at most once a second.
+    fn log_stream_engines(&self, pool: &PoolId, now: Instant) {
+        let change = self.loads.stream_engines().take_change(pool, now);
+        if let Some(zones) = change {
+            event!(self.log, events::STREAM_ENGINES_CHANGED, "pool" => pool.as_str(), "zones" => zones);
+        }
+    }
+
+    /// Counts a prepared attempt as in flight until the guard is dropped.
+    pub fn start_work(&self, prepared: &PreparedAttempt) -> InFlightGuard {
+        let chosen = &prepared.chosen;
+        if chosen.kind == Some(PromptKind::Long) && chosen.is_stream_engine {
+            let mut state = self.loads.stream_engines();
+            let draw = rand::rng().random_range(0.0..1.0);
+            state
+                .long_prompts(&chosen.target.pool)
+                .record_sent(draw, Instant::now());
+        }
+        let stream = prepared.stream.unwrap_or_default();
+        self.loads
+            .start_stream(&chosen.target.id, prepared.work(), stream)
+    }
+
     /// Latest time at which a prompt may start at the selected target, according to the current view.
     pub fn latest_start(
         &self,
@@ -412,6 +467,8 @@
         let (Some(plan), Some(version)) = (plan, chosen.version) else {
             return PreparedAttempt::plain(chosen);
         };
+        let is_short = chosen.kind == Some(PromptKind::Short);
+        let stream = prompt.filter(|_| is_short).map(stream_work);
         let zone = &chosen.target.zone;
         let fetch_time = request.route.latency_objective.mul_f64(FETCH_TIME_FACTOR);
         let mut directory = self.cache_stores.lock();
@@ -435,6 +492,7 @@
             stored: plan.stored_tokens.0,
             fetched,
             not_fetched: shared - fetched,
+            stream,
         }
     }
 }
--- a/crates/sillpin-gateway/src/metrics.rs
+++ b/crates/sillpin-gateway/src/metrics.rs
@@ -187,6 +187,21 @@
         .build();
 }
 
+/// Registers a gauge of the engines that are reserved for short prompts.
+pub fn observe_stream_engines(meter: &Meter, loads: Loads) {
+    let observe = move |observer: &dyn AsyncInstrument<u64>| {
+        for (pool, count) in loads.stream_engines().counts() {
+            let labels = [KeyValue::new("pool", pool.to_string())];
+            observer.observe(count as u64, &labels);
+        }
+    };
+    meter
+        .u64_observable_gauge("sillpin_stream_engines")
+        .with_description("Engines reserved for short prompts by pool")
+        .with_callback(observe)
+        .build();
+}
+
 /// Registers counters of calls of the platform store and of the bytes of its responses.
 fn observe_calls(meter: &Meter, calls: CallCounts) {
     let observe = |of: fn(CallTotals) -> u64| {
--- a/crates/sillpin-gateway/src/placement/choose.rs
+++ b/crates/sillpin-gateway/src/placement/choose.rs
@@ -12,6 +12,7 @@
 use super::parts::Plan;
 use super::residency::Residency;
 use super::shared_limit::Admission;
+use super::stream_engines::{PromptKind, StreamInputs};
 use super::work::{IncarnationHash, TargetHash, Work};
 use crate::cache_stores::homes::{hash_pair, to_unit_interval};
 use crate::control::TargetEntry;
@@ -91,6 +92,8 @@
     pub residency: Residency<'a>,
     /// State needed to apply the limits of targets; `None` applies no limits.
     pub limit_context: Option<LimitContext<'a>>,
+    /// Properties of the prompt in a pool that has stream engines; `None` reserves no engines.
+    pub streams: Option<StreamInputs>,
     /// Current time.
     pub now: Instant,
 }
@@ -142,6 +145,10 @@
     pub in_cooldown: bool,
     /// Whether the target has enough memory for the request.
     pub has_memory: bool,
+    /// Kind of the prompt in a pool that has stream engines.
+    pub kind: Option<PromptKind>,
+    /// Whether the target is a stream engine.
+    pub is_stream_engine: bool,
 }
 
 impl ChosenTarget {
@@ -182,10 +189,10 @@
 fn choose_with(choice: &ChoiceInputs<'_>, admission: Admission) -> Option<ChosenTarget> {
     let pool = choice.targets.pool(choice.pool)?;
     let search = Search::new(choice, admission);
-    if choice.prompt.is_none() || !choice.reported_late {
-        return search.best_of(&search.ranked(pool.all()), usize::MAX);
+    match &choice.streams {
+        Some(streams) => search.best_by_kind(pool, streams),
+        None => search.best_among(pool, |_| true),
     }
-    search.best_of_widening(pool)
 }
 
 /// Returns the better of two choices.
@@ -197,15 +204,15 @@
 }
 
 /// The request, with state that is computed once per choice.
-struct Search<'a> {
-    choice: &'a ChoiceInputs<'a>,
+pub(super) struct Search<'a> {
+    pub(super) choice: &'a ChoiceInputs<'a>,
     admission: Admission,
-    peer_work: Arc<HashMap<TargetHash, Work>>,
+    pub(super) peer_work: Arc<HashMap<TargetHash, Work>>,
     /// Targets that accept nothing from this box, according to their own responses.
-    unavailable: HashSet<IncarnationHash>,
+    pub(super) unavailable: HashSet<IncarnationHash>,
     /// Hash of the prompt's last shared part, which determines its homes.
     key: Option<u64>,
-    table: LoadTable<'a>,
+    pub(super) table: LoadTable<'a>,
 }
 
 impl<'a> Search<'a> {
@@ -253,13 +260,29 @@
         newest.main_zone().filter(|zone| *zone != self.choice.zone)
     }
 
+    /// Returns the best of the `included` targets.
+    pub(super) fn best_among(
+        &self,
+        pool: &PoolTargets,
+        included: impl Fn(&&IndexedTarget) -> bool,
+    ) -> Option<ChosenTarget> {
+        if self.choice.prompt.is_none() || !self.choice.reported_late {
+            let targets = self.ranked(pool.all().filter(included));
+            return self.best_of(&targets, usize::MAX);
+        }
+        self.best_of_widening(pool, included)
+    }
+
     /// Considers two engines of the own zone and two of the zone that holds the prompt's parts,
     /// then a few more of all zones, then all if the best of those is in cooldown.
-    fn best_of_widening(&self, pool: &PoolTargets) -> Option<ChosenTarget> {
-        let own = self.ranked(pool.of_zone(self.choice.zone).iter());
-        let near_parts = self
-            .stored_parts_zone()
-            .map(|zone| self.ranked(pool.of_zone(zone).iter()));
+    fn best_of_widening(
+        &self,
+        pool: &PoolTargets,
+        included: impl Fn(&&IndexedTarget) -> bool,
+    ) -> Option<ChosenTarget> {
+        let of_zone = |zone| self.ranked(pool.of_zone(zone).iter().filter(&included));
+        let own = of_zone(self.choice.zone);
+        let near_parts = self.stored_parts_zone().map(of_zone);
         let near_parts = near_parts.and_then(|near| self.best_of(&near, FIRST_ENGINES));
         let first = better(self.best_of(&own, FIRST_ENGINES), near_parts);
         let first = better(first, self.best_of(&self.limited_only(&own), usize::MAX));
@@ -269,7 +292,7 @@
         {
             return first;
         }
-        let others = self.ranked(pool.of_other_zones(self.choice.zone));
+        let others = self.ranked(pool.of_other_zones(self.choice.zone).filter(&included));
         let own_best = self.best_of(&own, SECOND_ENGINES);
         let others_best = self.best_of(&others, SECOND_ENGINES);
         let second = better(own_best, others_best);
@@ -337,7 +360,11 @@
 
     /// Returns a target with its cost, or `None` if it can't take the request. `position` is its
     /// position among the prompt's homes.
-    fn candidate(&self, target: &IndexedTarget, position: usize) -> Option<ChosenTarget> {
+    pub(super) fn candidate(
+        &self,
+        target: &IndexedTarget,
+        position: usize,
+    ) -> Option<ChosenTarget> {
         let (choice, entry) = (self.choice, &target.entry);
         if choice.tried.contains(&entry.id) || self.unavailable.contains(&target.incarnation) {
             return None;
@@ -368,6 +395,8 @@
             candidates: 0,
             in_cooldown,
             has_memory: !in_cooldown && has_memory(choice, &load),
+            kind: None,
+            is_stream_engine: false,
         })
     }
 }
--- a/crates/sillpin-gateway/src/placement/load.rs
+++ b/crates/sillpin-gateway/src/placement/load.rs
@@ -3,8 +3,9 @@
 use super::hold_time::HoldTime;
 use super::limits::Limits;
 use super::signals::TargetSignals;
-use super::standing::{Queue, StandingQueue};
-use super::work::{EngineWork, IncarnationHash, PeerWork, TargetHash, Work};
+use super::standing::{Queue, StandingQueues};
+use super::stream_engines::{PromptKind, StreamEngines};
+use super::work::{EngineWork, IncarnationHash, PeerWork, RowKind, TargetHash, Work};
 use crate::control::{Life, TargetEntry};
 use crate::peers::datagram::BoxHash;
 use sillpin_core::{BoxId, TargetId, ZoneId};
@@ -67,6 +68,8 @@
     pub in_flight: u32,
     /// Work of these requests, for engines.
     pub work: Work,
+    /// Short prompts among these requests, with the memory that their streams will hold.
+    pub streams: Work,
     cooldowns: Cooldowns,
     refusals: u32,
     failure_rate: f64,
@@ -140,7 +143,8 @@
     zones: Arc<Mutex<HashMap<ZoneId, ZoneReachability>>>,
     peer_work: Arc<Mutex<PeerWork>>,
     hold_time: Arc<Mutex<HoldTime>>,
-    standing: Arc<Mutex<StandingQueue>>,
+    standing: Arc<Mutex<StandingQueues>>,
+    stream_engines: Arc<Mutex<StreamEngines>>,
     limits: Arc<Mutex<Limits>>,
     /// Notified when this box observes that a target's limit has started, changed or ended.
     pub limit_changed: Arc<Notify>,
@@ -160,9 +164,15 @@
     pub fn updates_to_send(&self) -> Vec<EngineWork> {
         let table = self.lock();
         let working = table.iter().filter(|(_, load)| load.work.tokens >= 1.0);
-        working
-            .map(|(id, load)| EngineWork::of(id, load.work))
-            .collect()
+        let working = working.map(|(id, load)| EngineWork::of(id, load.work));
+        let streaming = table
+            .iter()
+            .filter(|(_, load)| load.streams.requests >= 1.0);
+        let streams = streaming.map(|(id, load)| {
+            let row = TargetHash::for_rows(id.as_str(), RowKind::Streams);
+            EngineWork::at(row, load.streams)
+        });
+        working.chain(streams).collect()
     }
 
     /// Stores the work that another box reported.
@@ -225,10 +235,18 @@
             .ms()
     }
 
-    /// Records the queue of a chosen engine and returns the recent average, in milliseconds.
-    pub fn record_queue(&self, queue: Queue, now: Instant) -> f64 {
+    /// Locks the numbers of stream engines.
+    pub fn stream_engines(&self) -> MutexGuard<'_, StreamEngines> {
+        self.stream_engines
+            .lock()
+            .unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Records the queue of an engine that was chosen for a prompt of this kind, and returns the recent average of the
+    /// kind, in milliseconds. `None` stands for prompts in pools without stream engines.
+    pub fn record_queue(&self, kind: Option<PromptKind>, queue: Queue, now: Instant) -> f64 {
         let mut standing = self.standing.lock().unwrap_or_else(|e| e.into_inner());
-        standing.record(queue, now)
+        standing.record(kind, queue, now)
     }
 
     fn record_hold_time(&self, tokens: f64, time: Duration, now: Instant) {
@@ -266,15 +284,23 @@
 
     /// Counts a request as in flight at a target until the guard is dropped.
     pub fn start(&self, target: &TargetId, work: Work) -> InFlightGuard {
+        self.start_stream(target, work, Work::default())
+    }
+
+    /// Counts a request as in flight at a target until the guard is dropped. `stream` is the work of its stream if its
+    /// prompt is short.
+    pub fn start_stream(&self, target: &TargetId, work: Work, stream: Work) -> InFlightGuard {
         self.limits().record_sent(target, Instant::now());
         let mut table = self.lock();
         let load = table.entry(target.clone()).or_default();
         load.in_flight += 1;
         load.work.add(work);
+        load.streams.add(stream);
         InFlightGuard {
             loads: self.clone(),
             target: target.clone(),
             work,
+            stream,
             prefill_ms: work.prefill_ms,
             first_event: None,
         }
@@ -359,6 +385,8 @@
     loads: Loads,
     target: TargetId,
     work: Work,
+    /// Work of its stream if its prompt is short.
+    stream: Work,
     /// Expected engine time for the prefill of its prompt, in milliseconds.
     prefill_ms: f64,
     /// When the first event of the response came.
@@ -399,6 +427,7 @@
         if let Some(load) = table.get_mut(&self.target) {
             load.in_flight = load.in_flight.saturating_sub(1);
             load.work.subtract(self.work);
+            load.streams.subtract(self.stream);
         }
     }
 }
--- a/crates/sillpin-gateway/src/placement/mod.rs
+++ b/crates/sillpin-gateway/src/placement/mod.rs
@@ -11,6 +11,7 @@
 //! - [`shared_limit`]: division of a target's limit among boxes,
 //! - [`slow_start`]: limits of cold targets,
 //! - [`standing`]: the recent average queue at engines,
+//! - [`stream_engines`]: engines that are kept free of long prefills for short prompts,
 //! - [`residency`]: the regions that a request may reach,
 //! - [`signals`]: signals that targets send in response headers,
 //! - [`work`]: work of this box and of other boxes at engines.
@@ -28,6 +29,7 @@
 pub mod signals;
 pub mod slow_start;
 pub mod standing;
+pub mod stream_engines;
 pub mod work;
 
 pub use choose::{ChoiceInputs, ChosenTarget, choose};
--- a/crates/sillpin-gateway/src/placement/standing.rs
+++ b/crates/sillpin-gateway/src/placement/standing.rs
@@ -4,6 +4,7 @@
 //! one, and it drains in a moment. A queue that persists shows that the load exceeds the engines'
 //! capacity.
 
+use super::stream_engines::PromptKind;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -68,3 +69,25 @@
         self.sum_ms / (self.samples + PRIOR_SAMPLES)
     }
 }
+
+/// The average queues of both kinds of prompts, and of prompts in pools without stream engines. A shortage at the
+/// engines of one kind must not lead to refusals of the other.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StandingQueues {
+    short: StandingQueue,
+    long: StandingQueue,
+    any: StandingQueue,
+}
+
+impl StandingQueues {
+    /// Records the queue of an engine that was chosen for a prompt of this kind, and returns the kind's average
+    /// including it, in milliseconds.
+    pub fn record(&mut self, kind: Option<PromptKind>, queue: Queue, now: Instant) -> f64 {
+        let standing = match kind {
+            Some(PromptKind::Short) => &mut self.short,
+            Some(PromptKind::Long) => &mut self.long,
+            None => &mut self.any,
+        };
+        standing.record(queue, now)
+    }
+}
--- /dev/null
+++ b/crates/sillpin-gateway/src/placement/stream_engines/search.rs
@@ -0,0 +1,233 @@
+//! The choice of an engine for a prompt in a pool that has stream engines.
+
+use super::{MIN_ZONE_ENGINES, PromptKind, StreamInputs, ZoneDemand, long_prompts, sort};
+use crate::cache_stores::homes::to_unit_interval;
+use crate::fleet_state::fleet::served;
+use crate::placement::choose::{ChosenTarget, Search};
+use crate::placement::index::{IndexedTarget, PoolTargets};
+use crate::placement::standing::Queue;
+use crate::placement::work::{RowKind, TargetHash, Work};
+use sillpin_core::ZoneId;
+use sillpin_policy::overload::PREFILL_FACTOR;
+use std::collections::HashSet;
+use std::time::Duration;
+
+/// Number of stream engines considered for a short prompt if reports are late. The better one of two random engines
+/// keeps the engines' loads nearly equal, while all boxes would send to the engine with the least reported load.
+const FIRST_ENGINES: usize = 2;
+
+/// Prefill work at an engine below which no prefill is in progress, in milliseconds.
+const IDLE_MS: f64 = 1.0;
+
+/// Stream engines of all zones.
+type Reserved = HashSet<TargetHash>;
+
+impl Search<'_> {
+    /// Returns the best engine for a prompt of a pool that has stream engines.
+    pub(in crate::placement) fn best_by_kind(
+        &self,
+        pool: &PoolTargets,
+        streams: &StreamInputs,
+    ) -> Option<ChosenTarget> {
+        let reserved = self.reserved(pool, streams);
+        let found = match streams.kind {
+            PromptKind::Short => self.best_for_short(pool, streams, &reserved),
+            PromptKind::Long => self.best_for_long(pool, streams, &reserved),
+        }?;
+        let is_stream_engine = reserved.contains(&TargetHash::of(&found.target.id));
+        Some(ChosenTarget {
+            kind: Some(streams.kind),
+            is_stream_engine,
+            ..found
+        })
+    }
+
+    /// Returns the stream engines of all zones that are large enough.
+    fn reserved(&self, pool: &PoolTargets, streams: &StreamInputs) -> Reserved {
+        let mut reserved = Reserved::new();
+        for zone in &pool.zone_names {
+            let engines = pool.of_zone(zone);
+            if engines.len() >= MIN_ZONE_ENGINES {
+                self.reserve(zone, engines, streams, &mut reserved);
+            }
+        }
+        reserved
+    }
+
+    fn reserve(
+        &self,
+        zone: &ZoneId,
+        engines: &[IndexedTarget],
+        streams: &StreamInputs,
+        reserved: &mut Reserved,
+    ) {
+        let (choice, rules) = (self.choice, &streams.rules);
+        let mut usable: Vec<&IndexedTarget> =
+            engines.iter().filter(|at| self.is_usable(at)).collect();
+        let at_engines = engines.iter().map(|at| (self.streams_at(at), false));
+        let demand = ZoneDemand {
+            usable: usable.len(),
+            ..ZoneDemand::of(at_engines, rules)
+        };
+        let mut state = choice.loads.stream_engines();
+        let count = state.update(choice.pool, zone, &demand, choice.now);
+        drop(state);
+        sort(&mut usable);
+        reserved.extend(usable.iter().take(count).map(|engine| engine.hash));
+    }
+
+    /// Returns the short prompts that all boxes have in flight at an engine.
+    fn streams_at(&self, engine: &IndexedTarget) -> Work {
+        let id = &engine.entry.id;
+        let own = self
+            .table
+            .get(id)
+            .map_or(Work::default(), |load| load.streams);
+        let row = TargetHash::for_rows(id.as_str(), RowKind::Streams);
+        own.plus(self.peer_work.get(&row).copied().unwrap_or_default())
+    }
+
+    /// Returns the work that all boxes have at an engine.
+    fn work_at(&self, engine: &IndexedTarget) -> Work {
+        let own = self.table.get(&engine.entry.id);
+        let own = own.map_or(Work::default(), |load| load.work);
+        own.plus(
+            self.peer_work
+                .get(&engine.hash)
+                .copied()
+                .unwrap_or_default(),
+        )
+    }
+
+    /// Returns whether an engine takes prompts now: engines in cooldown, cold ones, and those that serve old weights
+    /// are replaced by the next ones in the order.
+    fn is_usable(&self, engine: &IndexedTarget) -> bool {
+        let (choice, entry) = (self.choice, &engine.entry);
+        let prompt = choice.prompt.as_ref();
+        let serves = prompt.is_some_and(|prompt| {
+            served(entry, prompt.model).is_some_and(|version| version >= prompt.oldest)
+        });
+        let load = self.table.get(&entry.id);
+        let in_cooldown = load.is_some_and(|load| load.in_cooldown(choice.now));
+        let context = choice.limit_context.as_ref();
+        let cold = context.filter(|context| context.warm_up.is_some());
+        let is_cold = cold.and_then(|context| context.cold.get(&entry.id));
+        let is_cold = is_cold.is_some_and(|until| choice.now < *until);
+        serves && !in_cooldown && !is_cold && !self.unavailable.contains(&engine.incarnation)
+    }
+
+    /// A short prompt goes to a stream engine of the own zone, or else of another one, that has free capacity, and
+    /// otherwise to any engine.
+    fn best_for_short(
+        &self,
+        pool: &PoolTargets,
+        streams: &StreamInputs,
+        reserved: &Reserved,
+    ) -> Option<ChosenTarget> {
+        let choice = self.choice;
+        let own = pool.of_zone(choice.zone).iter();
+        let own = self.best_stream_engine(own, streams, reserved);
+        let reachable = |engine: &&IndexedTarget| {
+            !choice
+                .loads
+                .seems_partitioned(&engine.entry.zone, choice.now)
+        };
+        own.or_else(|| {
+            let others = pool.of_other_zones(choice.zone).filter(reachable);
+            self.best_stream_engine(others, streams, reserved)
+        })
+        .or_else(|| self.best_among(pool, |_| true))
+    }
+
+    /// Returns the best stream engine with free capacity: among a few random ones if reports are late.
+    fn best_stream_engine<'t>(
+        &self,
+        engines: impl Iterator<Item = &'t IndexedTarget>,
+        streams: &StreamInputs,
+        reserved: &Reserved,
+    ) -> Option<ChosenTarget> {
+        let reserved = engines.filter(|engine| reserved.contains(&engine.hash));
+        let mut free: Vec<&IndexedTarget> = reserved
+            .filter(|engine| self.has_free_capacity(engine, streams))
+            .collect();
+        free.sort_by_cached_key(|engine| engine.home_rank(streams.draw));
+        let considered = match self.choice.reported_late {
+            true => FIRST_ENGINES,
+            false => usize::MAX,
+        };
+        let found = free.iter().filter_map(|engine| self.candidate(engine, 0));
+        let found: Vec<ChosenTarget> = found
+            .filter(|found| found.has_memory)
+            .take(considered)
+            .collect();
+        let candidates = found.len();
+        let best = found
+            .into_iter()
+            .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))?;
+        Some(ChosenTarget { candidates, ..best })
+    }
+
+    fn has_free_capacity(&self, engine: &IndexedTarget, streams: &StreamInputs) -> bool {
+        let at_engine = self.streams_at(engine);
+        let stream_tokens = at_engine.tokens / at_engine.requests.max(1.0);
+        let running = self.work_at(engine).requests.max(at_engine.requests);
+        running < streams.rules.batch(stream_tokens)
+    }
+
+    /// A long prompt goes to one of the other engines. If it would miss its latency objective there, it may use a
+    /// stream engine that prefills nothing.
+    fn best_for_long(
+        &self,
+        pool: &PoolTargets,
+        streams: &StreamInputs,
+        reserved: &Reserved,
+    ) -> Option<ChosenTarget> {
+        let others = self.best_among(pool, |engine| !reserved.contains(&engine.hash));
+        let is_in_time = |found: &ChosenTarget| self.is_in_time(found, streams);
+        if others.as_ref().is_some_and(is_in_time) {
+            return others;
+        }
+        self.idle_stream_engine(pool, streams, reserved).or(others)
+    }
+
+    /// Returns whether a prompt can start at an engine within its latency objective.
+    fn is_in_time(&self, found: &ChosenTarget, streams: &StreamInputs) -> bool {
+        let queue = Queue::reported(found.queue_ms, self.choice.reported_late);
+        let start_ms = queue.expected_ms + streams.prefill_ms * PREFILL_FACTOR;
+        let latency_objective = self.choice.prompt.as_ref().map(|p| p.latency_objective);
+        let start = Duration::from_secs_f64(start_ms.max(0.0) / 1000.0);
+        !found.in_cooldown && latency_objective.is_some_and(|objective| start <= objective)
+    }
+
+    /// Returns a stream engine of the own zone that may prefill a long prompt.
+    fn idle_stream_engine(
+        &self,
+        pool: &PoolTargets,
+        streams: &StreamInputs,
+        reserved: &Reserved,
+    ) -> Option<ChosenTarget> {
+        let choice = self.choice;
+        let own = pool.of_zone(choice.zone).iter();
+        let own: Vec<&IndexedTarget> = own.filter(|at| reserved.contains(&at.hash)).collect();
+        let max_event_gap_ms = streams.rules.max_event_gap.as_secs_f64() * 1000.0;
+        if own.is_empty() || streams.prefill_ms >= max_event_gap_ms {
+            return None;
+        }
+        let interval = long_prompts::interval(streams.prefill_ms, own.len(), streams.zone_boxes);
+        let draw = to_unit_interval(streams.draw);
+        let mut state = choice.loads.stream_engines();
+        let long_prompts = state.long_prompts(choice.pool);
+        if !long_prompts.may_send(interval, draw, choice.now) {
+            return None;
+        }
+        drop(state);
+        let idle = |engine: &&&IndexedTarget| {
+            let (work, at_engine) = (self.work_at(engine), self.streams_at(engine));
+            work.prefill_ms < IDLE_MS && work.requests < at_engine.requests + 1.0
+        };
+        let mut idle: Vec<&IndexedTarget> = own.iter().filter(idle).copied().collect();
+        idle.sort_by_cached_key(|engine| engine.home_rank(streams.draw));
+        let mut found = idle.iter().filter_map(|engine| self.candidate(engine, 0));
+        found.find(|found| found.has_memory)
+    }
+}
--- a/crates/sillpin-gateway/tests/common/engines.rs
+++ b/crates/sillpin-gateway/tests/common/engines.rs
@@ -188,6 +188,7 @@
             }),
             residency: anywhere(),
             limit_context: None,
+            streams: None,
             now: Instant::now(),
         };
         (at, choose(&choice).unwrap())
@@ -202,7 +203,7 @@
     /// engines that the box chose recently, in milliseconds.
     pub fn queues(&self, (at, chosen): &(usize, ChosenTarget)) -> (f64, f64) {
         let queue = Queue::reported(chosen.queue_ms, self.delay.is_known);
-        let standing_ms = self.boxes[*at].record_queue(queue, Instant::now());
+        let standing_ms = self.boxes[*at].record_queue(None, queue, Instant::now());
         (queue.expected_ms, standing_ms)
     }
 
--- a/crates/sillpin-gateway/tests/place.rs
+++ b/crates/sillpin-gateway/tests/place.rs
@@ -97,6 +97,7 @@
                     pool_zones: &[],
                 },
             }),
+            streams: None,
             now: Instant::now(),
         };
         choose(&choice)
--- a/crates/sillpin-gateway/tests/residency.rs
+++ b/crates/sillpin-gateway/tests/residency.rs
@@ -97,6 +97,7 @@
             regions: &zones,
         },
         limit_context: None,
+        streams: None,
         now: Instant::now(),
     };
     let found = choose(&choice).map(|found| found.target.id.to_string());
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -223,4 +223,6 @@
     RELEASE_STEP = 366, Info, "step of a release", "Nothing to do.";
     /// A response was dropped because its caller did not read it and its memory was needed.
     RESPONSE_EVICTED = 367, Warning, "response dropped: caller reads too slowly", "Nothing to do unless it recurs for callers that should be fast: then give the box more memory (`memory-mb`).";
+    /// The number of engines that are reserved for short prompts changed.
+    STREAM_ENGINES_CHANGED = 370, Info, "stream engines changed", "Nothing to do: `zones` has the number in each zone, which follows the short prompts in flight.";
 }
