Spread short prompts over stream engines, with their memory counted

Cause: in a model of a zone (30 engines, reports 0.15 s late), short prompts waited for seconds after a burst: all boxes chose the only engine that was reported free, and engines that had just become stream engines still held the memory of long prompts.

Change: two random stream engines are considered first, then four, whether or not others are reported free; free capacity counts the memory of long prompts that still run. A long prompt may use a stream engine only if its prefill takes less than a third of the accepted pause: with the whole pause, streams of the model paused for 420 to 470 ms where 400 ms are accepted. A stream engine counts as idle while only short prefills are reported there.

--- a/crates/sillpin-gateway/src/placement/stream_engines.rs
+++ b/crates/sillpin-gateway/src/placement/stream_engines.rs
@@ -111,10 +111,15 @@
         }
     }
 
+    /// Returns the memory of an engine that streams may occupy, in tokens.
+    fn usable_memory(&self) -> f64 {
+        self.capacity.0 as f64 * MEMORY_SHARE
+    }
+
     /// Returns the number of streams that an engine serves well, if each holds `stream_tokens` of memory.
     pub fn batch(&self, stream_tokens: f64) -> f64 {
         let in_slots = f64::from(self.slots) * SLOT_SHARE;
-        let in_memory = self.capacity.0 as f64 * MEMORY_SHARE / stream_tokens.max(1.0);
+        let in_memory = self.usable_memory() / stream_tokens.max(1.0);
         let batch = in_slots
             .min(in_memory)
             .min(f64::from(self.comfortable_batch));
--- a/crates/sillpin-gateway/src/placement/stream_engines/count.rs
+++ b/crates/sillpin-gateway/src/placement/stream_engines/count.rs
@@ -49,7 +49,8 @@
 
     /// Updates the number and returns it.
     pub fn update(&mut self, demand: &ZoneDemand, now: Instant) -> usize {
-        let growth = self.growth(demand.streams, now);
+        // Streams start and end at random, which alone makes their number differ by about its square root.
+        let growth = self.growth(demand.streams, now) - demand.streams.sqrt();
         let headroom = growth.clamp(demand.streams * MIN_HEADROOM, demand.streams * MAX_HEADROOM);
         let needed = demand.needed(headroom);
         // Fewer engines can be used: the others leave immediately.
--- a/crates/sillpin-gateway/src/placement/stream_engines/search.rs
+++ b/crates/sillpin-gateway/src/placement/stream_engines/search.rs
@@ -16,8 +16,12 @@
 /// keeps the engines' loads nearly equal, while all boxes would send to the engine with the least reported load.
 const FIRST_ENGINES: usize = 2;
 
-/// Prefill work at an engine below which no prefill is in progress, in milliseconds.
-const IDLE_MS: f64 = 1.0;
+/// Number of stream engines considered next if those have no free capacity.
+const SECOND_ENGINES: usize = 4;
+
+/// A long prompt may use a stream engine if its prefill takes less than this part of the shortest pause that callers
+/// accept: other steps add to the pause, and an engine may be slow for a while.
+const MAX_PREFILL_SHARE: f64 = 1.0 / 3.0;
 
 /// Stream engines of all zones.
 type Reserved = HashSet<TargetHash>;
@@ -139,27 +143,38 @@
         .or_else(|| self.best_among(pool, |_| true))
     }
 
-    /// Returns the best stream engine with free capacity: among a few random ones if reports are late.
+    /// Returns the best stream engine with free capacity. If reports are late, a few random ones are considered: all
+    /// boxes would send to the only one that has free capacity according to the reports.
     fn best_stream_engine<'t>(
         &self,
         engines: impl Iterator<Item = &'t IndexedTarget>,
         streams: &StreamInputs,
         reserved: &Reserved,
     ) -> Option<ChosenTarget> {
-        let reserved = engines.filter(|engine| reserved.contains(&engine.hash));
-        let mut free: Vec<&IndexedTarget> = reserved
-            .filter(|engine| self.has_free_capacity(engine, streams))
-            .collect();
-        free.sort_by_cached_key(|engine| engine.home_rank(streams.draw));
-        let considered = match self.choice.reported_late {
-            true => FIRST_ENGINES,
-            false => usize::MAX,
-        };
-        let found = free.iter().filter_map(|engine| self.candidate(engine, 0));
-        let found: Vec<ChosenTarget> = found
-            .filter(|found| found.has_memory)
-            .take(considered)
+        let mut engines: Vec<&IndexedTarget> = engines
+            .filter(|engine| reserved.contains(&engine.hash))
             .collect();
+        engines.sort_by_cached_key(|engine| engine.home_rank(streams.draw));
+        if !self.choice.reported_late {
+            return self.best_free(&engines, streams);
+        }
+        let (first, others) = engines.split_at(engines.len().min(FIRST_ENGINES));
+        let second = &others[..others.len().min(SECOND_ENGINES)];
+        let found = self.best_free(first, streams);
+        found.or_else(|| self.best_free(second, streams))
+    }
+
+    /// Returns the engine with free capacity at which a short prompt starts first.
+    fn best_free(
+        &self,
+        engines: &[&IndexedTarget],
+        streams: &StreamInputs,
+    ) -> Option<ChosenTarget> {
+        let free = engines
+            .iter()
+            .filter(|engine| self.has_free_capacity(engine, streams));
+        let found = free.filter_map(|engine| self.candidate(engine, 0));
+        let found: Vec<ChosenTarget> = found.filter(|found| found.has_memory).collect();
         let candidates = found.len();
         let best = found
             .into_iter()
@@ -167,15 +182,23 @@
         Some(ChosenTarget { candidates, ..best })
     }
 
+    /// Returns whether an engine serves one more stream well. Long prompts that it still runs, because it has become a
+    /// stream engine just now, count with their memory.
     fn has_free_capacity(&self, engine: &IndexedTarget, streams: &StreamInputs) -> bool {
-        let at_engine = self.streams_at(engine);
-        let stream_tokens = at_engine.tokens / at_engine.requests.max(1.0);
-        let running = self.work_at(engine).requests.max(at_engine.requests);
-        running < streams.rules.batch(stream_tokens)
+        let (work, at_engine) = (self.work_at(engine), self.streams_at(engine));
+        let prompt_tokens = self.choice.prompt.as_ref().map_or(0, |p| p.tokens.0) as f64;
+        let stream_tokens = match at_engine.requests >= 1.0 {
+            true => at_engine.tokens / at_engine.requests,
+            false => prompt_tokens,
+        };
+        let long_tokens = (work.tokens - at_engine.requests * prompt_tokens).max(0.0);
+        let held = long_tokens + at_engine.tokens + stream_tokens;
+        let running = work.requests.max(at_engine.requests);
+        held <= streams.rules.usable_memory() && running < streams.rules.batch(stream_tokens)
     }
 
     /// A long prompt goes to one of the other engines. If it would miss its latency objective there, it may use a
-    /// stream engine that prefills nothing.
+    /// stream engine that prefills no other long prompt.
     fn best_for_long(
         &self,
         pool: &PoolTargets,
@@ -210,7 +233,7 @@
         let own = pool.of_zone(choice.zone).iter();
         let own: Vec<&IndexedTarget> = own.filter(|at| reserved.contains(&at.hash)).collect();
         let max_event_gap_ms = streams.rules.max_event_gap.as_secs_f64() * 1000.0;
-        if own.is_empty() || streams.prefill_ms >= max_event_gap_ms {
+        if own.is_empty() || streams.prefill_ms >= max_event_gap_ms * MAX_PREFILL_SHARE {
             return None;
         }
         let interval = long_prompts::interval(streams.prefill_ms, own.len(), streams.zone_boxes);
@@ -223,7 +246,8 @@
         drop(state);
         let idle = |engine: &&&IndexedTarget| {
             let (work, at_engine) = (self.work_at(engine), self.streams_at(engine));
-            work.prefill_ms < IDLE_MS && work.requests < at_engine.requests + 1.0
+            let runs_long_prompt = work.requests >= at_engine.requests + 1.0;
+            !runs_long_prompt && streams.rules.kind(work.prefill_ms) == PromptKind::Short
         };
         let mut idle: Vec<&IndexedTarget> = own.iter().filter(idle).copied().collect();
         idle.sort_by_cached_key(|engine| engine.home_rank(streams.draw));
