Let stream engines drain before long prompts use them again

Cause: an engine that left the stream engines got long prompts at once, and the streams still running there paused for 420 to 470 ms where 400 ms are accepted. Short prompts were placed by prefill work that was done long before the report of it arrived, so some engines ran three times the streams of others.

Change: long prompts prefer engines that run less than a quarter of the streams that they serve well. If reports are late, stream engines are compared by the part of the prefill work that is certainly left, and by their streams. Requests for the new version of a release reserve no engines.

--- a/crates/sillpin-gateway/src/front/selection.rs
+++ b/crates/sillpin-gateway/src/front/selection.rs
@@ -19,6 +19,7 @@
 use crate::placement::stream_engines::{PromptKind, StreamInputs, StreamRules, stream_work};
 use crate::placement::work::Work;
 use crate::placement::{ChoiceInputs, ChosenTarget, InFlightGuard, choose};
+use crate::releases::Cohort;
 use rand::RngExt;
 use sillpin_core::{ModelId, PoolId, Tokens, WeightVersion};
 use sillpin_policy::overload::{PREFILL_FACTOR, StartEstimate};
@@ -232,7 +233,7 @@
             prompt: None,
             residency: self.residency(request),
             limit_context: spec.map(|spec| self.limit_context(spec, view, now)),
-            streams: None,
+            streams: self.stream_inputs(request, pool, view, progress),
             now,
         };
         match (engine, &request.head.prompt) {
@@ -362,7 +363,6 @@
         };
         let chosen = choose(&ChoiceInputs {
             prompt: Some(prompt_choice),
-            streams: self.stream_inputs(request, &base, view, engine, prompt),
             ..base
         })?;
         self.log_stream_engines(pool, now);
@@ -375,26 +375,27 @@
         })
     }
 
-    /// Returns the input for the choice between stream engines and others, if the pool has stream engines.
+    /// Returns the input for the choice between stream engines and others, if the pool has stream engines. The few
+    /// requests for the new version of a release don't use any.
     fn stream_inputs(
         &self,
         request: &AdmittedRequest,
-        base: &ChoiceInputs<'_>,
+        pool: &PoolId,
         view: &View,
-        engine: &EngineSpec,
-        prompt: &Prompt,
+        progress: &Progress,
     ) -> Option<StreamInputs> {
-        if !self.cfg.scheduling.stream_engines {
+        if !self.cfg.scheduling.stream_engines || progress.cohort != Cohort::Control {
             return None;
         }
-        let rules = StreamRules::of(&request.config, base.pool, engine)?;
-        let prefill_ms = Plan::prefill_time_ms(prompt.tokens);
+        let engine = request.config.pool(pool)?.engine.as_ref()?;
+        let rules = StreamRules::of(&request.config, pool, engine)?;
+        let prefill_ms = Plan::prefill_time_ms(request.head.prompt.as_ref()?.tokens);
         let others = view.boxes.iter();
         Some(StreamInputs {
             rules,
             kind: rules.kind(prefill_ms),
             prefill_ms,
-            zone_boxes: 1 + others.filter(|other| other.zone == *base.zone).count(),
+            zone_boxes: 1 + others.filter(|other| other.zone == self.cfg.zone).count(),
             draw: rand::rng().random(),
         })
     }
--- a/crates/sillpin-gateway/src/placement/stream_engines/count.rs
+++ b/crates/sillpin-gateway/src/placement/stream_engines/count.rs
@@ -27,9 +27,9 @@
 /// second at most.
 const MIN_HEADROOM: f64 = 0.1;
 
-/// Largest headroom as a part of the demand. Streams live for two seconds or so, and a load that doubles at once adds
-/// half of their number in a second. A larger growth is seen by a box that receives its first reports.
-const MAX_HEADROOM: f64 = 0.5;
+/// Largest headroom as a part of the demand. Streams live for a second or more, so a load that doubles at once adds at
+/// most as many in a second. A larger growth is seen by a box that receives its first reports.
+const MAX_HEADROOM: f64 = 1.0;
 
 /// The number of stream engines of a zone.
 #[derive(Debug, Default)]
--- a/crates/sillpin-gateway/src/placement/stream_engines/search.rs
+++ b/crates/sillpin-gateway/src/placement/stream_engines/search.rs
@@ -23,6 +23,10 @@
 /// accept: other steps add to the pause, and an engine may be slow for a while.
 const MAX_PREFILL_SHARE: f64 = 1.0 / 3.0;
 
+/// An engine that has left the stream engines gets long prompts again when it runs fewer streams than this part of
+/// what it serves well.
+const MAX_DRAINED_SHARE: f64 = 0.25;
+
 /// Stream engines of all zones.
 type Reserved = HashSet<TargetHash>;
 
@@ -178,10 +182,17 @@
         let candidates = found.len();
         let best = found
             .into_iter()
-            .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))?;
+            .min_by(|a, b| self.start_cost(a).total_cmp(&self.start_cost(b)))?;
         Some(ChosenTarget { candidates, ..best })
     }
 
+    /// Returns the cost of an engine without the prefill work that is done by now if reports are late. Otherwise the
+    /// prefills of a few short prompts would count for more than the number of streams.
+    fn start_cost(&self, found: &ChosenTarget) -> f64 {
+        let queue = Queue::reported(found.queue_ms, self.choice.reported_late);
+        found.cost_ms - found.queue_ms + queue.certain_ms
+    }
+
     /// Returns whether an engine serves one more stream well. Long prompts that it still runs, because it has become a
     /// stream engine just now, count with their memory.
     fn has_free_capacity(&self, engine: &IndexedTarget, streams: &StreamInputs) -> bool {
@@ -197,22 +208,36 @@
         held <= streams.rules.usable_memory() && running < streams.rules.batch(stream_tokens)
     }
 
-    /// A long prompt goes to one of the other engines. If it would miss its latency objective there, it may use a
-    /// stream engine that prefills no other long prompt.
+    /// A long prompt goes to one of the other engines, if possible to one that runs few streams. If it would miss its
+    /// latency objective there, it may use a stream engine that prefills no other long prompt.
     fn best_for_long(
         &self,
         pool: &PoolTargets,
         streams: &StreamInputs,
         reserved: &Reserved,
     ) -> Option<ChosenTarget> {
-        let others = self.best_among(pool, |engine| !reserved.contains(&engine.hash));
+        let is_other = |engine: &&IndexedTarget| !reserved.contains(&engine.hash);
         let is_in_time = |found: &ChosenTarget| self.is_in_time(found, streams);
+        let drained =
+            |engine: &&IndexedTarget| is_other(engine) && self.is_drained(engine, streams);
+        let found = self.best_among(pool, drained);
+        if found.as_ref().is_some_and(is_in_time) {
+            return found;
+        }
+        let others = self.best_among(pool, is_other);
         if others.as_ref().is_some_and(is_in_time) {
             return others;
         }
         self.idle_stream_engine(pool, streams, reserved).or(others)
     }
 
+    /// Returns whether an engine runs few streams. One that was a stream engine until a moment ago runs many.
+    fn is_drained(&self, engine: &IndexedTarget, streams: &StreamInputs) -> bool {
+        let at_engine = self.streams_at(engine);
+        let stream_tokens = at_engine.tokens / at_engine.requests.max(1.0);
+        at_engine.requests <= streams.rules.batch(stream_tokens) * MAX_DRAINED_SHARE
+    }
+
     /// Returns whether a prompt can start at an engine within its latency objective.
     fn is_in_time(&self, found: &ChosenTarget, streams: &StreamInputs) -> bool {
         let queue = Queue::reported(found.queue_ms, self.choice.reported_late);
