Test stream engines under load; spread short prompts evenly near capacity

The first short prompts of a load all went to the only stream engine.

Change: two random engines are compared at a time; if neither has room, the two of other zones, two that run no long prompt, and two with any slots and memory left follow. A twelfth of the engines of a zone is reserved as soon as there are short prompts. The tests model engines with steps, chunks, memory, slots and eviction, and reports that are 0.15 s late.

--- a/crates/sillpin-gateway/src/placement/stream_engines.rs
+++ b/crates/sillpin-gateway/src/placement/stream_engines.rs
@@ -40,10 +40,14 @@
 /// Share of an engine's memory that streams may occupy, for the same reason and because streams differ in length.
 const MEMORY_SHARE: f64 = 0.8;
 
+/// Share of an engine's slots and memory that streams may occupy while all stream engines are busy.
+const FULL_SHARE: f64 = 0.9;
+
 /// Share of the maximum response that a stream is expected to generate.
 const EXPECTED_OUTPUT_SHARE: f64 = 0.5;
 
 /// Smallest zone in which engines are reserved. In a smaller one, a single engine is more than a twelfth of the zone.
+/// A twelfth is reserved as soon as there are short prompts: all boxes send there until they receive the first reports.
 pub const MIN_ZONE_ENGINES: usize = 12;
 
 /// Key of the order of a zone's engines, which is the same at all boxes.
@@ -52,6 +56,15 @@
 /// Shortest time between two events about the stream engines of a pool.
 const CHANGE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How many streams an engine gets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fill {
+    /// As many as it serves well.
+    Comfortable,
+    /// As many as have slots and memory.
+    Full,
+}
+
 /// The two kinds of prompts that are kept apart.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PromptKind {
@@ -112,18 +125,23 @@
     }
 
     /// Returns the memory of an engine that streams may occupy, in tokens.
-    fn usable_memory(&self) -> f64 {
-        self.capacity.0 as f64 * MEMORY_SHARE
+    pub fn usable_memory(&self, fill: Fill) -> f64 {
+        self.capacity.0 as f64
+            * match fill {
+                Fill::Comfortable => MEMORY_SHARE,
+                Fill::Full => FULL_SHARE,
+            }
     }
 
-    /// Returns the number of streams that an engine serves well, if each holds `stream_tokens` of memory.
-    pub fn batch(&self, stream_tokens: f64) -> f64 {
-        let in_slots = f64::from(self.slots) * SLOT_SHARE;
-        let in_memory = self.usable_memory() / stream_tokens.max(1.0);
-        let batch = in_slots
-            .min(in_memory)
-            .min(f64::from(self.comfortable_batch));
-        batch.floor().max(1.0)
+    /// Returns the number of streams that an engine gets, if each holds `stream_tokens` of memory.
+    pub fn max_batch(&self, stream_tokens: f64, fill: Fill) -> f64 {
+        let slots = f64::from(self.slots);
+        let in_slots = match fill {
+            Fill::Comfortable => (slots * SLOT_SHARE).min(f64::from(self.comfortable_batch)),
+            Fill::Full => slots * FULL_SHARE,
+        };
+        let in_memory = self.usable_memory(fill) / stream_tokens.max(1.0);
+        in_slots.min(in_memory).floor().max(1.0)
     }
 }
 
@@ -245,7 +263,7 @@
         let stream_tokens = streams.tokens / streams.requests.max(1.0);
         Self {
             streams: streams.requests,
-            batch: rules.batch(stream_tokens),
+            batch: rules.max_batch(stream_tokens, Fill::Comfortable),
             usable,
         }
     }
@@ -254,7 +272,11 @@
     /// prompts.
     pub fn needed(&self, growth: f64) -> usize {
         let engines = ((self.streams + growth) / self.batch).ceil() as usize;
-        engines.min(self.usable.saturating_sub(1))
+        let least = match self.streams > 0.0 {
+            true => self.usable.div_ceil(MIN_ZONE_ENGINES),
+            false => 0,
+        };
+        engines.max(least).min(self.usable.saturating_sub(1))
     }
 }
 
--- a/crates/sillpin-gateway/src/placement/stream_engines/search.rs
+++ b/crates/sillpin-gateway/src/placement/stream_engines/search.rs
@@ -1,6 +1,6 @@
 //! The choice of an engine for a prompt in a pool that has stream engines.
 
-use super::{MIN_ZONE_ENGINES, PromptKind, StreamInputs, ZoneDemand, long_prompts, sort};
+use super::{Fill, MIN_ZONE_ENGINES, PromptKind, StreamInputs, ZoneDemand, long_prompts, sort};
 use crate::cache_stores::homes::to_unit_interval;
 use crate::fleet_state::fleet::served;
 use crate::placement::choose::{ChosenTarget, Search};
@@ -12,13 +12,10 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-/// Number of stream engines considered for a short prompt if reports are late. The better one of two random engines
+/// Number of engines considered at a time for a short prompt if reports are late. The better one of two random engines
 /// keeps the engines' loads nearly equal, while all boxes would send to the engine with the least reported load.
 const FIRST_ENGINES: usize = 2;
 
-/// Number of stream engines considered next if those have no free capacity.
-const SECOND_ENGINES: usize = 4;
-
 /// A long prompt may use a stream engine if its prefill takes less than this part of the shortest pause that callers
 /// accept: other steps add to the pause, and an engine may be slow for a while.
 const MAX_PREFILL_SHARE: f64 = 1.0 / 3.0;
@@ -124,8 +121,9 @@
         serves && !in_cooldown && !is_cold && !self.unavailable.contains(&engine.incarnation)
     }
 
-    /// A short prompt goes to a stream engine of the own zone, or else of another one, that has free capacity, and
-    /// otherwise to any engine.
+    /// A short prompt goes to a stream engine of the own zone, or else of another one, that has free capacity. If there
+    /// is none, it goes to an engine that runs no long prompt, then to a stream engine that has any slots and memory
+    /// left, and otherwise to any engine.
     fn best_for_short(
         &self,
         pool: &PoolTargets,
@@ -133,50 +131,57 @@
         reserved: &Reserved,
     ) -> Option<ChosenTarget> {
         let choice = self.choice;
-        let own = pool.of_zone(choice.zone).iter();
-        let own = self.best_stream_engine(own, streams, reserved);
-        let reachable = |engine: &&IndexedTarget| {
+        let is_reserved = |engine: &&IndexedTarget| reserved.contains(&engine.hash);
+        let is_reachable = |engine: &&IndexedTarget| {
             !choice
                 .loads
                 .seems_partitioned(&engine.entry.zone, choice.now)
         };
-        own.or_else(|| {
-            let others = pool.of_other_zones(choice.zone).filter(reachable);
-            self.best_stream_engine(others, streams, reserved)
-        })
-        .or_else(|| self.best_among(pool, |_| true))
+        let own = || pool.of_zone(choice.zone).iter();
+        let in_own = || own().filter(is_reserved);
+        let in_others = || {
+            let others = pool.of_other_zones(choice.zone);
+            others.filter(is_reserved).filter(is_reachable)
+        };
+        let without_long = || own().filter(|engine| !self.runs_long_prompt(engine));
+        self.best_with_room(in_own(), streams, Fill::Comfortable)
+            .or_else(|| self.best_with_room(in_others(), streams, Fill::Comfortable))
+            .or_else(|| self.best_with_room(without_long(), streams, Fill::Comfortable))
+            .or_else(|| self.best_with_room(in_own(), streams, Fill::Full))
+            .or_else(|| self.best_among(pool, |_| true))
     }
 
-    /// Returns the best stream engine with free capacity. If reports are late, a few random ones are considered: all
-    /// boxes would send to the only one that has free capacity according to the reports.
-    fn best_stream_engine<'t>(
+    fn runs_long_prompt(&self, engine: &IndexedTarget) -> bool {
+        self.work_at(engine).requests >= self.streams_at(engine).requests + 1.0
+    }
+
+    /// Returns the best engine that has room. If reports are late, two random ones are considered: all boxes would
+    /// send to the only one that has room according to the reports.
+    fn best_with_room<'t>(
         &self,
         engines: impl Iterator<Item = &'t IndexedTarget>,
         streams: &StreamInputs,
-        reserved: &Reserved,
+        fill: Fill,
     ) -> Option<ChosenTarget> {
-        let mut engines: Vec<&IndexedTarget> = engines
-            .filter(|engine| reserved.contains(&engine.hash))
-            .collect();
+        let mut engines: Vec<&IndexedTarget> = engines.collect();
         engines.sort_by_cached_key(|engine| engine.home_rank(streams.draw));
         if !self.choice.reported_late {
-            return self.best_free(&engines, streams);
+            return self.first_to_start(&engines, streams, fill);
         }
-        let (first, others) = engines.split_at(engines.len().min(FIRST_ENGINES));
-        let second = &others[..others.len().min(SECOND_ENGINES)];
-        let found = self.best_free(first, streams);
-        found.or_else(|| self.best_free(second, streams))
+        let first = &engines[..engines.len().min(FIRST_ENGINES)];
+        self.first_to_start(first, streams, fill)
     }
 
-    /// Returns the engine with free capacity at which a short prompt starts first.
-    fn best_free(
+    /// Returns the engine with room at which a short prompt starts first.
+    fn first_to_start(
         &self,
         engines: &[&IndexedTarget],
         streams: &StreamInputs,
+        fill: Fill,
     ) -> Option<ChosenTarget> {
         let free = engines
             .iter()
-            .filter(|engine| self.has_free_capacity(engine, streams));
+            .filter(|engine| self.has_room(engine, streams, fill));
         let found = free.filter_map(|engine| self.candidate(engine, 0));
         let found: Vec<ChosenTarget> = found.filter(|found| found.has_memory).collect();
         let candidates = found.len();
@@ -193,9 +198,9 @@
         found.cost_ms - found.queue_ms + queue.certain_ms
     }
 
-    /// Returns whether an engine serves one more stream well. Long prompts that it still runs, because it has become a
+    /// Returns whether an engine has room for one more stream. Long prompts that it still runs, because it has become a
     /// stream engine just now, count with their memory.
-    fn has_free_capacity(&self, engine: &IndexedTarget, streams: &StreamInputs) -> bool {
+    fn has_room(&self, engine: &IndexedTarget, streams: &StreamInputs, fill: Fill) -> bool {
         let (work, at_engine) = (self.work_at(engine), self.streams_at(engine));
         let prompt_tokens = self.choice.prompt.as_ref().map_or(0, |p| p.tokens.0) as f64;
         let stream_tokens = match at_engine.requests >= 1.0 {
@@ -205,7 +210,8 @@
         let long_tokens = (work.tokens - at_engine.requests * prompt_tokens).max(0.0);
         let held = long_tokens + at_engine.tokens + stream_tokens;
         let running = work.requests.max(at_engine.requests);
-        held <= streams.rules.usable_memory() && running < streams.rules.batch(stream_tokens)
+        let max_batch = streams.rules.max_batch(stream_tokens, fill);
+        held <= streams.rules.usable_memory(fill) && running < max_batch
     }
 
     /// A long prompt goes to one of the other engines, if possible to one that runs few streams. If it would miss its
@@ -235,7 +241,8 @@
     fn is_drained(&self, engine: &IndexedTarget, streams: &StreamInputs) -> bool {
         let at_engine = self.streams_at(engine);
         let stream_tokens = at_engine.tokens / at_engine.requests.max(1.0);
-        at_engine.requests <= streams.rules.batch(stream_tokens) * MAX_DRAINED_SHARE
+        let max_batch = streams.rules.max_batch(stream_tokens, Fill::Comfortable);
+        at_engine.requests <= max_batch * MAX_DRAINED_SHARE
     }
 
     /// Returns whether a prompt can start at an engine within its latency objective.
@@ -270,9 +277,8 @@
         }
         drop(state);
         let idle = |engine: &&&IndexedTarget| {
-            let (work, at_engine) = (self.work_at(engine), self.streams_at(engine));
-            let runs_long_prompt = work.requests >= at_engine.requests + 1.0;
-            !runs_long_prompt && streams.rules.kind(work.prefill_ms) == PromptKind::Short
+            let prefill_ms = self.work_at(engine).prefill_ms;
+            !self.runs_long_prompt(engine) && streams.rules.kind(prefill_ms) == PromptKind::Short
         };
         let mut idle: Vec<&IndexedTarget> = own.iter().filter(idle).copied().collect();
         idle.sort_by_cached_key(|engine| engine.home_rank(streams.draw));
--- a/crates/sillpin-gateway/tests/common/engines.rs
+++ b/crates/sillpin-gateway/tests/common/engines.rs
@@ -164,7 +164,7 @@
         let at = self.rng.random_range(0..self.boxes.len());
         let plans = [(
             WeightVersion(1),
-            plan_without_stored_parts(self.rng.random()),
+            plan_without_stored_parts(self.rng.random(), PROMPT),
         )];
         let (pool, zone): (PoolId, ZoneId) = (name("llm"), name("za"));
         let model = name("m");
@@ -237,7 +237,7 @@
 }
 
 /// Returns the plan of a prompt whose last shared part is `key`, with no part in a store.
-fn plan_without_stored_parts(key: u64) -> Plan {
+pub fn plan_without_stored_parts(key: u64, tokens: Tokens) -> Plan {
     let part = |id: String, tokens| Part {
         id: PartId(id),
         tokens: Tokens(tokens),
@@ -245,10 +245,10 @@
     let prompt = Prompt {
         model: name("m"),
         parts: vec![
-            part(format!("{key:x}"), 5_000),
-            part("own".to_owned(), 4_000),
+            part(format!("{key:x}"), tokens.0 / 2),
+            part("own".to_owned(), tokens.0 - tokens.0 / 2),
         ],
-        tokens: PROMPT,
+        tokens,
         max_output: Tokens(10),
     };
     let engine = EngineSpec {
--- a/crates/sillpin-gateway/tests/common/mod.rs
+++ b/crates/sillpin-gateway/tests/common/mod.rs
@@ -5,6 +5,7 @@
 pub mod engines;
 pub mod gossip;
 pub mod memory_store;
+pub mod stream_model;
 
 use sillpin_core::{ModelId, PoolId, TargetId, WeightVersion, ZoneId};
 use sillpin_gateway::config::{ConfigVersion, FleetConfig, StoreSpec};
