Learn the speed of engines from requests

Cause: estimates of queues and of the time to the first event assume the prefill rate of one deployment (56.9 tokens/ms) and no fixed time. On engines with other rates they are wrong by up to a factor of two, and an engine that becomes slow is treated like the others of its pool.

Change: placement/engine_speed learns for each pool the prefill rate, the fixed time to the first event and the growth of the pause between events with the batch, and for each engine its slowness. Rates are shared as one row of kind Rates for each pool. Only requests without a known queue and without fetched parts are measured.

Ruled out: rates from totals, which count a fixed time of 110 ms as prefill; a median over all samples, which follows the mix of prompt lengths.

Two new tests in place fail without the slowness in the queue or in the cost.

--- a/crates/sillpin-gateway/benches/decision.rs
+++ b/crates/sillpin-gateway/benches/decision.rs
@@ -16,6 +16,7 @@
 use sillpin_gateway::control::TargetEntry;
 use sillpin_gateway::dialect::{Part, PartId, Prompt};
 use sillpin_gateway::placement::choose::PromptInputs;
+use sillpin_gateway::placement::engine_speed::PoolSpeed;
 use sillpin_gateway::placement::index::TargetIndex;
 use sillpin_gateway::placement::parts::{PlanInputs, plan, salt};
 use sillpin_gateway::placement::work::EngineWork;
@@ -89,6 +90,7 @@
                     cache_stores: &cache_stores,
                     residency: anywhere(),
                     in_contact: true,
+                    speed: PoolSpeed::default(),
                     now,
                 };
                 let version = WeightVersion(1);
--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -180,11 +180,14 @@
         self.log_attempt(request, progress, &view, &prepared);
         progress.offered.push(target.id.clone());
         progress.cohort = Cohort::Control;
+        let measured = prepared.measured_request(pool, view.box_count());
+        let measured = measured.filter(|_| progress.resume_after.is_none());
+        let in_flight = self.loads.start(&target.id, prepared.work());
         let attempt = Attempt {
             request,
             target: target.clone(),
             head: attempt_head(request, progress, &mut prepared),
-            in_flight: self.loads.start(&target.id, prepared.work()),
+            in_flight: in_flight.measured(measured),
         };
         let sent = Instant::now();
         let version = prepared.chosen.version;
--- a/crates/sillpin-gateway/src/front/events.rs
+++ b/crates/sillpin-gateway/src/front/events.rs
@@ -65,6 +65,14 @@
     0
 }
 
+/// Returns the number of complete events, each of which ends with an empty line.
+pub fn count_events(events: &[u8]) -> u32 {
+    let lines = events.split(|b| *b == b'\n');
+    let is_empty = |line: &&[u8]| line.is_empty() || *line == b"\r";
+    // What follows the last line end is not a line.
+    (lines.filter(is_empty).count() as u32).saturating_sub(1)
+}
+
 fn last_id(events: &[u8]) -> Option<String> {
     let lines = events.split(|b| *b == b'\n');
     let mut ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -7,7 +7,7 @@
 use super::admit::AdmittedRequest;
 use super::attempt::{AttemptOutcome, OpenStream};
 use super::dispatch::{Progress, may_rerun};
-use super::events::EventSplitter;
+use super::events::{EventSplitter, count_events};
 use super::shared::Shared;
 use crate::dialect::Dialect;
 use crate::placement::load::Outcome as Health;
@@ -229,6 +229,7 @@
                 in_flight.prefill_done();
                 first = false;
             }
+            in_flight.record_events(count_events(&complete));
             if tx.send(complete).await.is_err() {
                 return RelayEnd::CallerDisconnected;
             }
--- a/crates/sillpin-gateway/src/front/selection.rs
+++ b/crates/sillpin-gateway/src/front/selection.rs
@@ -10,13 +10,15 @@
 use crate::peers::roles::SMALL_FLEET;
 use crate::placement::allowed::{AllowedWeights, WeightsInputs};
 use crate::placement::choose::PromptInputs;
+use crate::placement::engine_speed::PoolSpeed;
 use crate::placement::index::TargetIndex;
 use crate::placement::limits::LimitContext;
+use crate::placement::load::MeasuredRequest;
 use crate::placement::parts::{Plan, PlanInputs, plan, salt};
 use crate::placement::residency::Residency;
 use crate::placement::shared_limit::{MEMBERSHIP_DELAY, ShareGroup};
 use crate::placement::standing::Queue;
-use crate::placement::work::Work;
+use crate::placement::work::{IncarnationHash, Work};
 use crate::placement::{ChoiceInputs, ChosenTarget, choose};
 use rand::RngExt;
 use sillpin_core::{ModelId, PoolId, Tokens, WeightVersion};
@@ -43,6 +45,10 @@
 /// are in time, but finishes a chunk that it has started.
 const LATE_WORK_FRACTION: f64 = 0.25;
 
+/// Largest part of a request's latency objective that the learned fixed time of engines may take up: with a wrong
+/// estimate, requests must not all count as late.
+const MAX_START_SHARE: f64 = 0.5;
+
 /// Upper limit of the mean retry-after when targets are at their rate limits. Limits are counted in periods of four
 /// seconds.
 const MAX_LIMITED_WAIT: Duration = Duration::from_secs(4);
@@ -88,15 +94,18 @@
 impl SelectedTarget {
     /// Prompt work of the request at the selected target, in milliseconds.
     fn prefill_ms(&self) -> f64 {
-        let work = |plan: &Plan| {
-            Plan::prefill_time_ms(plan.own_tokens) + plan.shared_time_ms(&self.chosen.target.zone)
-        };
+        let work = |plan: &Plan| plan.prompt_time_ms(&self.chosen.target.zone);
         self.plan.as_ref().map_or(0.0, work)
     }
 
+    /// Time to the first event besides the prompt work, in milliseconds.
+    fn start_ms(&self) -> f64 {
+        self.plan.as_ref().map_or(0.0, |plan| plan.speed.start_ms)
+    }
+
     /// Prompt work until the first event, including the work queued ahead, in milliseconds.
     pub fn expected_ms(&self) -> f64 {
-        self.chosen.queue_ms + self.prefill_ms()
+        self.chosen.queue_ms + self.prefill_ms() * self.chosen.slowness
     }
 }
 
@@ -138,6 +147,21 @@
         Some(Queue::reported(self.chosen.queue_ms, boxes > SMALL_FLEET))
     }
 
+    /// The request as a measurement of an engine of a pool, in a fleet of `boxes` boxes; `None` if engine speeds are
+    /// not to be learned from it.
+    pub fn measured_request(&self, pool: &PoolId, boxes: usize) -> Option<MeasuredRequest> {
+        let tokens = self.prompt_len.0.saturating_sub(self.fetched);
+        let is_measured = self.directives.is_some() && self.in_time && boxes > SMALL_FLEET;
+        is_measured.then(|| MeasuredRequest {
+            pool: pool.clone(),
+            engine: IncarnationHash::of(&self.chosen.target),
+            tokens: Tokens(tokens),
+            queue_ms: self.chosen.queue_ms,
+            is_start_clean: self.fetched == 0,
+            sent: Instant::now(),
+        })
+    }
+
     /// Input for the overload decision. `standing_ms` is the recent standing queue at targets, in milliseconds.
     pub fn expected(
         &self,
@@ -151,7 +175,7 @@
             latency_objective: request.route.latency_objective,
             queue: millis(queue.expected_ms),
             standing: millis(standing_ms),
-            own: millis(self.prefill_ms),
+            own: millis(self.prefill_ms * self.chosen.slowness),
         }
     }
 
@@ -166,10 +190,13 @@
 }
 
 /// Whether a request's first event can still arrive within its latency objective, given the prompt work ahead of it
-/// plus its own in milliseconds.
-fn is_in_time(request: &AdmittedRequest, work_ms: f64) -> bool {
+/// plus its own, and the fixed time of the engine, in milliseconds.
+fn is_in_time(request: &AdmittedRequest, work_ms: f64, start_ms: f64) -> bool {
+    let objective = request.route.latency_objective;
     let work = Duration::from_secs_f64(work_ms * PREFILL_FACTOR / 1000.0);
-    request.arrival.elapsed() + work < request.route.latency_objective
+    let start = Duration::from_secs_f64(start_ms / 1000.0);
+    let start = start.min(objective.mul_f64(MAX_START_SHARE));
+    request.arrival.elapsed() + work + start < objective
 }
 
 impl<D: Dialect> Shared<D> {
@@ -239,6 +266,14 @@
         }
     }
 
+    /// Speed of a pool's engines; the one assumed before anything is learned in small fleets.
+    fn pool_speed(&self, pool: &PoolId, view: &View, now: Instant) -> PoolSpeed {
+        match view.box_count() > SMALL_FLEET {
+            true => self.loads.pool_speed(pool, now),
+            false => PoolSpeed::default(),
+        }
+    }
+
     /// Regions in which a request may run and its prompt may be stored.
     fn residency<'a>(&'a self, request: &'a AdmittedRequest) -> Residency<'a> {
         Residency {
@@ -328,6 +363,7 @@
                 self.suspend_clock.suspended(),
                 now,
             ),
+            speed: self.pool_speed(base.pool, view, now),
             now,
         };
         // One random number for all versions, so that a store that is skipped for one version, to relieve its link, is
@@ -401,7 +437,7 @@
     /// Prepares what is sent to the selected target, and records which parts are going to be saved.
     fn prepare(&self, request: &AdmittedRequest, selected: SelectedTarget) -> PreparedAttempt {
         let prefill_ms = selected.prefill_ms();
-        let in_time = is_in_time(request, selected.expected_ms());
+        let in_time = is_in_time(request, selected.expected_ms(), selected.start_ms());
         let prompt = request.head.prompt.as_ref();
         let prompt_len = prompt.map_or(Tokens(0), |prompt| prompt.tokens);
         let SelectedTarget {
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -90,6 +90,9 @@
         stopping: CancellationToken,
     ) -> Self {
         let cfg = settings.borrow().clone();
+        if cfg.scheduling.learned_speeds {
+            handles.loads.speeds().enable();
+        }
         let max_len = usize::try_from(cfg.memory / BODY_SHARE).unwrap_or(usize::MAX);
         let budget = RetryBudget::default();
         let FleetHandles {
--- a/crates/sillpin-gateway/src/metrics.rs
+++ b/crates/sillpin-gateway/src/metrics.rs
@@ -187,6 +187,19 @@
         .build();
 }
 
+/// Registers the gauge of the prefill rates of engines.
+pub fn observe_speeds(meter: &Meter, loads: Loads) {
+    meter
+        .f64_observable_gauge("sillpin_engine_read_rate")
+        .with_description("Tokens that an engine prefills in a millisecond, by pool")
+        .with_callback(move |observer| {
+            for (pool, rate) in loads.speeds().rates(Instant::now()) {
+                observer.observe(rate.0, &[KeyValue::new("pool", pool.to_string())]);
+            }
+        })
+        .build();
+}
+
 /// Registers counters of calls of the platform store and of the bytes of its responses.
 fn observe_calls(meter: &Meter, calls: CallCounts) {
     let observe = |of: fn(CallTotals) -> u64| {
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -13,7 +13,7 @@
 use crate::fleet_state::{self, BoxEntry, FleetHandle, Topic};
 use crate::front::shared::FleetHandles;
 use crate::front::{Front, Shared};
-use crate::metrics::{BoxMetrics, observe_fleet, observe_signals};
+use crate::metrics::{BoxMetrics, observe_fleet, observe_signals, observe_speeds};
 use crate::peers::datagram::{BoxHash, ZoneUpdate};
 use crate::peers::hub::Hub;
 use crate::peers::link::{self, PeerServer};
@@ -169,6 +169,7 @@
     let (zone_updates_tx, zone_updates) = mpsc::channel(UPDATE_QUEUE);
     let loads = Loads::default();
     observe_signals(&metrics.meter(), loads.clone());
+    observe_speeds(&metrics.meter(), loads.clone());
     start_readers(&adapter.keys, |topic, prefix| Reader {
         platform: adapter.platform.clone(),
         topic,
--- a/crates/sillpin-gateway/src/placement/choose.rs
+++ b/crates/sillpin-gateway/src/placement/choose.rs
@@ -134,6 +134,8 @@
     pub version: Option<WeightVersion>,
     /// Prefill work ahead of the request at the target plus the wait for memory, in milliseconds.
     pub queue_ms: f64,
+    /// How much longer the target takes for a prefill than others of its pool.
+    pub slowness: f64,
     /// Expected time plus the added costs, in milliseconds.
     pub cost_ms: f64,
     /// Number of targets that could have taken the request.
@@ -335,6 +337,16 @@
         limits.admits(context, entry, self.admission, self.choice.now)
     }
 
+    /// Returns the slowness of an engine; 1 in small fleets, which use no learned speeds.
+    fn slowness(&self, target: &IndexedTarget) -> f64 {
+        let choice = self.choice;
+        if choice.prompt.is_none() || !choice.reported_late {
+            return 1.0;
+        }
+        let speeds = choice.loads.speeds();
+        speeds.slowness(target.incarnation, choice.now)
+    }
+
     /// Returns a target with its cost, or `None` if it can't take the request. `position` is its
     /// position among the prompt's homes.
     fn candidate(&self, target: &IndexedTarget, position: usize) -> Option<ChosenTarget> {
@@ -354,6 +366,8 @@
         }
         let peer_work = self.peer_work.get(&target.hash);
         load.work = load.work.plus(peer_work.copied().unwrap_or_default());
+        let slowness = self.slowness(target);
+        load.work.prefill_ms *= slowness;
         let version = match &choice.prompt {
             Some(prompt) => Some(served(entry, prompt.model).filter(|v| *v >= prompt.oldest)?),
             None => None,
@@ -364,7 +378,8 @@
             target: entry.clone(),
             version,
             queue_ms: load.work.prefill_ms + memory_ms(choice, &load),
-            cost_ms: cost(choice, entry, &load, version, position),
+            slowness,
+            cost_ms: cost(choice, entry, &load, version, position, slowness),
             candidates: 0,
             in_cooldown,
             has_memory: !in_cooldown && has_memory(choice, &load),
@@ -378,6 +393,7 @@
     load: &Load,
     version: Option<WeightVersion>,
     position: usize,
+    slowness: f64,
 ) -> f64 {
     let mut ms = load.failure_rate() * FAILING_MS;
     if load.in_cooldown(choice.now) {
@@ -395,6 +411,7 @@
     ms += load.work.requests * MS_PER_REQUEST + load.work.prefill_ms + memory_ms(choice, load);
     let plan = version.and_then(|version| prompt.plan(version));
     ms += plan.map_or(0.0, |plan| plan.shared_cost(&target.zone));
+    ms += plan.map_or(0.0, |plan| plan.prompt_time_ms(&target.zone)) * (slowness - 1.0);
     if version < prompt.desired {
         ms += OLD_WEIGHTS_MS;
     }
--- a/crates/sillpin-gateway/src/placement/load.rs
+++ b/crates/sillpin-gateway/src/placement/load.rs
@@ -1,13 +1,14 @@
 //! Requests that this box has in flight at each target, and the health of targets.
 
+use super::engine_speed::{EngineSpeeds, PaceSample, PoolSpeed, StartSample};
 use super::hold_time::HoldTime;
 use super::limits::Limits;
 use super::signals::TargetSignals;
 use super::standing::{Queue, StandingQueue};
-use super::work::{EngineWork, IncarnationHash, PeerWork, TargetHash, Work};
+use super::work::{EngineWork, IncarnationHash, PeerWork, RowKind, TargetHash, Work};
 use crate::control::{Life, TargetEntry};
 use crate::peers::datagram::BoxHash;
-use sillpin_core::{BoxId, TargetId, ZoneId};
+use sillpin_core::{BoxId, PoolId, TargetId, Tokens, ZoneId};
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -142,6 +143,7 @@
     hold_time: Arc<Mutex<HoldTime>>,
     standing: Arc<Mutex<StandingQueue>>,
     limits: Arc<Mutex<Limits>>,
+    speeds: Arc<Mutex<EngineSpeeds>>,
     /// Notified when this box observes that a target's limit has started, changed or ended.
     pub limit_changed: Arc<Notify>,
 }
@@ -162,9 +164,35 @@
         let working = table.iter().filter(|(_, load)| load.work.tokens >= 1.0);
         working
             .map(|(id, load)| EngineWork::of(id, load.work))
+            .chain(self.speeds().rows(Instant::now()))
             .collect()
     }
 
+    /// Locks the learned speeds of engines.
+    pub fn speeds(&self) -> MutexGuard<'_, EngineSpeeds> {
+        self.speeds.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Returns the speed of a pool's engines, as measured by this box and by others.
+    pub fn pool_speed(&self, pool: &PoolId, now: Instant) -> PoolSpeed {
+        let needs_peers = self.speeds().needs_peers(pool, now);
+        if needs_peers {
+            let row = TargetHash::for_rows(pool.as_str(), RowKind::Rates);
+            let sums = self.peer_work(now).get(&row).copied();
+            self.speeds().set_peers(pool, sums.unwrap_or_default(), now);
+        }
+        self.speeds().speed(pool, now)
+    }
+
+    /// Returns the number of requests in flight at a target, those of other boxes included.
+    fn requests_at(&self, target: &TargetId, now: Instant) -> f64 {
+        let own = self.get(target).work.requests;
+        let peers = self.peer_work(now);
+        own + peers
+            .get(&TargetHash::of(target))
+            .map_or(0.0, |work| work.requests)
+    }
+
     /// Stores the work that another box reported.
     pub fn apply_update(&self, from: BoxId, work: Vec<EngineWork>) {
         let mut peer_work = self.peer_work.lock().unwrap_or_else(|e| e.into_inner());
@@ -277,6 +305,7 @@
             work,
             prefill_ms: work.prefill_ms,
             first_event: None,
+            measured: None,
         }
     }
 
@@ -334,6 +363,7 @@
             .collect();
         let is_listed = |life| incarnations.contains(&life);
         self.signals(|signals| signals.retain_listed(is_listed, now));
+        self.speeds().retain_listed(is_listed);
         let mut table = self.lock();
         table.retain(|id, load| load.in_flight > 0 || targets.contains_key(id));
         for (id, load) in table.iter_mut() {
@@ -353,6 +383,33 @@
     }
 }
 
+/// A request whose times are used to learn the speed of engines.
+#[derive(Debug)]
+pub struct MeasuredRequest {
+    /// Pool of the engine.
+    pub pool: PoolId,
+    /// The engine.
+    pub engine: IncarnationHash,
+    /// Prompt tokens that are not fetched.
+    pub tokens: Tokens,
+    /// Known queue at the engine, in milliseconds.
+    pub queue_ms: f64,
+    /// Whether the time to the first event is that of a prefill without waits for transfers.
+    pub is_start_clean: bool,
+    /// When the request was sent.
+    pub sent: Instant,
+}
+
+/// Events of a measured request.
+#[derive(Debug)]
+struct Measurement {
+    request: MeasuredRequest,
+    events: u32,
+    last_event: Instant,
+    /// Concurrent requests at the engine at the first event.
+    first_batch: f64,
+}
+
 /// A request in flight at a target.
 #[derive(Debug)]
 pub struct InFlightGuard {
@@ -363,9 +420,66 @@
     prefill_ms: f64,
     /// When the first event of the response came.
     first_event: Option<Instant>,
+    measured: Option<Measurement>,
 }
 
 impl InFlightGuard {
+    /// Uses the request's times to learn the speed of engines.
+    pub fn measured(mut self, request: Option<MeasuredRequest>) -> Self {
+        self.measured = request.map(|request| Measurement {
+            last_event: request.sent,
+            request,
+            events: 0,
+            first_batch: 1.0,
+        });
+        self
+    }
+
+    /// Records that events of the response have arrived.
+    pub fn record_events(&mut self, events: u32) {
+        if let Some(measured) = &mut self.measured {
+            measured.events += events;
+            measured.last_event = Instant::now();
+        }
+    }
+
+    /// Records how long the engine took to send the first event.
+    fn record_start(&mut self, now: Instant) {
+        let Some(measured) = &mut self.measured else {
+            return;
+        };
+        measured.first_batch = self.loads.requests_at(&self.target, now);
+        let request = &measured.request;
+        if !request.is_start_clean {
+            return;
+        }
+        let sample = StartSample {
+            tokens: request.tokens,
+            queue_ms: request.queue_ms,
+            took: now - request.sent,
+        };
+        self.loads
+            .speeds()
+            .record_start(&request.pool, request.engine, sample, now);
+    }
+
+    /// Records how fast the events of the response came.
+    fn record_pace(&self) {
+        let (Some(measured), Some(first_event)) = (&self.measured, self.first_event) else {
+            return;
+        };
+        let now = Instant::now();
+        let last_batch = self.loads.requests_at(&self.target, now);
+        let sample = PaceSample {
+            events: measured.events,
+            took: measured.last_event.saturating_duration_since(first_event),
+            batch: (measured.first_batch + last_batch) / 2.0,
+        };
+        self.loads
+            .speeds()
+            .record_pace(&measured.request.pool, sample, now);
+    }
+
     /// Removes the prefill from the target's work: it is complete.
     pub fn prefill_done(&mut self) {
         let mut table = self.loads.lock();
@@ -376,8 +490,11 @@
         if let Some(load) = table.get_mut(&self.target) {
             load.work.subtract(finished);
         }
+        drop(table);
         self.work.prefill_ms = 0.0;
-        self.first_event = Some(Instant::now());
+        let now = Instant::now();
+        self.first_event = Some(now);
+        self.record_start(now);
     }
 
     /// Records how long the request held its engine's memory, which starts with the prefill.
@@ -395,6 +512,7 @@
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.record_hold_time();
+        self.record_pace();
         let mut table = self.loads.lock();
         if let Some(load) = table.get_mut(&self.target) {
             load.in_flight = load.in_flight.saturating_sub(1);
--- a/crates/sillpin-gateway/src/placement/mod.rs
+++ b/crates/sillpin-gateway/src/placement/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`load`]: requests that this box has in flight at each target, and the health of targets,
 //! - [`mod@choose`]: the choice among the targets of a pool,
+//! - [`engine_speed`]: learned speeds of engines,
 //! - [`allowed`]: the weights versions on which a prompt may run,
 //! - [`index`]: targets by pool and zone,
 //! - [`hold_time`]: how long requests hold an engine's memory,
@@ -17,6 +18,7 @@
 
 pub mod allowed;
 pub mod choose;
+pub mod engine_speed;
 pub mod hold_time;
 pub mod index;
 pub mod limits;
--- a/crates/sillpin-gateway/src/placement/parts.rs
+++ b/crates/sillpin-gateway/src/placement/parts.rs
@@ -7,6 +7,7 @@
 use crate::config::{EngineSpec, FleetConfig, Organisation, StoreSpec};
 use crate::control::PartKey;
 use crate::dialect::{EngineDirectives, Prompt, Salt};
+use crate::placement::engine_speed::PoolSpeed;
 use crate::placement::residency::Residency;
 use derive_more::Display;
 use sillpin_core::{Tokens, WeightVersion, ZoneId};
@@ -15,10 +16,6 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Prompt tokens that an engine prefills in a millisecond. The value only ranks ways to serve a
-/// prompt, so a different rate changes little.
-const PREFILL_TOKENS_PER_MS: f64 = 56.9;
-
 /// Transfers between zones take twice as long.
 const OTHER_ZONE_TIME_FACTOR: f64 = 2.0;
 
@@ -86,6 +83,8 @@
     /// Tokens in stores, whether or not they are fetched.
     pub stored_tokens: Tokens,
     token_bytes: u64,
+    /// Speed of the pool's engines.
+    pub speed: PoolSpeed,
 }
 
 /// Returns the salt that separates the stored parts of a weights version, and of an isolated
@@ -111,6 +110,8 @@
     pub residency: Residency<'a>,
     /// Whether this box is in contact with the platform store, which it must be to fetch parts.
     pub in_contact: bool,
+    /// Speed of the pool's engines.
+    pub speed: PoolSpeed,
     /// Current time.
     pub now: Instant,
 }
@@ -142,6 +143,7 @@
         own_tokens: Tokens(prompt.tokens.0.saturating_sub(shared_tokens.0)),
         stored_tokens: Tokens(0),
         token_bytes: inputs.engine.token_bytes,
+        speed: inputs.speed,
     }
 }
 
@@ -221,8 +223,14 @@
     }
 
     /// Returns the time to prefill tokens, in milliseconds.
-    pub fn prefill_time_ms(tokens: Tokens) -> f64 {
-        tokens.0 as f64 / PREFILL_TOKENS_PER_MS
+    pub fn prefill_time_ms(&self, tokens: Tokens) -> f64 {
+        self.speed.rate.ms(tokens)
+    }
+
+    /// Returns the time to fetch or recompute the whole prompt at an engine in `zone`, in
+    /// milliseconds.
+    pub fn prompt_time_ms(&self, zone: &ZoneId) -> f64 {
+        self.prefill_time_ms(self.own_tokens) + self.shared_time_ms(zone)
     }
 
     /// Returns the time to fetch or recompute a shared part at an engine in `zone`, in
@@ -230,7 +238,7 @@
     fn part_ms(&self, part: &SharedPart, zone: &ZoneId, other_zone_factor: f64) -> f64 {
         match nearest(&part.sources, zone) {
             Some(store) => self.fetch_ms(store, part.tokens, zone, other_zone_factor),
-            None => Self::prefill_time_ms(part.tokens),
+            None => self.prefill_time_ms(part.tokens),
         }
     }
 
--- a/crates/sillpin-gateway/tests/common/engines.rs
+++ b/crates/sillpin-gateway/tests/common/engines.rs
@@ -11,6 +11,7 @@
 use sillpin_gateway::dialect::{Part, PartId, Prompt};
 use sillpin_gateway::peers::datagram::BoxHash;
 use sillpin_gateway::placement::choose::PromptInputs;
+use sillpin_gateway::placement::engine_speed::PoolSpeed;
 use sillpin_gateway::placement::index::TargetIndex;
 use sillpin_gateway::placement::parts::{Plan, PlanInputs, plan, salt};
 use sillpin_gateway::placement::standing::Queue;
@@ -262,6 +263,7 @@
         cache_stores: &CacheStores::default(),
         residency: anywhere(),
         in_contact: true,
+        speed: PoolSpeed::default(),
         now: Instant::now(),
     };
     plan(&prompt, &salt(&prompt, WeightVersion(1), None), &inputs)
--- a/crates/sillpin-gateway/tests/parts.rs
+++ b/crates/sillpin-gateway/tests/parts.rs
@@ -9,6 +9,7 @@
 use sillpin_gateway::config::{EngineSpec, FleetConfig, StoreSpec};
 use sillpin_gateway::control::{PartKey, StoreListing};
 use sillpin_gateway::dialect::{EngineDirectives, EngineTime, Part, PartId, Prompt};
+use sillpin_gateway::placement::engine_speed::{PoolSpeed, PrefillRate};
 use sillpin_gateway::placement::parts::{Plan, PlanInputs, plan, salt};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -74,6 +75,7 @@
         cache_stores: &cache_stores,
         residency: anywhere(),
         in_contact: true,
+        speed: PoolSpeed::default(),
         now,
     };
     let plan = plan(&prompt, &salt, &inputs);
@@ -129,3 +131,16 @@
     let (_, directives) = directives(false, false, "zc");
     assert!(directives.save[0].is_some() && directives.save[1].is_some());
 }
+
+/// Guards against plans that assume the engines of one deployment.
+#[rstest]
+#[case(36.7)]
+#[case(110.0)]
+#[tokio::test(start_paused = true)]
+async fn the_time_of_a_prefill_follows_the_rate_of_the_pool(#[case] rate: f64) {
+    let (mut plan, _) = directives(false, false, "za");
+    plan.speed.rate = PrefillRate(rate);
+    let expected = 650.0 / rate;
+    assert!((plan.prompt_time_ms(&name("za")) - expected).abs() < 1e-6);
+    assert!((plan.shared_cost(&name("za")) - 600.0 / rate).abs() < 1e-6);
+}
--- a/crates/sillpin-gateway/tests/place.rs
+++ b/crates/sillpin-gateway/tests/place.rs
@@ -12,6 +12,7 @@
 use sillpin_gateway::control::{Presence, TargetEntry};
 use sillpin_gateway::dialect::{LimitSignal, Part, PartId, Prompt};
 use sillpin_gateway::placement::choose::PromptInputs;
+use sillpin_gateway::placement::engine_speed::{PoolSpeed, StartSample};
 use sillpin_gateway::placement::index::TargetIndex;
 use sillpin_gateway::placement::limits::LimitContext;
 use sillpin_gateway::placement::load::Outcome;
@@ -545,7 +546,95 @@
         cache_stores: &cache_stores,
         residency: anywhere(),
         in_contact: true,
+        speed: PoolSpeed::default(),
         now,
     };
     plan(&prompt, &salt, &inputs)
 }
+
+/// Makes an engine four times slower than its pool, in the estimates of a box.
+fn make_slow(loads: &Loads, slow: &TargetEntry) {
+    let mut speeds = loads.speeds();
+    speeds.enable();
+    let now = Instant::now();
+    let mut record = |engine: IncarnationHash, tokens: u64, factor: u32| {
+        let sample = StartSample {
+            tokens: Tokens(tokens),
+            queue_ms: 0.0,
+            took: Duration::from_secs_f64(tokens as f64 / 56_900.0) * factor,
+        };
+        speeds.record_start(&name("llm"), engine, sample, now);
+    };
+    let other = IncarnationHash::of(&engine("other", "za"));
+    for _ in 0..20 {
+        record(other, 800, 1);
+        record(other, 9_000, 1);
+    }
+    for _ in 0..3 {
+        record(IncarnationHash::of(slow), 9_000, 4);
+    }
+}
+
+/// Guards against prompts that wait behind the queue of a slow engine as if it were a normal one, and
+/// against changed decisions in small fleets.
+#[rstest]
+#[case::large_fleet(true, "e2", 100.0)]
+#[case::small_fleet(false, "e1", 50.0)]
+#[tokio::test(start_paused = true)]
+async fn the_queue_of_a_slow_engine_counts_by_its_slowness(
+    #[case] reported_late: bool,
+    #[case] wanted: &str,
+    #[case] queue_ms: f64,
+) {
+    let slow = engine("e1", "za");
+    let mut fixture = Fixture::new(targets(vec![slow.clone(), engine("e2", "za")]));
+    fixture.reported_late = reported_late;
+    make_slow(&fixture.loads, &slow);
+    let _queued = [
+        fixture
+            .loads
+            .start(&slow.id, Work::one(50.0, Tokens(1_000))),
+        fixture
+            .loads
+            .start(&target("e2"), Work::one(100.0, Tokens(1_000))),
+    ];
+    let model = name("m");
+    let prompt = PromptInputs {
+        model: &model,
+        tokens: Tokens(9_000),
+        latency_objective: Duration::from_millis(500),
+        capacity: Tokens(41_000),
+        desired: None,
+        oldest: WeightVersion(1),
+        plans: &[],
+    };
+    let chosen = fixture.find(Some(prompt)).unwrap();
+    assert_eq!(chosen.target.id, target(wanted));
+    assert!((chosen.queue_ms - queue_ms).abs() < 1e-6);
+}
+
+/// Guards against an idle slow engine that is preferred over an idle normal one because only its
+/// queue counts.
+#[tokio::test(start_paused = true)]
+async fn the_own_prefill_counts_by_the_slowness_of_an_engine() {
+    let slow = engine("e1", "za");
+    let mut fixture = Fixture::new(targets(vec![slow.clone(), engine("e2", "za")]));
+    fixture.reported_late = true;
+    make_slow(&fixture.loads, &slow);
+    let _queued = fixture
+        .loads
+        .start(&target("e2"), Work::one(60.0, Tokens(1_000)));
+    let plans = [(WeightVersion(1), plan_stored_in("zb"))];
+    let model = name("m");
+    let prompt = PromptInputs {
+        model: &model,
+        tokens: Tokens(9_000),
+        latency_objective: Duration::from_millis(500),
+        capacity: Tokens(41_000),
+        desired: None,
+        oldest: WeightVersion(1),
+        plans: &plans,
+    };
+    let chosen = fixture.find(Some(prompt)).unwrap();
+    assert_eq!(chosen.target.id, target("e2"));
+}
--- a/crates/sillpin-gateway/tests/residency.rs
+++ b/crates/sillpin-gateway/tests/residency.rs
@@ -9,6 +9,7 @@
 use sillpin_gateway::config::{EngineSpec, FleetConfig};
 use sillpin_gateway::control::{PartKey, StoreListing, TargetEntry};
 use sillpin_gateway::dialect::{Part, PartId, Prompt};
+use sillpin_gateway::placement::engine_speed::PoolSpeed;
 use sillpin_gateway::placement::index::TargetIndex;
 use sillpin_gateway::placement::parts::{PlanInputs, plan, salt};
 use sillpin_gateway::placement::residency::{Residency, ZoneRegion, ZoneRegions};
@@ -159,6 +160,7 @@
                 regions: &zones,
             },
             in_contact: true,
+            speed: PoolSpeed::default(),
             now,
         };
         let part = plan(&prompt, &salt, &inputs).shared.remove(0);
