Learn engine speeds only from requests that met no queue

Cause: reports of other boxes' work arrive 0.15 to 0.3 s late, so under load most engines that seem idle have a queue.

Change: a request without a known queue is watched for 350 ms after it was sent, and used only if no report in that time shows other prefill at its engine. A hub's totals may still include the own work, so the work that was subtracted from them is kept and the request's own part is allowed for. A group of samples needs five samples instead of three. Rows of kind Rates change only with a new measurement: rows that decay would cause a message each time.

Ruled out: watching for 400 ms and counting all later requests as well, with which nothing was learned in 30 of 32 cases with 0.8 to 2 times the capacity; groups of three samples, with which single boxes that start under overload estimated up to 123 instead of 69.8 tokens/ms.

With the check removed 22 of the 80 and 2 cases of engine_speed fail. Boxes that start under overload often keep the prior rate.

--- a/crates/sillpin-gateway/src/placement/engine_speed/line.rs
+++ b/crates/sillpin-gateway/src/placement/engine_speed/line.rs
@@ -23,7 +23,7 @@
 const GROUP_LEN: usize = 24;
 
 /// Number of samples from which a group is used: fewer have no meaningful quantile.
-const MIN_GROUP_LEN: usize = 3;
+const MIN_GROUP_LEN: usize = 5;
 
 /// Quantile of times that represents a group. Below the median, because queueing that a box does not
 /// know of makes more samples too long than cached prompts make samples too short.
@@ -64,7 +64,8 @@
     pub points: Vec<Point>,
     /// Milliseconds for each unit of size; `None` if no two groups differ enough in size.
     pub slope: Option<f64>,
-    at: Option<Instant>,
+    /// When the fit was made; `None` without samples.
+    pub at: Option<Instant>,
 }
 
 impl Samples {
--- a/crates/sillpin-gateway/src/placement/engine_speed/mod.rs
+++ b/crates/sillpin-gateway/src/placement/engine_speed/mod.rs
@@ -6,15 +6,18 @@
 //! are also shared with other boxes. For each engine its slowness relative to the pool is
 //! estimated.
 //!
+//! - [`clean`]: requests that met no queue,
 //! - [`line`]: robust separation of fixed time and time for each unit,
 //! - [`pool`]: estimates of one pool,
 //! - [`slowness`]: slowness of one engine.
 
+pub mod clean;
 pub mod line;
 pub mod pool;
 pub mod slowness;
 
-use super::work::{EngineWork, IncarnationHash, RowKind, TargetHash, Work};
+use super::work::{EngineWork, IncarnationHash, ReportedPrefill, RowKind, TargetHash, Work};
+use clean::{CleanStarts, WatchId, WatchedRequest};
 use derive_more::{Display, FromStr};
 use pool::Pool;
 use sillpin_core::{PoolId, Tokens};
@@ -24,7 +27,7 @@
 use tokio::time::Instant;
 
 /// Longest known queue, in milliseconds, with which a request is measured.
-const MAX_QUEUE_MS: f64 = 2.0;
+pub const MAX_QUEUE_MS: f64 = 2.0;
 
 /// An engine's slowness is measured only with prompts whose prefill takes at least this part of the
 /// fixed time: the start of a shorter prompt says little about the engine.
@@ -108,6 +111,7 @@
     enabled: bool,
     pools: HashMap<PoolId, Pool>,
     engines: HashMap<IncarnationHash, Slowness>,
+    clean_starts: CleanStarts,
 }
 
 impl EngineSpeeds {
@@ -116,6 +120,29 @@
         self.enabled = true;
     }
 
+    /// Watches a request that is being sent without a known queue; `None` without learning.
+    pub fn watch(&mut self, request: WatchedRequest) -> Option<WatchId> {
+        self.enabled.then(|| self.clean_starts.watch(request))?
+    }
+
+    /// Records the time to the first event of a watched request.
+    pub fn started(&mut self, id: WatchId, took: Duration) {
+        self.clean_starts.started(id, took);
+    }
+
+    /// Ends the watch of a request that has ended without an event.
+    pub fn ended(&mut self, id: WatchId) {
+        self.clean_starts.ended(id);
+    }
+
+    /// Checks watched requests against the reports of other boxes, and records the starts of those
+    /// that met no queue.
+    pub fn check(&mut self, reported: impl Fn(TargetHash) -> ReportedPrefill, now: Instant) {
+        for (request, sample) in self.clean_starts.check(reported, now) {
+            self.record_start(&request.pool, request.engine, sample, now);
+        }
+    }
+
     /// Records the start of a response.
     pub fn record_start(
         &mut self,
--- a/crates/sillpin-gateway/src/placement/engine_speed/pool.rs
+++ b/crates/sillpin-gateway/src/placement/engine_speed/pool.rs
@@ -22,6 +22,9 @@
 /// Time for which the rates of other boxes are used before they are looked up again.
 const PEER_REFRESH: Duration = Duration::from_millis(250);
 
+/// Time for which a box shares its last measurement.
+const SHARED_TIME: Duration = Duration::from_secs(120);
+
 /// Smallest part of a pool's slots that can be its comfortable batch. Prefill for concurrent prompts
 /// lengthens pauses as well, so the measured growth is an upper bound.
 const MIN_BATCH_SHARE: f64 = 0.25;
@@ -115,9 +118,14 @@
         self.rate_weight(now) >= MIN_KNOWN_WEIGHT && self.start_fit.weight(now) >= MIN_KNOWN_WEIGHT
     }
 
-    /// Returns this box's measurements for other boxes: time, tokens and number of samples.
+    /// Returns this box's measurements for other boxes: time, tokens and number of samples. They
+    /// change only with a new measurement, since each change causes a message.
     pub fn own_sums(&self, now: Instant) -> Option<Work> {
-        let (rate, weight) = self.own_rate(now).filter(|(_, weight)| *weight >= 1.0)?;
+        let measured_at = self.start_fit.at?;
+        if now - measured_at >= SHARED_TIME {
+            return None;
+        }
+        let (rate, weight) = self.own_rate(measured_at)?;
         let longest = self.start_fit.points.last()?.size;
         let tokens = longest * weight;
         Some(Work {
--- a/crates/sillpin-gateway/src/placement/load.rs
+++ b/crates/sillpin-gateway/src/placement/load.rs
@@ -1,6 +1,7 @@
 //! Requests that this box has in flight at each target, and the health of targets.
 
-use super::engine_speed::{EngineSpeeds, PaceSample, PoolSpeed, StartSample};
+use super::engine_speed::clean::{WatchId, WatchedRequest};
+use super::engine_speed::{EngineSpeeds, MAX_QUEUE_MS, PaceSample, PoolSpeed};
 use super::hold_time::HoldTime;
 use super::limits::Limits;
 use super::signals::TargetSignals;
@@ -160,6 +161,7 @@
 
     /// Returns this box's work at engines, to be sent to other boxes.
     pub fn updates_to_send(&self) -> Vec<EngineWork> {
+        self.check_measurements(Instant::now());
         let table = self.lock();
         let working = table.iter().filter(|(_, load)| load.work.tokens >= 1.0);
         working
@@ -173,6 +175,12 @@
         self.speeds.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Learns from requests that met no queue according to the reports of other boxes.
+    fn check_measurements(&self, now: Instant) {
+        let peer_work = self.peer_work.lock().unwrap_or_else(|e| e.into_inner());
+        self.speeds().check(peer_work.reported_prefills(now), now);
+    }
+
     /// Returns the speed of a pool's engines, as measured by this box and by others.
     pub fn pool_speed(&self, pool: &PoolId, now: Instant) -> PoolSpeed {
         let needs_peers = self.speeds().needs_peers(pool, now);
@@ -404,6 +412,7 @@
 #[derive(Debug)]
 struct Measurement {
     request: MeasuredRequest,
+    watch: Option<WatchId>,
     events: u32,
     last_event: Instant,
     /// Concurrent requests at the engine at the first event.
@@ -427,6 +436,7 @@
     /// Uses the request's times to learn the speed of engines.
     pub fn measured(mut self, request: Option<MeasuredRequest>) -> Self {
         self.measured = request.map(|request| Measurement {
+            watch: self.watch(&request),
             last_event: request.sent,
             request,
             events: 0,
@@ -435,6 +445,19 @@
         self
     }
 
+    fn watch(&self, request: &MeasuredRequest) -> Option<WatchId> {
+        let watched = WatchedRequest {
+            pool: request.pool.clone(),
+            engine: request.engine,
+            target: TargetHash::of(&self.target),
+            tokens: request.tokens,
+            own_ms: self.work.prefill_ms,
+            sent: request.sent,
+        };
+        let is_watched = request.is_start_clean && request.queue_ms <= MAX_QUEUE_MS;
+        is_watched.then(|| self.loads.speeds().watch(watched))?
+    }
+
     /// Records that events of the response have arrived.
     pub fn record_events(&mut self, events: u32) {
         if let Some(measured) = &mut self.measured {
@@ -449,18 +472,17 @@
             return;
         };
         measured.first_batch = self.loads.requests_at(&self.target, now);
-        let request = &measured.request;
-        if !request.is_start_clean {
-            return;
+        if let Some(watch) = measured.watch {
+            let took = now - measured.request.sent;
+            self.loads.speeds().started(watch, took);
+        }
+    }
+
+    /// Ends the measurement of the time to the first event if there was none.
+    fn end_watch(&self) {
+        if let Some(watch) = self.measured.as_ref().and_then(|measured| measured.watch) {
+            self.loads.speeds().ended(watch);
         }
-        let sample = StartSample {
-            tokens: request.tokens,
-            queue_ms: request.queue_ms,
-            took: now - request.sent,
-        };
-        self.loads
-            .speeds()
-            .record_start(&request.pool, request.engine, sample, now);
     }
 
     /// Records how fast the events of the response came.
@@ -513,6 +535,7 @@
     fn drop(&mut self) {
         self.record_hold_time();
         self.record_pace();
+        self.end_watch();
         let mut table = self.loads.lock();
         if let Some(load) = table.get_mut(&self.target) {
             load.in_flight = load.in_flight.saturating_sub(1);
--- a/crates/sillpin-gateway/src/placement/work.rs
+++ b/crates/sillpin-gateway/src/placement/work.rs
@@ -150,6 +150,17 @@
     at: Instant,
     totals: Arc<HashMap<TargetHash, Work>>,
     members: HashSet<BoxHash>,
+    /// The own work that was subtracted from the totals.
+    subtracted: Vec<EngineWork>,
+}
+
+/// Prefill work at an engine, as last reported.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ReportedPrefill {
+    /// Milliseconds of engine time.
+    pub ms: f64,
+    /// Whether the work of this box is included.
+    pub includes_own: bool,
 }
 
 /// Work that other boxes have in flight.
@@ -187,6 +198,7 @@
             at: now,
             totals: Arc::new(totals),
             members: members.iter().map(|of| of.unranked()).collect(),
+            subtracted: self.own_report.clone(),
         });
     }
 
@@ -223,6 +235,30 @@
             .is_none_or(|hub_report| hub_report.members.contains(&BoxHash::unranked_from_id(id)))
     }
 
+    /// Returns the prefill work at an engine according to the last reports. In a hub's totals it is
+    /// not known which report of this box they include, so its work stays in them.
+    fn reported_prefill(
+        &self,
+        target: TargetHash,
+        totals: &HashMap<TargetHash, Work>,
+        now: Instant,
+    ) -> ReportedPrefill {
+        let hub_report = self.hub_report(now);
+        let own = hub_report.iter().flat_map(|report| &report.subtracted);
+        let own = own.filter(|row| row.0 == target).map(|row| row.work());
+        let others_ms = totals.get(&target).map_or(0.0, |work| work.prefill_ms);
+        ReportedPrefill {
+            ms: others_ms + own.map(|work| work.prefill_ms).sum::<f64>(),
+            includes_own: hub_report.is_some(),
+        }
+    }
+
+    /// Returns a function that looks up the prefill work at an engine according to the last reports.
+    pub fn reported_prefills(&self, now: Instant) -> impl Fn(TargetHash) -> ReportedPrefill {
+        let totals = self.engine_totals(now);
+        move |target| self.reported_prefill(target, &totals, now)
+    }
+
     /// Returns the work of all other boxes at each engine, from the hub or else from the boxes
     /// themselves.
     pub fn engine_totals(&self, now: Instant) -> Arc<HashMap<TargetHash, Work>> {
--- a/crates/sillpin-gateway/tests/common/engines.rs
+++ b/crates/sillpin-gateway/tests/common/engines.rs
@@ -238,17 +238,23 @@
 
 /// Returns the plan of a prompt whose last shared part is `key`, with no part in a store.
 fn plan_without_stored_parts(key: u64) -> Plan {
+    plan_with_speed(key, PROMPT, PoolSpeed::default())
+}
+
+/// Returns the same plan for a prompt of any length and a pool of any speed.
+pub fn plan_with_speed(key: u64, length: Tokens, speed: PoolSpeed) -> Plan {
     let part = |id: String, tokens| Part {
         id: PartId(id),
         tokens: Tokens(tokens),
     };
+    let own = length.0 * 4 / 9;
     let prompt = Prompt {
         model: name("m"),
         parts: vec![
-            part(format!("{key:x}"), 5_000),
-            part("own".to_owned(), 4_000),
+            part(format!("{key:x}"), length.0 - own),
+            part("own".to_owned(), own),
         ],
-        tokens: PROMPT,
+        tokens: length,
         max_output: Tokens(10),
     };
     let engine = EngineSpec {
@@ -263,7 +269,7 @@
         cache_stores: &CacheStores::default(),
         residency: anywhere(),
         in_contact: true,
-        speed: PoolSpeed::default(),
+        speed,
         now: Instant::now(),
     };
     plan(&prompt, &salt(&prompt, WeightVersion(1), None), &inputs)
--- a/crates/sillpin-gateway/tests/engine_speed.rs
+++ b/crates/sillpin-gateway/tests/engine_speed.rs
@@ -458,6 +458,20 @@
     speeds.rows(Instant::now())
 }
 
+/// Guards against rows that change all the time: each change causes a message to other boxes.
+#[tokio::test(start_paused = true)]
+async fn rows_change_only_with_measurements() {
+    let (mut speeds, mut rng) = (enabled(), StdRng::seed_from_u64(9));
+    let model = Model::clean(110.0, 22.0);
+    record(&mut speeds, model, 30, &mut rng).await;
+    let rows = speeds.rows(Instant::now());
+    assert_eq!(rows.len(), 1);
+    advance(Duration::from_secs(60)).await;
+    assert_eq!(speeds.rows(Instant::now()), rows);
+    advance(Duration::from_secs(120)).await;
+    assert_eq!(speeds.rows(Instant::now()), [], "an old measurement");
+}
+
 /// Guards against boxes with few requests that keep the prior rate.
 #[tokio::test(start_paused = true)]
 async fn a_box_without_requests_learns_from_others() {
@@ -512,7 +526,8 @@
     guard.prefill_done();
     for _ in 0..10 {
         guard.record_events(1);
-        advance(Duration::from_millis(30)).await;
+        advance(Duration::from_millis(60)).await;
+        loads.updates_to_send();
     }
 }
 
@@ -543,6 +558,69 @@
     assert_eq!(loads.updates_to_send().len(), rows);
 }
 
+/// Prefill work that a request reports about itself.
+const OWN_MS: f64 = 100.0;
+
+/// Sends requests with no known queue to an engine, while reports arrive, and returns whether
+/// anything was learned from them. The hub's totals have other prefill work at the engine from some
+/// time after the sending of each request.
+async fn learns_with_reports(includes_own: bool, others_ms: f64, from: Duration) -> bool {
+    let loads = Loads::default();
+    loads.speeds().enable();
+    let id = target("e1");
+    for index in 0..20 {
+        let tokens = if index % 2 == 0 { SHORT } else { LONG };
+        let sent = Instant::now();
+        let request = MeasuredRequest {
+            pool: pool(),
+            engine: incarnation("e1", 1),
+            tokens: Tokens(tokens),
+            queue_ms: 0.0,
+            is_start_clean: true,
+            sent,
+        };
+        let guard = loads.start(&id, Work::one(OWN_MS, Tokens(tokens)));
+        let mut guard = guard.measured(Some(request));
+        while sent.elapsed() < Duration::from_millis(600) {
+            advance(Duration::from_millis(30)).await;
+            if sent.elapsed() >= Duration::from_millis(200) {
+                guard.prefill_done();
+            }
+            let own_ms = if includes_own { OWN_MS } else { 0.0 };
+            let others_ms = if sent.elapsed() >= from {
+                others_ms
+            } else {
+                0.0
+            };
+            let work = Work::one(own_ms + others_ms, Tokens(tokens));
+            loads.apply_zone_totals(vec![EngineWork::of(&id, work)], &[]);
+            loads.set_own_report(loads.updates_to_send());
+        }
+    }
+    loads.pool_speed(&pool(), Instant::now()) != PoolSpeed::default()
+}
+
+/// Guards against two faults: requests that met a queue of which their box had not heard count as
+/// prefilled slowly; and a box's own work, which a hub's totals still include when the request has
+/// ended, is taken for that of another box, so that nothing is ever learned.
+#[rstest]
+#[case::no_other(false, 0.0, 0, true)]
+#[case::own_work_in_the_totals(true, 0.0, 0, true)]
+#[case::another_request_ahead(true, 100.0, 150, false)]
+#[case::another_short_request(true, 20.0, 150, false)]
+#[case::another_request_later(true, 100.0, 400, true)]
+#[tokio::test(start_paused = true)]
+async fn requests_that_met_an_unknown_queue_are_not_used(
+    #[case] includes_own: bool,
+    #[case] others_ms: f64,
+    #[case] from_ms: u64,
+    #[case] is_learned: bool,
+) {
+    let from = Duration::from_millis(from_ms);
+    let learns = learns_with_reports(includes_own, others_ms, from).await;
+    assert_eq!(learns, is_learned);
+}
+
 /// Guards against events that are counted by the packets in which they arrive.
 #[rstest]
 #[case::two_events(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 2)]
