--- a/crates/sillpin-gateway/src/placement/load.rs
+++ b/crates/sillpin-gateway/src/placement/load.rs
@@ -1,6 +1,8 @@
 //! Requests that this box has in flight at each target, and the health of targets.
 
 use super::direct_work::ZoneScope;
+use super::engine_speed::clean::{WatchId, WatchedRequest};
+use super::engine_speed::{EngineSpeeds, MAX_QUEUE_MS, PaceSample, PoolSpeed};
 use super::hold_time::HoldTime;
 use super::limits::Limits;
 use super::signals::TargetSignals;
@@ -10,7 +12,7 @@
 use super::work_changes::{Urgency, WorkChanges};
 use crate::control::{Life, TargetEntry};
 use crate::peers::datagram::{BoxHash, EngineUpdate};
-use sillpin_core::{BoxId, TargetId, ZoneId};
+use sillpin_core::{BoxId, PoolId, TargetId, Tokens, ZoneId};
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -148,6 +150,7 @@
     standing: Arc<Mutex<StandingQueues>>,
     stream_engines: Arc<Mutex<StreamEngines>>,
     limits: Arc<Mutex<Limits>>,
+    speeds: Arc<Mutex<EngineSpeeds>>,
     /// Notified when this box observes that a target's limit has started, changed or ended.
     pub limit_changed: Arc<Notify>,
     /// Changes of this box's work that have not been sent to its zone yet.
@@ -166,6 +169,7 @@
 
     /// Returns this box's work at engines, to be sent to other boxes.
     pub fn updates_to_send(&self) -> Vec<EngineWork> {
+        self.check_measurements(Instant::now());
         let table = self.lock();
         let working = table.iter().filter(|(_, load)| load.work.tokens >= 1.0);
         let working = working.map(|(id, load)| EngineWork::of(id, load.work));
@@ -176,7 +180,8 @@
             let row = TargetHash::for_rows(id.as_str(), RowKind::Streams);
             EngineWork::at(row, load.streams)
         });
-        working.chain(streams).collect()
+        let rates = self.speeds().rows(Instant::now());
+        working.chain(streams).chain(rates).collect()
     }
 
     /// Returns this box's work at some targets, with rows of zeros for those without work.
@@ -222,6 +227,37 @@
         self.peer_work.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Locks the learned speeds of engines.
+    pub fn speeds(&self) -> MutexGuard<'_, EngineSpeeds> {
+        self.speeds.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Learns from requests that met no queue according to the reports of other boxes.
+    fn check_measurements(&self, now: Instant) {
+        let peer_work = self.peer_work.lock().unwrap_or_else(|e| e.into_inner());
+        self.speeds().check(peer_work.reported_prefills(now), now);
+    }
+
+    /// Returns the speed of a pool's engines, as measured by this box and by others.
+    pub fn pool_speed(&self, pool: &PoolId, now: Instant) -> PoolSpeed {
+        let needs_peers = self.speeds().needs_peers(pool, now);
+        if needs_peers {
+            let row = TargetHash::for_rows(pool.as_str(), RowKind::Rates);
+            let sums = self.peer_work(now).get(&row).copied();
+            self.speeds().set_peers(pool, sums.unwrap_or_default(), now);
+        }
+        self.speeds().speed(pool, now)
+    }
+
+    /// Returns the number of requests in flight at a target, those of other boxes included.
+    fn requests_at(&self, target: &TargetId, now: Instant) -> f64 {
+        let own = self.get(target).work.requests;
+        let peers = self.peer_work(now);
+        own + peers
+            .get(&TargetHash::of(target))
+            .map_or(0.0, |work| work.requests)
+    }
+
     /// Stores the work that another box reported.
     pub fn apply_update(&self, from: BoxId, work: Vec<EngineWork>) {
         let mut peer_work = self.peer_work.lock().unwrap_or_else(|e| e.into_inner());
@@ -352,6 +388,7 @@
             stream,
             prefill_ms: work.prefill_ms,
             first_event: None,
+            measured: None,
         }
     }
 
@@ -416,6 +453,7 @@
             .collect();
         let is_listed = |life| incarnations.contains(&life);
         self.signals(|signals| signals.retain_listed(is_listed, now));
+        self.speeds().retain_listed(is_listed);
         let mut table = self.lock();
         table.retain(|id, load| load.in_flight > 0 || targets.contains_key(id));
         for (id, load) in table.iter_mut() {
@@ -435,6 +473,34 @@
     }
 }
 
+/// A request whose times are used to learn the speed of engines.
+#[derive(Debug)]
+pub struct MeasuredRequest {
+    /// Pool of the engine.
+    pub pool: PoolId,
+    /// The engine.
+    pub engine: IncarnationHash,
+    /// Prompt tokens that are not fetched.
+    pub tokens: Tokens,
+    /// Known queue at the engine, in milliseconds.
+    pub queue_ms: f64,
+    /// Whether the time to the first event is that of a prefill without waits for transfers.
+    pub is_start_clean: bool,
+    /// When the request was sent.
+    pub sent: Instant,
+}
+
+/// Events of a measured request.
+#[derive(Debug)]
+struct Measurement {
+    request: MeasuredRequest,
+    watch: Option<WatchId>,
+    events: u32,
+    last_event: Instant,
+    /// Concurrent requests at the engine at the first event.
+    first_batch: f64,
+}
+
 /// A request in flight at a target.
 #[derive(Debug)]
 pub struct InFlightGuard {
@@ -447,9 +513,79 @@
     prefill_ms: f64,
     /// When the first event of the response came.
     first_event: Option<Instant>,
+    measured: Option<Measurement>,
 }
 
 impl InFlightGuard {
+    /// Uses the request's times to learn the speed of engines.
+    pub fn measured(mut self, request: Option<MeasuredRequest>) -> Self {
+        self.measured = request.map(|request| Measurement {
+            watch: self.watch(&request),
+            last_event: request.sent,
+            request,
+            events: 0,
+            first_batch: 1.0,
+        });
+        self
+    }
+
+    fn watch(&self, request: &MeasuredRequest) -> Option<WatchId> {
+        let watched = WatchedRequest {
+            pool: request.pool.clone(),
+            engine: request.engine,
+            target: TargetHash::of(&self.target),
+            tokens: request.tokens,
+            own_ms: self.work.prefill_ms,
+            sent: request.sent,
+        };
+        let is_watched = request.is_start_clean && request.queue_ms <= MAX_QUEUE_MS;
+        is_watched.then(|| self.loads.speeds().watch(watched))?
+    }
+
+    /// Records that events of the response have arrived.
+    pub fn record_events(&mut self, events: u32) {
+        if let Some(measured) = &mut self.measured {
+            measured.events += events;
+            measured.last_event = Instant::now();
+        }
+    }
+
+    /// Records how long the engine took to send the first event.
+    fn record_start(&mut self, now: Instant) {
+        let Some(measured) = &mut self.measured else {
+            return;
+        };
+        measured.first_batch = self.loads.requests_at(&self.target, now);
+        if let Some(watch) = measured.watch {
+            let took = now - measured.request.sent;
+            self.loads.speeds().started(watch, took);
+        }
+    }
+
+    /// Ends the measurement of the time to the first event if there was none.
+    fn end_watch(&self) {
+        if let Some(watch) = self.measured.as_ref().and_then(|measured| measured.watch) {
+            self.loads.speeds().ended(watch);
+        }
+    }
+
+    /// Records how fast the events of the response came.
+    fn record_pace(&self) {
+        let (Some(measured), Some(first_event)) = (&self.measured, self.first_event) else {
+            return;
+        };
+        let now = Instant::now();
+        let last_batch = self.loads.requests_at(&self.target, now);
+        let sample = PaceSample {
+            events: measured.events,
+            took: measured.last_event.saturating_duration_since(first_event),
+            batch: (measured.first_batch + last_batch) / 2.0,
+        };
+        self.loads
+            .speeds()
+            .record_pace(&measured.request.pool, sample, now);
+    }
+
     /// Removes the prefill from the target's work: it is complete.
     pub fn prefill_done(&mut self) {
         let mut table = self.loads.lock();
@@ -464,7 +600,9 @@
         self.loads
             .record_change(&self.target, self.work, Urgency::Immediate);
         self.work.prefill_ms = 0.0;
-        self.first_event = Some(Instant::now());
+        let now = Instant::now();
+        self.first_event = Some(now);
+        self.record_start(now);
     }
 
     /// Records how long the request held its engine's memory, which starts with the prefill.
@@ -482,6 +620,8 @@
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.record_hold_time();
+        self.record_pace();
+        self.end_watch();
         let mut table = self.loads.lock();
         if let Some(load) = table.get_mut(&self.target) {
             load.in_flight = load.in_flight.saturating_sub(1);
--- a/crates/sillpin-gateway/src/placement/mod.rs
+++ b/crates/sillpin-gateway/src/placement/mod.rs
@@ -4,6 +4,7 @@
 //! - [`direct_work`]: work that the boxes of the own zone sent when it changed,
 //! - [`work_changes`]: changes of this box's work that have not been sent yet,
 //! - [`mod@choose`]: the choice among the targets of a pool,
+//! - [`engine_speed`]: learned speeds of engines,
 //! - [`allowed`]: the weights versions on which a prompt may run,
 //! - [`index`]: targets by pool and zone,
 //! - [`hold_time`]: how long requests hold an engine's memory,
@@ -21,6 +22,7 @@
 pub mod allowed;
 pub mod choose;
 pub mod direct_work;
+pub mod engine_speed;
 pub mod hold_time;
 pub mod index;
 pub mod limits;
--- a/crates/sillpin-gateway/tests/common/engines.rs
+++ b/crates/sillpin-gateway/tests/common/engines.rs
@@ -15,6 +15,7 @@
 use sillpin_gateway::peers::work_updates::LIST_INTERVAL;
 use sillpin_gateway::placement::choose::PromptInputs;
 use sillpin_gateway::placement::direct_work::ZoneScope;
+use sillpin_gateway::placement::engine_speed::PoolSpeed;
 use sillpin_gateway::placement::index::TargetIndex;
 use sillpin_gateway::placement::parts::{Plan, PlanInputs, plan, salt};
 use sillpin_gateway::placement::standing::Queue;
@@ -374,17 +375,23 @@
 
 /// Returns the plan of a prompt whose last shared part is `key`, with no part in a store.
 pub fn plan_without_stored_parts(key: u64, tokens: Tokens) -> Plan {
+    plan_with_speed(key, tokens, PoolSpeed::default())
+}
+
+/// Returns the same plan for a pool of any speed.
+pub fn plan_with_speed(key: u64, length: Tokens, speed: PoolSpeed) -> Plan {
     let part = |id: String, tokens| Part {
         id: PartId(id),
         tokens: Tokens(tokens),
     };
+    let own = length.0 * 4 / 9;
     let prompt = Prompt {
         model: name("m"),
         parts: vec![
-            part(format!("{key:x}"), tokens.0 / 2),
-            part("own".to_owned(), tokens.0 - tokens.0 / 2),
+            part(format!("{key:x}"), length.0 - own),
+            part("own".to_owned(), own),
         ],
-        tokens,
+        tokens: length,
         max_output: Tokens(10),
     };
     let engine = EngineSpec {
@@ -399,6 +406,7 @@
         cache_stores: &CacheStores::default(),
         residency: anywhere(),
         in_contact: true,
+        speed,
         now: Instant::now(),
     };
     plan(&prompt, &salt(&prompt, WeightVersion(1), None), &inputs)
--- a/crates/sillpin-gateway/tests/common/stream_model.rs
+++ b/crates/sillpin-gateway/tests/common/stream_model.rs
@@ -9,9 +9,9 @@
 use sillpin_gateway::control::TargetEntry;
 use sillpin_gateway::peers::datagram::BoxHash;
 use sillpin_gateway::placement::choose::PromptInputs;
+use sillpin_gateway::placement::engine_speed::PrefillRate;
 use sillpin_gateway::placement::index::TargetIndex;
 use sillpin_gateway::placement::load::Outcome as Health;
-use sillpin_gateway::placement::parts::Plan;
 use sillpin_gateway::placement::standing::Queue;
 use sillpin_gateway::placement::stream_engines::{PromptKind, StreamInputs, StreamRules};
 use sillpin_gateway::placement::work::{EngineWork, TargetHash, Work};
@@ -412,7 +412,7 @@
             capacity: Tokens(self.of.memory),
             comfortable_batch: self.of.slots,
         };
-        let prefill_ms = Plan::prefill_time_ms(tokens);
+        let prefill_ms = PrefillRate::PRIOR.ms(tokens);
         let streams = StreamInputs {
             rules,
             kind: rules.kind(prefill_ms),
@@ -447,7 +447,7 @@
             latency_objective: kind.latency_objective,
             queue: millis(queue.expected_ms),
             standing: millis(standing_ms),
-            own: millis(Plan::prefill_time_ms(Tokens(kind.tokens))),
+            own: millis(PrefillRate::PRIOR.ms(Tokens(kind.tokens))),
         };
         estimate.lateness_if_refused(self.rng.random()).is_some()
     }
@@ -464,7 +464,7 @@
             Some(PromptKind::Short) => Work::one(0.0, Tokens(kind.tokens + u64::from(kind.output))),
             _ => Work::default(),
         };
-        let work = Work::one(Plan::prefill_time_ms(tokens), tokens);
+        let work = Work::one(PrefillRate::PRIOR.ms(tokens), tokens);
         loads.start_stream(&chosen.target.id, work, stream)
     }
 
