Refuse by organisations' shares, by priority and by deadline under overload

Cause: under overload the organisations that request most are served most, urgent prompts are refused because of work that engines do after theirs, and requests that cannot end before their deadline are run until it.

Change: `fair_share` divides what all boxes admit among organisations by water-filling; boxes report demand and admissions as rows of kind `Usage` while they refuse. Requests beyond a share are refused at any standing queue, those of organisations below their share last. A prompt is judged by the part of the queue that goes ahead of its priority, and is not refused within 0.25 s after its box admitted a lower priority behind a queue. A prompt whose response would take 1.5 times the time left, at the median pace of the pool's complete streams, is refused with a retry-after within its time (E373, E374). Without organisations, with one organisation and one priority, or with `fair-admission = off`, decisions are as before.

Ruled out, in the model of `tests/fair_admission.rs`: a shorter queue limit for the excess alone (at 30 times its share an organisation left the others 0.28 of their requests in time); capacity estimated by each box from its own requests (boxes differed by a factor of two, and a fifth of the capacity remained unused).

--- a/crates/sillpin-gateway/src/config.rs
+++ b/crates/sillpin-gateway/src/config.rs
@@ -211,6 +211,21 @@
         self.organisations.iter().find(holds)
     }
 
+    /// Whether several organisations, or requests of several priorities, may compete for targets. Without
+    /// organisations this is never the case.
+    pub fn has_competition(&self) -> bool {
+        if self.organisations.len() != 1 {
+            return !self.organisations.is_empty();
+        }
+        let of_org = self.organisations[0].priority;
+        let mut priorities = self
+            .routes
+            .iter()
+            .map(|route| of_org.filter(|_| !route.public).unwrap_or(route.priority));
+        let first = priorities.next();
+        priorities.any(|priority| Some(priority) != first)
+    }
+
     /// Returns a pool by its name.
     pub fn pool(&self, id: &PoolId) -> Option<&Pool> {
         self.pools.iter().find(|pool| pool.id == *id)
--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -78,7 +78,7 @@
 const BACKED_OFF: &str = "its targets want no requests for a while";
 
 /// Refusal while no target can start the request in time.
-const OVERLOADED: &str = "no target can begin it in time";
+pub const OVERLOADED: &str = "no target can begin it in time";
 
 /// Refusal of a request after which targets have crashed.
 const FATAL: &str = "targets that ran this request have ended";
@@ -170,7 +170,7 @@
         let Some(mut prepared) = self.prepare_in_cohort(request, pool, &view, progress) else {
             return Err(self.refuse_without_target(request, pool, &view, progress));
         };
-        if let Some(refusal) = self.refuse_if_overloaded(request, &prepared, progress) {
+        if let Some(refusal) = self.refuse_if_overloaded(request, pool, &prepared, progress) {
             return Err(NoAttempt::Refused(refusal));
         }
         if progress.arrivals > 0 && !self.take_retry(pool) {
@@ -417,6 +417,7 @@
     fn refuse_if_overloaded(
         &self,
         request: &AdmittedRequest,
+        pool: &PoolId,
         prepared: &PreparedAttempt,
         progress: &Progress,
     ) -> Option<Refusal> {
@@ -426,6 +427,9 @@
             return None;
         }
         let expected = prepared.expected(request, queue, standing_ms);
+        if self.is_admission_fair(request) {
+            return self.refuse_by_share(request, pool, prepared, queue, expected, progress);
+        }
         let late = expected.lateness_if_refused(rand::rng().random())?;
         let wait = late.max(DEFAULT_RETRY_AFTER);
         let wait = wait.mul_f64(rand::rng().random_range(0.5..1.5));
--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -4,6 +4,7 @@
 //! - [`admit`]: route, organisation and body of a request,
 //! - [`body_memory`]: memory for bodies of requests and responses,
 //! - [`dispatch`]: attempts until there is a response,
+//! - [`fair_admission`]: refusals where organisations compete for a pool,
 //! - [`selection`]: selection of pool, target and prompt plan for an attempt,
 //! - [`attempt`]: one attempt and its outcome,
 //! - [`relay`]: relaying of event streams,
@@ -19,6 +20,7 @@
 pub mod body_memory;
 pub mod dispatch;
 pub mod events;
+pub mod fair_admission;
 pub mod handler;
 pub mod idle_timeout;
 pub mod refusal;
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -212,6 +212,7 @@
                     return RelayEnd::Broken("stream ended within an event".to_owned());
                 }
                 None => {
+                    self.record_stream_pace(request, pool, progress, &in_flight);
                     self.return_connection(target.id.clone(), conn, &head);
                     return RelayEnd::Complete;
                 }
--- a/crates/sillpin-gateway/src/placement/load.rs
+++ b/crates/sillpin-gateway/src/placement/load.rs
@@ -4,6 +4,8 @@
 use super::limits::Limits;
 use super::signals::TargetSignals;
 use super::standing::{Queue, StandingQueue};
+use super::stream_pace::StreamPaces;
+use super::usage::Usage;
 use super::work::{EngineWork, IncarnationHash, PeerWork, TargetHash, Work};
 use crate::control::{Life, TargetEntry};
 use crate::peers::datagram::BoxHash;
@@ -142,6 +144,8 @@
     hold_time: Arc<Mutex<HoldTime>>,
     standing: Arc<Mutex<StandingQueue>>,
     limits: Arc<Mutex<Limits>>,
+    usage: Arc<Mutex<Usage>>,
+    stream_paces: Arc<Mutex<StreamPaces>>,
     /// Notified when this box observes that a target's limit has started, changed or ended.
     pub limit_changed: Arc<Notify>,
 }
@@ -156,13 +160,27 @@
         self.table.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Returns this box's work at engines, to be sent to other boxes.
+    /// Returns this box's work at engines, and what organisations request of it, to be sent to
+    /// other boxes.
     pub fn updates_to_send(&self) -> Vec<EngineWork> {
         let table = self.lock();
         let working = table.iter().filter(|(_, load)| load.work.tokens >= 1.0);
-        working
+        let mut rows: Vec<EngineWork> = working
             .map(|(id, load)| EngineWork::of(id, load.work))
-            .collect()
+            .collect();
+        drop(table);
+        rows.extend(self.usage().updates_to_send(Instant::now()));
+        rows
+    }
+
+    /// Locks what organisations request of pools.
+    pub fn usage(&self) -> MutexGuard<'_, Usage> {
+        self.usage.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Locks the paces of streams.
+    pub fn stream_paces(&self) -> MutexGuard<'_, StreamPaces> {
+        self.stream_paces.lock().unwrap_or_else(|e| e.into_inner())
     }
 
     /// Stores the work that another box reported.
@@ -380,6 +398,11 @@
         self.first_event = Some(Instant::now());
     }
 
+    /// Returns when the first event of the response came.
+    pub fn first_event(&self) -> Option<Instant> {
+        self.first_event
+    }
+
     /// Records how long the request held its engine's memory, which starts with the prefill.
     fn record_hold_time(&self) {
         let Some(first_event) = self.first_event else {
--- a/crates/sillpin-gateway/src/placement/mod.rs
+++ b/crates/sillpin-gateway/src/placement/mod.rs
@@ -4,6 +4,7 @@
 //! - [`mod@choose`]: the choice among the targets of a pool,
 //! - [`allowed`]: the weights versions on which a prompt may run,
 //! - [`index`]: targets by pool and zone,
+//! - [`fair_admission`]: which prompts are refused where organisations compete,
 //! - [`hold_time`]: how long requests hold an engine's memory,
 //! - [`probe`]: probes of unreachable targets,
 //! - [`parts`]: where the parts of a prompt are fetched from and stored,
@@ -13,10 +14,13 @@
 //! - [`standing`]: the recent average queue at engines,
 //! - [`residency`]: the regions that a request may reach,
 //! - [`signals`]: signals that targets send in response headers,
+//! - [`stream_pace`]: the time per generated token,
+//! - [`usage`]: what organisations request of each pool,
 //! - [`work`]: work of this box and of other boxes at engines.
 
 pub mod allowed;
 pub mod choose;
+pub mod fair_admission;
 pub mod hold_time;
 pub mod index;
 pub mod limits;
@@ -28,6 +32,8 @@
 pub mod signals;
 pub mod slow_start;
 pub mod standing;
+pub mod stream_pace;
+pub mod usage;
 pub mod work;
 
 pub use choose::{ChoiceInputs, ChosenTarget, choose};
--- a/crates/sillpin-gateway/src/placement/work.rs
+++ b/crates/sillpin-gateway/src/placement/work.rs
@@ -78,7 +78,8 @@
     Streams,
     /// Prefill times that were measured in a pool, named by its id: milliseconds, tokens and number.
     Rates,
-    /// Work that an organisation asks of a pool per second.
+    /// Work that an organisation asks of a pool per second: milliseconds requested, milliseconds admitted,
+    /// and thousandths of requests.
     Usage(&'a OrgId),
     /// Boxes of a zone that find an engine silent: their number.
     Silent(&'a ZoneId),
--- a/crates/sillpin-policy/src/lib.rs
+++ b/crates/sillpin-policy/src/lib.rs
@@ -5,6 +5,8 @@
 //! - [`keeping`]: chooses the blocks that are stored,
 //! - [`admission`]: orders waiting requests,
 //! - [`overload`]: chooses the requests that are refused because they cannot start in time,
+//! - [`fair_share`]: divides the capacity of a pool among organisations,
+//! - [`ending`]: chooses the requests that are refused because they cannot end in time,
 //! - [`arms`]: assigns prompts to the arms of a rollout,
 //! - [`guard`]: decides when an arm's traffic goes back to the control arm,
 //! - [`release`]: decides how much traffic a new version of targets gets, and when it is rolled back,
@@ -14,6 +16,8 @@
 
 pub mod admission;
 pub mod arms;
+pub mod ending;
+pub mod fair_share;
 pub mod guard;
 pub mod keeping;
 pub mod overload;
--- a/crates/sillpin-policy/src/overload.rs
+++ b/crates/sillpin-policy/src/overload.rs
@@ -10,6 +10,7 @@
 //! So requests that are retried late yield to those that can still be in time, and are served
 //! whenever there is no queue.
 
+use crate::fair_share::Claim;
 use std::time::Duration;
 
 /// Ratio of the time that a prompt's prefill takes to the time that its tokens alone would take: a
@@ -38,6 +39,13 @@
 const MIN_OBJECTIVE_FACTOR: f64 = 0.7;
 const MAX_OBJECTIVE_FACTOR: f64 = 1.0;
 
+/// The capacity that is divided among organisations is measured by what is admitted. Refusals reduce
+/// it, so shares have to grow while the queue is shorter than the overload rule allows. They are
+/// multiplied by the longest allowed wait divided by the expected one, within these limits. With a
+/// limit of 2, an organisation that had stopped to exceed its share was still refused seconds later.
+const MAX_GAIN: f64 = 4.0;
+const MIN_GAIN: f64 = 0.5;
+
 /// Estimates for one request at the target that could start it soonest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StartEstimate {
@@ -57,19 +65,77 @@
     /// Returns by how much the request would be late if it is to be refused, or `None` if it is to
     /// be served. `draw` is a random number from 0 to 1.
     pub fn lateness_if_refused(&self, draw: f64) -> Option<Duration> {
-        if self.standing < MIN_QUEUE || self.queue < MIN_QUEUE {
+        self.lateness_by_claim(Claim::Usual, draw)
+    }
+
+    /// Like [`Self::lateness_if_refused`], with regard to the share of the request's organisation. A
+    /// request that exceeds the share is refused at any queue. With a shorter limit for the queue
+    /// instead, an organisation at 30 times its share left others 28 in 100 of their requests: boxes
+    /// know of queues too late to hold that many requests to a limit.
+    pub fn lateness_by_claim(&self, claim: Claim, draw: f64) -> Option<Duration> {
+        if let Claim::Excess { part } = claim {
+            let latest_start = self.latest_start(objective_factor(draw), part);
+            return Some(self.start().saturating_sub(latest_start));
+        }
+        if !self.is_overload() {
             return None;
         }
-        let other_wait = match self.own < SHORT_REQUEST {
-            true => Duration::ZERO,
-            false => self.waited + self.standing.mul_f64(STANDING_FACTOR),
+        let factor = match claim {
+            Claim::Protected => MAX_OBJECTIVE_FACTOR,
+            _ => objective_factor(draw),
         };
-        let start = other_wait + self.queue + self.own.mul_f64(PREFILL_FACTOR);
-        let latest_start = self
-            .latency_objective
-            .mul_f64(MIN_OBJECTIVE_FACTOR + (MAX_OBJECTIVE_FACTOR - MIN_OBJECTIVE_FACTOR) * draw);
-        start
-            .checked_sub(latest_start)
+        self.start()
+            .checked_sub(self.latest_start(factor, 1.0))
             .filter(|late| !late.is_zero())
     }
+
+    /// Whether there is a standing queue, so that the targets are overloaded.
+    pub fn has_standing_queue(&self) -> bool {
+        self.standing >= MIN_QUEUE
+    }
+
+    /// Whether the targets are overloaded and the request meets a queue itself.
+    pub fn is_overload(&self) -> bool {
+        self.has_standing_queue() && self.queue >= MIN_QUEUE
+    }
+
+    /// Returns the factor for shares of the measured capacity at this standing queue.
+    pub fn share_gain(&self) -> f64 {
+        let usual = self.latency_objective.mul_f64(objective_factor(0.5));
+        let longest_wait = usual.saturating_sub(self.own.mul_f64(PREFILL_FACTOR));
+        let wait = self.standing.mul_f64(1.0 + STANDING_FACTOR).max(MIN_QUEUE);
+        let gain = longest_wait.as_secs_f64() / wait.as_secs_f64();
+        gain.clamp(MIN_GAIN, MAX_GAIN)
+    }
+
+    /// Expected start, counted from the caller's first attempt.
+    fn start(&self) -> Duration {
+        let standing = match self.own < SHORT_REQUEST {
+            true => Duration::ZERO,
+            false => self.standing.mul_f64(STANDING_FACTOR),
+        };
+        self.fixed_time() + standing + self.queue
+    }
+
+    /// Part of the expected start that does not depend on other requests.
+    fn fixed_time(&self) -> Duration {
+        let waited = match self.own < SHORT_REQUEST {
+            true => Duration::ZERO,
+            false => self.waited,
+        };
+        waited + self.own.mul_f64(PREFILL_FACTOR)
+    }
+
+    /// Start at which the request is late: its latency objective times `factor`, with only a `part`
+    /// of the wait for other requests that this leaves.
+    fn latest_start(&self, factor: f64, part: f64) -> Duration {
+        let latest_start = self.latency_objective.mul_f64(factor);
+        let longest_wait = latest_start.saturating_sub(self.fixed_time());
+        latest_start - longest_wait.mul_f64((1.0 - part).clamp(0.0, 1.0))
+    }
+}
+
+/// Returns the factor of the latency objective at which a request is refused.
+fn objective_factor(draw: f64) -> f64 {
+    MIN_OBJECTIVE_FACTOR + (MAX_OBJECTIVE_FACTOR - MIN_OBJECTIVE_FACTOR) * draw
 }
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -223,4 +223,8 @@
     RELEASE_STEP = 366, Info, "step of a release", "Nothing to do.";
     /// A response was dropped because its caller did not read it and its memory was needed.
     RESPONSE_EVICTED = 367, Warning, "response dropped: caller reads too slowly", "Nothing to do unless it recurs for callers that should be fast: then give the box more memory (`memory-mb`).";
+    /// A request was refused since its response could not end before its deadline.
+    CANNOT_END = 373, Info, "refused: cannot end in time", "Add targets if it recurs: queue_ms, own_ms and generation_ms add up to more than left_ms.";
+    /// A request was refused since its organisation is above its share of the pool.
+    ABOVE_SHARE = 374, Info, "refused: organisation above its share", "Compare demand_ms_per_s and share_ms_per_s: add targets, or ask the organisation to send less.";
 }
