Keep the priority of prompts that are in time behind what goes ahead of them

Cause: a prompt counts as late, and gets the priority behind all that are in time, if the whole queue at its engine is too long. An urgent prompt behind less urgent work, which the engine does later, was demoted behind that work.

Change: where admission is fair, only the part of the queue that goes ahead of the prompt counts.

The changed demotion itself has no test of its own.

--- a/crates/sillpin-gateway/src/front/fair_admission.rs
+++ b/crates/sillpin-gateway/src/front/fair_admission.rs
@@ -34,6 +34,16 @@
         self.cfg.scheduling.fair_admission && request.config.has_competition()
     }
 
+    /// Part of the queue at a pool's targets that goes ahead of a request. A request that is in time behind that part
+    /// keeps its priority.
+    pub fn part_ahead(&self, request: &AdmittedRequest, pool: &PoolId) -> f64 {
+        if !self.is_admission_fair(request) {
+            return 1.0;
+        }
+        let usage = self.loads.usage();
+        usage.part_ahead(pool, request.priority(), Instant::now())
+    }
+
     /// Refuses a prompt that exceeds its organisation's share, cannot end in time, or cannot start in time. `start` has
     /// the queue of all priorities.
     pub fn refuse_by_share(
--- a/crates/sillpin-gateway/src/front/selection.rs
+++ b/crates/sillpin-gateway/src/front/selection.rs
@@ -401,7 +401,8 @@
     /// Prepares what is sent to the selected target, and records which parts are going to be saved.
     fn prepare(&self, request: &AdmittedRequest, selected: SelectedTarget) -> PreparedAttempt {
         let prefill_ms = selected.prefill_ms();
-        let in_time = is_in_time(request, selected.expected_ms());
+        let part_ahead = self.part_ahead(request, &selected.chosen.target.pool);
+        let in_time = is_in_time(request, selected.chosen.queue_ms * part_ahead + prefill_ms);
         let prompt = request.head.prompt.as_ref();
         let prompt_len = prompt.map_or(Tokens(0), |prompt| prompt.tokens);
         let SelectedTarget {
--- a/crates/sillpin-gateway/src/settings.rs
+++ b/crates/sillpin-gateway/src/settings.rs
@@ -192,7 +192,7 @@
                 "fair-admission",
                 SWITCH,
                 AUTO,
-                "Whether requests are refused by their organisation's share under overload, and if they can't end in time; auto: if the configuration has organisations",
+                "Whether requests are refused by their organisation's share under overload, and if they can't end in time; auto: if the configuration has several organisations, or one and several priorities",
             ),
             Key::optional(
                 "silent-engines",
