--- a/crates/sillpin-gateway/src/placement/load.rs
+++ b/crates/sillpin-gateway/src/placement/load.rs
@@ -8,6 +8,8 @@
 use super::signals::TargetSignals;
 use super::standing::{Queue, StandingQueues};
 use super::stream_engines::{PromptKind, StreamEngines};
+use super::stream_pace::StreamPaces;
+use super::usage::Usage;
 use super::work::{EngineWork, IncarnationHash, PeerWork, RowKind, TargetHash, Work};
 use super::work_changes::{Urgency, WorkChanges};
 use crate::control::{Life, TargetEntry};
@@ -151,6 +153,8 @@
     stream_engines: Arc<Mutex<StreamEngines>>,
     limits: Arc<Mutex<Limits>>,
     speeds: Arc<Mutex<EngineSpeeds>>,
+    usage: Arc<Mutex<Usage>>,
+    stream_paces: Arc<Mutex<StreamPaces>>,
     /// Notified when this box observes that a target's limit has started, changed or ended.
     pub limit_changed: Arc<Notify>,
     /// Changes of this box's work that have not been sent to its zone yet.
@@ -167,7 +171,8 @@
         self.table.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Returns this box's work at engines, to be sent to other boxes.
+    /// Returns this box's work at engines, and what organisations request of it, to be sent to
+    /// other boxes.
     pub fn updates_to_send(&self) -> Vec<EngineWork> {
         self.check_measurements(Instant::now());
         let table = self.lock();
@@ -180,8 +185,11 @@
             let row = TargetHash::for_rows(id.as_str(), RowKind::Streams);
             EngineWork::at(row, load.streams)
         });
-        let rates = self.speeds().rows(Instant::now());
-        working.chain(streams).chain(rates).collect()
+        let mut rows: Vec<EngineWork> = working.chain(streams).collect();
+        drop(table);
+        rows.extend(self.speeds().rows(Instant::now()));
+        rows.extend(self.usage().updates_to_send(Instant::now()));
+        rows
     }
 
     /// Returns this box's work at some targets, with rows of zeros for those without work.
@@ -258,6 +266,16 @@
             .map_or(0.0, |work| work.requests)
     }
 
+    /// Locks what organisations request of pools.
+    pub fn usage(&self) -> MutexGuard<'_, Usage> {
+        self.usage.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Locks the paces of streams.
+    pub fn stream_paces(&self) -> MutexGuard<'_, StreamPaces> {
+        self.stream_paces.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     /// Stores the work that another box reported.
     pub fn apply_update(&self, from: BoxId, work: Vec<EngineWork>) {
         let mut peer_work = self.peer_work.lock().unwrap_or_else(|e| e.into_inner());
@@ -605,6 +623,11 @@
         self.record_start(now);
     }
 
+    /// Returns when the first event of the response came.
+    pub fn first_event(&self) -> Option<Instant> {
+        self.first_event
+    }
+
     /// Records how long the request held its engine's memory, which starts with the prefill.
     fn record_hold_time(&self) {
         let Some(first_event) = self.first_event else {
--- a/crates/sillpin-gateway/src/placement/mod.rs
+++ b/crates/sillpin-gateway/src/placement/mod.rs
@@ -7,6 +7,7 @@
 //! - [`engine_speed`]: learned speeds of engines,
 //! - [`allowed`]: the weights versions on which a prompt may run,
 //! - [`index`]: targets by pool and zone,
+//! - [`fair_admission`]: which prompts are refused where organisations compete,
 //! - [`hold_time`]: how long requests hold an engine's memory,
 //! - [`probe`]: probes of unreachable targets,
 //! - [`parts`]: where the parts of a prompt are fetched from and stored,
@@ -17,12 +18,15 @@
 //! - [`stream_engines`]: engines that are kept free of long prefills for short prompts,
 //! - [`residency`]: the regions that a request may reach,
 //! - [`signals`]: signals that targets send in response headers,
+//! - [`stream_pace`]: the time per generated token,
+//! - [`usage`]: what organisations request of each pool,
 //! - [`work`]: work of this box and of other boxes at engines.
 
 pub mod allowed;
 pub mod choose;
 pub mod direct_work;
 pub mod engine_speed;
+pub mod fair_admission;
 pub mod hold_time;
 pub mod index;
 pub mod limits;
@@ -35,6 +39,8 @@
 pub mod slow_start;
 pub mod standing;
 pub mod stream_engines;
+pub mod stream_pace;
+pub mod usage;
 pub mod work;
 pub mod work_changes;
 
--- a/crates/sillpin-gateway/tests/engine_speed_load.rs
+++ b/crates/sillpin-gateway/tests/engine_speed_load.rs
@@ -212,6 +212,7 @@
             }),
             residency: anywhere(),
             limit_context: None,
+            streams: None,
             now: Instant::now(),
         };
         (choose(&choice).unwrap(), prefill_ms)
@@ -223,7 +224,7 @@
         let speed = self.boxes[at].pool_speed(&name("llm"), now);
         let (chosen, prefill_ms) = self.choose(at, tokens, speed);
         let queue = Queue::reported(chosen.queue_ms, true);
-        let standing_ms = self.boxes[at].record_queue(queue, now);
+        let standing_ms = self.boxes[at].record_queue(None, queue, now);
         let millis = |ms: f64| Duration::from_secs_f64(ms / 1000.0);
         let expected = StartEstimate {
             waited: Duration::ZERO,
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -227,4 +227,8 @@
     RESPONSE_EVICTED = 367, Warning, "response dropped: caller reads too slowly", "Nothing to do unless it recurs for callers that should be fast: then give the box more memory (`memory-mb`).";
     /// The number of engines that are reserved for short prompts changed.
     STREAM_ENGINES_CHANGED = 370, Info, "stream engines changed", "Nothing to do: `zones` has the number in each zone, which follows the short prompts in flight.";
+    /// A request was refused since its response could not end before its deadline.
+    CANNOT_END = 373, Info, "refused: cannot end in time", "Add targets if it recurs: queue_ms, own_ms and generation_ms add up to more than left_ms.";
+    /// A request was refused since its organisation is above its share of the pool.
+    ABOVE_SHARE = 374, Info, "refused: organisation above its share", "Compare demand_ms_per_s and share_ms_per_s: add targets, or ask the organisation to send less.";
 }
