Detect engines that stop sending while their connections stay open

Cause: a stream at an engine that stops waits for its idle timeout (2.4 s with an accepted pause of 0.4 s), or for its deadline if it may run only once, and each box sends to the engine until enough of its own requests there have failed.

Change: placement/silence.rs decides which engines are silent. A stream or request that waits longer than its callers accept, with nothing else heard from the engine, makes it suspect; the box then requests its report, which needs no slot. Without a response within 250 ms the engine is out of use, its idle connections are closed and the box reports it in rows of kind Silent. Two other boxes of the own zone are enough as well. Streams continue by the existing resume path or are aborted, requests go elsewhere or end with an unknown outcome. A box whose view is not shared by its zone while most engines of a zone seem silent is cut off and ends nothing. Time in which the process did not run does not count. silence_watch.rs requests reports and acts on the decisions. ControlError states whether the peer responded. E371, E372, sillpin_silent_engines.

--- a/crates/sillpin-gateway/src/control.rs
+++ b/crates/sillpin-gateway/src/control.rs
@@ -291,6 +291,8 @@
     pub peer: SocketAddr,
     /// What went wrong.
     pub what: String,
+    /// Whether the peer responded, although not as expected.
+    pub responded: bool,
 }
 
 /// Client of engines and cache stores.
--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -11,6 +11,7 @@
 use crate::dialect::{AttemptHead, Dialect, ResponseHead};
 use crate::placement::InFlightGuard;
 use crate::placement::signals::{SignalChange, SignalObservation, log_change};
+use crate::placement::silence_watch::EngineWait;
 use crate::placement::work::IncarnationHash;
 use crate::pool::{Conn, SendError};
 use bytes::Bytes;
@@ -34,6 +35,9 @@
 /// Why a prompt was cancelled at its engine.
 const WEIGHTS_OUTDATED: &str = "its weights were replaced too long ago for it to begin";
 
+/// Why an attempt ended at an engine that was found silent.
+const SILENT: &str = "the engine is silent";
+
 /// Statuses by which a target temporarily rejects a request.
 const TEMPORARY_REJECTIONS: [StatusCode; 2] = [
     StatusCode::SERVICE_UNAVAILABLE,
@@ -97,6 +101,8 @@
     /// The request was cancelled because its weights were replaced too long ago. It may have run; this does not count
     /// as a failure of the target.
     Cancelled,
+    /// The engine was found silent before it responded. The request may have run.
+    Silent,
     /// The request ran, and the response is complete.
     Completed(CompleteResponse),
     /// The request runs, and its response is being streamed.
@@ -113,6 +119,7 @@
             AttemptOutcome::Unknown(_) => "unknown",
             AttemptOutcome::TimedOut(_) => "timed-out",
             AttemptOutcome::Cancelled => "taken-back",
+            AttemptOutcome::Silent => "silent",
             AttemptOutcome::Completed(_) => "answered",
             AttemptOutcome::Streaming(_) => "streaming",
         }
@@ -126,6 +133,7 @@
             | AttemptOutcome::TimedOut(reason) => reason,
             AttemptOutcome::NotRun { reason, .. } => reason,
             AttemptOutcome::Cancelled => WEIGHTS_OUTDATED,
+            AttemptOutcome::Silent => SILENT,
             AttemptOutcome::Failed(_) => "the target's own failure",
             AttemptOutcome::Completed(_) | AttemptOutcome::Streaming(_) => "",
         }
@@ -140,6 +148,8 @@
     Abandoned,
     /// The request's weights were replaced too long ago for it to start.
     Expired,
+    /// The engine was found silent.
+    Silent,
 }
 
 /// Conditions, other than the request's deadline, under which waiting for a response ends.
@@ -162,6 +172,8 @@
     pub head: AttemptHead,
     /// Counts the request as in flight at the target.
     pub in_flight: InFlightGuard,
+    /// Time without a response head after which the target is suspected to be silent; `None` if it is not watched.
+    pub head_limit: Option<Duration>,
 }
 
 impl<D: Dialect> Shared<D> {
@@ -197,7 +209,9 @@
             Err(e) => return AttemptOutcome::Unsent(e.to_string()),
         };
         let sent = Instant::now();
-        let resp = match self.wait_for_head(request, &mut conn, req, limits).await {
+        let mut wait = self.silent_engines.wait_for(&target, attempt.head_limit);
+        let head = self.wait_for_head(request, &mut conn, req, limits, &mut wait);
+        let resp = match head.await {
             HeadWait::Done(Ok(resp)) => resp,
             HeadWait::Done(Err(e @ (SendError::Unsent { .. } | SendError::Refused { .. }))) => {
                 return AttemptOutcome::Unsent(e.to_string());
@@ -209,7 +223,10 @@
                 return AttemptOutcome::TimedOut("no answer in time".to_owned());
             }
             HeadWait::Expired => return AttemptOutcome::Cancelled,
+            HeadWait::Silent => return AttemptOutcome::Silent,
         };
+        wait.heard();
+        drop(wait);
         self.classify_response(attempt, conn, resp, sent).await
     }
 
@@ -220,6 +237,7 @@
         conn: &mut Conn,
         req: Request<Full<Bytes>>,
         limits: WaitLimits<L, B>,
+        wait: &mut EngineWait,
     ) -> HeadWait
     where
         L: Fn() -> bool,
@@ -235,8 +253,14 @@
             let next_check = latest_start
                 .unwrap_or(idle_deadline)
                 .min(Instant::now() + START_CHECK_INTERVAL);
-            if let Ok(result) = timeout_at(next_check.min(idle_deadline), &mut response).await {
-                return HeadWait::Done(result);
+            let head_or_check = timeout_at(next_check.min(idle_deadline), &mut response);
+            tokio::select! {
+                // A head that has arrived proves that the engine is not silent.
+                biased;
+                result = head_or_check => if let Ok(result) = result {
+                    return HeadWait::Done(result);
+                },
+                () = wait.lost() => return HeadWait::Silent,
             }
             if Instant::now() < idle_deadline {
                 continue;
--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -128,7 +128,9 @@
                 AttemptOutcome::Unknown(reason) if !may_rerun(&request, &progress) => {
                     return Err(Refusal::unknown(reason));
                 }
-                AttemptOutcome::Cancelled if !may_rerun(&request, &progress) => {
+                AttemptOutcome::Cancelled | AttemptOutcome::Silent
+                    if !may_rerun(&request, &progress) =>
+                {
                     return Err(Refusal::unknown(outcome.reason()));
                 }
                 AttemptOutcome::TimedOut(reason) if !may_rerun(&request, &progress) => {
@@ -138,6 +140,7 @@
                 | AttemptOutcome::NotRun { .. }
                 | AttemptOutcome::Unknown(_)
                 | AttemptOutcome::Cancelled
+                | AttemptOutcome::Silent
                 | AttemptOutcome::TimedOut(_) => {}
             }
         }
@@ -185,6 +188,7 @@
             target: target.clone(),
             head: attempt_head(request, progress, &mut prepared),
             in_flight: self.loads.start(&target.id, prepared.work()),
+            head_limit: self.head_limit(request, pool, &prepared),
         };
         let sent = Instant::now();
         let version = prepared.chosen.version;
@@ -198,7 +202,7 @@
         let outcome = self.attempt(attempt, limits).await;
         tracked.end(matches!(
             outcome,
-            AttemptOutcome::TimedOut(_) | AttemptOutcome::Cancelled
+            AttemptOutcome::TimedOut(_) | AttemptOutcome::Cancelled | AttemptOutcome::Silent
         ));
         if matches!(outcome, AttemptOutcome::Streaming(_)) {
             self.record_transfer(request, &prepared, sent.elapsed());
@@ -295,7 +299,7 @@
             | AttemptOutcome::Unknown(_)
             | AttemptOutcome::TimedOut(_) => Some(Health::Failed),
             AttemptOutcome::Completed(_) | AttemptOutcome::Streaming(_) => Some(Health::Served),
-            AttemptOutcome::Cancelled => None,
+            AttemptOutcome::Cancelled | AttemptOutcome::Silent => None,
         };
         if let Some(health) = health {
             self.loads
--- a/crates/sillpin-gateway/src/front/idle_timeout.rs
+++ b/crates/sillpin-gateway/src/front/idle_timeout.rs
@@ -4,10 +4,11 @@
 //! from one that has stopped. Abandoning it discards its work and starts over at the end of another queue. So a target
 //! is abandoned only if the request may run again, the retry budget allows it, and another target is
 //! expected to start before the caller gives up. Otherwise the request stays until its deadline. Dead connections are
-//! detected by TCP keep-alive, not here.
+//! detected by TCP keep-alive, not here, and engines that stop sending by [`crate::placement::silence`].
 
 use super::admit::AdmittedRequest;
 use super::dispatch::{Progress, may_rerun};
+use super::selection::PreparedAttempt;
 use super::shared::Shared;
 use crate::config::Idempotency;
 use crate::dialect::Dialect;
@@ -67,6 +68,25 @@
             && self.has_faster_target(request, pool, progress)
     }
 
+    /// Longest pause between events of a stream that its callers accept, if the pool's targets are engines.
+    pub fn accepted_pause(&self, request: &AdmittedRequest, pool: &PoolId) -> Option<Duration> {
+        request.config.pool(pool)?.engine.as_ref()?;
+        request.route.max_event_gap
+    }
+
+    /// Time without a response head after which an engine is suspected to be silent.
+    pub fn head_limit(
+        &self,
+        request: &AdmittedRequest,
+        pool: &PoolId,
+        prepared: &PreparedAttempt,
+    ) -> Option<Duration> {
+        self.accepted_pause(request, pool)?;
+        let start_ms = prepared.chosen.queue_ms + prepared.prefill_ms;
+        let start = Duration::from_secs_f64(start_ms.max(0.0) / 1000.0);
+        Some(request.route.latency_objective + start)
+    }
+
     /// Whether another target is expected to start a request before its caller gives up.
     fn has_faster_target(
         &self,
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -32,6 +32,8 @@
     DeadlineReached,
     /// The target broke the stream off or stopped sending.
     Broken(String),
+    /// The engine was found silent.
+    Silent,
 }
 
 impl RelayEnd {
@@ -41,7 +43,7 @@
             RelayEnd::Complete | RelayEnd::DeadlineReached => {
                 Some(VersionResponse::Served(sent.elapsed()))
             }
-            RelayEnd::Broken(_) => Some(VersionResponse::Broken),
+            RelayEnd::Broken(_) | RelayEnd::Silent => Some(VersionResponse::Broken),
             RelayEnd::CallerDisconnected => None,
         }
     }
@@ -116,10 +118,21 @@
                         .end(true);
                     "the request's time is over".to_owned()
                 }
-                RelayEnd::Broken(reason) => {
-                    self.response_broken(&request, &entry);
-                    self.loads
-                        .record_for_incarnation(&target, life, Health::Failed);
+                RelayEnd::Broken(_) | RelayEnd::Silent => {
+                    let reason = match end {
+                        RelayEnd::Broken(reason) => {
+                            self.response_broken(&request, &entry);
+                            self.loads
+                                .record_for_incarnation(&target, life, Health::Failed);
+                            reason
+                        }
+                        _ => {
+                            self.fatal
+                                .sent(request.fingerprint, IncarnationHash::of(&entry))
+                                .end(true);
+                            "the engine is silent".to_owned()
+                        }
+                    };
                     event!(self.log, events::ATTEMPT_INCOMPLETE, "request" => id,
                         "target" => target.as_str(), "outcome" => "broken", "why" => &reason,
                         "elapsed_ms" => request.arrival.elapsed().as_millis());
@@ -192,11 +205,16 @@
             target,
             ..
         } = stream;
+        let accepted_pause = self.accepted_pause(request, pool);
+        let mut wait = self.silent_engines.wait_for(&target, accepted_pause);
         let mut first = true;
         loop {
             let frame = tokio::select! {
+                // An event that has arrived proves that the engine is not silent.
+                biased;
                 frame = body.frame() => frame,
                 () = tx.closed() => return RelayEnd::CallerDisconnected,
+                () = wait.lost() => return RelayEnd::Silent,
                 () = tokio::time::sleep_until(self.idle_deadline(request)) => {
                     if request.time_left().is_zero() {
                         return RelayEnd::DeadlineReached;
@@ -218,6 +236,7 @@
                 Some(Err(e)) => return RelayEnd::Broken(format!("stream broke off: {e}")),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
+            wait.heard();
             let complete = events.push(&data);
             if events.is_overlong() {
                 return RelayEnd::Broken("event exceeds the maximum length".to_owned());
@@ -229,9 +248,11 @@
                 in_flight.prefill_done();
                 first = false;
             }
+            wait.pause();
             if tx.send(complete).await.is_err() {
                 return RelayEnd::CallerDisconnected;
             }
+            wait.resume();
         }
     }
 }
--- a/crates/sillpin-gateway/src/front/release.rs
+++ b/crates/sillpin-gateway/src/front/release.rs
@@ -75,7 +75,7 @@
                 Response::Served(sent.elapsed())
             }
             AttemptOutcome::Failed(_) => Response::Failed,
-            AttemptOutcome::Unknown(_) => Response::Broken,
+            AttemptOutcome::Unknown(_) | AttemptOutcome::Silent => Response::Broken,
             AttemptOutcome::Streaming(_) => return,
             AttemptOutcome::Unsent(_)
             | AttemptOutcome::NotRun { .. }
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -9,6 +9,7 @@
 use crate::metrics::BoxMetrics;
 use crate::placement::Loads;
 use crate::placement::probe::Prober;
+use crate::placement::silence_watch::SilentEngines;
 use crate::pool::ConnectionPool;
 use crate::releases::ReleaseTracker;
 use crate::reload::Settings;
@@ -41,6 +42,8 @@
     pub pool: ConnectionPool,
     /// Probes targets that are unreachable.
     pub prober: Prober,
+    /// Engines from which nothing arrives.
+    pub silent_engines: SilentEngines,
     /// Counts time in which the box was suspended.
     pub suspend_clock: SuspendClock,
     /// This box's part in releases.
@@ -108,6 +111,12 @@
             log: log.clone(),
             probed: Arc::default(),
         };
+        let silent_engines = SilentEngines::new(
+            loads.clone(),
+            pool.clone(),
+            cfg.scheduling.silent_engines,
+            log.clone(),
+        );
         let crash_detector =
             CrashDetector::new(pool.clone(), fleet.clone(), fatal.clone(), log.clone());
         Self {
@@ -121,6 +130,7 @@
             loads,
             pool,
             prober,
+            silent_engines,
             budget: Mutex::new(budget),
             body_memory: BodyMemory::new(max_len, log.clone()),
             metrics,
--- a/crates/sillpin-gateway/src/metrics.rs
+++ b/crates/sillpin-gateway/src/metrics.rs
@@ -187,6 +187,17 @@
         .build();
 }
 
+/// Registers a gauge of engines that are out of use because nothing arrives from them.
+pub fn observe_silence(meter: &Meter, loads: Loads) {
+    meter
+        .u64_observable_gauge("sillpin_silent_engines")
+        .with_description("Engines out of use because they send nothing")
+        .with_callback(move |observer| {
+            observer.observe(loads.silence().count() as u64, &[]);
+        })
+        .build();
+}
+
 /// Registers counters of calls of the platform store and of the bytes of its responses.
 fn observe_calls(meter: &Meter, calls: CallCounts) {
     let observe = |of: fn(CallTotals) -> u64| {
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -13,7 +13,7 @@
 use crate::fleet_state::{self, BoxEntry, FleetHandle, Topic};
 use crate::front::shared::FleetHandles;
 use crate::front::{Front, Shared};
-use crate::metrics::{BoxMetrics, observe_fleet, observe_signals};
+use crate::metrics::{BoxMetrics, observe_fleet, observe_signals, observe_silence};
 use crate::peers::datagram::{BoxHash, ZoneUpdate};
 use crate::peers::hub::Hub;
 use crate::peers::link::{self, PeerServer};
@@ -23,6 +23,7 @@
 use crate::peers::wire::FleetKey;
 use crate::peers::zone_sender::ZoneGossip;
 use crate::placement::Loads;
+use crate::placement::silence_watch::SilenceWatch;
 use crate::releases::ReleaseTracker;
 use crate::releases::supervisor::ReleaseSupervisor;
 use crate::reload::Settings;
@@ -169,6 +170,7 @@
     let (zone_updates_tx, zone_updates) = mpsc::channel(UPDATE_QUEUE);
     let loads = Loads::default();
     observe_signals(&metrics.meter(), loads.clone());
+    observe_silence(&metrics.meter(), loads.clone());
     start_readers(&adapter.keys, |topic, prefix| Reader {
         platform: adapter.platform.clone(),
         topic,
@@ -214,6 +216,17 @@
         me,
     };
     start_peers(peers, settings, &adapter, &shared);
+    if cfg.scheduling.silent_engines {
+        let watch = SilenceWatch {
+            me: cfg.id.clone(),
+            zone: cfg.zone.clone(),
+            engines: shared.silent_engines.clone(),
+            control: adapter.control.clone(),
+            fleet: fleet.clone(),
+            suspend_clock: shared.suspend_clock.clone(),
+        };
+        tokio::spawn(watch.run());
+    }
     tokio::spawn(prune(shared.clone()));
     let end = CancellationToken::new();
     let shared_log = shared.log.clone();
--- a/crates/sillpin-gateway/src/placement/load.rs
+++ b/crates/sillpin-gateway/src/placement/load.rs
@@ -3,6 +3,7 @@
 use super::hold_time::HoldTime;
 use super::limits::Limits;
 use super::signals::TargetSignals;
+use super::silence::Silence;
 use super::standing::{Queue, StandingQueue};
 use super::work::{EngineWork, IncarnationHash, PeerWork, TargetHash, Work};
 use crate::control::{Life, TargetEntry};
@@ -67,6 +68,8 @@
     pub in_flight: u32,
     /// Work of these requests, for engines.
     pub work: Work,
+    /// Whether the target is an engine that is out of use because nothing arrives from it.
+    silent: bool,
     cooldowns: Cooldowns,
     refusals: u32,
     failure_rate: f64,
@@ -78,7 +81,7 @@
 impl Load {
     /// Returns whether the target is in cooldown.
     pub fn in_cooldown(&self, now: Instant) -> bool {
-        self.cooldowns.until().is_some_and(|until| now < until)
+        self.silent || self.cooldowns.until().is_some_and(|until| now < until)
     }
 
     /// Returns the share of recent requests that failed.
@@ -142,6 +145,7 @@
     hold_time: Arc<Mutex<HoldTime>>,
     standing: Arc<Mutex<StandingQueue>>,
     limits: Arc<Mutex<Limits>>,
+    silence: Arc<Mutex<Silence>>,
     /// Notified when this box observes that a target's limit has started, changed or ended.
     pub limit_changed: Arc<Notify>,
 }
@@ -156,8 +160,14 @@
         self.table.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Returns this box's work at engines, to be sent to other boxes.
+    /// Returns this box's work at engines and the engines that it finds silent, to be sent to other boxes.
     pub fn updates_to_send(&self) -> Vec<EngineWork> {
+        let mut rows = self.own_work();
+        rows.extend(self.silence().rows());
+        rows
+    }
+
+    fn own_work(&self) -> Vec<EngineWork> {
         let table = self.lock();
         let working = table.iter().filter(|(_, load)| load.work.tokens >= 1.0);
         working
@@ -165,6 +175,17 @@
             .collect()
     }
 
+    /// Locks what this box has heard from engines. The loads of targets may be locked while this is locked, but not the
+    /// other way round.
+    pub fn silence(&self) -> MutexGuard<'_, Silence> {
+        self.silence.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Records whether an engine is out of use because it is silent.
+    pub fn set_silent(&self, target: &TargetId, silent: bool) {
+        self.lock().entry(target.clone()).or_default().silent = silent;
+    }
+
     /// Stores the work that another box reported.
     pub fn apply_update(&self, from: BoxId, work: Vec<EngineWork>) {
         let mut peer_work = self.peer_work.lock().unwrap_or_else(|e| e.into_inner());
--- a/crates/sillpin-gateway/src/placement/mod.rs
+++ b/crates/sillpin-gateway/src/placement/mod.rs
@@ -13,6 +13,8 @@
 //! - [`standing`]: the recent average queue at engines,
 //! - [`residency`]: the regions that a request may reach,
 //! - [`signals`]: signals that targets send in response headers,
+//! - [`silence`]: which engines are silent,
+//! - [`silence_watch`]: requests for the reports of engines that may be silent,
 //! - [`work`]: work of this box and of other boxes at engines.
 
 pub mod allowed;
@@ -26,6 +28,8 @@
 pub mod residency;
 pub mod shared_limit;
 pub mod signals;
+pub mod silence;
+pub mod silence_watch;
 pub mod slow_start;
 pub mod standing;
 pub mod work;
--- a/crates/sillpin-gateway/src/pool.rs
+++ b/crates/sillpin-gateway/src/pool.rs
@@ -226,6 +226,12 @@
         }
     }
 
+    /// Closes all idle connections to a target.
+    pub fn close_idle(&self, target: &TargetId) {
+        let closed = self.lock().remove(target);
+        drop(closed);
+    }
+
     /// Closes idle connections to targets that are no longer listed, to earlier incarnations, and those idle for too
     /// long.
     pub fn prune(&self, targets: &HashMap<TargetId, Arc<TargetEntry>>) {
--- a/crates/sillpin-gateway/tests/cache_stores/listing.rs
+++ b/crates/sillpin-gateway/tests/cache_stores/listing.rs
@@ -64,6 +64,7 @@
         step: "a call",
         peer,
         what: "busy".to_owned(),
+        responded: true,
     }
 }
 
--- a/crates/sillpin-gateway/tests/rollout.rs
+++ b/crates/sillpin-gateway/tests/rollout.rs
@@ -137,6 +137,7 @@
             step: "a call",
             peer: ([127, 0, 0, 1], 9).into(),
             what: "no answer".to_owned(),
+            responded: false,
         }
     }
 }
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -223,4 +223,8 @@
     RELEASE_STEP = 366, Info, "step of a release", "Nothing to do.";
     /// A response was dropped because its caller did not read it and its memory was needed.
     RESPONSE_EVICTED = 367, Warning, "response dropped: caller reads too slowly", "Nothing to do unless it recurs for callers that should be fast: then give the box more memory (`memory-mb`).";
+    /// An engine sends nothing although its connections are open, and gets no more requests.
+    ENGINE_SILENT = 371, Warning, "engine found silent", "Look at the engine. If one box finds many engines silent (`by` is `report`) and others do not, look at that box's network.";
+    /// Something arrived from an engine that was found silent, and it gets requests again.
+    ENGINE_ANSWERS = 372, Info, "engine answers again", "Nothing to do unless it recurs for one engine: then look at it.";
 }
