--- a/crates/sillpin-gateway/src/placement/load.rs
+++ b/crates/sillpin-gateway/src/placement/load.rs
@@ -6,6 +6,7 @@
 use super::hold_time::HoldTime;
 use super::limits::Limits;
 use super::signals::TargetSignals;
+use super::silence::Silence;
 use super::standing::{Queue, StandingQueues};
 use super::stream_engines::{PromptKind, StreamEngines};
 use super::stream_pace::StreamPaces;
@@ -76,6 +77,8 @@
     pub work: Work,
     /// Short prompts among these requests, with the memory that their streams will hold.
     pub streams: Work,
+    /// Whether the target is an engine that is out of use because nothing arrives from it.
+    silent: bool,
     cooldowns: Cooldowns,
     refusals: u32,
     failure_rate: f64,
@@ -87,7 +90,7 @@
 impl Load {
     /// Returns whether the target is in cooldown.
     pub fn in_cooldown(&self, now: Instant) -> bool {
-        self.cooldowns.until().is_some_and(|until| now < until)
+        self.silent || self.cooldowns.until().is_some_and(|until| now < until)
     }
 
     /// Returns the share of recent requests that failed.
@@ -155,6 +158,7 @@
     speeds: Arc<Mutex<EngineSpeeds>>,
     usage: Arc<Mutex<Usage>>,
     stream_paces: Arc<Mutex<StreamPaces>>,
+    silence: Arc<Mutex<Silence>>,
     /// Notified when this box observes that a target's limit has started, changed or ended.
     pub limit_changed: Arc<Notify>,
     /// Changes of this box's work that have not been sent to its zone yet.
@@ -171,8 +175,8 @@
         self.table.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Returns this box's work at engines, and what organisations request of it, to be sent to
-    /// other boxes.
+    /// Returns this box's work at engines, and what else it reports of them and of organisations, to
+    /// be sent to other boxes.
     pub fn updates_to_send(&self) -> Vec<EngineWork> {
         self.check_measurements(Instant::now());
         let table = self.lock();
@@ -189,6 +193,7 @@
         drop(table);
         rows.extend(self.speeds().rows(Instant::now()));
         rows.extend(self.usage().updates_to_send(Instant::now()));
+        rows.extend(self.silence().rows());
         rows
     }
 
@@ -276,6 +281,17 @@
         self.stream_paces.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Locks what this box has heard from engines. The loads of targets may be locked while this is locked, but not the
+    /// other way round.
+    pub fn silence(&self) -> MutexGuard<'_, Silence> {
+        self.silence.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Records whether an engine is out of use because it is silent.
+    pub fn set_silent(&self, target: &TargetId, silent: bool) {
+        self.lock().entry(target.clone()).or_default().silent = silent;
+    }
+
     /// Stores the work that another box reported.
     pub fn apply_update(&self, from: BoxId, work: Vec<EngineWork>) {
         let mut peer_work = self.peer_work.lock().unwrap_or_else(|e| e.into_inner());
--- a/crates/sillpin-gateway/src/placement/mod.rs
+++ b/crates/sillpin-gateway/src/placement/mod.rs
@@ -20,6 +20,8 @@
 //! - [`signals`]: signals that targets send in response headers,
 //! - [`stream_pace`]: the time per generated token,
 //! - [`usage`]: what organisations request of each pool,
+//! - [`silence`]: which engines are silent,
+//! - [`silence_watch`]: requests for the reports of engines that may be silent,
 //! - [`work`]: work of this box and of other boxes at engines.
 
 pub mod allowed;
@@ -36,6 +38,8 @@
 pub mod residency;
 pub mod shared_limit;
 pub mod signals;
+pub mod silence;
+pub mod silence_watch;
 pub mod slow_start;
 pub mod standing;
 pub mod stream_engines;
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -231,4 +231,8 @@
     CANNOT_END = 373, Info, "refused: cannot end in time", "Add targets if it recurs: queue_ms, own_ms and generation_ms add up to more than left_ms.";
     /// A request was refused since its organisation is above its share of the pool.
     ABOVE_SHARE = 374, Info, "refused: organisation above its share", "Compare demand_ms_per_s and share_ms_per_s: add targets, or ask the organisation to send less.";
+    /// An engine sends nothing although its connections are open, and gets no more requests.
+    ENGINE_SILENT = 371, Warning, "engine found silent", "Look at the engine. If one box finds many engines silent (`by` is `report`) and others do not, look at that box's network.";
+    /// Something arrived from an engine that was found silent, and it gets requests again.
+    ENGINE_ANSWERS = 372, Info, "engine answers again", "Nothing to do unless it recurs for one engine: then look at it.";
 }
