Count immediate updates over two seconds, and stop if they can't be sent at all

Cause: a budget of 0.8 times the limit stopped the updates of a zone of 30 boxes that sends fewer than 600 datagrams a second, because a box has few requests in a second and their number varies. Lists that took the whole limit delayed changes by up to 9 s without a stop, while other boxes counted the box as one that sends its changes.

Change: a box sends at most the limit within any two seconds, with room set aside for complete lists. Ends of requests are sent by themselves only up to half of the rest, and otherwise travel with the next update or list. A change that waits counts as late before it is sent. A box stops after 0.5 s of late updates instead of 0.2 s.

--- a/crates/sillpin-gateway/src/peers/update_limit.rs
+++ b/crates/sillpin-gateway/src/peers/update_limit.rs
@@ -5,18 +5,34 @@
 //! that periodic reports are as good, or if more arrive than the limit, the box stops sending them
 //! for some time.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Number of datagrams that a box sends, and receives, per second.
-pub const MAX_DATAGRAMS: f64 = 600.0;
+/// What a box sends, and receives, per second.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct MaxRates {
+    /// Number of datagrams.
+    pub datagrams: f64,
+    /// Their bytes, without headers of UDP and IP.
+    pub bytes: f64,
+}
+
+/// The limit of a box: less than half of what it may spend on control traffic.
+pub const MAX_RATES: MaxRates = MaxRates {
+    datagrams: 600.0,
+    bytes: 12_000.0,
+};
 
-/// Bytes of datagrams that a box sends, and receives, per second.
-pub const MAX_BYTES: f64 = 12_000.0;
+/// Length of an update about one engine, in bytes.
+const UPDATE_LEN: usize = 33;
 
-/// Part of the limit that may be used at once; the rest is available evenly over time. Both together
-/// are the limit of any second.
-const BURST_SHARE: f64 = 0.2;
+/// Largest number of complete lists within [`WINDOW`].
+const LISTS_IN_WINDOW: usize = 6;
+
+/// Part of what lists leave of the limit up to which ends of requests are sent by themselves. Beyond
+/// it they wait for the next other update or list, so that prefill work does not have to wait.
+const ENDS_SHARE: f64 = 0.5;
 
 /// Longest wait of updates at which the zone counts as fresh. Boxes consider all engines of a fresh
 /// zone, and with older data many of them choose the same one.
@@ -25,14 +41,15 @@
 /// Time for which all updates wait longer than that before the box stops: longer than a few requests
 /// that arrive together. In a zone of 60 boxes at 0.8 times its capacity, 15 in 100 of what is
 /// served in time was lost with 1 s.
-const LATE_TIME: Duration = Duration::from_millis(200);
+const LATE_TIME: Duration = Duration::from_millis(500);
 
 /// A box resumes only if its changes, sent without waits, would take less than this part of the
 /// limit.
 const RESUME_SHARE: f64 = 0.75;
 
-/// Time for which received datagrams are counted.
-const WINDOW: Duration = Duration::from_secs(1);
+/// Time for which datagrams are counted. In a second a box has few requests, and their number varies
+/// too much to compare it with the limit.
+const WINDOW: Duration = Duration::from_secs(2);
 
 /// Shortest time for which a box stops sending.
 const MIN_PAUSE: Duration = Duration::from_secs(5);
@@ -44,44 +61,63 @@
 /// Time without a stop after which the next pause is short again.
 const STABLE_TIME: Duration = Duration::from_secs(30);
 
-/// Amounts that a box may still send.
+/// What a box sent within the last [`WINDOW`].
 #[derive(Debug)]
-struct Budget {
-    datagrams: f64,
-    bytes: f64,
-    at: Option<Instant>,
+struct Sent {
+    max: MaxRates,
+    updates: VecDeque<(Instant, usize, usize)>,
+    datagrams: usize,
+    bytes: usize,
+    /// Datagrams and bytes of the last complete list, which are set aside for the next ones.
+    list: (usize, usize),
 }
 
-impl Budget {
-    const FULL: Self = Self {
-        datagrams: MAX_DATAGRAMS * BURST_SHARE,
-        bytes: MAX_BYTES * BURST_SHARE,
-        at: None,
-    };
-
-    fn refill(&mut self, now: Instant) {
-        let elapsed = self.at.map_or(Duration::ZERO, |at| now - at).as_secs_f64();
-        let part = elapsed * (1.0 - BURST_SHARE);
-        self.datagrams = (self.datagrams + MAX_DATAGRAMS * part).min(Self::FULL.datagrams);
-        self.bytes = (self.bytes + MAX_BYTES * part).min(Self::FULL.bytes);
-        self.at = Some(now);
-    }
-
-    /// Returns when an update to `peers` boxes may be sent. Its length is not known yet, so an update
-    /// may exceed the budget of bytes, and the following ones wait for longer.
-    fn ready_at(&mut self, peers: usize, now: Instant) -> Instant {
-        self.refill(now);
-        let needed = (peers as f64).min(Self::FULL.datagrams);
-        let datagrams = (needed - self.datagrams) / MAX_DATAGRAMS;
-        let bytes = -self.bytes / MAX_BYTES;
-        let wait = datagrams.max(bytes).max(0.0) / (1.0 - BURST_SHARE);
-        now + Duration::from_secs_f64(wait)
-    }
-
-    fn take(&mut self, datagrams: usize, bytes: usize, now: Instant) {
-        self.refill(now);
-        self.datagrams -= datagrams as f64;
-        self.bytes -= bytes as f64;
+impl Sent {
+    fn drop_old(&mut self, now: Instant) {
+        while let Some((at, datagrams, bytes)) = self.updates.front().copied() {
+            if now - at < WINDOW {
+                break;
+            }
+            self.updates.pop_front();
+            self.datagrams -= datagrams;
+            self.bytes -= bytes;
+        }
+    }
+
+    /// Returns when an update to `peers` boxes may be sent, if updates may take `share` of what lists
+    /// leave of the limit.
+    fn ready_at(&mut self, peers: usize, share: f64, now: Instant) -> Instant {
+        self.drop_old(now);
+        let (mut datagrams, mut bytes) = (self.datagrams, self.bytes);
+        let left = |max: f64, list: usize| {
+            (max * WINDOW.as_secs_f64() - (LISTS_IN_WINDOW * list) as f64) * share
+        };
+        let max_datagrams = left(self.max.datagrams, self.list.0);
+        let max_bytes = left(self.max.bytes, self.list.1);
+        let is_ready = |datagrams: usize, bytes: usize| {
+            (datagrams + peers) as f64 <= max_datagrams
+                && (bytes + peers * UPDATE_LEN) as f64 <= max_bytes
+        };
+        let mut ready = now;
+        for (at, old_datagrams, old_bytes) in &self.updates {
+            if is_ready(datagrams, bytes) {
+                break;
+            }
+            datagrams -= old_datagrams;
+            bytes -= old_bytes;
+            ready = *at + WINDOW;
+        }
+        match is_ready(datagrams, bytes) {
+            true => ready,
+            false => now + WINDOW,
+        }
+    }
+
+    fn add(&mut self, datagrams: usize, bytes: usize, now: Instant) {
+        self.drop_old(now);
+        self.updates.push_back((now, datagrams, bytes));
+        self.datagrams += datagrams;
+        self.bytes += bytes;
     }
 }
 
@@ -105,8 +141,10 @@
         self.bytes += bytes;
     }
 
-    fn exceeds_limit(&self) -> bool {
-        f64::from(self.datagrams) > MAX_DATAGRAMS || self.bytes as f64 > MAX_BYTES
+    fn exceeds(&self, max: MaxRates) -> bool {
+        let seconds = WINDOW.as_secs_f64();
+        f64::from(self.datagrams) > max.datagrams * seconds
+            || self.bytes as f64 > max.bytes * seconds
     }
 }
 
@@ -135,7 +173,8 @@
 /// Decides when updates may be sent, and whether they are sent at all.
 #[derive(Debug)]
 pub struct UpdateLimit {
-    budget: Budget,
+    max: MaxRates,
+    recent: Sent,
     received: WindowCount,
     /// Since when all updates have waited for too long.
     late_since: Option<Instant>,
@@ -151,8 +190,22 @@
 
 impl Default for UpdateLimit {
     fn default() -> Self {
+        Self::new(MAX_RATES)
+    }
+}
+
+impl UpdateLimit {
+    /// Creates the limit of a box that has sent nothing yet.
+    pub fn new(max: MaxRates) -> Self {
         Self {
-            budget: Budget::FULL,
+            max,
+            recent: Sent {
+                max,
+                updates: VecDeque::new(),
+                datagrams: 0,
+                bytes: 0,
+                list: (0, 0),
+            },
             received: WindowCount::default(),
             late_since: None,
             stopped_until: None,
@@ -162,22 +215,32 @@
             pause: MIN_PAUSE,
         }
     }
-}
 
-impl UpdateLimit {
     /// Returns whether the box sends updates.
     pub fn is_sending(&self) -> bool {
         self.stopped_until.is_none()
     }
 
-    /// Returns when the next update to `peers` boxes may be sent.
-    pub fn ready_at(&mut self, peers: usize, now: Instant) -> Instant {
-        self.budget.ready_at(peers, now)
+    /// Returns when the next update to `peers` boxes about prefill work may be sent, and when one only
+    /// about ends of requests.
+    pub fn ready_at(&mut self, peers: usize, now: Instant) -> (Instant, Instant) {
+        let immediate = self.recent.ready_at(peers, 1.0, now);
+        (immediate, self.recent.ready_at(peers, ENDS_SHARE, now))
+    }
+
+    /// Records a complete list that was sent, with its bytes in all.
+    pub fn record_list(&mut self, datagrams: usize, bytes: usize) {
+        self.recent.list = (datagrams, bytes);
+        self.count(datagrams, bytes);
     }
 
-    /// Records datagrams that were sent, with their bytes in all.
+    /// Records an update that was sent, with its bytes in all.
     pub fn record_sent(&mut self, datagrams: usize, bytes: usize, now: Instant) {
-        self.budget.take(datagrams, bytes, now);
+        self.recent.add(datagrams, bytes, now);
+        self.count(datagrams, bytes);
+    }
+
+    fn count(&mut self, datagrams: usize, bytes: usize) {
         self.sent.0 += datagrams;
         self.sent.1 += bytes;
     }
@@ -196,7 +259,8 @@
         };
         let per_s = unsent as f64 / (now - since).as_secs_f64().max(1.0);
         let mean_len = self.sent.1 as f64 / self.sent.0.max(1) as f64;
-        per_s < RESUME_SHARE * MAX_DATAGRAMS && per_s * mean_len < RESUME_SHARE * MAX_BYTES
+        let max = self.max;
+        per_s < RESUME_SHARE * max.datagrams && per_s * mean_len < RESUME_SHARE * max.bytes
     }
 
     /// Records for how long changes waited before they were sent.
@@ -212,8 +276,9 @@
         self.received.add(bytes, now);
     }
 
-    /// Stops or resumes, if it is time to.
-    pub fn switch(&mut self, now: Instant) -> Option<Switch> {
+    /// Stops or resumes, if it is time to. `waiting_since` is when the earliest change was recorded that
+    /// waits to be sent.
+    pub fn switch(&mut self, waiting_since: Option<Instant>, now: Instant) -> Option<Switch> {
         if let Some(until) = self.stopped_until {
             if now < until {
                 return None;
@@ -230,10 +295,11 @@
             self.received = WindowCount::default();
             return Some(Switch::Resumed);
         }
-        let is_late = self
+        let late_since = self
             .late_since
-            .is_some_and(|since| now - since >= LATE_TIME);
-        let switch = match (is_late, self.received.exceeds_limit()) {
+            .or(waiting_since.map(|since| since + MAX_WAIT));
+        let is_late = late_since.is_some_and(|since| now >= since + LATE_TIME);
+        let switch = match (is_late, self.received.exceeds(self.max)) {
             (true, _) => Switch::StoppedSending,
             (false, true) => Switch::StoppedReceiving,
             (false, false) => return None,
--- a/crates/sillpin-gateway/src/peers/work_updates.rs
+++ b/crates/sillpin-gateway/src/peers/work_updates.rs
@@ -101,7 +101,7 @@
         self.update_scope(&views.borrow_and_update().clone());
         loop {
             let peers = self.scope.as_ref().map_or(0, |scope| scope.peers.len());
-            let earliest = self.limit.lock().ready_at(peers, Instant::now());
+            let (immediate, batched) = self.limit.lock().ready_at(peers, Instant::now());
             let is_sending = peers > 0 && self.limit.lock().is_sending();
             let changes = self.loads.work_changes.clone();
             tokio::select! {
@@ -110,7 +110,7 @@
                     self.update_scope(&view);
                 }
                 _ = lists.tick() => self.tick().await,
-                () = changes.wait_until_due(earliest), if is_sending => self.send_changes().await,
+                () = changes.wait_until_due(immediate, batched), if is_sending => self.send_changes().await,
             }
         }
     }
@@ -156,7 +156,8 @@
 
     /// Stops or resumes, if it is time to.
     async fn switch(&mut self) {
-        let switch = self.limit.lock().switch(Instant::now());
+        let waiting_since = self.loads.work_changes.immediate_since();
+        let switch = self.limit.lock().switch(waiting_since, Instant::now());
         let Some(switch) = switch else {
             return;
         };
@@ -178,19 +179,16 @@
 
     async fn send_changes(&mut self) {
         let now = Instant::now();
-        let Some(due) = self.loads.work_changes.due() else {
-            return;
-        };
         let changed = self.loads.work_changes.take();
-        self.limit
-            .lock()
-            .record_wait(now.saturating_duration_since(due), now);
+        if let Some(since) = changed.immediate_since {
+            self.limit.lock().record_wait(now - since, now);
+        }
         self.switch().await;
         if !self.limit.lock().is_sending() {
             return;
         }
         let (heard, _) = self.peers_by_contact();
-        let rows = self.loads.work_at(&changed);
+        let rows = self.loads.work_at(&changed.targets);
         self.send(EngineUpdateContent::Changed(rows), &heard).await;
     }
 
@@ -213,6 +211,7 @@
             return;
         }
         self.sequence = self.sequence.wrapping_add(1);
+        let is_list = matches!(content, EngineUpdateContent::Complete(_));
         let datagram = Datagram::EngineUpdate(EngineUpdate {
             from: self.name,
             sequence: self.sequence,
@@ -227,9 +226,11 @@
         };
         self.metrics
             .datagrams(datagram.name(), "sent", to.len(), buf.len());
-        self.limit
-            .lock()
-            .record_sent(to.len(), to.len() * buf.len(), Instant::now());
+        let (count, bytes) = (to.len(), to.len() * buf.len());
+        match is_list {
+            true => self.limit.lock().record_list(count, bytes),
+            false => self.limit.lock().record_sent(count, bytes, Instant::now()),
+        }
         for peer in to {
             // A datagram that cannot be sent counts as lost; the next list repeats its content.
             let _ = self.socket.send_to(&buf, peer).await;
--- a/crates/sillpin-gateway/src/placement/work_changes.rs
+++ b/crates/sillpin-gateway/src/placement/work_changes.rs
@@ -26,9 +26,28 @@
     /// Targets of the own zone; empty if changes are not sent.
     engines: HashSet<TargetHash>,
     changed: HashSet<TargetId>,
-    due: Option<Instant>,
-    /// Number of changes recorded with [`Urgency::Immediate`] since it was last taken.
-    immediate: usize,
+    /// When the earliest change with [`Urgency::Immediate`] was recorded.
+    immediate: Option<Instant>,
+    /// When the changes with [`Urgency::Batched`] are due.
+    batched: Option<Instant>,
+    /// Number of changes recorded with [`Urgency::Immediate`] since they were last taken.
+    immediate_count: usize,
+}
+
+impl Pending {
+    fn clear(&mut self) {
+        self.changed.clear();
+        (self.immediate, self.batched, self.immediate_count) = (None, None, 0);
+    }
+}
+
+/// Changes taken to be sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TakenChanges {
+    /// The targets whose work has changed.
+    pub targets: Vec<TargetId>,
+    /// Since when a change that is to be sent immediately has waited.
+    pub immediate_since: Option<Instant>,
 }
 
 /// Changes that have not been sent; clones share them.
@@ -47,8 +66,7 @@
     pub fn set_engines(&self, engines: HashSet<TargetHash>) {
         let mut pending = self.lock();
         if engines.is_empty() {
-            pending.changed.clear();
-            pending.due = None;
+            pending.clear();
         }
         pending.engines = engines;
     }
@@ -62,43 +80,60 @@
         if !pending.changed.contains(target) {
             pending.changed.insert(target.clone());
         }
-        pending.immediate += usize::from(urgency == Urgency::Immediate);
-        let due = match urgency {
-            Urgency::Immediate => Instant::now(),
-            Urgency::Batched => Instant::now() + BATCH_TIME,
+        let now = Instant::now();
+        let is_first = match urgency {
+            Urgency::Immediate => {
+                pending.immediate_count += 1;
+                let since = pending.immediate.unwrap_or(now);
+                pending.immediate.replace(since)
+            }
+            Urgency::Batched => {
+                let due = pending.batched.unwrap_or(now + BATCH_TIME);
+                pending.batched.replace(due)
+            }
         };
-        if pending.due.is_none_or(|earliest| due < earliest) {
-            pending.due = Some(due);
+        if is_first.is_none() {
             self.recorded.notify_one();
         }
     }
 
-    /// Returns when the changes recorded so far are to be sent; `None` if there are none.
-    pub fn due(&self) -> Option<Instant> {
-        self.lock().due
+    /// Returns when the changes recorded so far are to be sent, if immediate ones may not be sent
+    /// before `immediate` and ends of requests not before `batched`; `None` if there are no changes.
+    pub fn due(&self, immediate: Instant, batched: Instant) -> Option<Instant> {
+        let pending = self.lock();
+        let immediate = pending.immediate.map(|due| due.max(immediate));
+        let batched = pending.batched.map(|due| due.max(batched));
+        immediate.into_iter().chain(batched).min()
+    }
+
+    /// Returns when the earliest change that is to be sent immediately was recorded.
+    pub fn immediate_since(&self) -> Option<Instant> {
+        self.lock().immediate
     }
 
     /// Takes all changes.
-    pub fn take(&self) -> Vec<TargetId> {
+    pub fn take(&self) -> TakenChanges {
         let mut pending = self.lock();
-        pending.due = None;
-        pending.immediate = 0;
-        pending.changed.drain().collect()
+        let taken = TakenChanges {
+            targets: pending.changed.drain().collect(),
+            immediate_since: pending.immediate,
+        };
+        pending.clear();
+        taken
     }
 
     /// Drops all changes. Returns how many were to be sent immediately.
     pub fn discard(&self) -> usize {
         let mut pending = self.lock();
-        pending.due = None;
-        pending.changed.clear();
-        std::mem::take(&mut pending.immediate)
+        let immediate = pending.immediate_count;
+        pending.clear();
+        immediate
     }
 
-    /// Waits until changes are due. They may not be sent before `earliest`.
-    pub async fn wait_until_due(&self, earliest: Instant) {
+    /// Waits until changes are due, with the same times as for [`WorkChanges::due`].
+    pub async fn wait_until_due(&self, immediate: Instant, batched: Instant) {
         loop {
-            let due = self.due().map(|due| due.max(earliest));
-            match due {
+            match self.due(immediate, batched) {
                 None => self.recorded.notified().await,
                 Some(due) if due <= Instant::now() => return,
                 Some(due) => tokio::select! {
