--- a/crates/sillpin-gateway/src/placement/stream_engines.rs
+++ b/crates/sillpin-gateway/src/placement/stream_engines.rs
@@ -205,6 +205,12 @@
             .map_or(0, |count| count.update(demand, now))
     }
 
+    /// Removes the zones of a pool that are not `included`.
+    pub fn retain_zones(&mut self, pool: &PoolId, included: impl Fn(&ZoneId) -> bool) {
+        let zones = &mut self.pool_mut(pool).zones;
+        zones.retain(|zone, _| included(zone));
+    }
+
     /// Returns when long prompts used stream engines of a pool.
     pub fn long_prompts(&mut self, pool: &PoolId) -> &mut LongPrompts {
         &mut self.pool_mut(pool).long_prompts
--- a/crates/sillpin-gateway/src/placement/stream_engines/search.rs
+++ b/crates/sillpin-gateway/src/placement/stream_engines/search.rs
@@ -49,12 +49,13 @@
 
     /// Returns the stream engines of all zones that are large enough.
     fn reserved(&self, pool: &PoolTargets, streams: &StreamInputs) -> Reserved {
+        let is_large = |zone: &ZoneId| pool.of_zone(zone).len() >= MIN_ZONE_ENGINES;
+        let mut state = self.choice.loads.stream_engines();
+        state.retain_zones(self.choice.pool, is_large);
+        drop(state);
         let mut reserved = Reserved::new();
-        for zone in &pool.zone_names {
-            let engines = pool.of_zone(zone);
-            if engines.len() >= MIN_ZONE_ENGINES {
-                self.reserve(zone, engines, streams, &mut reserved);
-            }
+        for zone in pool.zone_names.iter().filter(|zone| is_large(zone)) {
+            self.reserve(zone, pool.of_zone(zone), streams, &mut reserved);
         }
         reserved
     }
