Test that a wrong engine speed is corrected; measure nothing if learning is off

Cause: no test showed that a box with a wrong estimate goes on serving and gets measurements that correct it. With learned-speeds off, each request still counted concurrent requests and events for a measurement that nothing used.

Change: a test in which all boxes start with a rate of less than a third of the real one, and guards of requests in flight that measure only if learning is enabled.

--- a/crates/sillpin-gateway/src/placement/engine_speed/mod.rs
+++ b/crates/sillpin-gateway/src/placement/engine_speed/mod.rs
@@ -120,6 +120,11 @@
         self.enabled = true;
     }
 
+    /// Returns whether speeds are learned.
+    pub fn is_enabled(&self) -> bool {
+        self.enabled
+    }
+
     /// Watches a request that is being sent without a known queue; `None` without learning.
     pub fn watch(&mut self, request: WatchedRequest) -> Option<WatchId> {
         self.enabled.then(|| self.clean_starts.watch(request))?
--- a/crates/sillpin-gateway/src/placement/load.rs
+++ b/crates/sillpin-gateway/src/placement/load.rs
@@ -435,6 +435,8 @@
 impl InFlightGuard {
     /// Uses the request's times to learn the speed of engines.
     pub fn measured(mut self, request: Option<MeasuredRequest>) -> Self {
+        let is_learning = self.loads.speeds().is_enabled();
+        let request = request.filter(|_| is_learning);
         self.measured = request.map(|request| Measurement {
             watch: self.watch(&request),
             last_event: request.sent,
--- a/crates/sillpin-gateway/tests/engine_speed_load.rs
+++ b/crates/sillpin-gateway/tests/engine_speed_load.rs
@@ -12,7 +12,7 @@
 use sillpin_gateway::control::TargetEntry;
 use sillpin_gateway::peers::datagram::BoxHash;
 use sillpin_gateway::placement::choose::PromptInputs;
-use sillpin_gateway::placement::engine_speed::{PoolSpeed, PrefillRate};
+use sillpin_gateway::placement::engine_speed::{PoolSpeed, PrefillRate, StartSample};
 use sillpin_gateway::placement::index::TargetIndex;
 use sillpin_gateway::placement::load::MeasuredRequest;
 use sillpin_gateway::placement::standing::Queue;
@@ -339,6 +339,45 @@
     assert!(highest < rate.max(prior) * 1.3, "{highest}");
 }
 
+/// Guards against a wrong estimate that makes boxes refuse everything, so that nothing corrects it.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_wrong_estimate_is_corrected_and_most_is_served(
+    #[values(0.5, 1.5)] load: f64,
+    #[values(1, 2)] seed: u64,
+) {
+    let mut fleet = Fleet::new(ALL_EQUAL, true, seed);
+    for of in &fleet.boxes {
+        for index in 0..50 {
+            let tokens = if index % 2 == 0 { SHORT } else { LONG };
+            let sample = StartSample {
+                tokens: Tokens(tokens),
+                queue_ms: 0.0,
+                took: Duration::from_millis(500 + tokens),
+            };
+            let engine = IncarnationHash::of(&engine("other", "za"));
+            let mut speeds = of.speeds();
+            speeds.record_start(&name("llm"), engine, sample, Instant::now());
+        }
+    }
+    assert!(fleet.speeds()[BOXES - 1].rate.0 < ALL_EQUAL.rate / 3.0);
+    fleet.run(load, Duration::from_secs(10)).await;
+    let served = fleet.in_time as f64 / (fleet.sent as f64 / load.max(1.0));
+    let speeds = fleet.speeds();
+    println!(
+        "wrong load {load}: {served:.3} in time, {:?} to {:?}",
+        speeds[0],
+        speeds[BOXES - 1]
+    );
+    assert!(served > 0.8, "{served}");
+    fleet.run(0.5, Duration::from_secs(30)).await;
+    let speeds = fleet.speeds();
+    let (lowest, highest) = (speeds[0].rate.0, speeds[BOXES - 1].rate.0);
+    println!("wrong load {load}: {lowest} to {highest}");
+    assert!(lowest > ALL_EQUAL.rate * 0.85, "{lowest}");
+    assert!(highest < ALL_EQUAL.rate * 1.15, "{highest}");
+}
+
 /// Guards against learned speeds that make a fleet serve less: fewer prompts in time than with the
 /// prior rate, at engines of the rate that the prior assumes and at others, some of them slow.
 #[rstest]
