Let shares grow again after a time in which nothing was admitted

Cause: the capacity that is divided is what was admitted. After a time in which all was refused it is zero, and so are the shares, until the standing queue is gone.

Change: at least a twentieth of the demand counts as admitted.

--- a/crates/sillpin-gateway/src/placement/usage.rs
+++ b/crates/sillpin-gateway/src/placement/usage.rs
@@ -31,6 +31,10 @@
 /// number of different rows that hubs send when there are many small organisations.
 const MIN_REPORTED_PART: f64 = 1.0 / 32.0;
 
+/// Least part of the demand that counts as admitted: shares of a pool that has admitted nothing
+/// could not grow again.
+const MIN_ADMITTED_PART: f64 = 0.05;
+
 /// Interval at which the division of a pool is computed again.
 const DIVISION_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -336,6 +340,8 @@
             demands.push(PrefillRate(total.prefill_ms));
             capacity += total.tokens.min(total.prefill_ms);
         }
+        let demand: f64 = demands.iter().map(|demand: &PrefillRate| demand.0).sum();
+        let capacity = capacity.max(demand * MIN_ADMITTED_PART);
         let capacity = PrefillRate(capacity.min(facts.engines as f64 * 1000.0));
         Division {
             shares: FairShare::new(demands, capacity),
--- a/crates/sillpin-gateway/tests/usage.rs
+++ b/crates/sillpin-gateway/tests/usage.rs
@@ -140,6 +140,21 @@
     assert!(division.capacity.0 < demand(&usage, &org(1), &[]));
 }
 
+/// Guards against shares that stay zero after a time in which nothing was admitted.
+#[tokio::test(start_paused = true)]
+async fn shares_can_grow_after_nothing_was_admitted() {
+    let mut usage = Usage::default();
+    request(&mut usage, &[(org(0), 10.0), (org(1), 100.0)], false).await;
+    let organisations = [org(0), org(1)];
+    let facts = PoolFacts {
+        organisations: organisations.iter(),
+        peer_work: &HashMap::new(),
+        engines: ENGINES,
+    };
+    let division = usage.division(&pool(), facts, Instant::now());
+    assert!(division.shares.level().unwrap().0 > 0.0);
+}
+
 #[tokio::test(start_paused = true)]
 async fn only_work_of_the_same_or_higher_priority_goes_ahead() {
     let (mut usage, pool, org, now) = (Usage::default(), pool(), org(0), Instant::now());
