--- a/crates/sillpin-gateway/tests/stream_choice.rs
+++ b/crates/sillpin-gateway/tests/stream_choice.rs
@@ -10,10 +10,10 @@
 use sillpin_gateway::config::{EngineSpec, FleetConfig, Idempotency, Priority, Route, Share};
 use sillpin_gateway::control::TargetEntry;
 use sillpin_gateway::placement::choose::PromptInputs;
+use sillpin_gateway::placement::engine_speed::PrefillRate;
 use sillpin_gateway::placement::index::TargetIndex;
 use sillpin_gateway::placement::limits::LimitContext;
 use sillpin_gateway::placement::load::Outcome;
-use sillpin_gateway::placement::parts::Plan;
 use sillpin_gateway::placement::shared_limit::ShareGroup;
 use sillpin_gateway::placement::standing::Queue;
 use sillpin_gateway::placement::stream_engines::count::ZoneCount;
@@ -258,7 +258,7 @@
 
     fn choose(&mut self, tokens: Tokens) -> ChosenTarget {
         self.draw += 1;
-        let prefill_ms = Plan::prefill_time_ms(tokens);
+        let prefill_ms = PrefillRate::PRIOR.ms(tokens);
         let streams = StreamInputs {
             rules: RULES,
             kind: RULES.kind(prefill_ms),
