Compute hashes of stream rows once; document stream engines

Cause: each choice hashed the id of each engine of all zones.

Change: the index has the hash. A bench case has 600 engines with a stream at each.

--- a/crates/sillpin-gateway/benches/decision.rs
+++ b/crates/sillpin-gateway/benches/decision.rs
@@ -18,8 +18,9 @@
 use sillpin_gateway::placement::choose::PromptInputs;
 use sillpin_gateway::placement::index::TargetIndex;
 use sillpin_gateway::placement::parts::{PlanInputs, plan, salt};
-use sillpin_gateway::placement::work::EngineWork;
-use sillpin_gateway::placement::{ChoiceInputs, Loads, choose};
+use sillpin_gateway::placement::stream_engines::{PromptKind, StreamInputs, StreamRules};
+use sillpin_gateway::placement::work::{EngineWork, Work};
+use sillpin_gateway::placement::{ChoiceInputs, InFlightGuard, Loads, choose};
 use std::collections::HashMap;
 use std::hint::black_box;
 use std::sync::Arc;
@@ -55,9 +56,41 @@
     }
 }
 
+/// Starts a stream at each engine.
+fn start_streams(
+    loads: &Loads,
+    targets: &HashMap<TargetId, Arc<TargetEntry>>,
+) -> Vec<InFlightGuard> {
+    let stream = Work::one(0.0, Tokens(1_000));
+    let start = |id| loads.start_stream(id, stream, stream);
+    targets.keys().map(start).collect()
+}
+
+fn stream_inputs(spec: &EngineSpec, number: u64) -> StreamInputs {
+    let rules = StreamRules {
+        max_event_gap: Duration::from_millis(800),
+        slots: spec.slots,
+        capacity: spec.capacity,
+        comfortable_batch: spec.slots,
+    };
+    StreamInputs {
+        rules,
+        kind: PromptKind::Long,
+        prefill_ms: 160.0,
+        zone_boxes: 60,
+        draw: number,
+    }
+}
+
 fn decision(c: &mut Criterion) {
     let mut group = c.benchmark_group("gateway decision");
-    for (count, reported_late) in [(256, true), (256, false), (600, true)] {
+    let cases = [
+        (256, true, false),
+        (256, false, false),
+        (600, true, false),
+        (600, true, true),
+    ];
+    for (count, reported_late, has_streams) in cases {
         let targets = engines(count);
         let index = TargetIndex::new(&targets);
         let loads = Loads::default();
@@ -78,7 +111,12 @@
         };
         let (pool, zone, cache_stores) = (name("llm"), name("z0"), CacheStores::default());
         let mut number = 0;
-        let label = if reported_late { "few" } else { "all" };
+        let label = match (reported_late, has_streams) {
+            (true, true) => "few, stream engines",
+            (true, false) => "few",
+            (false, _) => "all",
+        };
+        let _streams = has_streams.then(|| start_streams(&loads, &targets));
         group.bench_function(BenchmarkId::new(label, count), |b| {
             b.iter(|| {
                 number += 1;
@@ -116,7 +154,7 @@
                     }),
                     residency: anywhere(),
                     limit_context: None,
-                    streams: None,
+                    streams: has_streams.then(|| stream_inputs(&spec, number)),
                     now,
                 };
                 black_box(choose(&choice).is_some())
--- a/crates/sillpin-gateway/src/placement/index.rs
+++ b/crates/sillpin-gateway/src/placement/index.rs
@@ -3,7 +3,7 @@
 //! Copies of the index share all zones that have not changed since, so an update costs as much as the changed zone is
 //! large, whatever the size of the fleet.
 
-use super::work::{IncarnationHash, TargetHash};
+use super::work::{IncarnationHash, RowKind, TargetHash};
 use crate::cache_stores::homes::hash_pair;
 use crate::control::{Presence, TargetEntry};
 use crate::fleet_state::fleet::served;
@@ -18,6 +18,8 @@
     pub entry: Arc<TargetEntry>,
     /// Hash of the target's id.
     pub hash: TargetHash,
+    /// Hash of the rows about short prompts in flight at the target.
+    pub streams: TargetHash,
     /// Hash of the target's current incarnation.
     pub incarnation: IncarnationHash,
     /// Hash of the target's id for ranking homes.
@@ -28,6 +30,7 @@
     fn new(entry: &Arc<TargetEntry>) -> Self {
         Self {
             hash: TargetHash::of(&entry.id),
+            streams: TargetHash::for_rows(entry.id.as_str(), RowKind::Streams),
             incarnation: IncarnationHash::of(entry),
             id_hash: hash_pair(entry.id.as_str(), "home"),
             entry: entry.clone(),
--- a/crates/sillpin-gateway/src/placement/stream_engines.rs
+++ b/crates/sillpin-gateway/src/placement/stream_engines.rs
@@ -259,13 +259,9 @@
 }
 
 impl ZoneDemand {
-    /// Sums up the streams of a zone's engines, given with whether they can be used.
-    pub fn of(engines: impl Iterator<Item = (Work, bool)>, rules: &StreamRules) -> Self {
-        let (mut streams, mut usable) = (Work::default(), 0);
-        for (at_engine, is_usable) in engines {
-            streams.add(at_engine);
-            usable += usize::from(is_usable);
-        }
+    /// Sums up the streams at the engines of a zone, of which `usable` can be used.
+    pub fn of(engines: impl Iterator<Item = Work>, usable: usize, rules: &StreamRules) -> Self {
+        let streams = engines.fold(Work::default(), Work::plus);
         let stream_tokens = streams.tokens / streams.requests.max(1.0);
         Self {
             streams: streams.requests,
--- a/crates/sillpin-gateway/src/placement/stream_engines/search.rs
+++ b/crates/sillpin-gateway/src/placement/stream_engines/search.rs
@@ -6,7 +6,7 @@
 use crate::placement::choose::{ChosenTarget, Search};
 use crate::placement::index::{IndexedTarget, PoolTargets};
 use crate::placement::standing::Queue;
-use crate::placement::work::{RowKind, TargetHash, Work};
+use crate::placement::work::{TargetHash, Work};
 use sillpin_core::ZoneId;
 use sillpin_policy::overload::PREFILL_FACTOR;
 use std::collections::HashSet;
@@ -70,11 +70,8 @@
         let (choice, rules) = (self.choice, &streams.rules);
         let mut usable: Vec<&IndexedTarget> =
             engines.iter().filter(|at| self.is_usable(at)).collect();
-        let at_engines = engines.iter().map(|at| (self.streams_at(at), false));
-        let demand = ZoneDemand {
-            usable: usable.len(),
-            ..ZoneDemand::of(at_engines, rules)
-        };
+        let at_engines = engines.iter().map(|at| self.streams_at(at));
+        let demand = ZoneDemand::of(at_engines, usable.len(), rules);
         let mut state = choice.loads.stream_engines();
         let count = state.update(choice.pool, zone, &demand, choice.now);
         drop(state);
@@ -85,24 +82,16 @@
     /// Returns the short prompts that all boxes have in flight at an engine.
     fn streams_at(&self, engine: &IndexedTarget) -> Work {
         let id = &engine.entry.id;
-        let own = self
-            .table
-            .get(id)
-            .map_or(Work::default(), |load| load.streams);
-        let row = TargetHash::for_rows(id.as_str(), RowKind::Streams);
-        own.plus(self.peer_work.get(&row).copied().unwrap_or_default())
+        let own = self.table.get(id).map(|load| load.streams);
+        let others = self.peer_work.get(&engine.streams).copied();
+        own.unwrap_or_default().plus(others.unwrap_or_default())
     }
 
     /// Returns the work that all boxes have at an engine.
     fn work_at(&self, engine: &IndexedTarget) -> Work {
-        let own = self.table.get(&engine.entry.id);
-        let own = own.map_or(Work::default(), |load| load.work);
-        own.plus(
-            self.peer_work
-                .get(&engine.hash)
-                .copied()
-                .unwrap_or_default(),
-        )
+        let own = self.table.get(&engine.entry.id).map(|load| load.work);
+        let others = self.peer_work.get(&engine.hash).copied();
+        own.unwrap_or_default().plus(others.unwrap_or_default())
     }
 
     /// Returns whether an engine takes prompts now: engines in cooldown, cold ones, and those that serve old weights
