Judge short prompts of a pool with stream engines by their queue alone

A short prompt of a large organisation was refused for its share although it met a queue of 5 ms at the stream engines: the share was that of the long prompts' engines.

--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -15,6 +15,7 @@
 use crate::fatal::crash_detector::BrokenRequest;
 use crate::fleet_state::{FleetMsg, View};
 use crate::placement::load::Outcome as Health;
+use crate::placement::stream_engines::PromptKind;
 use crate::placement::work::IncarnationHash;
 use crate::releases::{Assignment, Cohort};
 use hyper::Response;
@@ -436,7 +437,9 @@
             return None;
         }
         let expected = prepared.expected(request, queue, standing_ms);
-        if self.is_admission_fair(request) {
+        // A short prompt has engines of its own and takes almost none of the capacity that organisations compete for.
+        let is_short = prepared.chosen.kind == Some(PromptKind::Short);
+        if self.is_admission_fair(request) && !is_short {
             return self.refuse_by_share(request, pool, prepared, queue, expected, progress);
         }
         let late = expected.lateness_if_refused(rand::rng().random())?;
