Release stream engines after 2 s instead of 5, two a second

Cause: in a trace, 26 of 47 engines of a zone stayed reserved where some 13 were needed, after streams of silent engines had counted; long prompts were refused meanwhile.

--- a/crates/sillpin-gateway/src/placement/stream_engines/count.rs
+++ b/crates/sillpin-gateway/src/placement/stream_engines/count.rs
@@ -9,10 +9,10 @@
 use tokio::time::Instant;
 
 /// Time for which the demand must have been lower before the number falls.
-const FALL_DELAY: Duration = Duration::from_secs(5);
+const FALL_DELAY: Duration = Duration::from_secs(2);
 
 /// Time between two steps by which the number falls.
-const FALL_INTERVAL: Duration = Duration::from_secs(1);
+const FALL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time over which the growth of the demand is measured, and for which there is headroom.
 const GROWTH_TIME: Duration = Duration::from_secs(1);
--- a/crates/sillpin-gateway/tests/common/engines.rs
+++ b/crates/sillpin-gateway/tests/common/engines.rs
@@ -380,16 +380,20 @@
 
 /// Returns the plan of a prompt whose last shared part is `key`, with no part in a store.
 pub fn plan_without_stored_parts(key: u64, tokens: Tokens) -> Plan {
-    plan_with_speed(key, tokens, PoolSpeed::default())
+    plan_of_parts(key, tokens, Tokens(tokens.0 / 2), PoolSpeed::default())
 }
 
-/// Returns the same plan for a pool of any speed.
+/// Returns the same plan for a pool of any speed; the last part is 4 of 9 tokens.
 pub fn plan_with_speed(key: u64, length: Tokens, speed: PoolSpeed) -> Plan {
+    plan_of_parts(key, length, Tokens(length.0 * 4 / 9), speed)
+}
+
+fn plan_of_parts(key: u64, length: Tokens, own: Tokens, speed: PoolSpeed) -> Plan {
     let part = |id: String, tokens| Part {
         id: PartId(id),
         tokens: Tokens(tokens),
     };
-    let own = length.0 * 4 / 9;
+    let own = own.0;
     let prompt = Prompt {
         model: name("m"),
         parts: vec![
--- a/crates/sillpin-gateway/tests/stream_choice.rs
+++ b/crates/sillpin-gateway/tests/stream_choice.rs
@@ -139,26 +139,33 @@
     let mut count = ZoneCount::default();
     assert_eq!(count.update(&demand(100.0, 30), Instant::now()), 10);
     assert_eq!(count.update(&demand(120.0, 30), Instant::now()), 11);
-    for _ in 0..49 {
+    for _ in 0..19 {
         tokio::time::advance(Duration::from_millis(100)).await;
         assert_eq!(count.update(&demand(60.0, 30), Instant::now()), 11);
     }
     for expected in [11, 10, 9, 8, 7, 6, 6] {
         assert_eq!(count.update(&demand(60.0, 30), Instant::now()), expected);
-        tokio::time::advance(Duration::from_secs(1)).await;
+        tokio::time::advance(Duration::from_millis(500)).await;
     }
 }
 
+/// Guards against streams that find no engine while their number grows. Its square root may be chance and does not count
+/// as growth.
+#[rstest]
+#[case::all_of_it(4.0, 15)]
+#[case::a_doubling(10.0, 24)]
 #[tokio::test(start_paused = true)]
-async fn growth_within_a_second_is_reserved_in_advance() {
+async fn growth_within_a_second_is_reserved_in_advance(
+    #[case] streams_per_step: f64,
+    #[case] expected: usize,
+) {
     let mut count = ZoneCount::default();
     for step in 0..=10 {
-        let streams = 100.0 + 10.0 * f64::from(step);
+        let streams = 100.0 + streams_per_step * f64::from(step);
         count.update(&demand(streams, 40), Instant::now());
         tokio::time::advance(Duration::from_millis(100)).await;
     }
-    // 200 streams, 100 more than a second ago, of which 14 may be chance.
-    assert_eq!(count.count(), 24);
+    assert_eq!(count.count(), expected);
 }
 
 /// Guards against a zone in which long prompts are served nowhere.
--- a/crates/sillpin-gateway/tests/work_updates.rs
+++ b/crates/sillpin-gateway/tests/work_updates.rs
@@ -12,7 +12,7 @@
     BoxHash, Datagram, EngineUpdate, EngineUpdateContent, Report, Sums, SyncSummary, ZoneSummary,
 };
 use sillpin_gateway::peers::hub::Hub;
-use sillpin_gateway::peers::update_limit::{MAX_RATES, Switch, UpdateLimit};
+use sillpin_gateway::peers::update_limit::{MAX_RATES, MaxRates, Switch, UpdateLimit};
 use sillpin_gateway::peers::wire::{self, FleetKey};
 use sillpin_gateway::placement::Loads;
 use sillpin_gateway::placement::direct_work::ZoneScope;
@@ -479,11 +479,17 @@
     assert_eq!(limit.switch(None, Instant::now()), Some(Switch::Resumed));
 }
 
+/// A limit with fewer bytes than that of a box.
+const SMALL_LIMIT: MaxRates = MaxRates {
+    datagrams: 600.0,
+    bytes: 12_000.0,
+};
+
 /// Guards against a box that sends nothing but lists and counts as one that sends its changes: the
 /// lists alone took the limit, so its changes waited for 9 s.
 #[tokio::test(start_paused = true)]
 async fn a_box_stops_if_its_lists_take_the_limit() {
-    let mut limit = UpdateLimit::default();
+    let mut limit = UpdateLimit::new(SMALL_LIMIT);
     limit.record_list(60, 6_000);
     let recorded = Instant::now();
     let (immediate, batched) = limit.ready_at(60, recorded);
@@ -516,7 +522,7 @@
 /// Guards against a box that tries again and again although its zone has too many requests.
 #[tokio::test(start_paused = true)]
 async fn a_box_resumes_only_if_its_changes_fit_the_limit() {
-    let mut limit = UpdateLimit::default();
+    let mut limit = UpdateLimit::new(SMALL_LIMIT);
     limit.record_sent(100, 3_000, Instant::now());
     limit.record_wait(Duration::from_secs(1), Instant::now());
     tokio::time::advance(Duration::from_secs(1)).await;
