--- a/crates/sillpin-gateway/src/config.rs
+++ b/crates/sillpin-gateway/src/config.rs
@@ -70,6 +70,8 @@
     pub latency_objective: Duration,
     /// Callers of a stream give up after this time without an event, also before the first one.
     pub event_timeout: Duration,
+    /// Longest pause between events of a stream that its callers accept; `None` if the route names none.
+    pub max_event_gap: Option<Duration>,
     /// Priority of its requests, unless the organisation has its own.
     pub priority: Priority,
     /// Pools that serve it.
@@ -209,6 +211,21 @@
         self.organisations.iter().find(holds)
     }
 
+    /// Whether several organisations, or requests of several priorities, may compete for targets. Without
+    /// organisations this is never the case.
+    pub fn has_competition(&self) -> bool {
+        if self.organisations.len() != 1 {
+            return !self.organisations.is_empty();
+        }
+        let of_org = self.organisations[0].priority;
+        let mut priorities = self
+            .routes
+            .iter()
+            .map(|route| of_org.filter(|_| !route.public).unwrap_or(route.priority));
+        let first = priorities.next();
+        priorities.any(|priority| Some(priority) != first)
+    }
+
     /// Returns a pool by its name.
     pub fn pool(&self, id: &PoolId) -> Option<&Pool> {
         self.pools.iter().find(|pool| pool.id == *id)
--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -15,6 +15,7 @@
 use crate::fatal::crash_detector::BrokenRequest;
 use crate::fleet_state::{FleetMsg, View};
 use crate::placement::load::Outcome as Health;
+use crate::placement::stream_engines::PromptKind;
 use crate::placement::work::IncarnationHash;
 use crate::releases::{Assignment, Cohort};
 use hyper::Response;
@@ -78,7 +79,7 @@
 const BACKED_OFF: &str = "its targets want no requests for a while";
 
 /// Refusal while no target can start the request in time.
-const OVERLOADED: &str = "no target can begin it in time";
+pub const OVERLOADED: &str = "no target can begin it in time";
 
 /// Refusal of a request after which targets have crashed.
 const FATAL: &str = "targets that ran this request have ended";
@@ -128,7 +129,9 @@
                 AttemptOutcome::Unknown(reason) if !may_rerun(&request, &progress) => {
                     return Err(Refusal::unknown(reason));
                 }
-                AttemptOutcome::Cancelled if !may_rerun(&request, &progress) => {
+                AttemptOutcome::Cancelled | AttemptOutcome::Silent
+                    if !may_rerun(&request, &progress) =>
+                {
                     return Err(Refusal::unknown(outcome.reason()));
                 }
                 AttemptOutcome::TimedOut(reason) if !may_rerun(&request, &progress) => {
@@ -138,6 +141,7 @@
                 | AttemptOutcome::NotRun { .. }
                 | AttemptOutcome::Unknown(_)
                 | AttemptOutcome::Cancelled
+                | AttemptOutcome::Silent
                 | AttemptOutcome::TimedOut(_) => {}
             }
         }
@@ -170,7 +174,7 @@
         let Some(mut prepared) = self.prepare_in_cohort(request, pool, &view, progress) else {
             return Err(self.refuse_without_target(request, pool, &view, progress));
         };
-        if let Some(refusal) = self.refuse_if_overloaded(request, &prepared, progress) {
+        if let Some(refusal) = self.refuse_if_overloaded(request, pool, &prepared, progress) {
             return Err(NoAttempt::Refused(refusal));
         }
         if progress.arrivals > 0 && !self.take_retry(pool) {
@@ -180,11 +184,15 @@
         self.log_attempt(request, progress, &view, &prepared);
         progress.offered.push(target.id.clone());
         progress.cohort = Cohort::Control;
+        let measured = prepared.measured_request(pool, view.box_count());
+        let measured = measured.filter(|_| progress.resume_after.is_none());
+        let in_flight = self.start_work(&prepared);
         let attempt = Attempt {
             request,
             target: target.clone(),
             head: attempt_head(request, progress, &mut prepared),
-            in_flight: self.loads.start(&target.id, prepared.work()),
+            in_flight: in_flight.measured(measured),
+            head_limit: self.head_limit(request, pool, &prepared),
         };
         let sent = Instant::now();
         let version = prepared.chosen.version;
@@ -198,7 +206,7 @@
         let outcome = self.attempt(attempt, limits).await;
         tracked.end(matches!(
             outcome,
-            AttemptOutcome::TimedOut(_) | AttemptOutcome::Cancelled
+            AttemptOutcome::TimedOut(_) | AttemptOutcome::Cancelled | AttemptOutcome::Silent
         ));
         if matches!(outcome, AttemptOutcome::Streaming(_)) {
             self.record_transfer(request, &prepared, sent.elapsed());
@@ -295,7 +303,7 @@
             | AttemptOutcome::Unknown(_)
             | AttemptOutcome::TimedOut(_) => Some(Health::Failed),
             AttemptOutcome::Completed(_) | AttemptOutcome::Streaming(_) => Some(Health::Served),
-            AttemptOutcome::Cancelled => None,
+            AttemptOutcome::Cancelled | AttemptOutcome::Silent => None,
         };
         if let Some(health) = health {
             self.loads
@@ -417,15 +425,23 @@
     fn refuse_if_overloaded(
         &self,
         request: &AdmittedRequest,
+        pool: &PoolId,
         prepared: &PreparedAttempt,
         progress: &Progress,
     ) -> Option<Refusal> {
-        let queue = prepared.queue(self.fleet.view().box_count())?;
-        let standing_ms = self.loads.record_queue(queue, Instant::now());
+        let queue = prepared.queue()?;
+        let standing_ms = self
+            .loads
+            .record_queue(prepared.chosen.kind, queue, Instant::now());
         if progress.runs > 0 {
             return None;
         }
         let expected = prepared.expected(request, queue, standing_ms);
+        // A short prompt has engines of its own and takes almost none of the capacity that organisations compete for.
+        let is_short = prepared.chosen.kind == Some(PromptKind::Short);
+        if self.is_admission_fair(request) && !is_short {
+            return self.refuse_by_share(request, pool, prepared, queue, expected, progress);
+        }
         let late = expected.lateness_if_refused(rand::rng().random())?;
         let wait = late.max(DEFAULT_RETRY_AFTER);
         let wait = wait.mul_f64(rand::rng().random_range(0.5..1.5));
--- a/crates/sillpin-gateway/src/front/selection.rs
+++ b/crates/sillpin-gateway/src/front/selection.rs
@@ -10,17 +10,22 @@
 use crate::peers::roles::SMALL_FLEET;
 use crate::placement::allowed::{AllowedWeights, WeightsInputs};
 use crate::placement::choose::PromptInputs;
+use crate::placement::engine_speed::PoolSpeed;
 use crate::placement::index::TargetIndex;
 use crate::placement::limits::LimitContext;
+use crate::placement::load::MeasuredRequest;
 use crate::placement::parts::{Plan, PlanInputs, plan, salt};
 use crate::placement::residency::Residency;
 use crate::placement::shared_limit::{MEMBERSHIP_DELAY, ShareGroup};
 use crate::placement::standing::Queue;
-use crate::placement::work::Work;
-use crate::placement::{ChoiceInputs, ChosenTarget, choose};
+use crate::placement::stream_engines::{PromptKind, StreamInputs, StreamRules, stream_work};
+use crate::placement::work::{IncarnationHash, Work};
+use crate::placement::{ChoiceInputs, ChosenTarget, InFlightGuard, choose};
+use crate::releases::Cohort;
 use rand::RngExt;
 use sillpin_core::{ModelId, PoolId, Tokens, WeightVersion};
 use sillpin_policy::overload::{PREFILL_FACTOR, StartEstimate};
+use sillpin_telemetry::{event, events};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -43,6 +48,10 @@
 /// are in time, but finishes a chunk that it has started.
 const LATE_WORK_FRACTION: f64 = 0.25;
 
+/// Largest part of a request's latency objective that the learned fixed time of engines may take up: with a wrong
+/// estimate, requests must not all count as late.
+const MAX_START_SHARE: f64 = 0.5;
+
 /// Upper limit of the mean retry-after when targets are at their rate limits. Limits are counted in periods of four
 /// seconds.
 const MAX_LIMITED_WAIT: Duration = Duration::from_secs(4);
@@ -75,6 +84,8 @@
     pub in_time: bool,
     /// Weights that the request may run on, for engines.
     pub weights: Option<AllowedWeights>,
+    /// Work of the response's stream, if the prompt is short.
+    pub stream: Option<Work>,
 }
 
 /// The target selected for a request, with the prompt plan if it is an engine.
@@ -88,15 +99,18 @@
 impl SelectedTarget {
     /// Prompt work of the request at the selected target, in milliseconds.
     fn prefill_ms(&self) -> f64 {
-        let work = |plan: &Plan| {
-            Plan::prefill_time_ms(plan.own_tokens) + plan.shared_time_ms(&self.chosen.target.zone)
-        };
+        let work = |plan: &Plan| plan.prompt_time_ms(&self.chosen.target.zone);
         self.plan.as_ref().map_or(0.0, work)
     }
 
+    /// Time to the first event besides the prompt work, in milliseconds.
+    fn start_ms(&self) -> f64 {
+        self.plan.as_ref().map_or(0.0, |plan| plan.speed.start_ms)
+    }
+
     /// Prompt work until the first event, including the work queued ahead, in milliseconds.
     pub fn expected_ms(&self) -> f64 {
-        self.chosen.queue_ms + self.prefill_ms()
+        self.chosen.queue_ms + self.prefill_ms() * self.chosen.slowness
     }
 }
 
@@ -115,6 +129,7 @@
             fetched: 0,
             not_fetched: 0,
             in_time: true,
+            stream: None,
         }
     }
 
@@ -131,11 +146,26 @@
         )
     }
 
-    /// Prompt work queued ahead of the request at its target, in a fleet of `boxes` boxes; `None` for a request
-    /// without a prompt.
-    pub fn queue(&self, boxes: usize) -> Option<Queue> {
+    /// Prompt work queued ahead of the request at its target; `None` for a request without a prompt.
+    pub fn queue(&self) -> Option<Queue> {
         self.directives.as_ref()?;
-        Some(Queue::reported(self.chosen.queue_ms, boxes > SMALL_FLEET))
+        let chosen = &self.chosen;
+        Some(Queue::reported(chosen.queue_ms, chosen.reported_late))
+    }
+
+    /// The request as a measurement of an engine of a pool, in a fleet of `boxes` boxes; `None` if engine speeds are
+    /// not to be learned from it.
+    pub fn measured_request(&self, pool: &PoolId, boxes: usize) -> Option<MeasuredRequest> {
+        let tokens = self.prompt_len.0.saturating_sub(self.fetched);
+        let is_measured = self.directives.is_some() && self.in_time && boxes > SMALL_FLEET;
+        is_measured.then(|| MeasuredRequest {
+            pool: pool.clone(),
+            engine: IncarnationHash::of(&self.chosen.target),
+            tokens: Tokens(tokens),
+            queue_ms: self.chosen.queue_ms,
+            is_start_clean: self.fetched == 0,
+            sent: Instant::now(),
+        })
     }
 
     /// Input for the overload decision. `standing_ms` is the recent standing queue at targets, in milliseconds.
@@ -151,7 +181,7 @@
             latency_objective: request.route.latency_objective,
             queue: millis(queue.expected_ms),
             standing: millis(standing_ms),
-            own: millis(self.prefill_ms),
+            own: millis(self.prefill_ms * self.chosen.slowness),
         }
     }
 
@@ -166,10 +196,13 @@
 }
 
 /// Whether a request's first event can still arrive within its latency objective, given the prompt work ahead of it
-/// plus its own in milliseconds.
-fn is_in_time(request: &AdmittedRequest, work_ms: f64) -> bool {
+/// plus its own, and the fixed time of the engine, in milliseconds.
+fn is_in_time(request: &AdmittedRequest, work_ms: f64, start_ms: f64) -> bool {
+    let objective = request.route.latency_objective;
     let work = Duration::from_secs_f64(work_ms * PREFILL_FACTOR / 1000.0);
-    request.arrival.elapsed() + work < request.route.latency_objective
+    let start = Duration::from_secs_f64(start_ms / 1000.0);
+    let start = start.min(objective.mul_f64(MAX_START_SHARE));
+    request.arrival.elapsed() + work + start < objective
 }
 
 impl<D: Dialect> Shared<D> {
@@ -227,6 +260,7 @@
             prompt: None,
             residency: self.residency(request),
             limit_context: spec.map(|spec| self.limit_context(spec, view, now)),
+            streams: self.stream_inputs(request, pool, view, progress),
             now,
         };
         match (engine, &request.head.prompt) {
@@ -239,6 +273,14 @@
         }
     }
 
+    /// Speed of a pool's engines; the one assumed before anything is learned in small fleets.
+    fn pool_speed(&self, pool: &PoolId, view: &View, now: Instant) -> PoolSpeed {
+        match view.box_count() > SMALL_FLEET {
+            true => self.loads.pool_speed(pool, now),
+            false => PoolSpeed::default(),
+        }
+    }
+
     /// Regions in which a request may run and its prompt may be stored.
     fn residency<'a>(&'a self, request: &'a AdmittedRequest) -> Residency<'a> {
         Residency {
@@ -315,7 +357,7 @@
         engine: &EngineSpec,
         prompt: &Prompt,
     ) -> Option<SelectedTarget> {
-        let now = base.now;
+        let (now, pool) = (base.now, base.pool);
         let desired = view.desired.get(&prompt.model);
         let org = request.organisation.as_deref();
         let inputs = PlanInputs {
@@ -328,6 +370,7 @@
                 self.suspend_clock.suspended(),
                 now,
             ),
+            speed: self.pool_speed(base.pool, view, now),
             now,
         };
         // One random number for all versions, so that a store that is skipped for one version, to relieve its link, is
@@ -358,6 +401,7 @@
             prompt: Some(prompt_choice),
             ..base
         })?;
+        self.log_stream_engines(pool, now);
         let version = chosen.version?;
         let plan = plans.into_iter().find(|(of, _)| *of == version);
         Some(SelectedTarget {
@@ -367,6 +411,55 @@
         })
     }
 
+    /// Returns the input for the choice between stream engines and others, if the pool has stream engines. The few
+    /// requests for the new version of a release don't use any.
+    fn stream_inputs(
+        &self,
+        request: &AdmittedRequest,
+        pool: &PoolId,
+        view: &View,
+        progress: &Progress,
+    ) -> Option<StreamInputs> {
+        if !self.cfg.scheduling.stream_engines || progress.cohort != Cohort::Control {
+            return None;
+        }
+        let engine = request.config.pool(pool)?.engine.as_ref()?;
+        let rules = StreamRules::of(&request.config, pool, engine)?;
+        let speed = self.pool_speed(pool, view, Instant::now());
+        let prefill_ms = speed.rate.ms(request.head.prompt.as_ref()?.tokens);
+        let others = view.boxes.iter();
+        Some(StreamInputs {
+            rules,
+            kind: rules.kind(prefill_ms),
+            prefill_ms,
+            zone_boxes: 1 + others.filter(|other| other.zone == self.cfg.zone).count(),
+            draw: rand::rng().random(),
+        })
+    }
+
+    /// Logs the numbers of stream engines of a pool if they have changed, at most once a second.
+    fn log_stream_engines(&self, pool: &PoolId, now: Instant) {
+        let change = self.loads.stream_engines().take_change(pool, now);
+        if let Some(zones) = change {
+            event!(self.log, events::STREAM_ENGINES_CHANGED, "pool" => pool.as_str(), "zones" => zones);
+        }
+    }
+
+    /// Counts a prepared attempt as in flight until the guard is dropped.
+    pub fn start_work(&self, prepared: &PreparedAttempt) -> InFlightGuard {
+        let chosen = &prepared.chosen;
+        if chosen.kind == Some(PromptKind::Long) && chosen.is_stream_engine {
+            let mut state = self.loads.stream_engines();
+            let draw = rand::rng().random_range(0.0..1.0);
+            state
+                .long_prompts(&chosen.target.pool)
+                .record_sent(draw, Instant::now());
+        }
+        let stream = prepared.stream.unwrap_or_default();
+        self.loads
+            .start_stream(&chosen.target.id, prepared.work(), stream)
+    }
+
     /// Latest time at which a prompt may start at the selected target, according to the current view.
     pub fn latest_start(
         &self,
@@ -401,7 +494,9 @@
     /// Prepares what is sent to the selected target, and records which parts are going to be saved.
     fn prepare(&self, request: &AdmittedRequest, selected: SelectedTarget) -> PreparedAttempt {
         let prefill_ms = selected.prefill_ms();
-        let in_time = is_in_time(request, selected.expected_ms());
+        let part_ahead = self.part_ahead(request, &selected.chosen.target.pool);
+        let expected_ms = selected.chosen.queue_ms * part_ahead + prefill_ms;
+        let in_time = is_in_time(request, expected_ms, selected.start_ms());
         let prompt = request.head.prompt.as_ref();
         let prompt_len = prompt.map_or(Tokens(0), |prompt| prompt.tokens);
         let SelectedTarget {
@@ -412,6 +507,8 @@
         let (Some(plan), Some(version)) = (plan, chosen.version) else {
             return PreparedAttempt::plain(chosen);
         };
+        let is_short = chosen.kind == Some(PromptKind::Short);
+        let stream = prompt.filter(|_| is_short).map(stream_work);
         let zone = &chosen.target.zone;
         let fetch_time = request.route.latency_objective.mul_f64(FETCH_TIME_FACTOR);
         let mut directory = self.cache_stores.lock();
@@ -435,6 +532,7 @@
             stored: plan.stored_tokens.0,
             fetched,
             not_fetched: shared - fetched,
+            stream,
         }
     }
 }
--- a/crates/sillpin-gateway/src/metrics.rs
+++ b/crates/sillpin-gateway/src/metrics.rs
@@ -173,6 +173,16 @@
         .with_description("Targets that report a limit on the requests of all boxes together")
         .with_callback(observe(|signals| signals.limits.count()))
         .build();
+    let fresh = loads.clone();
+    meter
+        .u64_observable_gauge("sillpin_fresh_zone")
+        .with_description(
+            "Whether nearly all boxes of the own zone send their work immediately: 0 or 1",
+        )
+        .with_callback(move |observer| {
+            observer.observe(u64::from(fresh.is_own_zone_fresh(Instant::now())), &[]);
+        })
+        .build();
     meter
         .u64_observable_gauge("sillpin_leaving_targets")
         .with_description("Targets that reported to this box that they are leaving")
@@ -187,6 +197,45 @@
         .build();
 }
 
+/// Registers a gauge of the engines that are reserved for short prompts.
+pub fn observe_stream_engines(meter: &Meter, loads: Loads) {
+    let observe = move |observer: &dyn AsyncInstrument<u64>| {
+        for (pool, count) in loads.stream_engines().counts() {
+            let labels = [KeyValue::new("pool", pool.to_string())];
+            observer.observe(count as u64, &labels);
+        }
+    };
+    meter
+        .u64_observable_gauge("sillpin_stream_engines")
+        .with_description("Engines reserved for short prompts by pool")
+        .with_callback(observe)
+        .build();
+}
+
+/// Registers the gauge of the prefill rates of engines.
+pub fn observe_speeds(meter: &Meter, loads: Loads) {
+    meter
+        .f64_observable_gauge("sillpin_engine_read_rate")
+        .with_description("Tokens that an engine prefills in a millisecond, by pool")
+        .with_callback(move |observer| {
+            for (pool, rate) in loads.speeds().rates(Instant::now()) {
+                observer.observe(rate.0, &[KeyValue::new("pool", pool.to_string())]);
+            }
+        })
+        .build();
+}
+
+/// Registers a gauge of engines that are out of use because nothing arrives from them.
+pub fn observe_silence(meter: &Meter, loads: Loads) {
+    meter
+        .u64_observable_gauge("sillpin_silent_engines")
+        .with_description("Engines out of use because they send nothing")
+        .with_callback(move |observer| {
+            observer.observe(loads.silence().count() as u64, &[]);
+        })
+        .build();
+}
+
 /// Registers counters of calls of the platform store and of the bytes of its responses.
 fn observe_calls(meter: &Meter, calls: CallCounts) {
     let observe = |of: fn(CallTotals) -> u64| {
--- a/crates/sillpin-gateway/src/placement/choose.rs
+++ b/crates/sillpin-gateway/src/placement/choose.rs
@@ -4,7 +4,9 @@
 //! In a large fleet, reports of what other boxes send arrive about 0.2 s late. In that time the
 //! boxes of a zone send more prompts than the zone has engines, and if all of them chose the engine
 //! with the least reported load, it would get all of these prompts. So a prompt first considers a few
-//! engines, selected by a hash of the prompt, and further ones only if all of those are busy.
+//! engines, selected by a hash of the prompt, and further ones only if all of those are busy. While
+//! the boxes of the own zone send each other their work immediately, all of its engines are
+//! considered.
 
 use super::index::{IndexedTarget, PoolTargets, TargetIndex};
 use super::limits::LimitContext;
@@ -12,6 +14,7 @@
 use super::parts::Plan;
 use super::residency::Residency;
 use super::shared_limit::Admission;
+use super::stream_engines::{PromptKind, StreamInputs};
 use super::work::{IncarnationHash, TargetHash, Work};
 use crate::cache_stores::homes::{hash_pair, to_unit_interval};
 use crate::control::TargetEntry;
@@ -91,6 +94,8 @@
     pub residency: Residency<'a>,
     /// State needed to apply the limits of targets; `None` applies no limits.
     pub limit_context: Option<LimitContext<'a>>,
+    /// Properties of the prompt in a pool that has stream engines; `None` reserves no engines.
+    pub streams: Option<StreamInputs>,
     /// Current time.
     pub now: Instant,
 }
@@ -134,6 +139,8 @@
     pub version: Option<WeightVersion>,
     /// Prefill work ahead of the request at the target plus the wait for memory, in milliseconds.
     pub queue_ms: f64,
+    /// How much longer the target takes for a prefill than others of its pool.
+    pub slowness: f64,
     /// Expected time plus the added costs, in milliseconds.
     pub cost_ms: f64,
     /// Number of targets that could have taken the request.
@@ -142,6 +149,12 @@
     pub in_cooldown: bool,
     /// Whether the target has enough memory for the request.
     pub has_memory: bool,
+    /// Kind of the prompt in a pool that has stream engines.
+    pub kind: Option<PromptKind>,
+    /// Whether the target is a stream engine.
+    pub is_stream_engine: bool,
+    /// Whether the reports of other boxes' work at the target are late.
+    pub reported_late: bool,
 }
 
 impl ChosenTarget {
@@ -182,10 +195,10 @@
 fn choose_with(choice: &ChoiceInputs<'_>, admission: Admission) -> Option<ChosenTarget> {
     let pool = choice.targets.pool(choice.pool)?;
     let search = Search::new(choice, admission);
-    if choice.prompt.is_none() || !choice.reported_late {
-        return search.best_of(&search.ranked(pool.all()), usize::MAX);
+    match &choice.streams {
+        Some(streams) => search.best_by_kind(pool, streams),
+        None => search.best_among(pool, |_| true),
     }
-    search.best_of_widening(pool)
 }
 
 /// Returns the better of two choices.
@@ -197,15 +210,17 @@
 }
 
 /// The request, with state that is computed once per choice.
-struct Search<'a> {
-    choice: &'a ChoiceInputs<'a>,
+pub(super) struct Search<'a> {
+    pub(super) choice: &'a ChoiceInputs<'a>,
     admission: Admission,
-    peer_work: Arc<HashMap<TargetHash, Work>>,
+    /// Whether the work of the own zone's boxes is known without delay.
+    is_fresh: bool,
+    pub(super) peer_work: Arc<HashMap<TargetHash, Work>>,
     /// Targets that accept nothing from this box, according to their own responses.
-    unavailable: HashSet<IncarnationHash>,
+    pub(super) unavailable: HashSet<IncarnationHash>,
     /// Hash of the prompt's last shared part, which determines its homes.
     key: Option<u64>,
-    table: LoadTable<'a>,
+    pub(super) table: LoadTable<'a>,
 }
 
 impl<'a> Search<'a> {
@@ -219,6 +234,7 @@
             .loads
             .signals(|signals| signals.unavailable(choice.now));
         Self {
+            is_fresh: choice.loads.is_fresh(choice.zone, choice.now),
             peer_work: match choice.prompt {
                 Some(_) => choice.loads.peer_work(choice.now),
                 None => Arc::default(),
@@ -253,15 +269,36 @@
         newest.main_zone().filter(|zone| *zone != self.choice.zone)
     }
 
-    /// Considers two engines of the own zone and two of the zone that holds the prompt's parts,
-    /// then a few more of all zones, then all if the best of those is in cooldown.
-    fn best_of_widening(&self, pool: &PoolTargets) -> Option<ChosenTarget> {
-        let own = self.ranked(pool.of_zone(self.choice.zone).iter());
-        let near_parts = self
-            .stored_parts_zone()
-            .map(|zone| self.ranked(pool.of_zone(zone).iter()));
+    /// Returns the best of the `included` targets.
+    pub(super) fn best_among(
+        &self,
+        pool: &PoolTargets,
+        included: impl Fn(&&IndexedTarget) -> bool,
+    ) -> Option<ChosenTarget> {
+        if self.choice.prompt.is_none() || !self.choice.reported_late {
+            let targets = self.ranked(pool.all().filter(included));
+            return self.best_of(&targets, usize::MAX);
+        }
+        self.best_of_widening(pool, included)
+    }
+
+    /// Considers two engines of the own zone, or all if it is fresh, and two of the zone that holds
+    /// the prompt's parts, then a few more of all zones, then all if the best of those is in
+    /// cooldown.
+    fn best_of_widening(
+        &self,
+        pool: &PoolTargets,
+        included: impl Fn(&&IndexedTarget) -> bool,
+    ) -> Option<ChosenTarget> {
+        let of_zone = |zone| self.ranked(pool.of_zone(zone).iter().filter(&included));
+        let own = of_zone(self.choice.zone);
+        let near_parts = self.stored_parts_zone().map(of_zone);
         let near_parts = near_parts.and_then(|near| self.best_of(&near, FIRST_ENGINES));
-        let first = better(self.best_of(&own, FIRST_ENGINES), near_parts);
+        let (own_first, own_second) = match self.is_fresh {
+            true => (usize::MAX, usize::MAX),
+            false => (FIRST_ENGINES, SECOND_ENGINES),
+        };
+        let first = better(self.best_of(&own, own_first), near_parts);
         let first = better(first, self.best_of(&self.limited_only(&own), usize::MAX));
         if first
             .as_ref()
@@ -269,8 +306,8 @@
         {
             return first;
         }
-        let others = self.ranked(pool.of_other_zones(self.choice.zone));
-        let own_best = self.best_of(&own, SECOND_ENGINES);
+        let others = self.ranked(pool.of_other_zones(self.choice.zone).filter(&included));
+        let own_best = self.best_of(&own, own_second);
         let others_best = self.best_of(&others, SECOND_ENGINES);
         let second = better(own_best, others_best);
         if second.as_ref().is_some_and(|found| !found.in_cooldown) {
@@ -335,9 +372,23 @@
         limits.admits(context, entry, self.admission, self.choice.now)
     }
 
+    /// Returns the slowness of an engine; 1 in small fleets, which use no learned speeds.
+    fn slowness(&self, target: &IndexedTarget) -> f64 {
+        let choice = self.choice;
+        if choice.prompt.is_none() || !choice.reported_late {
+            return 1.0;
+        }
+        let speeds = choice.loads.speeds();
+        speeds.slowness(target.incarnation, choice.now)
+    }
+
     /// Returns a target with its cost, or `None` if it can't take the request. `position` is its
     /// position among the prompt's homes.
-    fn candidate(&self, target: &IndexedTarget, position: usize) -> Option<ChosenTarget> {
+    pub(super) fn candidate(
+        &self,
+        target: &IndexedTarget,
+        position: usize,
+    ) -> Option<ChosenTarget> {
         let (choice, entry) = (self.choice, &target.entry);
         if choice.tried.contains(&entry.id) || self.unavailable.contains(&target.incarnation) {
             return None;
@@ -354,6 +405,8 @@
         }
         let peer_work = self.peer_work.get(&target.hash);
         load.work = load.work.plus(peer_work.copied().unwrap_or_default());
+        let slowness = self.slowness(target);
+        load.work.prefill_ms *= slowness;
         let version = match &choice.prompt {
             Some(prompt) => Some(served(entry, prompt.model).filter(|v| *v >= prompt.oldest)?),
             None => None,
@@ -364,10 +417,14 @@
             target: entry.clone(),
             version,
             queue_ms: load.work.prefill_ms + memory_ms(choice, &load),
-            cost_ms: cost(choice, entry, &load, version, position),
+            slowness,
+            cost_ms: cost(choice, entry, &load, version, position, slowness),
             candidates: 0,
             in_cooldown,
             has_memory: !in_cooldown && has_memory(choice, &load),
+            kind: None,
+            is_stream_engine: false,
+            reported_late: choice.reported_late && !(self.is_fresh && entry.zone == *choice.zone),
         })
     }
 }
@@ -378,6 +435,7 @@
     load: &Load,
     version: Option<WeightVersion>,
     position: usize,
+    slowness: f64,
 ) -> f64 {
     let mut ms = load.failure_rate() * FAILING_MS;
     if load.in_cooldown(choice.now) {
@@ -395,6 +453,7 @@
     ms += load.work.requests * MS_PER_REQUEST + load.work.prefill_ms + memory_ms(choice, load);
     let plan = version.and_then(|version| prompt.plan(version));
     ms += plan.map_or(0.0, |plan| plan.shared_cost(&target.zone));
+    ms += plan.map_or(0.0, |plan| plan.prompt_time_ms(&target.zone)) * (slowness - 1.0);
     if version < prompt.desired {
         ms += OLD_WEIGHTS_MS;
     }
--- a/crates/sillpin-gateway/tests/place.rs
+++ b/crates/sillpin-gateway/tests/place.rs
@@ -11,7 +11,10 @@
 use sillpin_gateway::control::{PartKey, StoreListing};
 use sillpin_gateway::control::{Presence, TargetEntry};
 use sillpin_gateway::dialect::{LimitSignal, Part, PartId, Prompt};
+use sillpin_gateway::peers::datagram::{BoxHash, EngineUpdate, EngineUpdateContent};
 use sillpin_gateway::placement::choose::PromptInputs;
+use sillpin_gateway::placement::direct_work::ZoneScope;
+use sillpin_gateway::placement::engine_speed::{PoolSpeed, StartSample};
 use sillpin_gateway::placement::index::TargetIndex;
 use sillpin_gateway::placement::limits::LimitContext;
 use sillpin_gateway::placement::load::Outcome;
@@ -21,7 +24,7 @@
 use sillpin_gateway::placement::work::{EngineWork, IncarnationHash, TargetHash, Work};
 use sillpin_gateway::placement::{ChoiceInputs, ChosenTarget, Loads, choose};
 use sillpin_gateway::settings::WarmUpRules;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -97,6 +100,7 @@
                     pool_zones: &[],
                 },
             }),
+            streams: None,
             now: Instant::now(),
         };
         choose(&choice)
@@ -464,6 +468,48 @@
     assert!(chosen.candidates <= 4 || here_ms + there_ms > 500);
 }
 
+/// Guards against waits behind busy engines while one that is known to be idle is not considered.
+#[rstest]
+#[case::updates_arrive(true, "za-7", false)]
+#[case::updates_do_not_arrive(false, "", true)]
+#[tokio::test(start_paused = true)]
+async fn in_a_fresh_zone_all_engines_are_considered(
+    #[case] is_fresh: bool,
+    #[case] idle: &str,
+    #[case] reported_late: bool,
+) {
+    let engines = |zone: &'static str| (0..9).map(move |i| engine(&format!("{zone}-{i}"), zone));
+    let mut fixture = Fixture::new(targets(engines("za").chain(engines("zb")).collect()));
+    fixture.reported_late = true;
+    let peer = BoxHash::unranked_from_id(&name("box-2"));
+    fixture.loads.set_zone_scope(Some(ZoneScope {
+        zone: name("za"),
+        peers: vec![peer],
+        engines: engines("za").map(|e| TargetHash::of(&e.id)).collect(),
+    }));
+    let busy = engines("za").filter(|e| e.id != target("za-7"));
+    let busy = busy.map(|e| EngineWork(TargetHash::of(&e.id), 200, 100, 1));
+    if is_fresh {
+        let update = EngineUpdate {
+            from: peer,
+            sequence: 1,
+            content: EngineUpdateContent::Complete(busy.collect()),
+        };
+        fixture.loads.apply_engine_update(update, Instant::now());
+    } else {
+        fixture.loads.apply_zone_totals(busy.collect(), &[]);
+    }
+    let model = name("m");
+    let mut chosen = BTreeSet::new();
+    for _ in 0..8 {
+        let found = fixture.find(Some(long_prompt(&model))).unwrap();
+        assert_eq!(found.reported_late, reported_late);
+        assert_eq!(found.candidates, if is_fresh { 9 } else { 2 });
+        chosen.insert(found.target.id.clone());
+    }
+    assert!(!is_fresh || chosen == [target(idle)].into(), "{chosen:?}");
+}
+
 /// Guards against unused capacity while engines are replaced by cold ones in series: if a box with
 /// a share of a cold engine's limit considers two other engines for most prompts, its share goes
 /// unused.
@@ -545,7 +591,95 @@
         cache_stores: &cache_stores,
         residency: anywhere(),
         in_contact: true,
+        speed: PoolSpeed::default(),
         now,
     };
     plan(&prompt, &salt, &inputs)
 }
+
+/// Makes an engine four times slower than its pool, in the estimates of a box.
+fn make_slow(loads: &Loads, slow: &TargetEntry) {
+    let mut speeds = loads.speeds();
+    speeds.enable();
+    let now = Instant::now();
+    let mut record = |engine: IncarnationHash, tokens: u64, factor: u32| {
+        let sample = StartSample {
+            tokens: Tokens(tokens),
+            queue_ms: 0.0,
+            took: Duration::from_secs_f64(tokens as f64 / 56_900.0) * factor,
+        };
+        speeds.record_start(&name("llm"), engine, sample, now);
+    };
+    let other = IncarnationHash::of(&engine("other", "za"));
+    for _ in 0..20 {
+        record(other, 800, 1);
+        record(other, 9_000, 1);
+    }
+    for _ in 0..3 {
+        record(IncarnationHash::of(slow), 9_000, 4);
+    }
+}
+
+/// Guards against prompts that wait behind the queue of a slow engine as if it were a normal one, and
+/// against changed decisions in small fleets.
+#[rstest]
+#[case::large_fleet(true, "e2", 100.0)]
+#[case::small_fleet(false, "e1", 50.0)]
+#[tokio::test(start_paused = true)]
+async fn the_queue_of_a_slow_engine_counts_by_its_slowness(
+    #[case] reported_late: bool,
+    #[case] wanted: &str,
+    #[case] queue_ms: f64,
+) {
+    let slow = engine("e1", "za");
+    let mut fixture = Fixture::new(targets(vec![slow.clone(), engine("e2", "za")]));
+    fixture.reported_late = reported_late;
+    make_slow(&fixture.loads, &slow);
+    let _queued = [
+        fixture
+            .loads
+            .start(&slow.id, Work::one(50.0, Tokens(1_000))),
+        fixture
+            .loads
+            .start(&target("e2"), Work::one(100.0, Tokens(1_000))),
+    ];
+    let model = name("m");
+    let prompt = PromptInputs {
+        model: &model,
+        tokens: Tokens(9_000),
+        latency_objective: Duration::from_millis(500),
+        capacity: Tokens(41_000),
+        desired: None,
+        oldest: WeightVersion(1),
+        plans: &[],
+    };
+    let chosen = fixture.find(Some(prompt)).unwrap();
+    assert_eq!(chosen.target.id, target(wanted));
+    assert!((chosen.queue_ms - queue_ms).abs() < 1e-6);
+}
+
+/// Guards against an idle slow engine that is preferred over an idle normal one because only its
+/// queue counts.
+#[tokio::test(start_paused = true)]
+async fn the_own_prefill_counts_by_the_slowness_of_an_engine() {
+    let slow = engine("e1", "za");
+    let mut fixture = Fixture::new(targets(vec![slow.clone(), engine("e2", "za")]));
+    fixture.reported_late = true;
+    make_slow(&fixture.loads, &slow);
+    let _queued = fixture
+        .loads
+        .start(&target("e2"), Work::one(60.0, Tokens(1_000)));
+    let plans = [(WeightVersion(1), plan_stored_in("zb"))];
+    let model = name("m");
+    let prompt = PromptInputs {
+        model: &model,
+        tokens: Tokens(9_000),
+        latency_objective: Duration::from_millis(500),
+        capacity: Tokens(41_000),
+        desired: None,
+        oldest: WeightVersion(1),
+        plans: &plans,
+    };
+    let chosen = fixture.find(Some(prompt)).unwrap();
+    assert_eq!(chosen.target.id, target("e2"));
+}
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -221,6 +221,18 @@
     RELEASE_NOT_RECORDED = 365, Warning, "status of a release not recorded", "Check the store if it recurs.";
     /// The part of a pool's requests for the new version of a release changed.
     RELEASE_STEP = 366, Info, "step of a release", "Nothing to do.";
+    /// The box stopped or resumed sending its zone changes of its work at engines immediately.
+    WORK_UPDATES_SWITCHED = 375, Info, "immediate updates stopped or resumed", "Nothing to do: meanwhile boxes place prompts by periodic reports. If it recurs, the zone has more requests than its limit of datagrams allows.";
     /// A response was dropped because its caller did not read it and its memory was needed.
     RESPONSE_EVICTED = 367, Warning, "response dropped: caller reads too slowly", "Nothing to do unless it recurs for callers that should be fast: then give the box more memory (`memory-mb`).";
+    /// The number of engines that are reserved for short prompts changed.
+    STREAM_ENGINES_CHANGED = 370, Info, "stream engines changed", "Nothing to do: `zones` has the number in each zone, which follows the short prompts in flight.";
+    /// A request was refused since its response could not end before its deadline.
+    CANNOT_END = 373, Info, "refused: cannot end in time", "Add targets if it recurs: queue_ms, own_ms and generation_ms add up to more than left_ms.";
+    /// A request was refused since its organisation is above its share of the pool.
+    ABOVE_SHARE = 374, Info, "refused: organisation above its share", "Compare demand_ms_per_s and share_ms_per_s: add targets, or ask the organisation to send less.";
+    /// An engine sends nothing although its connections are open, and gets no more requests.
+    ENGINE_SILENT = 371, Warning, "engine found silent", "Look at the engine. If one box finds many engines silent (`by` is `report`) and others do not, look at that box's network.";
+    /// Something arrived from an engine that was found silent, and it gets requests again.
+    ENGINE_ANSWERS = 372, Info, "engine answers again", "Nothing to do unless it recurs for one engine: then look at it.";
 }
