--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -36,7 +36,7 @@
 const WEIGHTS_OUTDATED: &str = "its weights were replaced too long ago for it to begin";
 
 /// Why an attempt ended at an engine that was found silent.
-const SILENT: &str = "the engine is silent";
+pub(super) const SILENT: &str = "the engine is silent";
 
 /// Statuses by which a target temporarily rejects a request.
 const TEMPORARY_REJECTIONS: [StatusCode; 2] = [
--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -6,8 +6,8 @@
 
 use super::admit::{AdmittedRequest, is_fresh};
 use super::attempt::{Attempt, AttemptOutcome, CompleteResponse, WaitLimits};
-use super::refusal::{DEFAULT_RETRY_AFTER, Refusal};
-use super::selection::PreparedAttempt;
+use super::prepared::PreparedAttempt;
+use super::refusal::{Refusal, spread};
 use super::shared::Shared;
 use crate::config::Idempotency;
 use crate::control::TargetEntry;
@@ -15,11 +15,9 @@
 use crate::fatal::crash_detector::BrokenRequest;
 use crate::fleet_state::{FleetMsg, View};
 use crate::placement::load::Outcome as Health;
-use crate::placement::stream_engines::PromptKind;
 use crate::placement::work::IncarnationHash;
 use crate::releases::{Assignment, Cohort};
 use hyper::Response;
-use rand::RngExt;
 use sillpin_core::{PoolId, TargetId, WeightVersion};
 use sillpin_http::Body;
 use sillpin_telemetry::{event, events};
@@ -78,9 +76,6 @@
 /// Refusal while all targets have a backoff for this box.
 const BACKED_OFF: &str = "its targets want no requests for a while";
 
-/// Refusal while no target can start the request in time.
-pub const OVERLOADED: &str = "no target can begin it in time";
-
 /// Refusal of a request after which targets have crashed.
 const FATAL: &str = "targets that ran this request have ended";
 
@@ -416,46 +411,10 @@
             self.metrics.attempt("limited");
             return NoAttempt::Refused(Refusal::not_run(LIMITED).with_retry_after(wait));
         }
-        let wait = EVACUATED_WAIT.mul_f64(rand::rng().random_range(0.5..1.5));
+        let wait = spread(EVACUATED_WAIT);
         NoAttempt::Refused(Refusal::not_run(EVACUATED).with_retry_after(wait))
     }
 
-    /// Refuses a request that no target can start in time. A request that may have run is not refused, since a
-    /// refusal states that it has not run.
-    fn refuse_if_overloaded(
-        &self,
-        request: &AdmittedRequest,
-        pool: &PoolId,
-        prepared: &PreparedAttempt,
-        progress: &Progress,
-    ) -> Option<Refusal> {
-        let queue = prepared.queue()?;
-        let standing_ms = self
-            .loads
-            .record_queue(prepared.chosen.kind, queue, Instant::now());
-        if progress.runs > 0 {
-            return None;
-        }
-        let expected = prepared.expected(request, queue, standing_ms);
-        // A short prompt has engines of its own and takes almost none of the capacity that organisations compete for.
-        let is_short = prepared.chosen.kind == Some(PromptKind::Short);
-        if self.is_admission_fair(request) && !is_short {
-            return self.refuse_by_share(request, pool, prepared, queue, expected, progress);
-        }
-        let late = expected.lateness_if_refused(rand::rng().random())?;
-        let wait = late.max(DEFAULT_RETRY_AFTER);
-        let wait = wait.mul_f64(rand::rng().random_range(0.5..1.5));
-        self.metrics.attempt("overloaded");
-        event!(self.log, events::OVERLOADED, "request" => &request.head.id, "route" => &request.route.name,
-            "target" => prepared.chosen.target.id.as_str(),
-            "organisation" => request.organisation.as_ref().map_or("", |org| org.id.as_str()),
-            "waited_ms" => expected.waited.as_millis(), "aim_ms" => expected.latency_objective.as_millis(),
-            "queue_ms" => expected.queue.as_millis(), "own_ms" => expected.own.as_millis(),
-            "standing_ms" => expected.standing.as_millis(),
-            "retry_after_ms" => wait.as_millis());
-        Some(Refusal::not_run(OVERLOADED).with_retry_after(wait))
-    }
-
     /// Whether a request may be offered to one more target.
     pub fn may_offer(&self, progress: &Progress) -> bool {
         progress.offered.len() < MAX_OFFERS
--- a/crates/sillpin-gateway/src/front/fair_admission.rs
+++ b/crates/sillpin-gateway/src/front/fair_admission.rs
@@ -1,9 +1,10 @@
 //! Refusals of prompts where several organisations may compete for a pool.
 
 use super::admit::AdmittedRequest;
-use super::dispatch::{OVERLOADED, Progress};
-use super::refusal::{DEFAULT_RETRY_AFTER, Refusal};
-use super::selection::PreparedAttempt;
+use super::dispatch::Progress;
+use super::overload::OVERLOADED;
+use super::prepared::PreparedAttempt;
+use super::refusal::{DEFAULT_RETRY_AFTER, Refusal, spread};
 use super::shared::Shared;
 use crate::dialect::Dialect;
 use crate::placement::InFlightGuard;
@@ -112,8 +113,7 @@
         prepared: &PreparedAttempt,
         refused: &Refused,
     ) -> Refusal {
-        let wait = refused.late.max(DEFAULT_RETRY_AFTER);
-        let wait = wait.mul_f64(rand::rng().random_range(0.5..1.5));
+        let wait = spread(refused.late.max(DEFAULT_RETRY_AFTER));
         let wait = refused.end.retry_after(wait, DEFAULT_RETRY_AFTER);
         let (name, reason) = match refused.cause {
             Cause::CannotEnd => ("cannot-end", CANNOT_END),
--- a/crates/sillpin-gateway/src/front/idle_timeout.rs
+++ b/crates/sillpin-gateway/src/front/idle_timeout.rs
@@ -8,7 +8,7 @@
 
 use super::admit::AdmittedRequest;
 use super::dispatch::{Progress, may_rerun};
-use super::selection::PreparedAttempt;
+use super::prepared::PreparedAttempt;
 use super::shared::Shared;
 use crate::config::Idempotency;
 use crate::dialect::Dialect;
--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -6,6 +6,9 @@
 //! - [`dispatch`]: attempts until there is a response,
 //! - [`fair_admission`]: refusals where organisations compete for a pool,
 //! - [`selection`]: selection of pool, target and prompt plan for an attempt,
+//! - [`prepared`]: an attempt that is ready to be sent,
+//! - [`stream_engines`]: engines for prompts of different kinds,
+//! - [`overload`]: refusals of prompts that no target can start in time,
 //! - [`attempt`]: one attempt and its outcome,
 //! - [`relay`]: relaying of event streams,
 //! - [`idle_timeout`]: when to abandon a target that sends nothing,
@@ -23,12 +26,15 @@
 pub mod fair_admission;
 pub mod handler;
 pub mod idle_timeout;
+pub mod overload;
+pub mod prepared;
 pub mod refusal;
 pub mod relay;
 pub mod release;
 pub mod response;
 pub mod selection;
 pub mod shared;
+pub mod stream_engines;
 
 pub use handler::Front;
 pub use shared::Shared;
--- a/crates/sillpin-gateway/src/front/refusal.rs
+++ b/crates/sillpin-gateway/src/front/refusal.rs
@@ -3,6 +3,7 @@
 use crate::dialect::Dialect;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
+use rand::RngExt;
 use serde::Serialize;
 use sillpin_core::Outcome;
 use sillpin_http::{Body, JSON_MEDIA_TYPE};
@@ -94,6 +95,12 @@
     }
 }
 
+/// Returns a retry-after between half of `wait` and one and a half times it, so that callers don't all retry at the same
+/// time.
+pub fn spread(wait: Duration) -> Duration {
+    wait.mul_f64(rand::rng().random_range(0.5..1.5))
+}
+
 /// Makes the caller close the connection, so that its next one may go to another box.
 pub fn close_after(resp: &mut Response<Body>) {
     let close = HeaderValue::from_static("close");
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -5,10 +5,11 @@
 //! cannot be mistaken for a complete one.
 
 use super::admit::AdmittedRequest;
-use super::attempt::{AttemptOutcome, OpenStream};
+use super::attempt::{AttemptOutcome, OpenStream, SILENT};
 use super::dispatch::{Progress, may_rerun};
 use super::events::{EventSplitter, count_events};
 use super::shared::Shared;
+use crate::control::TargetEntry;
 use crate::dialect::Dialect;
 use crate::placement::load::Outcome as Health;
 use crate::placement::work::IncarnationHash;
@@ -80,7 +81,7 @@
         let mut events = EventSplitter::after(progress.resume_after.take());
         loop {
             let entry = stream.target.clone();
-            let (target, life) = (entry.id.clone(), entry.life);
+            let target = entry.id.clone();
             let (id, waited) = (&request.head.id, request.arrival.elapsed().as_millis());
             let sent = stream.sent;
             let end = self
@@ -119,20 +120,7 @@
                     "the request's time is over".to_owned()
                 }
                 RelayEnd::Broken(_) | RelayEnd::Silent => {
-                    let reason = match end {
-                        RelayEnd::Broken(reason) => {
-                            self.response_broken(&request, &entry);
-                            self.loads
-                                .record_for_incarnation(&target, life, Health::Failed);
-                            reason
-                        }
-                        _ => {
-                            self.fatal
-                                .sent(request.fingerprint, IncarnationHash::of(&entry))
-                                .end(true);
-                            "the engine is silent".to_owned()
-                        }
-                    };
+                    let reason = self.record_broken(&request, &entry, end);
                     event!(self.log, events::ATTEMPT_INCOMPLETE, "request" => id,
                         "target" => target.as_str(), "outcome" => "broken", "why" => &reason,
                         "elapsed_ms" => request.arrival.elapsed().as_millis());
@@ -157,6 +145,25 @@
         }
     }
 
+    /// Records how a target broke a stream off, and returns the reason for the log.
+    fn record_broken(
+        &self,
+        request: &AdmittedRequest,
+        entry: &Arc<TargetEntry>,
+        end: RelayEnd,
+    ) -> String {
+        let RelayEnd::Broken(reason) = end else {
+            self.fatal
+                .sent(request.fingerprint, IncarnationHash::of(entry))
+                .end(true);
+            return SILENT.to_owned();
+        };
+        self.response_broken(request, entry);
+        self.loads
+            .record_for_incarnation(&entry.id, entry.life, Health::Failed);
+        reason
+    }
+
     /// Resumes a broken stream at another target; `None` if that is not possible.
     async fn resume(
         &self,
--- a/crates/sillpin-gateway/src/front/release.rs
+++ b/crates/sillpin-gateway/src/front/release.rs
@@ -3,7 +3,7 @@
 use super::admit::AdmittedRequest;
 use super::attempt::AttemptOutcome;
 use super::dispatch::Progress;
-use super::selection::PreparedAttempt;
+use super::prepared::PreparedAttempt;
 use super::shared::Shared;
 use crate::control::{ReleasePhase, TargetEntry};
 use crate::dialect::Dialect;
--- a/crates/sillpin-gateway/src/front/selection.rs
+++ b/crates/sillpin-gateway/src/front/selection.rs
@@ -2,10 +2,11 @@
 
 use super::admit::AdmittedRequest;
 use super::dispatch::Progress;
-use super::refusal::{DEFAULT_RETRY_AFTER, Refusal};
+use super::prepared::PreparedAttempt;
+use super::refusal::{DEFAULT_RETRY_AFTER, Refusal, spread};
 use super::shared::Shared;
-use crate::config::{EngineSpec, Pool, Priority};
-use crate::dialect::{Dialect, EngineDirectives, Prompt};
+use crate::config::{EngineSpec, Pool};
+use crate::dialect::{Dialect, Prompt};
 use crate::fleet_state::View;
 use crate::peers::roles::SMALL_FLEET;
 use crate::placement::allowed::{AllowedWeights, WeightsInputs};
@@ -13,21 +14,15 @@
 use crate::placement::engine_speed::PoolSpeed;
 use crate::placement::index::TargetIndex;
 use crate::placement::limits::LimitContext;
-use crate::placement::load::MeasuredRequest;
 use crate::placement::parts::{Plan, PlanInputs, plan, salt};
 use crate::placement::residency::Residency;
 use crate::placement::shared_limit::{MEMBERSHIP_DELAY, ShareGroup};
-use crate::placement::standing::Queue;
-use crate::placement::stream_engines::{PromptKind, StreamInputs, StreamRules, stream_work};
-use crate::placement::work::{IncarnationHash, Work};
-use crate::placement::{ChoiceInputs, ChosenTarget, InFlightGuard, choose};
-use crate::releases::Cohort;
+use crate::placement::stream_engines::{PromptKind, stream_work};
+use crate::placement::{ChoiceInputs, ChosenTarget, choose};
 use rand::RngExt;
 use sillpin_core::{ModelId, PoolId, Tokens, WeightVersion};
-use sillpin_policy::overload::{PREFILL_FACTOR, StartEstimate};
-use sillpin_telemetry::{event, events};
+use sillpin_policy::overload::PREFILL_FACTOR;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -44,10 +39,6 @@
 /// worse with a limit of 0.6 times an objective of 1.2 s, and with 5 to 8 times objectives of 0.3 to 0.5 s.
 const FETCH_TIME_FACTOR: f64 = 1.5;
 
-/// Fraction of a late request's work that counts as queued ahead of other requests: the engine prefers requests that
-/// are in time, but finishes a chunk that it has started.
-const LATE_WORK_FRACTION: f64 = 0.25;
-
 /// Largest part of a request's latency objective that the learned fixed time of engines may take up: with a wrong
 /// estimate, requests must not all count as late.
 const MAX_START_SHARE: f64 = 0.5;
@@ -60,34 +51,6 @@
 /// don't all retry when it ends.
 const BACKOFF_SPREAD: Duration = Duration::from_millis(400);
 
-/// The target selected for an attempt, and what is sent to it.
-pub struct PreparedAttempt {
-    /// The target and the reasons for selecting it.
-    pub chosen: ChosenTarget,
-    /// Directives for an engine.
-    pub directives: Option<EngineDirectives>,
-    /// Expected prompt work, in milliseconds of engine time.
-    pub prefill_ms: f64,
-    /// Length of the prompt.
-    pub prompt_len: Tokens,
-    /// The prompt's shared parts and how each is obtained, for logs.
-    pub parts: String,
-    /// Cache store that most of the prompt is fetched from.
-    pub source: Option<SocketAddr>,
-    /// Number of prompt tokens that cache stores hold, fetched or not.
-    pub stored: u64,
-    /// Number of shared prompt tokens that are fetched.
-    pub fetched: u64,
-    /// Number of shared prompt tokens that are recomputed or already cached at the engine.
-    pub not_fetched: u64,
-    /// Whether the first event can still arrive within the request's latency objective.
-    pub in_time: bool,
-    /// Weights that the request may run on, for engines.
-    pub weights: Option<AllowedWeights>,
-    /// Work of the response's stream, if the prompt is short.
-    pub stream: Option<Work>,
-}
-
 /// The target selected for a request, with the prompt plan if it is an engine.
 pub struct SelectedTarget {
     /// The target and the reasons for selecting it.
@@ -114,87 +77,6 @@
     }
 }
 
-impl PreparedAttempt {
-    /// A target that is not an engine.
-    fn plain(chosen: ChosenTarget) -> Self {
-        Self {
-            chosen,
-            weights: None,
-            directives: None,
-            prefill_ms: 0.0,
-            prompt_len: Tokens(0),
-            parts: String::new(),
-            source: None,
-            stored: 0,
-            fetched: 0,
-            not_fetched: 0,
-            in_time: true,
-            stream: None,
-        }
-    }
-
-    /// Work that the request adds to its engine, as reported to other boxes.
-    pub fn work(&self) -> Work {
-        let counted = if self.in_time {
-            1.0
-        } else {
-            LATE_WORK_FRACTION
-        };
-        Work::one(
-            self.prefill_ms * counted,
-            Tokens((self.prompt_len.0 as f64 * counted) as u64),
-        )
-    }
-
-    /// Prompt work queued ahead of the request at its target; `None` for a request without a prompt.
-    pub fn queue(&self) -> Option<Queue> {
-        self.directives.as_ref()?;
-        let chosen = &self.chosen;
-        Some(Queue::reported(chosen.queue_ms, chosen.reported_late))
-    }
-
-    /// The request as a measurement of an engine of a pool, in a fleet of `boxes` boxes; `None` if engine speeds are
-    /// not to be learned from it.
-    pub fn measured_request(&self, pool: &PoolId, boxes: usize) -> Option<MeasuredRequest> {
-        let tokens = self.prompt_len.0.saturating_sub(self.fetched);
-        let is_measured = self.directives.is_some() && self.in_time && boxes > SMALL_FLEET;
-        is_measured.then(|| MeasuredRequest {
-            pool: pool.clone(),
-            engine: IncarnationHash::of(&self.chosen.target),
-            tokens: Tokens(tokens),
-            queue_ms: self.chosen.queue_ms,
-            is_start_clean: self.fetched == 0,
-            sent: Instant::now(),
-        })
-    }
-
-    /// Input for the overload decision. `standing_ms` is the recent standing queue at targets, in milliseconds.
-    pub fn expected(
-        &self,
-        request: &AdmittedRequest,
-        queue: Queue,
-        standing_ms: f64,
-    ) -> StartEstimate {
-        let millis = |ms: f64| Duration::from_secs_f64(ms.max(0.0) / 1000.0);
-        StartEstimate {
-            waited: request.waited(),
-            latency_objective: request.route.latency_objective,
-            queue: millis(queue.expected_ms),
-            standing: millis(standing_ms),
-            own: millis(self.prefill_ms * self.chosen.slowness),
-        }
-    }
-
-    /// Priority of the request. A request that will miss its latency objective in any case goes behind all that can
-    /// meet theirs.
-    pub fn priority(&self, request: &AdmittedRequest) -> Priority {
-        match self.in_time {
-            true => request.priority(),
-            false => request.priority().demoted(),
-        }
-    }
-}
-
 /// Whether a request's first event can still arrive within its latency objective, given the prompt work ahead of it
 /// plus its own, and the fixed time of the engine, in milliseconds.
 fn is_in_time(request: &AdmittedRequest, work_ms: f64, start_ms: f64) -> bool {
@@ -274,7 +156,7 @@
     }
 
     /// Speed of a pool's engines; the one assumed before anything is learned in small fleets.
-    fn pool_speed(&self, pool: &PoolId, view: &View, now: Instant) -> PoolSpeed {
+    pub(super) fn pool_speed(&self, pool: &PoolId, view: &View, now: Instant) -> PoolSpeed {
         match view.box_count() > SMALL_FLEET {
             true => self.loads.pool_speed(pool, now),
             false => PoolSpeed::default(),
@@ -325,7 +207,7 @@
         let targets = view.index.pool(pool)?.all();
         let waits = targets.filter_map(|target| limits.wait(&limit_context, &target.entry, now));
         let wait = waits.min()?.clamp(DEFAULT_RETRY_AFTER, MAX_LIMITED_WAIT);
-        Some(wait.mul_f64(rand::rng().random_range(0.5..1.5)))
+        Some(spread(wait))
     }
 
     /// Input for the rate limits of a pool's targets.
@@ -411,55 +293,6 @@
         })
     }
 
-    /// Returns the input for the choice between stream engines and others, if the pool has stream engines. The few
-    /// requests for the new version of a release don't use any.
-    fn stream_inputs(
-        &self,
-        request: &AdmittedRequest,
-        pool: &PoolId,
-        view: &View,
-        progress: &Progress,
-    ) -> Option<StreamInputs> {
-        if !self.cfg.scheduling.stream_engines || progress.cohort != Cohort::Control {
-            return None;
-        }
-        let engine = request.config.pool(pool)?.engine.as_ref()?;
-        let rules = StreamRules::of(&request.config, pool, engine)?;
-        let speed = self.pool_speed(pool, view, Instant::now());
-        let prefill_ms = speed.rate.ms(request.head.prompt.as_ref()?.tokens);
-        let others = view.boxes.iter();
-        Some(StreamInputs {
-            rules,
-            kind: rules.kind(prefill_ms),
-            prefill_ms,
-            zone_boxes: 1 + others.filter(|other| other.zone == self.cfg.zone).count(),
-            draw: rand::rng().random(),
-        })
-    }
-
-    /// Logs the numbers of stream engines of a pool if they have changed, at most once a second.
-    fn log_stream_engines(&self, pool: &PoolId, now: Instant) {
-        let change = self.loads.stream_engines().take_change(pool, now);
-        if let Some(zones) = change {
-            event!(self.log, events::STREAM_ENGINES_CHANGED, "pool" => pool.as_str(), "zones" => zones);
-        }
-    }
-
-    /// Counts a prepared attempt as in flight until the guard is dropped.
-    pub fn start_work(&self, prepared: &PreparedAttempt) -> InFlightGuard {
-        let chosen = &prepared.chosen;
-        if chosen.kind == Some(PromptKind::Long) && chosen.is_stream_engine {
-            let mut state = self.loads.stream_engines();
-            let draw = rand::rng().random_range(0.0..1.0);
-            state
-                .long_prompts(&chosen.target.pool)
-                .record_sent(draw, Instant::now());
-        }
-        let stream = prepared.stream.unwrap_or_default();
-        self.loads
-            .start_stream(&chosen.target.id, prepared.work(), stream)
-    }
-
     /// Latest time at which a prompt may start at the selected target, according to the current view.
     pub fn latest_start(
         &self,
--- a/crates/sillpin-gateway/src/peers/hub.rs
+++ b/crates/sillpin-gateway/src/peers/hub.rs
@@ -16,7 +16,7 @@
 };
 use crate::cache_stores::retire::Retired;
 use crate::fleet_state::BoxEntry;
-use crate::placement::work::{EngineWork, IncarnationHash, TargetHash, Work};
+use crate::placement::work::{EngineWork, IncarnationHash, TargetHash, Work, add_rows};
 use sillpin_core::ZoneId;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -341,9 +341,7 @@
 /// Adds up several boxes' work at each engine.
 fn sum_work<'a>(reports: impl Iterator<Item = &'a [EngineWork]>) -> Vec<EngineWork> {
     let mut sums: HashMap<TargetHash, Work> = HashMap::new();
-    for work in reports.flatten() {
-        sums.entry(work.0).or_default().add(work.work());
-    }
+    add_rows(&mut sums, reports.flatten());
     let sums = sums.into_iter();
     sums.map(|(target, work)| EngineWork::at(target, work))
         .collect()
--- a/crates/sillpin-gateway/src/peers/mod.rs
+++ b/crates/sillpin-gateway/src/peers/mod.rs
@@ -12,6 +12,7 @@
 //! - [`wire`]: encoding of datagrams, and the key that distinguishes fleets,
 //! - [`sender`]: sends datagrams, and decides when and to which boxes,
 //! - [`hub`]: boxes that aggregate and distribute the updates of a large zone,
+//! - [`transmitter`]: encodes and sends datagrams,
 //! - [`zone_sender`]: what a box of a large zone sends,
 //! - [`work_updates`]: sends the boxes of the zone changes of the work at engines immediately,
 //! - [`update_limit`]: limits the number of these updates,
@@ -37,6 +38,7 @@
 pub mod roster;
 pub mod sender;
 pub mod stall;
+mod transmitter;
 pub mod update_limit;
 pub mod wire;
 pub mod work_updates;
--- a/crates/sillpin-gateway/src/peers/sender.rs
+++ b/crates/sillpin-gateway/src/peers/sender.rs
@@ -9,7 +9,8 @@
 use super::receiver::GossipReceiver;
 use super::roles::{self, SMALL_FLEET};
 use super::stall::StallDetector;
-use super::wire::{self, FleetKey};
+use super::transmitter::Transmitter;
+use super::wire::FleetKey;
 use super::work_updates::{SharedLimit, UpdateSender};
 use super::zone_sender::{REPORT_INTERVAL, ZoneGossip, ZoneSendState};
 use crate::cache_stores::CacheStores;
@@ -25,7 +26,6 @@
 use crate::reload::Settings;
 use crate::suspend_clock::SuspendClock;
 use rand::seq::IndexedRandom;
-use sillpin_telemetry::{event, events};
 use slog::Logger;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -151,6 +151,7 @@
                     true => send_now = true,
                     false => {
                         work_due = Instant::now() + WORK_INTERVAL;
+                        self.loads.check_measurements(Instant::now());
                         let work = self.loads.updates_to_send();
                         if work != sent_work {
                             sent_work = work.clone();
@@ -282,26 +283,19 @@
     }
 
     pub(super) async fn send(&self, socket: &UdpSocket, datagram: &Datagram, to: Vec<SocketAddr>) {
-        if to.is_empty() {
-            return;
-        }
-        let buf = match wire::encode(self.fleet_key, datagram) {
-            Ok(buf) => buf,
-            Err(e) => {
-                event!(self.log, events::GOSSIP_FAILED, "why" => e.to_string());
-                return;
-            }
+        let transmitter = Transmitter {
+            fleet_key: self.fleet_key,
+            metrics: &self.metrics,
+            log: &self.log,
         };
-        self.metrics
-            .datagrams(datagram.name(), "sent", to.len(), buf.len());
-        for peer in to {
-            // A datagram that cannot be sent counts as lost; the next round repeats its content.
-            let _ = socket.send_to(&buf, peer).await;
+        if let Some(encoded) = transmitter.encode(datagram, to) {
+            encoded.send(socket).await;
         }
     }
 
     pub(super) fn digest(&self, view: &View) -> Digest {
         let now = Instant::now();
+        self.loads.check_measurements(now);
         let directory = self.cache_stores.lock();
         let summary_of = |addr: SocketAddr| {
             Some(StoreSyncSummary {
--- a/crates/sillpin-gateway/src/peers/work_updates.rs
+++ b/crates/sillpin-gateway/src/peers/work_updates.rs
@@ -7,8 +7,9 @@
 use super::datagram::{BoxHash, Datagram, EngineUpdate, EngineUpdateContent};
 use super::roster::Roster;
 use super::sender::GossipSender;
+use super::transmitter::Transmitter;
 use super::update_limit::{Switch, UpdateLimit};
-use super::wire::{self, FleetKey};
+use super::wire::FleetKey;
 use super::zone_sender::ZoneGossip;
 use crate::fleet_state::{FleetHandle, View};
 use crate::metrics::BoxMetrics;
@@ -20,7 +21,6 @@
 use sillpin_telemetry::{event, events};
 use slog::Logger;
 use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, SystemTime};
 use tokio::net::UdpSocket;
@@ -206,7 +206,7 @@
 
     async fn send(&mut self, content: EngineUpdateContent, to: &[BoxHash]) {
         let roster = self.zone_gossip.rosters.of(&self.fleet.view());
-        let to: Vec<SocketAddr> = roster.addrs(to);
+        let to = roster.addrs(to);
         if to.is_empty() {
             return;
         }
@@ -217,24 +217,20 @@
             sequence: self.sequence,
             content,
         });
-        let buf = match wire::encode(self.fleet_key, &datagram) {
-            Ok(buf) => buf,
-            Err(e) => {
-                event!(self.log, events::GOSSIP_FAILED, "why" => e.to_string());
-                return;
-            }
+        let transmitter = Transmitter {
+            fleet_key: self.fleet_key,
+            metrics: &self.metrics,
+            log: &self.log,
+        };
+        let Some(encoded) = transmitter.encode(&datagram, to) else {
+            return;
         };
-        self.metrics
-            .datagrams(datagram.name(), "sent", to.len(), buf.len());
-        let (count, bytes) = (to.len(), to.len() * buf.len());
+        let (count, bytes) = encoded.size();
         match is_list {
             true => self.limit.lock().record_list(count, bytes),
             false => self.limit.lock().record_sent(count, bytes, Instant::now()),
         }
-        for peer in to {
-            // A datagram that cannot be sent counts as lost; the next list repeats its content.
-            let _ = self.socket.send_to(&buf, peer).await;
-        }
+        encoded.send(&self.socket).await;
     }
 }
 
--- a/crates/sillpin-gateway/src/peers/zone_sender.rs
+++ b/crates/sillpin-gateway/src/peers/zone_sender.rs
@@ -127,6 +127,7 @@
         view: &View,
         now: Instant,
     ) {
+        self.loads.check_measurements(now);
         let work = self.loads.updates_to_send();
         let is_report_due = is_due(state.report_sent, MAX_REPORT_INTERVAL, now);
         let fatal = self.fatal.record().observed(now);
--- a/crates/sillpin-gateway/src/placement/engine_speed/line.rs
+++ b/crates/sillpin-gateway/src/placement/engine_speed/line.rs
@@ -4,6 +4,7 @@
 //! median of the slopes between groups. Neither is moved by a minority of wrong samples, and a
 //! constant part of the times does not affect the slope.
 
+use crate::placement::decay::weight_left;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -171,12 +172,6 @@
     weighted_quantile(slopes, 0.5)
 }
 
-/// Returns the part of a weight that is left after the time since `at`.
-pub fn weight_left(at: Instant, now: Instant, half_life: Duration) -> f64 {
-    let age = now.saturating_duration_since(at);
-    0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
-}
-
 /// Returns a quantile of values with weights; `None` if there are no values.
 pub fn weighted_quantile(mut values: Vec<(f64, f64)>, quantile: f64) -> Option<f64> {
     values.sort_by(|a, b| a.0.total_cmp(&b.0));
--- a/crates/sillpin-gateway/src/placement/engine_speed/slowness.rs
+++ b/crates/sillpin-gateway/src/placement/engine_speed/slowness.rs
@@ -4,7 +4,8 @@
 //! counts as slow only if all of its last few times are long, and as normal again after the first
 //! normal one or when the observations have expired.
 
-use super::line::{weight_left, weighted_quantile};
+use super::line::weighted_quantile;
+use crate::placement::decay::weight_left;
 use std::collections::VecDeque;
 use std::time::Duration;
 use tokio::time::Instant;
--- a/crates/sillpin-gateway/src/placement/fair_admission.rs
+++ b/crates/sillpin-gateway/src/placement/fair_admission.rs
@@ -128,7 +128,7 @@
         }
         let facts = PoolFacts {
             organisations,
-            peer_work: &self.peer_work(now),
+            reported_rows: &self.reported_rows(now),
             engines,
         };
         let org_share = self.org_share(asked, facts, now);
@@ -162,11 +162,11 @@
         O: Iterator<Item = &'a OrgId>,
     {
         let mut usage = self.usage();
-        let peer_work = facts.peer_work;
+        let reported_rows = facts.reported_rows;
         let division = usage.division(asked.pool, facts, now);
         let demand = asked
             .organisation
-            .map(|org| usage.demand(asked.pool, org, peer_work, now));
+            .map(|org| usage.demand(asked.pool, org, reported_rows, now));
         OrgShare {
             demand: demand.unwrap_or_default(),
             share: division.shares.share(demand.unwrap_or_default()),
--- a/crates/sillpin-gateway/src/placement/hold_time.rs
+++ b/crates/sillpin-gateway/src/placement/hold_time.rs
@@ -4,6 +4,7 @@
 //! for that memory. The time depends on the engine, on concurrent requests and on the number of
 //! generated tokens, so it is estimated from completed requests.
 
+use super::decay::weight_left;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -36,8 +37,7 @@
 impl HoldTime {
     /// Records that a request held `tokens` of memory for `hold_time`.
     pub fn record(&mut self, tokens: f64, hold_time: Duration, now: Instant) {
-        let age = self.at.map_or(Duration::ZERO, |at| now - at);
-        let left = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        let left = self.at.map_or(1.0, |at| weight_left(at, now, HALF_LIFE));
         self.tokens = self.tokens * left + tokens;
         self.token_ms = self.token_ms * left + tokens * millis(hold_time);
         self.at = Some(now);
--- a/crates/sillpin-gateway/src/placement/load/peers.rs
+++ b/crates/sillpin-gateway/src/placement/load/peers.rs
@@ -14,7 +14,6 @@
     /// Returns this box's work at engines, and what else it reports of them and of organisations, to
     /// be sent to other boxes.
     pub fn updates_to_send(&self) -> Vec<EngineWork> {
-        self.check_measurements(Instant::now());
         let table = self.lock();
         let working = table.iter().filter(|(_, load)| load.work.tokens >= 1.0);
         let working = working.map(|(id, load)| EngineWork::of(id, load.work));
@@ -76,9 +75,10 @@
         self.peer_work.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Learns from requests that met no queue according to the reports of other boxes.
-    fn check_measurements(&self, now: Instant) {
-        let peer_work = self.peer_work.lock().unwrap_or_else(|e| e.into_inner());
+    /// Learns from requests that met no queue according to the reports of other boxes. Called before each of this box's
+    /// reports.
+    pub fn check_measurements(&self, now: Instant) {
+        let peer_work = self.peer_table();
         self.speeds().check(peer_work.reported_prefills(now), now);
     }
 
@@ -87,7 +87,7 @@
         let needs_peers = self.speeds().needs_peers(pool, now);
         if needs_peers {
             let row = TargetHash::for_rows(pool.as_str(), RowKind::Rates);
-            let sums = self.peer_work(now).get(&row).copied();
+            let sums = self.reported_rows(now).get(&row).copied();
             self.speeds().set_peers(pool, sums.unwrap_or_default(), now);
         }
         self.speeds().speed(pool, now)
@@ -104,43 +104,42 @@
 
     /// Stores the work that another box reported.
     pub fn apply_update(&self, from: BoxId, work: Vec<EngineWork>) {
-        let mut peer_work = self.peer_work.lock().unwrap_or_else(|e| e.into_inner());
-        peer_work.apply_update(from, work, Instant::now());
+        self.peer_table().apply_update(from, work, Instant::now());
     }
 
     /// Stores the work that this box reported to its hub.
     pub fn set_own_report(&self, work: Vec<EngineWork>) {
-        let mut peer_work = self.peer_work.lock().unwrap_or_else(|e| e.into_inner());
-        peer_work.set_own_report(work);
+        self.peer_table().set_own_report(work);
     }
 
     /// Stores the total work of all boxes from the hub of a large zone.
     pub fn apply_zone_totals(&self, work: Vec<EngineWork>, members: &[BoxHash]) {
-        let mut peer_work = self.peer_work.lock().unwrap_or_else(|e| e.into_inner());
-        peer_work.apply_zone_totals(work, members, Instant::now());
+        self.peer_table()
+            .apply_zone_totals(work, members, Instant::now());
     }
 
     /// Returns whether a box, or the hub on its behalf, sent a message recently.
     pub fn has_recent_report(&self, from: &BoxId, now: Instant) -> bool {
-        let peer_work = self.peer_work.lock().unwrap_or_else(|e| e.into_inner());
-        peer_work.has_recent_report(from, now)
+        self.peer_table().has_recent_report(from, now)
     }
 
     /// Returns whether the hub of a large zone sent a message recently.
     pub fn is_hub_responsive(&self, now: Instant) -> bool {
-        let peer_work = self.peer_work.lock().unwrap_or_else(|e| e.into_inner());
-        peer_work.is_hub_responsive(now)
+        self.peer_table().is_hub_responsive(now)
     }
 
     /// Returns whether a box of the zone may be alive, according to the zone's hub.
     pub fn may_be_alive(&self, id: &BoxId, now: Instant) -> bool {
-        let peer_work = self.peer_work.lock().unwrap_or_else(|e| e.into_inner());
-        peer_work.may_be_alive(id, now)
+        self.peer_table().may_be_alive(id, now)
+    }
+
+    /// Returns the sums of the rows of all other boxes; those about the work at engines are as old as reports are.
+    pub fn reported_rows(&self, now: Instant) -> Arc<HashMap<TargetHash, Work>> {
+        self.peer_table().reported_totals(now)
     }
 
     /// Returns the work of all other boxes at each engine.
     pub fn peer_work(&self, now: Instant) -> Arc<HashMap<TargetHash, Work>> {
-        let peer_work = self.peer_work.lock().unwrap_or_else(|e| e.into_inner());
-        peer_work.engine_totals(now)
+        self.peer_table().engine_totals(now)
     }
 }
--- a/crates/sillpin-gateway/src/placement/mod.rs
+++ b/crates/sillpin-gateway/src/placement/mod.rs
@@ -4,6 +4,7 @@
 //! - [`direct_work`]: work that the boxes of the own zone sent when it changed,
 //! - [`work_changes`]: changes of this box's work that have not been sent yet,
 //! - [`mod@choose`]: the choice among the targets of a pool,
+//! - [`decay`]: weights that fall with age,
 //! - [`engine_speed`]: learned speeds of engines,
 //! - [`allowed`]: the weights versions on which a prompt may run,
 //! - [`index`]: targets by pool and zone,
@@ -26,6 +27,7 @@
 
 pub mod allowed;
 pub mod choose;
+pub mod decay;
 pub mod direct_work;
 pub mod engine_speed;
 pub mod fair_admission;
--- a/crates/sillpin-gateway/src/placement/silence.rs
+++ b/crates/sillpin-gateway/src/placement/silence.rs
@@ -7,14 +7,21 @@
 //!
 //! Nothing here does I/O. [`Silence::tick`] is called at short intervals and returns what is to be done.
 
+mod engine;
+mod run_clock;
+mod zone;
+
 use super::work::{EngineWork, IncarnationHash, TargetHash, Work};
 use crate::cache_stores::homes::hash_pair;
 use crate::control::TargetEntry;
+use engine::{EngineState, MIN_PEERS, PendingReport, Wait};
+use run_clock::RunClock;
 use sillpin_core::{BoxId, TargetId, ZoneId};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
+use zone::ZoneEvidence;
 
 /// Interval of [`Silence::tick`]: an engine has to be out of use within 1.5 s of its last event, of which an accepted
 /// pause of 0.8 s, the wait for the report and a report to the hub take 1.35 s.
@@ -23,39 +30,18 @@
 /// Time that an engine has to respond to a request for its report.
 pub const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Number of ticks for which a request for a report stays pending after its time is over. A response may have arrived
-/// already: a busy runtime needs a few rounds to pass it from the socket to the task that waits for it.
-const OVERDUE_TICKS: u32 = 2;
-
-/// Minimum time between two requests for the report of one engine.
-const ASK_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Maximum number of requests for reports in any [`ASK_WINDOW`].
 const MAX_ASKS: usize = 4;
 
 /// Window in which requests for reports are counted.
 const ASK_WINDOW: Duration = Duration::from_secs(1);
 
-/// Number of other boxes of the own zone whose finding is enough.
-const MIN_PEERS: f64 = 2.0;
-
 /// Number of other boxes of the own zone that must share a finding if this box may be cut off.
 const MIN_CONFIRMATIONS: f64 = 1.0;
 
-/// A longer time between two ticks means that this process did not run; that time does not count. Boxes with a small
-/// share of a core are descheduled for some 100 ms at a time under load.
-const MAX_TICK_GAP: Duration = Duration::from_millis(300);
-
 /// An engine counts as heard, for the decision whether this box is cut off, for this time.
 const HEARD_AGE: Duration = Duration::from_secs(2);
 
-/// Number of engines that seem silent from which they are compared with those that were heard, instead of only with all
-/// engines of the zone: a box often has requests at few of them.
-const MIN_SILENT: usize = 3;
-
-/// Minimum time between two connection attempts to an engine that other boxes no longer find silent.
-const CONNECT_INTERVAL: Duration = Duration::from_millis(400);
-
 /// Time for which this process has run.
 type RunTime = Duration;
 
@@ -79,7 +65,7 @@
     /// The watched engines.
     pub engines: &'a [WatchedEngine],
     /// Rows of all other boxes.
-    pub peer_work: &'a HashMap<TargetHash, Work>,
+    pub reported_rows: &'a HashMap<TargetHash, Work>,
     /// Total time for which the box was suspended.
     pub suspended: Duration,
     /// Current time.
@@ -117,179 +103,6 @@
     number: u64,
 }
 
-/// A stream or request that waits for an engine.
-#[derive(Debug)]
-struct Wait {
-    /// Since when nothing has arrived for it; `None` while its caller does not read, so that nothing is expected.
-    since: Option<RunTime>,
-    /// Longest time that its callers accept; `None` if its route names none.
-    limit: Option<Duration>,
-    /// Findings of the engine when the wait began.
-    findings: u64,
-}
-
-/// A request for an engine's report that has no response yet.
-#[derive(Debug, Clone, Copy)]
-struct PendingReport {
-    /// Number of ticks since its time was over.
-    overdue_ticks: u32,
-}
-
-#[derive(Debug, Default)]
-struct EngineState {
-    id: Option<TargetId>,
-    rows: Option<TargetHash>,
-    waits: HashMap<u64, Wait>,
-    heard: Option<RunTime>,
-    asked: Option<RunTime>,
-    pending: Option<PendingReport>,
-    /// The last request for its report had no response, and nothing has arrived since.
-    unanswered: bool,
-    /// That was noticed in this tick.
-    newly_unanswered: bool,
-    /// Number of other boxes of the own zone that find it silent.
-    peers: f64,
-    /// Something arrived from it while other boxes found it silent; their findings do not count until they end.
-    peers_overruled: bool,
-    out_of_use: Option<Evidence>,
-    /// How often it was found silent.
-    findings: u64,
-    connected: Option<RunTime>,
-}
-
-impl EngineState {
-    /// Whether something waits for the engine for longer than accepted, and nothing else has arrived meanwhile.
-    fn is_overdue(&self, at: RunTime) -> bool {
-        self.waits.values().any(|wait| {
-            let since = wait.since.map(|since| self.heard.max(Some(since)));
-            match (since.flatten(), wait.limit) {
-                (Some(since), Some(limit)) => at.saturating_sub(since) >= limit,
-                _ => false,
-            }
-        })
-    }
-
-    fn seems_silent(&self, at: RunTime) -> bool {
-        self.unanswered || self.is_overdue(at)
-    }
-
-    fn was_heard_within(&self, time: Duration, at: RunTime) -> bool {
-        self.heard
-            .is_some_and(|heard| at.saturating_sub(heard) < time)
-    }
-
-    fn set_peers(&mut self, peers: f64) {
-        self.peers = peers;
-        if peers < MIN_PEERS {
-            self.peers_overruled = false;
-        }
-    }
-
-    /// Whether the findings of other boxes count: they do if this box has heard nothing for as long as the others.
-    fn is_silent_for_peers(&self, min_event_gap: Duration, at: RunTime) -> bool {
-        self.peers >= MIN_PEERS
-            && !self.peers_overruled
-            && !self.was_heard_within(min_event_gap + REPORT_TIMEOUT, at)
-    }
-
-    fn update_pending(&mut self, at: RunTime) {
-        self.newly_unanswered = false;
-        let Some(pending) = &mut self.pending else {
-            return;
-        };
-        let asked = self.asked.unwrap_or(at);
-        if at.saturating_sub(asked) < REPORT_TIMEOUT {
-            return;
-        }
-        if pending.overdue_ticks == OVERDUE_TICKS {
-            self.pending = None;
-            self.unanswered = true;
-            self.newly_unanswered = true;
-            return;
-        }
-        pending.overdue_ticks += 1;
-    }
-
-    fn may_ask(&self, at: RunTime) -> bool {
-        let is_due = self
-            .asked
-            .is_none_or(|asked| at.saturating_sub(asked) >= ASK_INTERVAL);
-        is_due && self.pending.is_none()
-    }
-
-    fn may_connect(&self, at: RunTime) -> bool {
-        let is_due = self
-            .connected
-            .is_none_or(|connected| at.saturating_sub(connected) >= CONNECT_INTERVAL);
-        self.out_of_use.is_some() && !self.unanswered && self.peers < MIN_PEERS && is_due
-    }
-
-    /// Discards the evidence against the engine: all waits start anew.
-    fn restart(&mut self, at: RunTime) {
-        self.pending = None;
-        self.unanswered = false;
-        self.heard = self.heard.map(|_| at);
-        for wait in self.waits.values_mut() {
-            wait.since = wait.since.map(|_| at);
-        }
-    }
-}
-
-/// Measures the time for which this process runs, at the granularity of ticks.
-#[derive(Debug, Default)]
-struct RunClock {
-    run: RunTime,
-    ticked: Option<Instant>,
-    suspended: Duration,
-}
-
-impl RunClock {
-    fn at(&self, now: Instant) -> RunTime {
-        let since = self
-            .ticked
-            .map(|ticked| now.saturating_duration_since(ticked));
-        self.run + since.filter(|gap| *gap <= MAX_TICK_GAP).unwrap_or_default()
-    }
-
-    /// Advances the clock; returns whether the process ran since the last tick.
-    fn tick(&mut self, now: Instant) -> bool {
-        let gap = self
-            .ticked
-            .map(|ticked| now.saturating_duration_since(ticked));
-        self.run = self.at(now);
-        self.ticked = Some(now);
-        gap.is_none_or(|gap| gap <= MAX_TICK_GAP)
-    }
-
-    /// Returns whether the box was suspended since the last call.
-    fn was_suspended(&mut self, suspended: Duration) -> bool {
-        let longer = suspended > self.suspended;
-        self.suspended = suspended;
-        longer
-    }
-}
-
-/// Evidence about the engines of one zone.
-#[derive(Debug, Default)]
-struct ZoneEvidence {
-    listed: usize,
-    heard: usize,
-    silent: usize,
-    /// Those of the silent ones that other boxes of the own zone find silent too.
-    confirmed: usize,
-}
-
-impl ZoneEvidence {
-    fn is_mostly_silent(&self) -> bool {
-        let of_all = self.silent * 2 > self.listed;
-        of_all || (self.silent >= MIN_SILENT && self.silent > self.heard)
-    }
-
-    fn is_confirmed(&self) -> bool {
-        self.confirmed * 2 > self.silent
-    }
-}
-
 /// What this box has heard from which engine, and which engines are silent.
 #[derive(Debug, Default)]
 pub struct Silence {
@@ -451,7 +264,7 @@
                 state.id = Some(engine.entry.id.clone());
             }
             state.rows = Some(engine.rows);
-            let peers = inputs.peer_work.get(&engine.rows);
+            let peers = inputs.reported_rows.get(&engine.rows);
             state.set_peers(peers.map_or(0.0, |rows| rows.requests));
         }
         match self.engines.len() > inputs.engines.len() {
--- a/crates/sillpin-gateway/src/placement/silence_watch.rs
+++ b/crates/sillpin-gateway/src/placement/silence_watch.rs
@@ -271,15 +271,15 @@
     fn tick(&self, watched: &Watched) {
         let loads = &self.engines.loads;
         let now = Instant::now();
-        let peer_work = match watched.engines.is_empty() {
+        let reported_rows = match watched.engines.is_empty() {
             true => Arc::default(),
-            false => loads.peer_work(now),
+            false => loads.reported_rows(now),
         };
         let mut silence = loads.silence();
         let decisions = silence.tick(&TickInputs {
             me: &self.me,
             engines: &watched.engines,
-            peer_work: &peer_work,
+            reported_rows: &reported_rows,
             suspended: self.suspend_clock.suspended(),
             now,
         });
--- a/crates/sillpin-gateway/src/placement/standing.rs
+++ b/crates/sillpin-gateway/src/placement/standing.rs
@@ -4,6 +4,7 @@
 //! one, and it drains in a moment. A queue that persists shows that the load exceeds the engines'
 //! capacity.
 
+use super::decay::weight_left;
 use super::stream_engines::PromptKind;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -61,8 +62,7 @@
 impl StandingQueue {
     /// Records the queue of a chosen engine and returns the average including it, in milliseconds.
     pub fn record(&mut self, queue: Queue, now: Instant) -> f64 {
-        let age = self.at.map_or(Duration::ZERO, |at| now - at);
-        let left = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        let left = self.at.map_or(1.0, |at| weight_left(at, now, HALF_LIFE));
         self.samples = self.samples * left + 1.0;
         self.sum_ms = self.sum_ms * left + queue.certain_ms;
         self.at = Some(now);
--- a/crates/sillpin-gateway/src/placement/stream_engines.rs
+++ b/crates/sillpin-gateway/src/placement/stream_engines.rs
@@ -18,6 +18,7 @@
 pub mod search;
 
 use super::index::IndexedTarget;
+use super::stream_pace::expected_output;
 use super::work::Work;
 use crate::config::{EngineSpec, FleetConfig, Priority, Route};
 use crate::dialect::Prompt;
@@ -43,9 +44,6 @@
 /// Share of an engine's slots and memory that streams may occupy while all stream engines are busy.
 const FULL_SHARE: f64 = 0.9;
 
-/// Share of the maximum response that a stream is expected to generate.
-const EXPECTED_OUTPUT_SHARE: f64 = 0.5;
-
 /// Smallest zone in which engines are reserved. In a smaller one, a single engine is more than a twelfth of the zone.
 /// A twelfth is reserved as soon as there are short prompts: all boxes send there until they receive the first reports.
 pub const MIN_ZONE_ENGINES: usize = 12;
@@ -147,7 +145,7 @@
 
 /// Returns the work that a short prompt adds to the streams of its engine: the memory that its stream will hold.
 pub fn stream_work(prompt: &Prompt) -> Work {
-    let output = prompt.max_output.0 as f64 * EXPECTED_OUTPUT_SHARE;
+    let output = expected_output(prompt.max_output);
     Work::one(0.0, Tokens(prompt.tokens.0 + output as u64))
 }
 
--- a/crates/sillpin-gateway/src/placement/usage.rs
+++ b/crates/sillpin-gateway/src/placement/usage.rs
@@ -155,8 +155,8 @@
 pub struct PoolFacts<'a, O> {
     /// Organisations of the configuration.
     pub organisations: O,
-    /// Work of all other boxes, with their rows about organisations.
-    pub peer_work: &'a HashMap<TargetHash, Work>,
+    /// Sums of the rows of all other boxes.
+    pub reported_rows: &'a HashMap<TargetHash, Work>,
     /// Number of engines of the pool.
     pub engines: usize,
 }
@@ -231,13 +231,13 @@
         &self,
         pool: &PoolId,
         org: &OrgId,
-        peer_work: &HashMap<TargetHash, Work>,
+        reported_rows: &HashMap<TargetHash, Work>,
         now: Instant,
     ) -> PrefillRate {
         let own = self.pools.get(pool);
         let own = own.and_then(|pool| pool.organisations.get(org));
         let own = own.map_or(0.0, |usage| usage.demand(now).0);
-        PrefillRate(own + peer_demand(pool, org, peer_work))
+        PrefillRate(own + peer_demand(pool, org, reported_rows))
     }
 
     /// Returns the fair division of a pool.
@@ -333,7 +333,7 @@
     {
         let (mut demands, mut capacity) = (Vec::new(), 0.0);
         for org in facts.organisations {
-            let row = facts.peer_work.get(&row_hash(id, org));
+            let row = facts.reported_rows.get(&row_hash(id, org));
             let peers = row.copied().unwrap_or_default();
             let own = self.organisations.get(org).map(|usage| usage.row(now));
             let total = own.unwrap_or_default().plus(peers);
@@ -355,7 +355,7 @@
 }
 
 /// Returns an organisation's demand on a pool at all other boxes, in milliseconds per second.
-fn peer_demand(pool: &PoolId, org: &OrgId, peer_work: &HashMap<TargetHash, Work>) -> f64 {
-    let row = peer_work.get(&row_hash(pool, org));
+fn peer_demand(pool: &PoolId, org: &OrgId, reported_rows: &HashMap<TargetHash, Work>) -> f64 {
+    let row = reported_rows.get(&row_hash(pool, org));
     row.map_or(0.0, |row| row.prefill_ms)
 }
--- a/crates/sillpin-gateway/src/placement/work.rs
+++ b/crates/sillpin-gateway/src/placement/work.rs
@@ -64,13 +64,6 @@
 #[serde(transparent)]
 pub struct TargetHash(u32);
 
-impl TargetHash {
-    /// Returns the hash of a target's id.
-    pub fn of(target: &TargetId) -> Self {
-        Self(hash_pair(target.as_str(), "load") as u32)
-    }
-}
-
 /// What a row of [`EngineWork`] is about. Boxes send each other rows of several kinds under hashes
 /// that differ, so hubs add them up without knowing the kinds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -87,6 +80,11 @@
 }
 
 impl TargetHash {
+    /// Returns the hash of a target's id.
+    pub fn of(target: &TargetId) -> Self {
+        Self(hash_pair(target.as_str(), "load") as u32)
+    }
+
     /// Returns the hash for rows of a kind about an engine or pool.
     pub fn for_rows(name: &str, kind: RowKind<'_>) -> Self {
         let salt = match kind {
@@ -97,9 +95,7 @@
         };
         Self(hash_pair(name, &salt) as u32)
     }
-}
 
-impl TargetHash {
     /// Row with which a hub states that its sums have rows of [`TargetHash::in_other_zones`]. An
     /// engine without such a row then has no work of other zones.
     pub fn other_zones_marker() -> Self {
@@ -160,7 +156,7 @@
 }
 
 /// Adds rows to the sums for their hashes.
-pub(super) fn add_rows<'a>(
+pub fn add_rows<'a>(
     sums: &mut HashMap<TargetHash, Work>,
     rows: impl Iterator<Item = &'a EngineWork>,
 ) {
@@ -305,33 +301,44 @@
         move |target| self.reported_prefill(target, &totals, now)
     }
 
+    /// Returns the sums of the rows that other boxes reported, from the hub or else from the boxes
+    /// themselves. Rows that are not about the work at an engine are the same as in
+    /// [`PeerWork::engine_totals`], which costs more.
+    pub fn reported_totals(&self, now: Instant) -> Arc<HashMap<TargetHash, Work>> {
+        if let Some(hub_report) = self.hub_report(now) {
+            return hub_report.totals.clone();
+        }
+        let mut totals = HashMap::new();
+        let reports = self.recent_reports(now);
+        add_rows(&mut totals, reports.flat_map(|(_, report)| &report.work));
+        Arc::new(totals)
+    }
+
+    fn recent_reports(&self, now: Instant) -> impl Iterator<Item = (&BoxId, &BoxReport)> {
+        let reports = self.box_reports.iter();
+        reports.filter(move |(_, report)| now - report.at < REPORT_LIFETIME)
+    }
+
     /// Returns the work of all other boxes at each engine, from the hub or else from the boxes
     /// themselves. While the own zone is fresh, the work of its boxes at its engines is what they
     /// sent directly.
     pub fn engine_totals(&self, now: Instant) -> Arc<HashMap<TargetHash, Work>> {
         let zone = self.direct.zone();
-        let is_fresh = zone.is_some_and(|zone| self.is_fresh(zone, now));
+        if !zone.is_some_and(|zone| self.is_fresh(zone, now)) {
+            return self.reported_totals(now);
+        }
         if let Some(hub_report) = self.hub_report(now) {
-            return match is_fresh {
-                true => Arc::new(self.direct.merged_with_hub(&hub_report.totals, now)),
-                false => hub_report.totals.clone(),
-            };
+            return Arc::new(self.direct.merged_with_hub(&hub_report.totals, now));
         }
-        let recent = self
-            .box_reports
-            .iter()
-            .filter(|(_, report)| now - report.at < REPORT_LIFETIME);
         let mut totals: HashMap<TargetHash, Work> = HashMap::new();
-        for (from, report) in recent {
+        for (from, report) in self.recent_reports(now) {
             let from = BoxHash::unranked_from_id(from);
-            let is_replaced = is_fresh && self.direct.arrives_from(from, now);
+            let is_replaced = self.direct.arrives_from(from, now);
             let rows = report.work.iter();
             let kept = rows.filter(|row| !is_replaced || !self.direct.is_engine_of_zone(row.0));
             add_rows(&mut totals, kept);
         }
-        if is_fresh {
-            add_rows(&mut totals, self.direct.rows(now));
-        }
+        add_rows(&mut totals, self.direct.rows(now));
         Arc::new(totals)
     }
 }
--- a/crates/sillpin-gateway/tests/engine_speed.rs
+++ b/crates/sillpin-gateway/tests/engine_speed.rs
@@ -527,7 +527,7 @@
     for _ in 0..10 {
         guard.record_events(1);
         advance(Duration::from_millis(60)).await;
-        loads.updates_to_send();
+        loads.check_measurements(Instant::now());
     }
 }
 
@@ -555,6 +555,7 @@
     serve_many(&loads, is_start_clean, 110.0).await;
     let speed = loads.pool_speed(&pool(), Instant::now());
     assert_within(speed.rate.0, wanted, 0.15, "rate");
+    loads.check_measurements(Instant::now());
     assert_eq!(loads.updates_to_send().len(), rows);
 }
 
@@ -594,6 +595,7 @@
             };
             let work = Work::one(own_ms + others_ms, Tokens(tokens));
             loads.apply_zone_totals(vec![EngineWork::of(&id, work)], &[]);
+            loads.check_measurements(Instant::now());
             loads.set_own_report(loads.updates_to_send());
         }
     }
--- a/crates/sillpin-gateway/tests/engine_speed_load.rs
+++ b/crates/sillpin-gateway/tests/engine_speed_load.rs
@@ -170,6 +170,7 @@
             self.next_report = now + REPORT_EVERY;
             let mut totals: HashMap<TargetHash, Work> = HashMap::new();
             for of in &self.boxes {
+                of.check_measurements(now);
                 let rows = of.updates_to_send();
                 rows.iter()
                     .for_each(|row| totals.entry(row.0).or_default().add(row.work()));
--- a/crates/sillpin-gateway/tests/silence.rs
+++ b/crates/sillpin-gateway/tests/silence.rs
@@ -185,7 +185,7 @@
         let decisions: Decisions = to.loads.silence().tick(&TickInputs {
             me: &me,
             engines: &self.engines,
-            peer_work: &peer_work,
+            reported_rows: &peer_work,
             suspended: to.suspended,
             now,
         });
@@ -527,7 +527,7 @@
         self.loads.silence().tick(&TickInputs {
             me: &name("box-1"),
             engines: &self.engines,
-            peer_work: &peer_work,
+            reported_rows: &peer_work,
             suspended: Duration::ZERO,
             now,
         })
--- a/crates/sillpin-gateway/tests/usage.rs
+++ b/crates/sillpin-gateway/tests/usage.rs
@@ -132,7 +132,7 @@
     let organisations = [org(0), org(1)];
     let facts = PoolFacts {
         organisations: organisations.iter(),
-        peer_work: &HashMap::new(),
+        reported_rows: &HashMap::new(),
         engines: ENGINES,
     };
     let division = usage.division(&pool(), facts, Instant::now());
@@ -148,7 +148,7 @@
     let organisations = [org(0), org(1)];
     let facts = PoolFacts {
         organisations: organisations.iter(),
-        peer_work: &HashMap::new(),
+        reported_rows: &HashMap::new(),
         engines: ENGINES,
     };
     let division = usage.division(&pool(), facts, Instant::now());
