Tell how many targets of a pool a box reaches, and when it is most of them

The logs of the incident name single unreachable targets; they don't tell whether a box knows that it has lost most of a pool, nor since when. E376 and E377 tell this at the change, sillpin_unreachable_targets at any time. No decision reads it yet.

--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -288,7 +288,7 @@
             self.response_broken(request, target);
         }
         if let AttemptOutcome::Unsent(reason) = outcome {
-            self.prober.start(&target.id, reason);
+            self.prober.start(target, reason);
             self.crash_detector.unreachable(target);
         }
         let health = match outcome {
--- a/crates/sillpin-gateway/src/metrics.rs
+++ b/crates/sillpin-gateway/src/metrics.rs
@@ -236,6 +236,19 @@
         .build();
 }
 
+/// Registers a gauge of the targets that this box cannot reach.
+pub fn observe_reach(meter: &Meter, loads: Loads) {
+    meter
+        .u64_observable_gauge("sillpin_unreachable_targets")
+        .with_description("Targets to which this box's last attempt to connect failed, by pool")
+        .with_callback(move |observer| {
+            for (pool, count) in loads.reach().unreachable() {
+                observer.observe(count as u64, &[KeyValue::new("pool", pool.to_string())]);
+            }
+        })
+        .build();
+}
+
 /// Registers counters of calls of the platform store and of the bytes of its responses.
 fn observe_calls(meter: &Meter, calls: CallCounts) {
     let observe = |of: fn(CallTotals) -> u64| {
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -14,7 +14,7 @@
 use crate::front::shared::FleetHandles;
 use crate::front::{Front, Shared};
 use crate::metrics::{
-    BoxMetrics, observe_fleet, observe_signals, observe_silence, observe_speeds,
+    BoxMetrics, observe_fleet, observe_reach, observe_signals, observe_silence, observe_speeds,
     observe_stream_engines,
 };
 use crate::peers::datagram::{BoxHash, ZoneUpdate};
@@ -176,6 +176,7 @@
     observe_stream_engines(&metrics.meter(), loads.clone());
     observe_speeds(&metrics.meter(), loads.clone());
     observe_silence(&metrics.meter(), loads.clone());
+    observe_reach(&metrics.meter(), loads.clone());
     start_readers(&adapter.keys, |topic, prefix| Reader {
         platform: adapter.platform.clone(),
         topic,
--- a/crates/sillpin-gateway/src/placement/load.rs
+++ b/crates/sillpin-gateway/src/placement/load.rs
@@ -11,6 +11,7 @@
 use super::engine_speed::EngineSpeeds;
 use super::hold_time::HoldTime;
 use super::limits::Limits;
+use super::reach::Reach;
 use super::signals::TargetSignals;
 use super::silence::Silence;
 use super::standing::{Queue, StandingQueues};
@@ -164,6 +165,7 @@
     usage: Arc<Mutex<Usage>>,
     stream_paces: Arc<Mutex<StreamPaces>>,
     silence: Arc<Mutex<Silence>>,
+    reach: Arc<Mutex<Reach>>,
     /// Notified when this box observes that a target's limit has started, changed or ended.
     pub limit_changed: Arc<Notify>,
     /// Changes of this box's work that have not been sent to its zone yet.
@@ -201,6 +203,11 @@
         self.silence.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Locks which targets this box reaches.
+    pub fn reach(&self) -> MutexGuard<'_, Reach> {
+        self.reach.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     /// Records whether an engine is out of use because it is silent.
     pub fn set_silent(&self, target: &TargetId, silent: bool) {
         self.lock().entry(target.clone()).or_default().silent = silent;
--- a/crates/sillpin-gateway/src/placement/mod.rs
+++ b/crates/sillpin-gateway/src/placement/mod.rs
@@ -11,6 +11,7 @@
 //! - [`fair_admission`]: which prompts are refused where organisations compete,
 //! - [`hold_time`]: how long requests hold an engine's memory,
 //! - [`probe`]: probes of unreachable targets,
+//! - [`reach`]: which targets this box reaches,
 //! - [`parts`]: where the parts of a prompt are fetched from and stored,
 //! - [`limits`]: the limits that apply at a target,
 //! - [`shared_limit`]: division of a target's limit among boxes,
@@ -37,6 +38,7 @@
 pub mod load;
 pub mod parts;
 pub mod probe;
+pub mod reach;
 pub mod residency;
 pub mod shared_limit;
 pub mod signals;
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -235,4 +235,8 @@
     ENGINE_SILENT = 371, Warning, "engine found silent", "Look at the engine. If one box finds many engines silent (`by` is `report`) and others do not, look at that box's network.";
     /// Something arrived from an engine that was found silent, and it gets requests again.
     ENGINE_ANSWERS = 372, Info, "engine answers again", "Nothing to do unless it recurs for one engine: then look at it.";
+    /// The box cannot open connections to more than half of a pool's targets.
+    POOL_CUT_OFF = 376, Warning, "most targets of a pool unreachable", "If other boxes log it for the pool at the same time, look at the targets; else look at this box's network.";
+    /// The box can open connections to half of the targets of such a pool again.
+    POOL_REACHABLE = 377, Info, "targets of a pool reachable again", "Nothing to do.";
 }
