--- a/crates/sillpin-standin/src/fault.rs
+++ b/crates/sillpin-standin/src/fault.rs
@@ -5,6 +5,7 @@
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use sillpin_http::body::read_json;
+use socket2::SockRef;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
@@ -68,6 +69,28 @@
     }
 }
 
+/// How callers of the proxy reach its target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Access {
+    /// As usual.
+    #[default]
+    Open,
+    /// All connections are closed, and new ones are refused.
+    Down,
+    /// New connections are refused; open ones stay.
+    NoNew,
+    /// Nothing arrives over open connections, in either direction, and new ones are not opened.
+    Hanging,
+}
+
+/// Backlog of the listener, usually and while new connections hang. The kernel drops their first packets once the
+/// backlog is full.
+const BACKLOG: i32 = 1_024;
+const HANGING_BACKLOG: i32 = 0;
+
+/// Time after which a connection that has not been opened shows that the backlog is full.
+const HANG_CHECK_TIME: Duration = Duration::from_millis(50);
+
 /// Time between two attempts to listen again.
 const REBIND_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -76,7 +99,7 @@
 pub struct FaultProxy {
     target: SocketAddr,
     faults: Arc<watch::Sender<Faults>>,
-    down: Arc<watch::Sender<bool>>,
+    access: Arc<watch::Sender<Access>>,
     link: Option<Link>,
 }
 
@@ -92,7 +115,7 @@
         Self {
             target,
             faults: Arc::new(watch::Sender::new(Faults::default())),
-            down: Arc::default(),
+            access: Arc::default(),
             link: None,
         }
     }
@@ -123,7 +146,12 @@
 
     /// While the proxy is down, all connections are closed and it does not listen, as if the target's process had ended.
     pub fn set_down(&self, down: bool) {
-        self.down.send_replace(down);
+        self.set_access(if down { Access::Down } else { Access::Open });
+    }
+
+    /// Sets how callers reach the target.
+    pub fn set_access(&self, access: Access) {
+        self.access.send_replace(access);
     }
 
     /// Handles one request of the admin interface.
@@ -139,30 +167,32 @@
 
     /// Forwards the connections of `listener` forever. Listens on the same address again after it was down.
     pub async fn run(self, listener: TcpListener) {
-        let mut down = self.down.subscribe();
-        let addr = listener.local_addr();
-        let mut listening = Some(listener);
+        let Ok(addr) = listener.local_addr() else {
+            return;
+        };
+        let mut listener = listener;
+        let mut access = self.access.subscribe();
         loop {
-            let Some(listener) = &listening else {
-                let up = down.wait_for(|down| !down).await.is_ok();
-                let Some(addr) = addr.as_ref().ok().filter(|_| up) else {
-                    return;
-                };
-                match TcpListener::bind(addr).await {
-                    Ok(listener) => listening = Some(listener),
-                    // Bind fails while the last connections are still closing.
-                    Err(_) => tokio::time::sleep(REBIND_INTERVAL).await,
+            let now = *access.borrow_and_update();
+            match now {
+                Access::Open => {
+                    tokio::select! {
+                        Ok((caller, _)) = listener.accept() => {
+                            tokio::spawn(self.clone().forward(caller));
+                        }
+                        Ok(()) = access.changed() => {}
+                    }
+                }
+                Access::Hanging => {
+                    let _fillers = fill_backlog(&listener, addr).await;
+                    let _ = access.wait_for(|access| *access != now).await;
+                    let _ = SockRef::from(&listener).listen(BACKLOG);
+                }
+                Access::Down | Access::NoNew => {
+                    drop(listener);
+                    let _ = access.wait_for(|access| *access != now).await;
+                    listener = bind_again(addr).await;
                 }
-                continue;
-            };
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted.ok(),
-                _ = down.wait_for(|down| *down) => None,
-            };
-            match accepted {
-                Some((caller, _)) => drop(tokio::spawn(self.clone().forward(caller))),
-                None if *down.borrow() => listening = None,
-                None => {}
             }
         }
     }
@@ -178,9 +208,9 @@
         let _ = target.set_nodelay(true);
         let (caller_rx, caller_tx) = caller.into_split();
         let (target_rx, target_tx) = target.into_split();
-        let (mut cut, mut down) = (self.faults.subscribe(), self.down.subscribe());
+        let (mut cut, mut access) = (self.faults.subscribe(), self.access.subscribe());
         tokio::select! {
-            _ = down.wait_for(|down| *down) => {}
+            _ = access.wait_for(|access| *access == Access::Down) => {}
             () = self.copy(Direction::Request, caller_rx, target_tx) => {}
             () = self.copy(Direction::Response, target_rx, caller_tx) => {}
             _ = cut.wait_for(|faults| faults.cut) => {}
@@ -190,7 +220,9 @@
     async fn copy(&self, direction: Direction, mut rx: OwnedReadHalf, mut tx: OwnedWriteHalf) {
         let mut buf = vec![0; CHUNK_LEN];
         let mut forwarded = 0;
+        let mut access = self.access.subscribe();
         while let Ok(len @ 1..) = rx.read(&mut buf).await {
+            let _ = access.wait_for(|access| *access != Access::Hanging).await;
             let faults = self.faults.borrow().clone();
             tokio::time::sleep(faults.delay_of(len)).await;
             if let Some(link) = self
@@ -222,6 +254,29 @@
     }
 }
 
+/// Fills the backlog of a listener, so that further connections to it hang; returns the connections that fill it.
+async fn fill_backlog(listener: &TcpListener, addr: SocketAddr) -> Vec<TcpStream> {
+    let mut fillers = Vec::new();
+    if SockRef::from(listener).listen(HANGING_BACKLOG).is_err() {
+        return fillers;
+    }
+    while let Ok(Ok(filler)) = tokio::time::timeout(HANG_CHECK_TIME, TcpStream::connect(addr)).await
+    {
+        fillers.push(filler);
+    }
+    fillers
+}
+
+/// Listens again at an address at which the last connections may still be closing.
+async fn bind_again(addr: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(addr).await {
+            Ok(listener) => return listener,
+            Err(_) => tokio::time::sleep(REBIND_INTERVAL).await,
+        }
+    }
+}
+
 impl Faults {
     fn delay_of(&self, len: usize) -> Duration {
         let delay = Duration::from_millis(self.delay_ms);
