--- a/crates/sillpin-gateway/src/dialect.rs
+++ b/crates/sillpin-gateway/src/dialect.rs
@@ -157,6 +157,27 @@
     pub signals: ResponseSignals,
 }
 
+/// Why a response with another request's id does not count.
+pub const OTHER_REQUEST: &str = "the answer is another request's";
+
+impl ResponseHead {
+    /// Whether the response is to the request with this id.
+    pub fn is_for(&self, request_id: &str) -> bool {
+        self.request_id.as_deref() == Some(request_id)
+    }
+
+    /// Checks that the response is to this request and, if it is a success, the target's own. The error is the reason.
+    pub fn check(&self, request_id: &str, status: StatusCode) -> Result<(), &'static str> {
+        if !self.is_for(request_id) {
+            return Err(OTHER_REQUEST);
+        }
+        match status.is_success() && (!self.signed || self.encoded) {
+            true => Err("a success that the target does not vouch for"),
+            false => Ok(()),
+        }
+    }
+}
+
 /// What a target reports about itself in any response.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ResponseSignals {
@@ -194,6 +215,15 @@
     /// Builds the headers of a request to a target.
     fn write_request(&self, from: &HeaderMap, head: &AttemptHead) -> HeaderMap;
 
+    /// Builds the headers of a request that is sent to another box, which handles it like a caller's. `timeout` is how long
+    /// the box may take, `resume_after` the id of the last event that the caller has received.
+    fn write_forwarded(
+        &self,
+        from: &HeaderMap,
+        timeout: Duration,
+        resume_after: Option<&str>,
+    ) -> HeaderMap;
+
     /// Parses the head of a target's response.
     fn read_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
 
--- a/crates/sillpin-gateway/src/front/admit.rs
+++ b/crates/sillpin-gateway/src/front/admit.rs
@@ -7,11 +7,13 @@
 use crate::dialect::{Dialect, RequestHead};
 use crate::fatal::Fingerprint;
 use crate::fleet_state::View;
+use crate::forward::head::ForwardHead;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 
 /// Maximum age of a configuration that is used to deny a request definitively. Configuration changes may take two seconds
@@ -45,6 +47,10 @@
     pub body: BufferedBody,
     /// Identifies repetitions of the same request.
     pub fingerprint: Fingerprint,
+    /// Maximum number of targets that may run it.
+    pub max_runs: u32,
+    /// Set if another box sent it.
+    pub forwarded: Option<Forwarded>,
 }
 
 impl AdmittedRequest {
@@ -68,6 +74,14 @@
     }
 }
 
+/// A request that another box sent.
+pub struct Forwarded {
+    /// What that box states about it.
+    pub head: ForwardHead,
+    /// Counts it among the requests that this box serves for others.
+    pub permit: OwnedSemaphorePermit,
+}
+
 /// Configuration, route and organisation that allowed a request.
 type Admitted = (Arc<FleetConfig>, Arc<Route>, Option<Arc<Organisation>>);
 
@@ -84,6 +98,7 @@
         parts: Parts,
         body: Incoming,
         head: RequestHead,
+        forwarded: Option<Forwarded>,
     ) -> Result<AdmittedRequest, Refusal> {
         let arrival = Instant::now();
         let path = parts.uri.path_and_query();
@@ -107,13 +122,21 @@
             None => head.key.as_deref().unwrap_or_default(),
         };
         let fingerprint = Fingerprint::of(caller, &head.host, &parts.method, &path, &body.bytes);
+        let max_runs = forwarded
+            .as_ref()
+            .map_or(route.max_runs, |of| of.head.max_runs.min(route.max_runs));
+        let waited = forwarded.as_ref().map(|of| of.head.waited());
         Ok(AdmittedRequest {
             fingerprint,
             head,
             config,
-            route,
+            max_runs,
+            forwarded,
             organisation,
-            arrival,
+            arrival: waited
+                .and_then(|waited| arrival.checked_sub(waited.min(route.timeout)))
+                .unwrap_or(arrival),
+            route,
             deadline,
             method: parts.method,
             path,
--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -6,19 +6,24 @@
 
 use super::admit::AdmittedRequest;
 use super::body_memory::BufferedBody;
+use super::refusal::Refusal;
 use super::shared::Shared;
+use crate::config::Idempotency;
 use crate::control::TargetEntry;
-use crate::dialect::{AttemptHead, Dialect, ResponseHead};
+use crate::dialect::{AttemptHead, Dialect, OTHER_REQUEST, ResponseHead};
+use crate::forward::boxes::ForwardGuard;
 use crate::placement::InFlightGuard;
+use crate::placement::reach_watch::PathWaitGuard;
 use crate::placement::signals::{SignalChange, SignalObservation, log_change};
 use crate::placement::silence_watch::EngineWait;
 use crate::placement::work::IncarnationHash;
-use crate::pool::{Conn, SendError};
+use crate::pool::{Conn, ConnectionPool, SendError};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
-use sillpin_core::WeightVersion;
+use sillpin_core::{BoxId, WeightVersion};
+use std::hash::Hash;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -35,8 +40,8 @@
 /// Why a prompt was cancelled at its engine.
 const WEIGHTS_OUTDATED: &str = "its weights were replaced too long ago for it to begin";
 
-/// Why an attempt ended at an engine that was found silent.
-pub(super) const SILENT: &str = "the engine is silent";
+/// Why an attempt ended at a target from which nothing arrives.
+pub(super) const SILENT: &str = "the target is silent or out of reach";
 
 /// Statuses by which a target temporarily rejects a request.
 const TEMPORARY_REJECTIONS: [StatusCode; 2] = [
@@ -71,14 +76,40 @@
     pub body: Incoming,
     /// The connection; it is returned to the pool when the stream is complete.
     pub conn: Conn,
-    /// Counts the request as in flight at the target.
-    pub in_flight: InFlightGuard,
-    /// The target.
-    pub target: std::sync::Arc<TargetEntry>,
-    /// When the request was sent to it.
+    /// Who sends it.
+    pub source: StreamSource,
+    /// When the request was sent there.
     pub sent: Instant,
 }
 
+/// Who sends a stream to this box.
+pub enum StreamSource {
+    /// A target.
+    Target {
+        /// The target.
+        target: std::sync::Arc<TargetEntry>,
+        /// Counts the request as in flight there.
+        in_flight: InFlightGuard,
+    },
+    /// Another box, which relays a target's stream.
+    Box {
+        /// The box.
+        id: BoxId,
+        /// Counts the request as in flight there.
+        in_flight: ForwardGuard,
+    },
+}
+
+impl StreamSource {
+    /// Name of the target or box, for logs.
+    pub fn name(&self) -> &str {
+        match self {
+            StreamSource::Target { target, .. } => target.id.as_str(),
+            StreamSource::Box { id, .. } => id.as_str(),
+        }
+    }
+}
+
 /// Outcome of an attempt.
 pub enum AttemptOutcome {
     /// No byte was sent to the target.
@@ -101,8 +132,10 @@
     /// The request was cancelled because its weights were replaced too long ago. It may have run; this does not count
     /// as a failure of the target.
     Cancelled,
-    /// The engine was found silent before it responded. The request may have run.
+    /// The engine was found silent, or the path to the target lost, before it responded. The request may have run.
     Silent,
+    /// Another box refused the request, or failed to serve it.
+    Refused(Refusal),
     /// The request ran, and the response is complete.
     Completed(CompleteResponse),
     /// The request runs, and its response is being streamed.
@@ -120,6 +153,7 @@
             AttemptOutcome::TimedOut(_) => "timed-out",
             AttemptOutcome::Cancelled => "taken-back",
             AttemptOutcome::Silent => "silent",
+            AttemptOutcome::Refused(_) => "refused",
             AttemptOutcome::Completed(_) => "answered",
             AttemptOutcome::Streaming(_) => "streaming",
         }
@@ -134,6 +168,7 @@
             AttemptOutcome::NotRun { reason, .. } => reason,
             AttemptOutcome::Cancelled => WEIGHTS_OUTDATED,
             AttemptOutcome::Silent => SILENT,
+            AttemptOutcome::Refused(refusal) => &refusal.reason,
             AttemptOutcome::Failed(_) => "the target's own failure",
             AttemptOutcome::Completed(_) | AttemptOutcome::Streaming(_) => "",
         }
@@ -174,6 +209,34 @@
     pub in_flight: InFlightGuard,
     /// Time without a response head after which the target is suspected to be silent; `None` if it is not watched.
     pub head_limit: Option<Duration>,
+    /// Whether the request may run at another target after this attempt.
+    pub may_rerun: bool,
+}
+
+/// What is watched while a request or stream waits for a target.
+pub(super) struct TargetWait {
+    /// Whether the engine is silent.
+    pub engine: EngineWait,
+    /// Whether the path to it is lost.
+    pub path: PathWaitGuard,
+    /// Whether the request may run elsewhere; else it waits on when the path is lost.
+    pub may_rerun: bool,
+}
+
+impl TargetWait {
+    /// Records that something arrived.
+    pub fn heard(&self) {
+        self.engine.heard();
+        self.path.heard();
+    }
+
+    /// Waits until the engine is found silent, or the path is lost and the request may run elsewhere.
+    pub async fn lost(&mut self) {
+        tokio::select! {
+            () = self.engine.lost() => {}
+            () = self.path.lost(), if self.may_rerun => {}
+        }
+    }
 }
 
 impl<D: Dialect> Shared<D> {
@@ -189,11 +252,7 @@
     {
         let request = attempt.request;
         let target = attempt.target.clone();
-        let max_idle = match request.route.idempotency {
-            crate::config::Idempotency::AtMostOnce => MAX_IDLE_ONCE,
-            crate::config::Idempotency::Idempotent => MAX_IDLE,
-        };
-        let mut conn = match self.pool.get(&target, max_idle).await {
+        let mut conn = match self.pool.get(&target, max_idle(request)).await {
             Ok(conn) => conn,
             Err(e) => return AttemptOutcome::Unsent(e.to_string()),
         };
@@ -209,7 +268,11 @@
             Err(e) => return AttemptOutcome::Unsent(e.to_string()),
         };
         let sent = Instant::now();
-        let mut wait = self.silent_engines.wait_for(&target, attempt.head_limit);
+        let mut wait = TargetWait {
+            engine: self.silent_engines.wait_for(&target, attempt.head_limit),
+            path: self.path_waits.wait_for(&target),
+            may_rerun: attempt.may_rerun,
+        };
         let head = self.wait_for_head(request, &mut conn, req, limits, &mut wait);
         let resp = match head.await {
             HeadWait::Done(Ok(resp)) => resp,
@@ -237,7 +300,7 @@
         conn: &mut Conn,
         req: Request<Full<Bytes>>,
         limits: WaitLimits<L, B>,
-        wait: &mut EngineWait,
+        wait: &mut TargetWait,
     ) -> HeadWait
     where
         L: Fn() -> bool,
@@ -297,26 +360,25 @@
     ) -> AttemptOutcome {
         let (parts, body) = resp.into_parts();
         let head = self.dialect.read_response(parts.status, &parts.headers);
-        if head.request_id.as_deref() != Some(attempt.request.head.id.as_str()) {
-            return AttemptOutcome::Unknown("the answer is another request's".to_owned());
+        if !head.is_for(&attempt.request.head.id) {
+            return AttemptOutcome::Unknown(OTHER_REQUEST.to_owned());
         }
         self.record_signals(&attempt.target, parts.status, &head, sent);
         if head.not_run || parts.status == StatusCode::MISDIRECTED_REQUEST {
             let reason = format!("refused with {}", parts.status.as_u16());
             let weights = head.weights;
-            self.drain_and_recycle(attempt.target.id.clone(), conn, body, &head);
+            let id = attempt.target.id.clone();
+            drain_and_put(self.pool.clone(), id, conn, body, &head, head.keep_idle);
             return AttemptOutcome::NotRun {
                 reason,
                 weights,
                 misdirected: parts.status == StatusCode::MISDIRECTED_REQUEST,
             };
         }
-        let success = parts.status.is_success();
-        if success && (!head.signed || head.encoded) {
-            return AttemptOutcome::Unknown(
-                "a success that the target does not vouch for".to_owned(),
-            );
+        if let Err(reason) = head.check(&attempt.request.head.id, parts.status) {
+            return AttemptOutcome::Unknown(reason.to_owned());
         }
+        let success = parts.status.is_success();
         if success && attempt.request.route.streaming {
             return AttemptOutcome::Streaming(Box::new(OpenStream {
                 status: parts.status,
@@ -324,18 +386,16 @@
                 head,
                 body,
                 conn,
-                in_flight: attempt.in_flight,
-                target: attempt.target,
+                source: StreamSource::Target {
+                    target: attempt.target,
+                    in_flight: attempt.in_flight,
+                },
                 sent,
             }));
         }
-        let reading = self.body_memory.read(body, MAX_COMPLETE_RESPONSE);
-        let body = match timeout_at(attempt.request.deadline, reading).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(e)) => return AttemptOutcome::Unknown(format!("the answer broke off: {e}")),
-            Err(_) => {
-                return AttemptOutcome::TimedOut("the answer did not end in time".to_owned());
-            }
+        let body = match self.read_body(attempt.request, body).await {
+            Ok(body) => body,
+            Err(outcome) => return outcome,
         };
         self.return_connection(attempt.target.id.clone(), conn, &head);
         let response = CompleteResponse {
@@ -380,21 +440,22 @@
         }
     }
 
-    /// Reads the rest of a rejection in the background and returns the connection to the pool.
-    fn drain_and_recycle(
+    /// Reads a complete response body, until the request's deadline.
+    pub(super) async fn read_body(
         &self,
-        target: sillpin_core::TargetId,
-        conn: Conn,
+        request: &AdmittedRequest,
         body: Incoming,
-        head: &ResponseHead,
-    ) {
-        let (pool, keep_idle, closes) = (self.pool.clone(), head.keep_idle, head.closes);
-        tokio::spawn(async move {
-            let limited = http_body_util::Limited::new(body, MAX_COMPLETE_RESPONSE);
-            if limited.collect().await.is_ok() && !closes {
-                pool.put(target, conn, keep_idle).await;
-            }
-        });
+    ) -> Result<BufferedBody, AttemptOutcome> {
+        let reading = self.body_memory.read(body, MAX_COMPLETE_RESPONSE);
+        match timeout_at(request.deadline, reading).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(e)) => Err(AttemptOutcome::Unknown(format!(
+                "the answer broke off: {e}"
+            ))),
+            Err(_) => Err(AttemptOutcome::TimedOut(
+                "the answer did not end in time".to_owned(),
+            )),
+        }
     }
 
     /// Returns a connection whose response was read completely to the pool, in the background.
@@ -411,3 +472,31 @@
         tokio::spawn(async move { pool.put(target, conn, keep_idle).await });
     }
 }
+
+/// Maximum idle time of a connection that a request is sent over.
+pub(super) fn max_idle(request: &AdmittedRequest) -> Duration {
+    match request.route.idempotency {
+        Idempotency::AtMostOnce => MAX_IDLE_ONCE,
+        Idempotency::Idempotent => MAX_IDLE,
+    }
+}
+
+/// Reads the rest of a rejection in the background and returns the connection to its pool.
+pub(super) fn drain_and_put<K>(
+    pool: ConnectionPool<K>,
+    key: K,
+    conn: Conn,
+    body: Incoming,
+    head: &ResponseHead,
+    keep_idle: Option<Duration>,
+) where
+    K: Clone + Eq + Hash + Send + 'static,
+{
+    let closes = head.closes;
+    tokio::spawn(async move {
+        let limited = http_body_util::Limited::new(body, MAX_COMPLETE_RESPONSE);
+        if limited.collect().await.is_ok() && !closes {
+            pool.put(key, conn, keep_idle).await;
+        }
+    });
+}
--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -14,11 +14,12 @@
 use crate::dialect::{AttemptHead, Dialect};
 use crate::fatal::crash_detector::BrokenRequest;
 use crate::fleet_state::{FleetMsg, View};
+use crate::forward::head::Unavailable;
 use crate::placement::load::Outcome as Health;
 use crate::placement::work::IncarnationHash;
 use crate::releases::{Assignment, Cohort};
 use hyper::Response;
-use sillpin_core::{PoolId, TargetId, WeightVersion};
+use sillpin_core::{BoxId, Outcome, PoolId, TargetId, WeightVersion};
 use sillpin_http::Body;
 use sillpin_telemetry::{event, events};
 use std::sync::Arc;
@@ -40,6 +41,12 @@
 pub struct Progress {
     /// Targets that the request was offered to.
     pub offered: Vec<TargetId>,
+    /// Targets that it could not be sent to.
+    pub unsent: u32,
+    /// Other boxes that it was sent to.
+    pub boxes: Vec<BoxId>,
+    /// Whether it was counted for the retry budget.
+    pub counted: bool,
     /// Attempts that ran or may have run.
     pub runs: u32,
     /// Attempts that reached a target.
@@ -54,6 +61,20 @@
     pub assignment: Option<Assignment>,
 }
 
+impl Progress {
+    /// Records the outcome of a request at another box, which was allowed `max_runs` runs. How many it used is not known.
+    pub fn record_forwarded(&mut self, outcome: &AttemptOutcome, max_runs: u32) {
+        let is_not_run = match outcome {
+            AttemptOutcome::Refused(refusal) => refusal.outcome == Outcome::NotRun,
+            _ => false,
+        };
+        if !is_not_run {
+            self.arrivals += 1;
+            self.runs += max_runs;
+        }
+    }
+}
+
 /// Why no further target is tried.
 pub enum NoAttempt {
     /// No target served the request.
@@ -76,6 +97,9 @@
 /// Refusal while all targets have a backoff for this box.
 const BACKED_OFF: &str = "its targets want no requests for a while";
 
+/// Why a request is not retried.
+const NO_RETRY: &str = "retry budget used up";
+
 /// Refusal of a request after which targets have crashed.
 const FATAL: &str = "targets that ran this request have ended";
 
@@ -86,21 +110,17 @@
         request: AdmittedRequest,
     ) -> Result<Response<Body>, Refusal> {
         let pool = self.pick_pool(&request)?;
-        self.count_request(&pool);
-        let assignment = self
-            .releases
-            .assign(&self.fleet.view(), &pool, Instant::now());
-        let mut progress = Progress {
-            resume_after: request.head.resume_after.clone(),
-            cohort: assignment.as_ref().map_or(Cohort::Control, |a| a.cohort),
-            assignment,
-            ..Progress::default()
-        };
+        if request.forwarded.is_some() && self.loads.reach().is_cut_off(&pool) {
+            return Err(Refusal::unavailable(Unavailable::NoPath));
+        }
+        let mut progress = self.begin(&request, &pool);
         loop {
             let result = self.next_attempt(&request, &pool, &mut progress).await;
             let outcome = match result {
                 Ok(outcome) => outcome,
-                Err(NoAttempt::Refused(refusal)) => return Err(refusal),
+                Err(NoAttempt::Refused(refusal)) => {
+                    return Err(refuse_for_box(&request, &progress, refusal));
+                }
                 Err(NoAttempt::Failed(response)) => {
                     self.log_response(&request, &response);
                     return Ok(self.forward_failure(&request, response));
@@ -121,6 +141,11 @@
                     }
                     progress.failure = Some(response);
                 }
+                AttemptOutcome::Refused(refusal)
+                    if refusal.outcome == Outcome::NotRun || !may_rerun(&request, &progress) =>
+                {
+                    return self.end_refused(&request, &mut progress, refusal);
+                }
                 AttemptOutcome::Unknown(reason) if !may_rerun(&request, &progress) => {
                     return Err(Refusal::unknown(reason));
                 }
@@ -137,11 +162,56 @@
                 | AttemptOutcome::Unknown(_)
                 | AttemptOutcome::Cancelled
                 | AttemptOutcome::Silent
+                | AttemptOutcome::Refused(_)
                 | AttemptOutcome::TimedOut(_) => {}
             }
         }
     }
 
+    /// Begins the attempts of a request. One that is sent to another box is counted and assigned there.
+    fn begin(&self, request: &AdmittedRequest, pool: &PoolId) -> Progress {
+        let counted = request.forwarded.as_ref().is_some_and(|of| of.head.counted);
+        let progress = Progress {
+            resume_after: request.head.resume_after.clone(),
+            counted,
+            ..Progress::default()
+        };
+        if self.should_forward(request, pool, &progress) {
+            return progress;
+        }
+        if !counted {
+            self.count_request(pool);
+        }
+        let assignment = self
+            .releases
+            .assign(&self.fleet.view(), pool, Instant::now());
+        Progress {
+            counted: true,
+            cohort: assignment.as_ref().map_or(Cohort::Control, |a| a.cohort),
+            assignment,
+            ..progress
+        }
+    }
+
+    /// Ends a request that another box refused.
+    fn end_refused(
+        &self,
+        request: &AdmittedRequest,
+        progress: &mut Progress,
+        refusal: Refusal,
+    ) -> Result<Response<Body>, Refusal> {
+        if refusal.outcome != Outcome::NotRun || progress.runs == 0 {
+            return Err(refusal);
+        }
+        match end_unserved(progress, &refusal.reason) {
+            NoAttempt::Refused(refusal) => Err(refusal),
+            NoAttempt::Failed(response) => {
+                self.log_response(request, &response);
+                Ok(self.forward_failure(request, response))
+            }
+        }
+    }
+
     /// Selects a target and makes one attempt. Fails when time, targets or retry budget are used up.
     pub async fn next_attempt(
         &self,
@@ -162,6 +232,16 @@
                 _ => end_unserved(progress, FATAL),
             });
         }
+        let mut retry_taken = false;
+        if self.should_forward(request, pool, progress) {
+            retry_taken = progress.arrivals > 0;
+            if retry_taken && !self.take_retry(pool) {
+                return Err(end_unserved(progress, NO_RETRY));
+            }
+            if let Some(outcome) = self.forward(request, pool, progress).await {
+                return Ok(outcome);
+            }
+        }
         if !self.may_offer(progress) {
             return Err(end_unserved(progress, "several targets refused"));
         }
@@ -172,8 +252,12 @@
         if let Some(refusal) = self.refuse_if_overloaded(request, pool, &prepared, progress) {
             return Err(NoAttempt::Refused(refusal));
         }
-        if progress.arrivals > 0 && !self.take_retry(pool) {
-            return Err(end_unserved(progress, "retry budget used up"));
+        if progress.arrivals > 0 && !retry_taken && !self.take_retry(pool) {
+            return Err(end_unserved(progress, NO_RETRY));
+        }
+        if !progress.counted {
+            self.count_request(pool);
+            progress.counted = true;
         }
         let target = prepared.chosen.target.clone();
         self.log_attempt(request, progress, &view, &prepared);
@@ -188,6 +272,7 @@
             head: attempt_head(request, progress, &mut prepared),
             in_flight: in_flight.measured(measured),
             head_limit: self.head_limit(request, pool, &prepared),
+            may_rerun: may_rerun_after(request, progress.runs + 1),
         };
         let sent = Instant::now();
         let version = prepared.chosen.version;
@@ -298,14 +383,14 @@
             | AttemptOutcome::Unknown(_)
             | AttemptOutcome::TimedOut(_) => Some(Health::Failed),
             AttemptOutcome::Completed(_) | AttemptOutcome::Streaming(_) => Some(Health::Served),
-            AttemptOutcome::Cancelled | AttemptOutcome::Silent => None,
+            AttemptOutcome::Cancelled | AttemptOutcome::Silent | AttemptOutcome::Refused(_) => None,
         };
         if let Some(health) = health {
             self.loads
                 .record_for_incarnation(&target.id, target.life, health);
         }
         match outcome {
-            AttemptOutcome::Unsent(_) => {}
+            AttemptOutcome::Unsent(_) => progress.unsent += 1,
             AttemptOutcome::NotRun { .. } => progress.arrivals += 1,
             _ => {
                 progress.arrivals += 1;
@@ -421,6 +506,16 @@
     }
 }
 
+/// Turns the refusal of another box's request that could not be sent to any target into one that lets that box try a
+/// third one.
+fn refuse_for_box(request: &AdmittedRequest, progress: &Progress, refusal: Refusal) -> Refusal {
+    let is_unsent = progress.unsent > 0 && progress.arrivals == 0;
+    match request.forwarded.is_some() && is_unsent {
+        true => Refusal::unavailable(Unavailable::NoPath),
+        false => refusal,
+    }
+}
+
 /// Returns the result of a request that no target served; it depends on whether the request may have run.
 fn end_unserved(progress: &mut Progress, reason: &str) -> NoAttempt {
     if let Some(failure) = progress.failure.take() {
@@ -434,7 +529,12 @@
 
 /// Whether a request that ran, or may have run, may be sent to another target.
 pub fn may_rerun(request: &AdmittedRequest, progress: &Progress) -> bool {
-    request.route.idempotency == Idempotency::Idempotent && progress.runs < request.route.max_runs
+    may_rerun_after(request, progress.runs)
+}
+
+/// Whether a request that ran, or may have run, so often may run once more.
+pub fn may_rerun_after(request: &AdmittedRequest, runs: u32) -> bool {
+    request.route.idempotency == Idempotency::Idempotent && runs < request.max_runs
 }
 
 /// Builds the head of the request to the target.
--- /dev/null
+++ b/crates/sillpin-gateway/src/front/forward.rs
@@ -0,0 +1,278 @@
+//! Sends requests to other boxes while this box does not reach their targets.
+
+use super::admit::{AdmittedRequest, Forwarded};
+use super::attempt::{AttemptOutcome, CompleteResponse, OpenStream, StreamSource, max_idle};
+use super::dispatch::Progress;
+use super::refusal::Refusal;
+use super::shared::Shared;
+use crate::config::Idempotency;
+use crate::dialect::{Dialect, ResponseHead};
+use crate::fleet_state::BoxEntry;
+use crate::forward::boxes::{Avoidance, BoxChoice, ForwardGuard};
+use crate::forward::head::{ForwardHead, ForwardResult, Unavailable};
+use crate::pool::{Conn, SendError};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::http::response;
+use hyper::{Request, Response, Uri};
+use sillpin_core::PoolId;
+use sillpin_telemetry::{event, events};
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Number of targets that a request could not be sent to from which other boxes are tried, although this box may not be
+/// cut off.
+const MIN_UNSENT: u32 = 2;
+
+/// Maximum number of boxes that a request is offered to.
+const MAX_BOXES: usize = 3;
+
+/// Deducted from the time that another box is given, so that its response arrives in time.
+const RETURN_MARGIN: Duration = Duration::from_millis(10);
+
+/// How long an idle connection to a box is used again. Boxes close idle connections later.
+const KEEP_IDLE: Duration = Duration::from_secs(4);
+
+impl<D: Dialect> Shared<D> {
+    /// Whether a request is better sent to another box.
+    pub fn should_forward(
+        &self,
+        request: &AdmittedRequest,
+        pool: &PoolId,
+        progress: &Progress,
+    ) -> bool {
+        request.forwarded.is_none()
+            && (progress.unsent >= MIN_UNSENT || self.loads.reach().is_cut_off(pool))
+    }
+
+    /// Accepts a request of another box, if this box can serve it besides its own callers' requests.
+    pub async fn accept_forwarded(&self, head: ForwardHead) -> Result<Forwarded, Refusal> {
+        if !self.is_ready() {
+            return Err(Refusal::unavailable(Unavailable::NotReady));
+        }
+        match self.forward_capacity.reserve().await {
+            Some(permit) => Ok(Forwarded { head, permit }),
+            None => Err(Refusal::unavailable(Unavailable::Busy)),
+        }
+    }
+
+    /// Offers a request to other boxes in turn; `None` if none of them can serve it.
+    pub async fn forward(
+        &self,
+        request: &AdmittedRequest,
+        pool: &PoolId,
+        progress: &mut Progress,
+    ) -> Option<AttemptOutcome> {
+        while progress.boxes.len() < MAX_BOXES {
+            let view = self.fleet.view();
+            let choice = BoxChoice {
+                boxes: &view.boxes,
+                zone: &self.cfg.zone,
+                pool,
+                residency: self.residency(request),
+                tried: &progress.boxes,
+                now: Instant::now(),
+            };
+            let entry = self.forward_boxes.choose(&choice, &mut rand::rng())?;
+            progress.boxes.push(entry.id.clone());
+            event!(self.log, events::REQUEST_FORWARDED, "request" => &request.head.id,
+                "peer" => entry.id.as_str(), "offer" => progress.boxes.len(),
+                "left_ms" => request.time_left().as_millis());
+            let max_runs = max_runs_elsewhere(request, progress);
+            let sent = self.forward_to(&entry, request, progress, max_runs).await;
+            let (name, avoidance) = match &sent {
+                Ok(outcome) => (outcome.name(), None),
+                Err(why @ Avoidance::Unavailable(_)) => ("unavailable", Some(*why)),
+                Err(why @ Avoidance::Unreachable) => ("unreachable", Some(*why)),
+            };
+            self.metrics.forwarded(name);
+            if let Some(why) = avoidance {
+                let now = Instant::now();
+                self.forward_boxes.avoid(&entry.id, pool, why, now);
+            }
+            let Ok(outcome) = sent else {
+                continue;
+            };
+            if let AttemptOutcome::Unknown(_) | AttemptOutcome::TimedOut(_) = outcome {
+                event!(self.log, events::PEER_FAILED, "peer" => entry.id.as_str(),
+                    "why" => outcome.reason(), "what" => "forwarded request",
+                    "elapsed_ms" => request.arrival.elapsed().as_millis(), "bytes" => 0);
+            }
+            progress.record_forwarded(&outcome, max_runs);
+            return Some(outcome);
+        }
+        None
+    }
+
+    /// Sends a request to a box. An error means that the request did not run there, and that the box is to be avoided.
+    async fn forward_to(
+        &self,
+        entry: &BoxEntry,
+        request: &AdmittedRequest,
+        progress: &Progress,
+        max_runs: u32,
+    ) -> Result<AttemptOutcome, Avoidance> {
+        let conn = self.box_connections.get(entry, max_idle(request)).await;
+        let mut conn = conn.map_err(|_| Avoidance::Unreachable)?;
+        let req = self.forwarded_request(request, progress, max_runs);
+        let req = req.map_err(|_| Avoidance::Unreachable)?;
+        let in_flight = self.forward_boxes.start(&entry.id);
+        let sent = Instant::now();
+        let resp = match timeout_at(request.deadline, conn.send(req)).await {
+            Ok(Ok(resp)) => resp,
+            Ok(Err(SendError::Unsent { .. } | SendError::Refused { .. })) => {
+                return Err(Avoidance::Unreachable);
+            }
+            Ok(Err(e @ SendError::Unanswered { .. })) => {
+                return Ok(AttemptOutcome::Unknown(e.to_string()));
+            }
+            Err(_) => {
+                return Ok(AttemptOutcome::TimedOut("no answer in time".to_owned()));
+            }
+        };
+        let open = OpenForward {
+            entry,
+            conn,
+            in_flight,
+            sent,
+        };
+        self.classify_forwarded(request, open, resp).await
+    }
+
+    fn forwarded_request(
+        &self,
+        request: &AdmittedRequest,
+        progress: &Progress,
+        max_runs: u32,
+    ) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+        let uri: Uri = request.path.parse()?;
+        let mut req = Request::builder()
+            .method(request.method.clone())
+            .uri(uri)
+            .body(Full::new(request.body.bytes.clone()))?;
+        let timeout = request.time_left().saturating_sub(RETURN_MARGIN);
+        let resume_after = progress.resume_after.as_deref();
+        let mut headers = self
+            .dialect
+            .write_forwarded(&request.headers, timeout, resume_after);
+        let head = ForwardHead {
+            fleet: self.fleet_key,
+            from: self.cfg.id.clone(),
+            waited_ms: u64::try_from(request.arrival.elapsed().as_millis()).unwrap_or(u64::MAX),
+            max_runs,
+            counted: progress.counted,
+        };
+        head.set(&mut headers);
+        *req.headers_mut() = headers;
+        Ok(req)
+    }
+
+    /// Determines the outcome of a forwarded request from the head of the response.
+    async fn classify_forwarded(
+        &self,
+        request: &AdmittedRequest,
+        open: OpenForward<'_>,
+        resp: Response<Incoming>,
+    ) -> Result<AttemptOutcome, Avoidance> {
+        let (mut parts, body) = resp.into_parts();
+        let result = ForwardResult::take(&mut parts.headers);
+        let head = self.dialect.read_response(parts.status, &parts.headers);
+        match result {
+            Ok(ForwardResult::Target) => {
+                Ok(self.accept_response(request, open, parts, head, body).await)
+            }
+            Ok(ForwardResult::Unavailable(why)) => {
+                self.recycle(open, body, &head);
+                Err(Avoidance::Unavailable(why))
+            }
+            Ok(ForwardResult::Refused {
+                outcome,
+                reason,
+                retry_after_ms,
+            }) => {
+                self.recycle(open, body, &head);
+                Ok(AttemptOutcome::Refused(Refusal {
+                    status: parts.status,
+                    outcome,
+                    reason,
+                    retry_after: retry_after_ms.map(Duration::from_millis),
+                    unavailable: None,
+                }))
+            }
+            Err(e) => Ok(AttemptOutcome::Unknown(e.to_string())),
+        }
+    }
+
+    /// Validates a target's response that another box passes on.
+    async fn accept_response(
+        &self,
+        request: &AdmittedRequest,
+        open: OpenForward<'_>,
+        parts: response::Parts,
+        head: ResponseHead,
+        body: Incoming,
+    ) -> AttemptOutcome {
+        if let Err(reason) = head.check(&request.head.id, parts.status) {
+            return AttemptOutcome::Unknown(reason.to_owned());
+        }
+        let success = parts.status.is_success();
+        if success && request.route.streaming {
+            return AttemptOutcome::Streaming(Box::new(OpenStream {
+                status: parts.status,
+                headers: parts.headers,
+                head,
+                body,
+                conn: open.conn,
+                source: StreamSource::Box {
+                    id: open.entry.id.clone(),
+                    in_flight: open.in_flight,
+                },
+                sent: open.sent,
+            }));
+        }
+        let body = match self.read_body(request, body).await {
+            Ok(body) => body,
+            Err(outcome) => return outcome,
+        };
+        if !head.closes {
+            let (conns, id) = (self.box_connections.clone(), open.entry.id.clone());
+            let conn = open.conn;
+            tokio::spawn(async move { conns.put(id, conn, Some(KEEP_IDLE)).await });
+        }
+        let response = CompleteResponse {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        };
+        match success {
+            true => AttemptOutcome::Completed(response),
+            false => AttemptOutcome::Failed(response),
+        }
+    }
+
+    /// Reads the rest of a refusal in the background and returns the connection to the pool.
+    fn recycle(&self, open: OpenForward<'_>, body: Incoming, head: &ResponseHead) {
+        let (conns, id) = (self.box_connections.clone(), open.entry.id.clone());
+        let conn = open.conn;
+        super::attempt::drain_and_put(conns, id, conn, body, head, Some(KEEP_IDLE));
+    }
+}
+
+/// A forwarded request whose response head has arrived.
+struct OpenForward<'a> {
+    entry: &'a BoxEntry,
+    conn: Conn,
+    in_flight: ForwardGuard,
+    sent: Instant,
+}
+
+/// Maximum number of targets at which another box may run a request. One run of a request that may be repeated is kept
+/// back, for the case that the box does not answer.
+fn max_runs_elsewhere(request: &AdmittedRequest, progress: &Progress) -> u32 {
+    let left = request.max_runs.saturating_sub(progress.runs);
+    match request.route.idempotency {
+        Idempotency::AtMostOnce => 1,
+        Idempotency::Idempotent => left.saturating_sub(1).max(1),
+    }
+}
--- a/crates/sillpin-gateway/src/front/handler.rs
+++ b/crates/sillpin-gateway/src/front/handler.rs
@@ -1,9 +1,12 @@
-//! Handlers of the listeners for callers and for the balancer's checks.
+//! Handlers of the listeners for callers, for other boxes' requests and for the balancer's checks.
 
+use super::admit::Forwarded;
 use super::refusal::{Refusal, close_after};
 use super::shared::Shared;
 use crate::dialect::Dialect;
+use crate::forward::head::{FORWARD, ForwardHead, ForwardResult};
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use sillpin_http::{Body, empty_response};
 use sillpin_telemetry::{event, events};
@@ -31,33 +34,80 @@
     /// Handles a caller's request.
     pub async fn serve(self, req: Request<Incoming>) -> Response<Body> {
         let started = Instant::now();
-        let (parts, body) = req.into_parts();
-        let head = match self.shared.dialect.read_request(&parts) {
+        let (mut parts, body) = req.into_parts();
+        parts.headers.remove(FORWARD);
+        let (mut resp, is_readable) = match self.respond(parts, body, None, started).await {
+            Ok(resp) => (resp, true),
+            Err(Refused { id, refusal }) => {
+                let resp = refusal.response(&self.shared.dialect, id.as_deref());
+                (resp, id.is_some())
+            }
+        };
+        if !is_readable || self.shared.stopping.is_cancelled() {
+            close_after(&mut resp);
+        }
+        resp
+    }
+
+    /// Handles a request that another box sent because it does not reach the targets.
+    pub async fn serve_forwarded(self, req: Request<Incoming>) -> Response<Body> {
+        let started = Instant::now();
+        let (mut parts, body) = req.into_parts();
+        let head = ForwardHead::take(&mut parts.headers, self.shared.fleet_key);
+        let result = match head {
+            Ok(head) => match self.shared.accept_forwarded(head).await {
+                Ok(forwarded) => {
+                    let result = self.respond(parts, body, Some(forwarded), started).await;
+                    result.map_err(|refused| refused.refusal)
+                }
+                Err(refusal) => Err(refusal),
+            },
+            Err(e) => Err(Refusal::denied(StatusCode::BAD_REQUEST, e.to_string())),
+        };
+        let (mut resp, result) = match result {
+            Ok(resp) => (resp, ForwardResult::Target),
+            Err(refusal) => (
+                refusal.response(&self.shared.dialect, None),
+                refusal.forward_result(),
+            ),
+        };
+        result.set(resp.headers_mut());
+        if self.shared.stopping.is_cancelled() {
+            close_after(&mut resp);
+        }
+        resp
+    }
+
+    /// Serves a request, and logs the refusal if it is refused.
+    async fn respond(
+        &self,
+        parts: Parts,
+        body: Incoming,
+        forwarded: Option<Forwarded>,
+        started: Instant,
+    ) -> Result<Response<Body>, Refused> {
+        let shared = &self.shared;
+        let head = match shared.dialect.read_request(&parts) {
             Ok(head) => head,
             Err(e) => {
                 let refusal = Refusal::denied(StatusCode::BAD_REQUEST, e.to_string());
                 self.log_refusal("", "", &refusal, started);
-                let mut resp = refusal.response(&self.shared.dialect, None);
-                close_after(&mut resp);
-                return resp;
+                return Err(Refused { id: None, refusal });
             }
         };
         let id = head.id.clone();
         let path = parts.uri.path().to_owned();
-        let guard = DisconnectGuard::new(&self.shared, &id, started);
-        let result = match self.shared.admit(parts, body, head).await {
-            Ok(request) => self.shared.dispatch(request).await,
+        let guard = DisconnectGuard::new(shared, &id, started);
+        let result = match shared.admit(parts, body, head, forwarded).await {
+            Ok(request) => shared.dispatch(request).await,
             Err(refusal) => Err(refusal),
         };
         guard.answered();
-        let mut resp = result.unwrap_or_else(|refusal| {
+        result.map_err(|refusal| {
             self.log_refusal(&id, &path, &refusal, started);
-            refusal.response(&self.shared.dialect, Some(&id))
-        });
-        if self.shared.stopping.is_cancelled() {
-            close_after(&mut resp);
-        }
-        resp
+            let id = Some(id.clone());
+            Refused { id, refusal }
+        })
     }
 
     /// Handles the balancer's readiness check: 200 if this box accepts requests, else 503.
@@ -85,6 +135,13 @@
     }
 }
 
+/// A request that is refused.
+struct Refused {
+    /// Its id; `None` if its head cannot be read.
+    id: Option<String>,
+    refusal: Refusal,
+}
+
 /// Logs a request whose caller disconnects before the response; the handler's future is dropped then.
 struct DisconnectGuard<'a, D: Dialect> {
     shared: &'a Arc<Shared<D>>,
--- a/crates/sillpin-gateway/src/front/idle_timeout.rs
+++ b/crates/sillpin-gateway/src/front/idle_timeout.rs
@@ -50,7 +50,7 @@
         pool: &PoolId,
         progress: &Progress,
     ) -> bool {
-        let another = progress.runs + 1 < request.route.max_runs;
+        let another = progress.runs + 1 < request.max_runs;
         another
             && request.route.idempotency == Idempotency::Idempotent
             && self.has_faster_target(request, pool, progress)
--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -10,6 +10,7 @@
 //! - [`stream_engines`]: engines for prompts of different kinds,
 //! - [`overload`]: refusals of prompts that no target can start in time,
 //! - [`attempt`]: one attempt and its outcome,
+//! - [`forward`]: requests that are sent to other boxes,
 //! - [`relay`]: relaying of event streams,
 //! - [`idle_timeout`]: when to abandon a target that sends nothing,
 //! - [`events`]: splitting a stream into complete events,
@@ -24,6 +25,7 @@
 pub mod dispatch;
 pub mod events;
 pub mod fair_admission;
+pub mod forward;
 pub mod handler;
 pub mod idle_timeout;
 pub mod overload;
--- a/crates/sillpin-gateway/src/front/refusal.rs
+++ b/crates/sillpin-gateway/src/front/refusal.rs
@@ -1,6 +1,7 @@
 //! Responses that the box creates itself.
 
 use crate::dialect::Dialect;
+use crate::forward::head::{ForwardResult, Unavailable};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
 use rand::RngExt;
@@ -23,6 +24,8 @@
     pub reason: String,
     /// Time after which the caller may retry; `None` if it should not.
     pub retry_after: Option<Duration>,
+    /// Why another box may serve the request, if this one cannot.
+    pub unavailable: Option<Unavailable>,
 }
 
 /// Body of a response that the box creates itself.
@@ -40,6 +43,15 @@
             outcome: Outcome::NotRun,
             reason: reason.into(),
             retry_after: Some(DEFAULT_RETRY_AFTER),
+            unavailable: None,
+        }
+    }
+
+    /// The request did not run here; another box may serve it.
+    pub fn unavailable(why: Unavailable) -> Self {
+        Self {
+            unavailable: Some(why),
+            ..Self::not_run(why.to_string())
         }
     }
 
@@ -58,6 +70,7 @@
             outcome: Outcome::NotRun,
             reason: reason.into(),
             retry_after: None,
+            unavailable: None,
         }
     }
 
@@ -68,6 +81,7 @@
             outcome: Outcome::Unknown,
             reason: reason.into(),
             retry_after: None,
+            unavailable: None,
         }
     }
 
@@ -79,6 +93,20 @@
         }
     }
 
+    /// What the refusal of a forwarded request tells the box that sent it.
+    pub fn forward_result(&self) -> ForwardResult {
+        match self.unavailable {
+            Some(why) => ForwardResult::Unavailable(why),
+            None => ForwardResult::Refused {
+                outcome: self.outcome,
+                reason: self.reason.clone(),
+                retry_after_ms: self
+                    .retry_after
+                    .map(|wait| u64::try_from(wait.as_millis()).unwrap_or(u64::MAX)),
+            },
+        }
+    }
+
     /// Builds the response for the caller.
     pub fn response<D: Dialect>(&self, dialect: &D, request_id: Option<&str>) -> Response<Body> {
         let problem = Problem {
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -5,17 +5,20 @@
 //! cannot be mistaken for a complete one.
 
 use super::admit::AdmittedRequest;
-use super::attempt::{AttemptOutcome, OpenStream, SILENT};
+use super::attempt::{AttemptOutcome, OpenStream, SILENT, StreamSource, TargetWait};
 use super::dispatch::{Progress, may_rerun};
 use super::events::{EventSplitter, count_events};
 use super::shared::Shared;
 use crate::control::TargetEntry;
 use crate::dialect::Dialect;
+use crate::placement::InFlightGuard;
 use crate::placement::load::Outcome as Health;
 use crate::placement::work::IncarnationHash;
 use crate::releases::tracker::Response as VersionResponse;
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
+use hyper::body::{Frame, Incoming};
 use hyper::header::CONTENT_LENGTH;
 use sillpin_core::PoolId;
 use sillpin_http::{Body, BodySender};
@@ -80,49 +83,46 @@
     ) {
         let mut events = EventSplitter::after(progress.resume_after.take());
         loop {
-            let entry = stream.target.clone();
-            let target = entry.id.clone();
+            let entry = match &stream.source {
+                StreamSource::Target { target, .. } => Some(target.clone()),
+                StreamSource::Box { .. } => None,
+            };
+            let target = stream.source.name().to_owned();
             let (id, waited) = (&request.head.id, request.arrival.elapsed().as_millis());
             let sent = stream.sent;
             let end = self
-                .relay_target(&request, &pool, &progress, stream, &mut events, &tx)
+                .relay_source(&request, &pool, &progress, stream, &mut events, &tx)
                 .await;
             let assignment = progress.assignment.take();
-            if let Some(response) = end.response(sent) {
-                self.record_response(&request, &entry, response, assignment);
+            if let (Some(response), Some(entry)) = (end.response(sent), &entry) {
+                self.record_response(&request, entry, response, assignment);
             }
             let reason = match end {
                 RelayEnd::Complete => {
-                    self.fatal
-                        .record()
-                        .served(request.fingerprint, Instant::now());
+                    self.record_served(&request);
                     self.metrics.response_end(request.arrival.elapsed());
                     self.metrics.request(&request.route.name, "answered");
                     event!(self.log, events::STREAM_COMPLETE, "request" => id,
-                        "target" => target.as_str(), "head_ms" => waited,
+                        "target" => &target, "head_ms" => waited,
                         "whole_ms" => request.arrival.elapsed().as_millis());
                     return;
                 }
                 RelayEnd::CallerDisconnected => {
-                    self.fatal
-                        .sent(request.fingerprint, IncarnationHash::of(&entry))
-                        .end(true);
+                    self.record_abandoned(&request, entry.as_ref());
                     self.metrics.request(&request.route.name, "caller-gone");
                     event!(self.log, events::CALLER_DISCONNECTED, "request" => id,
-                        "target" => target.as_str(),
+                        "target" => &target,
                         "elapsed_ms" => request.arrival.elapsed().as_millis());
                     return;
                 }
                 RelayEnd::DeadlineReached => {
-                    self.fatal
-                        .sent(request.fingerprint, IncarnationHash::of(&entry))
-                        .end(true);
+                    self.record_abandoned(&request, entry.as_ref());
                     "the request's time is over".to_owned()
                 }
                 RelayEnd::Broken(_) | RelayEnd::Silent => {
-                    let reason = self.record_broken(&request, &entry, end);
+                    let reason = self.record_broken(&request, entry.as_ref(), end);
                     event!(self.log, events::ATTEMPT_INCOMPLETE, "request" => id,
-                        "target" => target.as_str(), "outcome" => "broken", "why" => &reason,
+                        "target" => &target, "outcome" => "broken", "why" => &reason,
                         "elapsed_ms" => request.arrival.elapsed().as_millis());
                     match self
                         .resume(&request, &pool, &mut progress, &mut events, &tx)
@@ -138,29 +138,38 @@
             };
             self.metrics.request(&request.route.name, "broken");
             event!(self.log, events::REQUEST_FAILED, "request" => id,
-                "target" => target.as_str(), "outcome" => "ran", "why" => &reason,
+                "target" => &target, "outcome" => "ran", "why" => &reason,
                 "elapsed_ms" => request.arrival.elapsed().as_millis());
             tx.abort("stream broke off").await;
             return;
         }
     }
 
-    /// Records how a target broke a stream off, and returns the reason for the log.
+    /// Records that an attempt was given up at a target while it may still run. Another box records its own.
+    fn record_abandoned(&self, request: &AdmittedRequest, entry: Option<&Arc<TargetEntry>>) {
+        if let Some(entry) = entry {
+            self.fatal
+                .sent(request.fingerprint, IncarnationHash::of(entry))
+                .end(true);
+        }
+    }
+
+    /// Records how a stream was broken off, and returns the reason for the log.
     fn record_broken(
         &self,
         request: &AdmittedRequest,
-        entry: &Arc<TargetEntry>,
+        entry: Option<&Arc<TargetEntry>>,
         end: RelayEnd,
     ) -> String {
         let RelayEnd::Broken(reason) = end else {
-            self.fatal
-                .sent(request.fingerprint, IncarnationHash::of(entry))
-                .end(true);
+            self.record_abandoned(request, entry);
             return SILENT.to_owned();
         };
-        self.response_broken(request, entry);
-        self.loads
-            .record_for_incarnation(&entry.id, entry.life, Health::Failed);
+        if let Some(entry) = entry {
+            self.response_broken(request, entry);
+            self.loads
+                .record_for_incarnation(&entry.id, entry.life, Health::Failed);
+        }
         reason
     }
 
@@ -183,7 +192,7 @@
             if let Ok(AttemptOutcome::Streaming(stream)) = outcome {
                 *events = EventSplitter::after(progress.resume_after.clone());
                 event!(self.log, events::STREAM_RESUMED, "request" => &request.head.id,
-                    "target" => stream.target.id.as_str(),
+                    "target" => stream.source.name(),
                     "after" => progress.resume_after.as_deref().unwrap_or("start"));
                 return Some(*stream);
             }
@@ -194,8 +203,8 @@
         None
     }
 
-    /// Relays events from one target until its part of the stream ends.
-    async fn relay_target(
+    /// Relays events from a target or another box until its part of the stream ends.
+    async fn relay_source(
         &self,
         request: &AdmittedRequest,
         pool: &PoolId,
@@ -206,14 +215,89 @@
     ) -> RelayEnd {
         let OpenStream {
             head,
-            mut body,
+            body,
             conn,
-            mut in_flight,
-            target,
+            source,
             ..
         } = stream;
-        let accepted_pause = self.accepted_pause(request, pool);
-        let mut wait = self.silent_engines.wait_for(&target, accepted_pause);
+        match source {
+            StreamSource::Box { in_flight, .. } => {
+                let end = self.relay_box(request, body, events, tx).await;
+                drop((conn, in_flight));
+                end
+            }
+            StreamSource::Target {
+                target,
+                mut in_flight,
+            } => {
+                let accepted_pause = self.accepted_pause(request, pool);
+                let mut wait = TargetWait {
+                    engine: self.silent_engines.wait_for(&target, accepted_pause),
+                    path: self.path_waits.wait_for(&target),
+                    may_rerun: request.route.resumable && may_rerun(request, progress),
+                };
+                let end = self
+                    .relay_target(
+                        request,
+                        pool,
+                        progress,
+                        TargetStream {
+                            body,
+                            wait: &mut wait,
+                            in_flight: &mut in_flight,
+                        },
+                        events,
+                        tx,
+                    )
+                    .await;
+                if let RelayEnd::Complete = end {
+                    self.record_stream_pace(request, pool, progress, &in_flight);
+                    self.return_connection(target.id.clone(), conn, &head);
+                }
+                end
+            }
+        }
+    }
+
+    /// Relays events from another box, which watches the target and resumes the stream itself.
+    async fn relay_box(
+        &self,
+        request: &AdmittedRequest,
+        mut body: Incoming,
+        events: &mut EventSplitter,
+        tx: &BodySender,
+    ) -> RelayEnd {
+        loop {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = tx.closed() => return RelayEnd::CallerDisconnected,
+                () = tokio::time::sleep_until(request.deadline) => return RelayEnd::DeadlineReached,
+            };
+            let complete = match take_events(frame, events) {
+                Ok(complete) => complete,
+                Err(end) => return end,
+            };
+            if !complete.is_empty() && tx.send(complete).await.is_err() {
+                return RelayEnd::CallerDisconnected;
+            }
+        }
+    }
+
+    /// Relays events from one target.
+    async fn relay_target(
+        &self,
+        request: &AdmittedRequest,
+        pool: &PoolId,
+        progress: &Progress,
+        stream: TargetStream<'_>,
+        events: &mut EventSplitter,
+        tx: &BodySender,
+    ) -> RelayEnd {
+        let TargetStream {
+            mut body,
+            wait,
+            in_flight,
+        } = stream;
         let mut first = true;
         loop {
             let frame = tokio::select! {
@@ -232,23 +316,11 @@
                     continue;
                 }
             };
-            let data = match frame {
-                None if events.is_partial() => {
-                    return RelayEnd::Broken("stream ended within an event".to_owned());
-                }
-                None => {
-                    self.record_stream_pace(request, pool, progress, &in_flight);
-                    self.return_connection(target.id.clone(), conn, &head);
-                    return RelayEnd::Complete;
-                }
-                Some(Err(e)) => return RelayEnd::Broken(format!("stream broke off: {e}")),
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-            };
             wait.heard();
-            let complete = events.push(&data);
-            if events.is_overlong() {
-                return RelayEnd::Broken("event exceeds the maximum length".to_owned());
-            }
+            let complete = match take_events(frame, events) {
+                Ok(complete) => complete,
+                Err(end) => return end,
+            };
             if complete.is_empty() {
                 continue;
             }
@@ -257,11 +329,40 @@
                 first = false;
             }
             in_flight.record_events(count_events(&complete));
-            wait.pause();
+            wait.engine.pause();
             if tx.send(complete).await.is_err() {
                 return RelayEnd::CallerDisconnected;
             }
-            wait.resume();
+            wait.engine.resume();
+        }
+    }
+}
+
+/// The stream of a target, and what is recorded of it.
+struct TargetStream<'a> {
+    body: Incoming,
+    wait: &'a mut TargetWait,
+    in_flight: &'a mut InFlightGuard,
+}
+
+/// Returns the events that a frame completes, or how the stream ended.
+fn take_events(
+    frame: Option<Result<Frame<Bytes>, hyper::Error>>,
+    events: &mut EventSplitter,
+) -> Result<Bytes, RelayEnd> {
+    let data = match frame {
+        None if events.is_partial() => {
+            return Err(RelayEnd::Broken("stream ended within an event".to_owned()));
         }
+        None => return Err(RelayEnd::Complete),
+        Some(Err(e)) => return Err(RelayEnd::Broken(format!("stream broke off: {e}"))),
+        Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+    };
+    let complete = events.push(&data);
+    match events.is_overlong() {
+        true => Err(RelayEnd::Broken(
+            "event exceeds the maximum length".to_owned(),
+        )),
+        false => Ok(complete),
     }
 }
--- a/crates/sillpin-gateway/src/front/release.rs
+++ b/crates/sillpin-gateway/src/front/release.rs
@@ -79,6 +79,7 @@
             AttemptOutcome::Streaming(_) => return,
             AttemptOutcome::Unsent(_)
             | AttemptOutcome::NotRun { .. }
+            | AttemptOutcome::Refused(_)
             | AttemptOutcome::Cancelled => {
                 // The next attempt goes to the earlier version.
                 if let Some(assignment) = &mut progress.assignment {
--- a/crates/sillpin-gateway/src/front/response.rs
+++ b/crates/sillpin-gateway/src/front/response.rs
@@ -18,9 +18,7 @@
             false => "failed",
         };
         if response.status.is_success() {
-            self.fatal
-                .record()
-                .served(request.fingerprint, Instant::now());
+            self.record_served(request);
         }
         let elapsed = request.arrival.elapsed();
         self.metrics.request(&request.route.name, outcome);
@@ -31,6 +29,13 @@
             "elapsed_ms" => elapsed.as_millis());
     }
 
+    /// Records that a request did not crash its target.
+    pub fn record_served(&self, request: &AdmittedRequest) {
+        self.fatal
+            .record()
+            .served(request.fingerprint, Instant::now());
+    }
+
     /// Builds the caller's response from a target's complete response.
     pub fn forward_response(
         &self,
--- a/crates/sillpin-gateway/src/front/selection.rs
+++ b/crates/sillpin-gateway/src/front/selection.rs
@@ -164,7 +164,7 @@
     }
 
     /// Regions in which a request may run and its prompt may be stored.
-    fn residency<'a>(&'a self, request: &'a AdmittedRequest) -> Residency<'a> {
+    pub(super) fn residency<'a>(&'a self, request: &'a AdmittedRequest) -> Residency<'a> {
         Residency {
             route: &request.route.regions,
             organisation: request
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -6,16 +6,20 @@
 use crate::dialect::Dialect;
 use crate::fatal::{CrashDetector, FatalRequests};
 use crate::fleet_state::FleetHandle;
+use crate::forward::boxes::ForwardBoxes;
+use crate::forward::capacity::ForwardCapacity;
 use crate::metrics::BoxMetrics;
+use crate::peers::wire::FleetKey;
 use crate::placement::Loads;
 use crate::placement::probe::Prober;
+use crate::placement::reach_watch::PathWaits;
 use crate::placement::silence_watch::SilentEngines;
 use crate::pool::ConnectionPool;
 use crate::releases::ReleaseTracker;
 use crate::reload::Settings;
 use crate::settings::BoxConfig;
 use crate::suspend_clock::SuspendClock;
-use sillpin_core::PoolId;
+use sillpin_core::{BoxId, PoolId};
 use slog::Logger;
 use std::sync::{Arc, Mutex};
 use tokio::time::Instant;
@@ -40,8 +44,18 @@
     pub loads: Loads,
     /// Connections to targets.
     pub pool: ConnectionPool,
+    /// Connections to other boxes.
+    pub box_connections: ConnectionPool<BoxId>,
+    /// State of other boxes, as far as requests sent to them tell.
+    pub forward_boxes: ForwardBoxes,
+    /// How much this box serves for others.
+    pub forward_capacity: ForwardCapacity,
+    /// Key of the fleet.
+    pub fleet_key: FleetKey,
     /// Probes targets that are unreachable.
     pub prober: Prober,
+    /// Requests that wait for targets.
+    pub path_waits: PathWaits,
     /// Engines from which nothing arrives.
     pub silent_engines: SilentEngines,
     /// Counts time in which the box was suspended.
@@ -123,7 +137,12 @@
         let crash_detector =
             CrashDetector::new(pool.clone(), fleet.clone(), fatal.clone(), log.clone());
         Self {
+            path_waits: PathWaits::new(loads.clone()),
             dialect,
+            box_connections: ConnectionPool::new(suspend_clock.clone()),
+            forward_boxes: ForwardBoxes::default(),
+            forward_capacity: ForwardCapacity::new(cfg.memory, cfg.descriptors),
+            fleet_key: FleetKey::new(cfg.fleet.as_deref(), cfg.platform),
             suspend_clock,
             releases,
             fatal,
--- a/crates/sillpin-gateway/src/lib.rs
+++ b/crates/sillpin-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`weights`]: loading of new weights on engines, by an elected leader,
 //! - [`releases`]: gradual releases of new versions of targets,
 //! - [`peers`]: communication between boxes,
+//! - [`forward`]: requests that a box without paths to targets sends to another box,
 //! - [`front`]: listeners, life cycle of a request, streams,
 //! - [`reload`]: settings that change while the box runs,
 //! - [`ops`]: assembly of a box.
@@ -28,6 +29,7 @@
 pub mod dialect;
 pub mod fatal;
 pub mod fleet_state;
+pub mod forward;
 pub mod front;
 pub mod metrics;
 pub mod ops;
--- a/crates/sillpin-gateway/src/metrics.rs
+++ b/crates/sillpin-gateway/src/metrics.rs
@@ -20,6 +20,7 @@
 pub struct BoxMetrics {
     requests: Counter<u64>,
     attempts: Counter<u64>,
+    forwarded: Counter<u64>,
     prompt_tokens: Counter<u64>,
     prompt_attempts: Counter<u64>,
     copies: Counter<u64>,
@@ -50,6 +51,10 @@
         Self {
             requests: counter("sillpin_requests", "Requests of callers by outcome"),
             attempts: counter("sillpin_sendings", "Attempts at targets by outcome"),
+            forwarded: counter(
+                "sillpin_forwarded",
+                "Requests sent to other boxes, since this one does not reach their targets, by outcome",
+            ),
             copies: counter(
                 "sillpin_copies",
                 "State copies requested from other boxes by outcome",
@@ -118,6 +123,11 @@
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a request sent to another box by outcome.
+    pub fn forwarded(&self, outcome: &'static str) {
+        self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a prompt sent to an engine, by whether its weights are the newest or replaced ones.
     pub fn prompt_attempt(&self, replaced: bool) {
         let weights = if replaced { "replaced" } else { "newest" };
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -36,6 +36,7 @@
 use crate::weights::rollout::{DISCOVERY_TIMEOUT, Rollout};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response};
+use sillpin_core::BoxId;
 use sillpin_http::server::{BindError, HeadLimits, listen};
 use sillpin_http::{Body, Server};
 use sillpin_platform::Platform;
@@ -94,7 +95,7 @@
     pub ready: SocketAddr,
     /// For calls of other boxes.
     pub peers: SocketAddr,
-    /// For datagrams of other boxes.
+    /// For datagrams of other boxes, and by TCP for requests that they send on.
     pub gossip: SocketAddr,
 }
 
@@ -103,6 +104,7 @@
     ready: TcpListener,
     peers: TcpListener,
     gossip: UdpSocket,
+    forwarded: TcpListener,
     metrics: Option<TcpListener>,
     addrs: ListenAddrs,
 }
@@ -115,15 +117,14 @@
     let (callers, callers_at) = listen(cfg.callers).await?;
     let (ready, ready_at) = listen(cfg.ready).await?;
     let (peers, peers_at) = listen(cfg.peers).await?;
-    let addr = SocketAddr::new(cfg.ip, cfg.gossip_port);
-    let failed = |cause| BindError { addr, cause };
-    let gossip = UdpSocket::bind(addr).await.map_err(failed)?;
-    let gossip_at = gossip.local_addr().map_err(failed)?;
+    let gossip_addr = SocketAddr::new(cfg.ip, cfg.gossip_port);
+    let (forwarded, gossip, gossip_at) = listen_for_boxes(gossip_addr).await?;
     Ok(Listeners {
         callers,
         ready,
         peers,
         gossip,
+        forwarded,
         metrics,
         addrs: ListenAddrs {
             callers: callers_at,
@@ -134,6 +135,29 @@
     })
 }
 
+/// Number of attempts to find a port that is free for both TCP and UDP.
+const PORT_ATTEMPTS: usize = 16;
+
+/// Listens at one port for requests and datagrams of other boxes. If any port will do, the kernel chooses one, which
+/// may be in use for datagrams.
+async fn listen_for_boxes(
+    addr: SocketAddr,
+) -> Result<(TcpListener, UdpSocket, SocketAddr), BindError> {
+    let mut attempts = match addr.port() {
+        0 => PORT_ATTEMPTS,
+        _ => 1,
+    };
+    loop {
+        let (forwarded, at) = listen(addr).await?;
+        attempts -= 1;
+        match UdpSocket::bind(at).await {
+            Ok(gossip) => return Ok((forwarded, gossip, at)),
+            Err(cause) if attempts == 0 => return Err(BindError { addr: at, cause }),
+            Err(_) => {}
+        }
+    }
+}
+
 /// Runs a box until `stopping` is cancelled and its last request has ended. `started` is called with the addresses
 /// once the listeners are open.
 pub async fn run<D, K, P, C>(
@@ -233,6 +257,7 @@
         };
         tokio::spawn(watch.run());
     }
+    tokio::spawn(shared.path_waits.clone().run(shared.prober.clone()));
     tokio::spawn(prune(shared.clone()));
     let end = CancellationToken::new();
     let shared_log = shared.log.clone();
@@ -250,12 +275,22 @@
         shared_log,
     ));
     let limits_of = fleet.clone();
-    let server = Server::on(listeners.callers)
-        .http1_only()
-        .limits_from(move || head_limits(&limits_of));
+    let limits = move || head_limits(&limits_of);
+    let for_boxes = front.clone();
     let closed = CancellationToken::new();
-    let serving = server.run(closed.clone(), move |req| front.clone().serve(req));
-    let serving = tokio::spawn(serving);
+    let callers = Server::on(listeners.callers)
+        .http1_only()
+        .limits_from(limits.clone())
+        .run(closed.clone(), move |req| front.clone().serve(req));
+    let forwarded = Server::on(listeners.forwarded)
+        .http1_only()
+        .limits_from(limits)
+        .run(closed.clone(), move |req| {
+            for_boxes.clone().serve_forwarded(req)
+        });
+    let serving = tokio::spawn(async move {
+        tokio::join!(callers, forwarded);
+    });
     stopping.cancelled().await;
     stop(&cfg, &log, closed, serving).await;
     end.cancel();
@@ -451,6 +486,14 @@
     }
 }
 
+/// Drops connections to boxes that are no longer up, and what is known of them.
+fn prune_boxes<D: Dialect>(shared: &Shared<D>) {
+    let view = shared.fleet.view();
+    let find = |id: &BoxId| view.boxes.iter().find(|entry| entry.id == *id);
+    shared.box_connections.prune(find);
+    shared.forward_boxes.retain(|id| find(id).is_some());
+}
+
 /// Drops state of targets that are no longer listed, and of earlier incarnations of those that are.
 async fn prune<D: Dialect>(shared: Arc<Shared<D>>) {
     let mut every = tokio::time::interval(PRUNE_INTERVAL);
@@ -464,9 +507,12 @@
         };
         let targets = views.borrow_and_update().targets.clone();
         if due || !Arc::ptr_eq(&known, &targets) {
-            shared.pool.prune(&targets);
+            shared
+                .pool
+                .prune(|id| targets.get(id).map(|entry| &**entry));
             shared.loads.retain_listed(&targets);
             known = targets;
+            prune_boxes(&shared);
         }
     }
 }
--- a/crates/sillpin-gateway/src/placement/mod.rs
+++ b/crates/sillpin-gateway/src/placement/mod.rs
@@ -12,6 +12,7 @@
 //! - [`hold_time`]: how long requests hold an engine's memory,
 //! - [`probe`]: probes of unreachable targets,
 //! - [`reach`]: which targets this box reaches,
+//! - [`reach_watch`]: paths to targets that are lost without a reset,
 //! - [`parts`]: where the parts of a prompt are fetched from and stored,
 //! - [`limits`]: the limits that apply at a target,
 //! - [`shared_limit`]: division of a target's limit among boxes,
@@ -39,6 +40,7 @@
 pub mod parts;
 pub mod probe;
 pub mod reach;
+pub mod reach_watch;
 pub mod residency;
 pub mod shared_limit;
 pub mod signals;
--- a/crates/sillpin-gateway/src/placement/probe.rs
+++ b/crates/sillpin-gateway/src/placement/probe.rs
@@ -1,13 +1,15 @@
-//! Probes unreachable targets in the background.
+//! Probes unreachable targets in the background, and surveys whether the targets of a pool can be reached.
 //!
 //! A connection attempt to a machine that is down takes a third of a second, so no request is used
 //! for it: a target stays in cooldown until a probe has opened a connection.
 
 use super::load::{Loads, Outcome};
 use super::reach::ReachChange;
-use crate::control::TargetEntry;
-use crate::fleet_state::FleetHandle;
+use crate::control::{Presence, TargetEntry};
+use crate::fleet_state::{FleetHandle, View};
 use crate::pool::{Conn, ConnectionPool};
+use futures::future::join_all;
+use rand::seq::IndexedRandom;
 use sillpin_core::{PoolId, TargetId};
 use sillpin_telemetry::{event, events};
 use slog::Logger;
@@ -19,6 +21,17 @@
 /// Pause between two connection attempts.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Number of unreachable targets of a pool that are probed in each [`PROBE_INTERVAL`]; the pauses are longer if there
+/// are more.
+const PROBES_PER_INTERVAL: usize = 16;
+
+/// Number of targets that a survey tries to connect to.
+const SURVEY_LEN: usize = 8;
+
+/// Time limit of a connection of a survey, shorter than that of others: many are tried together, and a lost packet is
+/// no reason to wait.
+const SURVEY_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Probes unreachable targets; clones share the set of probed targets.
 #[derive(Clone)]
 pub struct Prober {
@@ -41,17 +54,82 @@
         if !probed.insert(target.id.clone()) {
             return;
         }
+        drop(probed);
         event!(self.log, events::TARGET_UNREACHABLE, "target" => target.id.as_str(), "why" => why);
         self.loads.record(&target.id, Outcome::Unreachable);
-        self.loads.reach().record_failure(&target.pool, &target.id);
+        let needs_survey = self.loads.reach().record_failure(&target.pool, &target.id);
         self.update_reach(&target.pool);
         tokio::spawn(self.clone().probe(target.clone()));
+        if needs_survey {
+            self.survey(&target.pool);
+        }
+    }
+
+    /// Checks whether a target can be reached; if not, surveys its pool.
+    pub async fn check(self, target: Arc<TargetEntry>) {
+        if !self.connect(&target).await {
+            self.survey(&target.pool);
+        }
+    }
+
+    /// Surveys whether a pool's targets can be reached, repeatedly while this box is cut off from it.
+    pub fn survey(&self, pool: &PoolId) {
+        if self.loads.reach().begin_survey(pool, Instant::now()) {
+            tokio::spawn(self.clone().run_survey(pool.clone()));
+        }
+    }
+
+    async fn run_survey(self, pool: PoolId) {
+        loop {
+            let sample = self.sample(&pool);
+            let connected = join_all(sample.iter().map(|target| self.connect(target))).await;
+            let failed = connected.iter().filter(|connected| !**connected).count();
+            let now = Instant::now();
+            self.loads
+                .reach()
+                .record_survey(&pool, sample.len(), failed, now);
+            self.update_reach(&pool);
+            if !self.loads.reach().is_cut_off(&pool) {
+                break;
+            }
+            tokio::time::sleep(PROBE_INTERVAL).await;
+        }
+        self.loads.reach().end_survey(&pool);
+    }
+
+    /// Returns random targets of a pool that accept new work.
+    fn sample(&self, pool: &PoolId) -> Vec<Arc<TargetEntry>> {
+        let view = self.fleet.view();
+        let of_pool = view.targets.values();
+        let of_pool: Vec<&Arc<TargetEntry>> = of_pool
+            .filter(|entry| entry.pool == *pool && entry.presence == Presence::Ready)
+            .collect();
+        let sample = of_pool.sample(&mut rand::rng(), SURVEY_LEN);
+        sample.map(|entry| Arc::clone(entry)).collect()
+    }
+
+    /// Tries to connect to a target, and probes it from then on if that fails.
+    async fn connect(&self, target: &Arc<TargetEntry>) -> bool {
+        match Conn::open_within(target, SURVEY_TIMEOUT).await {
+            Ok(conn) => {
+                let now = Instant::now();
+                self.loads
+                    .reach()
+                    .record_success(&target.pool, &target.id, now);
+                self.pool.put(target.id.clone(), conn, None).await;
+                true
+            }
+            Err(e) => {
+                self.start(target, &e.to_string());
+                false
+            }
+        }
     }
 
     async fn probe(self, target: Arc<TargetEntry>) {
         let id = &target.id;
         let is_back = loop {
-            tokio::time::sleep(PROBE_INTERVAL).await;
+            tokio::time::sleep(self.probe_pause(&target.pool)).await;
             let entry = self.fleet.view().targets.get(id).cloned();
             let Some(entry) = entry else {
                 break false;
@@ -61,10 +139,13 @@
                 self.pool.put(id.clone(), conn, None).await;
                 break true;
             }
+            self.loads.record(id, Outcome::Unreachable);
         };
         let mut probed = self.probed.lock().unwrap_or_else(|e| e.into_inner());
         probed.remove(id);
-        self.loads.reach().record_success(&target.pool, id);
+        self.loads
+            .reach()
+            .record_success(&target.pool, id, Instant::now());
         if is_back {
             event!(self.log, events::TARGET_REACHABLE, "target" => id.as_str());
             self.loads.record(id, Outcome::Reachable);
@@ -73,6 +154,12 @@
         self.update_reach(&target.pool);
     }
 
+    /// Returns the pause before the next probe of an unreachable target.
+    fn probe_pause(&self, pool: &PoolId) -> Duration {
+        let unreachable = self.loads.reach().unreachable_of(pool);
+        PROBE_INTERVAL.mul_f64((unreachable as f64 / PROBES_PER_INTERVAL as f64).max(1.0))
+    }
+
     /// Decides anew whether this box is cut off from a pool.
     fn update_reach(&self, pool: &PoolId) {
         let view = self.fleet.view();
@@ -81,6 +168,17 @@
         let change = self.loads.reach().update(pool, listed, Instant::now());
         if let Some(change) = change {
             self.log_change(&change);
+            if change.cut_off {
+                self.survey_all(&view);
+            }
+        }
+    }
+
+    /// Surveys all pools: a box that has lost one has often lost the others.
+    fn survey_all(&self, view: &View) {
+        let pools: HashSet<&PoolId> = view.targets.values().map(|entry| &entry.pool).collect();
+        for pool in pools {
+            self.survey(pool);
         }
     }
 
--- a/crates/sillpin-gateway/src/pool.rs
+++ b/crates/sillpin-gateway/src/pool.rs
@@ -1,10 +1,11 @@
-//! Connections to targets.
+//! Connections to targets, and to other boxes for requests that those send on.
 //!
 //! A connection serves one request at a time and returns to the pool only after a complete response. Anything
 //! unexpected closes it, since left-over bytes cannot be assigned to a request. An error from sending states whether
 //! any byte may have reached the target, because the caller's response depends on it.
 
 use crate::control::{Life, TargetEntry};
+use crate::fleet_state::BoxEntry;
 use crate::suspend_clock::SuspendClock;
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -13,9 +14,10 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use sillpin_core::TargetId;
+use sillpin_core::{BoxId, TargetId};
 use socket2::{SockRef, TcpKeepalive};
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -74,6 +76,70 @@
     },
 }
 
+/// A process that connections are opened to.
+pub trait Endpoint {
+    /// Identifies it in a pool of connections.
+    type Key: Clone + Eq + Hash;
+
+    /// Returns its key.
+    fn key(&self) -> &Self::Key;
+
+    /// Returns the address at which it listens.
+    fn addr(&self) -> SocketAddr;
+
+    /// Returns its incarnation, if known.
+    fn life(&self) -> Option<Life>;
+}
+
+impl Endpoint for TargetEntry {
+    type Key = TargetId;
+
+    fn key(&self) -> &TargetId {
+        &self.id
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    fn life(&self) -> Option<Life> {
+        self.life
+    }
+}
+
+impl Endpoint for BoxEntry {
+    type Key = BoxId;
+
+    fn key(&self) -> &BoxId {
+        &self.id
+    }
+
+    /// Requests that other boxes send on are served by TCP at the port of the datagrams.
+    fn addr(&self) -> SocketAddr {
+        self.gossip
+    }
+
+    fn life(&self) -> Option<Life> {
+        None
+    }
+}
+
+impl<E: Endpoint> Endpoint for Arc<E> {
+    type Key = E::Key;
+
+    fn key(&self) -> &E::Key {
+        (**self).key()
+    }
+
+    fn addr(&self) -> SocketAddr {
+        (**self).addr()
+    }
+
+    fn life(&self) -> Option<Life> {
+        (**self).life()
+    }
+}
+
 /// An open connection. Dropping it closes it immediately, which cancels the request that the target is running for it.
 pub struct Conn {
     sender: SendRequest<Full<Bytes>>,
@@ -92,11 +158,16 @@
 }
 
 impl Conn {
-    /// Opens a connection to a target.
-    pub async fn open(target: &TargetEntry) -> Result<Self, SendError> {
-        let peer = target.addr;
+    /// Opens a connection.
+    pub async fn open(to: &impl Endpoint) -> Result<Self, SendError> {
+        Self::open_within(to, CONNECT_TIMEOUT).await
+    }
+
+    /// Opens a connection within `limit`.
+    pub async fn open_within(to: &impl Endpoint, limit: Duration) -> Result<Self, SendError> {
+        let peer = to.addr();
         let unsent = |what: String| SendError::Unsent { peer, what };
-        let tcp = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await;
+        let tcp = tokio::time::timeout(limit, TcpStream::connect(peer)).await;
         let tcp = match tcp {
             Ok(Ok(tcp)) => tcp,
             Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
@@ -116,7 +187,7 @@
             sender,
             driver: driver.abort_handle(),
             peer,
-            life: target.life,
+            life: to.life(),
             idle_since: Instant::now(),
             keep_idle: DEFAULT_IDLE,
         })
@@ -144,9 +215,9 @@
         self.sender.is_closed()
     }
 
-    /// Whether the connection goes to the incarnation of a target that its entry names.
-    fn is_to(&self, target: &TargetEntry) -> bool {
-        self.peer == target.addr && self.life == target.life
+    /// Whether the connection goes to this incarnation of an endpoint.
+    fn is_to(&self, endpoint: &impl Endpoint) -> bool {
+        self.peer == endpoint.addr() && self.life == endpoint.life()
     }
 
     fn is_usable(&self, now: Instant, max_idle: Duration) -> bool {
@@ -166,15 +237,29 @@
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
 
-/// Idle connections by target; clones share them.
-#[derive(Clone, Default)]
-pub struct ConnectionPool {
-    /// Targets close idle connections by their own clocks, which also run while this box is suspended.
+/// Idle connections by endpoint; clones share them.
+pub struct ConnectionPool<K = TargetId> {
+    /// Endpoints close idle connections by their own clocks, which also run while this box is suspended.
     suspend_clock: SuspendClock,
-    idle: Arc<Mutex<HashMap<TargetId, Vec<Conn>>>>,
+    idle: Arc<Mutex<HashMap<K, Vec<Conn>>>>,
 }
 
-impl ConnectionPool {
+impl<K> Clone for ConnectionPool<K> {
+    fn clone(&self) -> Self {
+        Self {
+            suspend_clock: self.suspend_clock.clone(),
+            idle: self.idle.clone(),
+        }
+    }
+}
+
+impl<K> Default for ConnectionPool<K> {
+    fn default() -> Self {
+        Self::new(SuspendClock::default())
+    }
+}
+
+impl<K> ConnectionPool<K> {
     /// Creates an empty pool that counts time in which the box was suspended by `suspend_clock`.
     pub fn new(suspend_clock: SuspendClock) -> Self {
         let idle = Arc::default();
@@ -184,63 +269,73 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<TargetId, Vec<Conn>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<K, Vec<Conn>>> {
         self.idle.lock().unwrap_or_else(|e| e.into_inner())
     }
+}
 
+impl<K: Clone + Eq + Hash> ConnectionPool<K> {
     /// Returns a connection that has been idle for less than `max_idle`, or opens one. Connections to an earlier
-    /// incarnation of the target are closed: it may have ended without closing them, and then it could not be
-    /// determined whether a request sent there ran.
-    pub async fn get(&self, target: &TargetEntry, max_idle: Duration) -> Result<Conn, SendError> {
-        match self.take_idle(target, max_idle) {
+    /// incarnation are closed: it may have ended without closing them, and then it could not be determined whether a
+    /// request sent there ran.
+    pub async fn get<E>(&self, to: &E, max_idle: Duration) -> Result<Conn, SendError>
+    where
+        E: Endpoint<Key = K>,
+    {
+        match self.take_idle(to, max_idle) {
             Some(conn) => Ok(conn),
-            None => Conn::open(target).await,
+            None => Conn::open(to).await,
         }
     }
 
-    fn take_idle(&self, target: &TargetEntry, max_idle: Duration) -> Option<Conn> {
+    fn take_idle<E>(&self, to: &E, max_idle: Duration) -> Option<Conn>
+    where
+        E: Endpoint<Key = K>,
+    {
         let now = self.suspend_clock.now();
         let mut idle = self.lock();
-        let conns = idle.get_mut(&target.id)?;
-        conns.retain(|conn| {
-            conn.is_to(target) && conn.is_usable(now, DEFAULT_IDLE.max(conn.keep_idle))
-        });
+        let conns = idle.get_mut(to.key())?;
+        conns
+            .retain(|conn| conn.is_to(to) && conn.is_usable(now, DEFAULT_IDLE.max(conn.keep_idle)));
         let newest = conns
             .iter()
             .rposition(|conn| conn.is_usable(now, max_idle))?;
         Some(conns.swap_remove(newest))
     }
 
-    /// Returns a connection whose response was read completely to the pool. `keep_idle` is how long the target keeps
+    /// Returns a connection whose response was read completely to the pool. `keep_idle` is how long the endpoint keeps
     /// idle connections open, if it stated that.
-    pub async fn put(&self, target: TargetId, mut conn: Conn, keep_idle: Option<Duration>) {
+    pub async fn put(&self, key: K, mut conn: Conn, keep_idle: Option<Duration>) {
         if conn.sender.ready().await.is_err() {
             return;
         }
         conn.idle_since = self.suspend_clock.now();
         conn.keep_idle = keep_idle.map_or(DEFAULT_IDLE, |idle| idle.saturating_sub(IDLE_MARGIN));
         let mut idle = self.lock();
-        let conns = idle.entry(target).or_default();
+        let conns = idle.entry(key).or_default();
         if conns.len() < MAX_IDLE {
             conns.push(conn);
         }
     }
 
-    /// Closes all idle connections to a target.
-    pub fn close_idle(&self, target: &TargetId) {
-        let closed = self.lock().remove(target);
+    /// Closes all idle connections to an endpoint.
+    pub fn close_idle(&self, key: &K) {
+        let closed = self.lock().remove(key);
         drop(closed);
     }
 
-    /// Closes idle connections to targets that are no longer listed, to earlier incarnations, and those idle for too
+    /// Closes idle connections to endpoints that are no longer listed, to earlier incarnations, and those idle for too
     /// long.
-    pub fn prune(&self, targets: &HashMap<TargetId, Arc<TargetEntry>>) {
+    pub fn prune<'a, E>(&self, listed: impl Fn(&K) -> Option<&'a E>)
+    where
+        E: Endpoint<Key = K> + 'a,
+    {
         let now = self.suspend_clock.now();
         let mut idle = self.lock();
-        idle.retain(|id, conns| {
-            let target = targets.get(id);
+        idle.retain(|key, conns| {
+            let endpoint = listed(key);
             let is_kept = |conn: &Conn| {
-                target.is_some_and(|target| conn.is_to(target))
+                endpoint.is_some_and(|endpoint| conn.is_to(endpoint))
                     && conn.is_usable(now, conn.keep_idle)
             };
             conns.retain(is_kept);
--- /dev/null
+++ b/crates/sillpin-gateway/tests/forward.rs
@@ -0,0 +1,239 @@
+//! Which box gets a request that another cannot serve, and how much a box takes.
+
+mod common;
+
+use common::name;
+use hyper::HeaderMap;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rstest::rstest;
+use sillpin_core::{BoxId, Outcome, PoolId, RegionId, ZoneId};
+use sillpin_gateway::fleet_state::BoxEntry;
+use sillpin_gateway::forward::boxes::{Avoidance, BoxChoice, ForwardBoxes};
+use sillpin_gateway::forward::capacity::ForwardCapacity;
+use sillpin_gateway::forward::head::{
+    FORWARD, ForwardHead, ForwardHeadError, ForwardResult, Unavailable,
+};
+use sillpin_gateway::peers::wire::FleetKey;
+use sillpin_gateway::placement::residency::{Residency, ZoneRegions};
+use std::collections::HashMap;
+use std::time::Duration;
+use tokio::time::Instant;
+
+fn entry(id: &str, zone: &str) -> BoxEntry {
+    BoxEntry {
+        id: name(id),
+        zone: name(zone),
+        peers: ([127, 0, 0, 1], 1).into(),
+        gossip: ([127, 0, 0, 1], 2).into(),
+        link_mbps: 0,
+    }
+}
+
+/// A box in zone `za` of region `ra` that chooses among others.
+struct Chooser {
+    others: Vec<BoxEntry>,
+    regions: ZoneRegions,
+    homes: Vec<RegionId>,
+    zone: ZoneId,
+    state: ForwardBoxes,
+    rng: StdRng,
+}
+
+impl Chooser {
+    fn new(others: &[(&str, &str)]) -> Self {
+        let regions = [("za", "ra"), ("zb", "ra"), ("zc", "rc")];
+        Self {
+            others: others.iter().map(|(id, zone)| entry(id, zone)).collect(),
+            regions: regions
+                .iter()
+                .map(|(zone, region)| (name(zone), name(region)))
+                .collect(),
+            homes: Vec::new(),
+            zone: name("za"),
+            state: ForwardBoxes::default(),
+            rng: StdRng::seed_from_u64(1),
+        }
+    }
+
+    fn choose(&mut self, pool: &str, tried: &[BoxId]) -> Option<BoxId> {
+        let residency = Residency {
+            route: &self.homes,
+            organisation: &[],
+            regions: &self.regions,
+        };
+        let pool: PoolId = name(pool);
+        let choice = BoxChoice {
+            boxes: &self.others,
+            zone: &self.zone,
+            pool: &pool,
+            residency,
+            tried,
+            now: Instant::now(),
+        };
+        let chosen = self.state.choose(&choice, &mut self.rng)?;
+        Some(chosen.id)
+    }
+
+    fn avoid(&self, id: &str, pool: &str, why: Avoidance) {
+        self.state
+            .avoid(&name(id), &name(pool), why, Instant::now());
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn boxes_of_the_own_zone_come_first_until_they_have_many_more_requests() {
+    let mut chooser = Chooser::new(&[("own", "za"), ("other", "zb")]);
+    let mut guards = Vec::new();
+    let mut sent: HashMap<BoxId, usize> = HashMap::new();
+    for _ in 0..20 {
+        let chosen = chooser.choose("llm", &[]).unwrap();
+        guards.push(chooser.state.start(&chosen));
+        *sent.entry(chosen).or_default() += 1;
+    }
+    assert_eq!(sent[&name::<BoxId>("own")], 12);
+    assert_eq!(sent[&name::<BoxId>("other")], 8);
+    drop(guards);
+    assert_eq!(chooser.choose("llm", &[]), Some(name("own")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_is_offered_to_each_box_once() {
+    let mut chooser = Chooser::new(&[("a", "za"), ("b", "zb")]);
+    let first = chooser.choose("llm", &[]).unwrap();
+    let second = chooser.choose("llm", std::slice::from_ref(&first)).unwrap();
+    assert_ne!(first, second);
+    assert_eq!(chooser.choose("llm", &[first, second]), None);
+}
+
+#[rstest]
+#[case::no_path(Avoidance::Unavailable(Unavailable::NoPath), true, 800)]
+#[case::busy(Avoidance::Unavailable(Unavailable::Busy), false, 150)]
+#[case::stopping(Avoidance::Unavailable(Unavailable::NotReady), false, 2_000)]
+#[case::unreachable(Avoidance::Unreachable, false, 2_000)]
+#[tokio::test(start_paused = true)]
+async fn a_box_that_did_not_serve_a_request_is_avoided_for_a_while(
+    #[case] why: Avoidance,
+    #[case] only_pool: bool,
+    #[case] for_ms: u64,
+) {
+    let mut chooser = Chooser::new(&[("a", "za")]);
+    chooser.avoid("a", "llm", why);
+    assert_eq!(chooser.choose("llm", &[]), None);
+    assert_eq!(chooser.choose("app", &[]).is_some(), only_pool);
+    tokio::time::advance(Duration::from_millis(for_ms)).await;
+    assert!(chooser.choose("llm", &[]).is_some());
+}
+
+#[rstest]
+#[case::no_limits(&[], &["a", "b"])]
+#[case::home_is_the_other_region(&["rc"], &["a", "b", "c"])]
+#[tokio::test(start_paused = true)]
+async fn a_request_leaves_the_region_only_for_its_homes(
+    #[case] homes: &[&str],
+    #[case] allowed: &[&str],
+) {
+    let mut chooser = Chooser::new(&[("a", "za"), ("b", "zb"), ("c", "zc")]);
+    chooser.homes = homes.iter().map(|home| name(home)).collect();
+    let mut tried: Vec<BoxId> = Vec::new();
+    while let Some(chosen) = chooser.choose("llm", &tried) {
+        tried.push(chosen);
+    }
+    tried.sort();
+    let allowed: Vec<BoxId> = allowed.iter().map(|id| name(id)).collect();
+    assert_eq!(tried, allowed);
+}
+
+/// Boxes that learn only from answers find the one of many that reaches the targets, and ask the others seldom.
+#[tokio::test(start_paused = true)]
+async fn the_only_box_with_paths_is_found_among_many() {
+    let ids: Vec<String> = (0..40).map(|index| format!("b-{index:02}")).collect();
+    let others: Vec<(&str, &str)> = ids.iter().map(|id| (id.as_str(), "za")).collect();
+    let mut chooser = Chooser::new(&others);
+    let (mut served, mut asked) = (0, 0);
+    for _ in 0..200 {
+        let mut tried = Vec::new();
+        while tried.len() < 3 {
+            let Some(chosen) = chooser.choose("llm", &tried) else {
+                break;
+            };
+            asked += 1;
+            if chosen == name("b-17") {
+                served += 1;
+                break;
+            }
+            chooser.avoid(
+                chosen.as_str(),
+                "llm",
+                Avoidance::Unavailable(Unavailable::NoPath),
+            );
+            tried.push(chosen);
+        }
+        tokio::time::advance(Duration::from_millis(20)).await;
+    }
+    assert!(served >= 120, "{served} of 200 served");
+    assert!(asked <= 500, "{asked} boxes asked");
+}
+
+#[tokio::test]
+async fn a_box_takes_as_many_requests_of_others_as_its_memory_and_descriptors_allow() {
+    for (memory, descriptors, most) in [(64 << 20, 1_000, 250), (16 << 20, 4_100, 64)] {
+        let capacity = ForwardCapacity::new(memory, descriptors);
+        let mut permits = Vec::new();
+        while let Some(permit) = capacity.reserve().await {
+            permits.push(permit);
+        }
+        assert_eq!(permits.len(), most);
+        permits.pop();
+        assert!(capacity.reserve().await.is_some());
+    }
+}
+
+#[tokio::test]
+async fn a_box_whose_tasks_run_late_takes_no_requests_of_others() {
+    let capacity = ForwardCapacity::new(64 << 20, 1_000);
+    let busy = tokio::spawn(async {
+        std::thread::sleep(Duration::from_millis(60));
+    });
+    assert!(capacity.reserve().await.is_none());
+    busy.await.unwrap();
+}
+
+#[test]
+fn headers_between_boxes_are_read_back_and_removed() {
+    let fleet = FleetKey::of(([10, 0, 0, 1], 8_744).into());
+    let head = ForwardHead {
+        fleet,
+        from: name("box-1"),
+        waited_ms: 12,
+        max_runs: 2,
+        counted: true,
+    };
+    let mut headers = HeaderMap::new();
+    head.set(&mut headers);
+    assert_eq!(ForwardHead::take(&mut headers, fleet), Ok(head.clone()));
+    assert!(headers.is_empty());
+    assert_eq!(
+        ForwardHead::take(&mut headers, fleet),
+        Err(ForwardHeadError::Missing(FORWARD))
+    );
+    head.set(&mut headers);
+    let other = FleetKey::of(([10, 0, 0, 2], 8_744).into());
+    assert_eq!(
+        ForwardHead::take(&mut headers, other),
+        Err(ForwardHeadError::Foreign)
+    );
+    for result in [
+        ForwardResult::Target,
+        ForwardResult::Unavailable(Unavailable::Busy),
+        ForwardResult::Refused {
+            outcome: Outcome::Unknown,
+            reason: "the engine’s answer broke off".to_owned(),
+            retry_after_ms: None,
+        },
+    ] {
+        let mut headers = HeaderMap::new();
+        result.set(&mut headers);
+        assert_eq!(ForwardResult::take(&mut headers), Ok(result));
+    }
+}
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -237,6 +237,8 @@
     ENGINE_ANSWERS = 372, Info, "engine answers again", "Nothing to do unless it recurs for one engine: then look at it.";
     /// The box cannot open connections to more than half of a pool's targets.
     POOL_CUT_OFF = 376, Warning, "most targets of a pool unreachable", "If other boxes log it for the pool at the same time, look at the targets; else look at this box's network.";
+    /// The box sends a request to another box, since it does not reach the targets itself.
+    REQUEST_FORWARDED = 378, Info, "request sent to another box", "Nothing to do; find the request in that box's log by its id. If it recurs, look for E376.";
     /// The box can open connections to half of the targets of such a pool again.
     POOL_REACHABLE = 377, Info, "targets of a pool reachable again", "Nothing to do.";
 }
