Report no engine as silent that this box cannot connect to

A box whose path to the engines is quiet finds them silent one by one and tells its zone; two such boxes are enough for a third to take an engine out of use, and boxes that are cut off together confirm each other. Boxes now drop this evidence about pools that they are cut off from. The test fails without the change (the row stays).

--- a/crates/sillpin-gateway/src/placement/silence.rs
+++ b/crates/sillpin-gateway/src/placement/silence.rs
@@ -16,7 +16,7 @@
 use crate::control::TargetEntry;
 use engine::{EngineState, MIN_PEERS, PendingReport, Wait};
 use run_clock::RunClock;
-use sillpin_core::{BoxId, TargetId, ZoneId};
+use sillpin_core::{BoxId, PoolId, TargetId, ZoneId};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -66,6 +66,8 @@
     pub engines: &'a [WatchedEngine],
     /// Rows of all other boxes.
     pub reported_rows: &'a HashMap<TargetHash, Work>,
+    /// Pools that this box is cut off from.
+    pub cut_off_pools: &'a HashSet<PoolId>,
     /// Total time for which the box was suspended.
     pub suspended: Duration,
     /// Current time.
@@ -227,6 +229,7 @@
             self.restart(at, |_| true);
             return nothing;
         }
+        self.discard_evidence_of_cuts(inputs, at);
         if !has_run || !self.has_evidence(at) {
             return nothing;
         }
@@ -256,6 +259,21 @@
         }
     }
 
+    /// Discards the evidence against engines of pools that this box is cut off from: nothing arrives from them here,
+    /// whatever they do, and other boxes are not to be told that they are silent.
+    fn discard_evidence_of_cuts(&mut self, inputs: &TickInputs<'_>, at: RunTime) {
+        if inputs.cut_off_pools.is_empty() {
+            return;
+        }
+        let cut_off: HashSet<IncarnationHash> = inputs
+            .engines
+            .iter()
+            .filter(|engine| inputs.cut_off_pools.contains(&engine.entry.pool))
+            .map(|engine| engine.incarnation)
+            .collect();
+        self.restart(at, |engine| cut_off.contains(&engine));
+    }
+
     /// Adds engines that are newly watched and removes others; returns the ids of those that were out of use.
     fn update_engines(&mut self, inputs: &TickInputs<'_>) -> Vec<TargetId> {
         for engine in inputs.engines {
--- a/crates/sillpin-gateway/src/placement/silence_watch.rs
+++ b/crates/sillpin-gateway/src/placement/silence_watch.rs
@@ -11,7 +11,7 @@
 use sillpin_core::{BoxId, PoolId, TargetId, ZoneId};
 use sillpin_telemetry::{event, events};
 use slog::Logger;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -275,11 +275,13 @@
             true => Arc::default(),
             false => loads.reported_rows(now),
         };
+        let cut_off_pools: HashSet<PoolId> = loads.reach().cut_off().cloned().collect();
         let mut silence = loads.silence();
         let decisions = silence.tick(&TickInputs {
             me: &self.me,
             engines: &watched.engines,
             reported_rows: &reported_rows,
+            cut_off_pools: &cut_off_pools,
             suspended: self.suspend_clock.suspended(),
             now,
         });
--- a/crates/sillpin-gateway/tests/silence.rs
+++ b/crates/sillpin-gateway/tests/silence.rs
@@ -7,7 +7,7 @@
 
 use common::{engine, name};
 use rstest::rstest;
-use sillpin_core::ZoneId;
+use sillpin_core::{PoolId, ZoneId};
 use sillpin_gateway::config::{EngineSpec, FleetConfig, Idempotency, Pool, Priority, Route, Share};
 use sillpin_gateway::peers::datagram::BoxHash;
 use sillpin_gateway::placement::Loads;
@@ -16,7 +16,7 @@
 };
 use sillpin_gateway::placement::silence_watch::watched_engines;
 use sillpin_gateway::placement::work::{EngineWork, IncarnationHash, RowKind, TargetHash};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
@@ -183,6 +183,7 @@
         let to = &mut self.boxes[of];
         let peer_work = to.loads.peer_work(now);
         let decisions: Decisions = to.loads.silence().tick(&TickInputs {
+            cut_off_pools: &HashSet::new(),
             me: &me,
             engines: &self.engines,
             reported_rows: &peer_work,
@@ -497,6 +498,7 @@
 struct Lone {
     engines: Vec<WatchedEngine>,
     loads: Loads,
+    cut_off_pools: HashSet<PoolId>,
 }
 
 impl Lone {
@@ -505,6 +507,7 @@
         let lone = Self {
             engines: ids.iter().map(|id| watched(id, ZONE, ZONE)).collect(),
             loads: Loads::default(),
+            cut_off_pools: HashSet::new(),
         };
         lone.tick();
         lone
@@ -525,6 +528,7 @@
         let now = Instant::now();
         let peer_work = self.loads.peer_work(now);
         self.loads.silence().tick(&TickInputs {
+            cut_off_pools: &self.cut_off_pools,
             me: &name("box-1"),
             engines: &self.engines,
             reported_rows: &peer_work,
@@ -722,3 +726,21 @@
         [("e-0".to_owned(), ms(400))]
     );
 }
+
+/// Guards against boxes that tell others that engines are silent while it is their own links that are cut.
+#[tokio::test(start_paused = true)]
+async fn a_box_that_cannot_connect_to_engines_reports_none_as_silent() {
+    let mut lone = Lone::new();
+    let wait = lone.begin(Some(ms(400)));
+    lone.run(ms(800)).await;
+    assert_eq!(lone.loads.silence().rows().count(), 1);
+    lone.cut_off_pools.insert(name("llm"));
+    let decisions = lone.run(ms(5_000)).await;
+    assert_eq!(lone.loads.silence().rows().count(), 0);
+    assert!(decisions.ask.is_empty() && decisions.found.is_empty());
+    assert!(!decisions.lost_again);
+    lone.cut_off_pools.clear();
+    let decisions = lone.run(ms(300)).await;
+    assert!(decisions.found.is_empty(), "the wait starts anew");
+    lone.loads.silence().end(wait);
+}
