Let another box lead the rollout of weights if the leader reaches no engine

A leader kept the lease while it was cut off from all engines, and no other box could order them: weights that were requested meanwhile were rolled out only after the cut. A box that is cut off from a pool of engines now resigns and is no candidate. The test fails without the change (the leader's key stays).

--- a/crates/sillpin-gateway/src/weights/rollout.rs
+++ b/crates/sillpin-gateway/src/weights/rollout.rs
@@ -149,8 +149,20 @@
         }
     }
 
+    /// Returns whether this box is cut off from the engines of some pool, so that it cannot order them.
+    fn is_cut_off(&self) -> bool {
+        let view = self.fleet.view();
+        let is_engine = |target: &&Arc<TargetEntry>| !target.served.is_empty();
+        let mut engines = view.targets.values().filter(is_engine);
+        let reach = self.loads.reach();
+        reach.cut_off().next().is_some() && engines.any(|engine| reach.is_cut_off(&engine.pool))
+    }
+
     /// Returns whether this box is to stand for election. Safety does not depend on it: the lease decides who the leader is.
     fn is_candidate(&self, started: Instant, now: Instant) -> bool {
+        if self.is_cut_off() {
+            return false;
+        }
         let is_starting = now - started < START_UP_TIME;
         let view = self.fleet.view();
         // If the whole fleet starts together, every box would consider itself a candidate until it knows the others.
@@ -202,19 +214,26 @@
                     }
                 }
                 _ = scan.tick() => {
+                    if self.is_cut_off() {
+                        return self.resign(leadership, active).await;
+                    }
                     if !self.order_more(&mut leadership, &until, &mut active).await {
                         return;
                     }
                 }
                 () = self.stopping.cancelled() => {
-                    active.jobs.shutdown().await;
-                    self.election.resign(&leadership).await;
-                    return;
+                    return self.resign(leadership, active).await;
                 }
             }
         }
     }
 
+    /// Ends all jobs and gives leadership up, so that another box can take over at once.
+    async fn resign(&self, leadership: Leadership, mut active: ActiveLoads) {
+        active.jobs.shutdown().await;
+        self.election.resign(&leadership).await;
+    }
+
     /// Applies the times at which operators requested weights, as the previous leader recorded them.
     async fn apply_recorded_versions(&self, version_ages: &[DesiredVersionAge]) {
         let now = Instant::now();
--- a/crates/sillpin-gateway/tests/rollout.rs
+++ b/crates/sillpin-gateway/tests/rollout.rs
@@ -14,9 +14,9 @@
 use sillpin_gateway::fleet_state::{self, BoxEntry, FleetHandle, FleetMsg, Reading, Source, Topic};
 use sillpin_gateway::placement::Loads;
 use sillpin_gateway::suspend_clock::SuspendClock;
-use sillpin_gateway::weights::election::Election;
+use sillpin_gateway::weights::election::{Election, LEADER_KEY};
 use sillpin_gateway::weights::rollout::Rollout;
-use sillpin_platform::{KvRevision, Snapshot};
+use sillpin_platform::{KvRevision, Platform, Snapshot};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -200,6 +200,7 @@
     revision: u64,
     stopping: CancellationToken,
     platform: MemoryStore,
+    loads: Loads,
     leader: tokio::task::JoinHandle<()>,
 }
 
@@ -232,6 +233,7 @@
             revision: 1,
             stopping: CancellationToken::new(),
             platform,
+            loads: Loads::default(),
             leader: tokio::spawn(async {}),
         };
         scene.list().await;
@@ -263,7 +265,7 @@
             me,
             control: self.engines.clone(),
             fleet: self.fleet.clone(),
-            loads: Loads::default(),
+            loads: self.loads.clone(),
             cache_stores: CacheStores::default(),
             updates: mpsc::channel(64).0,
             stopping: self.stopping.clone(),
@@ -295,6 +297,20 @@
         self.read(Topic::Targets, values).await;
     }
 
+    /// Records that the box reaches no engine, or all of them.
+    fn set_cut_off(&self, cut_off: bool) {
+        let pool = name("llm");
+        let ids: Vec<TargetId> = self.ids.iter().map(|id| name(id)).collect();
+        let mut reach = self.loads.reach();
+        for id in &ids {
+            match cut_off {
+                true => drop(reach.record_failure(&pool, id)),
+                false => reach.record_success(&pool, id, Instant::now()),
+            }
+        }
+        reach.update(&pool, ids.iter(), Instant::now());
+    }
+
     /// Requests weights as an operator. Returns when.
     async fn request_weights(&mut self, version: u64) -> Instant {
         let requested_at = Instant::now();
@@ -418,3 +434,22 @@
     let short_by = requested_at.elapsed() - known_for(&after).unwrap();
     assert!(short_by < Duration::from_secs(3), "short by {short_by:?}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_reaches_no_engine_lets_another_box_lead() {
+    let mut scene = Scene::new(3).await;
+    let leader = |scene: &Scene| {
+        let platform = scene.platform.clone();
+        async move { platform.get(LEADER_KEY).await.unwrap() }
+    };
+    assert!(leader(&scene).await.is_some());
+    scene.set_cut_off(true);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(leader(&scene).await.is_none());
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    assert!(leader(&scene).await.is_none());
+    scene.set_cut_off(false);
+    let requested_at = scene.request_weights(2).await;
+    let took = scene.engines.all_serve(&scene.ids, 2, requested_at).await;
+    assert!(took < Duration::from_secs(3), "took {took:?}");
+}
