End what cannot run elsewhere only after an engine was silent for longer than a second

Boxes ended streams and requests that may run once 0.65 s after an engine's last event (a quarter second after the accepted pause), so those at an engine that was merely silent were lost. They now wait 1.2 s more; requests that may run elsewhere move at once, and new requests avoid the engine at once, both as before.

--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -8,14 +8,13 @@
 use super::body_memory::BufferedBody;
 use super::refusal::Refusal;
 use super::shared::Shared;
+use super::target_wait::TargetWait;
 use crate::config::Idempotency;
 use crate::control::TargetEntry;
 use crate::dialect::{AttemptHead, Dialect, OTHER_REQUEST, ResponseHead};
 use crate::forward::boxes::ForwardGuard;
 use crate::placement::InFlightGuard;
-use crate::placement::reach_watch::PathWaitGuard;
 use crate::placement::signals::{SignalChange, SignalObservation, log_change};
-use crate::placement::silence_watch::EngineWait;
 use crate::placement::work::IncarnationHash;
 use crate::pool::{Conn, ConnectionPool, SendError};
 use bytes::Bytes;
@@ -213,32 +212,6 @@
     pub may_rerun: bool,
 }
 
-/// What is watched while a request or stream waits for a target.
-pub(super) struct TargetWait {
-    /// Whether the engine is silent.
-    pub engine: EngineWait,
-    /// Whether the path to it is lost.
-    pub path: PathWaitGuard,
-    /// Whether the request may run elsewhere; else it waits on when the path is lost.
-    pub may_rerun: bool,
-}
-
-impl TargetWait {
-    /// Records that something arrived.
-    pub fn heard(&self) {
-        self.engine.heard();
-        self.path.heard();
-    }
-
-    /// Waits until the engine is found silent, or the path is lost and the request may run elsewhere.
-    pub async fn lost(&mut self) {
-        tokio::select! {
-            () = self.engine.lost() => {}
-            () = self.path.lost(), if self.may_rerun => {}
-        }
-    }
-}
-
 impl<D: Dialect> Shared<D> {
     /// Sends a request to one target and returns the outcome.
     pub async fn attempt<L, B>(
@@ -268,11 +241,11 @@
             Err(e) => return AttemptOutcome::Unsent(e.to_string()),
         };
         let sent = Instant::now();
-        let mut wait = TargetWait {
-            engine: self.silent_engines.wait_for(&target, attempt.head_limit),
-            path: self.path_waits.wait_for(&target),
-            may_rerun: attempt.may_rerun,
-        };
+        let mut wait = TargetWait::new(
+            self.silent_engines.wait_for(&target, attempt.head_limit),
+            self.path_waits.wait_for(&target),
+            attempt.may_rerun,
+        );
         let head = self.wait_for_head(request, &mut conn, req, limits, &mut wait);
         let resp = match head.await {
             HeadWait::Done(Ok(resp)) => resp,
--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -10,6 +10,7 @@
 //! - [`stream_engines`]: engines for prompts of different kinds,
 //! - [`overload`]: refusals of prompts that no target can start in time,
 //! - [`attempt`]: one attempt and its outcome,
+//! - [`target_wait`]: what is watched while a request waits for a target,
 //! - [`forward`]: requests that are sent to other boxes,
 //! - [`relay`]: relaying of event streams,
 //! - [`idle_timeout`]: when to abandon a target that sends nothing,
@@ -37,6 +38,7 @@
 pub mod selection;
 pub mod shared;
 pub mod stream_engines;
+pub mod target_wait;
 
 pub use handler::Front;
 pub use shared::Shared;
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -5,10 +5,11 @@
 //! cannot be mistaken for a complete one.
 
 use super::admit::AdmittedRequest;
-use super::attempt::{AttemptOutcome, OpenStream, SILENT, StreamSource, TargetWait};
+use super::attempt::{AttemptOutcome, OpenStream, SILENT, StreamSource};
 use super::dispatch::{Progress, may_rerun};
 use super::events::{EventSplitter, count_events};
 use super::shared::Shared;
+use super::target_wait::TargetWait;
 use crate::control::TargetEntry;
 use crate::dialect::Dialect;
 use crate::placement::InFlightGuard;
@@ -231,11 +232,11 @@
                 mut in_flight,
             } => {
                 let accepted_pause = self.accepted_pause(request, pool);
-                let mut wait = TargetWait {
-                    engine: self.silent_engines.wait_for(&target, accepted_pause),
-                    path: self.path_waits.wait_for(&target),
-                    may_rerun: request.route.resumable && may_rerun(request, progress),
-                };
+                let mut wait = TargetWait::new(
+                    self.silent_engines.wait_for(&target, accepted_pause),
+                    self.path_waits.wait_for(&target),
+                    request.route.resumable && may_rerun(request, progress),
+                );
                 let end = self
                     .relay_target(
                         request,
@@ -329,11 +330,11 @@
                 first = false;
             }
             in_flight.record_events(count_events(&complete));
-            wait.engine.pause();
+            wait.pause();
             if tx.send(complete).await.is_err() {
                 return RelayEnd::CallerDisconnected;
             }
-            wait.engine.resume();
+            wait.resume();
         }
     }
 }
--- a/crates/sillpin-gateway/src/placement/silence_watch.rs
+++ b/crates/sillpin-gateway/src/placement/silence_watch.rs
@@ -158,12 +158,15 @@
         }
     }
 
+    /// Whether the engine was found silent and is still out of use.
+    pub fn is_lost(&self) -> bool {
+        let wait = self.wait;
+        wait.is_some_and(|wait| self.engines.loads.silence().is_lost(wait))
+    }
+
     /// Waits until the engine is found silent; forever if its route names no accepted pause.
     pub async fn lost(&mut self) {
-        let Some(wait) = self.wait else {
-            return std::future::pending().await;
-        };
-        while !self.engines.loads.silence().is_lost(wait) {
+        while !self.is_lost() {
             if self.found.changed().await.is_err() {
                 return std::future::pending().await;
             }
