--- a/crates/sillpin-gateway/src/pool.rs
+++ b/crates/sillpin-gateway/src/pool.rs
@@ -30,8 +30,9 @@
 /// after a second, when another target is the better choice.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// A connection with unacknowledged bytes is closed after this time: a machine without power sends no reset.
-const USER_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// A connection with unacknowledged bytes is closed after this time: a machine without power sends no reset. A sound
+/// machine may not answer for a second or so. The timeout also decides when keep-alive probes give up.
+const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Idle time after which keep-alive probes start, and their interval.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
