--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -88,7 +88,7 @@
         /// The target.
         target: std::sync::Arc<TargetEntry>,
         /// Counts the request as in flight there.
-        in_flight: InFlightGuard,
+        in_flight: Box<InFlightGuard>,
     },
     /// Another box, which relays a target's stream.
     Box {
@@ -361,7 +361,7 @@
                 conn,
                 source: StreamSource::Target {
                     target: attempt.target,
-                    in_flight: attempt.in_flight,
+                    in_flight: Box::new(attempt.in_flight),
                 },
                 sent,
             }));
