Accept another box's refusals only where they hold for this box's request

Found while thinking through the hop. A box of another fleet or build, which cannot read the header, made the first box answer its caller with 400; it is now left out like one that is gone. A denial (401, 403, 404) by the second box's configuration reached the caller although the first box's configuration allows the request; it is now 503, not run. A request near the limit of its head's length was too long with the header between boxes.

--- a/crates/sillpin-gateway/src/forward/boxes.rs
+++ b/crates/sillpin-gateway/src/forward/boxes.rs
@@ -139,9 +139,8 @@
                 return;
             }
             Avoidance::Unavailable(Unavailable::Busy) => BUSY_TIME,
-            Avoidance::Unavailable(Unavailable::NotReady) | Avoidance::Unreachable => {
-                UNREACHABLE_TIME
-            }
+            Avoidance::Unavailable(Unavailable::NotReady | Unavailable::NotAccepted)
+            | Avoidance::Unreachable => UNREACHABLE_TIME,
         };
         state.avoided_until = state.avoided_until.max(Some(now + time));
     }
--- a/crates/sillpin-gateway/src/forward/head.rs
+++ b/crates/sillpin-gateway/src/forward/head.rs
@@ -12,6 +12,9 @@
 /// Header of a forwarded request, with a [`ForwardHead`] as JSON.
 pub const FORWARD: &str = "sillpin-forward";
 
+/// Upper bound of the length of [`FORWARD`] with its value, in bytes.
+pub const MAX_FORWARD_LEN: usize = 1_024;
+
 /// Header of the response to a forwarded request, with a [`ForwardResult`] as JSON.
 pub const RESULT: &str = "sillpin-forward-result";
 
@@ -42,6 +45,9 @@
     /// It is stopping, or has no configuration yet.
     #[display("not ready")]
     NotReady,
+    /// It cannot read the header: it belongs to another fleet, or runs another build.
+    #[display("header not accepted")]
+    NotAccepted,
 }
 
 /// Who answered a forwarded request, and how.
--- a/crates/sillpin-gateway/src/front/forward.rs
+++ b/crates/sillpin-gateway/src/front/forward.rs
@@ -15,7 +15,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::http::response;
-use hyper::{Request, Response, Uri};
+use hyper::{Request, Response, StatusCode, Uri};
 use sillpin_core::PoolId;
 use sillpin_telemetry::{event, events};
 use std::time::Duration;
@@ -192,13 +192,14 @@
                 retry_after_ms,
             }) => {
                 self.recycle(open, body, &head);
-                Ok(AttemptOutcome::Refused(Refusal {
+                let refusal = Refusal {
                     status: parts.status,
                     outcome,
                     reason,
                     retry_after: retry_after_ms.map(Duration::from_millis),
                     unavailable: None,
-                }))
+                };
+                Ok(AttemptOutcome::Refused(without_denial(refusal)))
             }
             Err(e) => Ok(AttemptOutcome::Unknown(e.to_string())),
         }
@@ -267,6 +268,20 @@
     sent: Instant,
 }
 
+/// Turns a denial by another box's configuration into a refusal: this box's configuration allows the request, and one of
+/// the two is about to change.
+fn without_denial(refusal: Refusal) -> Refusal {
+    const DENIALS: [StatusCode; 3] = [
+        StatusCode::UNAUTHORIZED,
+        StatusCode::FORBIDDEN,
+        StatusCode::NOT_FOUND,
+    ];
+    match DENIALS.contains(&refusal.status) {
+        true => Refusal::not_run(refusal.reason),
+        false => refusal,
+    }
+}
+
 /// Maximum number of targets at which another box may run a request. One run of a request that may be repeated is kept
 /// back, for the case that the box does not answer.
 fn max_runs_elsewhere(request: &AdmittedRequest, progress: &Progress) -> u32 {
--- a/crates/sillpin-gateway/src/front/handler.rs
+++ b/crates/sillpin-gateway/src/front/handler.rs
@@ -4,7 +4,7 @@
 use super::refusal::{Refusal, close_after};
 use super::shared::Shared;
 use crate::dialect::Dialect;
-use crate::forward::head::{FORWARD, ForwardHead, ForwardResult};
+use crate::forward::head::{FORWARD, ForwardHead, ForwardResult, Unavailable};
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
@@ -62,7 +62,10 @@
                 }
                 Err(refusal) => Err(refusal),
             },
-            Err(e) => Err(Refusal::denied(StatusCode::BAD_REQUEST, e.to_string())),
+            Err(e) => Err(Refusal {
+                unavailable: Some(Unavailable::NotAccepted),
+                ..Refusal::denied(StatusCode::BAD_REQUEST, e.to_string())
+            }),
         };
         let (mut resp, result) = match result {
             Ok(resp) => (resp, ForwardResult::Target),
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -11,6 +11,7 @@
 use crate::fleet_state::reader::{Reader, long_poll_wait};
 use crate::fleet_state::transfers::Transfers;
 use crate::fleet_state::{self, BoxEntry, FleetHandle, Topic};
+use crate::forward::head::MAX_FORWARD_LEN;
 use crate::front::shared::FleetHandles;
 use crate::front::{Front, Shared};
 use crate::metrics::{
@@ -284,7 +285,11 @@
         .run(closed.clone(), move |req| front.clone().serve(req));
     let forwarded = Server::on(listeners.forwarded)
         .http1_only()
-        .limits_from(limits)
+        .limits_from(move || {
+            let limits = limits();
+            let max_len = limits.max_len + MAX_FORWARD_LEN;
+            HeadLimits { max_len, ..limits }
+        })
         .run(closed.clone(), move |req| {
             for_boxes.clone().serve_forwarded(req)
         });
