--- a/crates/sillpin-gateway/src/placement/probe.rs
+++ b/crates/sillpin-gateway/src/placement/probe.rs
@@ -7,7 +7,7 @@
 use super::reach::ReachChange;
 use crate::control::{Presence, TargetEntry};
 use crate::fleet_state::{FleetHandle, View};
-use crate::pool::{Conn, ConnectionPool};
+use crate::pool::{Conn, ConnectionPool, SendError};
 use futures::future::join_all;
 use rand::seq::IndexedRandom;
 use sillpin_core::{PoolId, TargetId};
@@ -28,8 +28,8 @@
 /// Number of targets that a survey tries to connect to.
 const SURVEY_LEN: usize = 8;
 
-/// Time limit of a connection of a survey, shorter than that of others: many are tried together, and a lost packet is
-/// no reason to wait.
+/// Time limit of a connection of a survey: with the time until a path is checked and the check itself, a cut is known
+/// within a second.
 const SURVEY_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Probes unreachable targets; clones share the set of probed targets.
@@ -108,7 +108,8 @@
         sample.map(|entry| Arc::clone(entry)).collect()
     }
 
-    /// Tries to connect to a target, and probes it from then on if that fails.
+    /// Tries to connect to a target. One that refuses is probed from then on. One that does not answer in time may be
+    /// sound while this box's link is full, so it stays in use unless requests fail there.
     async fn connect(&self, target: &Arc<TargetEntry>) -> bool {
         match Conn::open_within(target, SURVEY_TIMEOUT).await {
             Ok(conn) => {
@@ -119,10 +120,11 @@
                 self.pool.put(target.id.clone(), conn, None).await;
                 true
             }
-            Err(e) => {
+            Err(e @ SendError::Refused { .. }) => {
                 self.start(target, &e.to_string());
                 false
             }
+            Err(_) => false,
         }
     }
 
