--- a/crates/sillpin-gateway/src/settings.rs
+++ b/crates/sillpin-gateway/src/settings.rs
@@ -32,7 +32,7 @@
                     min: 0,
                     max: 65_535,
                 },
-                "UDP port for datagrams between boxes, the same on all boxes; 0: any",
+                "Port for datagrams between boxes and, by TCP, for requests that boxes send on, the same on all boxes; 0: any",
             ),
             Key::optional(
                 "metrics-port",
@@ -227,7 +227,7 @@
     pub ready: SocketAddr,
     /// Listener for calls of other boxes.
     pub peers: SocketAddr,
-    /// UDP port for datagrams between boxes.
+    /// Port for datagrams between boxes and, by TCP, for requests that boxes send on.
     pub gossip_port: u16,
     /// Listener of the metrics page.
     pub metrics: Option<SocketAddr>,
