--- a/crates/sillpin-gateway/src/dialect.rs
+++ b/crates/sillpin-gateway/src/dialect.rs
@@ -86,6 +86,8 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event that the caller received of an earlier response.
     pub resume_after: Option<String>,
+    /// Id of the caller's attempt whose response began the stream that it resumes, if it names one.
+    pub resumes: Option<String>,
 }
 
 /// Error in the head of a caller's request.
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -6,7 +6,7 @@
 
 use super::admit::AdmittedRequest;
 use super::attempt::{AttemptOutcome, OpenStream, SILENT, StreamSource};
-use super::dispatch::{Progress, may_rerun};
+use super::dispatch::{NoAttempt, Progress, may_rerun};
 use super::events::{EventSplitter, count_events};
 use super::shared::Shared;
 use super::target_wait::TargetWait;
@@ -183,25 +183,53 @@
         events: &mut EventSplitter,
         tx: &BodySender,
     ) -> Option<OpenStream> {
-        while request.route.resumable && may_rerun(request, progress) {
-            progress.resume_after = events.last_id().map(str::to_owned);
-            let attempt = self.next_attempt(request, pool, progress);
-            let outcome = tokio::select! {
-                outcome = attempt => outcome,
-                () = tx.closed() => return None,
-            };
-            if let Ok(AttemptOutcome::Streaming(stream)) = outcome {
+        if !request.route.resumable {
+            return None;
+        }
+        progress.resume_after = events.last_id().map(str::to_owned);
+        let resumed = tokio::select! {
+            resumed = self.resume_elsewhere(request, pool, progress) => resumed,
+            () = tx.closed() => Err("the caller is gone".to_owned()),
+        };
+        let after = progress.resume_after.as_deref().unwrap_or("start");
+        match resumed {
+            Ok(stream) => {
                 *events = EventSplitter::after(progress.resume_after.clone());
+                self.metrics.resumption("resumed here");
                 event!(self.log, events::STREAM_RESUMED, "request" => &request.head.id,
-                    "target" => stream.source.name(),
-                    "after" => progress.resume_after.as_deref().unwrap_or("start"));
-                return Some(*stream);
+                    "target" => stream.source.name(), "after" => after);
+                Some(*stream)
             }
-            if outcome.is_err() || matches!(outcome, Ok(AttemptOutcome::Failed(_))) {
-                return None;
+            Err(why) => {
+                self.metrics.resumption("left to the caller");
+                event!(self.log, events::STREAM_NOT_RESUMED, "request" => &request.head.id,
+                    "after" => after, "why" => &why, "runs" => progress.runs,
+                    "offers" => progress.offered.len(),
+                    "left_ms" => request.time_left().as_millis());
+                None
+            }
+        }
+    }
+
+    /// Makes attempts until a target continues a stream. The error is the reason why none does.
+    async fn resume_elsewhere(
+        &self,
+        request: &AdmittedRequest,
+        pool: &PoolId,
+        progress: &mut Progress,
+    ) -> Result<Box<OpenStream>, String> {
+        while may_rerun(request, progress) {
+            match self.next_attempt(request, pool, progress).await {
+                Ok(AttemptOutcome::Streaming(stream)) => return Ok(stream),
+                Ok(outcome @ AttemptOutcome::Failed(_)) => {
+                    return Err(outcome.reason().to_owned());
+                }
+                Ok(_) => {}
+                Err(NoAttempt::Refused(refusal)) => return Err(refusal.reason),
+                Err(NoAttempt::Failed(_)) => return Err("a target failed".to_owned()),
             }
         }
-        None
+        Err("its runs are used up".to_owned())
     }
 
     /// Relays events from a target or another box until its part of the stream ends.
--- a/crates/sillpin-gateway/src/metrics.rs
+++ b/crates/sillpin-gateway/src/metrics.rs
@@ -21,6 +21,7 @@
     requests: Counter<u64>,
     attempts: Counter<u64>,
     forwarded: Counter<u64>,
+    resumptions: Counter<u64>,
     prompt_tokens: Counter<u64>,
     prompt_attempts: Counter<u64>,
     copies: Counter<u64>,
@@ -55,6 +56,10 @@
                 "sillpin_forwarded",
                 "Requests sent to other boxes, since this one does not reach their targets, by outcome",
             ),
+            resumptions: counter(
+                "sillpin_resumptions",
+                "Streams that broke off or that callers resume, by outcome",
+            ),
             copies: counter(
                 "sillpin_copies",
                 "State copies requested from other boxes by outcome",
@@ -128,6 +133,12 @@
         self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a stream that broke off, or that a caller resumes, by outcome.
+    pub fn resumption(&self, outcome: &'static str) {
+        self.resumptions
+            .add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a prompt sent to an engine, by whether its weights are the newest or replaced ones.
     pub fn prompt_attempt(&self, replaced: bool) {
         let weights = if replaced { "replaced" } else { "newest" };
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -183,6 +183,8 @@
     STREAM_COMPLETE = 342, Info, "stream complete", "Nothing to do.";
     /// A stream continues at another target.
     STREAM_RESUMED = 343, Info, "stream resumed", "Nothing to do.";
+    /// A stream that broke off does not continue in the same response.
+    STREAM_NOT_RESUMED = 379, Info, "stream not resumed", "Nothing to do: `why` tells whether targets, runs, time or retries were lacking.";
     /// The caller closed the connection.
     CALLER_DISCONNECTED = 344, Info, "caller disconnected", "Nothing to do.";
     /// A request without a stream got its response.
