Split the assembly of a box and the attempts of a request by job

Moves only: listeners, tasks between boxes and maintenance out of ops.rs; state across attempts and what an outcome tells about its target out of front/dispatch.rs.

--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -4,22 +4,19 @@
 //! with the first attempt that reached a target and may have run. A request that did not run may go to another target
 //! while time and retry budget last.
 
-use super::admit::{AdmittedRequest, is_fresh};
-use super::attempt::{Attempt, AttemptOutcome, CompleteResponse, WaitLimits};
+use super::admit::AdmittedRequest;
+use super::attempt::{Attempt, AttemptOutcome, WaitLimits};
 use super::prepared::PreparedAttempt;
+use super::progress::{NoAttempt, Progress, end_unserved, may_rerun, may_rerun_after};
 use super::refusal::{Refusal, spread};
 use super::shared::Shared;
-use crate::config::Idempotency;
-use crate::control::TargetEntry;
 use crate::dialect::{AttemptHead, Dialect};
-use crate::fatal::crash_detector::BrokenRequest;
-use crate::fleet_state::{FleetMsg, View};
+use crate::fleet_state::View;
 use crate::forward::head::Unavailable;
-use crate::placement::load::Outcome as Health;
 use crate::placement::work::IncarnationHash;
-use crate::releases::{Assignment, Cohort};
+use crate::releases::Cohort;
 use hyper::Response;
-use sillpin_core::{BoxId, Outcome, PoolId, TargetId, WeightVersion};
+use sillpin_core::{Outcome, PoolId};
 use sillpin_http::Body;
 use sillpin_telemetry::{event, events};
 use std::sync::Arc;
@@ -36,53 +33,6 @@
 /// Deducted from the time that a target is given, so that its response reaches the caller in time.
 const RETURN_MARGIN: Duration = Duration::from_millis(8);
 
-/// State of a request across its attempts.
-#[derive(Default)]
-pub struct Progress {
-    /// Targets that the request was offered to.
-    pub offered: Vec<TargetId>,
-    /// Targets that it could not be sent to.
-    pub unsent: u32,
-    /// Other boxes that it was sent to.
-    pub boxes: Vec<BoxId>,
-    /// Whether it was counted for the retry budget.
-    pub counted: bool,
-    /// Attempts that ran or may have run.
-    pub runs: u32,
-    /// Attempts that reached a target.
-    pub arrivals: u32,
-    /// Id of the last event that the caller has received.
-    pub resume_after: Option<String>,
-    /// Error response of a target, passed on if no other target does better.
-    pub failure: Option<CompleteResponse>,
-    /// Version of the targets that the next attempt goes to. At most one attempt goes to the new version of a release.
-    pub cohort: Cohort,
-    /// Part of the current attempt in a release.
-    pub assignment: Option<Assignment>,
-}
-
-impl Progress {
-    /// Records the outcome of a request at another box, which was allowed `max_runs` runs. How many it used is not known.
-    pub fn record_forwarded(&mut self, outcome: &AttemptOutcome, max_runs: u32) {
-        let is_not_run = match outcome {
-            AttemptOutcome::Refused(refusal) => refusal.outcome == Outcome::NotRun,
-            _ => false,
-        };
-        if !is_not_run {
-            self.arrivals += 1;
-            self.runs += max_runs;
-        }
-    }
-}
-
-/// Why no further target is tried.
-pub enum NoAttempt {
-    /// No target served the request.
-    Refused(Refusal),
-    /// A target responded with an error, and no other target did better.
-    Failed(CompleteResponse),
-}
-
 /// Mean retry-after while all targets that could serve a request are in evacuated zones. An evacuation lasts for
 /// several seconds at least, and callers that retry sooner are refused again. The actual value is uniform from
 /// half of it to one and a half times it, so that callers don't all retry at the same time.
@@ -333,143 +283,6 @@
         self.metrics.prompt_tokens("other", prepared.not_fetched);
     }
 
-    /// Records how long an engine took to start a prompt, to estimate the load on the link that its parts were
-    /// fetched over.
-    fn record_transfer(
-        &self,
-        request: &AdmittedRequest,
-        prepared: &PreparedAttempt,
-        took: Duration,
-    ) {
-        if prepared.prefill_ms <= 0.0 {
-            return;
-        }
-        let expected = prepared.chosen.queue_ms + prepared.prefill_ms;
-        let expected = Duration::from_secs_f64(expected / 1000.0);
-        let excess = took.saturating_sub(expected);
-        let mut fetch_shares = self.cache_stores.fetch_shares();
-        match prepared.source {
-            Some(store) => {
-                fetch_shares.record_fetch(
-                    store,
-                    prepared.prompt_len,
-                    excess,
-                    request.route.latency_objective,
-                    Instant::now(),
-                );
-            }
-            None => fetch_shares.record_prefill(prepared.prompt_len, excess),
-        }
-    }
-
-    /// Records the outcome of an attempt.
-    fn record_outcome(
-        &self,
-        request: &AdmittedRequest,
-        target: &Arc<TargetEntry>,
-        version: Option<WeightVersion>,
-        outcome: &AttemptOutcome,
-        progress: &mut Progress,
-    ) {
-        self.metrics.attempt(outcome.name());
-        if let AttemptOutcome::Unknown(_) = outcome {
-            self.response_broken(request, target);
-        }
-        if let AttemptOutcome::Unsent(reason) = outcome {
-            self.prober.start(target, reason);
-            self.crash_detector.unreachable(target);
-        }
-        let health = match outcome {
-            AttemptOutcome::Unsent(_) => Some(Health::Unreachable),
-            AttemptOutcome::NotRun { .. } => Some(Health::Refused),
-            AttemptOutcome::Failed(_)
-            | AttemptOutcome::Unknown(_)
-            | AttemptOutcome::TimedOut(_) => Some(Health::Failed),
-            AttemptOutcome::Completed(_) | AttemptOutcome::Streaming(_) => Some(Health::Served),
-            AttemptOutcome::Cancelled | AttemptOutcome::Silent | AttemptOutcome::Refused(_) => None,
-        };
-        if let Some(health) = health {
-            self.loads
-                .record_for_incarnation(&target.id, target.life, health);
-        }
-        match outcome {
-            AttemptOutcome::Unsent(_) => progress.unsent += 1,
-            AttemptOutcome::NotRun { .. } => progress.arrivals += 1,
-            _ => {
-                progress.arrivals += 1;
-                progress.runs += 1;
-            }
-        }
-        if let AttemptOutcome::NotRun {
-            weights,
-            misdirected,
-            ..
-        } = outcome
-        {
-            self.record_reported_weights(request, target, *weights);
-            if *misdirected && self.is_replaced_target(request, version) {
-                let mut limits = self.loads.limits();
-                limits
-                    .signals
-                    .replaced
-                    .record_observed(IncarnationHash::of(target), Instant::now());
-            }
-        }
-        if !matches!(
-            outcome,
-            AttemptOutcome::Completed(_) | AttemptOutcome::Streaming(_)
-        ) {
-            event!(self.log, events::ATTEMPT_INCOMPLETE,
-                "request" => &request.head.id, "target" => target.id.as_str(),
-                "outcome" => outcome.name(), "why" => outcome.reason(),
-                "elapsed_ms" => request.arrival.elapsed().as_millis());
-        }
-    }
-
-    /// Reports to the crash detector that a target's response was cut off, since the target may have crashed.
-    pub fn response_broken(&self, request: &AdmittedRequest, target: &Arc<TargetEntry>) {
-        let broken = BrokenRequest {
-            id: request.head.id.clone(),
-            fingerprint: request.fingerprint,
-        };
-        self.crash_detector.response_broken(target, broken);
-    }
-
-    /// Whether a misdirected request, sent for weights of `version`, shows that the target's address now belongs to
-    /// another target. An engine also rejects a request as misdirected when it serves other weights; this is only
-    /// ruled out while this box has a fresh view of the newest version.
-    fn is_replaced_target(
-        &self,
-        request: &AdmittedRequest,
-        version: Option<WeightVersion>,
-    ) -> bool {
-        let Some(prompt) = &request.head.prompt else {
-            return true;
-        };
-        let view = self.fleet.view();
-        let desired = view.desired.get(&prompt.model);
-        let newest = desired.map(|desired| desired.newest().version);
-        is_fresh(&view) && version >= newest
-    }
-
-    /// Updates the fleet view with the weights that an engine reports when it rejects a request.
-    fn record_reported_weights(
-        &self,
-        request: &AdmittedRequest,
-        target: &TargetEntry,
-        weights: Option<WeightVersion>,
-    ) {
-        let prompt = request.head.prompt.as_ref();
-        if let (Some(prompt), Some(version)) = (prompt, weights) {
-            self.fleet.try_send(FleetMsg::Serves {
-                target: target.id.clone(),
-                life: target.life,
-                model: prompt.model.clone(),
-                version,
-            });
-        }
-    }
-
     /// Remaining time during which a request is refused because targets crashed while running it.
     pub fn crash_refusal_left(&self, request: &AdmittedRequest) -> Option<Duration> {
         let now = Instant::now();
@@ -519,27 +332,6 @@
     }
 }
 
-/// Returns the result of a request that no target served; it depends on whether the request may have run.
-fn end_unserved(progress: &mut Progress, reason: &str) -> NoAttempt {
-    if let Some(failure) = progress.failure.take() {
-        return NoAttempt::Failed(failure);
-    }
-    NoAttempt::Refused(match progress.runs {
-        0 => Refusal::not_run(reason),
-        _ => Refusal::unknown(reason),
-    })
-}
-
-/// Whether a request that ran, or may have run, may be sent to another target.
-pub fn may_rerun(request: &AdmittedRequest, progress: &Progress) -> bool {
-    may_rerun_after(request, progress.runs)
-}
-
-/// Whether a request that ran, or may have run, so often may run once more.
-pub fn may_rerun_after(request: &AdmittedRequest, runs: u32) -> bool {
-    request.route.idempotency == Idempotency::Idempotent && runs < request.max_runs
-}
-
 /// Builds the head of the request to the target.
 fn attempt_head(
     request: &AdmittedRequest,
--- a/crates/sillpin-gateway/src/front/fair_admission.rs
+++ b/crates/sillpin-gateway/src/front/fair_admission.rs
@@ -1,9 +1,9 @@
 //! Refusals of prompts where several organisations may compete for a pool.
 
 use super::admit::AdmittedRequest;
-use super::dispatch::Progress;
 use super::overload::OVERLOADED;
 use super::prepared::PreparedAttempt;
+use super::progress::Progress;
 use super::refusal::{DEFAULT_RETRY_AFTER, Refusal, spread};
 use super::shared::Shared;
 use crate::dialect::Dialect;
--- a/crates/sillpin-gateway/src/front/forward.rs
+++ b/crates/sillpin-gateway/src/front/forward.rs
@@ -2,7 +2,7 @@
 
 use super::admit::{AdmittedRequest, Forwarded};
 use super::attempt::{AttemptOutcome, CompleteResponse, OpenStream, StreamSource, max_idle};
-use super::dispatch::Progress;
+use super::progress::Progress;
 use super::refusal::Refusal;
 use super::shared::Shared;
 use crate::config::Idempotency;
--- a/crates/sillpin-gateway/src/front/idle_timeout.rs
+++ b/crates/sillpin-gateway/src/front/idle_timeout.rs
@@ -7,8 +7,8 @@
 //! detected by TCP keep-alive, not here, and engines that stop sending by [`crate::placement::silence`].
 
 use super::admit::AdmittedRequest;
-use super::dispatch::{Progress, may_rerun};
 use super::prepared::PreparedAttempt;
+use super::progress::{Progress, may_rerun};
 use super::shared::Shared;
 use crate::config::Idempotency;
 use crate::dialect::Dialect;
--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -4,6 +4,8 @@
 //! - [`admit`]: route, organisation and body of a request,
 //! - [`body_memory`]: memory for bodies of requests and responses,
 //! - [`dispatch`]: attempts until there is a response,
+//! - [`progress`]: state of a request across its attempts,
+//! - [`outcome`]: what the outcome of an attempt tells about its target,
 //! - [`fair_admission`]: refusals where organisations compete for a pool,
 //! - [`selection`]: selection of pool, target and prompt plan for an attempt,
 //! - [`prepared`]: an attempt that is ready to be sent,
@@ -29,8 +31,10 @@
 pub mod forward;
 pub mod handler;
 pub mod idle_timeout;
+pub mod outcome;
 pub mod overload;
 pub mod prepared;
+pub mod progress;
 pub mod refusal;
 pub mod relay;
 pub mod release;
--- a/crates/sillpin-gateway/src/front/overload.rs
+++ b/crates/sillpin-gateway/src/front/overload.rs
@@ -1,8 +1,8 @@
 //! Refusals of prompts that no target can start in time.
 
 use super::admit::AdmittedRequest;
-use super::dispatch::Progress;
 use super::prepared::PreparedAttempt;
+use super::progress::Progress;
 use super::refusal::{DEFAULT_RETRY_AFTER, Refusal, spread};
 use super::shared::Shared;
 use crate::dialect::Dialect;
--- /dev/null
+++ b/crates/sillpin-gateway/src/front/progress.rs
@@ -0,0 +1,76 @@
+//! State of a request across its attempts, and whether it may run once more.
+
+use super::admit::AdmittedRequest;
+use super::attempt::{AttemptOutcome, CompleteResponse};
+use super::refusal::Refusal;
+use crate::config::Idempotency;
+use crate::releases::{Assignment, Cohort};
+use sillpin_core::{BoxId, Outcome, TargetId};
+
+/// State of a request across its attempts.
+#[derive(Default)]
+pub struct Progress {
+    /// Targets that the request was offered to.
+    pub offered: Vec<TargetId>,
+    /// Targets that it could not be sent to.
+    pub unsent: u32,
+    /// Other boxes that it was sent to.
+    pub boxes: Vec<BoxId>,
+    /// Whether it was counted for the retry budget.
+    pub counted: bool,
+    /// Attempts that ran or may have run.
+    pub runs: u32,
+    /// Attempts that reached a target.
+    pub arrivals: u32,
+    /// Id of the last event that the caller has received.
+    pub resume_after: Option<String>,
+    /// Error response of a target, passed on if no other target does better.
+    pub failure: Option<CompleteResponse>,
+    /// Version of the targets that the next attempt goes to. At most one attempt goes to the new version of a release.
+    pub cohort: Cohort,
+    /// Part of the current attempt in a release.
+    pub assignment: Option<Assignment>,
+}
+
+impl Progress {
+    /// Records the outcome of a request at another box, which was allowed `max_runs` runs. How many it used is not known.
+    pub fn record_forwarded(&mut self, outcome: &AttemptOutcome, max_runs: u32) {
+        let is_not_run = match outcome {
+            AttemptOutcome::Refused(refusal) => refusal.outcome == Outcome::NotRun,
+            _ => false,
+        };
+        if !is_not_run {
+            self.arrivals += 1;
+            self.runs += max_runs;
+        }
+    }
+}
+
+/// Why no further target is tried.
+pub enum NoAttempt {
+    /// No target served the request.
+    Refused(Refusal),
+    /// A target responded with an error, and no other target did better.
+    Failed(CompleteResponse),
+}
+
+/// Returns the result of a request that no target served; it depends on whether the request may have run.
+pub fn end_unserved(progress: &mut Progress, reason: &str) -> NoAttempt {
+    if let Some(failure) = progress.failure.take() {
+        return NoAttempt::Failed(failure);
+    }
+    NoAttempt::Refused(match progress.runs {
+        0 => Refusal::not_run(reason),
+        _ => Refusal::unknown(reason),
+    })
+}
+
+/// Whether a request that ran, or may have run, may be sent to another target.
+pub fn may_rerun(request: &AdmittedRequest, progress: &Progress) -> bool {
+    may_rerun_after(request, progress.runs)
+}
+
+/// Whether a request that ran, or may have run, so often may run once more.
+pub fn may_rerun_after(request: &AdmittedRequest, runs: u32) -> bool {
+    request.route.idempotency == Idempotency::Idempotent && runs < request.max_runs
+}
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -6,8 +6,8 @@
 
 use super::admit::AdmittedRequest;
 use super::attempt::{AttemptOutcome, OpenStream, SILENT, StreamSource};
-use super::dispatch::{NoAttempt, Progress, may_rerun};
 use super::events::{EventSplitter, count_events};
+use super::progress::{NoAttempt, Progress, may_rerun};
 use super::shared::Shared;
 use super::target_wait::TargetWait;
 use crate::control::TargetEntry;
--- a/crates/sillpin-gateway/src/front/release.rs
+++ b/crates/sillpin-gateway/src/front/release.rs
@@ -2,8 +2,8 @@
 
 use super::admit::AdmittedRequest;
 use super::attempt::AttemptOutcome;
-use super::dispatch::Progress;
 use super::prepared::PreparedAttempt;
+use super::progress::Progress;
 use super::shared::Shared;
 use crate::control::{ReleasePhase, TargetEntry};
 use crate::dialect::Dialect;
--- a/crates/sillpin-gateway/src/front/selection.rs
+++ b/crates/sillpin-gateway/src/front/selection.rs
@@ -1,8 +1,8 @@
 //! Selects pool, target and prompt plan for one attempt.
 
 use super::admit::AdmittedRequest;
-use super::dispatch::Progress;
 use super::prepared::PreparedAttempt;
+use super::progress::Progress;
 use super::refusal::{DEFAULT_RETRY_AFTER, Refusal, spread};
 use super::shared::Shared;
 use crate::config::{EngineSpec, Pool};
--- a/crates/sillpin-gateway/src/front/stream_engines.rs
+++ b/crates/sillpin-gateway/src/front/stream_engines.rs
@@ -1,8 +1,8 @@
 //! The request path's part in the choice of stream engines.
 
 use super::admit::AdmittedRequest;
-use super::dispatch::Progress;
 use super::prepared::PreparedAttempt;
+use super::progress::Progress;
 use super::shared::Shared;
 use crate::dialect::Dialect;
 use crate::fleet_state::View;
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -1,12 +1,23 @@
 //! Assembles a box: opens its listeners, starts its tasks, and stops it.
+//!
+//! - [`listeners`]: the listeners,
+//! - [`peers`]: tasks that communicate with other boxes,
+//! - [`maintenance`]: tasks that log traffic and drop old state.
 
+mod listeners;
+mod maintenance;
+mod peers;
+
+pub use self::listeners::ListenAddrs;
+use self::listeners::listen_all;
+use self::maintenance::{log_traffic, prune};
+use self::peers::{Peers, start_peers};
 use crate::cache_stores::reader::Readers;
 use crate::cache_stores::{self, CacheStores};
 use crate::config::CallerLimits;
 use crate::control::{Control, PublishedFormat};
 use crate::dialect::Dialect;
 use crate::fatal::FatalRequests;
-use crate::fatal::persist::CrashRecordSync;
 use crate::fleet_state::fleet::Fleet;
 use crate::fleet_state::reader::{Reader, long_poll_wait};
 use crate::fleet_state::transfers::Transfers;
@@ -18,39 +29,26 @@
     BoxMetrics, observe_fleet, observe_reach, observe_signals, observe_silence, observe_speeds,
     observe_stream_engines,
 };
-use crate::peers::datagram::{BoxHash, ZoneUpdate};
-use crate::peers::hub::Hub;
-use crate::peers::link::{self, PeerServer};
-use crate::peers::registry::Registry;
-use crate::peers::roster::RosterCache;
-use crate::peers::sender::GossipSender;
-use crate::peers::wire::FleetKey;
-use crate::peers::zone_sender::ZoneGossip;
 use crate::placement::Loads;
 use crate::placement::silence_watch::SilenceWatch;
 use crate::releases::ReleaseTracker;
-use crate::releases::supervisor::ReleaseSupervisor;
 use crate::reload::Settings;
 use crate::settings::BoxConfig;
 use crate::suspend_clock::SuspendClock;
-use crate::weights::election::Election;
-use crate::weights::rollout::{DISCOVERY_TIMEOUT, Rollout};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response};
-use sillpin_core::BoxId;
-use sillpin_http::server::{BindError, HeadLimits, listen};
+use sillpin_http::server::{BindError, HeadLimits};
 use sillpin_http::{Body, Server};
 use sillpin_platform::Platform;
-use sillpin_platform::call::{CallCount, CallCounts, CallTotals};
+use sillpin_platform::call::CallCounts;
 use sillpin_telemetry::metrics::Metrics;
 use sillpin_telemetry::{Telemetry, event, events};
 use slog::Logger;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, MissedTickBehavior};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 /// How long a stopping box still accepts connections. The balancer checks each second and removes a box after two
@@ -60,12 +58,6 @@
 /// Requests in flight are aborted this long before the SIGKILL.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
 
-/// Interval at which connections that have been idle for too long are closed.
-const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Interval of the log lines about calls of the platform store and about traffic between boxes.
-const TRAFFIC_LOG_INTERVAL: Duration = Duration::from_secs(10);
-
 /// Capacity of the queue of updates for other boxes. The leader orders a quarter of all engines together, and updates
 /// that do not fit are lost: boxes then go on sending to engines that are loading.
 const UPDATE_QUEUE: usize = 1_024;
@@ -87,78 +79,6 @@
     pub control: C,
 }
 
-/// Addresses on which a box listens.
-#[derive(Debug, Clone, Copy)]
-pub struct ListenAddrs {
-    /// For callers.
-    pub callers: SocketAddr,
-    /// For the balancer's checks.
-    pub ready: SocketAddr,
-    /// For calls of other boxes.
-    pub peers: SocketAddr,
-    /// For datagrams of other boxes, and by TCP for requests that they send on.
-    pub gossip: SocketAddr,
-}
-
-struct Listeners {
-    callers: TcpListener,
-    ready: TcpListener,
-    peers: TcpListener,
-    gossip: UdpSocket,
-    forwarded: TcpListener,
-    metrics: Option<TcpListener>,
-    addrs: ListenAddrs,
-}
-
-async fn listen_all(cfg: &BoxConfig) -> Result<Listeners, BindError> {
-    let metrics = match cfg.metrics {
-        Some(addr) => Some(listen(addr).await?.0),
-        None => None,
-    };
-    let (callers, callers_at) = listen(cfg.callers).await?;
-    let (ready, ready_at) = listen(cfg.ready).await?;
-    let (peers, peers_at) = listen(cfg.peers).await?;
-    let gossip_addr = SocketAddr::new(cfg.ip, cfg.gossip_port);
-    let (forwarded, gossip, gossip_at) = listen_for_boxes(gossip_addr).await?;
-    Ok(Listeners {
-        callers,
-        ready,
-        peers,
-        gossip,
-        forwarded,
-        metrics,
-        addrs: ListenAddrs {
-            callers: callers_at,
-            ready: ready_at,
-            peers: peers_at,
-            gossip: gossip_at,
-        },
-    })
-}
-
-/// Number of attempts to find a port that is free for both TCP and UDP.
-const PORT_ATTEMPTS: usize = 16;
-
-/// Listens at one port for requests and datagrams of other boxes. If any port will do, the kernel chooses one, which
-/// may be in use for datagrams.
-async fn listen_for_boxes(
-    addr: SocketAddr,
-) -> Result<(TcpListener, UdpSocket, SocketAddr), BindError> {
-    let mut attempts = match addr.port() {
-        0 => PORT_ATTEMPTS,
-        _ => 1,
-    };
-    loop {
-        let (forwarded, at) = listen(addr).await?;
-        attempts -= 1;
-        match UdpSocket::bind(at).await {
-            Ok(gossip) => return Ok((forwarded, gossip, at)),
-            Err(cause) if attempts == 0 => return Err(BindError { addr: at, cause }),
-            Err(_) => {}
-        }
-    }
-}
-
 /// Runs a box until `stopping` is cancelled and its last request has ended. `started` is called with the addresses
 /// once the listeners are open.
 pub async fn run<D, K, P, C>(
@@ -335,116 +255,6 @@
     }
 }
 
-/// What the tasks that communicate with other boxes need.
-struct Peers {
-    listener: TcpListener,
-    socket: UdpSocket,
-    zone_updates: mpsc::Receiver<ZoneUpdate>,
-    transfers: Transfers,
-    me: BoxEntry,
-}
-
-fn start_peers<D, K, P, C>(
-    peers: Peers,
-    settings: Settings,
-    adapter: &Adapter<D, K, P, C>,
-    shared: &Arc<Shared<D>>,
-) where
-    D: Dialect,
-    K: PublishedFormat,
-    P: Platform,
-    C: Control,
-{
-    let Peers {
-        listener,
-        socket,
-        zone_updates,
-        transfers,
-        me,
-    } = peers;
-    let (id, candidate) = (me.id.clone(), me.clone());
-    let (fleet, log) = (shared.fleet.clone(), shared.log.clone());
-    let stopping = shared.stopping.clone();
-    let (updates_tx, updates) = mpsc::channel(UPDATE_QUEUE);
-    let fleet_key = FleetKey::new(shared.cfg.fleet.as_deref(), shared.cfg.platform);
-    let answerer = PeerServer {
-        fleet_key,
-        fleet: fleet.clone(),
-        cache_stores: shared.cache_stores.clone(),
-        log: log.clone(),
-    };
-    tokio::spawn(link::serve(listener, answerer, CancellationToken::new()));
-    let registry = Registry {
-        platform: adapter.platform.clone(),
-        me: me.clone(),
-        fleet: fleet.clone(),
-        stopping: stopping.clone(),
-        log: log.clone(),
-    };
-    tokio::spawn(registry.run());
-    let supervisor = ReleaseSupervisor {
-        platform: adapter.platform.clone(),
-        keys: adapter.keys.clone(),
-        me: me.clone(),
-        fleet: fleet.clone(),
-        tracker: shared.releases.clone(),
-        stopping: stopping.clone(),
-        log: log.clone(),
-    };
-    tokio::spawn(supervisor.run());
-    let persist = CrashRecordSync {
-        platform: adapter.platform.clone(),
-        fatal: shared.fatal.clone(),
-        fleet: fleet.clone(),
-        log: log.clone(),
-    };
-    tokio::spawn(persist.run());
-    let name = BoxHash::of(&me);
-    let gossip = GossipSender {
-        fleet_key,
-        name,
-        zone_gossip: ZoneGossip::new(Hub::new(name), RosterCache::new(me.clone())),
-        me,
-        settings,
-        fleet: fleet.clone(),
-        loads: shared.loads.clone(),
-        cache_stores: shared.cache_stores.clone(),
-        fatal: shared.fatal.clone(),
-        releases: shared.releases.clone(),
-        suspend_clock: shared.suspend_clock.clone(),
-        updates,
-        zone_updates,
-        transfers,
-        stopping: stopping.clone(),
-        metrics: shared.metrics.clone(),
-        log: log.clone(),
-    };
-    tokio::spawn(gossip.run(socket));
-    let rollout = Rollout {
-        me: candidate,
-        discovery_timeout: match shared.cfg.seeds.is_empty() {
-            true => Duration::ZERO,
-            false => DISCOVERY_TIMEOUT,
-        },
-        election: Election {
-            platform: adapter.platform.clone(),
-            me: id,
-            min_order_gap: shared.cfg.lease,
-            long_poll: long_poll_wait(shared.cfg.history),
-            suspend_clock: shared.suspend_clock.clone(),
-            log: log.clone(),
-        },
-        control: adapter.control.clone(),
-        fleet,
-        loads: shared.loads.clone(),
-        cache_stores: shared.cache_stores.clone(),
-        updates: updates_tx,
-        stopping,
-        log,
-    };
-    tokio::spawn(rollout.run());
-}
-
 fn head_limits(fleet: &FleetHandle) -> HeadLimits {
     let view = fleet.view();
     let limits = view.config.as_ref().map(|config| config.limits);
@@ -474,50 +284,3 @@
     };
     tokio::spawn(Server::on(listener).run(end.clone(), page));
 }
-
-/// Logs periodically the number of calls of the platform store, which are charged for, and the traffic between boxes.
-async fn log_traffic(counts: CallCounts, metrics: BoxMetrics, log: Logger) {
-    let mut every = tokio::time::interval(TRAFFIC_LOG_INTERVAL);
-    every.tick().await;
-    loop {
-        every.tick().await;
-        let of = |count: &CallCount| {
-            let CallTotals { calls, bytes } = count.totals;
-            format!("{} {}: {calls} ({bytes} bytes)", count.step, count.outcome)
-        };
-        let calls: Vec<String> = counts.all().iter().map(of).collect();
-        event!(log, events::STORE_CALLS, "calls" => calls.join(", "));
-        event!(log, events::PEER_TRAFFIC, "datagrams" => metrics.describe_peer_traffic());
-    }
-}
-
-/// Drops connections to boxes that are no longer up, and what is known of them.
-fn prune_boxes<D: Dialect>(shared: &Shared<D>) {
-    let view = shared.fleet.view();
-    let find = |id: &BoxId| view.boxes.iter().find(|entry| entry.id == *id);
-    shared.box_connections.prune(find);
-    shared.forward_boxes.retain(|id| find(id).is_some());
-}
-
-/// Drops state of targets that are no longer listed, and of earlier incarnations of those that are.
-async fn prune<D: Dialect>(shared: Arc<Shared<D>>) {
-    let mut every = tokio::time::interval(PRUNE_INTERVAL);
-    every.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut views = shared.fleet.subscribe();
-    let mut known = Arc::default();
-    loop {
-        let due = tokio::select! {
-            _ = every.tick() => true,
-            Ok(()) = views.changed() => false,
-        };
-        let targets = views.borrow_and_update().targets.clone();
-        if due || !Arc::ptr_eq(&known, &targets) {
-            shared
-                .pool
-                .prune(|id| targets.get(id).map(|entry| &**entry));
-            shared.loads.retain_listed(&targets);
-            known = targets;
-            prune_boxes(&shared);
-        }
-    }
-}
