Let only targets of the version that began a stream continue it

Cause: all targets of a pool were taken for alike. No choice of a target read a version without a release, nothing read the attempt that a caller names when it resumes a stream, and what the box that began a stream knows was lost with it.

Change (streams/, front/stream_version.rs, docs/design/stream-versions.md): - attempts after the first event go only to targets of its version; - before the first event goes out, a box records the version under a hash of organisation and attempt, and tells four boxes found by that hash, unless the pool has had one version for as long as callers may come back; - a box that lacks a record asks the boxes, then refuses at once; it concludes "one version" only from data at most 2.2 s old, and a version that appears gets no new streams that may be resumed for 2.6 s; - boxes that all start anew read the pools' versions under one key of the platform's store, which one box a zone keeps; - forwarded requests carry the version both ways.

Ruled out: telling zones or all boxes, one key a stream in the store, and computing the version from the id (figures in the design note).

--- a/crates/sillpin-gateway/benches/decision.rs
+++ b/crates/sillpin-gateway/benches/decision.rs
@@ -21,7 +21,7 @@
 use sillpin_gateway::placement::parts::{PlanInputs, plan, salt};
 use sillpin_gateway::placement::stream_engines::{PromptKind, StreamInputs, StreamRules};
 use sillpin_gateway::placement::work::{EngineWork, Work};
-use sillpin_gateway::placement::{ChoiceInputs, InFlightGuard, Loads, choose};
+use sillpin_gateway::placement::{ChoiceInputs, InFlightGuard, Loads, SoftwareFilter, choose};
 use std::collections::HashMap;
 use std::hint::black_box;
 use std::sync::Arc;
@@ -157,6 +157,7 @@
                     residency: anywhere(),
                     limit_context: None,
                     streams: has_streams.then(|| stream_inputs(&spec, number)),
+                    software: SoftwareFilter::Any,
                     now,
                 };
                 black_box(choose(&choice).is_some())
--- a/crates/sillpin-gateway/src/fleet_state/fleet.rs
+++ b/crates/sillpin-gateway/src/fleet_state/fleet.rs
@@ -21,6 +21,7 @@
 };
 use crate::config::FleetConfig;
 use crate::control::{Life, PublishedFormat, TargetEntry};
+use crate::streams::PoolVersions;
 use crate::suspend_clock::SuspendClock;
 use sillpin_core::{BoxId, ModelId, PoolId, TargetId, WeightVersion};
 use sillpin_platform::{KvRevision, StoreEra};
@@ -95,6 +96,10 @@
     changed_targets: ChangedTargets,
     /// Hash of the targets' entries.
     targets_content: TargetsContent,
+    /// Versions of the targets' software.
+    versions: PoolVersions,
+    /// Whether the view has to be updated from the versions.
+    versions_changed: bool,
     /// Whether the view has to be updated from the boxes.
     boxes_changed: bool,
     view: View,
@@ -127,6 +132,8 @@
             restored_at: None,
             changed_targets: ChangedTargets::default(),
             targets_content: TargetsContent::default(),
+            versions: PoolVersions::default(),
+            versions_changed: false,
             boxes_changed: false,
             view: View::default(),
         }
@@ -408,6 +415,9 @@
     /// Updates the view. Done once for all queued messages: a change of weights brings hundreds.
     fn publish(&mut self) {
         self.publish_targets();
+        if std::mem::take(&mut self.versions_changed) {
+            self.view.versions = Arc::new(self.versions.clone());
+        }
         if std::mem::take(&mut self.boxes_changed) {
             self.publish_boxes();
         }
--- a/crates/sillpin-gateway/src/fleet_state/fleet/targets.rs
+++ b/crates/sillpin-gateway/src/fleet_state/fleet/targets.rs
@@ -76,8 +76,10 @@
             event!(self.log, events::RESTORED_ENTRY_IGNORED, "target" => target.id.as_str(),
                 "revision" => entry.revision.to_string(), "source" => source.to_string());
         }
-        let id = target.id.clone();
-        self.targets.insert(id.clone(), Arc::new(target));
+        let (id, target) = (target.id.clone(), Arc::new(target));
+        let before = self.targets.insert(id.clone(), target.clone());
+        let changed = self.versions.replace(before.as_deref(), Some(&target), now);
+        self.versions_changed |= changed;
         self.target_changed(&id);
     }
 
@@ -124,8 +126,9 @@
         self.observed_weights.remove(id);
         self.cold.remove(id);
         if let Some(target) = self.targets.remove(id) {
-            let era = self.targets_mirror.known().revision.era();
-            self.departures.record_removal(&target, era, Instant::now());
+            let (era, now) = (self.targets_mirror.known().revision.era(), Instant::now());
+            self.departures.record_removal(&target, era, now);
+            self.versions_changed |= self.versions.replace(Some(&target), None, now);
             event!(self.log, events::TARGET_UNLISTED, "target" => id.as_str(), "why" => why);
         }
         self.target_changed(id);
--- a/crates/sillpin-gateway/src/fleet_state/mod.rs
+++ b/crates/sillpin-gateway/src/fleet_state/mod.rs
@@ -23,6 +23,7 @@
 use crate::control::{Life, TargetEntry};
 use crate::placement::index::TargetIndex;
 use crate::releases::Cohort;
+use crate::streams::PoolVersions;
 use serde::{Deserialize, Serialize};
 use sillpin_core::{BoxId, ModelId, PoolId, TargetId, WeightVersion, ZoneId};
 use sillpin_platform::{KvEntry, KvRevision, Snapshot, WatchReply};
@@ -121,6 +122,8 @@
     pub entries: Arc<HashMap<TargetId, Arc<TargetEntry>>>,
     /// Until when targets are cold, which means that they are warming up, as far as known.
     pub cold: Arc<HashMap<TargetId, Instant>>,
+    /// Versions of the targets' software.
+    pub versions: Arc<PoolVersions>,
     /// Sync state of the targets.
     pub targets_sync: SyncState,
     /// Zones that operators have evacuated.
--- a/crates/sillpin-gateway/src/forward/head.rs
+++ b/crates/sillpin-gateway/src/forward/head.rs
@@ -1,6 +1,7 @@
 //! Headers of a request that one box sends to another, and of its response.
 
 use crate::peers::wire::FleetKey;
+use crate::streams::VersionHash;
 use derive_more::{Display, Error};
 use hyper::HeaderMap;
 use hyper::header::{HeaderName, HeaderValue};
@@ -31,6 +32,8 @@
     pub max_runs: u32,
     /// Whether the box has counted the request for its retry budget.
     pub counted: bool,
+    /// Version that began the stream which the request resumes, if the box knows it.
+    pub version: Option<VersionHash>,
 }
 
 /// Why a box does not serve a forwarded request that another box may serve.
@@ -54,7 +57,10 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ForwardResult {
     /// The response is a target's.
-    Target,
+    Target {
+        /// Version of the target, if the response is a stream that may be resumed.
+        version: Option<VersionHash>,
+    },
     /// The request did not run; another box may serve it.
     Unavailable(Unavailable),
     /// The box refuses the request, or it failed.
--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -17,6 +17,7 @@
 use crate::placement::signals::{SignalChange, SignalObservation, log_change};
 use crate::placement::work::IncarnationHash;
 use crate::pool::{Conn, ConnectionPool, SendError};
+use crate::streams::VersionHash;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -96,10 +97,20 @@
         id: BoxId,
         /// Counts the request as in flight there.
         in_flight: ForwardGuard,
+        /// Version of the target, if the box names it.
+        version: Option<VersionHash>,
     },
 }
 
 impl StreamSource {
+    /// Version of the target's software; `None` if it is not known.
+    pub fn version(&self) -> Option<VersionHash> {
+        match self {
+            StreamSource::Target { target, .. } => Some(VersionHash::of(target)),
+            StreamSource::Box { version, .. } => *version,
+        }
+    }
+
     /// Name of the target or box, for logs.
     pub fn name(&self) -> &str {
         match self {
--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -10,6 +10,7 @@
 use super::progress::{NoAttempt, Progress, end_unserved, may_rerun, may_rerun_after};
 use super::refusal::{Refusal, spread};
 use super::shared::Shared;
+use super::stream_version::Binding;
 use crate::dialect::{AttemptHead, Dialect};
 use crate::fleet_state::View;
 use crate::forward::head::Unavailable;
@@ -59,11 +60,15 @@
         self: &Arc<Self>,
         request: AdmittedRequest,
     ) -> Result<Response<Body>, Refusal> {
-        let pool = self.pick_pool(&request)?;
+        let binding = self.bind_resumed(&request).await;
+        let pool = match self.pool_of_stream(&request, binding) {
+            Some(pool) => pool,
+            None => self.pick_pool(&request)?,
+        };
         if request.forwarded.is_some() && self.loads.reach().is_cut_off(&pool) {
             return Err(Refusal::unavailable(Unavailable::NoPath));
         }
-        let mut progress = self.begin(&request, &pool);
+        let mut progress = self.begin(&request, &pool, binding);
         loop {
             let result = self.next_attempt(&request, &pool, &mut progress).await;
             let outcome = match result {
@@ -119,10 +124,11 @@
     }
 
     /// Begins the attempts of a request. One that is sent to another box is counted and assigned there.
-    fn begin(&self, request: &AdmittedRequest, pool: &PoolId) -> Progress {
+    fn begin(&self, request: &AdmittedRequest, pool: &PoolId, binding: Binding) -> Progress {
         let counted = request.forwarded.as_ref().is_some_and(|of| of.head.counted);
         let progress = Progress {
             resume_after: request.head.resume_after.clone(),
+            binding,
             counted,
             ..Progress::default()
         };
@@ -132,9 +138,13 @@
         if !counted {
             self.count_request(pool);
         }
-        let assignment = self
-            .releases
-            .assign(&self.fleet.view(), pool, Instant::now());
+        // The version of a stream that is resumed is not chosen by a release.
+        let assignment = match binding {
+            Binding::Any => self
+                .releases
+                .assign(&self.fleet.view(), pool, Instant::now()),
+            Binding::Version(_) | Binding::Unknown => None,
+        };
         Progress {
             counted: true,
             cohort: assignment.as_ref().map_or(Cohort::Control, |a| a.cohort),
@@ -196,6 +206,9 @@
             return Err(end_unserved(progress, "several targets refused"));
         }
         let view = self.fleet.view();
+        if let Some(refused) = self.refuse_by_version(pool, &view, progress) {
+            return Err(refused);
+        }
         let Some(mut prepared) = self.prepare_in_cohort(request, pool, &view, progress) else {
             return Err(self.refuse_without_target(request, pool, &view, progress));
         };
--- a/crates/sillpin-gateway/src/front/events.rs
+++ b/crates/sillpin-gateway/src/front/events.rs
@@ -15,13 +15,16 @@
 pub struct EventSplitter {
     remainder: BytesMut,
     last_id: Option<String>,
+    has_passed: bool,
 }
 
 impl EventSplitter {
     /// Continues after the event with id `last_id`, which was passed on before.
     pub fn after(last_id: Option<String>) -> Self {
-        let remainder = BytesMut::new();
-        Self { remainder, last_id }
+        Self {
+            last_id,
+            ..Self::default()
+        }
     }
 
     /// Appends bytes and returns the events that are complete now; empty if there are none.
@@ -29,12 +32,18 @@
         self.remainder.extend_from_slice(data);
         let end = end_of_last_event(&self.remainder);
         let complete = self.remainder.split_to(end).freeze();
+        self.has_passed |= !complete.is_empty();
         if let Some(id) = last_id(&complete) {
             self.last_id = Some(id);
         }
         complete
     }
 
+    /// Whether an event was complete.
+    pub fn has_passed(&self) -> bool {
+        self.has_passed
+    }
+
     /// Whether an incomplete event is buffered.
     pub fn is_partial(&self) -> bool {
         !self.remainder.is_empty()
--- a/crates/sillpin-gateway/src/front/forward.rs
+++ b/crates/sillpin-gateway/src/front/forward.rs
@@ -5,12 +5,14 @@
 use super::progress::Progress;
 use super::refusal::Refusal;
 use super::shared::Shared;
+use super::stream_version::Binding;
 use crate::config::Idempotency;
 use crate::dialect::{Dialect, ResponseHead};
 use crate::fleet_state::BoxEntry;
 use crate::forward::boxes::{Avoidance, BoxChoice, ForwardGuard};
 use crate::forward::head::{ForwardHead, ForwardResult, Unavailable};
 use crate::pool::{Conn, SendError};
+use crate::streams::VersionHash;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -162,6 +164,10 @@
             waited_ms: u64::try_from(request.arrival.elapsed().as_millis()).unwrap_or(u64::MAX),
             max_runs,
             counted: progress.counted,
+            version: match progress.binding {
+                Binding::Version(version) => Some(version),
+                Binding::Any | Binding::Unknown => None,
+            },
         };
         head.set(&mut headers);
         *req.headers_mut() = headers;
@@ -179,8 +185,14 @@
         let result = ForwardResult::take(&mut parts.headers);
         let head = self.dialect.read_response(parts.status, &parts.headers);
         match result {
-            Ok(ForwardResult::Target) => {
-                Ok(self.accept_response(request, open, parts, head, body).await)
+            Ok(ForwardResult::Target { version }) => {
+                let response = TargetResponse {
+                    parts,
+                    head,
+                    body,
+                    version,
+                };
+                Ok(self.accept_response(request, open, response).await)
             }
             Ok(ForwardResult::Unavailable(why)) => {
                 self.recycle(open, body, &head);
@@ -210,10 +222,14 @@
         &self,
         request: &AdmittedRequest,
         open: OpenForward<'_>,
-        parts: response::Parts,
-        head: ResponseHead,
-        body: Incoming,
+        response: TargetResponse,
     ) -> AttemptOutcome {
+        let TargetResponse {
+            parts,
+            head,
+            body,
+            version,
+        } = response;
         if let Err(reason) = head.check(&request.head.id, parts.status) {
             return AttemptOutcome::Unknown(reason.to_owned());
         }
@@ -228,6 +244,7 @@
                 source: StreamSource::Box {
                     id: open.entry.id.clone(),
                     in_flight: open.in_flight,
+                    version,
                 },
                 sent: open.sent,
             }));
@@ -268,6 +285,14 @@
     sent: Instant,
 }
 
+/// A target's response that another box passes on.
+struct TargetResponse {
+    parts: response::Parts,
+    head: ResponseHead,
+    body: Incoming,
+    version: Option<VersionHash>,
+}
+
 /// Turns a denial by another box's configuration into a refusal: this box's configuration allows the request, and one of
 /// the two is about to change.
 fn without_denial(refusal: Refusal) -> Refusal {
--- a/crates/sillpin-gateway/src/front/handler.rs
+++ b/crates/sillpin-gateway/src/front/handler.rs
@@ -5,6 +5,7 @@
 use super::shared::Shared;
 use crate::dialect::Dialect;
 use crate::forward::head::{FORWARD, ForwardHead, ForwardResult, Unavailable};
+use crate::streams::VersionHash;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
@@ -68,7 +69,10 @@
             }),
         };
         let (mut resp, result) = match result {
-            Ok(resp) => (resp, ForwardResult::Target),
+            Ok(resp) => {
+                let version = resp.extensions().get::<VersionHash>().copied();
+                (resp, ForwardResult::Target { version })
+            }
             Err(refusal) => (
                 refusal.response(&self.shared.dialect, None),
                 refusal.forward_result(),
--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -10,6 +10,7 @@
 //! - [`selection`]: selection of pool, target and prompt plan for an attempt,
 //! - [`prepared`]: an attempt that is ready to be sent,
 //! - [`stream_engines`]: engines for prompts of different kinds,
+//! - [`stream_version`]: which targets may begin or continue a stream,
 //! - [`overload`]: refusals of prompts that no target can start in time,
 //! - [`attempt`]: one attempt and its outcome,
 //! - [`target_wait`]: what is watched while a request waits for a target,
@@ -42,6 +43,7 @@
 pub mod selection;
 pub mod shared;
 pub mod stream_engines;
+pub mod stream_version;
 pub mod target_wait;
 
 pub use handler::Front;
--- a/crates/sillpin-gateway/src/front/progress.rs
+++ b/crates/sillpin-gateway/src/front/progress.rs
@@ -3,6 +3,7 @@
 use super::admit::AdmittedRequest;
 use super::attempt::{AttemptOutcome, CompleteResponse};
 use super::refusal::Refusal;
+use super::stream_version::Binding;
 use crate::config::Idempotency;
 use crate::releases::{Assignment, Cohort};
 use sillpin_core::{BoxId, Outcome, TargetId};
@@ -24,6 +25,8 @@
     pub arrivals: u32,
     /// Id of the last event that the caller has received.
     pub resume_after: Option<String>,
+    /// Versions of targets that may serve it.
+    pub binding: Binding,
     /// Error response of a target, passed on if no other target does better.
     pub failure: Option<CompleteResponse>,
     /// Version of the targets that the next attempt goes to. At most one attempt goes to the new version of a release.
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -9,6 +9,7 @@
 use super::events::{EventSplitter, count_events};
 use super::progress::{NoAttempt, Progress, may_rerun};
 use super::shared::Shared;
+use super::stream_version::Binding;
 use super::target_wait::TargetWait;
 use crate::control::TargetEntry;
 use crate::dialect::Dialect;
@@ -16,6 +17,7 @@
 use crate::placement::load::Outcome as Health;
 use crate::placement::work::IncarnationHash;
 use crate::releases::tracker::Response as VersionResponse;
+use crate::streams::VersionHash;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -70,6 +72,14 @@
         // The length of a resumed stream differs from that of its first part.
         resp.headers_mut().remove(CONTENT_LENGTH);
         self.metrics.response_head(request.arrival.elapsed());
+        let mut progress = progress;
+        if request.forwarded.is_some() && request.route.resumable {
+            // The box that forwarded the request is told the version before there is an event.
+            if let Some(version) = stream.source.version() {
+                resp.extensions_mut().insert(version);
+                progress.binding = Binding::Version(version);
+            }
+        }
         tokio::spawn(self.relay_all(request, pool, progress, stream, tx));
         resp
     }
@@ -90,10 +100,13 @@
             };
             let target = stream.source.name().to_owned();
             let (id, waited) = (&request.head.id, request.arrival.elapsed().as_millis());
-            let sent = stream.sent;
+            let (sent, version) = (stream.sent, stream.source.version());
             let end = self
                 .relay_source(&request, &pool, &progress, stream, &mut events, &tx)
                 .await;
+            if events.has_passed() && progress.binding == Binding::Any {
+                progress.binding = version.map_or(Binding::Unknown, Binding::Version);
+            }
             let assignment = progress.assignment.take();
             if let (Some(response), Some(entry)) = (end.response(sent), &entry) {
                 self.record_response(&request, entry, response, assignment);
@@ -249,9 +262,13 @@
             source,
             ..
         } = stream;
+        let record = FirstEvent {
+            pool,
+            version: source.version(),
+        };
         match source {
             StreamSource::Box { in_flight, .. } => {
-                let end = self.relay_box(request, body, events, tx).await;
+                let end = self.relay_box(request, body, record, events, tx).await;
                 drop((conn, in_flight));
                 end
             }
@@ -274,6 +291,7 @@
                             body,
                             wait: &mut wait,
                             in_flight: &mut in_flight,
+                            record,
                         },
                         events,
                         tx,
@@ -293,9 +311,11 @@
         &self,
         request: &AdmittedRequest,
         mut body: Incoming,
+        record: FirstEvent<'_>,
         events: &mut EventSplitter,
         tx: &BodySender,
     ) -> RelayEnd {
+        let mut record = Some(record);
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
@@ -306,12 +326,27 @@
                 Ok(complete) => complete,
                 Err(end) => return end,
             };
-            if !complete.is_empty() && tx.send(complete).await.is_err() {
+            if complete.is_empty() {
+                continue;
+            }
+            self.record_first_event(request, record.take());
+            if tx.send(complete).await.is_err() {
                 return RelayEnd::CallerDisconnected;
             }
         }
     }
 
+    /// Records the version that began a stream, once its first event has arrived.
+    fn record_first_event(&self, request: &AdmittedRequest, record: Option<FirstEvent<'_>>) {
+        if let Some(FirstEvent {
+            pool,
+            version: Some(version),
+        }) = record
+        {
+            self.record_stream(request, pool, version);
+        }
+    }
+
     /// Relays events from one target.
     async fn relay_target(
         &self,
@@ -326,8 +361,9 @@
             mut body,
             wait,
             in_flight,
+            record,
         } = stream;
-        let mut first = true;
+        let mut record = Some(record);
         loop {
             let frame = tokio::select! {
                 // An event that has arrived proves that the engine is not silent.
@@ -353,10 +389,10 @@
             if complete.is_empty() {
                 continue;
             }
-            if first {
+            if record.is_some() {
                 in_flight.prefill_done();
-                first = false;
             }
+            self.record_first_event(request, record.take());
             in_flight.record_events(count_events(&complete));
             wait.pause();
             if tx.send(complete).await.is_err() {
@@ -372,6 +408,13 @@
     body: Incoming,
     wait: &'a mut TargetWait,
     in_flight: &'a mut InFlightGuard,
+    record: FirstEvent<'a>,
+}
+
+/// What is recorded when the first event of a source arrives.
+struct FirstEvent<'a> {
+    pool: &'a PoolId,
+    version: Option<VersionHash>,
 }
 
 /// Returns the events that a frame completes, or how the stream ended.
--- a/crates/sillpin-gateway/src/front/release.rs
+++ b/crates/sillpin-gateway/src/front/release.rs
@@ -24,6 +24,10 @@
         view: &View,
         progress: &mut Progress,
     ) -> Option<PreparedAttempt> {
+        if let Some(cohort) = self.bound_cohort(pool, view, progress) {
+            progress.cohort = cohort;
+            return self.prepare_attempt(request, pool, view, progress);
+        }
         if progress.cohort == Cohort::Canary {
             if let Some(prepared) = self.prepare_attempt(request, pool, view, progress) {
                 return Some(prepared);
--- a/crates/sillpin-gateway/src/front/selection.rs
+++ b/crates/sillpin-gateway/src/front/selection.rs
@@ -130,6 +130,7 @@
         let connections = spec.map_or(0, |spec| spec.max_connections);
         let max_in_flight = connection_share(connections, view.box_count());
         let now = Instant::now();
+        let held = self.held_versions(request, pool, view, progress);
         let base = ChoiceInputs {
             targets: view.targets_of(progress.cohort),
             reported_late: view.box_count() > SMALL_FLEET,
@@ -143,6 +144,7 @@
             residency: self.residency(request),
             limit_context: spec.map(|spec| self.limit_context(spec, view, now)),
             streams: self.stream_inputs(request, pool, view, progress),
+            software: self.software_filter(pool, view, progress, &held)?,
             now,
         };
         match (engine, &request.head.prompt) {
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -18,6 +18,7 @@
 use crate::releases::ReleaseTracker;
 use crate::reload::Settings;
 use crate::settings::BoxConfig;
+use crate::streams::StreamVersions;
 use crate::suspend_clock::SuspendClock;
 use sillpin_core::{BoxId, PoolId};
 use slog::Logger;
@@ -62,6 +63,8 @@
     pub suspend_clock: SuspendClock,
     /// This box's part in releases.
     pub releases: ReleaseTracker,
+    /// Versions that began streams.
+    pub streams: StreamVersions,
     /// Record of requests that crash targets.
     pub fatal: FatalRequests,
     /// Determines whether targets crashed while running requests.
@@ -94,6 +97,8 @@
     pub suspend_clock: SuspendClock,
     /// This box's part in releases.
     pub releases: ReleaseTracker,
+    /// Versions that began streams.
+    pub streams: StreamVersions,
 }
 
 impl<D: Dialect> Shared<D> {
@@ -119,6 +124,7 @@
             fatal,
             suspend_clock,
             releases,
+            streams,
         } = handles;
         let pool = ConnectionPool::new(suspend_clock.clone());
         let prober = Prober {
@@ -145,6 +151,7 @@
             fleet_key: FleetKey::new(cfg.fleet.as_deref(), cfg.platform),
             suspend_clock,
             releases,
+            streams,
             fatal,
             crash_detector,
             fleet,
--- a/crates/sillpin-gateway/src/lib.rs
+++ b/crates/sillpin-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`cache_stores`]: directory of the parts that cache stores hold, and which to free,
 //! - [`weights`]: loading of new weights on engines, by an elected leader,
 //! - [`releases`]: gradual releases of new versions of targets,
+//! - [`streams`]: which version of targets' software began a stream,
 //! - [`peers`]: communication between boxes,
 //! - [`forward`]: requests that a box without paths to targets sends to another box,
 //! - [`front`]: listeners, life cycle of a request, streams,
@@ -39,5 +40,6 @@
 pub mod releases;
 pub mod reload;
 pub mod settings;
+pub mod streams;
 pub mod suspend_clock;
 pub mod weights;
--- a/crates/sillpin-gateway/src/metrics.rs
+++ b/crates/sillpin-gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use crate::fleet_state::{FleetHandle, View};
 use crate::placement::Loads;
 use crate::placement::signals::TargetSignals;
+use crate::streams::StreamVersions;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{AsyncInstrument, Counter, Histogram, Meter};
 use sillpin_platform::call::{CallCounts, CallTotals};
@@ -257,6 +258,15 @@
         .build();
 }
 
+/// Registers a gauge of the streams whose versions this box knows.
+pub fn observe_streams(meter: &Meter, streams: StreamVersions) {
+    meter
+        .u64_observable_gauge("sillpin_stream_records")
+        .with_description("Streams of which this box knows the version that began them")
+        .with_callback(move |observer| observer.observe(streams.len() as u64, &[]))
+        .build();
+}
+
 /// Registers a gauge of the targets that this box cannot reach.
 pub fn observe_reach(meter: &Meter, loads: Loads) {
     meter
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -27,13 +27,16 @@
 use crate::front::{Front, Shared};
 use crate::metrics::{
     BoxMetrics, observe_fleet, observe_reach, observe_signals, observe_silence, observe_speeds,
-    observe_stream_engines,
+    observe_stream_engines, observe_streams,
 };
+use crate::peers::wire::FleetKey;
 use crate::placement::Loads;
 use crate::placement::silence_watch::SilenceWatch;
 use crate::releases::ReleaseTracker;
 use crate::reload::Settings;
 use crate::settings::BoxConfig;
+use crate::streams::StreamVersions;
+use crate::streams::register::{self, VersionRegister};
 use crate::suspend_clock::SuspendClock;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response};
@@ -134,6 +137,28 @@
         updates: zone_updates_tx.clone(),
         log: log.clone(),
     });
+    let box_metrics = BoxMetrics::new(&metrics.meter(), adapter.counts.clone());
+    let socket = Arc::new(listeners.gossip);
+    let (register, register_port) = register::channel();
+    let versions = VersionRegister {
+        platform: adapter.platform.clone(),
+        me: me.clone(),
+        fleet: fleet.clone(),
+        loads: loads.clone(),
+        log: log.clone(),
+    };
+    tokio::spawn(versions.run(register_port));
+    let streams = StreamVersions::new(
+        FleetKey::new(cfg.fleet.as_deref(), cfg.platform),
+        me.clone(),
+        fleet.clone(),
+        socket.clone(),
+        register,
+        box_metrics.clone(),
+        log.clone(),
+    );
+    observe_streams(&metrics.meter(), streams.clone());
+    tokio::spawn(streams.clone().run());
     let handles = FleetHandles {
         fleet: fleet.clone(),
         loads,
@@ -141,12 +166,13 @@
         fatal: FatalRequests::new(log.clone()),
         suspend_clock,
         releases: ReleaseTracker::new(cfg.canary_share),
+        streams: streams.clone(),
     };
     let shared = Arc::new(Shared::new(
         adapter.dialect.clone(),
         settings.clone(),
         handles,
-        BoxMetrics::new(&metrics.meter(), adapter.counts.clone()),
+        box_metrics,
         log.clone(),
         stopping.clone(),
     ));
@@ -161,7 +187,7 @@
     }));
     let peers = Peers {
         listener: listeners.peers,
-        socket: listeners.gossip,
+        socket,
         zone_updates,
         transfers,
         me,
--- a/crates/sillpin-gateway/src/ops/peers.rs
+++ b/crates/sillpin-gateway/src/ops/peers.rs
@@ -30,7 +30,7 @@
 /// What the tasks that communicate with other boxes need.
 pub(super) struct Peers {
     pub listener: TcpListener,
-    pub socket: UdpSocket,
+    pub socket: Arc<UdpSocket>,
     pub zone_updates: mpsc::Receiver<ZoneUpdate>,
     pub transfers: Transfers,
     pub me: BoxEntry,
@@ -109,6 +109,7 @@
         zone_updates,
         transfers,
         stopping: stopping.clone(),
+        streams: shared.streams.clone(),
         metrics: shared.metrics.clone(),
         log: log.clone(),
     };
--- a/crates/sillpin-gateway/src/peers/receiver.rs
+++ b/crates/sillpin-gateway/src/peers/receiver.rs
@@ -23,6 +23,7 @@
 use crate::placement::work::IncarnationHash;
 use crate::releases::evidence::EvidenceSource;
 use crate::releases::{ReleaseTracker, ReleaseUpdate};
+use crate::streams::StreamVersions;
 use sillpin_core::ZoneId;
 use sillpin_platform::KvRevision;
 use sillpin_telemetry::{event, events};
@@ -114,6 +115,8 @@
     pub zone_gossip: ZoneGossip,
     /// Limit of updates of work within the zone.
     pub update_limit: SharedLimit,
+    /// Versions that began streams.
+    pub streams: StreamVersions,
     /// Log.
     pub log: Logger,
 }
@@ -123,8 +126,8 @@
     pub async fn run(self, socket: Arc<UdpSocket>) {
         let mut buf = vec![0; MAX_DATAGRAM];
         loop {
-            let len = match socket.recv_from(&mut buf).await {
-                Ok((len, _)) => len,
+            let (len, from) = match socket.recv_from(&mut buf).await {
+                Ok(received) => received,
                 Err(e) => {
                     // An earlier datagram was sent to a box that has stopped; the socket remains
                     // usable.
@@ -133,7 +136,8 @@
                     continue;
                 }
             };
-            if self.stall.is_stale() {
+            // What is stated about streams stays true while the process is stalled.
+            if self.streams.receive(&buf[..len], from) || self.stall.is_stale() {
                 continue;
             }
             match wire::decode(self.fleet_key, &buf[..len]) {
--- a/crates/sillpin-gateway/src/peers/sender.rs
+++ b/crates/sillpin-gateway/src/peers/sender.rs
@@ -24,6 +24,7 @@
 use crate::releases::ReleaseTracker;
 use crate::releases::evidence::EvidenceScope;
 use crate::reload::Settings;
+use crate::streams::StreamVersions;
 use crate::suspend_clock::SuspendClock;
 use rand::seq::IndexedRandom;
 use slog::Logger;
@@ -89,6 +90,8 @@
     pub transfers: Transfers,
     /// Cancelled when the box is shutting down.
     pub stopping: CancellationToken,
+    /// Versions that began streams.
+    pub streams: StreamVersions,
     /// Counts copies.
     pub metrics: BoxMetrics,
     /// Log.
@@ -97,8 +100,7 @@
 
 impl GossipSender {
     /// Runs until the process ends.
-    pub async fn run(self, socket: UdpSocket) {
-        let socket = Arc::new(socket);
+    pub async fn run(self, socket: Arc<UdpSocket>) {
         let update_limit = SharedLimit::default();
         let receiver = GossipReceiver {
             fleet_key: self.fleet_key,
@@ -122,6 +124,7 @@
             zone: self.me.zone.clone(),
             zone_gossip: self.zone_gossip.clone(),
             update_limit: update_limit.clone(),
+            streams: self.streams.clone(),
             log: self.log.clone(),
         };
         tokio::spawn(receiver.run(socket.clone()));
--- a/crates/sillpin-gateway/src/peers/wire.rs
+++ b/crates/sillpin-gateway/src/peers/wire.rs
@@ -8,13 +8,14 @@
 use super::datagram::Datagram;
 use bincode::Options;
 use derive_more::{Display, Error};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Incremented when datagrams change, so that boxes of two builds drop each other's datagrams
 /// instead of misreading them.
-const FORMAT: u32 = 3;
+const FORMAT: u32 = 4;
 
 /// Length of the key at the start of each datagram, in bytes.
 const KEY_LEN: usize = 8;
@@ -37,6 +38,11 @@
         }
     }
 
+    /// Returns the key of this fleet's datagrams about streams, which share the port of the others.
+    pub fn for_streams(self) -> Self {
+        Self(xxh3_64(format!("{} streams", self.0).as_bytes()))
+    }
+
     /// Returns the key of the fleet whose store is at `platform`.
     pub fn of(platform: SocketAddr) -> Self {
         Self(xxh3_64(format!("{FORMAT} {platform}").as_bytes()))
@@ -64,8 +70,13 @@
 
 /// Encodes a datagram of a fleet.
 pub fn encode(fleet: FleetKey, datagram: &Datagram) -> Result<Vec<u8>, WireError> {
+    encode_message(fleet, datagram)
+}
+
+/// Encodes a datagram of any type.
+pub fn encode_message<T: Serialize>(fleet: FleetKey, message: &T) -> Result<Vec<u8>, WireError> {
     let mut buf = fleet.0.to_le_bytes().to_vec();
-    let written = options().serialize_into(&mut buf, datagram);
+    let written = options().serialize_into(&mut buf, message);
     written.map_err(WireError::Unreadable)?;
     match buf.len() <= MAX_DATAGRAM {
         true => Ok(buf),
@@ -75,6 +86,11 @@
 
 /// Decodes a datagram, if it belongs to this fleet.
 pub fn decode(fleet: FleetKey, buf: &[u8]) -> Result<Datagram, WireError> {
+    decode_message(fleet, buf)
+}
+
+/// Decodes a datagram of any type, if it belongs to this fleet.
+pub fn decode_message<T: DeserializeOwned>(fleet: FleetKey, buf: &[u8]) -> Result<T, WireError> {
     let (key, rest) = buf.split_at_checked(KEY_LEN).ok_or(WireError::Foreign)?;
     if key != fleet.0.to_le_bytes() {
         return Err(WireError::Foreign);
--- a/crates/sillpin-gateway/src/placement/choose.rs
+++ b/crates/sillpin-gateway/src/placement/choose.rs
@@ -17,7 +17,7 @@
 use super::stream_engines::{PromptKind, StreamInputs};
 use super::work::{IncarnationHash, TargetHash, Work};
 use crate::cache_stores::homes::{hash_pair, to_unit_interval};
-use crate::control::TargetEntry;
+use crate::control::{SoftwareVersion, TargetEntry};
 use crate::fleet_state::fleet::served;
 use sillpin_core::{ModelId, PoolId, TargetId, Tokens, WeightVersion, ZoneId};
 use std::collections::{HashMap, HashSet};
@@ -96,10 +96,37 @@
     pub limit_context: Option<LimitContext<'a>>,
     /// Properties of the prompt in a pool that has stream engines; `None` reserves no engines.
     pub streams: Option<StreamInputs>,
+    /// Versions of software that may get the request.
+    pub software: SoftwareFilter<'a>,
     /// Current time.
     pub now: Instant,
 }
 
+/// Versions of software that may get a request.
+#[derive(Debug, Clone, Copy, Default)]
+pub enum SoftwareFilter<'a> {
+    /// All.
+    #[default]
+    Any,
+    /// One; `None` stands for targets that name none.
+    Only(Option<&'a SoftwareVersion>),
+    /// All but these.
+    Except(&'a [Option<SoftwareVersion>]),
+}
+
+impl SoftwareFilter<'_> {
+    /// Returns whether a target with this version may get the request.
+    pub fn allows(&self, software: Option<&SoftwareVersion>) -> bool {
+        match self {
+            SoftwareFilter::Any => true,
+            SoftwareFilter::Only(version) => software == *version,
+            SoftwareFilter::Except(versions) => {
+                !versions.iter().any(|version| version.as_ref() == software)
+            }
+        }
+    }
+}
+
 /// The properties of a prompt on which the choice of an engine depends.
 pub struct PromptInputs<'a> {
     /// Model that the prompt is for.
@@ -393,7 +420,8 @@
         if choice.tried.contains(&entry.id) || self.unavailable.contains(&target.incarnation) {
             return None;
         }
-        if !choice.residency.allows(&entry.zone) {
+        if !choice.residency.allows(&entry.zone) || !choice.software.allows(entry.software.as_ref())
+        {
             return None;
         }
         if !self.is_admitted(entry) {
--- a/crates/sillpin-gateway/src/placement/mod.rs
+++ b/crates/sillpin-gateway/src/placement/mod.rs
@@ -54,5 +54,5 @@
 pub mod work;
 pub mod work_changes;
 
-pub use choose::{ChoiceInputs, ChosenTarget, choose};
+pub use choose::{ChoiceInputs, ChosenTarget, SoftwareFilter, choose};
 pub use load::{InFlightGuard, Load, Loads};
--- a/crates/sillpin-gateway/tests/common/engines.rs
+++ b/crates/sillpin-gateway/tests/common/engines.rs
@@ -20,7 +20,9 @@
 use sillpin_gateway::placement::parts::{Plan, PlanInputs, plan, salt};
 use sillpin_gateway::placement::standing::Queue;
 use sillpin_gateway::placement::work::{EngineWork, TargetHash, Work};
-use sillpin_gateway::placement::{ChoiceInputs, ChosenTarget, InFlightGuard, Loads, choose};
+use sillpin_gateway::placement::{
+    ChoiceInputs, ChosenTarget, InFlightGuard, Loads, SoftwareFilter, choose,
+};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -329,6 +331,7 @@
             residency: anywhere(),
             limit_context: None,
             streams: None,
+            software: SoftwareFilter::Any,
             now: Instant::now(),
         };
         (at, choose(&choice).unwrap())
--- a/crates/sillpin-gateway/tests/common/stream_model.rs
+++ b/crates/sillpin-gateway/tests/common/stream_model.rs
@@ -15,7 +15,9 @@
 use sillpin_gateway::placement::standing::Queue;
 use sillpin_gateway::placement::stream_engines::{PromptKind, StreamInputs, StreamRules};
 use sillpin_gateway::placement::work::{EngineWork, TargetHash, Work};
-use sillpin_gateway::placement::{ChoiceInputs, ChosenTarget, InFlightGuard, Loads, choose};
+use sillpin_gateway::placement::{
+    ChoiceInputs, ChosenTarget, InFlightGuard, Loads, SoftwareFilter, choose,
+};
 use sillpin_policy::overload::StartEstimate;
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
@@ -433,6 +435,7 @@
             residency: anywhere(),
             limit_context: None,
             streams: self.has_stream_engines.then_some(streams),
+            software: SoftwareFilter::Any,
             now: Instant::now(),
         };
         choose(&choice).unwrap()
--- a/crates/sillpin-gateway/tests/engine_speed_load.rs
+++ b/crates/sillpin-gateway/tests/engine_speed_load.rs
@@ -17,7 +17,9 @@
 use sillpin_gateway::placement::load::MeasuredRequest;
 use sillpin_gateway::placement::standing::Queue;
 use sillpin_gateway::placement::work::{EngineWork, IncarnationHash, TargetHash, Work};
-use sillpin_gateway::placement::{ChoiceInputs, ChosenTarget, InFlightGuard, Loads, choose};
+use sillpin_gateway::placement::{
+    ChoiceInputs, ChosenTarget, InFlightGuard, Loads, SoftwareFilter, choose,
+};
 use sillpin_policy::overload::StartEstimate;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
@@ -214,6 +216,7 @@
             residency: anywhere(),
             limit_context: None,
             streams: None,
+            software: SoftwareFilter::Any,
             now: Instant::now(),
         };
         (choose(&choice).unwrap(), prefill_ms)
--- a/crates/sillpin-gateway/tests/forward.rs
+++ b/crates/sillpin-gateway/tests/forward.rs
@@ -208,6 +208,7 @@
         waited_ms: 12,
         max_runs: 2,
         counted: true,
+        version: None,
     };
     let mut headers = HeaderMap::new();
     head.set(&mut headers);
@@ -224,7 +225,7 @@
         Err(ForwardHeadError::Foreign)
     );
     for result in [
-        ForwardResult::Target,
+        ForwardResult::Target { version: None },
         ForwardResult::Unavailable(Unavailable::Busy),
         ForwardResult::Refused {
             outcome: Outcome::Unknown,
--- a/crates/sillpin-gateway/tests/place.rs
+++ b/crates/sillpin-gateway/tests/place.rs
@@ -22,7 +22,7 @@
 use sillpin_gateway::placement::shared_limit::ShareGroup;
 use sillpin_gateway::placement::signals::limit::LimitObservation;
 use sillpin_gateway::placement::work::{EngineWork, IncarnationHash, TargetHash, Work};
-use sillpin_gateway::placement::{ChoiceInputs, ChosenTarget, Loads, choose};
+use sillpin_gateway::placement::{ChoiceInputs, ChosenTarget, Loads, SoftwareFilter, choose};
 use sillpin_gateway::settings::WarmUpRules;
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -101,6 +101,7 @@
                 },
             }),
             streams: None,
+            software: SoftwareFilter::Any,
             now: Instant::now(),
         };
         choose(&choice)
--- a/crates/sillpin-gateway/tests/residency.rs
+++ b/crates/sillpin-gateway/tests/residency.rs
@@ -13,7 +13,7 @@
 use sillpin_gateway::placement::index::TargetIndex;
 use sillpin_gateway::placement::parts::{PlanInputs, plan, salt};
 use sillpin_gateway::placement::residency::{Residency, ZoneRegion, ZoneRegions};
-use sillpin_gateway::placement::{ChoiceInputs, Loads, choose};
+use sillpin_gateway::placement::{ChoiceInputs, Loads, SoftwareFilter, choose};
 use std::collections::HashMap;
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -99,6 +99,7 @@
         },
         limit_context: None,
         streams: None,
+        software: SoftwareFilter::Any,
         now: Instant::now(),
     };
     let found = choose(&choice).map(|found| found.target.id.to_string());
--- a/crates/sillpin-gateway/tests/stream_choice.rs
+++ b/crates/sillpin-gateway/tests/stream_choice.rs
@@ -22,7 +22,9 @@
     Fill, PromptKind, StreamEngines, StreamInputs, StreamRules, ZoneDemand, sort,
 };
 use sillpin_gateway::placement::work::Work;
-use sillpin_gateway::placement::{ChoiceInputs, ChosenTarget, InFlightGuard, Loads, choose};
+use sillpin_gateway::placement::{
+    ChoiceInputs, ChosenTarget, InFlightGuard, Loads, SoftwareFilter, choose,
+};
 use sillpin_gateway::settings::WarmUpRules;
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -322,6 +324,7 @@
                 },
             }),
             streams,
+            software: SoftwareFilter::Any,
             now: Instant::now(),
         };
         choose(&choice).unwrap()
--- a/crates/sillpin-gateway/tests/work_updates_udp.rs
+++ b/crates/sillpin-gateway/tests/work_updates_udp.rs
@@ -28,11 +28,13 @@
 use sillpin_gateway::placement::work::{TargetHash, Work};
 use sillpin_gateway::releases::ReleaseTracker;
 use sillpin_gateway::settings::{BoxConfig, SCHEMA};
+use sillpin_gateway::streams::{StreamVersions, register};
 use sillpin_gateway::suspend_clock::SuspendClock;
 use sillpin_platform::call::CallCounts;
 use sillpin_platform::{KvRevision, Snapshot};
 use sillpin_settings::{Sources, load};
 use sillpin_telemetry::metrics::Metrics;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::runtime::{self, Runtime};
@@ -166,8 +168,13 @@
         let (settings_tx, settings) = watch::channel(settings(immediate_updates));
         let (updates_tx, updates) = mpsc::channel(9);
         let (zone_updates_tx, zone_updates) = mpsc::channel(9);
+        let fleet_key = FleetKey::of(([127, 0, 0, 1], 1).into());
+        let socket = {
+            let _context = runtime.enter();
+            Arc::new(UdpSocket::from_std(socket).unwrap())
+        };
         let gossip = GossipSender {
-            fleet_key: FleetKey::of(([127, 0, 0, 1], 1).into()),
+            fleet_key,
             name: hash,
             zone_gossip: ZoneGossip::new(Hub::new(hash), RosterCache::new(entry.clone())),
             me: entry.clone(),
@@ -182,11 +189,19 @@
             zone_updates,
             transfers: Transfers::default(),
             stopping: Default::default(),
+            streams: StreamVersions::new(
+                fleet_key,
+                entry.clone(),
+                fleet.clone(),
+                socket.clone(),
+                register::channel().0,
+                metrics.clone(),
+                log.clone(),
+            ),
             metrics: metrics.clone(),
             log,
         };
         runtime.spawn(async move {
-            let socket = UdpSocket::from_std(socket).unwrap();
             let _senders = (settings_tx, updates_tx, zone_updates_tx);
             gossip.run(socket).await;
         });
