Take one retry for all attempts that reach no target

Callers saw: streams broken off by a crash ended although the budget had a retry and another target served. Each attempt after the first took a retry, also when the target before refused the connection, so that a dead target in the list used up what was left (E379 "retry budget used up"). The budget counts what arrives at targets; an attempt that reached none leaves its retry to the next one.

--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -192,10 +192,8 @@
                 _ => end_unserved(progress, FATAL),
             });
         }
-        let mut retry_taken = false;
         if self.should_forward(request, pool, progress) {
-            retry_taken = progress.arrivals > 0;
-            if retry_taken && !self.take_retry(pool) {
+            if !self.ensure_retry(pool, progress) {
                 return Err(end_unserved(progress, NO_RETRY));
             }
             if let Some(outcome) = self.forward(request, pool, progress).await {
@@ -215,7 +213,7 @@
         if let Some(refusal) = self.refuse_if_overloaded(request, pool, &prepared, progress) {
             return Err(NoAttempt::Refused(refusal));
         }
-        if progress.arrivals > 0 && !retry_taken && !self.take_retry(pool) {
+        if !self.ensure_retry(pool, progress) {
             return Err(end_unserved(progress, NO_RETRY));
         }
         if !progress.counted {
@@ -261,6 +259,15 @@
         Ok(outcome)
     }
 
+    /// Takes a retry from the budget if the next attempt is one, unless one was taken for an attempt that reached no
+    /// target. Returns whether the attempt may be made.
+    fn ensure_retry(&self, pool: &PoolId, progress: &mut Progress) -> bool {
+        if progress.arrivals > 0 && !progress.has_retry {
+            progress.has_retry = self.take_retry(pool);
+        }
+        progress.arrivals == 0 || progress.has_retry
+    }
+
     fn log_attempt(
         &self,
         request: &AdmittedRequest,
--- a/crates/sillpin-gateway/src/front/outcome.rs
+++ b/crates/sillpin-gateway/src/front/outcome.rs
@@ -79,9 +79,9 @@
         }
         match outcome {
             AttemptOutcome::Unsent(_) => progress.unsent += 1,
-            AttemptOutcome::NotRun { .. } => progress.arrivals += 1,
+            AttemptOutcome::NotRun { .. } => progress.record_arrival(),
             _ => {
-                progress.arrivals += 1;
+                progress.record_arrival();
                 progress.runs += 1;
             }
         }
--- a/crates/sillpin-gateway/src/front/progress.rs
+++ b/crates/sillpin-gateway/src/front/progress.rs
@@ -19,6 +19,8 @@
     pub boxes: Vec<BoxId>,
     /// Whether it was counted for the retry budget.
     pub counted: bool,
+    /// Whether a retry was taken from the budget for an attempt that has not reached a target yet.
+    pub has_retry: bool,
     /// Attempts that ran or may have run.
     pub runs: u32,
     /// Attempts that reached a target.
@@ -36,6 +38,12 @@
 }
 
 impl Progress {
+    /// Records that an attempt reached a target.
+    pub fn record_arrival(&mut self) {
+        self.arrivals += 1;
+        self.has_retry = false;
+    }
+
     /// Records the outcome of a request at another box, which was allowed `max_runs` runs. How many it used is not known.
     pub fn record_forwarded(&mut self, outcome: &AttemptOutcome, max_runs: u32) {
         let is_not_run = match outcome {
@@ -43,7 +51,7 @@
             _ => false,
         };
         if !is_not_run {
-            self.arrivals += 1;
+            self.record_arrival();
             self.runs += max_runs;
         }
     }
