Tell other boxes of streams when a box stops; read the pools' versions again if none were stored yet

A box that stops may be gone before a second version appears, and then nobody knows its streams: it tells their holders now.

--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -158,7 +158,7 @@
         log.clone(),
     );
     observe_streams(&metrics.meter(), streams.clone());
-    tokio::spawn(streams.clone().run());
+    tokio::spawn(streams.clone().run(stopping.clone()));
     let handles = FleetHandles {
         fleet: fleet.clone(),
         loads,
--- a/crates/sillpin-gateway/src/streams/exchange.rs
+++ b/crates/sillpin-gateway/src/streams/exchange.rs
@@ -19,6 +19,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, sleep_until};
+use tokio_util::sync::CancellationToken;
 
 /// Times after the first query at which boxes that have not answered are asked again: datagrams get lost.
 const ASK_AGAIN: [Duration; 3] = [
@@ -283,14 +284,15 @@
         }
     }
 
-    /// Tells other boxes of streams that began while the pool had one version, once it has more or this box is not in contact
-    /// with the store any longer.
-    pub async fn run(self) {
+    /// Tells other boxes of streams that began while the pool had one version, once it has more, or this box is stopping or
+    /// not in contact with the store any longer.
+    pub async fn run(self, stopping: CancellationToken) {
         let mut ticks = tokio::time::interval(CHECK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
-            let must_tell = |pool: &PoolId, life| self.sole(pool, life).is_none();
+            let is_stopping = stopping.is_cancelled();
+            let must_tell = |pool: &PoolId, life| is_stopping || self.sole(pool, life).is_none();
             let untold = self.records().take_untold(must_tell, Instant::now());
             self.tell(&untold);
         }
--- a/crates/sillpin-gateway/src/streams/register.rs
+++ b/crates/sillpin-gateway/src/streams/register.rs
@@ -34,9 +34,12 @@
 /// Time for which a request waits for a read of the store.
 const READ_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Shortest time between two reads that find more than one version, or none.
+/// Shortest time between two reads.
 const READ_INTERVAL: Duration = Duration::from_secs(5);
 
+/// The same after a read that found no versions: those of a new fleet are about to be written.
+const EMPTY_READ_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Number of boxes of a zone that write.
 const WRITERS: usize = 1;
 
@@ -174,8 +177,13 @@
         let Some(contact) = self.fleet.view().targets_sync.in_contact(now) else {
             return;
         };
-        let read_at = stored.borrow().read_at;
-        if read_at.is_some_and(|at| at >= contact && now - at < READ_INTERVAL) {
+        let last = stored.borrow().clone();
+        let interval = match last.versions.is_empty() {
+            true => EMPTY_READ_INTERVAL,
+            false => READ_INTERVAL,
+        };
+        let is_recent = |at: Instant| at >= contact && now - at < interval;
+        if last.read_at.is_some_and(is_recent) {
             return;
         }
         match self.platform.get(VERSIONS_KEY).await {
