--- a/crates/sillpin-gateway/src/streams/holders.rs
+++ b/crates/sillpin-gateway/src/streams/holders.rs
@@ -7,7 +7,6 @@
 use super::version::StreamKey;
 use crate::fleet_state::BoxEntry;
 use sillpin_core::ZoneId;
-use std::cmp::Reverse;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Number of holders in the own zone, and in the others.
@@ -19,29 +18,41 @@
 /// Largest number of other boxes that are all asked: the one that began the stream is among them.
 const ASK_ALL: usize = 16;
 
-/// Boxes in the order in which a stream's record is kept at them.
-struct Ranked<'a> {
-    own: Vec<&'a BoxEntry>,
-    others: Vec<&'a BoxEntry>,
+/// Returns the `count` first of some boxes in the order in which a stream's record is kept at them.
+fn first<'a>(
+    boxes: impl Iterator<Item = &'a BoxEntry>,
+    key: StreamKey,
+    count: usize,
+) -> Vec<&'a BoxEntry> {
+    let mut first: Vec<(u64, &BoxEntry)> = Vec::with_capacity(count + 1);
+    for entry in boxes {
+        let rank = xxh3_64_with_seed(entry.id.as_str().as_bytes(), key.fold());
+        if first.len() == count && first.last().is_some_and(|(last, _)| rank <= *last) {
+            continue;
+        }
+        let at = first.partition_point(|(higher, _)| *higher > rank);
+        first.insert(at, (rank, entry));
+        first.truncate(count);
+    }
+    first.into_iter().map(|(_, entry)| entry).collect()
 }
 
-fn ranked<'a>(boxes: &'a [BoxEntry], zone: &ZoneId, key: StreamKey) -> Ranked<'a> {
-    let rank = |entry: &&BoxEntry| {
-        let id = entry.id.as_str().as_bytes();
-        Reverse(xxh3_64_with_seed(id, key.fold()))
-    };
-    let (mut own, mut others): (Vec<&BoxEntry>, Vec<&BoxEntry>) =
-        boxes.iter().partition(|entry| entry.zone == *zone);
-    own.sort_by_cached_key(rank);
-    others.sort_by_cached_key(rank);
-    Ranked { own, others }
+/// Returns the `count` first boxes of a zone and the `count` first of all others.
+fn first_of_both<'a>(
+    boxes: &'a [BoxEntry],
+    zone: &ZoneId,
+    key: StreamKey,
+    count: usize,
+) -> (Vec<&'a BoxEntry>, Vec<&'a BoxEntry>) {
+    let own = boxes.iter().filter(|entry| entry.zone == *zone);
+    let others = boxes.iter().filter(|entry| entry.zone != *zone);
+    (first(own, key, count), first(others, key, count))
 }
 
 /// Returns the boxes that a box in `zone` tells of a stream.
 pub fn holders<'a>(boxes: &'a [BoxEntry], zone: &ZoneId, key: StreamKey) -> Vec<&'a BoxEntry> {
-    let Ranked { own, others } = ranked(boxes, zone, key);
-    let own = own.into_iter().take(HOLDERS);
-    own.chain(others.into_iter().take(HOLDERS)).collect()
+    let (own, others) = first_of_both(boxes, zone, key, HOLDERS);
+    own.into_iter().chain(others).collect()
 }
 
 /// Returns the boxes that a box in `zone` asks about a stream, and those that it asks next.
@@ -53,9 +64,8 @@
     if boxes.len() <= ASK_ALL {
         return (boxes.iter().collect(), Vec::new());
     }
-    let Ranked { own, others } = ranked(boxes, zone, key);
-    let first = own.iter().take(HOLDERS).chain(others.iter().take(HOLDERS));
-    let next = own.iter().skip(HOLDERS).take(FURTHER / 2);
-    let next = next.chain(others.iter().skip(HOLDERS).take(FURTHER / 2));
-    (first.copied().collect(), next.copied().collect())
+    let (own, others) = first_of_both(boxes, zone, key, HOLDERS + FURTHER / 2);
+    let holders = own.iter().take(HOLDERS).chain(others.iter().take(HOLDERS));
+    let next = own.iter().skip(HOLDERS).chain(others.iter().skip(HOLDERS));
+    (holders.copied().collect(), next.copied().collect())
 }
--- a/crates/sillpin-gateway/tests/stream_versions.rs
+++ b/crates/sillpin-gateway/tests/stream_versions.rs
@@ -2,18 +2,27 @@
 
 mod common;
 
-use common::{engine, name};
+use common::{TestKeys, engine, name};
 use rstest::rstest;
 use sillpin_core::{PoolId, ZoneId};
 use sillpin_gateway::control::{SoftwareVersion, TargetEntry};
-use sillpin_gateway::fleet_state::{BoxEntry, SyncState};
+use sillpin_gateway::fleet_state::fleet::Fleet;
+use sillpin_gateway::fleet_state::{self, BoxEntry, FleetMsg, SyncState, View};
+use sillpin_gateway::metrics::BoxMetrics;
+use sillpin_gateway::peers::wire::FleetKey;
+use sillpin_gateway::streams::exchange::ResumedStream;
 use sillpin_gateway::streams::history::{HOLD_TIME, PoolVersions};
 use sillpin_gateway::streams::holders::{asked, holders};
 use sillpin_gateway::streams::message::{MAX_RECORDS, StreamMessage};
 use sillpin_gateway::streams::records::{RecordTable, StreamRecord};
-use sillpin_gateway::streams::{StreamKey, VersionHash};
+use sillpin_gateway::streams::{StreamKey, StreamVersions, VersionHash, register};
+use sillpin_platform::call::CallCounts;
+use sillpin_telemetry::metrics::Metrics;
+use slog::{Discard, Logger};
 use std::collections::HashSet;
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::UdpSocket;
 use tokio::time::{Instant, advance};
 
 /// How long callers may come back in these tests.
@@ -312,7 +321,116 @@
     let key = fleet.for_streams();
     let buf = sillpin_gateway::peers::wire::encode_message(key, &message).unwrap();
     assert!(buf.len() < 6_000, "{}", buf.len());
+    let one = StreamMessage::Records(vec![record("r", "v1", life)]);
+    let one = sillpin_gateway::peers::wire::encode_message(key, &one).unwrap();
+    assert!(one.len() <= 42, "{}", one.len());
     let read: StreamMessage = sillpin_gateway::peers::wire::decode_message(key, &buf).unwrap();
     assert_eq!(read, message);
     assert!(sillpin_gateway::peers::wire::decode(fleet, &buf).is_err());
 }
+
+/// Two boxes of a fleet that exchange datagrams about streams, and any number of others that get them.
+struct Pair {
+    first: StreamVersions,
+    second: StreamVersions,
+}
+
+impl Pair {
+    async fn start(others: usize) -> Self {
+        let mut sockets = Vec::new();
+        for _ in 0..2 {
+            let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+            sockets.push(Arc::new(socket));
+        }
+        let quiet = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+        let mut all = boxes(6, others.div_ceil(6));
+        for entry in &mut all {
+            entry.gossip = quiet.local_addr().unwrap();
+        }
+        for (index, socket) in sockets.iter().enumerate() {
+            all.push(BoxEntry {
+                id: name(&format!("own-{index}")),
+                zone: name("own"),
+                gossip: socket.local_addr().unwrap(),
+                ..all[0].clone()
+            });
+        }
+        let mut started = Vec::new();
+        for (index, socket) in sockets.into_iter().enumerate() {
+            let me = all[all.len() - 2 + index].clone();
+            started.push(start_box(me, all.clone(), socket).await);
+        }
+        // Keeps the port taken, so that datagrams to it are not refused.
+        std::mem::forget(quiet);
+        let second = started.pop().unwrap();
+        Self {
+            first: started.pop().unwrap(),
+            second,
+        }
+    }
+}
+
+/// Starts a box that knows these boxes and receives datagrams at `socket`.
+async fn start_box(me: BoxEntry, all: Vec<BoxEntry>, socket: Arc<UdpSocket>) -> StreamVersions {
+    let log = Logger::root(Discard, slog::o!());
+    let (fleet, port) = fleet_state::channel();
+    tokio::spawn(Fleet::new(me.id.clone(), TestKeys, log.clone()).run(port));
+    fleet.send(FleetMsg::Registered(all.clone())).await;
+    let mut views = fleet.subscribe();
+    let knows_all = |view: &Arc<View>| view.box_count() == all.len();
+    views.wait_for(knows_all).await.unwrap();
+    let metrics = Metrics::new("sillpin-box", me.id.as_str()).unwrap();
+    let metrics = BoxMetrics::new(&metrics.meter(), CallCounts::default());
+    let key = FleetKey::of(([10, 0, 0, 1], 1).into());
+    let register = register::channel().0;
+    let streams = StreamVersions::new(key, me, fleet, socket.clone(), register, metrics, log);
+    let receiving = streams.clone();
+    tokio::spawn(async move {
+        let mut buf = vec![0; 16_384];
+        while let Ok((len, from)) = socket.recv_from(&mut buf).await {
+            receiving.receive(&buf[..len], from);
+        }
+    });
+    streams
+}
+
+fn resumed(id: &str) -> ResumedStream {
+    ResumedStream {
+        key: StreamKey::new("acme", id),
+        pool: Some(target("any", None).pool),
+        window: WINDOW,
+    }
+}
+
+#[tokio::test]
+async fn a_box_of_the_zone_knows_what_another_recorded_and_asks_for_nothing_else() {
+    let pair = Pair::start(380).await;
+    let pool = target("any", None).pool;
+    pair.first.record(&pool, record("r", "v1", WINDOW));
+    let found = pair.second.find(&resumed("r")).await;
+    assert_eq!(found.map(|(version, _)| version), Some(hash("v1")));
+    let asked = Instant::now();
+    assert_eq!(pair.second.find(&resumed("never-was")).await, None);
+    assert!(
+        asked.elapsed() < Duration::from_secs(1),
+        "{:?}",
+        asked.elapsed()
+    );
+}
+
+#[tokio::test]
+async fn the_first_event_of_a_stream_waits_less_than_a_millisecond_for_its_record() {
+    let pair = Pair::start(380).await;
+    let pool = target("any", None).pool;
+    let mut times = Vec::new();
+    for number in 0..500 {
+        let began = std::time::Instant::now();
+        pair.first
+            .record(&pool, record(&number.to_string(), "v1", WINDOW));
+        times.push(began.elapsed());
+    }
+    times.sort_unstable();
+    let median = times[times.len() / 2];
+    println!("median {median:?}");
+    assert!(median < Duration::from_millis(1), "{median:?}");
+}
