--- a/crates/sillpin-gateway/src/dialect.rs
+++ b/crates/sillpin-gateway/src/dialect.rs
@@ -4,9 +4,11 @@
 //! it makes no decisions.
 
 use crate::config::Priority;
+use crate::placement::signals::brittle::RefusalLimit;
 use derive_more::{Display, Error, From, FromStr};
 use hyper::http::request;
 use hyper::{HeaderMap, StatusCode};
+use rand::Rng;
 use serde::{Deserialize, Serialize};
 use sillpin_core::{ModelId, OrgId, RequestRate, TargetId, Tokens, WeightVersion, text_type};
 use std::net::SocketAddr;
@@ -189,6 +191,22 @@
     pub leaving: bool,
     /// How long this box is to send it no requests, if it states that.
     pub retry_after: Option<RetryAfter>,
+    /// How many refusals in a second it survives, if it states that.
+    pub refusal_limit: Option<RefusalLimit>,
+}
+
+impl ResponseSignals {
+    /// Returns how long one of `boxes` boxes, whose request the target refused, is to send it nothing.
+    pub fn refusal_backoff(&self, boxes: usize, rng: &mut impl Rng) -> Option<RetryAfter> {
+        let Some(limit) = self.refusal_limit else {
+            return self.retry_after;
+        };
+        let wait = limit.backoff(boxes, rng);
+        Some(RetryAfter::Wait(match self.retry_after {
+            Some(RetryAfter::Wait(stated)) => stated.max(wait),
+            Some(RetryAfter::Unreadable) | None => wait,
+        }))
+    }
 }
 
 /// How long a target is to get no requests.
--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -406,11 +406,17 @@
         if status == StatusCode::MISDIRECTED_REQUEST || is_other {
             return;
         }
+        let is_refusal = TEMPORARY_REJECTIONS.contains(&status);
+        let mut signals = head.signals;
+        if is_refusal {
+            let boxes = self.fleet.view().box_count();
+            signals.retry_after = signals.refusal_backoff(boxes, &mut rand::rng());
+        }
         let observation = SignalObservation {
             sent,
-            signals: head.signals,
+            signals,
             success: status.is_success() && head.signed && !head.not_run,
-            is_refusal: TEMPORARY_REJECTIONS.contains(&status),
+            is_refusal,
         };
         let life = IncarnationHash::of(target);
         let changes = self
--- a/crates/sillpin-gateway/src/placement/signals/mod.rs
+++ b/crates/sillpin-gateway/src/placement/signals/mod.rs
@@ -6,9 +6,11 @@
 //! - [`limit`]: rate limits that targets announce,
 //! - [`leaving`]: targets that are shutting down,
 //! - [`backoff`]: times for which this box may send no requests to a target,
+//! - [`brittle`]: targets that crash if they have to refuse too many requests,
 //! - [`replaced`]: targets whose address is now used by another target.
 
 pub mod backoff;
+pub mod brittle;
 pub mod leaving;
 pub mod limit;
 pub mod replaced;
--- a/crates/sillpin-gateway/tests/signals.rs
+++ b/crates/sillpin-gateway/tests/signals.rs
@@ -3,9 +3,12 @@
 mod common;
 
 use common::{engine, name};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use rstest::rstest;
 use sillpin_gateway::control::{Life, TargetEntry};
 use sillpin_gateway::dialect::{ResponseSignals, RetryAfter};
+use sillpin_gateway::placement::signals::brittle::RefusalLimit;
 use sillpin_gateway::placement::signals::{SignalChange, SignalObservation, TargetSignals};
 use sillpin_gateway::placement::work::IncarnationHash;
 use std::time::Duration;
@@ -173,3 +176,65 @@
     signals.retain_listed(|life| life == listed, Instant::now());
     assert!(signals.leaving.contains(listed));
 }
+
+/// Largest number of refusals by a full target in a second, from boxes that each have a request for it every 50 ms.
+async fn most_refusals_in_a_second(boxes: usize, limit: Option<RefusalLimit>) -> usize {
+    let target = incarnation("i-1", 1);
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut fleet: Vec<TargetSignals> = (0..boxes).map(|_| TargetSignals::default()).collect();
+    let mut refused = Vec::new();
+    for _ in 0..20 * 30 {
+        let now = Instant::now();
+        for signals in &mut fleet {
+            if signals.unavailable(now).contains(&target) {
+                continue;
+            }
+            refused.push(now);
+            let named = ResponseSignals {
+                refusal_limit: limit,
+                ..ResponseSignals::default()
+            };
+            let observed = SignalObservation {
+                sent: now,
+                signals: ResponseSignals {
+                    retry_after: named.refusal_backoff(boxes, &mut rng),
+                    ..named
+                },
+                success: false,
+                is_refusal: true,
+            };
+            signals.record(target, observed, now);
+        }
+        advance(SECOND / 20).await;
+    }
+    let in_second_from = |from: &Instant| {
+        let in_second = |at: &&Instant| **at >= *from && **at < *from + SECOND;
+        refused.iter().filter(in_second).count()
+    };
+    refused.iter().map(in_second_from).max().unwrap_or_default()
+}
+
+#[rstest]
+#[case::as_many_as_boxes(9, 9)]
+#[case::more(9, 12)]
+#[tokio::test(start_paused = true)]
+async fn boxes_are_not_refused_more_often_than_a_brittle_target_survives(
+    #[case] boxes: usize,
+    #[case] limit: u32,
+) {
+    let without = most_refusals_in_a_second(boxes, None).await;
+    assert!(without > 10 * limit as usize, "{without}");
+    let most = most_refusals_in_a_second(boxes, Some(RefusalLimit(limit))).await;
+    assert!(most <= limit as usize, "{most}");
+}
+
+#[test]
+fn a_stated_backoff_that_is_longer_than_that_of_a_brittle_target_holds() {
+    let signals = ResponseSignals {
+        retry_after: Some(RetryAfter::Wait(SECOND * 20)),
+        refusal_limit: Some(RefusalLimit(5)),
+        ..ResponseSignals::default()
+    };
+    let wait = signals.refusal_backoff(9, &mut StdRng::seed_from_u64(1));
+    assert_eq!(wait, Some(RetryAfter::Wait(SECOND * 20)));
+}
