--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -186,7 +186,7 @@
     /// A stream that broke off does not continue in the same response.
     STREAM_NOT_RESUMED = 379, Info, "stream not resumed", "Nothing to do: `why` tells whether targets, runs, time or retries were lacking.";
     /// A caller resumes a stream, and the box looked up which version of the targets' software began it.
-    STREAM_VERSION = 380, Info, "version of a resumed stream", "Nothing to do unless `version` is often empty: such streams are refused. Then look for boxes that were stopped without draining, and for lost datagrams (E334).";
+    STREAM_VERSION = 380, Info, "version of a resumed stream", "Nothing to do unless `version` is often empty: such streams are refused. Then look for boxes that were stopped without draining, and for lost datagrams (E336).";
     /// The versions of the pools could not be read from the platform's store, or written to it.
     VERSIONS_NOT_STORED = 381, Warning, "versions of pools not stored", "Check the store if it recurs: boxes that all start anew then refuse streams that callers resume.";
     /// The caller closed the connection.
