--- a/crates/sillpin-gateway/src/streams/history.rs
+++ b/crates/sillpin-gateway/src/streams/history.rs
@@ -74,7 +74,6 @@
         if before.map(version) == entry.map(version) {
             return false;
         }
-        // Added first: a target that is replaced by another of its version does not end the version.
         let added = entry.is_some_and(|entry| self.add(entry, now));
         let removed = before.is_some_and(|before| self.remove(before, now));
         added || removed
