Tell why another box did not take a request (E382)

E378 names the box that a request is offered to, but not its answer: logs could not tell a box that has no path from one that is busy or gone, nor whether other zones are asked.

--- a/crates/sillpin-gateway/src/forward/boxes.rs
+++ b/crates/sillpin-gateway/src/forward/boxes.rs
@@ -7,6 +7,7 @@
 use super::head::Unavailable;
 use crate::fleet_state::BoxEntry;
 use crate::placement::residency::{Residency, ZoneRegions};
+use derive_more::Display;
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use sillpin_core::{BoxId, PoolId, ZoneId};
@@ -29,11 +30,12 @@
 const OWN_ZONE_ADVANTAGE: u32 = 4;
 
 /// Why a box is avoided.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Avoidance {
     /// It said that it does not serve the request.
     Unavailable(Unavailable),
     /// It cannot be reached, or did not answer.
+    #[display("cannot be reached")]
     Unreachable,
 }
 
--- a/crates/sillpin-gateway/src/front/forward.rs
+++ b/crates/sillpin-gateway/src/front/forward.rs
@@ -82,6 +82,7 @@
                 "peer" => entry.id.as_str(), "offer" => progress.boxes.len(),
                 "left_ms" => request.time_left().as_millis());
             let max_runs = max_runs_elsewhere(request, progress);
+            let offered = Instant::now();
             let sent = self.forward_to(&entry, request, progress, max_runs).await;
             let (name, avoidance) = match &sent {
                 Ok(outcome) => (outcome.name(), None),
@@ -92,6 +93,9 @@
             if let Some(why) = avoidance {
                 let now = Instant::now();
                 self.forward_boxes.avoid(&entry.id, pool, why, now);
+                event!(self.log, events::FORWARD_NOT_TAKEN, "request" => &request.head.id,
+                    "peer" => entry.id.as_str(), "peer_zone" => entry.zone.as_str(),
+                    "why" => why.to_string(), "elapsed_ms" => offered.elapsed().as_millis());
             }
             let Ok(outcome) = sent else {
                 continue;
