Let boxes that are cut off find the boxes that reach targets in large fleets

Callers of a zone that is cut off from all targets as a whole were refused: each request was offered to three boxes, of the own zone while one of them was not known to lack a path, and that was remembered for 0.8 s and by one box alone. With 23 boxes a zone and a few requests a second at each, a box forgot faster than it learned.

Now a box that served a request of a pool comes first for 5 s; a box without a path names up to three that served its own requests (header of the refusal, unknown to older builds); another zone is asked once a box of the own one has no path; eight boxes are offered a request instead of three, of which three may be out of reach; a connection to a box may take a quarter of the time that is left.

With 375 of 380 boxes cut, in a simulation at 4 requests a second each, 95% are served from the second second on.

--- a/crates/sillpin-gateway/src/forward/boxes.rs
+++ b/crates/sillpin-gateway/src/forward/boxes.rs
@@ -1,15 +1,17 @@
 //! Which box gets a request that this box cannot serve.
 //!
-//! What other boxes reach is learned from their answers: one that has no path to the targets, or no room, is avoided for
-//! a while, as is one that cannot be reached. Boxes of the own zone are preferred, those of other regions are used only
-//! if the request may go there.
+//! What other boxes reach is learned from their answers. One that served a request of a pool comes first for the next
+//! ones; one that has no path to the targets, or no room, is avoided for a while, as is one that cannot be reached. A box
+//! without a path names boxes that served its own requests. Boxes of the own zone are preferred unless one of them is
+//! known to have no path: zones are often cut off as a whole. Boxes of other regions are used only if the request may go
+//! there.
 
 use super::head::Unavailable;
 use crate::fleet_state::BoxEntry;
 use crate::placement::residency::{Residency, ZoneRegions};
 use derive_more::Display;
-use rand::Rng;
 use rand::seq::IndexedRandom;
+use rand::{Rng, RngExt};
 use sillpin_core::{BoxId, PoolId, ZoneId};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -19,6 +21,19 @@
 /// Time for which a box without a path to a pool's targets gets no requests for it.
 const NO_PATH_TIME: Duration = Duration::from_millis(800);
 
+/// Time after a box served a request of a pool for which it is taken to reach the pool's targets: several requests of a
+/// seldom used pool.
+const PROVEN_TIME: Duration = Duration::from_secs(5);
+
+/// Number of boxes known to reach a pool from which no others are looked for.
+const ENOUGH_PROVEN: usize = 3;
+
+/// Share of the requests for which another box is looked for, while fewer are known.
+const EXPLORED_SHARE: f64 = 0.25;
+
+/// Maximum number of boxes that are named to a box that asks for a path.
+pub const MAX_NAMED: usize = 3;
+
 /// Time for which a busy box gets no requests.
 const BUSY_TIME: Duration = Duration::from_millis(150);
 
@@ -39,19 +54,45 @@
     Unreachable,
 }
 
+/// What is known of a box's paths to the targets of a pool.
+#[derive(Debug, Clone, Copy)]
+enum PathState {
+    /// It served a request then.
+    Served(Instant),
+    /// Another box named it then, as one that served its requests.
+    Named(Instant),
+    /// It has no path, and is avoided until then.
+    NoPath(Instant),
+}
+
 #[derive(Debug, Default)]
 struct BoxState {
     /// Requests in flight there from this box.
     in_flight: u32,
     avoided_until: Option<Instant>,
-    no_path_until: HashMap<PoolId, Instant>,
+    paths: HashMap<PoolId, PathState>,
 }
 
 impl BoxState {
+    fn lacks_path(&self, pool: &PoolId, now: Instant) -> bool {
+        matches!(self.paths.get(pool), Some(PathState::NoPath(until)) if now < *until)
+    }
+
     fn is_available(&self, pool: &PoolId, now: Instant) -> bool {
-        let is_over = |until: &Instant| *until <= now;
-        self.avoided_until.as_ref().is_none_or(is_over)
-            && self.no_path_until.get(pool).is_none_or(is_over)
+        self.avoided_until.is_none_or(|until| until <= now) && !self.lacks_path(pool, now)
+    }
+
+    /// Whether it is taken to reach the pool's targets.
+    fn is_proven(&self, pool: &PoolId, now: Instant) -> bool {
+        match self.paths.get(pool) {
+            Some(PathState::Served(at) | PathState::Named(at)) => now - *at < PROVEN_TIME,
+            Some(PathState::NoPath(_)) | None => false,
+        }
+    }
+
+    /// Whether it served a request of this box recently.
+    fn has_served(&self, pool: &PoolId, now: Instant) -> bool {
+        matches!(self.paths.get(pool), Some(PathState::Served(at)) if now - *at < PROVEN_TIME)
     }
 }
 
@@ -95,7 +136,8 @@
         self.states.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Chooses a box: of two random ones of the own zone and two of others, the one with the fewest requests in flight.
+    /// Chooses a box, among those known to reach the pool if there are any. Of two random ones of the own zone and two of
+    /// others, the one with the fewest requests in flight.
     pub fn choose(&self, choice: &BoxChoice<'_>, rng: &mut impl Rng) -> Option<BoxEntry> {
         let states = self.lock();
         let is_candidate = |entry: &&BoxEntry| {
@@ -104,22 +146,52 @@
                 && !choice.tried.contains(&entry.id)
                 && state.is_none_or(|state| state.is_available(choice.pool, choice.now))
         };
-        let candidates = choice.boxes.iter().filter(is_candidate);
-        let (own, others): (Vec<&BoxEntry>, Vec<&BoxEntry>) =
-            candidates.partition(|entry| entry.zone == *choice.zone);
-        let in_flight = |entry: &BoxEntry| states.get(&entry.id).map_or(0, |s| s.in_flight);
-        let own = own.sample(rng, 2).min_by_key(|entry| in_flight(entry));
-        let other = others.sample(rng, 2).min_by_key(|entry| in_flight(entry));
-        let chosen = match (own, other) {
-            (Some(own), Some(other)) => {
-                match in_flight(own) > in_flight(other) + OWN_ZONE_ADVANTAGE {
-                    true => other,
-                    false => own,
-                }
+        let candidates: Vec<&BoxEntry> = choice.boxes.iter().filter(is_candidate).collect();
+        let is_proven = |entry: &&BoxEntry| {
+            let state = states.get(&entry.id);
+            state.is_some_and(|state| state.is_proven(choice.pool, choice.now))
+        };
+        let (proven, unknown): (Vec<&BoxEntry>, Vec<&BoxEntry>) =
+            candidates.into_iter().partition(is_proven);
+        let explores = proven.len() < ENOUGH_PROVEN
+            && choice.tried.is_empty()
+            && rng.random_bool(EXPLORED_SHARE);
+        let chosen = match proven.is_empty() || (explores && !unknown.is_empty()) {
+            false => pick(&proven, choice, &states, true, rng),
+            true => {
+                let prefers_own_zone = !is_path_lacked_in_zone(choice, &states);
+                pick(&unknown, choice, &states, prefers_own_zone, rng)
             }
-            (own, other) => own.or(other)?,
         };
-        Some(BoxEntry::clone(chosen))
+        chosen.cloned()
+    }
+
+    /// Records that a box served a request of a pool, or failed to after it had reached a target.
+    pub fn record_served(&self, id: &BoxId, pool: &PoolId, now: Instant) {
+        let mut states = self.lock();
+        let state = states.entry(id.clone()).or_default();
+        state.paths.insert(pool.clone(), PathState::Served(now));
+    }
+
+    /// Records that another box named a box as one that served its requests. What this box has found itself in the last
+    /// while counts more.
+    pub fn record_named(&self, id: &BoxId, pool: &PoolId, now: Instant) {
+        let mut states = self.lock();
+        let state = states.entry(id.clone()).or_default();
+        if !state.lacks_path(pool, now) && !state.has_served(pool, now) {
+            state.paths.insert(pool.clone(), PathState::Named(now));
+        }
+    }
+
+    /// Returns some boxes that served requests of this box, for another box without a path to the pool's targets.
+    pub fn proven(&self, pool: &PoolId, now: Instant, rng: &mut impl Rng) -> Vec<BoxId> {
+        let states = self.lock();
+        let served = states
+            .iter()
+            .filter(|(_, state)| state.has_served(pool, now) && state.is_available(pool, now));
+        let served: Vec<&BoxId> = served.map(|(id, _)| id).collect();
+        let sample = served.sample(rng, MAX_NAMED);
+        sample.map(|id| BoxId::clone(id)).collect()
     }
 
     /// Counts a request as in flight at a box until the guard is dropped.
@@ -137,7 +209,8 @@
         let state = states.entry(id.clone()).or_default();
         let time = match why {
             Avoidance::Unavailable(Unavailable::NoPath) => {
-                state.no_path_until.insert(pool.clone(), now + NO_PATH_TIME);
+                let until = now + NO_PATH_TIME;
+                state.paths.insert(pool.clone(), PathState::NoPath(until));
                 return;
             }
             Avoidance::Unavailable(Unavailable::Busy) => BUSY_TIME,
@@ -154,6 +227,41 @@
     }
 }
 
+/// Whether a box of the own zone is known to have no path to the pool's targets.
+fn is_path_lacked_in_zone(choice: &BoxChoice<'_>, states: &HashMap<BoxId, BoxState>) -> bool {
+    let own_zone = choice
+        .boxes
+        .iter()
+        .filter(|entry| entry.zone == *choice.zone);
+    let mut states = own_zone.filter_map(|entry| states.get(&entry.id));
+    states.any(|state| state.lacks_path(choice.pool, choice.now))
+}
+
+/// Picks one of the candidates: of two random ones of the own zone and two of others, the one with the fewest requests
+/// in flight.
+fn pick<'a>(
+    candidates: &[&'a BoxEntry],
+    choice: &BoxChoice<'_>,
+    states: &HashMap<BoxId, BoxState>,
+    prefers_own_zone: bool,
+    rng: &mut impl Rng,
+) -> Option<&'a BoxEntry> {
+    let (own, others): (Vec<&BoxEntry>, Vec<&BoxEntry>) = candidates
+        .iter()
+        .partition(|entry| entry.zone == *choice.zone);
+    let in_flight = |entry: &BoxEntry| states.get(&entry.id).map_or(0, |state| state.in_flight);
+    let mut least = |of: &[&'a BoxEntry]| {
+        let sample = of.sample(rng, 2).copied();
+        sample.min_by_key(|entry| in_flight(entry))
+    };
+    let (own, other) = (least(&own), least(&others));
+    let (Some(own), Some(other)) = (own, other) else {
+        return own.or(other);
+    };
+    let is_own = prefers_own_zone && in_flight(own) <= in_flight(other) + OWN_ZONE_ADVANTAGE;
+    Some(if is_own { own } else { other })
+}
+
 /// A request in flight at another box.
 #[derive(Debug)]
 pub struct ForwardGuard {
--- a/crates/sillpin-gateway/src/forward/head.rs
+++ b/crates/sillpin-gateway/src/forward/head.rs
@@ -19,6 +19,9 @@
 /// Header of the response to a forwarded request, with a [`ForwardResult`] as JSON.
 pub const RESULT: &str = "sillpin-forward-result";
 
+/// Header of the response of a box that has no path to the targets, with a [`NamedBoxes`] as JSON.
+pub const NAMED: &str = "sillpin-forward-boxes";
+
 /// What a box states about a request that it sends to another box.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ForwardHead {
@@ -88,6 +91,25 @@
     Foreign,
 }
 
+/// Boxes that reach the targets of a request, as far as the box that names them knows.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct NamedBoxes(pub Vec<BoxId>);
+
+impl NamedBoxes {
+    /// Removes the header from a response and parses it. Without a readable one, no boxes are named.
+    pub fn take(headers: &mut HeaderMap) -> Self {
+        take(headers, NAMED).unwrap_or_default()
+    }
+
+    /// Sets the header of a response, unless no boxes are named.
+    pub fn set(&self, headers: &mut HeaderMap) {
+        if !self.0.is_empty() {
+            set(headers, NAMED, self);
+        }
+    }
+}
+
 impl ForwardHead {
     /// Removes the header from a request and parses it.
     pub fn take(headers: &mut HeaderMap, fleet: FleetKey) -> Result<Self, ForwardHeadError> {
--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -13,7 +13,6 @@
 use super::stream_version::Binding;
 use crate::dialect::{AttemptHead, Dialect};
 use crate::fleet_state::View;
-use crate::forward::head::Unavailable;
 use crate::placement::work::IncarnationHash;
 use crate::releases::Cohort;
 use hyper::Response;
@@ -66,7 +65,7 @@
             None => self.pick_pool(&request)?,
         };
         if request.forwarded.is_some() && self.loads.reach().is_cut_off(&pool) {
-            return Err(Refusal::unavailable(Unavailable::NoPath));
+            return Err(self.refuse_without_path(&pool));
         }
         let mut progress = self.begin(&request, &pool, binding);
         loop {
@@ -74,7 +73,7 @@
             let outcome = match result {
                 Ok(outcome) => outcome,
                 Err(NoAttempt::Refused(refusal)) => {
-                    return Err(refuse_for_box(&request, &progress, refusal));
+                    return Err(self.refuse_for_box(&request, &pool, &progress, refusal));
                 }
                 Err(NoAttempt::Failed(response)) => {
                     self.log_response(&request, &response);
@@ -336,22 +335,34 @@
         NoAttempt::Refused(Refusal::not_run(EVACUATED).with_retry_after(wait))
     }
 
+    /// Refuses another box's request since this box does not reach the pool's targets, and names boxes that may.
+    fn refuse_without_path(&self, pool: &PoolId) -> Refusal {
+        let now = Instant::now();
+        Refusal::no_path(self.forward_boxes.proven(pool, now, &mut rand::rng()))
+    }
+
+    /// Turns the refusal of another box's request that could not be sent to any target into one that lets that box try a
+    /// third one.
+    fn refuse_for_box(
+        &self,
+        request: &AdmittedRequest,
+        pool: &PoolId,
+        progress: &Progress,
+        refusal: Refusal,
+    ) -> Refusal {
+        let is_unsent = progress.unsent > 0 && progress.arrivals == 0;
+        match request.forwarded.is_some() && is_unsent {
+            true => self.refuse_without_path(pool),
+            false => refusal,
+        }
+    }
+
     /// Whether a request may be offered to one more target.
     pub fn may_offer(&self, progress: &Progress) -> bool {
         progress.offered.len() < MAX_OFFERS
     }
 }
 
-/// Turns the refusal of another box's request that could not be sent to any target into one that lets that box try a
-/// third one.
-fn refuse_for_box(request: &AdmittedRequest, progress: &Progress, refusal: Refusal) -> Refusal {
-    let is_unsent = progress.unsent > 0 && progress.arrivals == 0;
-    match request.forwarded.is_some() && is_unsent {
-        true => Refusal::unavailable(Unavailable::NoPath),
-        false => refusal,
-    }
-}
-
 /// Builds the head of the request to the target.
 fn attempt_head(
     request: &AdmittedRequest,
--- a/crates/sillpin-gateway/src/front/forward.rs
+++ b/crates/sillpin-gateway/src/front/forward.rs
@@ -9,8 +9,8 @@
 use crate::config::Idempotency;
 use crate::dialect::{Dialect, ResponseHead};
 use crate::fleet_state::BoxEntry;
-use crate::forward::boxes::{Avoidance, BoxChoice, ForwardGuard};
-use crate::forward::head::{ForwardHead, ForwardResult, Unavailable};
+use crate::forward::boxes::{Avoidance, BoxChoice, ForwardGuard, MAX_NAMED};
+use crate::forward::head::{ForwardHead, ForwardResult, NamedBoxes, Unavailable};
 use crate::pool::{Conn, SendError};
 use crate::streams::VersionHash;
 use bytes::Bytes;
@@ -18,7 +18,7 @@
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode, Uri};
-use sillpin_core::PoolId;
+use sillpin_core::{BoxId, PoolId};
 use sillpin_telemetry::{event, events};
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -27,8 +27,15 @@
 /// cut off.
 const MIN_UNSENT: u32 = 2;
 
-/// Maximum number of boxes that a request is offered to.
-const MAX_BOXES: usize = 3;
+/// Maximum number of boxes that a request is offered to. One without a path says so within a round trip.
+const MAX_BOXES: usize = 8;
+
+/// Maximum number of them that cannot be reached: each takes the time limit of a connection.
+const MAX_UNREACHABLE: usize = 3;
+
+/// A connection to another box may take a part in `CONNECT_SHARE` of the time that is left, so that a third box can be
+/// tried.
+const CONNECT_SHARE: u32 = 4;
 
 /// Deducted from the time that another box is given, so that its response arrives in time.
 const RETURN_MARGIN: Duration = Duration::from_millis(10);
@@ -66,7 +73,8 @@
         pool: &PoolId,
         progress: &mut Progress,
     ) -> Option<AttemptOutcome> {
-        while progress.boxes.len() < MAX_BOXES {
+        let mut unreachable = 0;
+        while progress.boxes.len() < MAX_BOXES && unreachable < MAX_UNREACHABLE {
             let view = self.fleet.view();
             let choice = BoxChoice {
                 boxes: &view.boxes,
@@ -83,11 +91,16 @@
                 "left_ms" => request.time_left().as_millis());
             let max_runs = max_runs_elsewhere(request, progress);
             let offered = Instant::now();
-            let sent = self.forward_to(&entry, request, progress, max_runs).await;
+            let sent = self
+                .forward_to(&entry, request, pool, progress, max_runs)
+                .await;
             let (name, avoidance) = match &sent {
                 Ok(outcome) => (outcome.name(), None),
                 Err(why @ Avoidance::Unavailable(_)) => ("unavailable", Some(*why)),
-                Err(why @ Avoidance::Unreachable) => ("unreachable", Some(*why)),
+                Err(why @ Avoidance::Unreachable) => {
+                    unreachable += 1;
+                    ("unreachable", Some(*why))
+                }
             };
             self.metrics.forwarded(name);
             if let Some(why) = avoidance {
@@ -116,10 +129,13 @@
         &self,
         entry: &BoxEntry,
         request: &AdmittedRequest,
+        pool: &PoolId,
         progress: &Progress,
         max_runs: u32,
     ) -> Result<AttemptOutcome, Avoidance> {
-        let conn = self.box_connections.get(entry, max_idle(request)).await;
+        let limit = request.time_left() / CONNECT_SHARE;
+        let conns = &self.box_connections;
+        let conn = conns.get_within(entry, max_idle(request), limit).await;
         let mut conn = conn.map_err(|_| Avoidance::Unreachable)?;
         let req = self.forwarded_request(request, progress, max_runs);
         let req = req.map_err(|_| Avoidance::Unreachable)?;
@@ -139,6 +155,7 @@
         };
         let open = OpenForward {
             entry,
+            pool,
             conn,
             in_flight,
             sent,
@@ -187,9 +204,13 @@
     ) -> Result<AttemptOutcome, Avoidance> {
         let (mut parts, body) = resp.into_parts();
         let result = ForwardResult::take(&mut parts.headers);
+        let named = NamedBoxes::take(&mut parts.headers);
         let head = self.dialect.read_response(parts.status, &parts.headers);
         match result {
             Ok(ForwardResult::Target { version }) => {
+                let now = Instant::now();
+                self.forward_boxes
+                    .record_served(&open.entry.id, open.pool, now);
                 let response = TargetResponse {
                     parts,
                     head,
@@ -199,6 +220,7 @@
                 Ok(self.accept_response(request, open, response).await)
             }
             Ok(ForwardResult::Unavailable(why)) => {
+                self.record_named(&named, open.pool);
                 self.recycle(open, body, &head);
                 Err(Avoidance::Unavailable(why))
             }
@@ -214,6 +236,7 @@
                     reason,
                     retry_after: retry_after_ms.map(Duration::from_millis),
                     unavailable: None,
+                    named: NamedBoxes::default(),
                 };
                 Ok(AttemptOutcome::Refused(without_denial(refusal)))
             }
@@ -221,6 +244,16 @@
         }
     }
 
+    /// Records the boxes that a box without a path named, if they are up.
+    fn record_named(&self, named: &NamedBoxes, pool: &PoolId) {
+        let view = self.fleet.view();
+        let is_other_box =
+            |id: &&BoxId| **id != self.cfg.id && view.boxes.iter().any(|entry| entry.id == **id);
+        for id in named.0.iter().take(MAX_NAMED).filter(is_other_box) {
+            self.forward_boxes.record_named(id, pool, Instant::now());
+        }
+    }
+
     /// Validates a target's response that another box passes on.
     async fn accept_response(
         &self,
@@ -284,6 +317,7 @@
 /// A forwarded request whose response head has arrived.
 struct OpenForward<'a> {
     entry: &'a BoxEntry,
+    pool: &'a PoolId,
     conn: Conn,
     in_flight: ForwardGuard,
     sent: Instant,
--- a/crates/sillpin-gateway/src/front/handler.rs
+++ b/crates/sillpin-gateway/src/front/handler.rs
@@ -73,10 +73,11 @@
                 let version = resp.extensions().get::<VersionHash>().copied();
                 (resp, ForwardResult::Target { version })
             }
-            Err(refusal) => (
-                refusal.response(&self.shared.dialect, None),
-                refusal.forward_result(),
-            ),
+            Err(refusal) => {
+                let mut resp = refusal.response(&self.shared.dialect, None);
+                refusal.named.set(resp.headers_mut());
+                (resp, refusal.forward_result())
+            }
         };
         result.set(resp.headers_mut());
         if self.shared.stopping.is_cancelled() {
--- a/crates/sillpin-gateway/src/front/refusal.rs
+++ b/crates/sillpin-gateway/src/front/refusal.rs
@@ -1,12 +1,12 @@
 //! Responses that the box creates itself.
 
 use crate::dialect::Dialect;
-use crate::forward::head::{ForwardResult, Unavailable};
+use crate::forward::head::{ForwardResult, NamedBoxes, Unavailable};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
 use rand::RngExt;
 use serde::Serialize;
-use sillpin_core::Outcome;
+use sillpin_core::{BoxId, Outcome};
 use sillpin_http::{Body, JSON_MEDIA_TYPE};
 use std::time::Duration;
 
@@ -26,6 +26,8 @@
     pub retry_after: Option<Duration>,
     /// Why another box may serve the request, if this one cannot.
     pub unavailable: Option<Unavailable>,
+    /// Boxes that may serve it, for the box that sent it.
+    pub named: NamedBoxes,
 }
 
 /// Body of a response that the box creates itself.
@@ -44,6 +46,7 @@
             reason: reason.into(),
             retry_after: Some(DEFAULT_RETRY_AFTER),
             unavailable: None,
+            named: NamedBoxes::default(),
         }
     }
 
@@ -55,6 +58,14 @@
         }
     }
 
+    /// This box has no path to the targets; the boxes that are named may have one.
+    pub fn no_path(named: Vec<BoxId>) -> Self {
+        Self {
+            named: NamedBoxes(named),
+            ..Self::unavailable(Unavailable::NoPath)
+        }
+    }
+
     /// Sets another retry-after.
     pub fn with_retry_after(self, wait: Duration) -> Self {
         Self {
@@ -71,6 +82,7 @@
             reason: reason.into(),
             retry_after: None,
             unavailable: None,
+            named: NamedBoxes::default(),
         }
     }
 
@@ -82,6 +94,7 @@
             reason: reason.into(),
             retry_after: None,
             unavailable: None,
+            named: NamedBoxes::default(),
         }
     }
 
--- a/crates/sillpin-gateway/src/pool.rs
+++ b/crates/sillpin-gateway/src/pool.rs
@@ -280,12 +280,25 @@
     /// incarnation are closed: it may have ended without closing them, and then it could not be determined whether a
     /// request sent there ran.
     pub async fn get<E>(&self, to: &E, max_idle: Duration) -> Result<Conn, SendError>
+    where
+        E: Endpoint<Key = K>,
+    {
+        self.get_within(to, max_idle, CONNECT_TIMEOUT).await
+    }
+
+    /// As [`ConnectionPool::get`]; a new connection is opened within `limit`, and at most within the usual time.
+    pub async fn get_within<E>(
+        &self,
+        to: &E,
+        max_idle: Duration,
+        limit: Duration,
+    ) -> Result<Conn, SendError>
     where
         E: Endpoint<Key = K>,
     {
         match self.take_idle(to, max_idle) {
             Some(conn) => Ok(conn),
-            None => Conn::open(to).await,
+            None => Conn::open_within(to, limit.min(CONNECT_TIMEOUT)).await,
         }
     }
 
--- a/crates/sillpin-gateway/tests/forward.rs
+++ b/crates/sillpin-gateway/tests/forward.rs
@@ -238,3 +238,126 @@
         assert_eq!(ForwardResult::take(&mut headers), Ok(result));
     }
 }
+
+const NO_PATH: Avoidance = Avoidance::Unavailable(Unavailable::NoPath);
+
+#[tokio::test(start_paused = true)]
+async fn another_zone_is_asked_once_a_box_of_the_own_zone_has_no_path() {
+    let mut chooser = Chooser::new(&[("own-1", "za"), ("own-2", "za"), ("other", "zb")]);
+    let first = chooser.choose("llm", &[]).unwrap();
+    assert!(first.as_str().starts_with("own"));
+    chooser.avoid(first.as_str(), "llm", NO_PATH);
+    assert_eq!(chooser.choose("llm", &[first]), Some(name("other")));
+    assert!(
+        chooser
+            .choose("app", &[])
+            .unwrap()
+            .as_str()
+            .starts_with("own")
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn boxes_that_served_requests_or_were_named_come_before_unknown_ones() {
+    let ids: Vec<String> = (0..20).map(|index| format!("b-{index:02}")).collect();
+    let others: Vec<(&str, &str)> = ids.iter().map(|id| (id.as_str(), "za")).collect();
+    let mut chooser = Chooser::new(&others);
+    let (pool, now) = (name::<PoolId>("llm"), Instant::now());
+    chooser.state.record_served(&name("b-03"), &pool, now);
+    chooser.state.record_named(&name("b-07"), &pool, now);
+    chooser.state.record_named(&name("b-11"), &pool, now);
+    let known = ["b-03", "b-07", "b-11"];
+    for _ in 0..100 {
+        let chosen = chooser.choose("llm", &[]).unwrap();
+        assert!(known.contains(&chosen.as_str()), "{chosen}");
+    }
+    chooser.avoid("b-07", "llm", NO_PATH);
+    chooser.state.record_named(&name("b-07"), &pool, now);
+    for _ in 0..100 {
+        assert_ne!(chooser.choose("llm", &[]), Some(name("b-07")));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_box_names_only_boxes_that_served_its_own_requests_recently() {
+    let mut chooser = Chooser::new(&[("a", "za"), ("b", "za"), ("c", "za")]);
+    let pool: PoolId = name("llm");
+    chooser
+        .state
+        .record_served(&name("a"), &pool, Instant::now());
+    chooser
+        .state
+        .record_named(&name("b"), &pool, Instant::now());
+    chooser
+        .state
+        .record_served(&name("c"), &pool, Instant::now());
+    chooser.avoid("c", "llm", NO_PATH);
+    let mut named = || {
+        let now = Instant::now();
+        chooser.state.proven(&pool, now, &mut chooser.rng)
+    };
+    assert_eq!(named(), [name("a")]);
+    tokio::time::advance(Duration::from_secs(5)).await;
+    assert_eq!(named(), []);
+}
+
+/// Boxes in six zones, most of which are cut off, each with few requests.
+#[rstest]
+#[case::three_zones(190)]
+#[case::all_but_five_boxes(375)]
+#[tokio::test(start_paused = true)]
+async fn boxes_of_a_large_fleet_find_the_ones_that_reach_targets(#[case] cut: usize) {
+    const BOXES: usize = 380;
+    let ids: Vec<String> = (0..BOXES).map(|index| format!("b-{index:03}")).collect();
+    let zones = ["za", "zd", "ze", "zf", "zg", "zb"];
+    let zone_of = |index: usize| zones[index * zones.len() / BOXES];
+    let all: Vec<(&str, &str)> = ids
+        .iter()
+        .enumerate()
+        .map(|(index, id)| (id.as_str(), zone_of(index)))
+        .collect();
+    let mut choosers: Vec<Chooser> = (0..cut)
+        .map(|index| {
+            let mut others = all.clone();
+            others.remove(index);
+            let mut chooser = Chooser::new(&others);
+            chooser.regions = zones.iter().map(|zone| (name(zone), name("ra"))).collect();
+            chooser.zone = name(zone_of(index));
+            chooser.rng = StdRng::seed_from_u64(index as u64);
+            chooser
+        })
+        .collect();
+    let pool: PoolId = name("llm");
+    let mut served_by_round = Vec::new();
+    for _ in 0..8 {
+        let mut served = 0;
+        for index in 0..cut {
+            let mut tried: Vec<BoxId> = Vec::new();
+            while tried.len() < 8 {
+                let Some(chosen) = choosers[index].choose("llm", &tried) else {
+                    break;
+                };
+                let number: usize = chosen.as_str()[2..].parse().unwrap();
+                let now = Instant::now();
+                if number >= cut {
+                    choosers[index].state.record_served(&chosen, &pool, now);
+                    served += 1;
+                    break;
+                }
+                choosers[index].avoid(chosen.as_str(), "llm", NO_PATH);
+                let asked = &mut choosers[number];
+                for id in asked.state.proven(&pool, now, &mut asked.rng) {
+                    choosers[index].state.record_named(&id, &pool, now);
+                }
+                tried.push(chosen);
+            }
+        }
+        served_by_round.push(served as f64 / cut as f64);
+        tokio::time::advance(Duration::from_millis(250)).await;
+    }
+    let late = &served_by_round[4..];
+    assert!(
+        late.iter().all(|share| *share >= 0.95),
+        "{served_by_round:?}"
+    );
+}
