Learn from a slow connection that all links of a pool hang

The first requests of a box that starts, or wakes, while its links to targets hang waited for two connections of 0.35 s each before another box was tried; callers with 0.6 s were refused after 0.7 s.

--- a/crates/sillpin-gateway/src/placement/reach_watch.rs
+++ b/crates/sillpin-gateway/src/placement/reach_watch.rs
@@ -4,6 +4,7 @@
 use super::probe::Prober;
 use super::reach::PathWaitId;
 use crate::control::TargetEntry;
+use sillpin_core::PoolId;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -39,6 +40,16 @@
         }
     }
 
+    /// Waits until this box is cut off from a pool.
+    pub async fn cut_off(&self, pool: &PoolId) {
+        let mut ticks = self.ticks.subscribe();
+        while !self.loads.reach().is_cut_off(pool) {
+            if ticks.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
     /// Checks waits until the process ends.
     pub async fn run(self, prober: Prober) {
         let mut ticks = tokio::time::interval(TICK);
