--- a/crates/sillpin-gateway/src/dialect.rs
+++ b/crates/sillpin-gateway/src/dialect.rs
@@ -73,6 +73,13 @@
     pub max_output: Tokens,
 }
 
+impl Prompt {
+    /// Returns the parts that other requests may have too.
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
+
 /// Head of a caller's request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RequestHead {
@@ -92,6 +99,15 @@
     pub resumes: Option<String>,
 }
 
+impl RequestHead {
+    /// Returns the names of the prompt's shared parts, for logs.
+    pub fn part_names(&self) -> String {
+        let parts = self.prompt.iter().flat_map(Prompt::shared_parts);
+        let names: Vec<&str> = parts.map(|part| part.id.0.as_str()).collect();
+        names.join(",")
+    }
+}
+
 /// Error in the head of a caller's request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 pub enum HeadError {
--- a/crates/sillpin-gateway/src/fatal/crash_detector.rs
+++ b/crates/sillpin-gateway/src/fatal/crash_detector.rs
@@ -42,6 +42,8 @@
     pub id: String,
     /// Its fingerprint.
     pub fingerprint: Fingerprint,
+    /// The parts of its prompt that it may share with others, for logs.
+    pub parts: String,
 }
 
 /// Checks targets whose responses were cut off; clones share the pending checks.
@@ -114,7 +116,7 @@
         self.fatal.record_crash(incarnation, fingerprints, began);
         for broken in requests {
             event!(self.log, events::TARGET_CRASHED, "request" => broken.id,
-                "print" => broken.fingerprint.to_string(), "target" => target.id.as_str(),
+                "print" => broken.fingerprint.to_string(), "parts" => broken.parts, "target" => target.id.as_str(),
                 "elapsed_ms" => began.elapsed().as_millis());
         }
     }
--- a/crates/sillpin-gateway/src/front/outcome.rs
+++ b/crates/sillpin-gateway/src/front/outcome.rs
@@ -116,6 +116,7 @@
         let broken = BrokenRequest {
             id: request.head.id.clone(),
             fingerprint: request.fingerprint,
+            parts: request.head.part_names(),
         };
         self.crash_detector.response_broken(target, broken);
     }
--- a/crates/sillpin-gateway/src/placement/parts.rs
+++ b/crates/sillpin-gateway/src/placement/parts.rs
@@ -119,7 +119,7 @@
 /// Looks up in which stores the shared parts of a prompt are, under a salt.
 pub fn plan(prompt: &Prompt, salt: &SaltParts, inputs: &PlanInputs<'_>) -> Plan {
     let text = salt.salt();
-    let shared_count = prompt.parts.len().saturating_sub(1);
+    let shared_count = prompt.shared_parts().len();
     let shared = prompt.parts[..shared_count]
         .iter()
         .enumerate()
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -194,7 +194,7 @@
     /// A request without a stream got its response.
     REQUEST_ANSWERED = 345, Info, "request answered", "Nothing to do.";
     /// A target's process ended while it ran a request.
-    TARGET_CRASHED = 346, Warning, "target crashed while running a request", "Compare the fingerprints (`print`): a recurring one belongs to a request that crashes the targets that run it.";
+    TARGET_CRASHED = 346, Warning, "target crashed while running a request", "Compare the fingerprints (`print`) and the prompts' shared parts (`parts`): one that recurs crashes the targets that run it.";
     /// A request is known to crash the targets that run it.
     REQUEST_FATAL = 347, Error, "request crashes the targets that run it", "It is refused from now on: find its fingerprint (`print`) in E340 and inform its caller.";
     /// The list of requests that crash targets could not be written to the platform's store, or read from it.
