Bound callers' connections by memory and descriptors

A box accepted whatever came. One that gets the new connections of a zone or region, as the users' platform may now send them, would end for memory: a connection takes 15 KB, 31 KB with the head of a request (release build, 1,500 connections). Now a quarter of the memory at 32 KB each, and a quarter of the descriptors; beyond that the connection without a request for longest, a second at least, is closed for a new one, else the new one is closed unread, which its caller may try elsewhere. E383 and two metrics tell.

--- a/crates/sillpin-gateway/src/metrics.rs
+++ b/crates/sillpin-gateway/src/metrics.rs
@@ -6,6 +6,7 @@
 use crate::streams::StreamVersions;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{AsyncInstrument, Counter, Histogram, Meter};
+use sillpin_http::Connections;
 use sillpin_platform::call::{CallCounts, CallTotals};
 use sillpin_telemetry::metrics::TIME_BOUNDS;
 use std::collections::BTreeMap;
@@ -280,6 +281,25 @@
         .build();
 }
 
+/// Registers the number of callers' connections, and counters of those closed for want of room.
+pub fn observe_connections(meter: &Meter, connections: Connections) {
+    let open = connections.clone();
+    meter
+        .u64_observable_gauge("sillpin_connections")
+        .with_description("Open connections of callers")
+        .with_callback(move |observer| observer.observe(open.open() as u64, &[]))
+        .build();
+    meter
+        .u64_observable_counter("sillpin_closed_connections")
+        .with_description("Connections of callers closed for want of room, unread or for new ones")
+        .with_callback(move |observer| {
+            let outcome = |name: &'static str| [KeyValue::new("outcome", name)];
+            observer.observe(connections.refused(), &outcome("unread"));
+            observer.observe(connections.replaced(), &outcome("replaced"));
+        })
+        .build();
+}
+
 /// Registers counters of calls of the platform store and of the bytes of its responses.
 fn observe_calls(meter: &Meter, calls: CallCounts) {
     let observe = |of: fn(CallTotals) -> u64| {
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -1,9 +1,11 @@
 //! Assembles a box: opens its listeners, starts its tasks, and stops it.
 //!
+//! - [`connections`]: the bound on callers' connections,
 //! - [`listeners`]: the listeners,
 //! - [`peers`]: tasks that communicate with other boxes,
 //! - [`maintenance`]: tasks that log traffic and drop old state.
 
+mod connections;
 mod listeners;
 mod maintenance;
 mod peers;
@@ -213,6 +215,7 @@
     let ready = front.clone();
     let answer_ready = move |req| ready.clone().ready(req);
     tokio::spawn(Server::on(listeners.ready).run(end.clone(), answer_ready));
+    let meter = metrics.meter();
     if let Some(listener) = listeners.metrics {
         serve_metrics(listener, metrics, &end);
     }
@@ -225,8 +228,11 @@
     let limits = move || head_limits(&limits_of);
     let for_boxes = front.clone();
     let closed = CancellationToken::new();
+    let callers_connections = connections::bound(cfg.memory, cfg.descriptors);
+    connections::watch(&callers_connections, &meter, log.clone());
     let callers = Server::on(listeners.callers)
         .http1_only()
+        .bounded_by(callers_connections)
         .limits_from(limits.clone())
         .run(closed.clone(), move |req| front.clone().serve(req));
     let forwarded = Server::on(listeners.forwarded)
--- /dev/null
+++ b/crates/sillpin-gateway/src/ops/connections.rs
@@ -0,0 +1,50 @@
+//! How many connections of callers a box holds.
+//!
+//! The platform may hand a box the new connections of a whole zone, many times what it usually gets. Connections beyond what its
+//! memory and descriptors bear are closed unread, so that their callers try other boxes.
+
+use crate::metrics::observe_connections;
+use opentelemetry::metrics::Meter;
+use sillpin_http::Connections;
+use sillpin_telemetry::{event, events};
+use slog::Logger;
+use std::time::Duration;
+
+/// Callers' connections may take one part in `MEMORY_SHARE` of the process's memory, in bytes.
+const MEMORY_SHARE: u64 = 4;
+
+/// Memory of a connection that has a request, in bytes.
+const MEMORY_PER_CONNECTION: u64 = 32 << 10;
+
+/// Callers' connections may take one part in `DESCRIPTOR_SHARE` of the process's descriptors: each request needs others, to a target
+/// and sometimes to another box.
+const DESCRIPTOR_SHARE: usize = 4;
+
+/// Interval at which closed connections are logged.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Creates the bound on callers' connections of a process with so much memory, in bytes, and so many descriptors.
+pub(super) fn bound(memory: u64, descriptors: usize) -> Connections {
+    let by_memory = memory / MEMORY_SHARE / MEMORY_PER_CONNECTION;
+    let by_memory = usize::try_from(by_memory).unwrap_or(usize::MAX);
+    Connections::new(by_memory.min(descriptors / DESCRIPTOR_SHARE).max(1))
+}
+
+/// Counts callers' connections, and logs when some are closed for want of room.
+pub(super) fn watch(connections: &Connections, meter: &Meter, log: Logger) {
+    observe_connections(meter, connections.clone());
+    tokio::spawn(log_closed(connections.clone(), log));
+}
+
+async fn log_closed(connections: Connections, log: Logger) {
+    let (mut refused, mut replaced) = (0, 0);
+    loop {
+        tokio::time::sleep(LOG_INTERVAL).await;
+        let now = (connections.refused(), connections.replaced());
+        if now != (refused, replaced) {
+            event!(log, events::CONNECTIONS_CLOSED, "open" => connections.open(),
+                "refused" => now.0 - refused, "replaced" => now.1 - replaced);
+            (refused, replaced) = now;
+        }
+    }
+}
--- a/crates/sillpin-http/src/lib.rs
+++ b/crates/sillpin-http/src/lib.rs
@@ -2,18 +2,21 @@
 //!
 //! - [`body`]: a body type without dynamic dispatch,
 //! - [`client`]: a client with a connection pool, whose errors state whether the request may have been received,
+//! - [`connections`]: a bound on the open connections of a server,
 //! - [`evictable`]: bodies whose memory can be taken back while their reader is slow,
 //! - [`lines`]: readers of lines and of JSON documents from a streamed body,
 //! - [`server`]: a server that finishes open requests when stopped.
 
 pub mod body;
 pub mod client;
+pub mod connections;
 pub mod evictable;
 pub mod lines;
 pub mod server;
 
 pub use body::{Body, BodySender, ReadError, read_limited};
 pub use client::{CallError, Client, Sent};
+pub use connections::Connections;
 pub use evictable::{EvictableBody, EvictionHandle};
 pub use lines::{JsonLines, Lines};
 pub use server::Server;
--- a/crates/sillpin-http/src/server.rs
+++ b/crates/sillpin-http/src/server.rs
@@ -2,6 +2,7 @@
 //! requests.
 
 use crate::body::Body;
+use crate::connections::{Connection, Connections};
 use derive_more::{Display, Error};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -15,6 +16,7 @@
 use std::pin::pin;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -66,6 +68,7 @@
     listener: TcpListener,
     limits: L,
     http1_only: bool,
+    connections: Connections,
 }
 
 impl Server {
@@ -81,6 +84,7 @@
             listener,
             limits: HeadLimits::default,
             http1_only: false,
+            connections: Connections::default(),
         }
     }
 }
@@ -92,9 +96,16 @@
             listener: self.listener,
             limits,
             http1_only: self.http1_only,
+            connections: self.connections,
         }
     }
 
+    /// Bounds the open connections.
+    pub fn bounded_by(mut self, connections: Connections) -> Self {
+        self.connections = connections;
+        self
+    }
+
     /// Sets the limits on request heads.
     pub fn limits(self, limits: HeadLimits) -> Server<impl Fn() -> HeadLimits> {
         self.limits_from(move || limits)
@@ -126,10 +137,14 @@
             };
             match accepted {
                 Ok((tcp, _)) => {
+                    // Dropping it closes it unread.
+                    let Some(admitted) = self.connections.admit(Instant::now()) else {
+                        continue;
+                    };
                     let limits = (self.limits)();
-                    let serving =
-                        connection(tcp, limits, self.http1_only, stop.clone(), handler.clone());
-                    tracker.spawn(serving);
+                    let (http1_only, stop) = (self.http1_only, stop.clone());
+                    let handler = handler.clone();
+                    tracker.spawn(connection(tcp, limits, http1_only, admitted, stop, handler));
                 }
                 Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
             }
@@ -144,6 +159,7 @@
     tcp: TcpStream,
     limits: HeadLimits,
     http1_only: bool,
+    admitted: Connection,
     stop: CancellationToken,
     handler: H,
 ) where
@@ -164,14 +180,21 @@
         .http2()
         .timer(TokioTimer::new())
         .max_header_list_size(u32::try_from(limits.max_len).unwrap_or(u32::MAX));
-    let service = service_fn(move |req| {
+    let service = service_fn(|req| {
+        let waiting = admitted.begin_request();
         let response = handler(req);
-        async move { Ok::<_, Infallible>(response.await) }
+        async move {
+            let response = response.await;
+            drop(waiting);
+            Ok::<_, Infallible>(response)
+        }
     });
     let mut conn = pin!(builder.serve_connection(TokioIo::new(tcp), service));
     tokio::select! {
         _ = conn.as_mut() => return,
-        () = stop.cancelled() => conn.as_mut().graceful_shutdown(),
+        () = stop.cancelled() => {}
+        () = admitted.close.cancelled() => {}
     }
+    conn.as_mut().graceful_shutdown();
     let _ = conn.await;
 }
