--- a/crates/sillpin-gateway/src/front/fair_admission.rs
+++ b/crates/sillpin-gateway/src/front/fair_admission.rs
@@ -164,6 +164,7 @@
             "admitted_ms_per_s" => refused.capacity.0.round(),
             "waited_ms" => start.waited.as_millis(), "aim_ms" => start.latency_objective.as_millis(),
             "queue_ms" => start.queue.as_millis(), "part_ahead" => rounded(refused.part_ahead),
+            "memory_ms" => prepared.chosen.memory_ms.round(),
             "own_ms" => start.own.as_millis(), "standing_ms" => start.standing.as_millis(),
             "retry_after_ms" => wait.as_millis());
     }
@@ -188,6 +189,7 @@
             "admitted_ms_per_s" => refused.capacity.0.round(),
             "waited_ms" => start.waited.as_millis(), "aim_ms" => start.latency_objective.as_millis(),
             "queue_ms" => start.queue.as_millis(), "part_ahead" => rounded(refused.part_ahead),
+            "memory_ms" => prepared.chosen.memory_ms.round(),
             "own_ms" => start.own.as_millis(), "standing_ms" => start.standing.as_millis(),
             "retry_after_ms" => wait.as_millis());
     }
--- a/crates/sillpin-gateway/src/front/overload.rs
+++ b/crates/sillpin-gateway/src/front/overload.rs
@@ -45,7 +45,8 @@
             "target" => prepared.chosen.target.id.as_str(),
             "organisation" => request.organisation.as_ref().map_or("", |org| org.id.as_str()),
             "waited_ms" => expected.waited.as_millis(), "aim_ms" => expected.latency_objective.as_millis(),
-            "queue_ms" => expected.queue.as_millis(), "own_ms" => expected.own.as_millis(),
+            "queue_ms" => expected.queue.as_millis(),
+            "memory_ms" => prepared.chosen.memory_ms.round(), "own_ms" => expected.own.as_millis(),
             "standing_ms" => expected.standing.as_millis(),
             "retry_after_ms" => wait.as_millis());
         Some(Refusal::not_run(OVERLOADED).with_retry_after(wait))
--- a/crates/sillpin-gateway/src/placement/choose.rs
+++ b/crates/sillpin-gateway/src/placement/choose.rs
@@ -166,6 +166,8 @@
     pub version: Option<WeightVersion>,
     /// Prefill work ahead of the request at the target plus the wait for memory, in milliseconds.
     pub queue_ms: f64,
+    /// Part of it that is the wait for memory.
+    pub memory_ms: f64,
     /// How much longer the target takes for a prefill than others of its pool.
     pub slowness: f64,
     /// Expected time plus the added costs, in milliseconds.
@@ -445,6 +447,7 @@
             target: entry.clone(),
             version,
             queue_ms: load.work.prefill_ms + memory_ms(choice, &load),
+            memory_ms: memory_ms(choice, &load),
             slowness,
             cost_ms: cost(choice, entry, &load, version, position, slowness),
             candidates: 0,
