--- a/crates/sillpin-gateway/src/fatal/crash_detector.rs
+++ b/crates/sillpin-gateway/src/fatal/crash_detector.rs
@@ -136,6 +136,10 @@
                         self.pool.put(target.id.clone(), conn, None).await;
                         return false;
                     }
+                    // A relay between may accept connections for a target that has ended.
+                    if self.is_replaced(target) {
+                        return true;
+                    }
                 }
                 Err(SendError::Refused { .. }) if self.only_target_refuses(target).await => {
                     return true;
