--- a/crates/sillpin-gateway/src/fatal/suspect.rs
+++ b/crates/sillpin-gateway/src/fatal/suspect.rs
@@ -93,7 +93,7 @@
             *known = at.min(*known);
             return false;
         }
-        if self.crashes.len() >= MAX_CRASHES && !self.evict_cleared(at) {
+        if self.crashes.len() >= MAX_CRASHES && !self.evict_cleared(at) && !self.evict_oldest(at) {
             return false;
         }
         self.crashes.insert(incarnation, at);
@@ -112,6 +112,17 @@
         oldest.is_some_and(|incarnation| self.crashes.remove(&incarnation).is_some())
     }
 
+    /// Drops the oldest crash in favour of one at `at`, if that is later: it has to explain the newest crashes. Returns whether one
+    /// was dropped.
+    fn evict_oldest(&mut self, at: Instant) -> bool {
+        let oldest = self.crashes.iter().min_by_key(|(_, crash)| **crash);
+        let Some((incarnation, _)) = oldest.filter(|(_, crash)| **crash < at) else {
+            return false;
+        };
+        let incarnation = *incarnation;
+        self.crashes.remove(&incarnation).is_some()
+    }
+
     pub(super) fn report(&self, fingerprint: Fingerprint, now: Instant) -> CrashReport {
         let age = |at: Instant| {
             let age = now.saturating_duration_since(at);
--- a/crates/sillpin-gateway/tests/fatal_parts.rs
+++ b/crates/sillpin-gateway/tests/fatal_parts.rs
@@ -120,6 +120,16 @@
     assert!(!is_refused(&record, &["a", "b"], now));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_part_that_crashed_more_targets_than_are_kept_explains_the_newest_ones() {
+    let mut record = CrashRecord::default();
+    let now = crash(&mut record, 0..12, &["f"]);
+    assert!(is_refused(&record, &["f"], now));
+    let now = crash(&mut record, 12..17, &["a", "f"]);
+    assert!(is_refused(&record, &["f"], now));
+    assert!(!is_refused(&record, &["a"], now), "f explains its crashes");
+}
+
 #[rstest]
 #[case::three_targets(3)]
 #[case::ten_targets(10)]
