--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -27,7 +27,7 @@
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 /// Maximum length of a response that is buffered until it is complete, in bytes.
 const MAX_COMPLETE_RESPONSE: usize = 8 << 20;
@@ -45,12 +45,6 @@
 /// Why an attempt ended at a target from which nothing arrives.
 pub(super) const SILENT: &str = "the target is silent or out of reach";
 
-/// Why an attempt ended before its connection was open.
-const CUT_OFF: &str = "this box is cut off from most targets of the pool";
-
-/// Time to open a connection after which the pool is surveyed: many round trips between zones.
-const SLOW_CONNECT: Duration = Duration::from_millis(100);
-
 /// Statuses by which a target temporarily rejects a request.
 const TEMPORARY_REJECTIONS: [StatusCode; 2] = [
     StatusCode::SERVICE_UNAVAILABLE,
@@ -285,27 +279,6 @@
         self.classify_response(attempt, conn, resp, sent).await
     }
 
-    /// Returns a connection to a target. While a new one is slow to open, the target's pool is surveyed, and the attempt
-    /// ends if this box turns out to be cut off from it.
-    async fn connect(
-        &self,
-        request: &AdmittedRequest,
-        target: &Arc<TargetEntry>,
-    ) -> Result<Conn, String> {
-        let mut opening = pin!(self.pool.get(target, max_idle(request)));
-        let result = match timeout(SLOW_CONNECT, &mut opening).await {
-            Ok(result) => result,
-            Err(_) => {
-                self.prober.survey(&target.pool);
-                tokio::select! {
-                    result = opening => result,
-                    () = self.path_waits.cut_off(&target.pool) => return Err(CUT_OFF.to_owned()),
-                }
-            }
-        };
-        result.map_err(|e| e.to_string())
-    }
-
     /// Sends a request and waits for the head of the response. An engine sends the head when it starts the prompt.
     async fn wait_for_head<L, B>(
         &self,
--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -26,6 +26,7 @@
 pub mod admit;
 pub mod attempt;
 pub mod body_memory;
+mod connect;
 pub mod dispatch;
 pub mod events;
 pub mod fair_admission;
