Leave a zone alone of which two boxes cannot be reached

A zone that is cut off from the others reaches only its own targets, so its boxes count as cut off from most. Since another zone is asked once a box of the own one lacks the path, they asked boxes out of reach first: three connections of up to 0.35 s each, and at 91 boxes always new ones. Now two such boxes leave out their zone for 2 s, and a connection to a box takes 0.15 s at most.

--- a/crates/sillpin-gateway/src/forward/boxes.rs
+++ b/crates/sillpin-gateway/src/forward/boxes.rs
@@ -40,6 +40,10 @@
 /// Time for which a box that cannot be reached, or does not answer, gets no requests.
 const UNREACHABLE_TIME: Duration = Duration::from_secs(2);
 
+/// Number of boxes of another zone that cannot be reached from which the others of that zone are left alone as well: the
+/// zone is probably partitioned from this box.
+const ZONE_UNREACHABLE: usize = 2;
+
 /// Number of requests by which a box of the own zone may have more of them in flight than one of another zone, and is
 /// still preferred.
 const OWN_ZONE_ADVANTAGE: u32 = 4;
@@ -70,6 +74,8 @@
     /// Requests in flight there from this box.
     in_flight: u32,
     avoided_until: Option<Instant>,
+    /// Until when it is taken to be out of reach.
+    unreachable_until: Option<Instant>,
     paths: HashMap<PoolId, PathState>,
 }
 
@@ -140,9 +146,11 @@
     /// others, the one with the fewest requests in flight.
     pub fn choose(&self, choice: &BoxChoice<'_>, rng: &mut impl Rng) -> Option<BoxEntry> {
         let states = self.lock();
+        let partitioned = partitioned_zones(choice, &states);
         let is_candidate = |entry: &&BoxEntry| {
             let state = states.get(&entry.id);
             choice.allows(entry)
+                && !partitioned.contains(&&entry.zone)
                 && !choice.tried.contains(&entry.id)
                 && state.is_none_or(|state| state.is_available(choice.pool, choice.now))
         };
@@ -217,7 +225,11 @@
             Avoidance::Unavailable(Unavailable::NotReady | Unavailable::NotAccepted)
             | Avoidance::Unreachable => UNREACHABLE_TIME,
         };
-        state.avoided_until = state.avoided_until.max(Some(now + time));
+        let until = Some(now + time);
+        state.avoided_until = state.avoided_until.max(until);
+        if why == Avoidance::Unreachable {
+            state.unreachable_until = until;
+        }
     }
 
     /// Removes what is known of boxes that are no longer up.
@@ -227,6 +239,30 @@
     }
 }
 
+/// Returns the other zones of which several boxes cannot be reached.
+fn partitioned_zones<'a>(
+    choice: &BoxChoice<'a>,
+    states: &HashMap<BoxId, BoxState>,
+) -> Vec<&'a ZoneId> {
+    let mut unreachable: HashMap<&ZoneId, usize> = HashMap::new();
+    for entry in choice
+        .boxes
+        .iter()
+        .filter(|entry| entry.zone != *choice.zone)
+    {
+        let until = states
+            .get(&entry.id)
+            .and_then(|state| state.unreachable_until);
+        if until.is_some_and(|until| choice.now < until) {
+            *unreachable.entry(&entry.zone).or_default() += 1;
+        }
+    }
+    let many = unreachable
+        .into_iter()
+        .filter(|(_, count)| *count >= ZONE_UNREACHABLE);
+    many.map(|(zone, _)| zone).collect()
+}
+
 /// Whether a box of the own zone is known to have no path to the pool's targets.
 fn is_path_lacked_in_zone(choice: &BoxChoice<'_>, states: &HashMap<BoxId, BoxState>) -> bool {
     let own_zone = choice
--- a/crates/sillpin-gateway/src/front/forward.rs
+++ b/crates/sillpin-gateway/src/front/forward.rs
@@ -34,8 +34,9 @@
 const MAX_UNREACHABLE: usize = 3;
 
 /// A connection to another box may take a part in `CONNECT_SHARE` of the time that is left, so that a third box can be
-/// tried.
+/// tried, and at most this time.
 const CONNECT_SHARE: u32 = 4;
+const MAX_CONNECT_TIME: Duration = Duration::from_millis(150);
 
 /// Deducted from the time that another box is given, so that its response arrives in time.
 const RETURN_MARGIN: Duration = Duration::from_millis(10);
@@ -133,7 +134,7 @@
         progress: &Progress,
         max_runs: u32,
     ) -> Result<AttemptOutcome, Avoidance> {
-        let limit = request.time_left() / CONNECT_SHARE;
+        let limit = (request.time_left() / CONNECT_SHARE).min(MAX_CONNECT_TIME);
         let conns = &self.box_connections;
         let conn = conns.get_within(entry, max_idle(request), limit).await;
         let mut conn = conn.map_err(|_| Avoidance::Unreachable)?;
--- a/crates/sillpin-gateway/tests/forward.rs
+++ b/crates/sillpin-gateway/tests/forward.rs
@@ -301,6 +301,24 @@
     assert_eq!(named(), []);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_zone_of_which_two_boxes_cannot_be_reached_is_left_alone_for_a_while() {
+    let ids: Vec<String> = (0..20).map(|index| format!("b-{index:02}")).collect();
+    let mut others: Vec<(&str, &str)> = ids.iter().map(|id| (id.as_str(), "zb")).collect();
+    others.push(("own", "za"));
+    let mut chooser = Chooser::new(&others);
+    chooser.avoid("own", "llm", NO_PATH);
+    let mut tried = Vec::new();
+    while let Some(chosen) = chooser.choose("llm", &tried) {
+        chooser.avoid(chosen.as_str(), "llm", Avoidance::Unreachable);
+        tried.push(chosen);
+    }
+    assert_eq!(tried.len(), 2, "{tried:?}");
+    assert_eq!(chooser.choose("llm", &[]), None);
+    tokio::time::advance(Duration::from_secs(2)).await;
+    assert!(chooser.choose("llm", &[]).is_some());
+}
+
 /// Boxes in six zones, most of which are cut off, each with few requests.
 #[rstest]
 #[case::three_zones(190)]
