--- a/crates/sillpin-gateway/tests/fatal_parts.rs
+++ b/crates/sillpin-gateway/tests/fatal_parts.rs
@@ -308,7 +308,7 @@
 async fn few_targets_crash_on_a_part_in_fleets_of_any_size_and_sound_requests_are_served(
     #[values((3, 1, 3_000), (9, 3, 3_000), (91, 4, 4_000))] fleet: (usize, usize, u64),
     #[values(0.15, 0.4)] share: f64,
-    #[values(1, 2, 3)] seed: u64,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] seed: u64,
 ) {
     let (boxes, zones, contact) = fleet;
     let contact = Duration::from_millis(contact);
