Fault proxy: keep the port of a target that is down

A proxy that is down closed its listener, and the kernel gave its port to the next listener of the test: boxes that started meanwhile were asked as targets (401 "unknown key", 502 "the answer is another request's", 3 to 7 of 48 first requests). The port now stays bound and does not listen; connections are refused as before.

--- a/crates/sillpin-standin/src/fault.rs
+++ b/crates/sillpin-standin/src/fault.rs
@@ -5,7 +5,7 @@
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use sillpin_http::body::read_json;
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
@@ -190,7 +190,9 @@
                 }
                 Access::Down | Access::NoNew => {
                     drop(listener);
+                    let reserved = reserve_port(addr);
                     let _ = access.wait_for(|access| *access != now).await;
+                    drop(reserved);
                     listener = bind_again(addr).await;
                 }
             }
@@ -267,6 +269,14 @@
     fillers
 }
 
+/// Binds a socket that does not listen, so that connections to its address are refused and no other socket gets its port.
+fn reserve_port(addr: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&addr.into())?;
+    Ok(socket)
+}
+
 /// Listens again at an address at which the last connections may still be closing.
 async fn bind_again(addr: SocketAddr) -> TcpListener {
     loop {
