Serve requests of boxes without paths at boxes that reach a few targets

What callers saw: where each path between boxes and targets is lost by chance, so that few boxes or none reach most targets of a pool, callers of a box without any path were refused (503), 7 of 33 first tries a second served in a pool of three targets and 16 of 33 in one of nine. Cause: a box that reaches less than half of a pool's targets said that it has no path, also if it reaches some. Change: a box remembers which targets its surveys and probes reached in the last two seconds. A box that is cut off but reaches some names itself in its refusal. If no box is found that reaches most, the request is offered to such a box, marked as last resort, and served there; a box that reaches some itself uses them. Then only one request in ten looks for a better box, by one offer (before: eight offers each). Targets that such a box did not reach get a short cooldown.

--- a/crates/sillpin-gateway/src/forward/boxes.rs
+++ b/crates/sillpin-gateway/src/forward/boxes.rs
@@ -2,7 +2,8 @@
 //!
 //! What other boxes reach is learned from their answers. One that served a request of a pool comes first for the next
 //! ones; one that has no path to the targets, or no room, is avoided for a while, as is one that cannot be reached. A box
-//! without a path names boxes that served its own requests. Boxes of the own zone are preferred unless one of them is
+//! without a path names boxes that served its own requests, and itself if it reaches a few targets: such boxes are the
+//! last resort, for requests for which no box was found that reaches most. Boxes of the own zone are preferred unless one of them is
 //! known to have no path: zones are often cut off as a whole. Boxes of other regions are used only if the request may go
 //! there.
 
@@ -31,6 +32,11 @@
 /// Share of the requests for which another box is looked for, while fewer are known.
 const EXPLORED_SHARE: f64 = 0.25;
 
+/// Time after a search that found no box in which a share of the requests looks for one, by one offer each, while this box
+/// or others reach a few targets. What one box finds, others learn when they ask it.
+const SEARCH_PAUSE: Duration = Duration::from_secs(30);
+const PAUSED_SHARE: f64 = 0.1;
+
 /// Maximum number of boxes that are named to a box that asks for a path.
 pub const MAX_NAMED: usize = 3;
 
@@ -77,6 +83,8 @@
     /// Until when it is taken to be out of reach.
     unreachable_until: Option<Instant>,
     paths: HashMap<PoolId, PathState>,
+    /// When it last said that it reaches a few targets, by pool.
+    few_paths: HashMap<PoolId, Instant>,
 }
 
 impl BoxState {
@@ -84,8 +92,18 @@
         matches!(self.paths.get(pool), Some(PathState::NoPath(until)) if now < *until)
     }
 
+    fn is_avoided(&self, now: Instant) -> bool {
+        self.avoided_until.is_some_and(|until| now < until)
+    }
+
     fn is_available(&self, pool: &PoolId, now: Instant) -> bool {
-        self.avoided_until.is_none_or(|until| until <= now) && !self.lacks_path(pool, now)
+        !self.is_avoided(now) && !self.lacks_path(pool, now)
+    }
+
+    /// Whether it reaches a few of the pool's targets.
+    fn has_few_paths(&self, pool: &PoolId, now: Instant) -> bool {
+        let said = self.few_paths.get(pool);
+        said.is_some_and(|at| now - *at < PROVEN_TIME)
     }
 
     /// Whether it is taken to reach the pool's targets.
@@ -131,10 +149,23 @@
     }
 }
 
+/// How many boxes that may reach most targets a request is offered to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SearchScope {
+    /// As many as a request may be.
+    Full,
+    /// One.
+    One,
+    /// None.
+    Nothing,
+}
+
 /// State of other boxes, as far as requests sent to them tell; clones share it.
 #[derive(Debug, Clone, Default)]
 pub struct ForwardBoxes {
     states: Arc<Mutex<HashMap<BoxId, BoxState>>>,
+    /// When a search last found no box, by pool.
+    failed_searches: Arc<Mutex<HashMap<PoolId, Instant>>>,
 }
 
 impl ForwardBoxes {
@@ -174,11 +205,87 @@
         chosen.cloned()
     }
 
+    /// Chooses a box that reaches a few targets of the pool, the one of two random ones of the own zone and two of others
+    /// with the fewest requests in flight.
+    pub fn choose_last_resort(
+        &self,
+        choice: &BoxChoice<'_>,
+        rng: &mut impl Rng,
+    ) -> Option<BoxEntry> {
+        let states = self.lock();
+        let is_candidate = |entry: &&BoxEntry| {
+            let state = states.get(&entry.id);
+            choice.allows(entry)
+                && !choice.tried.contains(&entry.id)
+                && state.is_some_and(|state| {
+                    state.has_few_paths(choice.pool, choice.now) && !state.is_avoided(choice.now)
+                })
+        };
+        let candidates: Vec<&BoxEntry> = choice.boxes.iter().filter(is_candidate).collect();
+        pick(&candidates, choice, &states, true, rng).cloned()
+    }
+
+    /// Returns how many boxes that may reach most targets of a pool the next request is offered to. `reaches_any` tells
+    /// whether this box reaches a few itself.
+    pub fn search_scope(
+        &self,
+        pool: &PoolId,
+        reaches_any: bool,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> SearchScope {
+        let failed = self.lock_failed_searches().get(pool).copied();
+        let is_paused = failed.is_some_and(|at| now - at < SEARCH_PAUSE);
+        if !is_paused || self.knows_proven(pool, now) {
+            return SearchScope::Full;
+        }
+        if !reaches_any && !self.has_last_resort(pool, now) {
+            return SearchScope::Full;
+        }
+        match rng.random_bool(PAUSED_SHARE) {
+            true => SearchScope::One,
+            false => SearchScope::Nothing,
+        }
+    }
+
+    fn knows_proven(&self, pool: &PoolId, now: Instant) -> bool {
+        let states = self.lock();
+        states.values().any(|state| state.is_proven(pool, now))
+    }
+
+    fn has_last_resort(&self, pool: &PoolId, now: Instant) -> bool {
+        let states = self.lock();
+        states.values().any(|state| state.has_few_paths(pool, now))
+    }
+
+    /// Records that no box was found that serves a request of a pool.
+    pub fn record_failed_search(&self, pool: &PoolId, now: Instant) {
+        if self.knows_proven(pool, now) {
+            return;
+        }
+        self.lock_failed_searches().insert(pool.clone(), now);
+    }
+
+    fn lock_failed_searches(&self) -> MutexGuard<'_, HashMap<PoolId, Instant>> {
+        self.failed_searches
+            .lock()
+            .unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Records that a box reaches a few targets of a pool.
+    pub fn record_few_paths(&self, id: &BoxId, pool: &PoolId, now: Instant) {
+        let mut states = self.lock();
+        let state = states.entry(id.clone()).or_default();
+        state.few_paths.insert(pool.clone(), now);
+    }
+
     /// Records that a box served a request of a pool, or failed to after it had reached a target.
     pub fn record_served(&self, id: &BoxId, pool: &PoolId, now: Instant) {
         let mut states = self.lock();
         let state = states.entry(id.clone()).or_default();
         state.paths.insert(pool.clone(), PathState::Served(now));
+        drop(states);
+        self.lock_failed_searches().remove(pool);
     }
 
     /// Records that another box named a box as one that served its requests. What this box has found itself in the last
--- a/crates/sillpin-gateway/src/forward/head.rs
+++ b/crates/sillpin-gateway/src/forward/head.rs
@@ -37,6 +37,9 @@
     pub counted: bool,
     /// Version that began the stream which the request resumes, if the box knows it.
     pub version: Option<VersionHash>,
+    /// Whether no box was found that reaches most targets, so that one that reaches a few is to serve it.
+    #[serde(default)]
+    pub last_resort: bool,
 }
 
 /// Why a box does not serve a forwarded request that another box may serve.
@@ -91,7 +94,8 @@
     Foreign,
 }
 
-/// Boxes that reach the targets of a request, as far as the box that names them knows.
+/// Boxes that reach the targets of a request, as far as the box that names them knows. It names itself if it reaches a
+/// few of them.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct NamedBoxes(pub Vec<BoxId>);
--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -61,7 +61,9 @@
             Some(pool) => pool,
             None => self.pick_pool(&request)?,
         };
-        if request.forwarded.is_some() && self.loads.reach().is_cut_off(&pool) {
+        if let Some(of) = &request.forwarded
+            && !self.has_path_for(&of.head, &pool)
+        {
             return Err(self.refuse_without_path(&pool));
         }
         let mut progress = self.begin(&request, &pool, binding);
@@ -319,12 +321,6 @@
         NoAttempt::Refused(Refusal::not_run(EVACUATED).with_retry_after(wait))
     }
 
-    /// Refuses another box's request since this box does not reach the pool's targets, and names boxes that may.
-    fn refuse_without_path(&self, pool: &PoolId) -> Refusal {
-        let now = Instant::now();
-        Refusal::no_path(self.forward_boxes.proven(pool, now, &mut rand::rng()))
-    }
-
     /// Turns the refusal of another box's request that could not be sent to any target into one that lets that box try a
     /// third one.
     fn refuse_for_box(
--- a/crates/sillpin-gateway/src/front/forward.rs
+++ b/crates/sillpin-gateway/src/front/forward.rs
@@ -9,7 +9,7 @@
 use crate::config::Idempotency;
 use crate::dialect::{Dialect, ResponseHead};
 use crate::fleet_state::BoxEntry;
-use crate::forward::boxes::{Avoidance, BoxChoice, ForwardGuard, MAX_NAMED};
+use crate::forward::boxes::{Avoidance, BoxChoice, ForwardGuard, MAX_NAMED, SearchScope};
 use crate::forward::head::{ForwardHead, ForwardResult, NamedBoxes, Unavailable};
 use crate::pool::{Conn, SendError};
 use crate::streams::VersionHash;
@@ -30,7 +30,10 @@
 /// Maximum number of boxes that a request is offered to. One without a path says so within a round trip.
 const MAX_BOXES: usize = 8;
 
-/// Maximum number of them that cannot be reached: each takes the time limit of a connection.
+/// Maximum number of boxes that reach a few targets that a request is offered to, if no box was found that reaches most.
+const MAX_LAST_RESORTS: usize = 3;
+
+/// Maximum number of boxes that cannot be reached: each takes the time limit of a connection.
 const MAX_UNREACHABLE: usize = 3;
 
 /// A connection to another box may take a part in `CONNECT_SHARE` of the time that is left, so that a third box can be
@@ -67,33 +70,104 @@
         }
     }
 
-    /// Offers a request to other boxes in turn; `None` if none of them can serve it.
+    /// Whether this box serves another box's request of a pool: it reaches most of the pool's targets, or a few and the
+    /// request's box found none that reaches most.
+    pub fn has_path_for(&self, head: &ForwardHead, pool: &PoolId) -> bool {
+        let reach = self.loads.reach();
+        !reach.is_cut_off(pool) || (head.last_resort && reach.reaches_any(pool, Instant::now()))
+    }
+
+    /// Refuses another box's request since this box does not reach the pool's targets, and names boxes that may: itself,
+    /// if it reaches a few, and others.
+    pub fn refuse_without_path(&self, pool: &PoolId) -> Refusal {
+        let now = Instant::now();
+        let reaches_any = self.loads.reach().reaches_any(pool, now);
+        let mut named = self.forward_boxes.proven(pool, now, &mut rand::rng());
+        if reaches_any {
+            named.push(self.cfg.id.clone());
+        }
+        Refusal::no_path(named)
+    }
+
+    /// Offers a request to other boxes in turn, first to those that may reach most targets; `None` if none of them can
+    /// serve it.
     pub async fn forward(
         &self,
         request: &AdmittedRequest,
         pool: &PoolId,
         progress: &mut Progress,
     ) -> Option<AttemptOutcome> {
-        let mut unreachable = 0;
-        while progress.boxes.len() < MAX_BOXES && unreachable < MAX_UNREACHABLE {
+        let now = Instant::now();
+        let reaches_any = self.loads.reach().reaches_any(pool, now);
+        let scope = self
+            .forward_boxes
+            .search_scope(pool, reaches_any, now, &mut rand::rng());
+        let most = Offers {
+            last_resort: false,
+            max: match scope {
+                SearchScope::Full => MAX_BOXES,
+                SearchScope::One => 1,
+                SearchScope::Nothing => 0,
+            },
+        };
+        if let Some(outcome) = self.offer(request, pool, progress, most).await {
+            return Some(outcome);
+        }
+        if scope == SearchScope::Full {
+            let now = Instant::now();
+            self.forward_boxes.record_failed_search(pool, now);
+        }
+        if reaches_any {
+            return None;
+        }
+        let few = Offers {
+            last_resort: true,
+            max: MAX_LAST_RESORTS,
+        };
+        self.offer(request, pool, progress, few).await
+    }
+
+    /// Offers a request to boxes in turn until one takes it.
+    async fn offer(
+        &self,
+        request: &AdmittedRequest,
+        pool: &PoolId,
+        progress: &mut Progress,
+        offers: Offers,
+    ) -> Option<AttemptOutcome> {
+        let (mut offered_to, mut unreachable) = (Vec::new(), 0);
+        while offered_to.len() < offers.max && unreachable < MAX_UNREACHABLE {
             let view = self.fleet.view();
             let choice = BoxChoice {
                 boxes: &view.boxes,
                 zone: &self.cfg.zone,
                 pool,
                 residency: self.residency(request),
-                tried: &progress.boxes,
+                tried: match offers.last_resort {
+                    true => &offered_to,
+                    false => &progress.boxes,
+                },
                 now: Instant::now(),
             };
-            let entry = self.forward_boxes.choose(&choice, &mut rand::rng())?;
+            let entry = match offers.last_resort {
+                true => self
+                    .forward_boxes
+                    .choose_last_resort(&choice, &mut rand::rng()),
+                false => self.forward_boxes.choose(&choice, &mut rand::rng()),
+            }?;
+            offered_to.push(entry.id.clone());
             progress.boxes.push(entry.id.clone());
             event!(self.log, events::REQUEST_FORWARDED, "request" => &request.head.id,
                 "peer" => entry.id.as_str(), "offer" => progress.boxes.len(),
+                "last_resort" => offers.last_resort,
                 "left_ms" => request.time_left().as_millis());
-            let max_runs = max_runs_elsewhere(request, progress);
+            let terms = ForwardTerms {
+                max_runs: max_runs_elsewhere(request, progress),
+                last_resort: offers.last_resort,
+            };
             let offered = Instant::now();
             let sent = self
-                .forward_to(&entry, request, pool, progress, max_runs)
+                .forward_to(&entry, request, pool, progress, terms)
                 .await;
             let (name, avoidance) = match &sent {
                 Ok(outcome) => (outcome.name(), None),
@@ -119,7 +193,7 @@
                     "why" => outcome.reason(), "what" => "forwarded request",
                     "elapsed_ms" => request.arrival.elapsed().as_millis(), "bytes" => 0);
             }
-            progress.record_forwarded(&outcome, max_runs);
+            progress.record_forwarded(&outcome, terms.max_runs);
             return Some(outcome);
         }
         None
@@ -132,13 +206,13 @@
         request: &AdmittedRequest,
         pool: &PoolId,
         progress: &Progress,
-        max_runs: u32,
+        terms: ForwardTerms,
     ) -> Result<AttemptOutcome, Avoidance> {
         let limit = (request.time_left() / CONNECT_SHARE).min(MAX_CONNECT_TIME);
         let conns = &self.box_connections;
         let conn = conns.get_within(entry, max_idle(request), limit).await;
         let mut conn = conn.map_err(|_| Avoidance::Unreachable)?;
-        let req = self.forwarded_request(request, progress, max_runs);
+        let req = self.forwarded_request(request, progress, terms);
         let req = req.map_err(|_| Avoidance::Unreachable)?;
         let in_flight = self.forward_boxes.start(&entry.id);
         let sent = Instant::now();
@@ -160,6 +234,7 @@
             conn,
             in_flight,
             sent,
+            last_resort: terms.last_resort,
         };
         self.classify_forwarded(request, open, resp).await
     }
@@ -168,7 +243,7 @@
         &self,
         request: &AdmittedRequest,
         progress: &Progress,
-        max_runs: u32,
+        terms: ForwardTerms,
     ) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
         let uri: Uri = request.path.parse()?;
         let mut req = Request::builder()
@@ -184,12 +259,13 @@
             fleet: self.fleet_key,
             from: self.cfg.id.clone(),
             waited_ms: u64::try_from(request.arrival.elapsed().as_millis()).unwrap_or(u64::MAX),
-            max_runs,
+            max_runs: terms.max_runs,
             counted: progress.counted,
             version: match progress.binding {
                 Binding::Version(version) => Some(version),
                 Binding::Any | Binding::Unknown => None,
             },
+            last_resort: terms.last_resort,
         };
         head.set(&mut headers);
         *req.headers_mut() = headers;
@@ -209,9 +285,11 @@
         let head = self.dialect.read_response(parts.status, &parts.headers);
         match result {
             Ok(ForwardResult::Target { version }) => {
-                let now = Instant::now();
-                self.forward_boxes
-                    .record_served(&open.entry.id, open.pool, now);
+                let (id, pool, now) = (&open.entry.id, open.pool, Instant::now());
+                match open.last_resort {
+                    true => self.forward_boxes.record_few_paths(id, pool, now),
+                    false => self.forward_boxes.record_served(id, pool, now),
+                }
                 let response = TargetResponse {
                     parts,
                     head,
@@ -221,7 +299,7 @@
                 Ok(self.accept_response(request, open, response).await)
             }
             Ok(ForwardResult::Unavailable(why)) => {
-                self.record_named(&named, open.pool);
+                self.record_named(&named, open.entry, open.pool);
                 self.recycle(open, body, &head);
                 Err(Avoidance::Unavailable(why))
             }
@@ -245,12 +323,17 @@
         }
     }
 
-    /// Records the boxes that a box without a path named, if they are up.
-    fn record_named(&self, named: &NamedBoxes, pool: &PoolId) {
+    /// Records the boxes that the box `by`, which has no path, named, if they are up.
+    fn record_named(&self, named: &NamedBoxes, by: &BoxEntry, pool: &PoolId) {
+        if named.0.contains(&by.id) {
+            self.forward_boxes
+                .record_few_paths(&by.id, pool, Instant::now());
+        }
         let view = self.fleet.view();
         let is_other_box =
             |id: &&BoxId| **id != self.cfg.id && view.boxes.iter().any(|entry| entry.id == **id);
-        for id in named.0.iter().take(MAX_NAMED).filter(is_other_box) {
+        let others = named.0.iter().filter(|id| **id != by.id).take(MAX_NAMED);
+        for id in others.filter(is_other_box) {
             self.forward_boxes.record_named(id, pool, Instant::now());
         }
     }
@@ -315,6 +398,21 @@
     }
 }
 
+/// To how many boxes a request is offered, and to which.
+#[derive(Debug, Clone, Copy)]
+struct Offers {
+    /// To boxes that reach a few targets, not to those that may reach most.
+    last_resort: bool,
+    max: usize,
+}
+
+/// What a box states in a request that it sends on.
+#[derive(Debug, Clone, Copy)]
+struct ForwardTerms {
+    max_runs: u32,
+    last_resort: bool,
+}
+
 /// A forwarded request whose response head has arrived.
 struct OpenForward<'a> {
     entry: &'a BoxEntry,
@@ -322,6 +420,7 @@
     conn: Conn,
     in_flight: ForwardGuard,
     sent: Instant,
+    last_resort: bool,
 }
 
 /// A target's response that another box passes on.
--- a/crates/sillpin-gateway/src/placement/load.rs
+++ b/crates/sillpin-gateway/src/placement/load.rs
@@ -33,6 +33,9 @@
 /// lost.
 const UNREACHABLE_COOLDOWN: Duration = Duration::from_secs(15);
 
+/// Cooldown of a target to which a box that is cut off from most of its pool has no path: until the next surveys.
+const NO_PATH_COOLDOWN: Duration = Duration::from_millis(800);
+
 /// First cooldown of a target that refused a request: a full queue drains in less. Doubled by each
 /// further refusal in a row.
 const REFUSAL_COOLDOWN: Duration = Duration::from_millis(250);
@@ -62,6 +65,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Cooldowns {
     unreachable: Option<Instant>,
+    no_path: Option<Instant>,
     refused: Option<Instant>,
     loading: Option<Instant>,
     failing: Option<Instant>,
@@ -69,7 +73,7 @@
 
 impl Cooldowns {
     fn until(&self) -> Option<Instant> {
-        let first = self.unreachable.max(self.refused);
+        let first = self.unreachable.max(self.no_path).max(self.refused);
         first.max(self.loading).max(self.failing)
     }
 }
@@ -122,6 +126,8 @@
     Served,
     /// The target could not be reached.
     Unreachable,
+    /// This box has reached other targets of the pool lately, but few, and not this one.
+    NoPath,
     /// The target can be reached again.
     Reachable,
     /// The target responded that it did not run the request.
@@ -307,7 +313,9 @@
                 load.cooldowns.loading = None;
             }
             Outcome::Unreachable => load.cooldowns.unreachable = Some(now + UNREACHABLE_COOLDOWN),
+            Outcome::NoPath => load.cooldowns.no_path = Some(now + NO_PATH_COOLDOWN),
             Outcome::Reachable => {
+                load.cooldowns.no_path = None;
                 if load.cooldowns.unreachable.take().is_some() {
                     self.limits().slow_start.record_return(target, now);
                 }
--- a/crates/sillpin-gateway/src/placement/probe.rs
+++ b/crates/sillpin-gateway/src/placement/probe.rs
@@ -8,7 +8,7 @@
 use crate::control::{Presence, TargetEntry};
 use crate::fleet_state::{FleetHandle, View};
 use crate::pool::{Conn, ConnectionPool, SendError};
-use futures::future::join_all;
+use futures::future::{join, join_all};
 use rand::seq::IndexedRandom;
 use sillpin_core::{PoolId, TargetId};
 use sillpin_telemetry::{event, events};
@@ -82,7 +82,12 @@
     async fn run_survey(self, pool: PoolId) {
         loop {
             let sample = self.sample(&pool);
-            let connected = join_all(sample.iter().map(|target| self.connect(target))).await;
+            let reached = self.reached(&pool, &sample);
+            let (connected, _) = join(
+                join_all(sample.iter().map(|target| self.connect(target))),
+                join_all(reached.iter().map(|target| self.connect(target))),
+            )
+            .await;
             let failed = connected.iter().filter(|connected| !**connected).count();
             let now = Instant::now();
             self.loads
@@ -92,11 +97,28 @@
             if !self.loads.reach().is_cut_off(&pool) {
                 break;
             }
+            self.avoid_lost_paths(&pool);
             tokio::time::sleep(PROBE_INTERVAL).await;
         }
         self.loads.reach().end_survey(&pool);
     }
 
+    /// While this box reaches a few targets of a pool that it is cut off from, requests go to the others only if these
+    /// can't take them.
+    fn avoid_lost_paths(&self, pool: &PoolId) {
+        let now = Instant::now();
+        if !self.loads.reach().reaches_any(pool, now) {
+            return;
+        }
+        let view = self.fleet.view();
+        for target in view.targets.values().filter(|entry| entry.pool == *pool) {
+            let is_reached = self.loads.reach().reaches(pool, &target.id, now);
+            if !is_reached {
+                self.loads.record(&target.id, Outcome::NoPath);
+            }
+        }
+    }
+
     /// Returns random targets of a pool that accept new work.
     fn sample(&self, pool: &PoolId) -> Vec<Arc<TargetEntry>> {
         let view = self.fleet.view();
@@ -108,6 +130,21 @@
         sample.map(|entry| Arc::clone(entry)).collect()
     }
 
+    /// Returns targets that a survey reached recently, besides the sample, if this box is cut off from their pool. They
+    /// don't count for the survey's result.
+    fn reached(&self, pool: &PoolId, sample: &[Arc<TargetEntry>]) -> Vec<Arc<TargetEntry>> {
+        let now = Instant::now();
+        let (view, reach) = (self.fleet.view(), self.loads.reach());
+        if !reach.is_cut_off(pool) {
+            return Vec::new();
+        }
+        let in_sample = |id: &TargetId| sample.iter().any(|target| target.id == *id);
+        let reached = view.targets.values();
+        let reached =
+            reached.filter(|entry| reach.reaches(pool, &entry.id, now) && !in_sample(&entry.id));
+        reached.take(SURVEY_LEN).cloned().collect()
+    }
+
     /// Tries to connect to a target. One that refuses is probed from then on. One that does not answer in time may be
     /// sound while this box's link is full, so it stays in use unless requests fail there.
     async fn connect(&self, target: &Arc<TargetEntry>) -> bool {
@@ -124,7 +161,11 @@
                 self.start(target, &e.to_string());
                 false
             }
-            Err(_) => false,
+            Err(_) => {
+                let mut reach = self.loads.reach();
+                reach.record_timeout(&target.pool, &target.id);
+                false
+            }
         }
     }
 
--- a/crates/sillpin-gateway/src/placement/reach.rs
+++ b/crates/sillpin-gateway/src/placement/reach.rs
@@ -2,7 +2,7 @@
 //!
 //! A target that one box cannot reach may be down, or the path between the two may be. The targets of a pool rarely
 //! fail together, so a box that reaches less than half of them, or of a random sample, is taken to be cut off from the
-//! pool.
+//! pool. It may still reach a few.
 //!
 //! A path that is lost without a reset shows only in that nothing arrives any more. [`Reach`] knows what waits for an
 //! answer; if nothing has arrived from a pool for a while, a connection to one of its targets tells whether the path is
@@ -31,6 +31,10 @@
 /// Time without anything from a pool that this box is cut off from, after which requests that wait there are given up.
 const LOST_AFTER: Duration = Duration::from_millis(500);
 
+/// Time after a connection to a target was opened for which a box that is cut off from the target's pool is taken to reach
+/// it: several surveys.
+const CONNECTED_TIME: Duration = Duration::from_secs(2);
+
 /// A change of whether this box is cut off from a pool.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReachChange {
@@ -63,6 +67,8 @@
 struct PoolReach {
     /// Targets to which the last attempt to connect failed.
     unreachable: HashSet<TargetId>,
+    /// When surveys and probes last opened a connection, by target.
+    connected: HashMap<TargetId, Instant>,
     /// Whether most connections of the last survey failed.
     survey_failed: bool,
     is_surveyed: bool,
@@ -86,6 +92,11 @@
         is_due.then_some(&oldest.target)
     }
 
+    fn is_connected(&self, target: &TargetId, now: Instant) -> bool {
+        let at = self.connected.get(target);
+        at.is_some_and(|at| now.saturating_duration_since(*at) < CONNECTED_TIME)
+    }
+
     fn is_lost(&self, wait: &PathWait, now: Instant) -> bool {
         let since = self.heard.max(Some(wait.since)).unwrap_or(now);
         self.cut_off.is_some() && now.saturating_duration_since(since) >= LOST_AFTER
@@ -103,6 +114,7 @@
     /// Records that an attempt to connect to a target failed. Returns whether the pool should be surveyed.
     pub fn record_failure(&mut self, pool: &PoolId, target: &TargetId) -> bool {
         let state = self.pools.entry(pool.clone()).or_default();
+        state.connected.remove(target);
         let is_new = state.unreachable.insert(target.clone());
         is_new && state.unreachable.len() >= MIN_UNREACHABLE
     }
@@ -111,10 +123,18 @@
     pub fn record_success(&mut self, pool: &PoolId, target: &TargetId, now: Instant) {
         if let Some(state) = self.pools.get_mut(pool) {
             state.unreachable.remove(target);
+            state.connected.insert(target.clone(), now);
             state.heard = Some(now);
         }
     }
 
+    /// Records that a connection to a target was not opened in time.
+    pub fn record_timeout(&mut self, pool: &PoolId, target: &TargetId) {
+        if let Some(state) = self.pools.get_mut(pool) {
+            state.connected.remove(target);
+        }
+    }
+
     /// Begins a survey of a pool, unless one is running or has just ended.
     pub fn begin_survey(&mut self, pool: &PoolId, now: Instant) -> bool {
         let state = self.pools.entry(pool.clone()).or_default();
@@ -148,6 +168,7 @@
         let state = self.pools.get_mut(pool)?;
         let listed: HashSet<&TargetId> = listed.collect();
         state.unreachable.retain(|id| listed.contains(id));
+        state.connected.retain(|id, _| listed.contains(id));
         let unreachable = state.unreachable.len();
         let cut_off = unreachable * 2 > listed.len() || state.survey_failed;
         if cut_off == state.cut_off.is_some() {
@@ -169,6 +190,18 @@
             .is_some_and(|state| state.cut_off.is_some())
     }
 
+    /// Returns whether this box has reached a target of a pool recently, by a survey or a probe.
+    pub fn reaches_any(&self, pool: &PoolId, now: Instant) -> bool {
+        let state = self.pools.get(pool);
+        state.is_some_and(|state| state.connected.keys().any(|id| state.is_connected(id, now)))
+    }
+
+    /// Returns whether this box has reached a target recently, by a survey or a probe.
+    pub fn reaches(&self, pool: &PoolId, target: &TargetId, now: Instant) -> bool {
+        let state = self.pools.get(pool);
+        state.is_some_and(|state| state.is_connected(target, now))
+    }
+
     /// Returns the pools that this box is cut off from.
     pub fn cut_off(&self) -> impl Iterator<Item = &PoolId> {
         let pools = self.pools.iter();
--- a/crates/sillpin-gateway/tests/forward.rs
+++ b/crates/sillpin-gateway/tests/forward.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 use sillpin_core::{BoxId, Outcome, PoolId, RegionId, ZoneId};
 use sillpin_gateway::fleet_state::BoxEntry;
-use sillpin_gateway::forward::boxes::{Avoidance, BoxChoice, ForwardBoxes};
+use sillpin_gateway::forward::boxes::{Avoidance, BoxChoice, ForwardBoxes, SearchScope};
 use sillpin_gateway::forward::capacity::ForwardCapacity;
 use sillpin_gateway::forward::head::{
     FORWARD, ForwardHead, ForwardHeadError, ForwardResult, Unavailable,
@@ -57,6 +57,19 @@
     }
 
     fn choose(&mut self, pool: &str, tried: &[BoxId]) -> Option<BoxId> {
+        self.choose_by(pool, tried, ForwardBoxes::choose)
+    }
+
+    fn choose_last_resort(&mut self, pool: &str, tried: &[BoxId]) -> Option<BoxId> {
+        self.choose_by(pool, tried, ForwardBoxes::choose_last_resort)
+    }
+
+    fn choose_by(
+        &mut self,
+        pool: &str,
+        tried: &[BoxId],
+        choose: impl Fn(&ForwardBoxes, &BoxChoice<'_>, &mut StdRng) -> Option<BoxEntry>,
+    ) -> Option<BoxId> {
         let residency = Residency {
             route: &self.homes,
             organisation: &[],
@@ -71,7 +84,7 @@
             tried,
             now: Instant::now(),
         };
-        let chosen = self.state.choose(&choice, &mut self.rng)?;
+        let chosen = choose(&self.state, &choice, &mut self.rng)?;
         Some(chosen.id)
     }
 
@@ -209,6 +222,7 @@
         max_runs: 2,
         counted: true,
         version: None,
+        last_resort: true,
     };
     let mut headers = HeaderMap::new();
     head.set(&mut headers);
@@ -379,3 +393,91 @@
         "{served_by_round:?}"
     );
 }
+
+#[tokio::test(start_paused = true)]
+async fn boxes_that_reach_a_few_targets_are_the_last_resort_until_one_that_reaches_most_is_known() {
+    let mut chooser = Chooser::new(&[("few", "za"), ("none", "za"), ("most", "zb")]);
+    let pool: PoolId = name("llm");
+    for id in ["few", "none"] {
+        chooser.avoid(id, "llm", NO_PATH);
+    }
+    assert_eq!(chooser.choose_last_resort("llm", &[]), None);
+    let now = Instant::now();
+    chooser.state.record_few_paths(&name("few"), &pool, now);
+    assert_eq!(chooser.choose_last_resort("llm", &[]), Some(name("few")));
+    assert_eq!(chooser.choose_last_resort("llm", &[name("few")]), None);
+    assert_eq!(chooser.choose_last_resort("app", &[]), None);
+    chooser.avoid("few", "llm", Avoidance::Unreachable);
+    assert_eq!(chooser.choose_last_resort("llm", &[]), None);
+
+    let mut scope = |reaches_any| {
+        let now = Instant::now();
+        let state = &chooser.state;
+        state.search_scope(&pool, reaches_any, now, &mut chooser.rng)
+    };
+    assert_eq!(scope(true), SearchScope::Full);
+    chooser.state.record_failed_search(&pool, Instant::now());
+    assert_ne!(scope(true), SearchScope::Full);
+    chooser
+        .state
+        .record_named(&name("most"), &pool, Instant::now());
+    assert_eq!(scope(true), SearchScope::Full);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_box_without_any_path_goes_on_searching_while_it_knows_no_last_resort() {
+    let mut chooser = Chooser::new(&[("a", "za"), ("b", "zb")]);
+    let pool: PoolId = name("llm");
+    chooser.state.record_failed_search(&pool, Instant::now());
+    for _ in 0..100 {
+        let state = &chooser.state;
+        let scope = state.search_scope(&pool, false, Instant::now(), &mut chooser.rng);
+        assert_eq!(scope, SearchScope::Full);
+    }
+}
+
+/// A fleet in which no box reaches most targets, half of them a few, and one box with four requests a second.
+#[tokio::test(start_paused = true)]
+async fn few_boxes_are_asked_in_vain_where_none_reaches_most_targets() {
+    let ids: Vec<String> = (0..58).map(|index| format!("b-{index:02}")).collect();
+    let others: Vec<(&str, &str)> = ids.iter().map(|id| (id.as_str(), "za")).collect();
+    let mut chooser = Chooser::new(&others);
+    let pool: PoolId = name("llm");
+    let (mut served, mut offers, mut sent) = (0, 0, 0);
+    for request in 0..80 {
+        let state = chooser.state.clone();
+        let scope = state.search_scope(&pool, false, Instant::now(), &mut chooser.rng);
+        let mut tried = Vec::new();
+        let max = match scope {
+            SearchScope::Full => 8,
+            SearchScope::One => 1,
+            SearchScope::Nothing => 0,
+        };
+        while tried.len() < max {
+            let Some(asked) = chooser.choose("llm", &tried) else {
+                break;
+            };
+            let number: usize = asked.as_str()[2..].parse().unwrap();
+            if number.is_multiple_of(2) {
+                state.record_few_paths(&asked, &pool, Instant::now());
+            }
+            chooser.avoid(asked.as_str(), "llm", NO_PATH);
+            tried.push(asked);
+        }
+        if scope == SearchScope::Full {
+            state.record_failed_search(&pool, Instant::now());
+        }
+        let last_resort = chooser.choose_last_resort("llm", &[]);
+        if let Some(id) = &last_resort {
+            state.record_few_paths(id, &pool, Instant::now());
+        }
+        if request >= 8 {
+            sent += 1;
+            offers += tried.len() + usize::from(last_resort.is_some());
+            served += usize::from(last_resort.is_some());
+        }
+        tokio::time::advance(Duration::from_millis(250)).await;
+    }
+    assert_eq!(served, sent);
+    assert!(offers * 5 <= sent * 6, "{offers} offers of {sent} requests");
+}
--- a/crates/sillpin-gateway/tests/reach.rs
+++ b/crates/sillpin-gateway/tests/reach.rs
@@ -138,3 +138,24 @@
     tokio::time::advance(ms(400)).await;
     assert!(reach.begin_survey(&pool, Instant::now()));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_box_that_is_cut_off_knows_the_few_targets_that_it_reaches() {
+    let (mut reach, targets, pool) = (Reach::default(), ids(9), name::<PoolId>(POOL));
+    assert!(reach.begin_survey(&pool, Instant::now()));
+    reach.record_success(&pool, &targets[0], Instant::now());
+    reach.record_success(&pool, &targets[1], Instant::now());
+    reach.record_survey(&pool, 8, 6, Instant::now());
+    assert!(is_cut_off(&mut reach, &targets));
+    reach.record_timeout(&pool, &targets[1]);
+    let now = Instant::now();
+    assert!(reach.reaches_any(&pool, now));
+    assert!(reach.reaches(&pool, &targets[0], now));
+    assert!(!reach.reaches(&pool, &targets[1], now));
+    tokio::time::advance(ms(1_000)).await;
+    reach.record_failure(&pool, &targets[0]);
+    assert!(!reach.reaches_any(&pool, Instant::now()));
+    reach.record_success(&pool, &targets[0], Instant::now());
+    tokio::time::advance(ms(2_000)).await;
+    assert!(!reach.reaches_any(&pool, Instant::now()));
+}
