--- a/crates/sillpin-gateway/src/front/forward.rs
+++ b/crates/sillpin-gateway/src/front/forward.rs
@@ -27,7 +27,8 @@
 /// cut off.
 const MIN_UNSENT: u32 = 2;
 
-/// Maximum number of boxes that a request is offered to. One without a path says so within a round trip.
+/// Maximum number of boxes that a request is offered to, over all attempts, before the last resorts. One without a path
+/// says so within a round trip.
 const MAX_BOXES: usize = 8;
 
 /// Maximum number of boxes that reach a few targets that a request is offered to, if no box was found that reaches most.
@@ -105,7 +106,7 @@
         let most = Offers {
             last_resort: false,
             max: match scope {
-                SearchScope::Full => MAX_BOXES,
+                SearchScope::Full => MAX_BOXES.saturating_sub(progress.boxes.len()),
                 SearchScope::One => 1,
                 SearchScope::Nothing => 0,
             },
@@ -122,7 +123,9 @@
         }
         let few = Offers {
             last_resort: true,
-            max: MAX_LAST_RESORTS,
+            max: (MAX_BOXES + MAX_LAST_RESORTS)
+                .saturating_sub(progress.boxes.len())
+                .min(MAX_LAST_RESORTS),
         };
         self.offer(request, pool, progress, few).await
     }
