Find what ran on a crashed target by an index, not by reading the whole record

What callers saw: nothing yet.

Change: the record is also kept by target (with the number of crashes of what ran there, so that the likeliest cause comes first) and by time; a part that is refused only beside others which the request lacks is not judged again for each of them.

--- a/crates/sillpin-gateway/src/fatal/mod.rs
+++ b/crates/sillpin-gateway/src/fatal/mod.rs
@@ -8,6 +8,7 @@
 //! - [`fingerprint`]: identifies identical requests, and parts,
 //! - [`crash_detector`]: detects whether a target crashed,
 //! - [`suspect`]: crashes under one request or part,
+//! - `history`: all of these, by target and time,
 //! - [`verdict`]: which of them are the cause of crashes,
 //! - [`record`]: history of crashes by request and part,
 //! - [`persist`]: persists the history, so that it survives the loss of all boxes.
@@ -15,6 +16,7 @@
 mod abandoned;
 pub mod crash_detector;
 pub mod fingerprint;
+mod history;
 pub mod persist;
 pub mod record;
 pub mod suspect;
--- a/crates/sillpin-gateway/src/fatal/record.rs
+++ b/crates/sillpin-gateway/src/fatal/record.rs
@@ -9,13 +9,13 @@
 //! the request was served, so the order, number and route of the reports do not matter.
 
 use super::abandoned::AbandonedAttempts;
+use super::history::History;
 use super::suspect::{CrashReport, FATAL_CRASHES, Suspect};
 use super::verdict::{Judge, RequestCounts, Verdict};
 use super::{Candidates, Fingerprint};
 use crate::placement::work::IncarnationHash;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::ops::Bound;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -69,7 +69,7 @@
 /// Requests, and parts of prompts, under which targets crashed.
 #[derive(Debug, Default)]
 pub struct CrashRecord {
-    suspects: BTreeMap<Fingerprint, Suspect>,
+    history: History,
     /// Attempts that this box abandoned before the response.
     abandoned: AbandonedAttempts,
     /// The requests and parts that are taken to be the cause of crashes.
@@ -118,16 +118,22 @@
         at: Instant,
         now: Instant,
     ) -> bool {
-        let suspect = self.suspects.entry(fingerprint);
-        let suspect = suspect.or_insert_with(|| Suspect::new(now));
+        let mut suspect = self.known(fingerprint, now);
         let is_new = suspect.add(incarnation, at);
         if is_new {
             suspect.changed = now;
             suspect.observed = Some(now);
         }
+        self.history.insert(fingerprint, suspect);
         is_new
     }
 
+    /// Returns what is known of a request or part.
+    fn known(&self, fingerprint: Fingerprint, now: Instant) -> Suspect {
+        let known = self.history.get(fingerprint).cloned();
+        known.unwrap_or_else(|| Suspect::new(now))
+    }
+
     /// Records that this box abandoned an attempt before the response: its target may still run it.
     pub fn record_abandoned(
         &mut self,
@@ -151,11 +157,10 @@
             if fingerprint.is_part() {
                 self.served_parts.insert(*fingerprint, now);
             }
-            let suspect = self.suspects.get_mut(fingerprint);
+            let suspect = self.history.get(*fingerprint);
             if let Some(suspect) = suspect.filter(|suspect| !suspect.is_clear()) {
-                suspect.served = Some(now);
-                suspect.changed = now;
-                suspect.observed = Some(now);
+                let suspect = suspect.clone().cleared(now, now);
+                self.history.insert(*fingerprint, suspect);
             }
         }
         if self.served_parts.len() > MAX_SERVED_PARTS {
@@ -183,24 +188,32 @@
 
     pub(super) fn judge(&self) -> Judge<'_> {
         Judge {
-            suspects: &self.suspects,
+            history: &self.history,
             requests: self.requests.counts,
         }
     }
 
     /// Returns why a request is refused, if it or a part of its prompt is known to be fatal.
     pub fn refusal(&self, candidates: &[Fingerprint], now: Instant) -> Option<Verdict> {
-        if self.suspects.is_empty() {
+        if self.history.is_empty() {
             return None;
         }
-        let verdicts = candidates.iter().filter(|one| !self.is_sound(**one, now));
-        let mut verdicts = verdicts.filter_map(|one| self.judge().verdict(*one, now));
-        verdicts.find(|verdict| {
-            verdict
-                .companions
-                .iter()
-                .all(|one| candidates.contains(one))
-        })
+        // Parts that are refused only beside others, which this request lacks.
+        let mut tied = Vec::new();
+        for one in candidates {
+            if tied.contains(one) || self.is_sound(*one, now) {
+                continue;
+            }
+            let Some(verdict) = self.judge().verdict(*one, now) else {
+                continue;
+            };
+            let mut companions = verdict.companions.iter();
+            if companions.all(|one| candidates.contains(one)) {
+                return Some(verdict);
+            }
+            tied.extend(verdict.companions.into_iter().filter(|one| one.is_part()));
+        }
+        None
     }
 
     /// Whether a part of a prompt is so likely to be fatal that a request with it is not sent a second time.
@@ -238,8 +251,7 @@
     /// Merges a report, and returns whether it was new.
     fn apply_report(&mut self, report: &CrashReport, now: Instant) -> bool {
         let time_before = |age: u32| now.checked_sub(Duration::from_millis(u64::from(age)));
-        let known = self.suspects.get(&report.fingerprint).cloned();
-        let mut suspect = known.unwrap_or_else(|| Suspect::new(now));
+        let mut suspect = self.known(report.fingerprint, now);
         let served = report.served.and_then(time_before);
         // Boxes compute slightly different times for the same event.
         let mut is_new = served > suspect.served.map(|at| at + RECENT);
@@ -252,13 +264,13 @@
         }
         // This box may have served it since, before it knew of the crash.
         let served_here = self.served_parts.get(&report.fingerprint).copied();
-        if served_here > suspect.served && !suspect.is_clear() {
-            suspect.served = served_here;
-            suspect.changed = now;
-            suspect.observed = Some(now);
+        if let Some(served) = served_here.filter(|_| served_here > suspect.served)
+            && !suspect.is_clear()
+        {
+            suspect = suspect.cleared(served, now);
         }
         if !suspect.is_expired(now) {
-            self.suspects.insert(report.fingerprint, suspect);
+            self.history.insert(report.fingerprint, suspect);
         }
         is_new
     }
@@ -279,16 +291,14 @@
             observed.is_some_and(|at| now.saturating_duration_since(at) < RECENT)
         };
         let observed = self.most_telling(is_recent);
-        let report = |of: &Fingerprint| Some(self.suspects.get(of)?.report(*of, now));
+        let report = |of: &Fingerprint| Some(self.history.get(*of)?.report(*of, now));
         observed.iter().filter_map(report).collect()
     }
 
     /// Returns some of the requests and parts: those with the most crashes first, and of these the ones that were never served.
     fn most_telling(&self, is_chosen: impl Fn(&Suspect) -> bool) -> Vec<Fingerprint> {
-        let chosen = self
-            .suspects
-            .iter()
-            .filter(|(_, suspect)| is_chosen(suspect));
+        let chosen = self.history.iter();
+        let chosen = chosen.filter(|(_, suspect)| is_chosen(suspect));
         let rank = |suspect: &Suspect| (Reverse(suspect.crash_count()), suspect.served.is_some());
         let mut chosen: Vec<_> = chosen.map(|(one, suspect)| (rank(suspect), *one)).collect();
         chosen.sort_unstable();
@@ -313,7 +323,7 @@
         fingerprints.extend(others);
         fingerprints.sort_unstable();
         fingerprints.dedup();
-        let report = |of: Fingerprint| Some(self.suspects.get(&of)?.report(of, now));
+        let report = |of: Fingerprint| Some(self.history.get(of)?.report(of, now));
         fingerprints.into_iter().filter_map(report).collect()
     }
 
@@ -324,12 +334,11 @@
         max: usize,
         takes: impl Fn(usize) -> bool,
     ) -> Vec<Fingerprint> {
-        let begin = after.map_or(Bound::Unbounded, Bound::Excluded);
-        let following = self.suspects.range((begin, Bound::Unbounded));
+        let following = self.history.after(after);
         let taken =
             |(key, suspect): (&Fingerprint, &Suspect)| takes(suspect.crash_count()).then_some(*key);
         following
-            .chain(self.suspects.iter())
+            .chain(self.history.iter())
             .filter_map(taken)
             .take(max)
             .collect()
@@ -340,7 +349,7 @@
         let enough = |(one, suspect): &(&Fingerprint, &Suspect)| {
             suspect.crash_count() >= min_crashes && !self.is_sound(**one, now)
         };
-        let mut top: Vec<_> = self.suspects.iter().filter(enough).collect();
+        let mut top: Vec<_> = self.history.iter().filter(enough).collect();
         top.sort_by_key(|(_, suspect)| Reverse((suspect.crash_count(), suspect.changed)));
         top.truncate(max);
         let report = |(key, suspect): (&Fingerprint, &Suspect)| suspect.report(*key, now);
@@ -349,40 +358,39 @@
 
     /// Returns whether this box itself observed the last change of a request.
     pub fn is_observed_here(&self, fingerprint: Fingerprint) -> bool {
-        let suspect = self.suspects.get(&fingerprint);
+        let suspect = self.history.get(fingerprint);
         suspect.is_some_and(|suspect| suspect.observed == Some(suspect.changed))
     }
 
     /// Returns the number of requests in the history.
     pub fn len(&self) -> usize {
-        self.suspects.len()
+        self.history.len()
     }
 
     /// Returns whether the history contains no requests.
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty()
+        self.history.is_empty()
     }
 
     fn remove_expired(&mut self, now: Instant) {
-        self.suspects.retain(|_, suspect| !suspect.is_expired(now));
-        let suspects = &self.suspects;
-        self.fatal.retain(|one| suspects.contains_key(one));
+        self.history.retain(|suspect| !suspect.is_expired(now));
+        let history = &self.history;
+        self.fatal.retain(|one| history.contains(*one));
     }
 
     fn enforce_limit(&mut self, now: Instant) {
-        if self.suspects.len() <= MAX_REQUESTS {
+        if self.history.len() <= MAX_REQUESTS {
             return;
         }
         self.remove_expired(now);
-        let mut order: Vec<_> = self
-            .suspects
-            .iter()
+        let suspects = self.history.iter();
+        let mut order: Vec<_> = suspects
             .map(|(fingerprint, suspect)| (suspect.crash_count(), suspect.changed, *fingerprint))
             .collect();
         order.sort_unstable();
-        let surplus = self.suspects.len().saturating_sub(MAX_REQUESTS);
+        let surplus = self.history.len().saturating_sub(MAX_REQUESTS);
         for (_, _, fingerprint) in order.into_iter().take(surplus) {
-            self.suspects.remove(&fingerprint);
+            self.history.remove(fingerprint);
         }
     }
 }
--- a/crates/sillpin-gateway/src/fatal/suspect.rs
+++ b/crates/sillpin-gateway/src/fatal/suspect.rs
@@ -59,12 +59,25 @@
         self.served.is_some_and(|served| at <= served)
     }
 
+    /// Returns it as this box, at `now`, learned that it was served.
+    pub(super) fn cleared(mut self, served: Instant, now: Instant) -> Self {
+        self.served = Some(served);
+        self.changed = now;
+        self.observed = Some(now);
+        self
+    }
+
     /// Returns the targets that crashed under it since it was last served, and when.
     pub(super) fn counted_crashes(&self) -> impl Iterator<Item = (&IncarnationHash, &Instant)> {
         let crashes = self.crashes.iter();
         crashes.filter(|(_, at)| !self.is_cleared(**at))
     }
 
+    /// Returns the targets that crashed under it since it was last served.
+    pub(super) fn counted_targets(&self) -> impl Iterator<Item = &IncarnationHash> {
+        self.counted_crashes().map(|(incarnation, _)| incarnation)
+    }
+
     /// Returns whether it is cleared of all crashes.
     pub(super) fn is_clear(&self) -> bool {
         self.counted_crashes().next().is_none()
--- a/crates/sillpin-gateway/src/fatal/verdict.rs
+++ b/crates/sillpin-gateway/src/fatal/verdict.rs
@@ -9,9 +9,10 @@
 //! count only if they are spread over time.
 
 use super::Fingerprint;
+use super::history::History;
 use super::suspect::{FATAL_CRASHES, FATAL_RETENTION, Suspect};
 use crate::placement::work::IncarnationHash;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -52,8 +53,7 @@
 
 /// Decides about the requests and parts in a history.
 pub(super) struct Judge<'a> {
-    /// The history.
-    pub(super) suspects: &'a BTreeMap<Fingerprint, Suspect>,
+    pub(super) history: &'a History,
     /// Requests of this box lately.
     pub(super) requests: RequestCounts,
 }
@@ -79,7 +79,7 @@
 impl Judge<'_> {
     /// Returns the verdict on a request or part, if it is the cause of crashes.
     pub(super) fn verdict(&self, cause: Fingerprint, now: Instant) -> Option<Verdict> {
-        let suspect = self.suspects.get(&cause)?;
+        let suspect = self.history.get(cause)?;
         let crashes = suspect.crash_count();
         if crashes < FATAL_CRASHES {
             return None;
@@ -90,8 +90,8 @@
         };
         let until = suspect.last_crash()? + retention;
         let unexplained = suspect.counted_crashes().filter(|(incarnation, at)| {
-            !self.is_explained(cause, crashes, incarnation)
-                && !self.is_mass_crash(cause, suspect, incarnation, **at)
+            !self.is_explained(cause, crashes, **incarnation)
+                && !self.is_mass_crash(cause, suspect, **incarnation, **at)
         });
         let needed = match cause.is_part() {
             true => self.requests.crashes_needed(crashes),
@@ -108,26 +108,22 @@
 
     /// Whether a part may be the cause of crashes: a request with it is not sent a second time.
     pub(super) fn is_suspect_part(&self, part: Fingerprint) -> bool {
-        let Some(suspect) = self.suspects.get(&part).filter(|_| part.is_part()) else {
+        let Some(suspect) = self.history.get(part).filter(|_| part.is_part()) else {
             return false;
         };
         let counted = suspect.counted_crashes();
         let counted = counted
-            .filter(|(incarnation, at)| !self.is_mass_crash(part, suspect, incarnation, **at));
+            .filter(|(incarnation, at)| !self.is_mass_crash(part, suspect, **incarnation, **at));
         self.separate(part, counted) >= SUSPECT_CRASHES
     }
 
     /// Whether another candidate is a likelier cause of a crash under `cause`, which has `own` crashes. If two requests have the same
     /// number, each may be sent once more, and the next crash distinguishes them.
-    fn is_explained(&self, cause: Fingerprint, own: usize, incarnation: &IncarnationHash) -> bool {
-        let others = self.suspects.iter();
-        let mut others = others
-            .filter(|(other, suspect)| {
-                **other != cause && suspect.crashes.contains_key(incarnation)
-            })
-            .map(|(_, suspect)| suspect.crash_count());
+    fn is_explained(&self, cause: Fingerprint, own: usize, incarnation: IncarnationHash) -> bool {
+        let mut under = self.history.under(incarnation);
+        let most = under.find(|(_, other)| *other != cause);
         let is_tie_open = !cause.is_part() && own == FATAL_CRASHES;
-        others.any(|other| other > own || (is_tie_open && other == own))
+        most.is_some_and(|(most, _)| most > own || (is_tie_open && most == own))
     }
 
     /// Returns the candidates that have exactly the crashes of a part.
@@ -135,15 +131,24 @@
         if !cause.is_part() {
             return Vec::new();
         }
-        let ids = |of: &Suspect| -> BTreeSet<IncarnationHash> {
-            of.counted_crashes()
-                .map(|(incarnation, _)| *incarnation)
-                .collect()
+        let Some((first, _)) = suspect.counted_crashes().next() else {
+            return Vec::new();
+        };
+        let count = suspect.crash_count();
+        let under = self.history.under(*first);
+        let as_many = under
+            .skip_while(|(other, _)| *other > count)
+            .take_while(|(other, _)| *other == count);
+        let has_same = |other: &Fingerprint| {
+            let other = self.history.get(*other);
+            other.is_some_and(|other| other.counted_targets().eq(suspect.counted_targets()))
         };
-        let own = ids(suspect);
-        let others = self.suspects.iter();
-        let same = others.filter(|(other, suspect)| **other != cause && ids(suspect) == own);
-        same.map(|(other, _)| *other).collect()
+        let mut same: Vec<Fingerprint> = as_many
+            .map(|(_, other)| other)
+            .filter(|other| *other != cause && has_same(other))
+            .collect();
+        same.sort_unstable();
+        same
     }
 
     /// Whether a target crashed together with several others: for a request, with others that did not run it.
@@ -151,22 +156,21 @@
         &self,
         cause: Fingerprint,
         suspect: &Suspect,
-        incarnation: &IncarnationHash,
+        incarnation: IncarnationHash,
         at: Instant,
     ) -> bool {
-        let is_near = |other: &Instant| {
-            other.saturating_duration_since(at) < SAME_TIME
-                && at.saturating_duration_since(*other) < SAME_TIME
-        };
         let counts = |other: &IncarnationHash| {
-            other != incarnation && (cause.is_part() || !suspect.crashes.contains_key(other))
+            *other != incarnation && (cause.is_part() || !suspect.crashes.contains_key(other))
         };
-        let crashes = self.suspects.values().flat_map(|other| &other.crashes);
-        let others_crashed: BTreeSet<&IncarnationHash> = crashes
-            .filter(|(other, at)| is_near(at) && counts(other))
-            .map(|(other, _)| other)
-            .collect();
-        others_crashed.len() >= MASS_CRASH
+        let others = self.history.crashed_near(at, SAME_TIME).filter(counts);
+        let mut others_crashed = BTreeSet::new();
+        for other in others {
+            others_crashed.insert(other);
+            if others_crashed.len() >= MASS_CRASH {
+                return true;
+            }
+        }
+        false
     }
 
     /// Number of these crashes; for a part, of those that are apart in time, or under one request: that was sent to one target after
@@ -196,9 +200,11 @@
 
     /// Whether one request ran on both targets when they crashed.
     fn is_one_request(&self, one: &IncarnationHash, other: &IncarnationHash) -> bool {
-        let mut requests = self.suspects.iter().filter(|(key, _)| !key.is_part());
-        requests.any(|(_, suspect)| {
-            suspect.crashes.contains_key(one) && suspect.crashes.contains_key(other)
+        let under = self.history.under(*one);
+        let mut requests = under.filter(|(_, request)| !request.is_part());
+        requests.any(|(_, request)| {
+            let suspect = self.history.get(request);
+            suspect.is_some_and(|suspect| suspect.crashes.contains_key(other))
         })
     }
 }
--- a/crates/sillpin-gateway/src/placement/work.rs
+++ b/crates/sillpin-gateway/src/placement/work.rs
@@ -115,6 +115,9 @@
 pub struct IncarnationHash(u32);
 
 impl IncarnationHash {
+    /// The lowest hash.
+    pub(crate) const MIN: Self = Self(0);
+
     /// Returns the hash of the incarnation that an entry describes.
     pub fn of(target: &TargetEntry) -> Self {
         let life = target.life.map_or(0, |life| life.0);
