--- a/crates/sillpin-gateway/benches/fatal_parts.rs
+++ b/crates/sillpin-gateway/benches/fatal_parts.rs
@@ -8,14 +8,11 @@
 #[path = "../tests/common/mod.rs"]
 mod common;
 
-use common::{engine, name};
+use common::crashes::{incarnation, prompt};
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use hyper::Method;
-use sillpin_core::Tokens;
-use sillpin_gateway::control::TargetEntry;
-use sillpin_gateway::dialect::{Part, PartId, Prompt};
+use sillpin_gateway::dialect::Prompt;
 use sillpin_gateway::fatal::{Candidates, CrashRecord, Fingerprint};
-use sillpin_gateway::placement::work::IncarnationHash;
 use std::hint::black_box;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -28,18 +25,10 @@
 
 const BODY: [u8; 9_200] = [0; 9_200];
 
-fn prompt(number: u64, parts: usize) -> Prompt {
+fn shared_prompt(number: u64, parts: usize) -> Prompt {
     let shared = (0..parts).map(|index| format!("shared-{index}-{}", number % 40));
-    let parts = shared.chain([format!("own-{number}")]).map(|id| Part {
-        id: PartId(id),
-        tokens: Tokens(100),
-    });
-    Prompt {
-        model: name("m"),
-        parts: parts.collect(),
-        tokens: Tokens(1_000),
-        max_output: Tokens(10),
-    }
+    let shared: Vec<String> = shared.collect();
+    prompt(number, &shared)
 }
 
 fn candidates(number: u64, prompt: &Prompt) -> Candidates {
@@ -52,15 +41,11 @@
 fn full_record(parts: usize) -> (CrashRecord, Instant) {
     let (mut record, mut now) = (CrashRecord::default(), Instant::now());
     for crash in 0..CRASHES {
-        let id = name(&format!("i-{crash}"));
-        let target = IncarnationHash::of(&TargetEntry {
-            id,
-            ..engine("i", "za")
-        });
         let numbers = crash * BROKEN..(crash + 1) * BROKEN;
         let broken: Vec<Fingerprint> = numbers
-            .flat_map(|number| candidates(number, &prompt(number, parts)).to_vec())
+            .flat_map(|number| candidates(number, &shared_prompt(number, parts)).to_vec())
             .collect();
+        let target = incarnation(usize::try_from(crash).unwrap_or(usize::MAX));
         record.record_crash(target, broken, now, now);
         now += Duration::from_millis(200);
     }
@@ -71,7 +56,7 @@
     let mut group = c.benchmark_group("fatal parts, one request");
     for parts in [1, 3, 10] {
         let (mut record, now) = full_record(parts);
-        let prompt = prompt(CRASHES * BROKEN, parts);
+        let prompt = shared_prompt(CRASHES * BROKEN, parts);
         group.bench_function(BenchmarkId::new("asked and served", parts), |b| {
             let mut number = CRASHES * BROKEN;
             b.iter(|| {
--- a/crates/sillpin-gateway/src/fatal/history.rs
+++ b/crates/sillpin-gateway/src/fatal/history.rs
@@ -38,10 +38,6 @@
         self.suspects.range((begin, Bound::Unbounded))
     }
 
-    pub(super) fn contains(&self, of: Fingerprint) -> bool {
-        self.suspects.contains_key(&of)
-    }
-
     pub(super) fn len(&self) -> usize {
         self.suspects.len()
     }
--- a/crates/sillpin-gateway/src/fatal/record.rs
+++ b/crates/sillpin-gateway/src/fatal/record.rs
@@ -375,7 +375,7 @@
     fn remove_expired(&mut self, now: Instant) {
         self.history.retain(|suspect| !suspect.is_expired(now));
         let history = &self.history;
-        self.fatal.retain(|one| history.contains(*one));
+        self.fatal.retain(|one| history.get(*one).is_some());
     }
 
     fn enforce_limit(&mut self, now: Instant) {
--- a/crates/sillpin-gateway/src/fatal/verdict.rs
+++ b/crates/sillpin-gateway/src/fatal/verdict.rs
@@ -135,18 +135,14 @@
             return Vec::new();
         };
         let count = suspect.crash_count();
-        let under = self.history.under(*first);
-        let as_many = under
-            .skip_while(|(other, _)| *other > count)
-            .take_while(|(other, _)| *other == count);
-        let has_same = |other: &Fingerprint| {
-            let other = self.history.get(*other);
+        let has_same = |other: Fingerprint| {
+            let other = self.history.get(other);
             other.is_some_and(|other| other.counted_targets().eq(suspect.counted_targets()))
         };
-        let mut same: Vec<Fingerprint> = as_many
-            .map(|(_, other)| other)
-            .filter(|other| *other != cause && has_same(other))
-            .collect();
+        let under = self.history.under(*first);
+        let others = under.filter(|(crashes, other)| *crashes == count && *other != cause);
+        let same = others.filter(|(_, other)| has_same(*other));
+        let mut same: Vec<Fingerprint> = same.map(|(_, other)| other).collect();
         same.sort_unstable();
         same
     }
@@ -162,15 +158,12 @@
         let counts = |other: &IncarnationHash| {
             *other != incarnation && (cause.is_part() || !suspect.crashes.contains_key(other))
         };
-        let others = self.history.crashed_near(at, SAME_TIME).filter(counts);
+        let mut others = self.history.crashed_near(at, SAME_TIME).filter(counts);
         let mut others_crashed = BTreeSet::new();
-        for other in others {
+        others.any(|other| {
             others_crashed.insert(other);
-            if others_crashed.len() >= MASS_CRASH {
-                return true;
-            }
-        }
-        false
+            others_crashed.len() >= MASS_CRASH
+        })
     }
 
     /// Number of these crashes; for a part, of those that are apart in time, or under one request: that was sent to one target after
--- a/crates/sillpin-gateway/src/front/forward.rs
+++ b/crates/sillpin-gateway/src/front/forward.rs
@@ -106,7 +106,7 @@
         let most = Offers {
             last_resort: false,
             max: match scope {
-                SearchScope::Full => MAX_BOXES.saturating_sub(progress.boxes.len()),
+                SearchScope::Full => offers_left(progress, MAX_BOXES),
                 SearchScope::One => 1,
                 SearchScope::Nothing => 0,
             },
@@ -123,9 +123,7 @@
         }
         let few = Offers {
             last_resort: true,
-            max: (MAX_BOXES + MAX_LAST_RESORTS)
-                .saturating_sub(progress.boxes.len())
-                .min(MAX_LAST_RESORTS),
+            max: MAX_LAST_RESORTS.min(offers_left(progress, MAX_BOXES + MAX_LAST_RESORTS)),
         };
         self.offer(request, pool, progress, few).await
     }
@@ -409,6 +407,11 @@
     max: usize,
 }
 
+/// To how many more boxes a request may be offered, of `max` over all its attempts.
+fn offers_left(progress: &Progress, max: usize) -> usize {
+    max.saturating_sub(progress.boxes.len())
+}
+
 /// What a box states in a request that it sends on.
 #[derive(Debug, Clone, Copy)]
 struct ForwardTerms {
--- a/crates/sillpin-gateway/tests/common/mod.rs
+++ b/crates/sillpin-gateway/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod crashes;
 pub mod engines;
 pub mod gossip;
 pub mod memory_store;
--- a/crates/sillpin-gateway/tests/fatal.rs
+++ b/crates/sillpin-gateway/tests/fatal.rs
@@ -2,28 +2,19 @@
 
 mod common;
 
-use common::{engine, name};
+use common::crashes::incarnation;
 use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
-use sillpin_gateway::control::TargetEntry;
 use sillpin_gateway::fatal::record::MAX_REQUESTS;
 use sillpin_gateway::fatal::{CrashRecord, CrashReport, Fingerprint};
-use sillpin_gateway::placement::work::IncarnationHash;
 use std::time::Duration;
 use tokio::time::Instant;
 
 const FATAL: Fingerprint = Fingerprint(1);
 const OTHER: Fingerprint = Fingerprint(2);
 
-fn incarnation(number: usize) -> IncarnationHash {
-    IncarnationHash::of(&TargetEntry {
-        id: name(&format!("i-{number}")),
-        ..engine("i", "za")
-    })
-}
-
 /// Records that targets crashed under the fatal request alone.
 fn record_crashes(
     record: &mut CrashRecord,
--- a/crates/sillpin-gateway/tests/fatal_fleet.rs
+++ b/crates/sillpin-gateway/tests/fatal_fleet.rs
@@ -4,15 +4,13 @@
 
 mod common;
 
+use common::crashes::incarnation;
 use common::gossip::{Fleet, Memory, OneBox, STEP};
-use common::{engine, name};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use rstest::rstest;
-use sillpin_gateway::control::TargetEntry;
 use sillpin_gateway::fatal::{CrashRecord, CrashReport, Fingerprint};
 use sillpin_gateway::peers::hub::Hub;
-use sillpin_gateway::placement::work::IncarnationHash;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -85,13 +83,6 @@
     }
 }
 
-fn incarnation(number: usize) -> IncarnationHash {
-    IncarnationHash::of(&TargetEntry {
-        id: name(&format!("i-{number}")),
-        ..engine("i", "za")
-    })
-}
-
 /// Simulates 40 s of a request that arrives every 0.3 to 1.2 s. Returns the number of crashed targets, and how many of them the
 /// request reached through boxes that had been in contact long enough to know it.
 async fn simulate(
--- a/crates/sillpin-gateway/tests/fatal_parts.rs
+++ b/crates/sillpin-gateway/tests/fatal_parts.rs
@@ -2,17 +2,13 @@
 
 mod common;
 
+use common::crashes::{incarnation, prompt};
 use common::gossip::{Fleet, Memory, STEP};
-use common::{engine, name};
 use rand::RngExt;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rstest::rstest;
-use sillpin_core::Tokens;
-use sillpin_gateway::control::TargetEntry;
-use sillpin_gateway::dialect::{Part, PartId, Prompt};
 use sillpin_gateway::fatal::{Candidates, CrashRecord, CrashReport, Fingerprint};
-use sillpin_gateway::placement::work::IncarnationHash;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -25,27 +21,9 @@
 /// Maximum number of requests that may reach a target once all boxes in contact must know the part.
 const MAX_LATE: usize = 3;
 
-fn incarnation(number: usize) -> IncarnationHash {
-    IncarnationHash::of(&TargetEntry {
-        id: name(&format!("i-{number}")),
-        ..engine("i", "za")
-    })
-}
-
 /// A request with this number, whose prompt has these shared parts and one of its own.
 fn request(number: u64, shared: &[&str]) -> Candidates {
-    let own = format!("own-{number}");
-    let parts = shared.iter().copied().chain([own.as_str()]);
-    let parts = parts.map(|id| Part {
-        id: PartId(id.to_owned()),
-        tokens: Tokens(100),
-    });
-    let prompt = Prompt {
-        model: name("m"),
-        parts: parts.collect(),
-        tokens: Tokens(300),
-        max_output: Tokens(10),
-    };
+    let prompt = prompt(number, shared);
     Candidates::of(Fingerprint(number), Some(&prompt))
 }
 
