Log and count each stream that ends incomplete, with its reason and configurations

An aborted stream was one line "request failed" with the last reason. It could not tell a stream that was dropped at a silent engine from one that its target broke off, nor which configurations were in force: hypotheses 1 and 2 of docs/incidents/lost-requests.md look alike. E384 names the reason, the targets that the request was offered to, the last event that the caller has, the runs, and the configuration of the request beside the one in force; sillpin_incomplete_responses counts by reason.

--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -14,6 +14,7 @@
 //! - [`overload`]: refusals of prompts that no target can start in time,
 //! - [`attempt`]: one attempt and its outcome,
 //! - [`target_wait`]: what is watched while a request waits for a target,
+//! - [`incomplete`]: the record of responses that callers do not get whole,
 //! - [`forward`]: requests that are sent to other boxes,
 //! - [`relay`]: relaying of event streams,
 //! - [`idle_timeout`]: when to abandon a target that sends nothing,
@@ -34,6 +35,7 @@
 mod forward;
 pub mod handler;
 pub mod idle_timeout;
+pub mod incomplete;
 pub mod outcome;
 pub mod overload;
 pub mod prepared;
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -7,6 +7,7 @@
 use super::admit::AdmittedRequest;
 use super::attempt::{AttemptOutcome, OpenStream, SILENT, StreamSource};
 use super::events::{EventSplitter, count_events};
+use super::incomplete::{EndReason, IncompleteResponse};
 use super::progress::{NoAttempt, Progress, may_rerun};
 use super::shared::Shared;
 use super::stream_version::Binding;
@@ -111,7 +112,7 @@
             if let (Some(response), Some(entry)) = (end.response(sent), &entry) {
                 self.record_response(&request, entry, response, assignment);
             }
-            let reason = match end {
+            let (reason, why) = match end {
                 RelayEnd::Complete => {
                     self.record_served(&request);
                     self.metrics.response_end(request.arrival.elapsed());
@@ -131,12 +132,17 @@
                 }
                 RelayEnd::DeadlineReached => {
                     self.record_abandoned(&request, entry.as_ref());
-                    "the request's time is over".to_owned()
+                    let why = "the request's time is over".to_owned();
+                    (EndReason::Deadline, why)
                 }
                 RelayEnd::Broken(_) | RelayEnd::Silent => {
-                    let reason = self.record_broken(&request, entry.as_ref(), end);
+                    let reason = match end {
+                        RelayEnd::Silent => EndReason::Silent,
+                        _ => EndReason::BrokenOff,
+                    };
+                    let why = self.record_broken(&request, entry.as_ref(), end);
                     event!(self.log, events::ATTEMPT_INCOMPLETE, "request" => id,
-                        "target" => &target, "outcome" => "broken", "why" => &reason,
+                        "target" => &target, "outcome" => "broken", "why" => &why,
                         "elapsed_ms" => request.arrival.elapsed().as_millis());
                     match self
                         .resume(&request, &pool, &mut progress, &mut events, &tx)
@@ -146,14 +152,17 @@
                             stream = next;
                             continue;
                         }
-                        None => reason,
+                        None => (reason, why),
                     }
                 }
             };
-            self.metrics.request(&request.route.name, "broken");
-            event!(self.log, events::REQUEST_FAILED, "request" => id,
-                "target" => &target, "outcome" => "ran", "why" => &reason,
-                "elapsed_ms" => request.arrival.elapsed().as_millis());
+            let end = IncompleteResponse {
+                reason,
+                why: &why,
+                source: &target,
+                last_event: events.last_id().unwrap_or_default(),
+            };
+            self.record_incomplete(&request, &progress, &end);
             tx.abort("stream broke off").await;
             return;
         }
--- a/crates/sillpin-gateway/src/metrics.rs
+++ b/crates/sillpin-gateway/src/metrics.rs
@@ -24,6 +24,7 @@
     attempts: Counter<u64>,
     forwarded: Counter<u64>,
     resumptions: Counter<u64>,
+    incomplete: Counter<u64>,
     prompt_tokens: Counter<u64>,
     prompt_attempts: Counter<u64>,
     copies: Counter<u64>,
@@ -62,6 +63,10 @@
                 "sillpin_resumptions",
                 "Streams that broke off or that callers resume, by outcome",
             ),
+            incomplete: counter(
+                "sillpin_incomplete_responses",
+                "Responses that ended before they were complete, by reason",
+            ),
             copies: counter(
                 "sillpin_copies",
                 "State copies requested from other boxes by outcome",
@@ -141,6 +146,12 @@
             .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a response that ended before it was complete, by reason.
+    pub fn incomplete(&self, reason: &str) {
+        self.incomplete
+            .add(1, &[KeyValue::new("reason", reason.to_owned())]);
+    }
+
     /// Counts a prompt sent to an engine, by whether its weights are the newest or replaced ones.
     pub fn prompt_attempt(&self, replaced: bool) {
         let weights = if replaced { "replaced" } else { "newest" };
