Count the grace of a silent engine anew for each of its silences

What callers saw: a request that waits for its head ends with 502 in the second of two sound silences, 0.9 s after its start. Cause: the grace of 1.2 s began with the first finding and ended with a look whether the engine is silent now; an engine that was heard between (its report, another stream) and is silent again looked like one that had been silent all the time. Silences have a number now, and the grace belongs to one of them. Before: a_prompt_without_a_head_is_served_after_two_silences::case_1 failed (502 after 1.9 s). After: it passes. Case 2, a request that may run elsewhere, is the other fault and stays listed. Test only: the engines of sound_silences.rs get several actions, since requests for their report take them too.

--- a/crates/sillpin-gateway/src/front/target_wait.rs
+++ b/crates/sillpin-gateway/src/front/target_wait.rs
@@ -9,14 +9,21 @@
 /// send nothing for a second or so and go on.
 const SILENCE_GRACE: Duration = Duration::from_millis(1_200);
 
+/// A silence of an engine.
+#[derive(Debug, Clone, Copy)]
+struct FoundSilence {
+    number: u64,
+    at: Instant,
+}
+
 /// A request or stream that waits for a target.
 pub struct TargetWait {
     engine: EngineWait,
     path: PathWaitGuard,
     /// Whether the request may run elsewhere.
     may_rerun: bool,
-    /// When the engine was found silent, if nothing has arrived since.
-    found_silent: Option<Instant>,
+    /// The last silence that was found while it waited.
+    found: Option<FoundSilence>,
 }
 
 impl TargetWait {
@@ -26,13 +33,13 @@
             engine,
             path,
             may_rerun,
-            found_silent: None,
+            found: None,
         }
     }
 
     /// Records that something arrived.
     pub fn heard(&mut self) {
-        self.found_silent = None;
+        self.found = None;
         self.engine.heard();
         self.path.heard();
     }
@@ -48,23 +55,28 @@
     }
 
     /// Waits until the target is given up. A request that may run elsewhere gives it up as soon as the engine is found
-    /// silent, or the path to it lost; any other one waits to see whether the engine goes on.
+    /// silent, or the path to it lost; any other one waits to see whether the engine goes on. That time counts anew for
+    /// each silence of the engine, although nothing may arrive for this wait between two of them.
     pub async fn lost(&mut self) {
         if self.may_rerun {
             tokio::select! {
-                () = self.engine.lost() => {}
+                _ = self.engine.silent() => {}
                 () = self.path.lost() => {}
             }
             return;
         }
         loop {
-            self.engine.lost().await;
-            let found_silent = *self.found_silent.get_or_insert_with(Instant::now);
-            tokio::time::sleep_until(found_silent + SILENCE_GRACE).await;
-            if self.engine.is_lost() {
+            let number = self.engine.silent().await;
+            let known = self.found.filter(|found| found.number == number);
+            let found = known.unwrap_or(FoundSilence {
+                number,
+                at: Instant::now(),
+            });
+            self.found = Some(found);
+            tokio::time::sleep_until(found.at + SILENCE_GRACE).await;
+            if self.engine.found_silence() == Some(number) {
                 return;
             }
-            self.found_silent = None;
         }
     }
 }
--- a/crates/sillpin-gateway/src/placement/silence.rs
+++ b/crates/sillpin-gateway/src/placement/silence.rs
@@ -166,17 +166,19 @@
         }
     }
 
-    /// Whether the engine was found silent since the wait began, and is out of use. A request that was sent to an
+    /// Number of the engine's silence, if it was found since the wait began and goes on. A request that was sent to an
     /// engine out of use, because there is no other, is not lost by the earlier finding.
+    pub fn found_silence(&self, wait: WaitId) -> Option<u64> {
+        let state = self.engines.get(&wait.engine)?;
+        state.out_of_use?;
+        let wait = state.waits.get(&wait.number)?;
+        let is_found = wait.limit.is_some() && wait.findings != state.findings;
+        is_found.then_some(state.silences)
+    }
+
+    /// Whether the engine was found silent since the wait began, and its silence goes on.
     pub fn is_lost(&self, wait: WaitId) -> bool {
-        let state = self.engines.get(&wait.engine);
-        state.is_some_and(|state| {
-            let found = state
-                .waits
-                .get(&wait.number)
-                .filter(|wait| wait.limit.is_some() && wait.findings != state.findings);
-            state.out_of_use.is_some() && found.is_some()
-        })
+        self.found_silence(wait).is_some()
     }
 
     /// Records that something arrived from an engine, which is back in use. Returns whether it was out of use.
@@ -377,6 +379,7 @@
             if let Some(evidence) = evidence {
                 state.out_of_use = Some(evidence);
                 state.findings += 1;
+                state.silences += 1;
                 found.push((engine.incarnation, evidence));
             }
         }
--- a/crates/sillpin-gateway/src/placement/silence/engine.rs
+++ b/crates/sillpin-gateway/src/placement/silence/engine.rs
@@ -55,8 +55,10 @@
     /// Something arrived from it while other boxes found it silent; their findings do not count until they end.
     pub peers_overruled: bool,
     pub out_of_use: Option<Evidence>,
-    /// How often it was found silent.
+    /// How often it was found silent, or found again in one silence.
     pub findings: u64,
+    /// Number of its silences that were found.
+    pub silences: u64,
     pub connected: Option<RunTime>,
 }
 
--- a/crates/sillpin-gateway/src/placement/silence_watch.rs
+++ b/crates/sillpin-gateway/src/placement/silence_watch.rs
@@ -158,15 +158,18 @@
         }
     }
 
-    /// Whether the engine was found silent and is still out of use.
-    pub fn is_lost(&self) -> bool {
-        let wait = self.wait;
-        wait.is_some_and(|wait| self.engines.loads.silence().is_lost(wait))
+    /// Number of the engine's silence, if it was found and goes on.
+    pub fn found_silence(&self) -> Option<u64> {
+        self.engines.loads.silence().found_silence(self.wait?)
     }
 
-    /// Waits until the engine is found silent; forever if its route names no accepted pause.
-    pub async fn lost(&mut self) {
-        while !self.is_lost() {
+    /// Waits until the engine is found silent, and returns the number of its silence; waits forever if its route names no
+    /// accepted pause.
+    pub async fn silent(&mut self) -> u64 {
+        loop {
+            if let Some(silence) = self.found_silence() {
+                return silence;
+            }
             if self.found.changed().await.is_err() {
                 return std::future::pending().await;
             }
