Keep a request at a silent target until another one serves it

A prompt whose engine is silent before its head ends with 502, or with the error of the engine that was asked next. Cause: as soon as an engine was found silent, its path lost, or an event or answer late, the box dropped what may run elsewhere and only then looked for another target. Where none took it, there was nothing left. Change: the request stays at its target while others are asked. If nobody takes it, the first target gets the same grace as for requests that may run once. Targets that are dead are left as early as before, when another takes the stream.

--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -8,7 +8,8 @@
 use super::body_memory::BufferedBody;
 use super::refusal::Refusal;
 use super::shared::Shared;
-use super::target_wait::TargetWait;
+use super::stream_body::StreamBody;
+use super::target_wait::{TargetWait, WaitEnd};
 use crate::config::Idempotency;
 use crate::control::TargetEntry;
 use crate::dialect::{AttemptHead, Dialect, OTHER_REQUEST, ResponseHead};
@@ -45,6 +46,9 @@
 /// Why an attempt ended at a target from which nothing arrives.
 pub(super) const SILENT: &str = "the target is silent or out of reach";
 
+/// Why an attempt ended at a target that did not answer in time.
+pub(super) const NO_ANSWER_IN_TIME: &str = "no answer in time";
+
 /// Statuses by which a target temporarily rejects a request.
 const TEMPORARY_REJECTIONS: [StatusCode; 2] = [
     StatusCode::SERVICE_UNAVAILABLE,
@@ -75,7 +79,7 @@
     /// The parsed head.
     pub head: ResponseHead,
     /// The stream's events.
-    pub body: Incoming,
+    pub body: StreamBody,
     /// The connection; it is returned to the pool when the stream is complete.
     pub conn: Conn,
     /// Who sends it.
@@ -195,18 +199,48 @@
     Abandoned,
     /// The request's weights were replaced too long ago for it to start.
     Expired,
-    /// The engine was found silent.
+    /// The target is given up: nothing has arrived from it for too long.
+    Silent,
+}
+
+/// Why a target that has not answered is doubted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Doubt {
+    /// The engine was found silent, or the path to the target lost.
     Silent,
+    /// Another target is expected to be faster.
+    Slow,
+}
+
+impl Doubt {
+    /// Outcome of an attempt that ends by this.
+    pub fn outcome(self) -> AttemptOutcome {
+        match self {
+            Doubt::Silent => AttemptOutcome::Silent,
+            Doubt::Slow => AttemptOutcome::TimedOut(NO_ANSWER_IN_TIME.to_owned()),
+        }
+    }
+}
+
+/// What an attempt does once its target is doubted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AfterDoubt {
+    /// It waits on.
+    Wait,
+    /// It ends.
+    End,
 }
 
 /// Conditions, other than the request's deadline, under which waiting for a response ends.
-pub struct WaitLimits<L, B> {
+pub struct WaitLimits<L, B, A> {
     /// Called each time the target has sent nothing for the timeout; returns whether to abandon the attempt for
     /// another target.
     pub should_abandon: L,
     /// Latest time at which the request may start at the target. Also checked while it waits there: the length of an
     /// engine's queue is not known in advance, and the wait there may exceed a margin of several seconds.
     pub latest_start: B,
+    /// Called when the target is doubted.
+    pub after_doubt: A,
 }
 
 /// Input of one attempt.
@@ -221,20 +255,21 @@
     pub in_flight: InFlightGuard,
     /// Time without a response head after which the target is suspected to be silent; `None` if it is not watched.
     pub head_limit: Option<Duration>,
-    /// Whether the request may run at another target after this attempt.
+    /// Whether the request may run at another target after this attempt. The target is not doubted otherwise.
     pub may_rerun: bool,
 }
 
 impl<D: Dialect> Shared<D> {
     /// Sends a request to one target and returns the outcome.
-    pub async fn attempt<L, B>(
+    pub async fn attempt<L, B, A>(
         &self,
         attempt: Attempt<'_>,
-        limits: WaitLimits<L, B>,
+        limits: WaitLimits<L, B, A>,
     ) -> AttemptOutcome
     where
         L: Fn() -> bool,
         B: Fn() -> Option<Instant>,
+        A: FnMut(Doubt) -> AfterDoubt,
     {
         let request = attempt.request;
         let target = attempt.target.clone();
@@ -257,9 +292,9 @@
         let mut wait = TargetWait::new(
             self.silent_engines.wait_for(&target, attempt.head_limit),
             self.path_waits.wait_for(&target),
-            attempt.may_rerun,
         );
-        let head = self.wait_for_head(request, &mut conn, req, limits, &mut wait);
+        let may_rerun = attempt.may_rerun;
+        let head = self.wait_for_head(request, &mut conn, req, limits, &mut wait, may_rerun);
         let resp = match head.await {
             HeadWait::Done(Ok(resp)) => resp,
             HeadWait::Done(Err(e @ (SendError::Unsent { .. } | SendError::Refused { .. }))) => {
@@ -269,7 +304,7 @@
                 return AttemptOutcome::Unknown(e.to_string());
             }
             HeadWait::Abandoned => {
-                return AttemptOutcome::TimedOut("no answer in time".to_owned());
+                return AttemptOutcome::TimedOut(NO_ANSWER_IN_TIME.to_owned());
             }
             HeadWait::Expired => return AttemptOutcome::Cancelled,
             HeadWait::Silent => return AttemptOutcome::Silent,
@@ -280,18 +315,21 @@
     }
 
     /// Sends a request and waits for the head of the response. An engine sends the head when it starts the prompt.
-    async fn wait_for_head<L, B>(
+    async fn wait_for_head<L, B, A>(
         &self,
         request: &AdmittedRequest,
         conn: &mut Conn,
         req: Request<Full<Bytes>>,
-        limits: WaitLimits<L, B>,
+        mut limits: WaitLimits<L, B, A>,
         wait: &mut TargetWait,
+        may_rerun: bool,
     ) -> HeadWait
     where
         L: Fn() -> bool,
         B: Fn() -> Option<Instant>,
+        A: FnMut(Doubt) -> AfterDoubt,
     {
+        let mut is_doubted = !may_rerun;
         let mut response = pin!(conn.send(req));
         let mut idle_deadline = self.idle_deadline(request);
         loop {
@@ -309,14 +347,27 @@
                 result = head_or_check => if let Ok(result) = result {
                     return HeadWait::Done(result);
                 },
-                () = wait.lost() => return HeadWait::Silent,
+                end = wait.end(is_doubted) => {
+                    let is_over = end == WaitEnd::Lost
+                        || (limits.after_doubt)(Doubt::Silent) == AfterDoubt::End;
+                    if is_over {
+                        return HeadWait::Silent;
+                    }
+                    is_doubted = true;
+                }
             }
             if Instant::now() < idle_deadline {
                 continue;
             }
-            if idle_deadline >= request.deadline || (limits.should_abandon)() {
+            if idle_deadline >= request.deadline {
                 return HeadWait::Abandoned;
             }
+            if (limits.should_abandon)() {
+                if (limits.after_doubt)(Doubt::Slow) == AfterDoubt::End {
+                    return HeadWait::Abandoned;
+                }
+                is_doubted = true;
+            }
             idle_deadline = self.idle_deadline(request);
         }
     }
@@ -370,7 +421,7 @@
                 status: parts.status,
                 headers: parts.headers,
                 head,
-                body,
+                body: StreamBody::new(body),
                 conn,
                 source: StreamSource::Target {
                     target: attempt.target,
--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -5,10 +5,11 @@
 //! while time and retry budget last.
 
 use super::admit::AdmittedRequest;
-use super::attempt::{Attempt, AttemptOutcome, WaitLimits};
+use super::attempt::{AfterDoubt, Attempt, AttemptOutcome, WaitLimits};
 use super::prepared::PreparedAttempt;
 use super::progress::{NoAttempt, Progress, end_unserved, may_rerun, may_rerun_after};
 use super::refusal::{Refusal, spread};
+use super::search::DoubtedAttempt;
 use super::shared::Shared;
 use super::stream_version::Binding;
 use crate::dialect::{AttemptHead, Dialect};
@@ -170,13 +171,18 @@
         }
     }
 
-    /// Selects a target and makes one attempt. Fails when time, targets or retry budget are used up.
-    pub async fn next_attempt(
+    /// Selects a target and makes one attempt, which calls `after_doubt` when the target is doubted. Fails when time, targets
+    /// or retry budget are used up.
+    pub(super) async fn attempt_once<A>(
         &self,
         request: &AdmittedRequest,
         pool: &PoolId,
         progress: &mut Progress,
-    ) -> Result<AttemptOutcome, NoAttempt> {
+        mut after_doubt: A,
+    ) -> Result<AttemptOutcome, NoAttempt>
+    where
+        A: FnMut(DoubtedAttempt<'_>) -> AfterDoubt,
+    {
         let left = request.time_left();
         if left < MIN_TIME_LEFT {
             return Err(end_unserved(progress, "no time left"));
@@ -229,9 +235,19 @@
         };
         let sent = Instant::now();
         let version = prepared.chosen.version;
+        progress.open_runs = 1;
         let limits = WaitLimits {
             should_abandon: || self.should_abandon(request, pool, progress),
             latest_start: || self.latest_start(request, pool, version?),
+            after_doubt: |doubt| {
+                after_doubt(DoubtedAttempt {
+                    target: &target,
+                    version,
+                    sent,
+                    doubt,
+                    progress,
+                })
+            },
         };
         let tracked = self
             .fatal
--- a/crates/sillpin-gateway/src/front/events.rs
+++ b/crates/sillpin-gateway/src/front/events.rs
@@ -61,7 +61,7 @@
 }
 
 /// Returns the end of the last empty line; 0 if there is none.
-fn end_of_last_event(buf: &[u8]) -> usize {
+pub(super) fn end_of_last_event(buf: &[u8]) -> usize {
     let mut end = buf.len();
     while end >= 2 {
         let line_ends = buf[end - 1] == b'\n';
--- a/crates/sillpin-gateway/src/front/forward.rs
+++ b/crates/sillpin-gateway/src/front/forward.rs
@@ -5,6 +5,7 @@
 use super::progress::Progress;
 use super::refusal::Refusal;
 use super::shared::Shared;
+use super::stream_body::StreamBody;
 use super::stream_version::Binding;
 use crate::config::Idempotency;
 use crate::dialect::{Dialect, ResponseHead};
@@ -166,6 +167,7 @@
                 max_runs: max_runs_elsewhere(request, progress),
                 last_resort: offers.last_resort,
             };
+            progress.open_runs = terms.max_runs;
             let offered = Instant::now();
             let sent = self
                 .forward_to(&entry, request, pool, progress, terms)
@@ -186,6 +188,7 @@
                     "peer" => entry.id.as_str(), "peer_zone" => entry.zone.as_str(),
                     "why" => why.to_string(), "elapsed_ms" => offered.elapsed().as_millis());
             }
+            progress.open_runs = 0;
             let Ok(outcome) = sent else {
                 continue;
             };
@@ -361,7 +364,7 @@
                 status: parts.status,
                 headers: parts.headers,
                 head,
-                body,
+                body: StreamBody::new(body),
                 conn: open.conn,
                 source: StreamSource::Box {
                     id: open.entry.id.clone(),
--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -14,11 +14,14 @@
 //! - [`overload`]: refusals of prompts that no target can start in time,
 //! - [`attempt`]: one attempt and its outcome,
 //! - [`target_wait`]: what is watched while a request waits for a target,
+//! - [`search`]: asks other targets while a request waits at one that is doubted,
+//! - [`handover`]: asks other targets to go on with a stream while its own is doubted,
 //! - [`incomplete`]: the record of responses that callers do not get whole,
 //! - [`forward`]: requests that are sent to other boxes,
 //! - [`relay`]: relaying of event streams,
 //! - [`idle_timeout`]: when to abandon a target that sends nothing,
 //! - [`events`]: splitting a stream into complete events,
+//! - [`stream_body`]: the body of a stream,
 //! - [`release`]: the part of requests in the release of their pool,
 //! - [`response`]: responses of targets that are passed on,
 //! - [`refusal`]: responses that the box creates itself,
@@ -34,6 +37,7 @@
 mod fatal;
 mod forward;
 pub mod handler;
+mod handover;
 pub mod idle_timeout;
 pub mod incomplete;
 pub mod outcome;
@@ -44,8 +48,10 @@
 pub mod relay;
 pub mod release;
 pub mod response;
+mod search;
 pub mod selection;
 pub mod shared;
+pub mod stream_body;
 pub mod stream_engines;
 pub mod stream_version;
 pub mod target_wait;
--- a/crates/sillpin-gateway/src/front/outcome.rs
+++ b/crates/sillpin-gateway/src/front/outcome.rs
@@ -57,6 +57,7 @@
         progress: &mut Progress,
     ) {
         self.metrics.attempt(outcome.name());
+        progress.open_runs = 0;
         if let AttemptOutcome::Unknown(_) = outcome {
             self.response_broken(request, target);
         }
--- a/crates/sillpin-gateway/src/front/progress.rs
+++ b/crates/sillpin-gateway/src/front/progress.rs
@@ -35,6 +35,8 @@
     pub cohort: Cohort,
     /// Part of the current attempt in a release.
     pub assignment: Option<Assignment>,
+    /// Runs of the attempt that is under way.
+    pub open_runs: u32,
 }
 
 impl Progress {
@@ -44,8 +46,47 @@
         self.has_retry = false;
     }
 
+    /// Returns the state for attempts at other targets while the current one, which counts as a run, goes on.
+    pub fn for_search(&self) -> Self {
+        Self {
+            offered: self.offered.clone(),
+            unsent: self.unsent,
+            boxes: self.boxes.clone(),
+            counted: self.counted,
+            has_retry: false,
+            runs: self.runs + 1,
+            arrivals: self.arrivals + 1,
+            resume_after: self.resume_after.clone(),
+            binding: self.binding,
+            failure: None,
+            cohort: Cohort::Control,
+            assignment: None,
+            open_runs: 0,
+        }
+    }
+
+    /// Counts the runs of an attempt that was dropped while it was under way: it may have run.
+    pub fn drop_open(&mut self) {
+        if self.open_runs > 0 {
+            self.record_arrival();
+            self.runs += std::mem::take(&mut self.open_runs);
+        }
+    }
+
+    /// Adds the attempts that were made with [`Progress::for_search`] of this one.
+    pub fn add_search(&mut self, search: Progress) {
+        self.offered = search.offered;
+        self.boxes = search.boxes;
+        self.unsent = search.unsent;
+        self.runs = self.runs.max(search.runs);
+        self.arrivals = self.arrivals.max(search.arrivals);
+        self.has_retry |= search.has_retry;
+        self.failure = self.failure.take().or(search.failure);
+    }
+
     /// Records the outcome of a request at another box, which was allowed `max_runs` runs. How many it used is not known.
     pub fn record_forwarded(&mut self, outcome: &AttemptOutcome, max_runs: u32) {
+        self.open_runs = 0;
         let is_not_run = match outcome {
             AttemptOutcome::Refused(refusal) => refusal.outcome == Outcome::NotRun,
             _ => false,
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -1,17 +1,20 @@
 //! Relays streams to callers, event by event.
 //!
 //! When a target breaks a stream off and the route allows resumption, the stream continues at another target after
-//! the last complete event that the caller has. Otherwise the caller's connection is aborted, so that the response
-//! cannot be mistaken for a complete one.
+//! the last complete event that the caller has. While a target is doubted, others are asked, and the stream stays open at
+//! it until one of them goes on ([`super::handover`]). If nobody does, the caller's connection is aborted, so that the
+//! response cannot be mistaken for a complete one.
 
 use super::admit::AdmittedRequest;
-use super::attempt::{AttemptOutcome, OpenStream, SILENT, StreamSource};
+use super::attempt::{Doubt, OpenStream, SILENT, StreamSource};
 use super::events::{EventSplitter, count_events};
+use super::handover::Handover;
 use super::incomplete::{EndReason, IncompleteResponse};
-use super::progress::{NoAttempt, Progress, may_rerun};
+use super::progress::{Progress, may_rerun};
 use super::shared::Shared;
+use super::stream_body::{StreamBody, StreamPart};
 use super::stream_version::Binding;
-use super::target_wait::TargetWait;
+use super::target_wait::{TargetWait, WaitEnd};
 use crate::control::TargetEntry;
 use crate::dialect::Dialect;
 use crate::placement::InFlightGuard;
@@ -20,9 +23,7 @@
 use crate::releases::tracker::Response as VersionResponse;
 use crate::streams::VersionHash;
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::{Frame, Incoming};
 use hyper::header::CONTENT_LENGTH;
 use sillpin_core::PoolId;
 use sillpin_http::{Body, BodySender};
@@ -30,6 +31,9 @@
 use std::sync::Arc;
 use tokio::time::Instant;
 
+/// Why a stream goes on elsewhere while its target is slow.
+const NO_EVENT_IN_TIME: &str = "the target sent no event in time";
+
 /// How relaying from one target ended.
 enum RelayEnd {
     /// The stream is complete.
@@ -40,8 +44,15 @@
     DeadlineReached,
     /// The target broke the stream off or stopped sending.
     Broken(String),
-    /// The engine was found silent.
+    /// The engine has been silent for longer than a sound one.
     Silent,
+    /// Another target goes on with the stream.
+    Moved {
+        /// Its part of the stream.
+        next: Box<OpenStream>,
+        /// Why the first target was doubted.
+        doubt: Doubt,
+    },
 }
 
 impl RelayEnd {
@@ -51,7 +62,9 @@
             RelayEnd::Complete | RelayEnd::DeadlineReached => {
                 Some(VersionResponse::Served(sent.elapsed()))
             }
-            RelayEnd::Broken(_) | RelayEnd::Silent => Some(VersionResponse::Broken),
+            RelayEnd::Broken(_) | RelayEnd::Silent | RelayEnd::Moved { .. } => {
+                Some(VersionResponse::Broken)
+            }
             RelayEnd::CallerDisconnected => None,
         }
     }
@@ -103,11 +116,9 @@
             let (id, waited) = (&request.head.id, request.arrival.elapsed().as_millis());
             let (sent, version) = (stream.sent, stream.source.version());
             let end = self
-                .relay_source(&request, &pool, &progress, stream, &mut events, &tx)
+                .relay_source(&request, &pool, &mut progress, stream, &mut events, &tx)
                 .await;
-            if events.has_passed() && progress.binding == Binding::Any {
-                progress.binding = version.map_or(Binding::Unknown, Binding::Version);
-            }
+            bind(&mut progress, &events, version);
             let assignment = progress.assignment.take();
             if let (Some(response), Some(entry)) = (end.response(sent), &entry) {
                 self.record_response(&request, entry, response, assignment);
@@ -135,15 +146,19 @@
                     let why = "the request's time is over".to_owned();
                     (EndReason::Deadline, why)
                 }
+                RelayEnd::Moved { next, doubt } => {
+                    self.record_moved(&request, entry.as_ref(), &target, doubt);
+                    events = EventSplitter::after(progress.resume_after.clone());
+                    stream = *next;
+                    continue;
+                }
                 RelayEnd::Broken(_) | RelayEnd::Silent => {
                     let reason = match end {
                         RelayEnd::Silent => EndReason::Silent,
                         _ => EndReason::BrokenOff,
                     };
                     let why = self.record_broken(&request, entry.as_ref(), end);
-                    event!(self.log, events::ATTEMPT_INCOMPLETE, "request" => id,
-                        "target" => &target, "outcome" => "broken", "why" => &why,
-                        "elapsed_ms" => request.arrival.elapsed().as_millis());
+                    self.log_broken(&request, &target, &why);
                     match self
                         .resume(&request, &pool, &mut progress, &mut events, &tx)
                         .await
@@ -196,6 +211,28 @@
         reason
     }
 
+    /// Records that a stream goes on elsewhere since its target was doubted.
+    fn record_moved(
+        &self,
+        request: &AdmittedRequest,
+        entry: Option<&Arc<TargetEntry>>,
+        target: &str,
+        doubt: Doubt,
+    ) {
+        let end = match doubt {
+            Doubt::Silent => RelayEnd::Silent,
+            Doubt::Slow => RelayEnd::Broken(NO_EVENT_IN_TIME.to_owned()),
+        };
+        let why = self.record_broken(request, entry, end);
+        self.log_broken(request, target, &why);
+    }
+
+    fn log_broken(&self, request: &AdmittedRequest, target: &str, why: &str) {
+        event!(self.log, events::ATTEMPT_INCOMPLETE, "request" => &request.head.id,
+            "target" => target, "outcome" => "broken", "why" => why,
+            "elapsed_ms" => request.arrival.elapsed().as_millis());
+    }
+
     /// Resumes a broken stream at another target; `None` if that is not possible.
     async fn resume(
         &self,
@@ -233,33 +270,12 @@
         }
     }
 
-    /// Makes attempts until a target continues a stream. The error is the reason why none does.
-    async fn resume_elsewhere(
-        &self,
-        request: &AdmittedRequest,
-        pool: &PoolId,
-        progress: &mut Progress,
-    ) -> Result<Box<OpenStream>, String> {
-        while may_rerun(request, progress) {
-            match self.next_attempt(request, pool, progress).await {
-                Ok(AttemptOutcome::Streaming(stream)) => return Ok(stream),
-                Ok(outcome @ AttemptOutcome::Failed(_)) => {
-                    return Err(outcome.reason().to_owned());
-                }
-                Ok(_) => {}
-                Err(NoAttempt::Refused(refusal)) => return Err(refusal.reason),
-                Err(NoAttempt::Failed(_)) => return Err("a target failed".to_owned()),
-            }
-        }
-        Err("its runs are used up".to_owned())
-    }
-
     /// Relays events from a target or another box until its part of the stream ends.
     async fn relay_source(
         &self,
         request: &AdmittedRequest,
         pool: &PoolId,
-        progress: &Progress,
+        progress: &mut Progress,
         stream: OpenStream,
         events: &mut EventSplitter,
         tx: &BodySender,
@@ -289,7 +305,6 @@
                 let mut wait = TargetWait::new(
                     self.silent_engines.wait_for(&target, accepted_pause),
                     self.path_waits.wait_for(&target),
-                    request.route.resumable && may_rerun(request, progress),
                 );
                 let end = self
                     .relay_target(
@@ -319,19 +334,19 @@
     async fn relay_box(
         &self,
         request: &AdmittedRequest,
-        mut body: Incoming,
+        mut body: StreamBody,
         record: FirstEvent<'_>,
         events: &mut EventSplitter,
         tx: &BodySender,
     ) -> RelayEnd {
         let mut record = Some(record);
         loop {
-            let frame = tokio::select! {
-                frame = body.frame() => frame,
+            let part = tokio::select! {
+                part = body.next() => part,
                 () = tx.closed() => return RelayEnd::CallerDisconnected,
                 () = tokio::time::sleep_until(request.deadline) => return RelayEnd::DeadlineReached,
             };
-            let complete = match take_events(frame, events) {
+            let complete = match take_events(part, events) {
                 Ok(complete) => complete,
                 Err(end) => return end,
             };
@@ -361,7 +376,7 @@
         &self,
         request: &AdmittedRequest,
         pool: &PoolId,
-        progress: &Progress,
+        progress: &mut Progress,
         stream: TargetStream<'_>,
         events: &mut EventSplitter,
         tx: &BodySender,
@@ -372,26 +387,49 @@
             in_flight,
             record,
         } = stream;
+        let version = record.version;
         let mut record = Some(record);
+        let mut is_doubted = false;
         loop {
-            let frame = tokio::select! {
+            let may_ask = request.route.resumable && may_rerun(request, progress);
+            let next = tokio::select! {
                 // An event that has arrived proves that the engine is not silent.
                 biased;
-                frame = body.frame() => frame,
+                part = body.next() => Next::Part(part),
                 () = tx.closed() => return RelayEnd::CallerDisconnected,
-                () = wait.lost() => return RelayEnd::Silent,
+                end = wait.end(is_doubted || !may_ask) => match end {
+                    WaitEnd::Lost => return RelayEnd::Silent,
+                    WaitEnd::Doubted => Next::Doubted(Doubt::Silent),
+                },
                 () = tokio::time::sleep_until(self.idle_deadline(request)) => {
                     if request.time_left().is_zero() {
                         return RelayEnd::DeadlineReached;
                     }
-                    if self.should_resume(request, pool, progress) {
-                        return RelayEnd::Broken("the target sent no event in time".to_owned());
+                    if !self.should_resume(request, pool, progress) {
+                        continue;
+                    }
+                    Next::Doubted(Doubt::Slow)
+                }
+            };
+            let part = match next {
+                Next::Part(part) => part,
+                Next::Doubted(doubt) => {
+                    bind(progress, events, version);
+                    let asked = self.hand_over(request, pool, progress, &mut body, events, tx);
+                    match asked.await {
+                        Handover::Kept(part) => part,
+                        Handover::Moved(next) => return RelayEnd::Moved { next, doubt },
+                        Handover::CallerDisconnected => return RelayEnd::CallerDisconnected,
+                        Handover::NobodyTakes(_) => {
+                            is_doubted = true;
+                            continue;
+                        }
                     }
-                    continue;
                 }
             };
             wait.heard();
-            let complete = match take_events(frame, events) {
+            is_doubted = false;
+            let complete = match take_events(part, events) {
                 Ok(complete) => complete,
                 Err(end) => return end,
             };
@@ -412,9 +450,24 @@
     }
 }
 
+/// What happened next at the target of a stream.
+enum Next {
+    /// It sent this.
+    Part(StreamPart),
+    /// It is doubted.
+    Doubted(Doubt),
+}
+
+/// Binds a stream to the version of the targets that began it, once an event has passed.
+fn bind(progress: &mut Progress, events: &EventSplitter, version: Option<VersionHash>) {
+    if events.has_passed() && progress.binding == Binding::Any {
+        progress.binding = version.map_or(Binding::Unknown, Binding::Version);
+    }
+}
+
 /// The stream of a target, and what is recorded of it.
 struct TargetStream<'a> {
-    body: Incoming,
+    body: StreamBody,
     wait: &'a mut TargetWait,
     in_flight: &'a mut InFlightGuard,
     record: FirstEvent<'a>,
@@ -426,18 +479,15 @@
     version: Option<VersionHash>,
 }
 
-/// Returns the events that a frame completes, or how the stream ended.
-fn take_events(
-    frame: Option<Result<Frame<Bytes>, hyper::Error>>,
-    events: &mut EventSplitter,
-) -> Result<Bytes, RelayEnd> {
-    let data = match frame {
+/// Returns the events that a part of a stream completes, or how the stream ended.
+fn take_events(part: StreamPart, events: &mut EventSplitter) -> Result<Bytes, RelayEnd> {
+    let data = match part {
         None if events.is_partial() => {
             return Err(RelayEnd::Broken("stream ended within an event".to_owned()));
         }
         None => return Err(RelayEnd::Complete),
         Some(Err(e)) => return Err(RelayEnd::Broken(format!("stream broke off: {e}"))),
-        Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        Some(Ok(data)) => data,
     };
     let complete = events.push(&data);
     match events.is_overlong() {
--- /dev/null
+++ b/crates/sillpin-gateway/src/front/stream_body.rs
@@ -0,0 +1,74 @@
+//! The body of a stream, of which the beginning can be read ahead.
+
+use super::events::end_of_last_event;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+/// Data of a stream, its end, or the error by which it broke off.
+pub type StreamPart = Option<Result<Bytes, hyper::Error>>;
+
+/// How a stream began.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Begun {
+    /// With an event.
+    Event,
+    /// It ended without an event.
+    Ended,
+    /// It broke off before its first event was complete.
+    Broken(String),
+}
+
+/// The body of a stream.
+#[derive(Debug)]
+pub struct StreamBody {
+    /// What was read ahead.
+    ahead: BytesMut,
+    /// What followed that: the end, or an error.
+    end: Option<StreamPart>,
+    rest: Incoming,
+}
+
+impl StreamBody {
+    /// Creates the body from a response's.
+    pub fn new(rest: Incoming) -> Self {
+        Self {
+            ahead: BytesMut::new(),
+            end: None,
+            rest,
+        }
+    }
+
+    /// Returns the next data; `None` at the end. Loses nothing if it is dropped while it waits.
+    pub async fn next(&mut self) -> StreamPart {
+        if !self.ahead.is_empty() {
+            return Some(Ok(self.ahead.split().freeze()));
+        }
+        match self.end.take() {
+            Some(end) => end,
+            None => self.read().await,
+        }
+    }
+
+    /// Reads ahead until the first event is complete, and returns how the stream begins. Loses nothing if it is dropped
+    /// while it waits.
+    pub async fn begin(&mut self) -> Begun {
+        while end_of_last_event(&self.ahead) == 0 {
+            match self.read().await {
+                Some(Ok(data)) => self.ahead.extend_from_slice(&data),
+                None if self.ahead.is_empty() => {
+                    self.end = Some(None);
+                    return Begun::Ended;
+                }
+                None => return Begun::Broken("stream ended within an event".to_owned()),
+                Some(Err(e)) => return Begun::Broken(format!("stream broke off: {e}")),
+            }
+        }
+        Begun::Event
+    }
+
+    async fn read(&mut self) -> StreamPart {
+        let frame = self.rest.frame().await?;
+        Some(frame.map(|frame| frame.into_data().unwrap_or_default()))
+    }
+}
--- a/crates/sillpin-gateway/src/front/target_wait.rs
+++ b/crates/sillpin-gateway/src/front/target_wait.rs
@@ -5,10 +5,19 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time from the finding that an engine is silent until what cannot run elsewhere is ended: an engine that is sound may
-/// send nothing for a second or so and go on.
+/// Time from the finding that an engine is silent until it is given up: an engine that is sound may send nothing for a
+/// second or so and go on.
 const SILENCE_GRACE: Duration = Duration::from_millis(1_200);
 
+/// What a wait for a target has shown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WaitEnd {
+    /// The engine was found silent, or the path to the target lost. It may be sound and go on.
+    Doubted,
+    /// The engine has been silent for longer than a sound one.
+    Lost,
+}
+
 /// A silence of an engine.
 #[derive(Debug, Clone, Copy)]
 struct FoundSilence {
@@ -20,19 +29,16 @@
 pub struct TargetWait {
     engine: EngineWait,
     path: PathWaitGuard,
-    /// Whether the request may run elsewhere.
-    may_rerun: bool,
     /// The last silence that was found while it waited.
     found: Option<FoundSilence>,
 }
 
 impl TargetWait {
     /// Begins to wait.
-    pub fn new(engine: EngineWait, path: PathWaitGuard, may_rerun: bool) -> Self {
+    pub fn new(engine: EngineWait, path: PathWaitGuard) -> Self {
         Self {
             engine,
             path,
-            may_rerun,
             found: None,
         }
     }
@@ -54,17 +60,28 @@
         self.engine.resume();
     }
 
-    /// Waits until the target is given up. A request that may run elsewhere gives it up as soon as the engine is found
-    /// silent, or the path to it lost; any other one waits to see whether the engine goes on. That time counts anew for
-    /// each silence of the engine, although nothing may arrive for this wait between two of them.
-    pub async fn lost(&mut self) {
-        if self.may_rerun {
-            tokio::select! {
-                _ = self.engine.silent() => {}
-                () = self.path.lost() => {}
+    /// Waits until the target is doubted, or until it is lost if it `is_doubted` already.
+    pub async fn end(&mut self, is_doubted: bool) -> WaitEnd {
+        match is_doubted {
+            false => self.doubted().await,
+            true => self.lost().await,
+        }
+    }
+
+    async fn doubted(&mut self) -> WaitEnd {
+        tokio::select! {
+            number = self.engine.silent() => {
+                let at = Instant::now();
+                self.found = Some(FoundSilence { number, at });
             }
-            return;
+            () = self.path.lost() => {}
         }
+        WaitEnd::Doubted
+    }
+
+    /// The time of a sound silence counts anew for each silence of the engine, although nothing may arrive for this wait
+    /// between two of them.
+    async fn lost(&mut self) -> WaitEnd {
         loop {
             let number = self.engine.silent().await;
             let known = self.found.filter(|found| found.number == number);
@@ -75,7 +92,7 @@
             self.found = Some(found);
             tokio::time::sleep_until(found.at + SILENCE_GRACE).await;
             if self.engine.found_silence() == Some(number) {
-                return;
+                return WaitEnd::Lost;
             }
         }
     }
