End requests at a silent engine whose entry goes meanwhile

What callers saw: a request that may run once at an engine that hangs waits until its deadline if the engine's entry is removed, or a configuration takes its pool off the routes, within the grace of 1.2 s. Cause: an engine that is no longer watched is no longer out of use, and that also was the sign that it is still silent. Change: whether it is silent is kept apart, until something arrives from it or nothing waits for it.

--- a/crates/sillpin-gateway/src/placement/silence.rs
+++ b/crates/sillpin-gateway/src/placement/silence.rs
@@ -170,7 +170,9 @@
     /// engine out of use, because there is no other, is not lost by the earlier finding.
     pub fn found_silence(&self, wait: WaitId) -> Option<u64> {
         let state = self.engines.get(&wait.engine)?;
-        state.out_of_use?;
+        if !state.is_silent {
+            return None;
+        }
         let wait = state.waits.get(&wait.number)?;
         let is_found = wait.limit.is_some() && wait.findings != state.findings;
         is_found.then_some(state.silences)
@@ -191,6 +193,7 @@
         state.pending = None;
         state.unanswered = false;
         state.peers_overruled = state.peers >= MIN_PEERS;
+        state.is_silent = false;
         state.out_of_use.take().is_some()
     }
 
@@ -378,6 +381,7 @@
             };
             if let Some(evidence) = evidence {
                 state.out_of_use = Some(evidence);
+                state.is_silent = true;
                 state.findings += 1;
                 state.silences += 1;
                 found.push((engine.incarnation, evidence));
--- a/crates/sillpin-gateway/src/placement/silence/engine.rs
+++ b/crates/sillpin-gateway/src/placement/silence/engine.rs
@@ -55,6 +55,8 @@
     /// Something arrived from it while other boxes found it silent; their findings do not count until they end.
     pub peers_overruled: bool,
     pub out_of_use: Option<Evidence>,
+    /// Whether it was found silent and nothing has arrived since, also while it is not watched.
+    pub is_silent: bool,
     /// How often it was found silent, or found again in one silence.
     pub findings: u64,
     /// Number of its silences that were found.
