E384: for how long the configuration has been in force

The age was that of the last confirmed read, about zero on a healthy box, which does not tell a stream that was cut as a configuration came into force from any other.

--- a/crates/sillpin-gateway/src/fleet_state/fleet/operators.rs
+++ b/crates/sillpin-gateway/src/fleet_state/fleet/operators.rs
@@ -79,6 +79,7 @@
         let config = Arc::new(config);
         self.config = Some(config.clone());
         self.view.config = Some(config);
+        self.view.config_since = Some(Instant::now());
     }
 
     /// Records that operators requested a weights version, or an earlier time of the request.
--- a/crates/sillpin-gateway/src/fleet_state/mod.rs
+++ b/crates/sillpin-gateway/src/fleet_state/mod.rs
@@ -108,6 +108,8 @@
 pub struct View {
     /// The configuration in force.
     pub config: Option<Arc<FleetConfig>>,
+    /// When it came into force here.
+    pub config_since: Option<Instant>,
     /// Sync state of what operators publish.
     pub operators_sync: SyncState,
     /// Targets that are listed, leaving ones included, with the weights that this box found them to
--- a/crates/sillpin-gateway/src/front/incomplete.rs
+++ b/crates/sillpin-gateway/src/front/incomplete.rs
@@ -45,7 +45,7 @@
         self.metrics.incomplete(&end.reason.to_string());
         let view = self.fleet.view();
         let in_force = view.config.as_ref().map_or(0, |config| config.version.0);
-        let confirmed = view.operators_sync.confirmed;
+        let since = view.config_since;
         let offered: Vec<&str> = progress.offered.iter().map(|id| id.as_str()).collect();
         event!(self.log, events::RESPONSE_INCOMPLETE, "request" => &request.head.id,
             "route" => &request.route.name, "reason" => end.reason.to_string(),
@@ -53,7 +53,7 @@
             "last_event" => end.last_event, "runs" => progress.runs,
             "boxes" => progress.boxes.len(), "forwarded" => request.forwarded.is_some(),
             "config" => request.config.version.0, "config_in_force" => in_force,
-            "config_age_ms" => confirmed.map_or(-1, |at| at.elapsed().as_millis() as i64),
+            "in_force_for_ms" => since.map_or(0, |at| at.elapsed().as_millis()),
             "elapsed_ms" => request.arrival.elapsed().as_millis(),
             "left_ms" => request.time_left().as_millis());
     }
