--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -362,11 +362,9 @@
             if idle_deadline >= request.deadline {
                 return HeadWait::Abandoned;
             }
-            if (limits.should_abandon)() {
-                if (limits.after_doubt)(Doubt::Slow) == AfterDoubt::End {
-                    return HeadWait::Abandoned;
-                }
-                is_doubted = true;
+            let is_slow = (limits.should_abandon)();
+            if is_slow && (limits.after_doubt)(Doubt::Slow) == AfterDoubt::End {
+                return HeadWait::Abandoned;
             }
             idle_deadline = self.idle_deadline(request);
         }
--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -101,15 +101,16 @@
                     return self.end_refused(&request, &mut progress, refusal);
                 }
                 AttemptOutcome::Unknown(reason) if !may_rerun(&request, &progress) => {
-                    return Err(Refusal::unknown(reason));
+                    return self.end_unknown(&request, progress, Refusal::unknown(reason));
                 }
                 AttemptOutcome::Cancelled | AttemptOutcome::Silent
                     if !may_rerun(&request, &progress) =>
                 {
-                    return Err(Refusal::unknown(outcome.reason()));
+                    let refusal = Refusal::unknown(outcome.reason());
+                    return self.end_unknown(&request, progress, refusal);
                 }
                 AttemptOutcome::TimedOut(reason) if !may_rerun(&request, &progress) => {
-                    return Err(Refusal::timed_out(reason));
+                    return self.end_unknown(&request, progress, Refusal::timed_out(reason));
                 }
                 AttemptOutcome::Unsent(_)
                 | AttemptOutcome::NotRun { .. }
@@ -152,6 +153,20 @@
         }
     }
 
+    /// Ends a request that may have run, with a target's own error response if there is one.
+    fn end_unknown(
+        &self,
+        request: &AdmittedRequest,
+        progress: Progress,
+        refusal: Refusal,
+    ) -> Result<Response<Body>, Refusal> {
+        let Some(failure) = progress.failure else {
+            return Err(refusal);
+        };
+        self.log_response(request, &failure);
+        Ok(self.forward_failure(request, failure))
+    }
+
     /// Ends a request that another box refused.
     fn end_refused(
         &self,
--- a/crates/sillpin-gateway/src/front/handover.rs
+++ b/crates/sillpin-gateway/src/front/handover.rs
@@ -3,30 +3,28 @@
 //! The stream stays open at its target until another one has sent the next event, or the target itself goes on.
 
 use super::admit::AdmittedRequest;
-use super::attempt::{AttemptOutcome, OpenStream, StreamSource};
+use super::attempt::{AttemptOutcome, OpenStream};
 use super::events::EventSplitter;
 use super::progress::Progress;
 use super::shared::Shared;
-use super::stream_body::{Begun, StreamBody, StreamPart};
+use super::stream_body::{StreamBody, StreamPart};
 use crate::dialect::Dialect;
-use crate::placement::load::Outcome as Health;
 use sillpin_core::PoolId;
 use sillpin_http::BodySender;
 use sillpin_telemetry::{event, events};
 use std::pin::pin;
-use std::time::Duration;
-use tokio::time::timeout;
-
-/// Time from the head of another target's response until its first event. After it the stream is closed at the first
-/// target: a stream must not run at two targets for longer than 400 ms.
-const BEGIN_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// How asking other targets ended.
 pub(super) enum Handover {
     /// The first target sent this, or nobody goes on with a stream that the first target has ended so.
     Kept(StreamPart),
     /// Another target goes on.
-    Moved(Box<OpenStream>),
+    Moved {
+        /// Its part of the stream.
+        next: Box<OpenStream>,
+        /// How the first target broke the stream off meanwhile, if it did.
+        broken: Option<StreamPart>,
+    },
     /// No other target goes on, for this reason; the first one is silent.
     NobodyTakes(String),
     /// The caller closed its connection.
@@ -45,8 +43,10 @@
         tx: &BodySender,
     ) -> Handover {
         progress.resume_after = events.last_id().map(str::to_owned);
+        // What the attempts elsewhere show about their targets is not counted for the release.
+        let assignment = progress.assignment.take();
         let end = {
-            let mut search = pin!(self.find_next(request, pool, progress));
+            let mut search = pin!(self.resume_elsewhere(request, pool, progress));
             let mut broken = None;
             loop {
                 tokio::select! {
@@ -58,34 +58,19 @@
                     },
                     () = tx.closed() => break Handover::CallerDisconnected,
                     found = search.as_mut() => break match (found, broken) {
-                        (Ok(next), _) => Handover::Moved(next),
+                        (Ok(next), broken) => Handover::Moved { next, broken },
                         (Err(_), Some(part)) => Handover::Kept(part),
                         (Err(why), None) => Handover::NobodyTakes(why),
                     },
                 }
             }
         };
+        progress.assignment = assignment;
         progress.drop_open();
         self.log_handover(request, progress, &end);
         end
     }
 
-    /// Makes attempts until another target has sent its first event, or has not for a while after its head.
-    async fn find_next(
-        &self,
-        request: &AdmittedRequest,
-        pool: &PoolId,
-        progress: &mut Progress,
-    ) -> Result<Box<OpenStream>, String> {
-        loop {
-            let mut next = self.resume_elsewhere(request, pool, progress).await?;
-            match timeout(BEGIN_TIMEOUT, next.body.begin()).await {
-                Ok(Begun::Broken(why)) => self.record_broken_start(request, &next, &why),
-                Ok(Begun::Event | Begun::Ended) | Err(_) => return Ok(next),
-            }
-        }
-    }
-
     /// Makes attempts until a target continues a stream. The error is the reason why none does.
     pub(super) async fn resume_elsewhere(
         &self,
@@ -99,26 +84,12 @@
         }
     }
 
-    /// Records that another target broke the stream off before it sent an event.
-    fn record_broken_start(&self, request: &AdmittedRequest, next: &OpenStream, why: &str) {
-        if let StreamSource::Target { target, .. } = &next.source {
-            self.response_broken(request, target);
-            self.loads
-                .record_for_incarnation(&target.id, target.life, Health::Failed);
-        }
-        event!(self.log, events::ATTEMPT_INCOMPLETE, "request" => &request.head.id,
-            "target" => next.source.name(), "outcome" => "broken", "why" => why,
-            "elapsed_ms" => request.arrival.elapsed().as_millis());
-    }
-
     fn log_handover(&self, request: &AdmittedRequest, progress: &Progress, end: &Handover) {
         let after = progress.resume_after.as_deref().unwrap_or("start");
         let id = &request.head.id;
         match end {
-            Handover::Kept(_) => {
-                self.metrics.resumption("not needed");
-            }
-            Handover::Moved(next) => {
+            Handover::Kept(_) => self.metrics.resumption("not needed"),
+            Handover::Moved { next, .. } => {
                 self.metrics.resumption("resumed here");
                 event!(self.log, events::STREAM_RESUMED, "request" => id,
                     "target" => next.source.name(), "after" => after);
--- a/crates/sillpin-gateway/src/front/idle_timeout.rs
+++ b/crates/sillpin-gateway/src/front/idle_timeout.rs
@@ -108,7 +108,8 @@
                 .mul_f64(1.0 - EVENT_TIMEOUT_FRACTION),
             false => request.time_left(),
         };
-        let expected = Duration::from_secs_f64(candidate.expected_ms() / 1000.0);
+        let expected = Duration::try_from_secs_f64(candidate.expected_ms().max(0.0) / 1000.0)
+            .unwrap_or(Duration::MAX);
         let is_sooner = !candidate.chosen.in_cooldown && expected < left.min(request.time_left());
         // Checked last, since the check may use up the balance of the retry budget.
         is_sooner && self.has_retry(pool)
--- a/crates/sillpin-gateway/src/front/progress.rs
+++ b/crates/sillpin-gateway/src/front/progress.rs
@@ -37,6 +37,15 @@
     pub assignment: Option<Assignment>,
     /// Runs of the attempt that is under way.
     pub open_runs: u32,
+    /// Runs and arrivals at the start of a search, the attempt that goes on included.
+    pub(super) base: Used,
+}
+
+/// How often a request was run.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Used {
+    runs: u32,
+    arrivals: u32,
 }
 
 impl Progress {
@@ -48,20 +57,25 @@
 
     /// Returns the state for attempts at other targets while the current one, which counts as a run, goes on.
     pub fn for_search(&self) -> Self {
+        let base = Used {
+            runs: self.runs + 1,
+            arrivals: self.arrivals + 1,
+        };
         Self {
             offered: self.offered.clone(),
             unsent: self.unsent,
             boxes: self.boxes.clone(),
             counted: self.counted,
             has_retry: false,
-            runs: self.runs + 1,
-            arrivals: self.arrivals + 1,
+            runs: base.runs,
+            arrivals: base.arrivals,
             resume_after: self.resume_after.clone(),
             binding: self.binding,
             failure: None,
             cohort: Cohort::Control,
             assignment: None,
             open_runs: 0,
+            base,
         }
     }
 
@@ -78,8 +92,8 @@
         self.offered = search.offered;
         self.boxes = search.boxes;
         self.unsent = search.unsent;
-        self.runs = self.runs.max(search.runs);
-        self.arrivals = self.arrivals.max(search.arrivals);
+        self.runs += search.runs - search.base.runs;
+        self.arrivals += search.arrivals - search.base.arrivals;
         self.has_retry |= search.has_retry;
         self.failure = self.failure.take().or(search.failure);
     }
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -50,8 +50,8 @@
     Moved {
         /// Its part of the stream.
         next: Box<OpenStream>,
-        /// Why the first target was doubted.
-        doubt: Doubt,
+        /// How the stream ended at the first target.
+        end: Box<RelayEnd>,
     },
 }
 
@@ -146,8 +146,9 @@
                     let why = "the request's time is over".to_owned();
                     (EndReason::Deadline, why)
                 }
-                RelayEnd::Moved { next, doubt } => {
-                    self.record_moved(&request, entry.as_ref(), &target, doubt);
+                RelayEnd::Moved { next, end } => {
+                    let why = self.record_broken(&request, entry.as_ref(), *end);
+                    self.log_broken(&request, &target, &why);
                     events = EventSplitter::after(progress.resume_after.clone());
                     stream = *next;
                     continue;
@@ -211,22 +212,6 @@
         reason
     }
 
-    /// Records that a stream goes on elsewhere since its target was doubted.
-    fn record_moved(
-        &self,
-        request: &AdmittedRequest,
-        entry: Option<&Arc<TargetEntry>>,
-        target: &str,
-        doubt: Doubt,
-    ) {
-        let end = match doubt {
-            Doubt::Silent => RelayEnd::Silent,
-            Doubt::Slow => RelayEnd::Broken(NO_EVENT_IN_TIME.to_owned()),
-        };
-        let why = self.record_broken(request, entry, end);
-        self.log_broken(request, target, &why);
-    }
-
     fn log_broken(&self, request: &AdmittedRequest, target: &str, why: &str) {
         event!(self.log, events::ATTEMPT_INCOMPLETE, "request" => &request.head.id,
             "target" => target, "outcome" => "broken", "why" => why,
@@ -418,17 +403,22 @@
                     let asked = self.hand_over(request, pool, progress, &mut body, events, tx);
                     match asked.await {
                         Handover::Kept(part) => part,
-                        Handover::Moved(next) => return RelayEnd::Moved { next, doubt },
+                        Handover::Moved { next, broken } => {
+                            let end = Box::new(end_at_first(doubt, broken, events));
+                            return RelayEnd::Moved { next, end };
+                        }
                         Handover::CallerDisconnected => return RelayEnd::CallerDisconnected,
                         Handover::NobodyTakes(_) => {
-                            is_doubted = true;
+                            is_doubted |= doubt == Doubt::Silent;
                             continue;
                         }
                     }
                 }
             };
-            wait.heard();
-            is_doubted = false;
+            if let None | Some(Ok(_)) = part {
+                wait.heard();
+                is_doubted = false;
+            }
             let complete = match take_events(part, events) {
                 Ok(complete) => complete,
                 Err(end) => return end,
@@ -458,6 +448,18 @@
     Doubted(Doubt),
 }
 
+/// Returns how a stream that goes on elsewhere ended at its doubted target, which broke it off as in `broken` or is silent.
+fn end_at_first(doubt: Doubt, broken: Option<StreamPart>, events: &mut EventSplitter) -> RelayEnd {
+    match (doubt, broken) {
+        (_, Some(part)) => match take_events(part, events) {
+            Ok(_) => RelayEnd::Silent,
+            Err(end) => end,
+        },
+        (Doubt::Silent, None) => RelayEnd::Silent,
+        (Doubt::Slow, None) => RelayEnd::Broken(NO_EVENT_IN_TIME.to_owned()),
+    }
+}
+
 /// Binds a stream to the version of the targets that began it, once an event has passed.
 fn bind(progress: &mut Progress, events: &EventSplitter, version: Option<VersionHash>) {
     if events.has_passed() && progress.binding == Binding::Any {
--- a/crates/sillpin-gateway/src/front/search.rs
+++ b/crates/sillpin-gateway/src/front/search.rs
@@ -4,18 +4,30 @@
 //! it: the request waits at both, whichever serves it first does, and the other one loses its connection.
 
 use super::admit::AdmittedRequest;
-use super::attempt::{AfterDoubt, AttemptOutcome, Doubt};
+use super::attempt::{AfterDoubt, AttemptOutcome, Doubt, OpenStream, StreamSource};
 use super::progress::{NoAttempt, Progress, may_rerun, may_rerun_after};
 use super::shared::Shared;
+use super::stream_body::Begun;
 use crate::control::TargetEntry;
 use crate::dialect::Dialect;
+use crate::placement::load::Outcome as Health;
+use crate::placement::work::IncarnationHash;
 use sillpin_core::{Outcome, PoolId, WeightVersion};
 use sillpin_telemetry::{event, events};
 use std::future::Future;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
-use tokio::sync::oneshot;
-use tokio::time::Instant;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout};
+
+/// Time for which a request that is no stream waits at two targets, of which the first one is only slow: the other one
+/// refuses within a few round trips, or works on it. A request must not run at two targets for longer than 400 ms.
+const OVERLAP: Duration = Duration::from_millis(300);
+
+/// Time from the head of another target's stream until its first event. After it the stream is closed at the first
+/// target, for the same reason.
+const BEGIN_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// An attempt whose target is doubted.
 pub struct DoubtedAttempt<'a> {
@@ -55,14 +67,18 @@
 /// Result of an attempt.
 type AttemptResult = Result<AttemptOutcome, NoAttempt>;
 
-/// Which attempt ended a request that waited at two targets.
+/// How asking other targets beside a first attempt ended.
 enum RaceEnd {
-    /// The first one, or no other target served the request.
+    /// The first attempt ended the request, or ended while no other target served it.
     First(AttemptResult),
-    /// One at another target, which serves the request, while the first one was open.
+    /// Another target serves the request; the first attempt was open.
     Other(AttemptOutcome),
-    /// One at another target, after the first one had ended.
+    /// Another target serves the request; the first attempt had ended.
     OtherAlone(AttemptOutcome),
+    /// The first attempt was given up for another target, which does not serve the request either.
+    GivenUp,
+    /// No other target serves the request; the first attempt is open.
+    Nobody,
 }
 
 impl<D: Dialect> Shared<D> {
@@ -78,43 +94,57 @@
             let wait = |_: DoubtedAttempt<'_>| AfterDoubt::Wait;
             return self.attempt_once(request, pool, progress, wait).await;
         }
-        let (tx, rx) = oneshot::channel();
-        let mut tx = Some(tx);
+        let (tx, mut rx) = mpsc::unbounded_channel();
         let report = |attempt: DoubtedAttempt<'_>| {
-            if let Some(tx) = tx.take() {
-                // Cannot fail: the receiver is polled until the attempt ends.
-                let _ = tx.send(Doubted::from(attempt));
-            }
+            // Cannot fail: the receiver lives until the attempt ends.
+            let _ = tx.send(Doubted::from(attempt));
             AfterDoubt::Wait
         };
-        let (mut doubted, end) = {
-            let mut first = pin!(self.attempt_once(request, pool, progress, report));
-            let mut doubted = tokio::select! {
-                biased;
-                end = &mut first => return end,
-                Ok(doubted) = rx => doubted,
+        let mut searched: Option<Doubted> = None;
+        let end = {
+            let mut first = pin!(Some(self.attempt_once(request, pool, progress, report)));
+            loop {
+                let doubted = tokio::select! {
+                    biased;
+                    end = open(&mut first) => break RaceEnd::First(end),
+                    Some(doubted) = rx.recv() => doubted,
+                };
+                self.log_search(request, &doubted);
+                let doubted = match searched.take() {
+                    // The state of the request includes the searches before.
+                    Some(before) => Doubted {
+                        progress: before.progress,
+                        ..doubted
+                    },
+                    None => doubted,
+                };
+                let doubted = searched.insert(doubted);
+                let end = self.race(request, pool, &mut first, doubted).await;
+                doubted.progress.drop_open();
+                if !matches!(end, RaceEnd::Nobody) {
+                    break end;
+                }
+            }
+        };
+        let Some(doubted) = searched else {
+            return match end {
+                RaceEnd::First(end) => end,
+                RaceEnd::Other(outcome) | RaceEnd::OtherAlone(outcome) => Ok(outcome),
+                RaceEnd::GivenUp | RaceEnd::Nobody => Ok(AttemptOutcome::Silent),
             };
-            self.log_search(request, &doubted);
-            let end = self.race(request, pool, first, &mut doubted.progress);
-            let end = end.await;
-            (doubted, end)
         };
-        doubted.progress.drop_open();
-        match end {
-            RaceEnd::First(end) => {
-                progress.add_search(doubted.progress);
-                end
-            }
-            RaceEnd::Other(outcome) => {
-                self.record_superseded(request, &doubted, progress);
-                *progress = doubted.progress;
-                Ok(outcome)
-            }
-            RaceEnd::OtherAlone(outcome) => {
-                *progress = doubted.progress;
-                Ok(outcome)
-            }
+        if let RaceEnd::First(end) = end {
+            progress.add_search(doubted.progress);
+            return end;
+        }
+        if !matches!(end, RaceEnd::OtherAlone(_)) {
+            self.record_superseded(request, &doubted, progress);
         }
+        *progress = doubted.progress;
+        Ok(match end {
+            RaceEnd::Other(outcome) | RaceEnd::OtherAlone(outcome) => outcome,
+            RaceEnd::First(_) | RaceEnd::GivenUp | RaceEnd::Nobody => doubted.doubt.outcome(),
+        })
     }
 
     /// Makes attempts at other targets beside the first one, until one of them serves the request or all have ended.
@@ -122,20 +152,31 @@
         &self,
         request: &AdmittedRequest,
         pool: &PoolId,
-        mut first: Pin<&mut F>,
-        progress: &mut Progress,
+        first: &mut Pin<&mut Option<F>>,
+        doubted: &mut Doubted,
     ) -> RaceEnd
     where
         F: Future<Output = AttemptResult>,
     {
-        let mut search = pin!(self.search(request, pool, progress));
+        let overlap = match doubted.doubt == Doubt::Slow && !request.route.streaming {
+            true => OVERLAP,
+            false => request.time_left(),
+        };
+        let mut search = pin!(self.search(request, pool, &mut doubted.progress));
         let first_end = tokio::select! {
             biased;
-            end = first.as_mut() => end,
+            end = open(first) => end,
             found = search.as_mut() => return match found {
                 Ok(outcome) => RaceEnd::Other(outcome),
-                Err(_) => RaceEnd::First(first.await),
+                Err(_) => RaceEnd::Nobody,
             },
+            () = tokio::time::sleep(overlap) => {
+                first.set(None);
+                return match search.await {
+                    Ok(outcome) => RaceEnd::Other(outcome),
+                    Err(_) => RaceEnd::GivenUp,
+                };
+            }
         };
         if is_served(&first_end) {
             return RaceEnd::First(first_end);
@@ -146,7 +187,8 @@
         }
     }
 
-    /// Makes attempts until a target serves the request. The error is the reason why none does.
+    /// Makes attempts until a target serves the request; a stream once it has sent its first event, or has not for a while
+    /// after its head. The error is the reason why none does.
     pub(super) async fn search(
         &self,
         request: &AdmittedRequest,
@@ -160,9 +202,12 @@
             };
             let attempt = self.attempt_once(request, pool, progress, |_| after_doubt);
             match attempt.await {
-                Ok(outcome @ (AttemptOutcome::Completed(_) | AttemptOutcome::Streaming(_))) => {
-                    return Ok(outcome);
+                Ok(AttemptOutcome::Streaming(stream)) => {
+                    if let Some(stream) = self.begin_stream(request, stream).await {
+                        return Ok(AttemptOutcome::Streaming(stream));
+                    }
                 }
+                Ok(outcome @ AttemptOutcome::Completed(_)) => return Ok(outcome),
                 Ok(AttemptOutcome::Failed(response)) => progress.failure = Some(response),
                 Ok(AttemptOutcome::Refused(refusal)) if refusal.outcome == Outcome::NotRun => {
                     return Err(refusal.reason);
@@ -178,13 +223,46 @@
         Err("its runs are used up".to_owned())
     }
 
+    /// Waits for the first event of a stream; `None` if it broke off before.
+    async fn begin_stream(
+        &self,
+        request: &AdmittedRequest,
+        mut stream: Box<OpenStream>,
+    ) -> Option<Box<OpenStream>> {
+        let target = match &stream.source {
+            StreamSource::Target { target, .. } => Some(target.clone()),
+            StreamSource::Box { .. } => None,
+        };
+        // If the search is dropped meanwhile, the target may still run the request.
+        let waiting = target.as_ref().map(|target| {
+            self.fatal
+                .sent(request.candidates.clone(), IncarnationHash::of(target))
+        });
+        let begun = timeout(BEGIN_TIMEOUT, stream.body.begin()).await;
+        if let Some(waiting) = waiting {
+            waiting.end(false);
+        }
+        let Ok(Begun::Broken(why)) = begun else {
+            return Some(stream);
+        };
+        if let Some(target) = &target {
+            self.response_broken(request, target);
+            self.loads
+                .record_for_incarnation(&target.id, target.life, Health::Failed);
+        }
+        event!(self.log, events::ATTEMPT_INCOMPLETE, "request" => &request.head.id,
+            "target" => stream.source.name(), "outcome" => "broken", "why" => why,
+            "elapsed_ms" => request.arrival.elapsed().as_millis());
+        None
+    }
+
     fn log_search(&self, request: &AdmittedRequest, doubted: &Doubted) {
         event!(self.log, events::OTHERS_ASKED, "request" => &request.head.id,
             "target" => doubted.target.id.as_str(), "why" => doubted.doubt.outcome().reason(),
             "elapsed_ms" => request.arrival.elapsed().as_millis());
     }
 
-    /// Records an attempt that was dropped since another target serves the request.
+    /// Records an attempt that was dropped for another target.
     fn record_superseded(
         &self,
         request: &AdmittedRequest,
@@ -197,6 +275,17 @@
     }
 }
 
+/// Waits for an attempt that is open; for ever once it was dropped.
+async fn open<F>(attempt: &mut Pin<&mut Option<F>>) -> AttemptResult
+where
+    F: Future<Output = AttemptResult>,
+{
+    match attempt.as_mut().as_pin_mut() {
+        Some(attempt) => attempt.await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Whether a target serves the request.
 fn is_served(end: &AttemptResult) -> bool {
     matches!(
