http: read what has arrived on a connection before it is closed as idle

Cause: a server that stops, or that closes an idle connection for a new one, closed it without asking the kernel whether a request had arrived meanwhile. The runtime knows of arrived bytes only after its next poll, and a connection that waits for the rest of a head counts as idle too. The caller got a reset.

Change: before the close, the connection's next read asks the kernel. A request found there is served, and its response closes the connection; if a part of a head is there, the rest has a second to arrive.

Evidence: on the server before, three of the four tests of closing.rs fail ("", broken pipe); all four pass with the change, and connections.rs does. A request that is still on its way through the network when the connection closes gets no response, as before.

--- a/crates/sillpin-http/src/lib.rs
+++ b/crates/sillpin-http/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`lines`]: readers of lines and of JSON documents from a streamed body,
 //! - [`server`]: a server that finishes open requests when stopped.
 
+mod arrival;
 pub mod body;
 pub mod client;
 pub mod connections;
--- a/crates/sillpin-http/src/server.rs
+++ b/crates/sillpin-http/src/server.rs
@@ -1,19 +1,22 @@
 //! A server for HTTP/1.1 and HTTP/2 without TLS that drains: when stopped, it finishes all open
 //! requests.
 
+use crate::arrival::Arrivals;
 use crate::body::Body;
 use crate::connections::{Connection, Connections};
 use derive_more::{Display, Error};
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::service::service_fn;
-use hyper::{Request, Response};
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper::{Request, Response, Version};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
 use hyper_util::server::conn::auto;
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
@@ -63,6 +66,9 @@
 /// Pause after a failed accept, for example when no file descriptor is available.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
+/// How long a connection that is to be closed waits for the rest of a head of which a part has arrived.
+const HEAD_REST_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A server with its bound listener.
 pub struct Server<L = fn() -> HeadLimits> {
     listener: TcpListener,
@@ -130,22 +136,21 @@
         F: Future<Output = Response<Body>> + Send + 'static,
     {
         let tracker = TaskTracker::new();
+        let (http1_only, connections, limits) = (self.http1_only, self.connections, self.limits);
+        let serve = |tcp: TcpStream| {
+            // Dropping the stream closes it unread.
+            if let Some(admitted) = connections.admit(Instant::now()) {
+                let (limits, stop, handler) = (limits(), stop.clone(), handler.clone());
+                tracker.spawn(connection(tcp, limits, http1_only, admitted, stop, handler));
+            }
+        };
         loop {
             let accepted = tokio::select! {
                 () = stop.cancelled() => break,
                 accepted = self.listener.accept() => accepted,
             };
             match accepted {
-                Ok((tcp, _)) => {
-                    // Dropping it closes it unread.
-                    let Some(admitted) = self.connections.admit(Instant::now()) else {
-                        continue;
-                    };
-                    let limits = (self.limits)();
-                    let (http1_only, stop) = (self.http1_only, stop.clone());
-                    let handler = handler.clone();
-                    tracker.spawn(connection(tcp, limits, http1_only, admitted, stop, handler));
-                }
+                Ok((tcp, _)) => serve(tcp),
                 Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
             }
         }
@@ -180,21 +185,37 @@
         .http2()
         .timer(TokioTimer::new())
         .max_header_list_size(u32::try_from(limits.max_len).unwrap_or(u32::MAX));
-    let service = service_fn(|req| {
-        let waiting = admitted.begin_request();
+    let arrivals = Arrivals::default();
+    let service = service_fn(|req: Request<Incoming>| {
+        arrivals.clear();
+        let (waiting, is_http1) = (admitted.begin_request(), req.version() < Version::HTTP_2);
+        let (arrivals, close, stop) = (arrivals.clone(), admitted.close.clone(), stop.clone());
         let response = handler(req);
         async move {
-            let response = response.await;
+            let mut response = response.await;
             drop(waiting);
+            arrivals.clear();
+            if is_http1 && (stop.is_cancelled() || close.is_cancelled()) {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
             Ok::<_, Infallible>(response)
         }
     });
-    let mut conn = pin!(builder.serve_connection(TokioIo::new(tcp), service));
+    let mut conn = pin!(builder.serve_connection(arrivals.watch(tcp), service));
     tokio::select! {
         _ = conn.as_mut() => return,
         () = stop.cancelled() => {}
         () = admitted.close.cancelled() => {}
     }
+    arrivals.ask_kernel();
+    let arrived = poll_fn(|cx| match conn.as_mut().poll(cx) {
+        Poll::Pending if arrivals.has_partial() => Poll::Pending,
+        polled => Poll::Ready(polled.is_ready()),
+    });
+    if let Ok(true) = tokio::time::timeout(HEAD_REST_TIMEOUT, arrived).await {
+        return;
+    }
     conn.as_mut().graceful_shutdown();
     let _ = conn.await;
 }
