http: serve connections that wait in the kernel when a server stops

Cause: a server that stops closed its listener at once. Connections that the kernel had accepted and the server had not were reset, with the requests that had arrived on them.

Change: the server accepts what waits, then closes the listener. Connections on which a request has arrived are served, the others are closed.

--- a/crates/sillpin-http/src/server.rs
+++ b/crates/sillpin-http/src/server.rs
@@ -154,12 +154,24 @@
                 Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
             }
         }
-        drop(self.listener);
+        // Closing the listener resets connections that the kernel has accepted and that may carry a request.
+        if let Ok(listener) = self.listener.into_std() {
+            while let Ok(tcp) = accept_waiting(&listener) {
+                serve(tcp);
+            }
+        }
         tracker.close();
         tracker.wait().await;
     }
 }
 
+/// Accepts a connection that waits at a non-blocking listener.
+fn accept_waiting(listener: &std::net::TcpListener) -> io::Result<TcpStream> {
+    let (tcp, _) = listener.accept()?;
+    tcp.set_nonblocking(true)?;
+    TcpStream::from_std(tcp)
+}
+
 async fn connection<H, F>(
     tcp: TcpStream,
     limits: HeadLimits,
--- a/crates/sillpin-http/tests/closing.rs
+++ b/crates/sillpin-http/tests/closing.rs
@@ -91,6 +91,18 @@
     tokio::time::timeout(TIMEOUT, task).await.unwrap().unwrap();
 }
 
+#[tokio::test]
+async fn a_request_on_a_connection_that_is_not_accepted_yet_gets_no_response_when_the_server_stops()
+{
+    let (addr, stop, task) = start(MAX).await;
+    tokio::task::yield_now().await;
+    let mut tcp = TcpStream::connect(addr).unwrap();
+    tcp.write_all(REQUEST).unwrap();
+    stop.cancel();
+    assert_last_response(&response(tcp).await.0);
+    tokio::time::timeout(TIMEOUT, task).await.unwrap().unwrap();
+}
+
 /// Makes the clock that connections are measured by pass `time`.
 async fn advance(time: Duration) {
     tokio::time::pause();
