gateway: respond to a request whose handler panics

Cause: a panic in the handler ended the task of the caller's connection. The caller got no response, and the log said that the caller had disconnected.

Change: the caller is told that the request may have run (502), and the panic is logged with the request (E390). Parsing of the head is outside.

--- a/crates/sillpin-gateway/src/front/handler.rs
+++ b/crates/sillpin-gateway/src/front/handler.rs
@@ -6,11 +6,14 @@
 use crate::dialect::Dialect;
 use crate::forward::head::{FORWARD, ForwardHead, ForwardResult, Unavailable};
 use crate::streams::VersionHash;
+use futures::FutureExt;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use sillpin_http::{Body, empty_response};
 use sillpin_telemetry::{event, events};
+use std::any::Any;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -106,10 +109,17 @@
         let id = head.id.clone();
         let path = parts.uri.path().to_owned();
         let guard = DisconnectGuard::new(shared, &id, started);
-        let result = match shared.admit(parts, body, head, forwarded).await {
-            Ok(request) => shared.dispatch(request).await,
-            Err(refusal) => Err(refusal),
+        let serving = async {
+            let request = shared.admit(parts, body, head, forwarded).await?;
+            shared.dispatch(request).await
         };
+        // A panic would close the caller's connection without a response.
+        let result = AssertUnwindSafe(serving).catch_unwind().await;
+        let result = result.unwrap_or_else(|panic| {
+            event!(shared.log, events::HANDLER_PANICKED, "request" => &id, "path" => &path,
+                "why" => panic_message(&*panic), "elapsed_ms" => started.elapsed().as_millis());
+            Err(Refusal::unknown("internal error"))
+        });
         guard.answered();
         result.map_err(|refusal| {
             self.log_refusal(&id, &path, &refusal, started);
@@ -143,6 +153,13 @@
     }
 }
 
+/// Message of a panic, if it is text.
+fn panic_message(panic: &(dyn Any + Send)) -> &str {
+    let text = panic.downcast_ref::<&str>().copied();
+    let text = text.or_else(|| panic.downcast_ref::<String>().map(String::as_str));
+    text.unwrap_or_default()
+}
+
 /// A request that is refused.
 struct Refused {
     /// Its id; `None` if its head cannot be read.
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -251,4 +251,6 @@
     FORWARD_NOT_TAKEN = 382, Info, "request not taken by another box", "Nothing to do unless it recurs: `why` is its answer. If all answer that they have no path, look at the targets; if all are busy, add boxes.";
     /// The box can open connections to half of the targets of such a pool again.
     POOL_REACHABLE = 377, Info, "targets of a pool reachable again", "Nothing to do.";
+    /// The handler of a request panicked.
+    HANDLER_PANICKED = 390, Error, "handler of a request panicked", "Report the fault with the record: its caller was told that the request may have run.";
 }
