http: end a streamed response with an error if its writer panics

Cause: a task that panics drops the sender of the body that it writes, which ended the body normally. The caller of a relayed stream got the last chunk and took a part of the stream for all of it.

Change: a sender that is dropped by a panic ends the body with an error, so that the connection closes within the response.

--- a/crates/sillpin-http/src/body.rs
+++ b/crates/sillpin-http/src/body.rs
@@ -8,7 +8,8 @@
 use serde::de::DeserializeOwned;
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -21,7 +22,7 @@
     /// Complete, in memory.
     Full(Full<Bytes>),
     /// Written by another task.
-    Channel(mpsc::Receiver<io::Result<Bytes>>),
+    Channel(ChannelBody),
     /// Forwarded from a peer, with back-pressure.
     Incoming(Incoming),
     /// Complete, in memory that may be taken back.
@@ -39,11 +40,34 @@
         Self::Full(Full::new(bytes.into()))
     }
 
-    /// Returns a streamed body and its sender. Dropping the sender ends the body normally;
+    /// Returns a streamed body and its sender. Dropping the sender ends the body normally, unless its task panics;
     /// [`BodySender::abort`] ends it with an error for the reader.
     pub fn channel() -> (BodySender, Self) {
         let (tx, rx) = mpsc::channel(CHANNEL_FRAMES);
-        (BodySender { tx }, Self::Channel(rx))
+        let panicked = Arc::<AtomicBool>::default();
+        let sender = BodySender {
+            tx,
+            panicked: panicked.clone(),
+        };
+        (sender, Self::Channel(ChannelBody { rx, panicked }))
+    }
+}
+
+/// Body that another task writes.
+pub struct ChannelBody {
+    rx: mpsc::Receiver<io::Result<Bytes>>,
+    /// Set before the channel closes if the writer panicked.
+    panicked: Arc<AtomicBool>,
+}
+
+impl ChannelBody {
+    fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        let chunk = ready!(self.rx.poll_recv(cx));
+        let is_cut = chunk.is_none() && self.panicked.swap(false, Ordering::Relaxed);
+        Poll::Ready(match is_cut {
+            true => Some(Err(io::Error::other("the writer of the body panicked"))),
+            false => chunk,
+        })
     }
 }
 
@@ -62,8 +86,8 @@
                 let piece = body.next_piece();
                 Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
             }
-            Body::Channel(rx) => {
-                let chunk = ready!(rx.poll_recv(cx));
+            Body::Channel(body) => {
+                let chunk = ready!(body.poll_chunk(cx));
                 Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
             }
         }
@@ -92,6 +116,15 @@
 /// Sender of a streamed body.
 pub struct BodySender {
     tx: mpsc::Sender<io::Result<Bytes>>,
+    panicked: Arc<AtomicBool>,
+}
+
+impl Drop for BodySender {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.panicked.store(true, Ordering::Relaxed);
+        }
+    }
 }
 
 /// Error for a write to a body whose reader was dropped.
