telemetry: log each panic of a box with an event

Cause: the runtime catches panics of tasks; a background task, or one that relays a stream, ended without a line in the log.

Change: a hook logs each panic with its place and message (E391), then prints it as before.

--- a/crates/sillpin-box/src/main.rs
+++ b/crates/sillpin-box/src/main.rs
@@ -10,7 +10,7 @@
 use sillpin_settings::{Loaded, program};
 use sillpin_telemetry::Telemetry;
 use sillpin_telemetry::logs::Output;
-use sillpin_telemetry::program::{Identity, sighup_signals, stop_on_sigterm};
+use sillpin_telemetry::program::{Identity, log_panics, sighup_signals, stop_on_sigterm};
 use sillpin_wire::{PlatformDialect, PlatformKeys, PlatformStore, TargetClient};
 use std::error::Error;
 use std::process::ExitCode;
@@ -38,6 +38,7 @@
         collector: cfg.collector,
     };
     let (telemetry, _guard) = Telemetry::start_from_settings(&me, &loaded, Output::Stdout)?;
+    log_panics(telemetry.log.clone());
     let settings = reload::start(
         loaded,
         reloader,
--- a/crates/sillpin-telemetry/src/program.rs
+++ b/crates/sillpin-telemetry/src/program.rs
@@ -1,5 +1,7 @@
 //! Sets up the telemetry of a program and handles its signals.
 
+use crate::event;
+use crate::events;
 use crate::logs::{self, Format, Output};
 use crate::metrics::Metrics;
 use crate::traces::Traces;
@@ -104,6 +106,18 @@
     }
 }
 
+/// Logs each panic of the process. The runtime catches panics of its tasks, and a background task that has ended is not
+/// noticed otherwise.
+pub fn log_panics(log: Logger) {
+    let print = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        let at = panic.location().map(ToString::to_string);
+        event!(log, events::TASK_PANICKED, "at" => at.unwrap_or_default(),
+            "why" => panic.payload_as_str().unwrap_or_default());
+        print(panic);
+    }));
+}
+
 /// Returns a token that the first SIGTERM cancels; further ones are ignored.
 pub fn stop_on_sigterm() -> io::Result<CancellationToken> {
     let stop = CancellationToken::new();
