gateway: read the rest of a refused request's body

Cause: a request that is refused before its body has arrived (no such route, unknown key, too long, no memory) left the rest unread, so its connection was reset: the caller's writes failed, perhaps before it had read the refusal, and its next request on the connection got no response, without notice.

The listener for other boxes' requests does the same.

Evidence: the three cases of a_request_after_one_that_was_refused_before_its_ body_arrived_gets_no_response failed before (broken pipe), as did a_connection_ is_closed_without_notice_after_a_refused_request_to_continue; all pass. The listener for other boxes' requests has no test of its own.

--- a/crates/sillpin-gateway/src/front/admit.rs
+++ b/crates/sillpin-gateway/src/front/admit.rs
@@ -96,7 +96,7 @@
     pub async fn admit(
         &self,
         parts: Parts,
-        body: Incoming,
+        body: &mut Incoming,
         head: RequestHead,
         forwarded: Option<Forwarded>,
     ) -> Result<AdmittedRequest, Refusal> {
--- a/crates/sillpin-gateway/src/front/handler.rs
+++ b/crates/sillpin-gateway/src/front/handler.rs
@@ -1,6 +1,7 @@
 //! Handlers of the listeners for callers, for other boxes' requests and for the balancer's checks.
 
 use super::admit::Forwarded;
+use super::discard::discard_rest;
 use super::refusal::{Refusal, close_after};
 use super::shared::Shared;
 use crate::dialect::Dialect;
@@ -8,6 +9,7 @@
 use crate::streams::VersionHash;
 use futures::FutureExt;
 use hyper::body::Incoming;
+use hyper::header::EXPECT;
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use sillpin_http::{Body, empty_response};
@@ -40,14 +42,15 @@
         let started = Instant::now();
         let (mut parts, body) = req.into_parts();
         parts.headers.remove(FORWARD);
-        let (mut resp, is_readable) = match self.respond(parts, body, None, started).await {
-            Ok(resp) => (resp, true),
-            Err(Refused { id, refusal }) => {
-                let resp = refusal.response(&self.shared.dialect, id.as_deref());
-                (resp, id.is_some())
+        let (mut resp, closes) = match self.respond(parts, body, None, started).await {
+            Ok(resp) => (resp, false),
+            Err(refused) => {
+                let id = refused.id.as_deref();
+                let resp = refused.refusal.response(&self.shared.dialect, id);
+                (resp, refused.closes)
             }
         };
-        if !is_readable || self.shared.stopping.is_cancelled() {
+        if closes || self.shared.stopping.is_cancelled() {
             close_after(&mut resp);
         }
         resp
@@ -57,20 +60,27 @@
     pub async fn serve_forwarded(self, req: Request<Incoming>) -> Response<Body> {
         let started = Instant::now();
         let (mut parts, body) = req.into_parts();
-        let head = ForwardHead::take(&mut parts.headers, self.shared.fleet_key);
-        let result = match head {
-            Ok(head) => match self.shared.accept_forwarded(head).await {
-                Ok(forwarded) => {
-                    let result = self.respond(parts, body, Some(forwarded), started).await;
-                    result.map_err(|refused| refused.refusal)
-                }
-                Err(refusal) => Err(refusal),
-            },
+        let accepted = match ForwardHead::take(&mut parts.headers, self.shared.fleet_key) {
+            Ok(head) => self.shared.accept_forwarded(head).await,
             Err(e) => Err(Refusal {
                 unavailable: Some(Unavailable::NotAccepted),
                 ..Refusal::denied(StatusCode::BAD_REQUEST, e.to_string())
             }),
         };
+        let mut closes = false;
+        let result = match accepted {
+            Ok(forwarded) => {
+                let result = self.respond(parts, body, Some(forwarded), started).await;
+                result.map_err(|refused| {
+                    closes = refused.closes;
+                    refused.refusal
+                })
+            }
+            Err(refusal) => {
+                closes = !discard_rest(body, false);
+                Err(refusal)
+            }
+        };
         let (mut resp, result) = match result {
             Ok(resp) => {
                 let version = resp.extensions().get::<VersionHash>().copied();
@@ -83,7 +93,7 @@
             }
         };
         result.set(resp.headers_mut());
-        if self.shared.stopping.is_cancelled() {
+        if closes || self.shared.stopping.is_cancelled() {
             close_after(&mut resp);
         }
         resp
@@ -93,7 +103,7 @@
     async fn respond(
         &self,
         parts: Parts,
-        body: Incoming,
+        mut body: Incoming,
         forwarded: Option<Forwarded>,
         started: Instant,
     ) -> Result<Response<Body>, Refused> {
@@ -103,14 +113,20 @@
             Err(e) => {
                 let refusal = Refusal::denied(StatusCode::BAD_REQUEST, e.to_string());
                 self.log_refusal("", "", &refusal, started);
-                return Err(Refused { id: None, refusal });
+                discard_rest(body, parts.headers.contains_key(EXPECT));
+                return Err(Refused {
+                    id: None,
+                    refusal,
+                    closes: true,
+                });
             }
         };
         let id = head.id.clone();
         let path = parts.uri.path().to_owned();
+        let awaits_continue = parts.headers.contains_key(EXPECT);
         let guard = DisconnectGuard::new(shared, &id, started);
         let serving = async {
-            let request = shared.admit(parts, body, head, forwarded).await?;
+            let request = shared.admit(parts, &mut body, head, forwarded).await?;
             shared.dispatch(request).await
         };
         // A panic would close the caller's connection without a response.
@@ -123,8 +139,12 @@
         guard.answered();
         result.map_err(|refusal| {
             self.log_refusal(&id, &path, &refusal, started);
-            let id = Some(id.clone());
-            Refused { id, refusal }
+            let is_too_slow = refusal.status == StatusCode::REQUEST_TIMEOUT;
+            Refused {
+                id: Some(id.clone()),
+                closes: !discard_rest(body, awaits_continue) || is_too_slow,
+                refusal,
+            }
         })
     }
 
@@ -165,6 +185,8 @@
     /// Its id; `None` if its head cannot be read.
     id: Option<String>,
     refusal: Refusal,
+    /// Whether its connection serves no other request.
+    closes: bool,
 }
 
 /// Logs a request whose caller disconnects before the response; the handler's future is dropped then.
--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -3,6 +3,7 @@
 //! - [`shared`]: state shared by all requests,
 //! - [`admit`]: route, organisation and body of a request,
 //! - [`body_memory`]: memory for bodies of requests and responses,
+//! - [`discard`]: the rest of a refused request's body,
 //! - [`dispatch`]: attempts until there is a response,
 //! - [`progress`]: state of a request across its attempts,
 //! - [`outcome`]: what the outcome of an attempt tells about its target,
@@ -27,6 +28,7 @@
 pub mod attempt;
 pub mod body_memory;
 mod connect;
+mod discard;
 pub mod dispatch;
 pub mod events;
 pub mod fair_admission;
