gateway: respond to requests that a stopping box does not wait for

Cause: when the time between SIGTERM and SIGKILL was over, the box ended with its open requests: their callers got no response, and no line named them.

Change: a request without a response is refused then (502, may have run) and logged (E111); its caller has 0.15 s of the margin of 0.3 s to be told. Streams that are under way end with the process, as before.

Evidence: a_request_gets_no_response_when_the_box_stops_before_its_target_ responds failed before (nothing within 0.2 s of the box's end) and passes.

--- a/crates/sillpin-gateway/src/front/handler.rs
+++ b/crates/sillpin-gateway/src/front/handler.rs
@@ -18,23 +18,29 @@
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 /// Responds to callers and to the balancer.
 pub struct Front<D> {
     shared: Arc<Shared<D>>,
+    /// Cancelled when the box stops without waiting for requests any longer.
+    aborting: CancellationToken,
 }
 
 impl<D> Clone for Front<D> {
     fn clone(&self) -> Self {
-        let shared = self.shared.clone();
-        Self { shared }
+        Self {
+            shared: self.shared.clone(),
+            aborting: self.aborting.clone(),
+        }
     }
 }
 
 impl<D: Dialect> Front<D> {
-    /// Creates the handlers over the shared state.
-    pub fn new(shared: Arc<Shared<D>>) -> Self {
-        Self { shared }
+    /// Creates the handlers over the shared state. Requests that have no response yet when `aborting` is cancelled are
+    /// refused.
+    pub fn new(shared: Arc<Shared<D>>, aborting: CancellationToken) -> Self {
+        Self { shared, aborting }
     }
 
     /// Handles a caller's request.
@@ -129,6 +135,10 @@
             let request = shared.admit(parts, &mut body, head, forwarded).await?;
             shared.dispatch(request).await
         };
+        let serving = async {
+            let served = self.aborting.run_until_cancelled(serving).await;
+            served.unwrap_or_else(|| Err(Refusal::unknown("the box stops")))
+        };
         // A panic would close the caller's connection without a response.
         let result = AssertUnwindSafe(serving).catch_unwind().await;
         let result = result.unwrap_or_else(|panic| {
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -63,6 +63,9 @@
 /// Requests in flight are aborted this long before the SIGKILL.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
 
+/// How long their callers may take to be told so.
+const ABORT_TIME: Duration = Duration::from_millis(150);
+
 /// Capacity of the queue of updates for other boxes. The leader orders a quarter of all engines together, and updates
 /// that do not fit are lost: boxes then go on sending to engines that are loading.
 const UPDATE_QUEUE: usize = 1_024;
@@ -211,7 +214,8 @@
     let end = CancellationToken::new();
     let shared_log = shared.log.clone();
     let shared_metrics = shared.metrics.clone();
-    let front = Front::new(shared);
+    let aborting = CancellationToken::new();
+    let front = Front::new(shared, aborting.clone());
     let ready = front.clone();
     let answer_ready = move |req| ready.clone().ready(req);
     tokio::spawn(Server::on(listeners.ready).run(end.clone(), answer_ready));
@@ -249,25 +253,31 @@
         tokio::join!(callers, forwarded);
     });
     stopping.cancelled().await;
-    stop(&cfg, &log, closed, serving).await;
+    stop(&cfg, &log, closed, aborting, serving).await;
     end.cancel();
     event!(log, events::BOX_STOPPED);
     Ok(())
 }
 
-/// Keeps accepting connections until the balancer has removed the box, then waits for requests in flight to end.
+/// Keeps accepting connections until the balancer has removed the box, then waits for requests in flight to end. Those that
+/// do not end in time are aborted.
 async fn stop(
     cfg: &BoxConfig,
     log: &Logger,
     closed: CancellationToken,
-    serving: tokio::task::JoinHandle<()>,
+    aborting: CancellationToken,
+    mut serving: tokio::task::JoinHandle<()>,
 ) {
     let began = Instant::now();
     event!(log, events::BOX_DRAINING, "grace_ms" => cfg.grace.as_millis());
     tokio::time::sleep(BALANCER_LAG).await;
     closed.cancel();
     let deadline = began + cfg.grace.saturating_sub(KILL_MARGIN);
-    if tokio::time::timeout_at(deadline, serving).await.is_err() {
+    let ended = tokio::time::timeout_at(deadline, &mut serving).await;
+    if ended.is_err() {
+        aborting.cancel();
+        // Whatever has not ended by then ends with the process.
+        let _ = tokio::time::timeout(ABORT_TIME, serving).await;
         event!(log, events::BOX_STOPPED_EARLY, "after_ms" => began.elapsed().as_millis());
     }
 }
