Refuse a part that was served since an earlier crash one crash later

Change: a part that was served since it first ran beside a crash needs one crash more, and nothing is subtracted from the broken requests for it. Parts that were never served are judged as before.

The new direct test fails on that code.

--- a/crates/sillpin-gateway/src/fatal/verdict.rs
+++ b/crates/sillpin-gateway/src/fatal/verdict.rs
@@ -68,11 +68,14 @@
 }
 
 impl RequestCounts {
-    /// Number of crashes from which a part is refused, if so many of the broken requests have it.
-    fn crashes_needed(self, with_part: usize) -> usize {
+    /// Number of crashes from which a part is refused, if so many of the broken requests have it. One more is needed for a part that
+    /// is known to have been served: sound parts are in crashes by chance, and few parts turn fatal.
+    fn crashes_needed(self, with_part: usize, was_served: bool) -> usize {
+        // These are crashes at all boxes, and the broken requests are those of this box: subtracting them hides a high share.
+        let with_part = if was_served { 0 } else { with_part };
         let broken = (self.broken - with_part as f64).max(0.0);
         let is_high = broken > HIGH_BROKEN_SHARE * (broken + self.served);
-        FATAL_CRASHES + usize::from(is_high)
+        FATAL_CRASHES + usize::from(is_high) + usize::from(was_served)
     }
 }
 
@@ -94,7 +97,10 @@
                 && !self.is_mass_crash(cause, suspect, **incarnation, **at)
         });
         let needed = match cause.is_part() {
-            true => self.requests.crashes_needed(crashes),
+            true => {
+                let was_served = suspect.served.is_some();
+                self.requests.crashes_needed(crashes, was_served)
+            }
             false => FATAL_CRASHES,
         };
         let is_cause = now < until && self.separate(cause, unexplained) >= needed;
--- a/crates/sillpin-gateway/tests/fatal_parts.rs
+++ b/crates/sillpin-gateway/tests/fatal_parts.rs
@@ -98,6 +98,19 @@
     assert!(!is_refused(&record, &["a", "b"], now));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_sound_part_that_ran_beside_three_crashes_by_chance_is_not_refused() {
+    let mut record = CrashRecord::default();
+    let now = crash(&mut record, 0..1, &["a"]);
+    for number in 100..300 {
+        record.served(request(number, &["a"]), now);
+    }
+    let now = crash(&mut record, 10..13, &["a"]);
+    assert!(!is_refused(&record, &["a"], now));
+    let now = crash(&mut record, 13..14, &["a"]);
+    assert!(is_refused(&record, &["a"], now));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_part_that_crashed_more_targets_than_are_kept_explains_the_newest_ones() {
     let mut record = CrashRecord::default();
