--- a/crates/sillpin-gateway/src/front/search.rs
+++ b/crates/sillpin-gateway/src/front/search.rs
@@ -67,16 +67,16 @@
 /// Result of an attempt.
 type AttemptResult = Result<AttemptOutcome, NoAttempt>;
 
-/// How asking other targets beside a first attempt ended.
+/// How a race between a first attempt and attempts at other targets ended.
 enum RaceEnd {
-    /// The first attempt ended the request, or ended while no other target served it.
+    /// The first attempt ended, and no other target serves the request.
     First(AttemptResult),
-    /// Another target serves the request; the first attempt was open.
-    Other(AttemptOutcome),
-    /// Another target serves the request; the first attempt had ended.
-    OtherAlone(AttemptOutcome),
-    /// The first attempt was given up for another target, which does not serve the request either.
-    GivenUp,
+    /// Another target serves the request, or the first attempt was given up for it.
+    Other {
+        outcome: AttemptOutcome,
+        /// Whether the first attempt was dropped, so that its outcome has not been recorded.
+        is_first_dropped: bool,
+    },
     /// No other target serves the request; the first attempt is open.
     Nobody,
 }
@@ -104,47 +104,46 @@
         let end = {
             let mut first = pin!(Some(self.attempt_once(request, pool, progress, report)));
             loop {
-                let doubted = tokio::select! {
+                let mut doubted = tokio::select! {
                     biased;
                     end = open(&mut first) => break RaceEnd::First(end),
                     Some(doubted) = rx.recv() => doubted,
                 };
+                if let Some(before) = searched.take() {
+                    // It includes the searches before.
+                    doubted.progress = before.progress;
+                }
                 self.log_search(request, &doubted);
-                let doubted = match searched.take() {
-                    // The state of the request includes the searches before.
-                    Some(before) => Doubted {
-                        progress: before.progress,
-                        ..doubted
-                    },
-                    None => doubted,
-                };
-                let doubted = searched.insert(doubted);
-                let end = self.race(request, pool, &mut first, doubted).await;
+                let end = self.race(request, pool, &mut first, &mut doubted).await;
                 doubted.progress.drop_open();
+                searched = Some(doubted);
                 if !matches!(end, RaceEnd::Nobody) {
                     break end;
                 }
             }
         };
-        let Some(doubted) = searched else {
-            return match end {
-                RaceEnd::First(end) => end,
-                RaceEnd::Other(outcome) | RaceEnd::OtherAlone(outcome) => Ok(outcome),
-                RaceEnd::GivenUp | RaceEnd::Nobody => Ok(AttemptOutcome::Silent),
-            };
-        };
-        if let RaceEnd::First(end) = end {
-            progress.add_search(doubted.progress);
-            return end;
-        }
-        if !matches!(end, RaceEnd::OtherAlone(_)) {
-            self.record_superseded(request, &doubted, progress);
+        match (end, searched) {
+            (RaceEnd::First(end), Some(doubted)) => {
+                progress.add_search(doubted.progress);
+                end
+            }
+            (RaceEnd::First(end), None) => end,
+            (
+                RaceEnd::Other {
+                    outcome,
+                    is_first_dropped,
+                },
+                Some(doubted),
+            ) => {
+                if is_first_dropped {
+                    self.record_superseded(request, &doubted, progress);
+                }
+                *progress = doubted.progress;
+                Ok(outcome)
+            }
+            (RaceEnd::Other { outcome, .. }, None) => Ok(outcome),
+            (RaceEnd::Nobody, _) => Ok(AttemptOutcome::Silent),
         }
-        *progress = doubted.progress;
-        Ok(match end {
-            RaceEnd::Other(outcome) | RaceEnd::OtherAlone(outcome) => outcome,
-            RaceEnd::First(_) | RaceEnd::GivenUp | RaceEnd::Nobody => doubted.doubt.outcome(),
-        })
     }
 
     /// Makes attempts at other targets beside the first one, until one of them serves the request or all have ended.
@@ -162,27 +161,29 @@
             true => OVERLAP,
             false => request.time_left(),
         };
+        let given_up = doubted.doubt.outcome();
         let mut search = pin!(self.search(request, pool, &mut doubted.progress));
         let first_end = tokio::select! {
             biased;
             end = open(first) => end,
             found = search.as_mut() => return match found {
-                Ok(outcome) => RaceEnd::Other(outcome),
+                Ok(outcome) => RaceEnd::Other { outcome, is_first_dropped: true },
                 Err(_) => RaceEnd::Nobody,
             },
             () = tokio::time::sleep(overlap) => {
                 first.set(None);
-                return match search.await {
-                    Ok(outcome) => RaceEnd::Other(outcome),
-                    Err(_) => RaceEnd::GivenUp,
-                };
+                let outcome = search.await.unwrap_or(given_up);
+                return RaceEnd::Other { outcome, is_first_dropped: true };
             }
         };
         if is_served(&first_end) {
             return RaceEnd::First(first_end);
         }
         match search.await {
-            Ok(outcome) => RaceEnd::OtherAlone(outcome),
+            Ok(outcome) => RaceEnd::Other {
+                outcome,
+                is_first_dropped: false,
+            },
             Err(_) => RaceEnd::First(first_end),
         }
     }
