--- a/crates/sillpin-gateway/src/fatal/verdict.rs
+++ b/crates/sillpin-gateway/src/fatal/verdict.rs
@@ -69,7 +69,7 @@
 
 impl RequestCounts {
     /// Number of crashes from which a part is refused, if so many of the broken requests have it. One more is needed for a part that
-    /// was served since it first ran beside a crash: sound parts are in crashes by chance, and few parts turn fatal.
+    /// is known to have been served: sound parts are in crashes by chance, and few parts turn fatal.
     fn crashes_needed(self, with_part: usize, was_served: bool) -> usize {
         // These are crashes at all boxes, and the broken requests are those of this box: subtracting them hides a high share.
         let with_part = if was_served { 0 } else { with_part };
