Take a target for crashed that accepts connections again before its new entry

Cause: a check whether a target crashed ended with "not crashed" as soon as the target accepted a connection, also when it had refused or closed connections before.

It connects again only if the target breaks another response meanwhile.

--- a/crates/sillpin-gateway/src/fatal/crash_detector.rs
+++ b/crates/sillpin-gateway/src/fatal/crash_detector.rs
@@ -3,7 +3,7 @@
 //! A broken connection is weak evidence: it may have been reset in transit, or the target may have aborted one response. A refused
 //! connection is stronger, but connections to a partitioned zone may be refused within milliseconds as well, although its targets are
 //! alive. So a target counts as crashed if it refuses connections while another target of its zone accepts
-//! them, or if its entry shows another incarnation.
+//! them, or if its entry shows another incarnation. A target that crashed may accept connections again before its new entry arrives.
 
 use super::{Candidates, FatalRequests};
 use crate::control::TargetEntry;
@@ -37,6 +37,17 @@
 /// flight at one.
 const MAX_PENDING: usize = 256;
 
+/// What a check of a target shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reach {
+    /// It accepts connections and keeps them open.
+    Reached,
+    /// It refuses connections while another target of its zone accepts them.
+    OnlyItRefuses,
+    /// It may have crashed, or the path to it is lost.
+    Unclear,
+}
+
 /// A request whose response was cut off.
 #[derive(Debug, Clone)]
 pub struct BrokenRequest {
@@ -48,6 +59,14 @@
     pub parts: String,
 }
 
+/// A check that is under way.
+#[derive(Debug, Default)]
+struct PendingCheck {
+    requests: Vec<BrokenRequest>,
+    /// How often there was reason to check the target.
+    reasons: usize,
+}
+
 /// Checks targets whose responses were cut off; clones share the pending checks.
 #[derive(Clone)]
 pub struct CrashDetector {
@@ -59,7 +78,7 @@
     pub fatal: FatalRequests,
     /// Logger.
     pub log: Logger,
-    pending: Arc<Mutex<HashMap<IncarnationHash, Vec<BrokenRequest>>>>,
+    pending: Arc<Mutex<HashMap<IncarnationHash, PendingCheck>>>,
 }
 
 impl CrashDetector {
@@ -98,27 +117,30 @@
 
     fn start_check(&self, target: &Arc<TargetEntry>, broken: Option<BrokenRequest>) {
         let mut pending = self.pending();
-        let existing = pending.get_mut(&IncarnationHash::of(target));
-        if let Some(requests) = existing {
-            requests.extend(broken.filter(|_| requests.len() < MAX_PENDING));
-            return;
+        let incarnation = IncarnationHash::of(target);
+        let is_running = pending.contains_key(&incarnation);
+        let check = pending.entry(incarnation).or_default();
+        check.reasons += 1;
+        let has_room = check.requests.len() < MAX_PENDING;
+        check.requests.extend(broken.filter(|_| has_room));
+        if !is_running {
+            tokio::spawn(self.clone().check(target.clone()));
         }
-        pending.insert(IncarnationHash::of(target), broken.into_iter().collect());
-        tokio::spawn(self.clone().check(target.clone()));
     }
 
     async fn check(self, target: Arc<TargetEntry>) {
         let (began, incarnation) = (Instant::now(), IncarnationHash::of(&target));
         let crashed = self.has_crashed(&target).await;
-        let requests = self.pending().remove(&incarnation).unwrap_or_default();
+        let check = self.pending().remove(&incarnation).unwrap_or_default();
         if !crashed {
             return;
         }
-        let fingerprints = requests
+        let fingerprints = check
+            .requests
             .iter()
             .flat_map(|broken| broken.candidates.iter().copied());
         self.fatal.record_crash(incarnation, fingerprints, began);
-        for broken in requests {
+        for broken in check.requests {
             event!(self.log, events::TARGET_CRASHED, "request" => broken.id,
                 "print" => broken.candidates.request().to_string(), "parts" => broken.parts, "target" => target.id.as_str(),
                 "elapsed_ms" => began.elapsed().as_millis());
@@ -128,29 +150,50 @@
     async fn has_crashed(&self, target: &TargetEntry) -> bool {
         let until = Instant::now() + CHECK_TIMEOUT;
         let mut interval = MIN_CHECK_INTERVAL;
-        while Instant::now() < until {
-            match Conn::open(target).await {
-                Ok(conn) => {
-                    tokio::time::sleep(SETTLE_TIME).await;
-                    if !conn.is_closed() {
-                        self.pool.put(target.id.clone(), conn, None).await;
-                        return false;
-                    }
-                    // A relay between may accept connections for a target that has ended.
-                    if self.is_replaced(target) {
-                        return true;
-                    }
-                }
-                Err(SendError::Refused { .. }) if self.only_target_refuses(target).await => {
-                    return true;
-                }
-                Err(_) if self.is_replaced(target) => return true,
-                Err(_) => {}
+        let mut reasons = self.reasons(target);
+        let mut reach = self.reach(target).await;
+        if reach == Reach::Reached {
+            return false;
+        }
+        while reach != Reach::OnlyItRefuses && Instant::now() < until {
+            if self.is_replaced(target) {
+                return true;
             }
             tokio::time::sleep(interval).await;
             interval = (interval * 2).min(MAX_CHECK_INTERVAL);
+            // Once it is reached again, only its entry tells whether it was started anew meanwhile, until it breaks another response.
+            let known = std::mem::replace(&mut reasons, self.reasons(target));
+            if reach != Reach::Reached || reasons > known {
+                reach = self.reach(target).await;
+            }
+        }
+        reach == Reach::OnlyItRefuses
+    }
+
+    /// Returns how often there was reason to check a target since its check began.
+    fn reasons(&self, target: &TargetEntry) -> usize {
+        let pending = self.pending();
+        let check = pending.get(&IncarnationHash::of(target));
+        check.map_or(0, |check| check.reasons)
+    }
+
+    /// Checks whether a target accepts connections.
+    async fn reach(&self, target: &TargetEntry) -> Reach {
+        match Conn::open(target).await {
+            Ok(conn) => {
+                tokio::time::sleep(SETTLE_TIME).await;
+                // A relay between may accept connections for a target that has ended.
+                if conn.is_closed() {
+                    return Reach::Unclear;
+                }
+                self.pool.put(target.id.clone(), conn, None).await;
+                Reach::Reached
+            }
+            Err(SendError::Refused { .. }) if self.only_target_refuses(target).await => {
+                Reach::OnlyItRefuses
+            }
+            Err(_) => Reach::Unclear,
         }
-        false
     }
 
     /// Returns whether a target that has just refused a connection does so again after another target of its zone has accepted one: a
@@ -190,7 +233,7 @@
         matching.any(|other| IncarnationHash::of(other) != IncarnationHash::of(target))
     }
 
-    fn pending(&self) -> MutexGuard<'_, HashMap<IncarnationHash, Vec<BrokenRequest>>> {
+    fn pending(&self) -> MutexGuard<'_, HashMap<IncarnationHash, PendingCheck>> {
         self.pending.lock().unwrap_or_else(|e| e.into_inner())
     }
 }
