Ask other boxes by a budget of this box while none is known that reaches the pool

Cause: a request was offered to eight boxes over all its attempts, whoever was known; with one in eight or fewer that reaches the targets, the first requests of each box missed it.

Change: eight offers a request are free only while a box is known that reaches the pool. Last resorts are bounded by attempt again, since a search no longer leaves a fixed number of offers.

--- a/crates/sillpin-gateway/src/forward/boxes.rs
+++ b/crates/sillpin-gateway/src/forward/boxes.rs
@@ -8,6 +8,7 @@
 //! there.
 
 use super::head::Unavailable;
+use super::search_budget::SearchBudget;
 use crate::fleet_state::BoxEntry;
 use crate::placement::residency::{Residency, ZoneRegions};
 use derive_more::Display;
@@ -26,6 +27,10 @@
 /// seldom used pool.
 const PROVEN_TIME: Duration = Duration::from_secs(5);
 
+/// Number of boxes that a request is offered to, over all attempts, without taking from the budget, while a box is known
+/// that reaches the pool. One without a path says so within a round trip.
+const FREE_OFFERS: usize = 8;
+
 /// Number of boxes known to reach a pool from which no others are looked for.
 const ENOUGH_PROVEN: usize = 3;
 
@@ -149,7 +154,7 @@
     }
 }
 
-/// How many boxes that may reach most targets a request is offered to.
+/// How many boxes that may reach most targets a request is offered to, within the bound of [`ForwardBoxes::may_offer`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SearchScope {
     /// As many as a request may be.
@@ -166,6 +171,7 @@
     states: Arc<Mutex<HashMap<BoxId, BoxState>>>,
     /// When a search last found no box, by pool.
     failed_searches: Arc<Mutex<HashMap<PoolId, Instant>>>,
+    budget: Arc<Mutex<SearchBudget>>,
 }
 
 impl ForwardBoxes {
@@ -248,6 +254,18 @@
         }
     }
 
+    /// Whether a request that was offered to `offered` boxes may be offered to one more that may reach most targets. Offers
+    /// are taken from a budget of this box, but for a request's first, and for its first few while a box is known that
+    /// reaches the pool.
+    pub fn may_offer(&self, pool: &PoolId, offered: usize, now: Instant) -> bool {
+        let is_free = offered == 0 || (offered < FREE_OFFERS && self.knows_proven(pool, now));
+        is_free || self.lock_budget().take(pool, now)
+    }
+
+    fn lock_budget(&self) -> MutexGuard<'_, SearchBudget> {
+        self.budget.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     fn knows_proven(&self, pool: &PoolId, now: Instant) -> bool {
         let states = self.lock();
         states.values().any(|state| state.is_proven(pool, now))
--- a/crates/sillpin-gateway/src/forward/mod.rs
+++ b/crates/sillpin-gateway/src/forward/mod.rs
@@ -8,8 +8,10 @@
 //!
 //! - [`head`]: headers between the two boxes,
 //! - [`boxes`]: which box to send to,
+//! - [`search_budget`]: how many boxes are asked while none is known that reaches the targets,
 //! - [`capacity`]: how much a box serves for others.
 
 pub mod boxes;
 pub mod capacity;
 pub mod head;
+pub mod search_budget;
--- a/crates/sillpin-gateway/src/front/forward.rs
+++ b/crates/sillpin-gateway/src/front/forward.rs
@@ -27,11 +27,8 @@
 /// cut off.
 const MIN_UNSENT: u32 = 2;
 
-/// Maximum number of boxes that a request is offered to, over all attempts, before the last resorts. One without a path
-/// says so within a round trip.
-const MAX_BOXES: usize = 8;
-
-/// Maximum number of boxes that reach a few targets that a request is offered to, if no box was found that reaches most.
+/// Maximum number of boxes that reach a few targets that a request is offered to in an attempt, if no box was found that
+/// reaches most.
 const MAX_LAST_RESORTS: usize = 3;
 
 /// Maximum number of boxes that cannot be reached: each takes the time limit of a connection.
@@ -106,7 +103,7 @@
         let most = Offers {
             last_resort: false,
             max: match scope {
-                SearchScope::Full => offers_left(progress, MAX_BOXES),
+                SearchScope::Full => usize::MAX,
                 SearchScope::One => 1,
                 SearchScope::Nothing => 0,
             },
@@ -123,7 +120,7 @@
         }
         let few = Offers {
             last_resort: true,
-            max: MAX_LAST_RESORTS.min(offers_left(progress, MAX_BOXES + MAX_LAST_RESORTS)),
+            max: MAX_LAST_RESORTS,
         };
         self.offer(request, pool, progress, few).await
     }
@@ -137,7 +134,10 @@
         offers: Offers,
     ) -> Option<AttemptOutcome> {
         let (mut offered_to, mut unreachable) = (Vec::new(), 0);
-        while offered_to.len() < offers.max && unreachable < MAX_UNREACHABLE {
+        while offered_to.len() < offers.max
+            && unreachable < MAX_UNREACHABLE
+            && self.may_offer_to_box(pool, progress, offers)
+        {
             let view = self.fleet.view();
             let choice = BoxChoice {
                 boxes: &view.boxes,
@@ -200,6 +200,11 @@
         None
     }
 
+    fn may_offer_to_box(&self, pool: &PoolId, progress: &Progress, offers: Offers) -> bool {
+        let offered = progress.boxes.len();
+        offers.last_resort || self.forward_boxes.may_offer(pool, offered, Instant::now())
+    }
+
     /// Sends a request to a box. An error means that the request did not run there, and that the box is to be avoided.
     async fn forward_to(
         &self,
@@ -407,11 +412,6 @@
     max: usize,
 }
 
-/// To how many more boxes a request may be offered, of `max` over all its attempts.
-fn offers_left(progress: &Progress, max: usize) -> usize {
-    max.saturating_sub(progress.boxes.len())
-}
-
 /// What a box states in a request that it sends on.
 #[derive(Debug, Clone, Copy)]
 struct ForwardTerms {
