--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -1,29 +1,29 @@
-//! One attempt to serve a request at a target, and its outcome.
+//! One attempt to serve a request at a target.
 //!
 //! [`AttemptOutcome`] is the only basis for decisions about retries and about the caller's response. A target's
 //! response is validated before it counts: it must echo the request's id, and a success must be signed by the target
 //! and complete.
 
 use super::admit::AdmittedRequest;
+use super::attempt_outcome::{
+    AttemptOutcome, CompleteResponse, Doubt, NO_ANSWER_IN_TIME, OpenStream, StreamSource,
+    WEIGHTS_OUTDATED,
+};
 use super::body_memory::BufferedBody;
-use super::refusal::Refusal;
 use super::shared::Shared;
 use super::stream_body::StreamBody;
 use super::target_wait::{TargetWait, WaitEnd};
 use crate::config::Idempotency;
 use crate::control::TargetEntry;
 use crate::dialect::{AttemptHead, Dialect, OTHER_REQUEST, ResponseHead};
-use crate::forward::boxes::ForwardGuard;
 use crate::placement::InFlightGuard;
 use crate::placement::signals::{SignalChange, SignalObservation, log_change};
 use crate::placement::work::IncarnationHash;
 use crate::pool::{Conn, ConnectionPool, SendError};
-use crate::streams::VersionHash;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
-use sillpin_core::{BoxId, WeightVersion};
+use hyper::{Request, Response, StatusCode, Uri};
 use std::hash::Hash;
 use std::pin::pin;
 use std::sync::Arc;
@@ -40,15 +40,6 @@
 /// Maximum idle time of a connection for all other requests.
 const MAX_IDLE: Duration = Duration::from_secs(30);
 
-/// Why a prompt was cancelled at its engine.
-const WEIGHTS_OUTDATED: &str = "its weights were replaced too long ago for it to begin";
-
-/// Why an attempt ended at a target from which nothing arrives.
-pub(super) const SILENT: &str = "the target is silent or out of reach";
-
-/// Why an attempt ended at a target that did not answer in time.
-pub(super) const NO_ANSWER_IN_TIME: &str = "no answer in time";
-
 /// Statuses by which a target temporarily rejects a request.
 const TEMPORARY_REJECTIONS: [StatusCode; 2] = [
     StatusCode::SERVICE_UNAVAILABLE,
@@ -59,138 +50,6 @@
 /// meanwhile, and the limit for replaced ones is a few seconds.
 const START_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// A complete response.
-#[derive(Debug)]
-pub struct CompleteResponse {
-    /// Status.
-    pub status: StatusCode,
-    /// Headers.
-    pub headers: HeaderMap,
-    /// Body.
-    pub body: BufferedBody,
-}
-
-/// A streaming response whose head has arrived.
-pub struct OpenStream {
-    /// Status of the response.
-    pub status: StatusCode,
-    /// Headers of the response.
-    pub headers: HeaderMap,
-    /// The parsed head.
-    pub head: ResponseHead,
-    /// The stream's events.
-    pub body: StreamBody,
-    /// The connection; it is returned to the pool when the stream is complete.
-    pub conn: Conn,
-    /// Who sends it.
-    pub source: StreamSource,
-    /// When the request was sent there.
-    pub sent: Instant,
-}
-
-/// Who sends a stream to this box.
-pub enum StreamSource {
-    /// A target.
-    Target {
-        /// The target.
-        target: std::sync::Arc<TargetEntry>,
-        /// Counts the request as in flight there.
-        in_flight: Box<InFlightGuard>,
-    },
-    /// Another box, which relays a target's stream.
-    Box {
-        /// The box.
-        id: BoxId,
-        /// Counts the request as in flight there.
-        in_flight: ForwardGuard,
-        /// Version of the target, if the box names it.
-        version: Option<VersionHash>,
-    },
-}
-
-impl StreamSource {
-    /// Version of the target's software; `None` if it is not known.
-    pub fn version(&self) -> Option<VersionHash> {
-        match self {
-            StreamSource::Target { target, .. } => Some(VersionHash::of(target)),
-            StreamSource::Box { version, .. } => *version,
-        }
-    }
-
-    /// Name of the target or box, for logs.
-    pub fn name(&self) -> &str {
-        match self {
-            StreamSource::Target { target, .. } => target.id.as_str(),
-            StreamSource::Box { id, .. } => id.as_str(),
-        }
-    }
-}
-
-/// Outcome of an attempt.
-pub enum AttemptOutcome {
-    /// No byte was sent to the target.
-    Unsent(String),
-    /// The target reported that it did not run the request.
-    NotRun {
-        /// Reason, for logs.
-        reason: String,
-        /// Weights that the target serves, if it reported them.
-        weights: Option<WeightVersion>,
-        /// Whether the request reached another target than intended, or a target with other weights than intended.
-        misdirected: bool,
-    },
-    /// The target ran the request and responded with an error.
-    Failed(CompleteResponse),
-    /// The request may have run.
-    Unknown(String),
-    /// The request may have run, and its deadline has passed.
-    TimedOut(String),
-    /// The request was cancelled because its weights were replaced too long ago. It may have run; this does not count
-    /// as a failure of the target.
-    Cancelled,
-    /// The engine was found silent, or the path to the target lost, before it responded. The request may have run.
-    Silent,
-    /// Another box refused the request, or failed to serve it.
-    Refused(Refusal),
-    /// The request ran, and the response is complete.
-    Completed(CompleteResponse),
-    /// The request runs, and its response is being streamed.
-    Streaming(Box<OpenStream>),
-}
-
-impl AttemptOutcome {
-    /// Name of the outcome in logs and metrics.
-    pub fn name(&self) -> &'static str {
-        match self {
-            AttemptOutcome::Unsent(_) => "unsent",
-            AttemptOutcome::NotRun { .. } => "not-run",
-            AttemptOutcome::Failed(_) => "failed",
-            AttemptOutcome::Unknown(_) => "unknown",
-            AttemptOutcome::TimedOut(_) => "timed-out",
-            AttemptOutcome::Cancelled => "taken-back",
-            AttemptOutcome::Silent => "silent",
-            AttemptOutcome::Refused(_) => "refused",
-            AttemptOutcome::Completed(_) => "answered",
-            AttemptOutcome::Streaming(_) => "streaming",
-        }
-    }
-
-    /// Reason of the outcome, for logs; empty for a success.
-    pub fn reason(&self) -> &str {
-        match self {
-            AttemptOutcome::Unsent(reason)
-            | AttemptOutcome::Unknown(reason)
-            | AttemptOutcome::TimedOut(reason) => reason,
-            AttemptOutcome::NotRun { reason, .. } => reason,
-            AttemptOutcome::Cancelled => WEIGHTS_OUTDATED,
-            AttemptOutcome::Silent => SILENT,
-            AttemptOutcome::Refused(refusal) => &refusal.reason,
-            AttemptOutcome::Failed(_) => "the target's own failure",
-            AttemptOutcome::Completed(_) | AttemptOutcome::Streaming(_) => "",
-        }
-    }
-}
-
 /// How waiting for the head of a response ended.
 enum HeadWait {
     /// The head arrived, or the connection failed.
@@ -203,25 +62,6 @@
     Silent,
 }
 
-/// Why a target that has not answered is doubted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Doubt {
-    /// The engine was found silent, or the path to the target lost.
-    Silent,
-    /// Another target is expected to be faster.
-    Slow,
-}
-
-impl Doubt {
-    /// Outcome of an attempt that ends by this.
-    pub fn outcome(self) -> AttemptOutcome {
-        match self {
-            Doubt::Silent => AttemptOutcome::Silent,
-            Doubt::Slow => AttemptOutcome::TimedOut(NO_ANSWER_IN_TIME.to_owned()),
-        }
-    }
-}
-
 /// What an attempt does once its target is doubted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AfterDoubt {
--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -5,7 +5,8 @@
 //! while time and retry budget last.
 
 use super::admit::AdmittedRequest;
-use super::attempt::{AfterDoubt, Attempt, AttemptOutcome, WaitLimits};
+use super::attempt::{AfterDoubt, Attempt, WaitLimits};
+use super::attempt_outcome::AttemptOutcome;
 use super::prepared::PreparedAttempt;
 use super::progress::{NoAttempt, Progress, end_unserved, may_rerun, may_rerun_after};
 use super::refusal::{Refusal, spread};
--- a/crates/sillpin-gateway/src/front/forward.rs
+++ b/crates/sillpin-gateway/src/front/forward.rs
@@ -1,7 +1,8 @@
 //! Sends requests to other boxes while this box does not reach their targets.
 
 use super::admit::{AdmittedRequest, Forwarded};
-use super::attempt::{AttemptOutcome, CompleteResponse, OpenStream, StreamSource, max_idle};
+use super::attempt::max_idle;
+use super::attempt_outcome::{AttemptOutcome, CompleteResponse, OpenStream, StreamSource};
 use super::progress::Progress;
 use super::refusal::Refusal;
 use super::shared::Shared;
--- a/crates/sillpin-gateway/src/front/handover.rs
+++ b/crates/sillpin-gateway/src/front/handover.rs
@@ -3,7 +3,7 @@
 //! The stream stays open at its target until another one has sent the next event, or the target itself goes on.
 
 use super::admit::AdmittedRequest;
-use super::attempt::{AttemptOutcome, OpenStream};
+use super::attempt_outcome::{AttemptOutcome, OpenStream};
 use super::events::EventSplitter;
 use super::progress::Progress;
 use super::shared::Shared;
--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -13,7 +13,8 @@
 //! - [`stream_engines`]: engines for prompts of different kinds,
 //! - [`stream_version`]: which targets may begin or continue a stream,
 //! - [`overload`]: refusals of prompts that no target can start in time,
-//! - [`attempt`]: one attempt and its outcome,
+//! - [`attempt`]: one attempt,
+//! - [`attempt_outcome`]: its outcome,
 //! - [`target_wait`]: what is watched while a request waits for a target,
 //! - [`search`]: asks other targets while a request waits at one that is doubted,
 //! - [`handover`]: asks other targets to go on with a stream while its own is doubted,
@@ -30,6 +31,7 @@
 
 pub mod admit;
 pub mod attempt;
+pub mod attempt_outcome;
 pub mod body_memory;
 mod connect;
 mod discard;
--- a/crates/sillpin-gateway/src/front/outcome.rs
+++ b/crates/sillpin-gateway/src/front/outcome.rs
@@ -1,7 +1,7 @@
 //! What the outcome of an attempt tells about its target.
 
 use super::admit::{AdmittedRequest, is_fresh};
-use super::attempt::AttemptOutcome;
+use super::attempt_outcome::AttemptOutcome;
 use super::prepared::PreparedAttempt;
 use super::progress::Progress;
 use super::shared::Shared;
--- a/crates/sillpin-gateway/src/front/progress.rs
+++ b/crates/sillpin-gateway/src/front/progress.rs
@@ -1,7 +1,7 @@
 //! State of a request across its attempts, and whether it may run once more.
 
 use super::admit::AdmittedRequest;
-use super::attempt::{AttemptOutcome, CompleteResponse};
+use super::attempt_outcome::{AttemptOutcome, CompleteResponse};
 use super::refusal::Refusal;
 use super::stream_version::Binding;
 use crate::config::Idempotency;
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -6,7 +6,7 @@
 //! response cannot be mistaken for a complete one.
 
 use super::admit::AdmittedRequest;
-use super::attempt::{Doubt, OpenStream, SILENT, StreamSource};
+use super::attempt_outcome::{Doubt, OpenStream, SILENT, StreamSource};
 use super::events::{EventSplitter, count_events};
 use super::handover::Handover;
 use super::incomplete::{EndReason, IncompleteResponse};
--- a/crates/sillpin-gateway/src/front/release.rs
+++ b/crates/sillpin-gateway/src/front/release.rs
@@ -1,7 +1,7 @@
 //! The part of requests in the release of their pool.
 
 use super::admit::AdmittedRequest;
-use super::attempt::AttemptOutcome;
+use super::attempt_outcome::AttemptOutcome;
 use super::prepared::PreparedAttempt;
 use super::progress::Progress;
 use super::shared::Shared;
--- a/crates/sillpin-gateway/src/front/response.rs
+++ b/crates/sillpin-gateway/src/front/response.rs
@@ -1,7 +1,7 @@
 //! Responses of targets that are passed on to callers.
 
 use super::admit::AdmittedRequest;
-use super::attempt::CompleteResponse;
+use super::attempt_outcome::CompleteResponse;
 use super::refusal::Refusal;
 use super::shared::Shared;
 use crate::dialect::Dialect;
--- a/crates/sillpin-gateway/src/front/search.rs
+++ b/crates/sillpin-gateway/src/front/search.rs
@@ -4,7 +4,8 @@
 //! it: the request waits at both, whichever serves it first does, and the other one loses its connection.
 
 use super::admit::AdmittedRequest;
-use super::attempt::{AfterDoubt, AttemptOutcome, Doubt, OpenStream, StreamSource};
+use super::attempt::AfterDoubt;
+use super::attempt_outcome::{AttemptOutcome, Doubt, OpenStream, StreamSource};
 use super::progress::{NoAttempt, Progress, may_rerun, may_rerun_after};
 use super::shared::Shared;
 use super::stream_body::Begun;
