Store when a part that targets crashed under was served

Callers saw: after all boxes were killed, sound prompts refused with 503, "3 targets that ran requests with the part 1 have ended", for five minutes or until the part was served elsewhere.

Cause: sillpin/fatal holds all crashes under a request or part, also those that it is cleared of since, and not when it was served. A box that starts anew counts them again, and does not know that the part was served, which costs one crash more. And an entry was not written again when its part was served after the write.

Now the time of serving is stored, and a box that wrote an entry writes anew within half a second once its part is cleared. A box that finds the store up to date does not write, so that several boxes that learn of it at once cost one write.

Before: both cases of the new test fail (503; the fifth target is not reached). After: both hold, as do the other tests of fatal_parts and restored_store.

--- a/crates/sillpin-gateway/src/fatal/persist.rs
+++ b/crates/sillpin-gateway/src/fatal/persist.rs
@@ -33,6 +33,9 @@
 /// Number of reads by a box that has started.
 const READS: usize = 2;
 
+/// Time between two checks whether persisted requests were served since.
+const CLEARED_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Bounds of the delay after a failed call.
 const MIN_BACKOFF: Duration = Duration::from_millis(250);
 const MAX_BACKOFF: Duration = Duration::from_secs(4);
@@ -44,6 +47,49 @@
     print: Fingerprint,
     /// Targets that crashed under it, and when, in Unix milliseconds.
     ended: Vec<(IncarnationHash, u64)>,
+    /// When it was last served, in Unix milliseconds: it is cleared of the crashes until then.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    served: Option<u64>,
+}
+
+/// Numbers of crashes under a request that the store is known to hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct WrittenCrashes {
+    /// All.
+    all: usize,
+    /// Those since it was last served.
+    counted: usize,
+}
+
+impl KeptRequest {
+    fn new(report: &CrashReport, now: u64) -> Self {
+        let time = |age: u32| now.saturating_sub(u64::from(age));
+        let crashes = report.crashes.iter();
+        Self {
+            print: report.fingerprint,
+            ended: crashes.map(|(target, age)| (*target, time(*age))).collect(),
+            served: report.served.map(time),
+        }
+    }
+
+    fn report(self, now: u64) -> CrashReport {
+        let age = |at: u64| u32::try_from(now.saturating_sub(at)).unwrap_or(u32::MAX);
+        let crashes = self.ended.into_iter();
+        CrashReport {
+            fingerprint: self.print,
+            crashes: crashes.map(|(target, at)| (target, age(at))).collect(),
+            served: self.served.map(age),
+        }
+    }
+}
+
+impl WrittenCrashes {
+    fn of(report: &CrashReport) -> Self {
+        Self {
+            all: report.crashes.len(),
+            counted: report.counted_crashes(),
+        }
+    }
 }
 
 /// Persists and restores the crash history.
@@ -71,8 +117,7 @@
             }
         };
         let persisting = async {
-            // Number of crashes that the store is known to hold, by request.
-            let mut written: HashMap<Fingerprint, usize> = HashMap::new();
+            let mut written: HashMap<Fingerprint, WrittenCrashes> = HashMap::new();
             let mut views = self.fleet.subscribe();
             let mut era = StoreEra::default();
             loop {
@@ -83,6 +128,7 @@
                 }
                 tokio::select! {
                     () = changed => {}
+                    () = tokio::time::sleep(CLEARED_CHECK_INTERVAL), if !written.is_empty() => {}
                     // The backup may be older than the last write.
                     () = era_advanced(&mut views, &mut era) => written.clear(),
                 }
@@ -106,18 +152,22 @@
         }
     }
 
-    /// Returns whether this box observed crashes that the store lacks. Crashes beyond [`FATAL_CRASHES`] need not be written.
-    fn has_unwritten(&self, written: &HashMap<Fingerprint, usize>) -> bool {
+    /// Returns whether this box observed crashes that the store lacks, or the store holds crashes that a request is cleared of since.
+    /// Crashes beyond [`FATAL_CRASHES`] need not be written.
+    fn has_unwritten(&self, written: &HashMap<Fingerprint, WrittenCrashes>) -> bool {
         let reports = self.reports_to_persist();
         let record = self.fatal.record();
+        let is_cleared = |(one, known): (&Fingerprint, &WrittenCrashes)| {
+            record.counted_crashes(*one) < known.counted
+        };
         let lacks = |report: &CrashReport| {
             let count = report.crashes.len().min(FATAL_CRASHES);
             record.is_observed_here(report.fingerprint)
                 && written
                     .get(&report.fingerprint)
-                    .is_none_or(|known| *known < count)
+                    .is_none_or(|known| known.all < count)
         };
-        reports.iter().any(lacks)
+        written.iter().any(is_cleared) || reports.iter().any(lacks)
     }
 
     /// Returns the part of this box's history that is to be persisted.
@@ -126,15 +176,12 @@
         record.to_persist(MIN_CRASHES, MAX_PERSISTED, Instant::now())
     }
 
-    async fn write(&self, written: &mut HashMap<Fingerprint, usize>) {
+    async fn write(&self, written: &mut HashMap<Fingerprint, WrittenCrashes>) {
         let mut backoff = MIN_BACKOFF;
         loop {
             match self.write_once().await {
                 Ok(reports) => {
-                    *written = reports
-                        .iter()
-                        .map(|report| (report.fingerprint, report.crashes.len()))
-                        .collect();
+                    *written = written_crashes(&reports);
                     return;
                 }
                 // Another box has written in between.
@@ -147,20 +194,15 @@
     /// Merges the persisted history into that of this box, and writes the result.
     async fn write_once(&self) -> Result<Vec<CrashReport>, PlatformError> {
         let entry = self.platform.get(FATAL_KEY).await?;
-        if let Some(entry) = &entry {
-            let reports = self.parse(entry);
-            self.fatal.restore(&reports);
-        }
+        let known = entry.as_ref().map(|entry| self.parse(entry));
+        self.fatal.restore(known.as_deref().unwrap_or_default());
         let reports = self.reports_to_persist();
+        // Several boxes may learn that a request was served.
+        if known.is_some_and(|known| written_crashes(&known) == written_crashes(&reports)) {
+            return Ok(reports);
+        }
         let now = unix_ms();
-        let persisted = |report: &CrashReport| KeptRequest {
-            print: report.fingerprint,
-            ended: report
-                .crashes
-                .iter()
-                .map(|(incarnation, age)| (*incarnation, now.saturating_sub(u64::from(*age))))
-                .collect(),
-        };
+        let persisted = |report| KeptRequest::new(report, now);
         let persisted_requests: Vec<KeptRequest> = reports.iter().map(persisted).collect();
         let text = serde_json::to_string(&persisted_requests).unwrap_or_default();
         let expect = entry.map_or(KvRevision::ABSENT, |entry| entry.revision);
@@ -178,17 +220,8 @@
             }
         };
         let now = unix_ms();
-        let age = |at: u64| u32::try_from(now.saturating_sub(at)).unwrap_or(u32::MAX);
-        let report = |persisted: KeptRequest| CrashReport {
-            fingerprint: persisted.print,
-            crashes: persisted
-                .ended
-                .iter()
-                .map(|(incarnation, at)| (*incarnation, age(*at)))
-                .collect(),
-            served: None,
-        };
-        persisted_requests.into_iter().map(report).collect()
+        let persisted_requests = persisted_requests.into_iter();
+        persisted_requests.map(|one| one.report(now)).collect()
     }
 
     async fn back_off(&self, e: &PlatformError, backoff: &mut Duration) {
@@ -198,6 +231,13 @@
     }
 }
 
+/// Returns the numbers of crashes that the store holds once it holds these reports.
+fn written_crashes(reports: &[CrashReport]) -> HashMap<Fingerprint, WrittenCrashes> {
+    let reports = reports.iter();
+    let written = reports.map(|report| (report.fingerprint, WrittenCrashes::of(report)));
+    written.collect()
+}
+
 /// Resolves when the platform store is in a later era than `last`.
 async fn era_advanced(views: &mut watch::Receiver<Arc<View>>, last: &mut StoreEra) {
     loop {
--- a/crates/sillpin-gateway/src/fatal/record.rs
+++ b/crates/sillpin-gateway/src/fatal/record.rs
@@ -356,6 +356,12 @@
         top.into_iter().map(report).collect()
     }
 
+    /// Returns the number of crashes under a request or part since it was last served.
+    pub fn counted_crashes(&self, fingerprint: Fingerprint) -> usize {
+        let suspect = self.history.get(fingerprint);
+        suspect.map_or(0, Suspect::crash_count)
+    }
+
     /// Returns whether this box itself observed the last change of a request.
     pub fn is_observed_here(&self, fingerprint: Fingerprint) -> bool {
         let suspect = self.history.get(fingerprint);
--- a/crates/sillpin-gateway/src/fatal/suspect.rs
+++ b/crates/sillpin-gateway/src/fatal/suspect.rs
@@ -32,6 +32,15 @@
     pub served: Option<u32>,
 }
 
+impl CrashReport {
+    /// Number of crashes since it was last served.
+    pub fn counted_crashes(&self) -> usize {
+        let ages = self.crashes.iter().map(|(_, age)| *age);
+        let is_counted = |age: &u32| self.served.is_none_or(|served| *age < served);
+        ages.filter(is_counted).count()
+    }
+}
+
 /// History of one request or part.
 #[derive(Debug, Clone)]
 pub(super) struct Suspect {
