Store each crash since a part was served until it is refused

What callers would see: a part that was served beside a crash and then turned fatal crashes two or three targets more after all boxes start anew.

The crashes since the part was last served count now, up to the five that may be needed.

--- a/crates/sillpin-gateway/src/fatal/persist.rs
+++ b/crates/sillpin-gateway/src/fatal/persist.rs
@@ -4,7 +4,7 @@
 //! observes the second or third crash under a request writes it to the platform store, all such requests under one key, and a box
 //! reads that key when it starts.
 
-use super::suspect::FATAL_CRASHES;
+use super::verdict::MAX_CRASHES_NEEDED;
 use super::{CrashReport, FatalRequests, Fingerprint};
 use crate::fleet_state::{FleetHandle, View};
 use crate::placement::work::IncarnationHash;
@@ -153,7 +153,7 @@
     }
 
     /// Returns whether this box observed crashes that the store lacks, or the store holds crashes that a request is cleared of since.
-    /// Crashes beyond [`FATAL_CRASHES`] need not be written.
+    /// Crashes beyond [`MAX_CRASHES_NEEDED`] need not be written.
     fn has_unwritten(&self, written: &HashMap<Fingerprint, WrittenCrashes>) -> bool {
         let reports = self.reports_to_persist();
         let record = self.fatal.record();
@@ -161,11 +161,11 @@
             record.counted_crashes(*one) < known.counted
         };
         let lacks = |report: &CrashReport| {
-            let count = report.crashes.len().min(FATAL_CRASHES);
+            let count = report.counted_crashes().min(MAX_CRASHES_NEEDED);
             record.is_observed_here(report.fingerprint)
                 && written
                     .get(&report.fingerprint)
-                    .is_none_or(|known| known.all < count)
+                    .is_none_or(|known| known.counted < count)
         };
         written.iter().any(is_cleared) || reports.iter().any(lacks)
     }
--- a/crates/sillpin-gateway/src/fatal/verdict.rs
+++ b/crates/sillpin-gateway/src/fatal/verdict.rs
@@ -16,6 +16,10 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Largest number of crashes from which a request or part is refused: one more each for a part that was served, and while many requests
+/// break off.
+pub(super) const MAX_CRASHES_NEEDED: usize = FATAL_CRASHES + 2;
+
 /// Number of separate crashes under a part after which a request with it is not sent again after an attempt.
 const SUSPECT_CRASHES: usize = 2;
 
