Explain crashes by a part that was never served before one that was

A tie between different crashes explained neither part, so both were refused, the sound one although it had been served.

Of parts with as many crashes, one that was never served now explains the crashes of one that was.

--- a/crates/sillpin-gateway/src/fatal/verdict.rs
+++ b/crates/sillpin-gateway/src/fatal/verdict.rs
@@ -97,7 +97,7 @@
         };
         let until = suspect.last_crash()? + retention;
         let unexplained = suspect.counted_crashes().filter(|(incarnation, at)| {
-            !self.is_explained(cause, crashes, **incarnation)
+            !self.is_explained(cause, suspect, **incarnation)
                 && !self.is_mass_crash(cause, suspect, **incarnation, **at)
         });
         let needed = match cause.is_part() {
@@ -127,13 +127,26 @@
         self.separate(part, counted) >= SUSPECT_CRASHES
     }
 
-    /// Whether another candidate is a likelier cause of a crash under `cause`, which has `own` crashes. If two requests have the same
-    /// number, each may be sent once more, and the next crash distinguishes them.
-    fn is_explained(&self, cause: Fingerprint, own: usize, incarnation: IncarnationHash) -> bool {
-        let mut under = self.history.under(incarnation);
-        let most = under.find(|(_, other)| *other != cause);
+    /// Whether another candidate is a likelier cause of a crash under `cause`: one with more crashes. Of parts with as many, one that
+    /// was never served is likelier than one that was. If two requests have the same number, each may be sent once more, and the next
+    /// crash distinguishes them.
+    fn is_explained(
+        &self,
+        cause: Fingerprint,
+        suspect: &Suspect,
+        incarnation: IncarnationHash,
+    ) -> bool {
+        let own = suspect.crash_count();
         let is_tie_open = !cause.is_part() && own == FATAL_CRASHES;
-        most.is_some_and(|(most, _)| most > own || (is_tie_open && most == own))
+        let is_likelier_part = |other: Fingerprint| {
+            let is_served = |of: &Suspect| of.served.is_some();
+            let other = self.history.get(other).filter(|_| other.is_part());
+            cause.is_part() && is_served(suspect) && other.is_some_and(|other| !is_served(other))
+        };
+        let under = self.history.under(incarnation);
+        let others = under.filter(|(_, other)| *other != cause);
+        let mut likely = others.take_while(|(count, _)| *count >= own);
+        likely.any(|(count, other)| count > own || is_tie_open || is_likelier_part(other))
     }
 
     /// Returns the candidates that have exactly the crashes of a part.
--- a/crates/sillpin-gateway/tests/fatal_parts.rs
+++ b/crates/sillpin-gateway/tests/fatal_parts.rs
@@ -111,6 +111,20 @@
     assert!(is_refused(&record, &["a"], now));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_part_that_was_served_is_not_refused_for_crashes_of_one_that_never_was() {
+    let mut record = CrashRecord::default();
+    let now = crash(&mut record, 0..1, &["a", "f"]);
+    for number in 100..300 {
+        record.served(request(number, &["a", "b"]), now);
+    }
+    crash(&mut record, 2..5, &["a", "f"]);
+    let now = crash(&mut record, 5..6, &["a"]);
+    let later = now + Duration::from_secs(2);
+    assert!(!is_refused(&record, &["a", "b"], later));
+    assert!(is_refused(&record, &["f", "c"], later));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_part_that_crashed_more_targets_than_are_kept_explains_the_newest_ones() {
     let mut record = CrashRecord::default();
