Search: keep a doubted target while a third one is asked

A search dropped a target that was doubted as soon as the request was allowed to run a third time, before another one served it. With a third target that refuses, the request or stream ended although the second one was sound: a_second_target_is_dropped_before_a_third_one_serves failed in both cases (502 "no time left"; a stream cut after its first event).

A search now makes its attempts as the request itself does, with a search of its own beside each. A search that is dropped keeps its count, so that runs at a third target count when the first one goes on; without this, a_stream_runs_more_often_than_its_route_allows fails (a fourth target is asked). The time for the first event counts from the head, not anew in each search; with a new start in each, a_request_is_at_work_at_three_targets_for_longer_than_400_ms fails (0.50 and 0.51 s).

--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -54,7 +54,7 @@
 enum HeadWait {
     /// The head arrived, or the connection failed.
     Done(Result<Response<Incoming>, SendError>),
-    /// The request timed out, or is better sent to another target.
+    /// The request timed out.
     Abandoned,
     /// The request's weights were replaced too long ago for it to start.
     Expired,
@@ -62,25 +62,16 @@
     Silent,
 }
 
-/// What an attempt does once its target is doubted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AfterDoubt {
-    /// It waits on.
-    Wait,
-    /// It ends.
-    End,
-}
-
 /// Conditions, other than the request's deadline, under which waiting for a response ends.
 pub struct WaitLimits<L, B, A> {
-    /// Called each time the target has sent nothing for the timeout; returns whether to abandon the attempt for
-    /// another target.
-    pub should_abandon: L,
+    /// Called each time the target has sent nothing for the timeout; returns whether another target is expected to be
+    /// faster.
+    pub is_slow: L,
     /// Latest time at which the request may start at the target. Also checked while it waits there: the length of an
     /// engine's queue is not known in advance, and the wait there may exceed a margin of several seconds.
     pub latest_start: B,
     /// Called when the target is doubted.
-    pub after_doubt: A,
+    pub on_doubt: A,
 }
 
 /// Input of one attempt.
@@ -109,7 +100,7 @@
     where
         L: Fn() -> bool,
         B: Fn() -> Option<Instant>,
-        A: FnMut(Doubt) -> AfterDoubt,
+        A: FnMut(Doubt),
     {
         let request = attempt.request;
         let target = attempt.target.clone();
@@ -167,7 +158,7 @@
     where
         L: Fn() -> bool,
         B: Fn() -> Option<Instant>,
-        A: FnMut(Doubt) -> AfterDoubt,
+        A: FnMut(Doubt),
     {
         let mut is_doubted = !may_rerun;
         let mut response = pin!(conn.send(req));
@@ -188,11 +179,10 @@
                     return HeadWait::Done(result);
                 },
                 end = wait.end(is_doubted) => {
-                    let is_over = end == WaitEnd::Lost
-                        || (limits.after_doubt)(Doubt::Silent) == AfterDoubt::End;
-                    if is_over {
+                    if end == WaitEnd::Lost {
                         return HeadWait::Silent;
                     }
+                    (limits.on_doubt)(Doubt::Silent);
                     is_doubted = true;
                 }
             }
@@ -202,9 +192,8 @@
             if idle_deadline >= request.deadline {
                 return HeadWait::Abandoned;
             }
-            let is_slow = (limits.should_abandon)();
-            if is_slow && (limits.after_doubt)(Doubt::Slow) == AfterDoubt::End {
-                return HeadWait::Abandoned;
+            if (limits.is_slow)() {
+                (limits.on_doubt)(Doubt::Slow);
             }
             idle_deadline = self.idle_deadline(request);
         }
--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -5,7 +5,7 @@
 //! while time and retry budget last.
 
 use super::admit::AdmittedRequest;
-use super::attempt::{AfterDoubt, Attempt, WaitLimits};
+use super::attempt::{Attempt, WaitLimits};
 use super::attempt_outcome::AttemptOutcome;
 use super::prepared::PreparedAttempt;
 use super::progress::{NoAttempt, Progress, end_unserved, may_rerun, may_rerun_after};
@@ -187,17 +187,17 @@
         }
     }
 
-    /// Selects a target and makes one attempt, which calls `after_doubt` when the target is doubted. Fails when time, targets
+    /// Selects a target and makes one attempt, which calls `on_doubt` when the target is doubted. Fails when time, targets
     /// or retry budget are used up.
     pub(super) async fn attempt_once<A>(
         &self,
         request: &AdmittedRequest,
         pool: &PoolId,
         progress: &mut Progress,
-        mut after_doubt: A,
+        mut on_doubt: A,
     ) -> Result<AttemptOutcome, NoAttempt>
     where
-        A: FnMut(DoubtedAttempt<'_>) -> AfterDoubt,
+        A: FnMut(DoubtedAttempt<'_>),
     {
         let left = request.time_left();
         if left < MIN_TIME_LEFT {
@@ -253,10 +253,10 @@
         let version = prepared.chosen.version;
         progress.open_runs = 1;
         let limits = WaitLimits {
-            should_abandon: || self.should_abandon(request, pool, progress),
+            is_slow: || self.should_abandon(request, pool, progress),
             latest_start: || self.latest_start(request, pool, version?),
-            after_doubt: |doubt| {
-                after_doubt(DoubtedAttempt {
+            on_doubt: |doubt| {
+                on_doubt(DoubtedAttempt {
                     target: &target,
                     version,
                     sent,
--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -17,6 +17,7 @@
 //! - [`attempt_outcome`]: its outcome,
 //! - [`target_wait`]: what is watched while a request waits for a target,
 //! - [`search`]: asks other targets while a request waits at one that is doubted,
+//! - [`search_progress`]: the state of that,
 //! - [`handover`]: asks other targets to go on with a stream while its own is doubted,
 //! - [`incomplete`]: the record of responses that callers do not get whole,
 //! - [`forward`]: requests that are sent to other boxes,
@@ -53,6 +54,7 @@
 pub mod release;
 pub mod response;
 mod search;
+mod search_progress;
 pub mod selection;
 pub mod shared;
 pub mod stream_body;
--- a/crates/sillpin-gateway/src/front/progress.rs
+++ b/crates/sillpin-gateway/src/front/progress.rs
@@ -3,6 +3,7 @@
 use super::admit::AdmittedRequest;
 use super::attempt_outcome::{AttemptOutcome, CompleteResponse};
 use super::refusal::Refusal;
+use super::search_progress::{DroppedSearch, SearchProgress};
 use super::stream_version::Binding;
 use crate::config::Idempotency;
 use crate::releases::{Assignment, Cohort};
@@ -39,6 +40,8 @@
     pub open_runs: u32,
     /// Runs and arrivals at the start of a search, the attempt that goes on included.
     pub(super) base: Used,
+    /// The search for the attempt that is under way, if it was dropped.
+    pub(super) dropped_search: DroppedSearch,
 }
 
 /// How often a request was run.
@@ -56,7 +59,11 @@
     }
 
     /// Returns the state for attempts at other targets while the current one, which counts as a run, goes on.
-    pub fn for_search(&self) -> Self {
+    pub(super) fn for_search(&self) -> SearchProgress {
+        SearchProgress::new(self.at_search(), self.dropped_search.clone())
+    }
+
+    fn at_search(&self) -> Self {
         let base = Used {
             runs: self.runs + 1,
             arrivals: self.arrivals + 1,
@@ -76,15 +83,20 @@
             assignment: None,
             open_runs: 0,
             base,
+            dropped_search: DroppedSearch::default(),
         }
     }
 
-    /// Counts the runs of an attempt that was dropped while it was under way: it may have run.
+    /// Counts the runs of an attempt that was dropped while it was under way, and of the search beside it: they may have run.
     pub fn drop_open(&mut self) {
         if self.open_runs > 0 {
             self.record_arrival();
             self.runs += std::mem::take(&mut self.open_runs);
         }
+        if let Some(mut search) = self.dropped_search.take() {
+            search.drop_open();
+            self.add_search(*search);
+        }
     }
 
     /// Adds the attempts that were made with [`Progress::for_search`] of this one.
--- a/crates/sillpin-gateway/src/front/search.rs
+++ b/crates/sillpin-gateway/src/front/search.rs
@@ -1,12 +1,13 @@
 //! Asks other targets while a request waits at one that is doubted.
 //!
 //! A target from which nothing arrives may be sound. A request is therefore not taken from it before another one serves
-//! it: the request waits at both, whichever serves it first does, and the other one loses its connection.
+//! it: the request waits at both, whichever serves it first does, and the other one loses its connection. A search treats
+//! its own targets in the same way, if the request may run once more.
 
 use super::admit::AdmittedRequest;
-use super::attempt::AfterDoubt;
 use super::attempt_outcome::{AttemptOutcome, Doubt, OpenStream, StreamSource};
 use super::progress::{NoAttempt, Progress, may_rerun, may_rerun_after};
+use super::search_progress::SearchProgress;
 use super::shared::Shared;
 use super::stream_body::Begun;
 use crate::control::TargetEntry;
@@ -20,7 +21,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout_at};
 
 /// Time for which a request that is no stream waits at two targets, of which the first one is only slow: the other one
 /// refuses within a few round trips, or works on it. A request must not run at two targets for longer than 400 ms.
@@ -50,7 +51,7 @@
     version: Option<WeightVersion>,
     sent: Instant,
     doubt: Doubt,
-    progress: Progress,
+    progress: SearchProgress,
 }
 
 impl From<DoubtedAttempt<'_>> for Doubted {
@@ -85,21 +86,29 @@
 impl<D: Dialect> Shared<D> {
     /// Selects a target and makes one attempt; while the target is doubted, attempts at others as well. Fails when time,
     /// targets or retry budget are used up.
-    pub async fn next_attempt(
+    pub fn next_attempt(
+        &self,
+        request: &AdmittedRequest,
+        pool: &PoolId,
+        progress: &mut Progress,
+    ) -> impl Future<Output = AttemptResult> + Send {
+        // The bound is stated since a search calls this for each attempt.
+        self.attempt_with_search(request, pool, progress)
+    }
+
+    async fn attempt_with_search(
         &self,
         request: &AdmittedRequest,
         pool: &PoolId,
         progress: &mut Progress,
     ) -> AttemptResult {
         if !may_rerun_after(request, progress.runs + 1) {
-            let wait = |_: DoubtedAttempt<'_>| AfterDoubt::Wait;
-            return self.attempt_once(request, pool, progress, wait).await;
+            return self.attempt_once(request, pool, progress, |_| ()).await;
         }
         let (tx, mut rx) = mpsc::unbounded_channel();
         let report = |attempt: DoubtedAttempt<'_>| {
             // Cannot fail: the receiver lives until the attempt ends.
             let _ = tx.send(Doubted::from(attempt));
-            AfterDoubt::Wait
         };
         let mut searched: Option<Doubted> = None;
         let end = {
@@ -114,6 +123,7 @@
                     // It includes the searches before.
                     doubted.progress = before.progress;
                 }
+                doubted.progress.begin();
                 self.log_search(request, &doubted);
                 let end = self.race(request, pool, &mut first, &mut doubted).await;
                 doubted.progress.drop_open();
@@ -125,7 +135,7 @@
         };
         match (end, searched) {
             (RaceEnd::First(end), Some(doubted)) => {
-                progress.add_search(doubted.progress);
+                progress.add_search(doubted.progress.finish());
                 end
             }
             (RaceEnd::First(end), None) => end,
@@ -139,7 +149,7 @@
                 if is_first_dropped {
                     self.record_superseded(request, &doubted, progress);
                 }
-                *progress = doubted.progress;
+                *progress = doubted.progress.finish();
                 Ok(outcome)
             }
             (RaceEnd::Other { outcome, .. }, None) => Ok(outcome),
@@ -198,11 +208,7 @@
         progress: &mut Progress,
     ) -> Result<AttemptOutcome, String> {
         while may_rerun(request, progress) {
-            let after_doubt = match may_rerun_after(request, progress.runs + 1) {
-                true => AfterDoubt::End,
-                false => AfterDoubt::Wait,
-            };
-            let attempt = self.attempt_once(request, pool, progress, |_| after_doubt);
+            let attempt = Box::pin(self.next_attempt(request, pool, progress));
             match attempt.await {
                 Ok(AttemptOutcome::Streaming(stream)) => {
                     if let Some(stream) = self.begin_stream(request, stream).await {
@@ -240,7 +246,8 @@
             self.fatal
                 .sent(request.candidates.clone(), IncarnationHash::of(target))
         });
-        let begun = timeout(BEGIN_TIMEOUT, stream.body.begin()).await;
+        let begin_by = stream.body.opened() + BEGIN_TIMEOUT;
+        let begun = timeout_at(begin_by, stream.body.begin()).await;
         if let Some(waiting) = waiting {
             waiting.end(false);
         }
--- a/crates/sillpin-gateway/src/front/stream_body.rs
+++ b/crates/sillpin-gateway/src/front/stream_body.rs
@@ -4,6 +4,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
 /// Data of a stream, its end, or the error by which it broke off.
 pub type StreamPart = Option<Result<Bytes, hyper::Error>>;
@@ -27,6 +28,7 @@
     /// What followed that: the end, or an error.
     end: Option<StreamPart>,
     rest: Incoming,
+    opened: Instant,
 }
 
 impl StreamBody {
@@ -36,9 +38,15 @@
             ahead: BytesMut::new(),
             end: None,
             rest,
+            opened: Instant::now(),
         }
     }
 
+    /// When the head of the stream arrived.
+    pub fn opened(&self) -> Instant {
+        self.opened
+    }
+
     /// Returns the next data; `None` at the end. Loses nothing if it is dropped while it waits.
     pub async fn next(&mut self) -> StreamPart {
         if !self.ahead.is_empty() {
