HTTP: a body whose sender is dropped unfinished ends as incomplete

Dropping a BodySender ended the body as complete, unless its task panicked: a task that ends early, by a cancelled future or an early return, made a cut response look whole. Only BodySender::finish ends a body as complete now; the writers that relied on the drop call it.

--- a/crates/sillpin-entry/src/runs/call.rs
+++ b/crates/sillpin-entry/src/runs/call.rs
@@ -118,7 +118,7 @@
             Delivery::Token(text) => writer.token_event(&text),
             Delivery::End(summary, provenance) => {
                 let _ = tx.send(writer.end_events(summary, provenance)).await;
-                return;
+                return tx.finish();
             }
             Delivery::Failed(failure) => {
                 let problem = failure.problem(writer.request);
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -131,7 +131,7 @@
                     event!(self.log, events::STREAM_COMPLETE, "request" => id,
                         "target" => &target, "head_ms" => waited,
                         "whole_ms" => request.arrival.elapsed().as_millis());
-                    return;
+                    return tx.finish();
                 }
                 RelayEnd::CallerDisconnected => {
                     self.record_abandoned(&request, entry.as_ref());
--- a/crates/sillpin-http/src/body.rs
+++ b/crates/sillpin-http/src/body.rs
@@ -40,32 +40,34 @@
         Self::Full(Full::new(bytes.into()))
     }
 
-    /// Returns a streamed body and its sender. Dropping the sender ends the body normally, unless its task panics;
-    /// [`BodySender::abort`] ends it with an error for the reader.
+    /// Returns a streamed body and its sender. Only [`BodySender::finish`] ends the body as complete. If the sender is dropped
+    /// without it, as in a panic or at an early return, or by [`BodySender::abort`], the reader gets an error.
     pub fn channel() -> (BodySender, Self) {
         let (tx, rx) = mpsc::channel(CHANNEL_FRAMES);
-        let panicked = Arc::<AtomicBool>::default();
+        let is_finished = Arc::<AtomicBool>::default();
         let sender = BodySender {
             tx,
-            panicked: panicked.clone(),
+            is_finished: is_finished.clone(),
         };
-        (sender, Self::Channel(ChannelBody { rx, panicked }))
+        (sender, Self::Channel(ChannelBody { rx, is_finished }))
     }
 }
 
 /// Body that another task writes.
 pub struct ChannelBody {
     rx: mpsc::Receiver<io::Result<Bytes>>,
-    /// Set before the channel closes if the writer panicked.
-    panicked: Arc<AtomicBool>,
+    /// Set before the channel closes if the body is complete, or once the reader has got an error.
+    is_finished: Arc<AtomicBool>,
 }
 
 impl ChannelBody {
     fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
         let chunk = ready!(self.rx.poll_recv(cx));
-        let is_cut = chunk.is_none() && self.panicked.swap(false, Ordering::Relaxed);
+        let is_cut = chunk.is_none() && !self.is_finished.swap(true, Ordering::Relaxed);
         Poll::Ready(match is_cut {
-            true => Some(Err(io::Error::other("the writer of the body panicked"))),
+            true => Some(Err(io::Error::other(
+                "the writer of the body ended before the body",
+            ))),
             false => chunk,
         })
     }
@@ -116,15 +118,7 @@
 /// Sender of a streamed body.
 pub struct BodySender {
     tx: mpsc::Sender<io::Result<Bytes>>,
-    panicked: Arc<AtomicBool>,
-}
-
-impl Drop for BodySender {
-    fn drop(&mut self) {
-        if std::thread::panicking() {
-            self.panicked.store(true, Ordering::Relaxed);
-        }
-    }
+    is_finished: Arc<AtomicBool>,
 }
 
 /// Error for a write to a body whose reader was dropped.
@@ -144,6 +138,11 @@
         self.tx.closed().await;
     }
 
+    /// Ends the body as complete.
+    pub fn finish(self) {
+        self.is_finished.store(true, Ordering::Relaxed);
+    }
+
     /// Ends the body with an error, so that the reader does not treat it as complete.
     pub async fn abort(self, why: &'static str) {
         let _ = self.tx.send(Err(io::Error::other(why))).await;
--- a/crates/sillpin-standin/src/engine/stream.rs
+++ b/crates/sillpin-standin/src/engine/stream.rs
@@ -62,7 +62,7 @@
             let changed = tokio::select! {
                 () = tx.closed() => return,
                 changed = progress.changed(), if now.ended.is_none() => changed.is_ok(),
-                () = std::future::ready(()), if now.ended.is_some() => return,
+                () = std::future::ready(()), if now.ended.is_some() => return tx.finish(),
             };
             if !changed {
                 return tx.abort("run was cancelled").await;
