Streams under way when a stop's grace is over end with a line of their own

Their connections ended with the process and the log held E302 alone. They end now when the box gives up waiting: E384 with the reason "box stopped", counted by sillpin_incomplete_responses, and the caller's connection ends within the response. The target is left at once.

--- a/crates/sillpin-gateway/src/front/handler.rs
+++ b/crates/sillpin-gateway/src/front/handler.rs
@@ -18,29 +18,25 @@
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use tokio::time::Instant;
-use tokio_util::sync::CancellationToken;
 
 /// Responds to callers and to the balancer.
 pub struct Front<D> {
     shared: Arc<Shared<D>>,
-    /// Cancelled when the box stops without waiting for requests any longer.
-    aborting: CancellationToken,
 }
 
 impl<D> Clone for Front<D> {
     fn clone(&self) -> Self {
         Self {
             shared: self.shared.clone(),
-            aborting: self.aborting.clone(),
         }
     }
 }
 
 impl<D: Dialect> Front<D> {
-    /// Creates the handlers over the shared state. Requests that have no response yet when `aborting` is cancelled are
-    /// refused.
-    pub fn new(shared: Arc<Shared<D>>, aborting: CancellationToken) -> Self {
-        Self { shared, aborting }
+    /// Creates the handlers over the shared state. Requests that have no response yet when the box stops without waiting
+    /// for them any longer are refused.
+    pub fn new(shared: Arc<Shared<D>>) -> Self {
+        Self { shared }
     }
 
     /// Handles a caller's request.
@@ -136,7 +132,7 @@
             shared.dispatch(request).await
         };
         let serving = async {
-            let served = self.aborting.run_until_cancelled(serving).await;
+            let served = shared.aborting.run_until_cancelled(serving).await;
             served.unwrap_or_else(|| Err(Refusal::unknown("the box stops")))
         };
         // A panic would close the caller's connection without a response.
--- a/crates/sillpin-gateway/src/front/incomplete.rs
+++ b/crates/sillpin-gateway/src/front/incomplete.rs
@@ -19,6 +19,9 @@
     /// The request reached its deadline.
     #[display("deadline")]
     Deadline,
+    /// The box stopped, and its grace period was over.
+    #[display("box stopped")]
+    BoxStopped,
 }
 
 /// A response that ends before it is complete.
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -34,6 +34,9 @@
 /// Why a stream goes on elsewhere while its target is slow.
 const NO_EVENT_IN_TIME: &str = "the target sent no event in time";
 
+/// Why a stream ends that is under way when the grace period of a stop is over.
+const BOX_STOPS: &str = "the box stops and its grace period is over";
+
 /// How relaying from one target ended.
 enum RelayEnd {
     /// The stream is complete.
@@ -42,6 +45,8 @@
     CallerDisconnected,
     /// The request reached its deadline.
     DeadlineReached,
+    /// The box stops and its grace period is over.
+    BoxStops,
     /// The target broke the stream off or stopped sending.
     Broken(String),
     /// The engine has been silent for longer than a sound one.
@@ -65,7 +70,7 @@
             RelayEnd::Broken(_) | RelayEnd::Silent | RelayEnd::Moved { .. } => {
                 Some(VersionResponse::Broken)
             }
-            RelayEnd::CallerDisconnected => None,
+            RelayEnd::CallerDisconnected | RelayEnd::BoxStops => None,
         }
     }
 }
@@ -115,9 +120,10 @@
             let target = stream.source.name().to_owned();
             let (id, waited) = (&request.head.id, request.arrival.elapsed().as_millis());
             let (sent, version) = (stream.sent, stream.source.version());
-            let end = self
-                .relay_source(&request, &pool, &mut progress, stream, &mut events, &tx)
-                .await;
+            let relaying =
+                self.relay_source(&request, &pool, &mut progress, stream, &mut events, &tx);
+            let end = self.aborting.run_until_cancelled(relaying).await;
+            let end = end.unwrap_or(RelayEnd::BoxStops);
             bind(&mut progress, &events, version);
             let assignment = progress.assignment.take();
             if let (Some(response), Some(entry)) = (end.response(sent), &entry) {
@@ -146,6 +152,11 @@
                     let why = "the request's time is over".to_owned();
                     (EndReason::Deadline, why)
                 }
+                RelayEnd::BoxStops => {
+                    progress.drop_open();
+                    self.record_abandoned(&request, entry.as_ref());
+                    (EndReason::BoxStopped, BOX_STOPS.to_owned())
+                }
                 RelayEnd::Moved { next, end } => {
                     let why = self.record_broken(&request, entry.as_ref(), *end);
                     self.log_broken(&request, &target, &why);
@@ -234,6 +245,7 @@
         let resumed = tokio::select! {
             resumed = self.resume_elsewhere(request, pool, progress) => resumed,
             () = tx.closed() => Err("the caller is gone".to_owned()),
+            () = self.aborting.cancelled() => Err(BOX_STOPS.to_owned()),
         };
         let after = progress.resume_after.as_deref().unwrap_or("start");
         match resumed {
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -79,6 +79,8 @@
     pub log: Logger,
     /// Cancelled when the box is requested to stop.
     pub stopping: CancellationToken,
+    /// Cancelled when the box stops without waiting for requests any longer.
+    pub aborting: CancellationToken,
     /// Time at which the box started.
     pub started: Instant,
 }
@@ -165,6 +167,7 @@
             metrics,
             log,
             stopping,
+            aborting: CancellationToken::new(),
             started: Instant::now(),
             cfg,
             settings,
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -214,8 +214,8 @@
     let end = CancellationToken::new();
     let shared_log = shared.log.clone();
     let shared_metrics = shared.metrics.clone();
-    let aborting = CancellationToken::new();
-    let front = Front::new(shared, aborting.clone());
+    let aborting = shared.aborting.clone();
+    let front = Front::new(shared);
     let ready = front.clone();
     let answer_ready = move |req| ready.clone().ready(req);
     tokio::spawn(Server::on(listeners.ready).run(end.clone(), answer_ready));
