Say at once that a box has no path, also while it is busy

Part of the cause: a box checked whether its tasks run late before it looked for a path, so that a busy box without a path said "busy". It was asked again after 0.15 s instead of 0.8 s, and "busy" told nothing of its paths. Change: the header between boxes names the pool, and a box without a path to it says so before anything else. An older build ignores the name; a request without it is served as before.

--- a/crates/sillpin-gateway/src/forward/head.rs
+++ b/crates/sillpin-gateway/src/forward/head.rs
@@ -7,7 +7,7 @@
 use hyper::header::{HeaderName, HeaderValue};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use sillpin_core::{BoxId, Outcome};
+use sillpin_core::{BoxId, Outcome, PoolId};
 use std::time::Duration;
 
 /// Header of a forwarded request, with a [`ForwardHead`] as JSON.
@@ -40,6 +40,9 @@
     /// Whether no box was found that reaches most targets, so that one that reaches a few is to serve it.
     #[serde(default)]
     pub last_resort: bool,
+    /// Pool that the request is for, so that a box without a path to it says so at once.
+    #[serde(default)]
+    pub pool: Option<PoolId>,
 }
 
 /// Why a box does not serve a forwarded request that another box may serve.
@@ -48,7 +51,7 @@
     /// It does not reach the targets either.
     #[display("no path to the targets")]
     NoPath,
-    /// It serves as many requests of other boxes as it can.
+    /// It has a path to the targets, and serves as many requests of other boxes as it can.
     #[display("busy")]
     Busy,
     /// It is stopping, or has no configuration yet.
--- a/crates/sillpin-gateway/src/front/forward.rs
+++ b/crates/sillpin-gateway/src/front/forward.rs
@@ -59,11 +59,17 @@
             && (progress.unsent >= MIN_UNSENT || self.loads.reach().is_cut_off(pool))
     }
 
-    /// Accepts a request of another box, if this box can serve it besides its own callers' requests.
+    /// Accepts a request of another box, if this box can serve it besides its own callers' requests. The path is checked
+    /// first: a busy box without one would be asked again soon, in vain.
     pub async fn accept_forwarded(&self, head: ForwardHead) -> Result<Forwarded, Refusal> {
         if !self.is_ready() {
             return Err(Refusal::unavailable(Unavailable::NotReady));
         }
+        if let Some(pool) = &head.pool
+            && !self.has_path_for(&head, pool)
+        {
+            return Err(self.refuse_without_path(pool));
+        }
         match self.forward_capacity.reserve().await {
             Some(permit) => Ok(Forwarded { head, permit }),
             None => Err(Refusal::unavailable(Unavailable::Busy)),
@@ -222,7 +228,7 @@
         let conns = &self.box_connections;
         let conn = conns.get_within(entry, max_idle(request), limit).await;
         let mut conn = conn.map_err(|_| Avoidance::Unreachable)?;
-        let req = self.forwarded_request(request, progress, terms);
+        let req = self.forwarded_request(request, pool, progress, terms);
         let req = req.map_err(|_| Avoidance::Unreachable)?;
         let in_flight = self.forward_boxes.start(&entry.id);
         let sent = Instant::now();
@@ -252,6 +258,7 @@
     fn forwarded_request(
         &self,
         request: &AdmittedRequest,
+        pool: &PoolId,
         progress: &Progress,
         terms: ForwardTerms,
     ) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
@@ -276,6 +283,7 @@
                 Binding::Any | Binding::Unknown => None,
             },
             last_resort: terms.last_resort,
+            pool: Some(pool.clone()),
         };
         head.set(&mut headers);
         *req.headers_mut() = headers;
--- a/crates/sillpin-gateway/tests/forward.rs
+++ b/crates/sillpin-gateway/tests/forward.rs
@@ -223,6 +223,7 @@
         counted: true,
         version: None,
         last_resort: true,
+        pool: Some(name("llm")),
     };
     let mut headers = HeaderMap::new();
     head.set(&mut headers);
