Wait for busy boxes with paths instead of asking boxes without

Cause, from the events of a failing run: the searches of 32 boxes at the start of the cut (some 500 offers a second) made the one whole box's tasks run more than 40 ms late, so that it said "busy". Each request asks a box once only. It went on to all others, none of which has a path, by eight free offers (one box is known that reaches the pool) and by the budget: 600 to 1,150 offers a second for 130 requests, which took the processor that the boxes of the test share. The whole box stayed busy and sent 4 to 108 requests a second to targets (130 in runs that hold). The storm fed itself until the budgets were used up. While all boxes known to reach a pool are busy, requests wait for them, up to four times 0.15 to 0.2 s, and are then refused as not run; a quarter of the requests still ask another box first. Own few targets and last resorts are used as before.

--- a/crates/sillpin-gateway/src/forward/boxes.rs
+++ b/crates/sillpin-gateway/src/forward/boxes.rs
@@ -3,9 +3,10 @@
 //! What other boxes reach is learned from their answers. One that served a request of a pool comes first for the next
 //! ones; one that has no path to the targets, or no room, is avoided for a while, as is one that cannot be reached. A box
 //! without a path names boxes that served its own requests, and itself if it reaches a few targets: such boxes are the
-//! last resort, for requests for which no box was found that reaches most. Boxes of the own zone are preferred unless one of them is
-//! known to have no path: zones are often cut off as a whole. Boxes of other regions are used only if the request may go
-//! there.
+//! last resort, for requests for which no box was found that reaches most. A busy box has a path: while the known ones are
+//! busy, requests wait for them, since boxes without a path would be asked in vain. Boxes of the own zone are preferred
+//! unless one of them is known to have no path: zones are often cut off as a whole. Boxes of other regions are used only
+//! if the request may go there.
 
 use super::head::Unavailable;
 use super::search_budget::SearchBudget;
@@ -85,6 +86,8 @@
     /// Requests in flight there from this box.
     in_flight: u32,
     avoided_until: Option<Instant>,
+    /// Until when it is taken to be busy.
+    busy_until: Option<Instant>,
     /// Until when it is taken to be out of reach.
     unreachable_until: Option<Instant>,
     paths: HashMap<PoolId, PathState>,
@@ -101,6 +104,11 @@
         self.avoided_until.is_some_and(|until| now < until)
     }
 
+    /// Whether it is avoided for no other reason than that it is busy.
+    fn is_only_busy(&self, now: Instant) -> bool {
+        self.is_avoided(now) && self.avoided_until == self.busy_until
+    }
+
     fn is_available(&self, pool: &PoolId, now: Instant) -> bool {
         !self.is_avoided(now) && !self.lacks_path(pool, now)
     }
@@ -179,8 +187,8 @@
         self.states.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Chooses a box, among those known to reach the pool if there are any. Of two random ones of the own zone and two of
-    /// others, the one with the fewest requests in flight.
+    /// Chooses a box, among those known to reach the pool if there are any; `None` while these are busy, but for a share of
+    /// the requests. Of two random ones of the own zone and two of others, the one with the fewest requests in flight.
     pub fn choose(&self, choice: &BoxChoice<'_>, rng: &mut impl Rng) -> Option<BoxEntry> {
         let states = self.lock();
         let partitioned = partitioned_zones(choice, &states);
@@ -201,8 +209,10 @@
         let explores = proven.len() < ENOUGH_PROVEN
             && choice.tried.is_empty()
             && rng.random_bool(EXPLORED_SHARE);
+        let waits = proven.is_empty() && busy_until(choice, &states).is_some();
         let chosen = match proven.is_empty() || (explores && !unknown.is_empty()) {
             false => pick(&proven, choice, &states, true, rng),
+            true if waits && !explores => None,
             true => {
                 let prefers_own_zone = !is_path_lacked_in_zone(choice, &states);
                 pick(&unknown, choice, &states, prefers_own_zone, rng)
@@ -211,6 +221,11 @@
         chosen.cloned()
     }
 
+    /// Returns when the first of the boxes that are known to reach the pool, and are busy, may take requests again.
+    pub fn busy_until(&self, choice: &BoxChoice<'_>) -> Option<Instant> {
+        busy_until(choice, &self.lock())
+    }
+
     /// Chooses a box that reaches a few targets of the pool, the one of two random ones of the own zone and two of others
     /// with the fewest requests in flight.
     pub fn choose_last_resort(
@@ -352,6 +367,9 @@
         };
         let until = Some(now + time);
         state.avoided_until = state.avoided_until.max(until);
+        if why == Avoidance::Unavailable(Unavailable::Busy) {
+            state.busy_until = until;
+        }
         if why == Avoidance::Unreachable {
             state.unreachable_until = until;
         }
@@ -388,6 +406,16 @@
     many.map(|(zone, _)| zone).collect()
 }
 
+/// Returns when the first of the boxes that are known to reach the pool, and are only busy, may take requests again.
+fn busy_until(choice: &BoxChoice<'_>, states: &HashMap<BoxId, BoxState>) -> Option<Instant> {
+    let allowed = choice.boxes.iter().filter(|entry| choice.allows(entry));
+    let allowed = allowed.filter_map(|entry| states.get(&entry.id));
+    let busy = allowed.filter(|state| state.is_proven(choice.pool, choice.now));
+    let until =
+        busy.filter_map(|state| state.busy_until.filter(|_| state.is_only_busy(choice.now)));
+    until.min()
+}
+
 /// Whether a box of the own zone is known to have no path to the pool's targets.
 fn is_path_lacked_in_zone(choice: &BoxChoice<'_>, states: &HashMap<BoxId, BoxState>) -> bool {
     let own_zone = choice
--- a/crates/sillpin-gateway/src/front/forward.rs
+++ b/crates/sillpin-gateway/src/front/forward.rs
@@ -20,6 +20,7 @@
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode, Uri};
+use rand::RngExt;
 use sillpin_core::{BoxId, PoolId};
 use sillpin_telemetry::{event, events};
 use std::time::Duration;
@@ -41,6 +42,16 @@
 const CONNECT_SHARE: u32 = 4;
 const MAX_CONNECT_TIME: Duration = Duration::from_millis(150);
 
+/// Number of times that a request waits for a busy box that reaches the targets. A box that stays busy for longer has no
+/// processor time for it, and the caller does better to retry elsewhere.
+const MAX_BUSY_WAITS: usize = 4;
+
+/// A request waits this much longer than a box is taken to be busy at most, so that not all are offered to it at once.
+const BUSY_SPREAD: Duration = Duration::from_millis(50);
+
+/// Refusal while the boxes that reach the targets are busy.
+const ALL_BUSY: &str = "the boxes that reach the targets are busy";
+
 /// Deducted from the time that another box is given, so that its response arrives in time.
 const RETURN_MARGIN: Duration = Duration::from_millis(10);
 
@@ -116,9 +127,11 @@
                 SearchScope::Nothing => 0,
             },
         };
-        if let Some(outcome) = self.offer(request, pool, progress, most).await {
-            return Some(outcome);
-        }
+        let all_busy = match self.offer(request, pool, progress, most).await {
+            Offered::Ended(outcome) => return Some(outcome),
+            Offered::AllBusy => true,
+            Offered::NotTaken => false,
+        };
         if scope == SearchScope::Full {
             let now = Instant::now();
             self.forward_boxes.record_failed_search(pool, now);
@@ -130,19 +143,27 @@
             last_resort: true,
             max: MAX_LAST_RESORTS,
         };
-        self.offer(request, pool, progress, few).await
+        match self.offer(request, pool, progress, few).await {
+            Offered::Ended(outcome) => Some(outcome),
+            _ if all_busy => Some(AttemptOutcome::Refused(Refusal::not_run(ALL_BUSY))),
+            Offered::AllBusy | Offered::NotTaken => None,
+        }
     }
 
-    /// Offers a request to boxes in turn until one takes it.
+    /// Offers a request to boxes in turn until one takes it. One that is busy is offered the request again later.
     async fn offer(
         &self,
         request: &AdmittedRequest,
         pool: &PoolId,
         progress: &mut Progress,
         offers: Offers,
-    ) -> Option<AttemptOutcome> {
-        let (mut offered_to, mut unreachable) = (Vec::new(), 0);
-        while offered_to.len() < offers.max
+    ) -> Offered {
+        let mut tried = match offers.last_resort {
+            true => Vec::new(),
+            false => progress.boxes.clone(),
+        };
+        let (mut offered_to, mut unreachable, mut waits) = (0, 0, 0);
+        while offered_to < offers.max
             && unreachable < MAX_UNREACHABLE
             && self.may_offer_to_box(pool, progress, offers)
         {
@@ -152,10 +173,7 @@
                 zone: &self.cfg.zone,
                 pool,
                 residency: self.residency(request),
-                tried: match offers.last_resort {
-                    true => &offered_to,
-                    false => &progress.boxes,
-                },
+                tried: &tried,
                 now: Instant::now(),
             };
             let entry = match offers.last_resort {
@@ -163,8 +181,23 @@
                     .forward_boxes
                     .choose_last_resort(&choice, &mut rand::rng()),
                 false => self.forward_boxes.choose(&choice, &mut rand::rng()),
-            }?;
-            offered_to.push(entry.id.clone());
+            };
+            let Some(entry) = entry else {
+                let until = match offers.last_resort {
+                    true => None,
+                    false => self.forward_boxes.busy_until(&choice),
+                };
+                let Some(until) = until else {
+                    return Offered::NotTaken;
+                };
+                if waits == MAX_BUSY_WAITS || !wait_while_busy(request, until).await {
+                    return Offered::AllBusy;
+                }
+                waits += 1;
+                continue;
+            };
+            offered_to += 1;
+            tried.push(entry.id.clone());
             progress.boxes.push(entry.id.clone());
             event!(self.log, events::REQUEST_FORWARDED, "request" => &request.head.id,
                 "peer" => entry.id.as_str(), "offer" => progress.boxes.len(),
@@ -191,6 +224,10 @@
             if let Some(why) = avoidance {
                 let now = Instant::now();
                 self.forward_boxes.avoid(&entry.id, pool, why, now);
+                if why == Avoidance::Unavailable(Unavailable::Busy) && !offers.last_resort {
+                    self.forward_boxes.record_named(&entry.id, pool, now);
+                    tried.pop();
+                }
                 event!(self.log, events::FORWARD_NOT_TAKEN, "request" => &request.head.id,
                     "peer" => entry.id.as_str(), "peer_zone" => entry.zone.as_str(),
                     "why" => why.to_string(), "elapsed_ms" => offered.elapsed().as_millis());
@@ -205,9 +242,9 @@
                     "elapsed_ms" => request.arrival.elapsed().as_millis(), "bytes" => 0);
             }
             progress.record_forwarded(&outcome, terms.max_runs);
-            return Some(outcome);
+            return Offered::Ended(outcome);
         }
-        None
+        Offered::NotTaken
     }
 
     fn may_offer_to_box(&self, pool: &PoolId, progress: &Progress, offers: Offers) -> bool {
@@ -416,6 +453,26 @@
     }
 }
 
+/// Waits until a box that is busy may take requests again; returns whether there is time left for the request.
+async fn wait_while_busy(request: &AdmittedRequest, until: Instant) -> bool {
+    let until = until + BUSY_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
+    let in_time = until + RETURN_MARGIN < request.deadline;
+    if in_time {
+        tokio::time::sleep_until(until).await;
+    }
+    in_time
+}
+
+/// What became of a request that was offered to other boxes.
+enum Offered {
+    /// One took it, or may have.
+    Ended(AttemptOutcome),
+    /// Those that reach the targets are busy.
+    AllBusy,
+    /// None took it.
+    NotTaken,
+}
+
 /// To how many boxes a request is offered, and to which.
 #[derive(Debug, Clone, Copy)]
 struct Offers {
--- a/crates/sillpin-gateway/tests/forward.rs
+++ b/crates/sillpin-gateway/tests/forward.rs
@@ -293,6 +293,26 @@
     }
 }
 
+/// Guards against asking all boxes of a fleet in vain while the one that reaches the targets is busy.
+#[tokio::test(start_paused = true)]
+async fn boxes_that_may_lack_a_path_are_asked_seldom_while_the_known_one_is_busy() {
+    let ids: Vec<String> = (0..20).map(|index| format!("b-{index:02}")).collect();
+    let others: Vec<(&str, &str)> = ids.iter().map(|id| (id.as_str(), "za")).collect();
+    let mut chooser = Chooser::new(&others);
+    let pool: PoolId = name("llm");
+    chooser
+        .state
+        .record_served(&name("b-03"), &pool, Instant::now());
+    chooser.avoid("b-03", "llm", Avoidance::Unavailable(Unavailable::Busy));
+    for _ in 0..100 {
+        assert_eq!(chooser.choose("llm", &[name("b-07")]), None);
+    }
+    let asked = (0..100).filter(|_| chooser.choose("llm", &[]).is_some());
+    assert!((1..=40).contains(&asked.count()));
+    tokio::time::advance(Duration::from_millis(150)).await;
+    assert_eq!(chooser.choose("llm", &[name("b-07")]), Some(name("b-03")));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_box_names_only_boxes_that_served_its_own_requests_recently() {
     let mut chooser = Chooser::new(&[("a", "za"), ("b", "za"), ("c", "za")]);
