--- a/review/1/case.py
+++ b/review/1/case.py
@@ -66,6 +66,7 @@
     time.sleep(CONFIG_APPLY_S + 1.0)
     first, added = served(world, "/first/a"), served(world, "/added/a")
     world.record.note("counted", sent_on_each=REQUESTS, first=first, added=added)
+    world.record.note("boxes say", ready=[box.is_ready() for box in world.boxes])
     broken = []
     if added < first / 4:
         broken.append(f"CONFIG: {added} of {REQUESTS} requests on the added route are served, {first} of {REQUESTS} on the "
