Bound what a peer can make the reader of its connection do

Callers saw: one target of three that sends interim responses, or zeros or blanks around the size of a chunk, without end leaves requests at sound targets without a response. A readiness check had none for seconds. The same bytes in a request, also without a key, kept the box's core.

Cause: the parser of HTTP/1.1 goes on for as long as bytes arrive. Of its states, these skip bytes without a maximum: 1xx responses before a head, digits of a chunk size that are zero, blanks behind a size; chunks of one or two bytes cost far more time than data. A box has one thread, so that no timer fires meanwhile.

Change: each connection is read through `BoundedReads`: the reader yields after 8 KiB, and the connection fails once more than 32 KiB arrive before a head, or 12 KiB of framing besides three times the data of a body. All readers of HTTP have it: targets, forwarded requests, the platform's store, cache stores, callers, the readiness check. Connections of HTTP/2 only yield, since each frame has a limit there.

--- a/crates/sillpin-entry/src/front/body.rs
+++ b/crates/sillpin-entry/src/front/body.rs
@@ -4,7 +4,8 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Body as _;
+use sillpin_http::IncomingBody;
 use sillpin_http::{ReadError, read_limited};
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 const DISCARD_TIME: Duration = Duration::from_secs(5);
 
 /// Reads a complete body of at most `limit` bytes that arrives within `time`.
-pub async fn read(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, Failure> {
+pub async fn read(body: IncomingBody, limit: usize, time: Duration) -> Result<Bytes, Failure> {
     let too_long = || Failure::too_long(format!("the body is longer than {limit} bytes"));
     if body.size_hint().lower() > limit as u64 {
         tokio::spawn(discard(body));
@@ -38,7 +39,7 @@
 
 /// Reads and discards the rest of a body, within limits, so that a caller that is still sending
 /// receives its response instead of a connection reset.
-async fn discard(mut body: Incoming) {
+async fn discard(mut body: IncomingBody) {
     let mut left = DISCARD_LEN;
     let work = async {
         while let Some(Ok(frame)) = body.frame().await {
--- a/crates/sillpin-entry/src/front/route.rs
+++ b/crates/sillpin-entry/src/front/route.rs
@@ -4,12 +4,12 @@
 use super::{Failure, auth, body, headers};
 use crate::app::App;
 use crate::{runs, services};
-use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
 use opentelemetry::KeyValue;
 use opentelemetry::trace::{Span, SpanKind};
 use sillpin_core::{OrgId, RequestId};
+use sillpin_http::IncomingBody;
 use sillpin_http::{Body, empty_response};
 use sillpin_targets::Engine;
 use sillpin_telemetry::traces::{self, ActiveSpan, TRACEPARENT};
@@ -19,7 +19,7 @@
 const SERVICES: &str = "/services/";
 
 /// Handles one request of a caller.
-pub async fn handle<E: Engine>(app: App<E>, req: Request<Incoming>) -> Response<Body> {
+pub async fn handle<E: Engine>(app: App<E>, req: Request<IncomingBody>) -> Response<Body> {
     match req.uri().path() {
         "/healthz" => return empty_response(StatusCode::OK),
         "/readyz" => return readiness(&app),
@@ -58,7 +58,7 @@
     app: &App<E>,
     request: RequestId,
     span: ActiveSpan,
-    req: Request<Incoming>,
+    req: Request<IncomingBody>,
 ) -> Result<Response<Body>, Failure> {
     let snapshot = app.snapshot();
     if snapshot.in_force.is_none() {
@@ -98,7 +98,7 @@
     span: ActiveSpan,
     org: OrgId,
     dialect: Dialect,
-    req: Request<Incoming>,
+    req: Request<IncomingBody>,
 ) -> Result<Response<Body>, Failure> {
     let limits = app.cfg.limits;
     let class = headers::priority_class(req.headers())?;
--- a/crates/sillpin-entry/src/ops.rs
+++ b/crates/sillpin-entry/src/ops.rs
@@ -4,8 +4,8 @@
 use crate::metrics::EntryMetrics;
 use crate::settings::EntryConfig;
 use crate::{arms, front, keeper_link, placement};
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use sillpin_http::IncomingBody;
 use sillpin_http::server::{BindError, HeadLimits, listen};
 use sillpin_http::{Body, Client, Server, empty_response};
 use sillpin_targets::HttpEngine;
@@ -119,7 +119,7 @@
 async fn serve_operators(
     app: App<HttpEngine>,
     metrics: Arc<Metrics>,
-    req: Request<Incoming>,
+    req: Request<IncomingBody>,
 ) -> Response<Body> {
     match req.uri().path() {
         "/healthz" => empty_response(StatusCode::OK),
--- a/crates/sillpin-entry/src/services.rs
+++ b/crates/sillpin-entry/src/services.rs
@@ -11,7 +11,7 @@
 use crate::runs::idempotency::{Claim, ClaimedCall};
 use crate::snapshot::Target;
 use bytes::Bytes;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Body as _;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, Uri};
@@ -19,6 +19,7 @@
 use opentelemetry::trace::{Span, SpanKind};
 use rand::seq::IndexedRandom;
 use sillpin_core::{AttemptId, OrgId, PoolId, RequestId, TargetKind};
+use sillpin_http::IncomingBody;
 use sillpin_http::{Body, CallError, Sent};
 use sillpin_targets::Engine;
 use sillpin_telemetry::traces::{ActiveSpan, TRACEPARENT, traceparent};
@@ -56,7 +57,7 @@
 /// The body of a call: buffered, or streamed once.
 enum CallBody {
     Buffered(Bytes),
-    Streamed(Option<Incoming>),
+    Streamed(Option<IncomingBody>),
 }
 
 impl CallBody {
@@ -75,7 +76,7 @@
     span: ActiveSpan,
     org: OrgId,
     rest: &str,
-    req: Request<Incoming>,
+    req: Request<IncomingBody>,
 ) -> Result<Response<Body>, Failure> {
     let (pool, path) = rest.split_once('/').unwrap_or((rest, ""));
     let pool: PoolId = pool
@@ -121,7 +122,7 @@
     request: RequestId,
     call: &mut ForwardedCall<'_>,
     key: &str,
-    incoming: Incoming,
+    incoming: IncomingBody,
 ) -> Result<Response<Body>, Failure> {
     let limits = app.cfg.limits;
     let bytes = body::read(incoming, limits.at_most_once_body_len, limits.body_timeout).await?;
@@ -158,7 +159,7 @@
 async fn forward_repeatable<E: Engine>(
     app: &App<E>,
     call: &mut ForwardedCall<'_>,
-    incoming: Incoming,
+    incoming: IncomingBody,
 ) -> Result<Response<Body>, Failure> {
     let is_short = incoming
         .size_hint()
@@ -239,7 +240,7 @@
     target: &Target,
     attempt: AttemptId,
     out_body: Body,
-) -> Result<Response<Incoming>, CallError> {
+) -> Result<Response<IncomingBody>, CallError> {
     let parent = call.span.span_context().clone();
     let mut span = app.traces.span("target", SpanKind::Client, Some(&parent));
     span.set_attribute(KeyValue::new("target", target.entry.id.to_string()));
@@ -291,7 +292,7 @@
     app: &App<E>,
     target: &Target,
     attempt: AttemptId,
-    resp: Response<Incoming>,
+    resp: Response<IncomingBody>,
 ) -> Result<Response<Body>, Failure> {
     let echoed = resp.headers().get(headers::ATTEMPT);
     if echoed.is_some_and(|echoed| echoed.as_bytes() != attempt.to_string().as_bytes()) {
--- a/crates/sillpin-gateway/src/front/admit.rs
+++ b/crates/sillpin-gateway/src/front/admit.rs
@@ -8,9 +8,9 @@
 use crate::fatal::{Candidates, Fingerprint};
 use crate::fleet_state::View;
 use crate::forward::head::ForwardHead;
-use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, StatusCode};
+use sillpin_http::IncomingBody;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
@@ -96,7 +96,7 @@
     pub async fn admit(
         &self,
         parts: Parts,
-        body: &mut Incoming,
+        body: &mut IncomingBody,
         head: RequestHead,
         forwarded: Option<Forwarded>,
     ) -> Result<AdmittedRequest, Refusal> {
--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -22,8 +22,8 @@
 use crate::pool::{Conn, ConnectionPool, SendError};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, Uri};
+use sillpin_http::IncomingBody;
 use std::hash::Hash;
 use std::pin::pin;
 use std::sync::Arc;
@@ -53,7 +53,7 @@
 /// How waiting for the head of a response ended.
 enum HeadWait {
     /// The head arrived, or the connection failed.
-    Done(Result<Response<Incoming>, SendError>),
+    Done(Result<Response<IncomingBody>, SendError>),
     /// The request timed out.
     Abandoned,
     /// The request's weights were replaced too long ago for it to start.
@@ -219,7 +219,7 @@
         &self,
         attempt: Attempt<'_>,
         conn: Conn,
-        resp: Response<Incoming>,
+        resp: Response<IncomingBody>,
         sent: Instant,
     ) -> AttemptOutcome {
         let (parts, body) = resp.into_parts();
@@ -314,7 +314,7 @@
     pub(super) async fn read_body(
         &self,
         request: &AdmittedRequest,
-        body: Incoming,
+        body: IncomingBody,
     ) -> Result<BufferedBody, AttemptOutcome> {
         let reading = self.body_memory.read(body, MAX_COMPLETE_RESPONSE);
         match timeout_at(request.deadline, reading).await {
@@ -356,7 +356,7 @@
     pool: ConnectionPool<K>,
     key: K,
     conn: Conn,
-    body: Incoming,
+    body: IncomingBody,
     head: &ResponseHead,
     keep_idle: Option<Duration>,
 ) where
--- a/crates/sillpin-gateway/src/front/discard.rs
+++ b/crates/sillpin-gateway/src/front/discard.rs
@@ -4,7 +4,8 @@
 //! under the caller's next request.
 
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
+use sillpin_http::IncomingBody;
 use std::time::Duration;
 
 /// Longest rest that is read, in bytes. A longer one costs more than another connection.
@@ -15,7 +16,7 @@
 
 /// Reads and drops the rest of a body in the background. Returns whether the connection can serve another request
 /// afterwards, as far as is known now. The rest is not read if the caller waits to be told to send it.
-pub(super) fn discard_rest(body: Incoming, awaits_continue: bool) -> bool {
+pub(super) fn discard_rest(body: IncomingBody, awaits_continue: bool) -> bool {
     if body.is_end_stream() {
         return true;
     }
@@ -26,7 +27,7 @@
     true
 }
 
-async fn discard(mut body: Incoming) {
+async fn discard(mut body: IncomingBody) {
     let mut len = 0;
     while let Some(Ok(frame)) = body.frame().await {
         len += frame.data_ref().map_or(0, |data| data.len() as u64);
--- a/crates/sillpin-gateway/src/front/forward.rs
+++ b/crates/sillpin-gateway/src/front/forward.rs
@@ -17,11 +17,11 @@
 use crate::streams::VersionHash;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode, Uri};
 use rand::RngExt;
 use sillpin_core::{BoxId, PoolId};
+use sillpin_http::IncomingBody;
 use sillpin_telemetry::{event, events};
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -332,7 +332,7 @@
         &self,
         request: &AdmittedRequest,
         open: OpenForward<'_>,
-        resp: Response<Incoming>,
+        resp: Response<IncomingBody>,
     ) -> Result<AttemptOutcome, Avoidance> {
         let (mut parts, body) = resp.into_parts();
         let result = ForwardResult::take(&mut parts.headers);
@@ -446,7 +446,7 @@
     }
 
     /// Reads the rest of a refusal in the background and returns the connection to the pool.
-    fn recycle(&self, open: OpenForward<'_>, body: Incoming, head: &ResponseHead) {
+    fn recycle(&self, open: OpenForward<'_>, body: IncomingBody, head: &ResponseHead) {
         let (conns, id) = (self.box_connections.clone(), open.entry.id.clone());
         let conn = open.conn;
         super::attempt::drain_and_put(conns, id, conn, body, head, Some(KEEP_IDLE));
@@ -502,7 +502,7 @@
 struct TargetResponse {
     parts: response::Parts,
     head: ResponseHead,
-    body: Incoming,
+    body: IncomingBody,
     version: Option<VersionHash>,
 }
 
--- a/crates/sillpin-gateway/src/front/handler.rs
+++ b/crates/sillpin-gateway/src/front/handler.rs
@@ -8,10 +8,10 @@
 use crate::forward::head::{FORWARD, ForwardHead, ForwardResult, Unavailable};
 use crate::streams::VersionHash;
 use futures::FutureExt;
-use hyper::body::Incoming;
 use hyper::header::EXPECT;
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
+use sillpin_http::IncomingBody;
 use sillpin_http::{Body, empty_response};
 use sillpin_telemetry::{event, events};
 use std::any::Any;
@@ -40,7 +40,7 @@
     }
 
     /// Handles a caller's request.
-    pub async fn serve(self, req: Request<Incoming>) -> Response<Body> {
+    pub async fn serve(self, req: Request<IncomingBody>) -> Response<Body> {
         let started = Instant::now();
         let (mut parts, body) = req.into_parts();
         parts.headers.remove(FORWARD);
@@ -59,7 +59,7 @@
     }
 
     /// Handles a request that another box sent because it does not reach the targets.
-    pub async fn serve_forwarded(self, req: Request<Incoming>) -> Response<Body> {
+    pub async fn serve_forwarded(self, req: Request<IncomingBody>) -> Response<Body> {
         let started = Instant::now();
         let (mut parts, body) = req.into_parts();
         let accepted = match ForwardHead::take(&mut parts.headers, self.shared.fleet_key) {
@@ -105,7 +105,7 @@
     async fn respond(
         &self,
         parts: Parts,
-        mut body: Incoming,
+        mut body: IncomingBody,
         forwarded: Option<Forwarded>,
         started: Instant,
     ) -> Result<Response<Body>, Refused> {
@@ -155,7 +155,7 @@
     }
 
     /// Handles the balancer's readiness check: 200 if this box accepts requests, else 503.
-    pub async fn ready(self, req: Request<Incoming>) -> Response<Body> {
+    pub async fn ready(self, req: Request<IncomingBody>) -> Response<Body> {
         let known = self.shared.dialect.is_ready_check(req.uri().path());
         match (known, self.shared.is_ready()) {
             (false, _) => empty_response(StatusCode::NOT_FOUND),
--- a/crates/sillpin-gateway/src/front/stream_body.rs
+++ b/crates/sillpin-gateway/src/front/stream_body.rs
@@ -3,7 +3,7 @@
 use super::events::end_of_last_event;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use sillpin_http::IncomingBody;
 use tokio::time::Instant;
 
 /// Data of a stream, its end, or the error by which it broke off.
@@ -27,13 +27,13 @@
     ahead: BytesMut,
     /// What followed that: the end, or an error.
     end: Option<StreamPart>,
-    rest: Incoming,
+    rest: IncomingBody,
     opened: Instant,
 }
 
 impl StreamBody {
     /// Creates the body from a response's.
-    pub fn new(rest: Incoming) -> Self {
+    pub fn new(rest: IncomingBody) -> Self {
         Self {
             ahead: BytesMut::new(),
             end: None,
--- a/crates/sillpin-gateway/src/pool.rs
+++ b/crates/sillpin-gateway/src/pool.rs
@@ -10,11 +10,12 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use sillpin_core::{BoxId, TargetId};
+use sillpin_http::IncomingBody;
+use sillpin_http::reads::{BoundedReads, MAX_HEAD_LEN, ReadMeter};
 use socket2::{SockRef, TcpKeepalive};
 use std::collections::HashMap;
 use std::hash::Hash;
@@ -145,6 +146,7 @@
 pub struct Conn {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    meter: ReadMeter,
     peer: SocketAddr,
     life: Option<Life>,
     /// Time by [`SuspendClock::now`] at which it returned to the pool.
@@ -178,7 +180,12 @@
             Err(_) => return Err(unsent("cannot connect in time".to_owned())),
         };
         set_socket_options(&tcp).map_err(|e| unsent(format!("cannot set socket options: {e}")))?;
-        let handshake = http1::handshake(TokioIo::new(tcp)).await;
+        let meter = ReadMeter::default();
+        let io = TokioIo::new(BoundedReads::new(tcp, meter.clone()));
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_LEN)
+            .handshake(io);
+        let handshake = handshake.await;
         let (sender, driver) = handshake.map_err(|e| unsent(e.to_string()))?;
         // A connection's error is returned to the task that waits for the response.
         let driver = tokio::spawn(async move {
@@ -187,6 +194,7 @@
         Ok(Self {
             sender,
             driver: driver.abort_handle(),
+            meter,
             peer,
             life: to.life(),
             idle_since: Instant::now(),
@@ -198,17 +206,20 @@
     pub async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<IncomingBody>, SendError> {
         let peer = self.peer;
         let sent = self.sender.try_send_request(req).await;
-        sent.map_err(|mut e| {
+        let response = sent.map_err(|mut e| {
             let unsent = e.take_message().is_some();
-            let what = e.error().to_string();
+            let what = describe(e.error());
             match unsent {
                 true => SendError::Unsent { peer, what },
                 false => SendError::Unanswered { peer, what },
             }
-        })
+        })?;
+        self.meter.record_head();
+        let meter = self.meter.clone();
+        Ok(response.map(|body| IncomingBody::new(body, meter)))
     }
 
     /// Whether the target has closed the connection.
@@ -227,6 +238,14 @@
     }
 }
 
+/// Returns an error's text with its cause.
+fn describe(e: &hyper::Error) -> String {
+    match std::error::Error::source(e) {
+        Some(cause) => format!("{e}: {cause}"),
+        None => e.to_string(),
+    }
+}
+
 fn set_socket_options(tcp: &TcpStream) -> io::Result<()> {
     tcp.set_nodelay(true)?;
     let socket = SockRef::from(tcp);
--- a/crates/sillpin-http/src/arrival.rs
+++ b/crates/sillpin-http/src/arrival.rs
@@ -3,7 +3,6 @@
 //! A server learns of arrived bytes from its runtime, some time after the kernel has them. A connection that is closed
 //! between loses them, and the caller gets a reset in place of a response.
 
-use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::io::{self, Read};
 use std::pin::Pin;
@@ -29,11 +28,9 @@
 
 impl Arrivals {
     /// Wraps the stream of the connection.
-    pub(crate) fn watch(&self, tcp: TcpStream) -> TokioIo<WatchedStream> {
-        TokioIo::new(WatchedStream {
-            tcp,
-            arrivals: self.clone(),
-        })
+    pub(crate) fn watch(&self, tcp: TcpStream) -> WatchedStream {
+        let arrivals = self.clone();
+        WatchedStream { tcp, arrivals }
     }
 
     /// Makes the next read return what the kernel has.
--- a/crates/sillpin-http/src/body.rs
+++ b/crates/sillpin-http/src/body.rs
@@ -1,10 +1,11 @@
 //! Body type for requests and responses: in memory, streamed through a channel, or forwarded.
 
 use crate::evictable::EvictableBody;
+use crate::reads::IncomingBody;
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use serde::de::DeserializeOwned;
 use std::io;
 use std::pin::Pin;
@@ -24,7 +25,7 @@
     /// Written by another task.
     Channel(ChannelBody),
     /// Forwarded from a peer, with back-pressure.
-    Incoming(Incoming),
+    Incoming(IncomingBody),
     /// Complete, in memory that may be taken back.
     Evictable(EvictableBody),
 }
@@ -194,7 +195,7 @@
 /// configuration of 0.85 MB took 0.9 s, was cancelled after 0.8 s and requested again indefinitely,
 /// which discarded 5.9 MB on one box in 24 s.
 async fn read_with_idle_timeout(
-    body: Incoming,
+    body: IncomingBody,
     limit: usize,
     idle_timeout: Duration,
     bytes_received: &AtomicU64,
@@ -205,7 +206,7 @@
 }
 
 async fn collect(
-    mut body: Incoming,
+    mut body: IncomingBody,
     limit: usize,
     idle_timeout: Duration,
     bytes_received: &AtomicU64,
@@ -231,7 +232,7 @@
 
 /// Like [`read_with_idle_timeout`], for a JSON document.
 pub async fn read_json_with_idle_timeout<T: DeserializeOwned>(
-    body: Incoming,
+    body: IncomingBody,
     limit: usize,
     idle_timeout: Duration,
     bytes_received: &AtomicU64,
--- a/crates/sillpin-http/src/client.rs
+++ b/crates/sillpin-http/src/client.rs
@@ -7,11 +7,11 @@
 //! which any byte was sent is never sent again here.
 
 use crate::body::{Body, ReadError, read_json_with_idle_timeout};
+use crate::connector::BoundedConnector;
+use crate::reads::{IncomingBody, MAX_HEAD_LEN, ReadMeter};
 use derive_more::{Display, Error};
-use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, header};
 use hyper_util::client::legacy;
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -103,7 +103,7 @@
 /// HTTP client with a connection pool, shared by clones.
 #[derive(Clone)]
 pub struct Client {
-    pool: legacy::Client<HttpConnector, Body>,
+    pool: legacy::Client<BoundedConnector, Body>,
 }
 
 impl Default for Client {
@@ -119,16 +119,14 @@
     }
 
     fn build(http2: bool) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let pool = legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(MAX_IDLE_PER_PEER)
             .retry_canceled_requests(true)
+            .http1_max_buf_size(MAX_HEAD_LEN)
             .http2_only(http2)
-            .build(connector);
+            .build(BoundedConnector::new(CONNECT_TIMEOUT, http2));
         Self { pool }
     }
 
@@ -138,13 +136,17 @@
         step: &'static str,
         peer: SocketAddr,
         req: Request<Body>,
-    ) -> Result<Response<Incoming>, CallError> {
-        self.pool.request(req).await.map_err(|e| CallError {
+    ) -> Result<Response<IncomingBody>, CallError> {
+        let response = self.pool.request(req).await.map_err(|e| CallError {
             step,
             peer,
             sent: sent_state(&e),
             fault: CallFault::Connection(describe(&e)),
-        })
+        })?;
+        let meter = response.extensions().get::<ReadMeter>().cloned();
+        let meter = meter.unwrap_or_default();
+        meter.record_head();
+        Ok(response.map(|body| IncomingBody::new(body, meter)))
     }
 
     /// Sends `doc` as JSON and reads a JSON response; any status other than 2xx is an error. The call's
@@ -170,7 +172,7 @@
         &self,
         call: Call<'_>,
         doc: Option<&T>,
-    ) -> Result<Response<Incoming>, CallError> {
+    ) -> Result<Response<IncomingBody>, CallError> {
         self.call_with(call, HeaderMap::new(), doc).await
     }
 
@@ -180,7 +182,7 @@
         call: Call<'_>,
         headers: HeaderMap,
         doc: Option<&T>,
-    ) -> Result<Response<Incoming>, CallError> {
+    ) -> Result<Response<IncomingBody>, CallError> {
         let (step, peer) = (call.step, call.peer);
         let failed = |sent, fault| CallError {
             step,
@@ -224,7 +226,7 @@
     /// Reads the body as a JSON document.
     pub async fn read_json<R: DeserializeOwned>(
         self,
-        resp: Response<Incoming>,
+        resp: Response<IncomingBody>,
     ) -> Result<R, CallError> {
         let body = resp.into_body();
         let read =
--- a/crates/sillpin-http/src/lib.rs
+++ b/crates/sillpin-http/src/lib.rs
@@ -5,14 +5,17 @@
 //! - [`connections`]: a bound on the open connections of a server,
 //! - [`evictable`]: bodies whose memory can be taken back while their reader is slow,
 //! - [`lines`]: readers of lines and of JSON documents from a streamed body,
+//! - [`reads`]: bounds on what a peer can make the reader of its connection do,
 //! - [`server`]: a server that finishes open requests when stopped.
 
 mod arrival;
 pub mod body;
 pub mod client;
 pub mod connections;
+mod connector;
 pub mod evictable;
 pub mod lines;
+pub mod reads;
 pub mod server;
 
 pub use body::{Body, BodySender, ReadError, read_limited};
@@ -20,6 +23,7 @@
 pub use connections::Connections;
 pub use evictable::{EvictableBody, EvictionHandle};
 pub use lines::{JsonLines, Lines};
+pub use reads::IncomingBody;
 pub use server::Server;
 
 use hyper::{Response, StatusCode, header};
--- a/crates/sillpin-http/src/lines.rs
+++ b/crates/sillpin-http/src/lines.rs
@@ -1,9 +1,9 @@
 //! Readers of lines, and of JSON documents with one per line, from a streamed body.
 
+use crate::reads::IncomingBody;
 use bytes::{Buf, Bytes, BytesMut};
 use derive_more::{Display, Error};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
 
 /// Maximum length of a line, in bytes.
@@ -25,13 +25,13 @@
 
 /// Reads lines from a body. Dropping it before the end closes the connection.
 pub struct Lines {
-    body: Incoming,
+    body: IncomingBody,
     buf: BytesMut,
 }
 
 impl Lines {
     /// Creates a reader of `body`.
-    pub fn new(body: Incoming) -> Self {
+    pub fn new(body: IncomingBody) -> Self {
         Self {
             body,
             buf: BytesMut::new(),
@@ -78,7 +78,7 @@
 
 impl JsonLines {
     /// Creates a reader of `body`.
-    pub fn new(body: Incoming) -> Self {
+    pub fn new(body: IncomingBody) -> Self {
         let lines = Lines::new(body);
         Self { lines }
     }
--- a/crates/sillpin-http/src/server.rs
+++ b/crates/sillpin-http/src/server.rs
@@ -4,12 +4,13 @@
 use crate::arrival::Arrivals;
 use crate::body::Body;
 use crate::connections::{Connection, Connections};
+use crate::reads::{BoundedReads, IncomingBody, MAX_HEAD_LEN, ReadMeter};
 use derive_more::{Display, Error};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{Request, Response, Version};
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
@@ -69,6 +70,9 @@
 /// How long a connection that is to be closed waits for the rest of a head of which a part has arrived.
 const HEAD_REST_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Number of the longest heads that may arrive before one of them is read.
+const HEADS_ALLOWED: usize = 2;
+
 /// A server with its bound listener.
 pub struct Server<L = fn() -> HeadLimits> {
     listener: TcpListener,
@@ -132,7 +136,7 @@
     /// returns.
     pub async fn run<H, F>(self, stop: CancellationToken, handler: H)
     where
-        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        H: Fn(Request<IncomingBody>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
         let tracker = TaskTracker::new();
@@ -180,7 +184,7 @@
     stop: CancellationToken,
     handler: H,
 ) where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    H: Fn(Request<IncomingBody>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let _ = tcp.set_nodelay(true);
@@ -198,11 +202,16 @@
         .timer(TokioTimer::new())
         .max_header_list_size(u32::try_from(limits.max_len).unwrap_or(u32::MAX));
     let arrivals = Arrivals::default();
+    let meter = ReadMeter::new(MAX_HEAD_LEN.max(HEADS_ALLOWED * limits.max_len) as u64);
     let service = service_fn(|req: Request<Incoming>| {
         arrivals.clear();
+        meter.record_head();
         let (waiting, is_http1) = (admitted.begin_request(), req.version() < Version::HTTP_2);
+        if !is_http1 {
+            meter.remove_limit();
+        }
         let (arrivals, close, stop) = (arrivals.clone(), admitted.close.clone(), stop.clone());
-        let response = handler(req);
+        let response = handler(req.map(|body| IncomingBody::new(body, meter.clone())));
         async move {
             let mut response = response.await;
             drop(waiting);
@@ -214,7 +223,8 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let mut conn = pin!(builder.serve_connection(arrivals.watch(tcp), service));
+    let io = TokioIo::new(BoundedReads::new(arrivals.watch(tcp), meter.clone()));
+    let mut conn = pin!(builder.serve_connection(io, service));
     tokio::select! {
         _ = conn.as_mut() => return,
         () = stop.cancelled() => {}
--- a/crates/sillpin-keeper/src/api/http.rs
+++ b/crates/sillpin-keeper/src/api/http.rs
@@ -2,9 +2,9 @@
 
 use crate::directory::{DirectoryHandle, DirectoryMsg};
 use crate::fleet::Published;
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use opentelemetry::metrics::Gauge;
+use sillpin_http::IncomingBody;
 use sillpin_http::{Body, empty_response};
 use sillpin_telemetry::metrics::Metrics;
 use std::sync::Arc;
@@ -45,7 +45,7 @@
     }
 
     /// Responds to one request.
-    pub async fn handle(self, req: Request<Incoming>) -> Response<Body> {
+    pub async fn handle(self, req: Request<IncomingBody>) -> Response<Body> {
         match req.uri().path() {
             "/healthz" => empty_response(StatusCode::OK),
             "/metrics" => {
--- a/crates/sillpin-load/src/caller.rs
+++ b/crates/sillpin-load/src/caller.rs
@@ -1,10 +1,10 @@
 //! Sends one request as a caller does, and checks the response from outside.
 
 use crate::oracle::ExpectedAnswer;
-use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode, header};
 use serde::Deserialize;
 use sillpin_core::{Outcome, PriorityClass, Problem, RequestId};
+use sillpin_http::IncomingBody;
 use sillpin_http::body::read_json;
 use sillpin_http::{Body, Client, Lines};
 use std::net::SocketAddr;
@@ -192,7 +192,7 @@
     read_document(resp, completion, expected, begun, id).await
 }
 
-async fn read_refusal(resp: Response<Incoming>, begun: Instant) -> CallResult {
+async fn read_refusal(resp: Response<IncomingBody>, begun: Instant) -> CallResult {
     let status = resp.status();
     match read_json::<Problem, _>(resp.into_body(), MAX_RESPONSE_LEN).await {
         Ok(problem) => CallResult::Refused {
@@ -204,7 +204,7 @@
 }
 
 async fn read_document(
-    resp: Response<Incoming>,
+    resp: Response<IncomingBody>,
     completion: &CompletionRequest,
     expected: ExpectedAnswer,
     begun: Instant,
@@ -227,7 +227,7 @@
 }
 
 async fn read_stream(
-    resp: Response<Incoming>,
+    resp: Response<IncomingBody>,
     completion: &CompletionRequest,
     expected: ExpectedAnswer,
     begun: Instant,
--- a/crates/sillpin-standin/src/commands/mod.rs
+++ b/crates/sillpin-standin/src/commands/mod.rs
@@ -9,7 +9,7 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use hyper::Request;
-use hyper::body::Incoming;
+use sillpin_http::IncomingBody;
 use sillpin_http::Server;
 use sillpin_standin::{Response, announce};
 use std::future::Future;
@@ -86,7 +86,7 @@
 
 async fn serve<H, F>(name: &str, args: &ArgMatches, handler: H) -> io::Result<()>
 where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    H: Fn(Request<IncomingBody>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
     let server = Server::bind(value(args, "listen")?).await?;
--- a/crates/sillpin-standin/src/engine/mod.rs
+++ b/crates/sillpin-standin/src/engine/mod.rs
@@ -11,12 +11,12 @@
 use crate::query::param;
 use crate::{Response, ok, status};
 use batch::Batch;
-use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use sillpin_core::target::LoadReport;
 use sillpin_core::{AttemptId, Fence, ModelId, Presence, Share, Tokens, WeightVersion};
+use sillpin_http::IncomingBody;
 use sillpin_http::body::read_json;
 use sillpin_http::{Body, BodySender, Client};
 use sillpin_load::oracle::ExpectedAnswer;
@@ -114,7 +114,7 @@
     }
 
     /// Handles one HTTP request.
-    pub async fn handle(self, req: Request<Incoming>) -> Response {
+    pub async fn handle(self, req: Request<IncomingBody>) -> Response {
         let path = req.uri().path().to_owned();
         let query = req.uri().query().map(str::to_owned);
         if let Some(attempt) = path.strip_prefix("/v1/runs/") {
--- a/crates/sillpin-standin/src/fault.rs
+++ b/crates/sillpin-standin/src/fault.rs
@@ -1,9 +1,9 @@
 //! A TCP proxy that injects faults, which can be set at run time.
 
 use crate::{Response, ok, status};
-use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
+use sillpin_http::IncomingBody;
 use sillpin_http::body::read_json;
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io;
@@ -155,7 +155,7 @@
     }
 
     /// Handles one request of the admin interface.
-    pub async fn handle(self, req: Request<Incoming>) -> Response {
+    pub async fn handle(self, req: Request<IncomingBody>) -> Response {
         match read_json(req.into_body(), 4096).await {
             Ok(faults) => {
                 self.set(faults);
--- a/crates/sillpin-standin/src/platform/mod.rs
+++ b/crates/sillpin-standin/src/platform/mod.rs
@@ -8,11 +8,11 @@
 
 use crate::query::param;
 use crate::{Response, ok, status};
-use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use kv::{Kv, KvError};
 use serde::{Deserialize, Serialize};
 use sillpin_core::target::BoxList;
+use sillpin_http::IncomingBody;
 use sillpin_http::body::read_json;
 use sillpin_platform::http::{LeaseBody, PutBody};
 use sillpin_platform::{KvRevision, LeaseId, MAX_VALUE_LEN, WatchReply};
@@ -169,7 +169,7 @@
     }
 
     /// Handles one HTTP request.
-    pub async fn handle(self, req: Request<Incoming>) -> Response {
+    pub async fn handle(self, req: Request<IncomingBody>) -> Response {
         if req.uri().path().starts_with("/admin/") {
             return self.admin(req).await;
         }
@@ -197,7 +197,7 @@
         lose
     }
 
-    async fn serve(&self, req: Request<Incoming>) -> Response {
+    async fn serve(&self, req: Request<IncomingBody>) -> Response {
         let path = req.uri().path().to_owned();
         let query = req.uri().query().map(str::to_owned);
         let query = query.as_deref();
@@ -219,7 +219,12 @@
         }
     }
 
-    async fn serve_key(&self, key: &str, query: Option<&str>, req: Request<Incoming>) -> Response {
+    async fn serve_key(
+        &self,
+        key: &str,
+        query: Option<&str>,
+        req: Request<IncomingBody>,
+    ) -> Response {
         let result = match *req.method() {
             Method::GET => return ok(&self.lock().kv.get(key)),
             Method::DELETE => {
@@ -274,7 +279,7 @@
         }
     }
 
-    async fn grant(&self, req: Request<Incoming>) -> Response {
+    async fn grant(&self, req: Request<IncomingBody>) -> Response {
         match read_json::<LeaseBody, _>(req.into_body(), MAX_BODY_LEN).await {
             Ok(body) => ok(&self.lock().kv.grant(Duration::from_millis(body.ttl_ms))),
             Err(_) => status(StatusCode::BAD_REQUEST),
@@ -290,7 +295,7 @@
         })
     }
 
-    async fn admin(&self, req: Request<Incoming>) -> Response {
+    async fn admin(&self, req: Request<IncomingBody>) -> Response {
         match req.uri().path() {
             "/admin/counters" => ok(&self.lock().counters),
             "/admin/boxes" => self.replace_boxes(req).await,
@@ -306,7 +311,7 @@
         }
     }
 
-    async fn replace_boxes(&self, req: Request<Incoming>) -> Response {
+    async fn replace_boxes(&self, req: Request<IncomingBody>) -> Response {
         let Ok(boxes) = read_json::<BoxList, _>(req.into_body(), MAX_BODY_LEN).await else {
             return status(StatusCode::BAD_REQUEST);
         };
--- a/crates/sillpin-standin/src/service.rs
+++ b/crates/sillpin-standin/src/service.rs
@@ -1,11 +1,11 @@
 //! A plain service. It counts executions by idempotency key, so that double executions are detected.
 
 use crate::{Response, ok, status};
-use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use sillpin_core::target::LoadReport;
 use sillpin_core::{Presence, Share};
+use sillpin_http::IncomingBody;
 use sillpin_http::read_limited;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -46,7 +46,7 @@
     }
 
     /// Handles one HTTP request.
-    pub async fn handle(self, req: Request<Incoming>) -> Response {
+    pub async fn handle(self, req: Request<IncomingBody>) -> Response {
         match req.uri().path() {
             "/v1/load" => ok(&self.load()),
             "/admin/executions" => ok(&self.lock().executions),
@@ -83,7 +83,7 @@
         }
     }
 
-    async fn execute(&self, req: Request<Incoming>) -> Response {
+    async fn execute(&self, req: Request<IncomingBody>) -> Response {
         let key = req.headers().get("idempotency-key");
         let key = key.and_then(|k| k.to_str().ok()).unwrap_or("-").to_owned();
         let attempt = req.headers().get("sillpin-attempt").cloned();
--- a/crates/sillpin-standin/src/store.rs
+++ b/crates/sillpin-standin/src/store.rs
@@ -3,10 +3,10 @@
 use crate::query::param;
 use crate::{Response, ok, status};
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use sillpin_core::{LoadReport, Presence, Share, Tokens};
+use sillpin_http::IncomingBody;
 use sillpin_http::body::read_json;
 use sillpin_http::{Body, read_limited};
 use sillpin_targets::store::{Seal, SealedObject};
@@ -92,7 +92,7 @@
     }
 
     /// Handles one HTTP request.
-    pub async fn handle(self, req: Request<Incoming>) -> Response {
+    pub async fn handle(self, req: Request<IncomingBody>) -> Response {
         let path = req.uri().path().to_owned();
         match path.as_str() {
             "/admin/faults" => match read_json(req.into_body(), 4096).await {
@@ -109,7 +109,7 @@
         }
     }
 
-    async fn object(&self, path: &str, req: Request<Incoming>) -> Response {
+    async fn object(&self, path: &str, req: Request<IncomingBody>) -> Response {
         let Some(name) = path.strip_prefix("/v1/objects/") else {
             return status(StatusCode::NOT_FOUND);
         };
@@ -149,7 +149,7 @@
         following.filter_map(sealed_object).take(limit).collect()
     }
 
-    async fn write(&self, name: &str, req: Request<Incoming>) -> Response {
+    async fn write(&self, name: &str, req: Request<IncomingBody>) -> Response {
         let Ok(data) = read_limited(req.into_body(), MAX_OBJECT_LEN).await else {
             return status(StatusCode::BAD_REQUEST);
         };
@@ -174,7 +174,7 @@
         status(StatusCode::OK)
     }
 
-    async fn seal(&self, name: &str, req: Request<Incoming>) -> Response {
+    async fn seal(&self, name: &str, req: Request<IncomingBody>) -> Response {
         let Ok(seal) = read_json::<Seal, _>(req.into_body(), 4096).await else {
             return status(StatusCode::BAD_REQUEST);
         };
--- a/crates/sillpin-standin/src/weights.rs
+++ b/crates/sillpin-standin/src/weights.rs
@@ -2,9 +2,9 @@
 
 use crate::query::param;
 use crate::{Response, ok, status};
-use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
+use sillpin_http::IncomingBody;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -40,7 +40,7 @@
     }
 
     /// Handles one HTTP request.
-    pub async fn handle(self, req: Request<Incoming>) -> Response {
+    pub async fn handle(self, req: Request<IncomingBody>) -> Response {
         match req.uri().path() {
             "/v1/weights" => self.load(param(req.uri().query(), "version")).await,
             "/admin/counters" => ok(&WeightCounters {
--- a/tests/testsuite/traces.rs
+++ b/tests/testsuite/traces.rs
@@ -1,7 +1,7 @@
 //! Each hop of a request exports a span to the collector, in the caller's trace.
 
-use hyper::body::Incoming;
 use hyper::{Request, Response};
+use sillpin_http::IncomingBody;
 use sillpin_http::{Body, Server, read_limited};
 use sillpin_testsuite::wait::until;
 use sillpin_testsuite::{Fleet, FleetShape};
@@ -16,7 +16,7 @@
 }
 
 impl Collector {
-    async fn receive(self, req: Request<Incoming>) -> Response<Body> {
+    async fn receive(self, req: Request<IncomingBody>) -> Response<Body> {
         if let Ok(body) = read_limited(req.into_body(), 1 << 20).await {
             self.bodies.lock().unwrap().extend_from_slice(&body);
         }
