Give the body of a rejection 64 KiB and 300 ms

Callers saw nothing, but connections to targets stayed open long after the last caller had left, and 8 MB each were read.

Cause: the rest of a rejection is read in the background, so that its connection can be used again, up to 8 MB and without a time limit.

Change: 64 KiB and 300 ms, then the connection is closed.

Before: the four cases of `endless_bytes` with a rejection that arrive by the byte, and the two with zeros, failed ("connections to targets are open"). After: all eight pass (load 20).

--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -33,6 +33,11 @@
 /// Maximum length of a response that is buffered until it is complete, in bytes.
 const MAX_COMPLETE_RESPONSE: usize = 8 << 20;
 
+/// Maximum length of the body of a rejection, in bytes, and longest time for reading it. Another connection costs less than
+/// a longer one.
+const MAX_REJECTION: usize = 64 << 10;
+const REJECTION_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Maximum idle time of a connection that carries a request which may run only once. A target may drop an idle
 /// connection without closing it, and then it cannot be determined whether the request ran.
 const MAX_IDLE_ONCE: Duration = Duration::from_secs(2);
@@ -364,8 +369,9 @@
 {
     let closes = head.closes;
     tokio::spawn(async move {
-        let limited = http_body_util::Limited::new(body, MAX_COMPLETE_RESPONSE);
-        if limited.collect().await.is_ok() && !closes {
+        let limited = http_body_util::Limited::new(body, MAX_REJECTION);
+        let read = tokio::time::timeout(REJECTION_TIMEOUT, limited.collect()).await;
+        if matches!(read, Ok(Ok(_))) && !closes {
             pool.put(key, conn, keep_idle).await;
         }
     });
