Search what has arrived of an event or a line once, and bound what is read ahead

Callers saw: a target that sends an event without end, by the byte, takes the box's thread for longer with each byte.

Cause: each part of a stream searched the whole incomplete event for its end, each part of a line the whole line. A stream that is asked to go on elsewhere was read ahead until its first event was complete, whatever its length.

Change: only new bytes are searched. An event that is read ahead has the length limit of all events.

--- a/crates/sillpin-gateway/src/front/events.rs
+++ b/crates/sillpin-gateway/src/front/events.rs
@@ -8,6 +8,9 @@
 /// Maximum length of an incomplete event that is buffered, in bytes.
 pub const MAX_EVENT_LEN: usize = 256 << 10;
 
+/// Why a stream with a longer event is broken off.
+pub(super) const OVERLONG_EVENT: &str = "event exceeds the maximum length";
+
 const ID_FIELD: &[u8] = b"id:";
 
 /// Splits bytes into complete events and a remainder.
@@ -29,8 +32,7 @@
 
     /// Appends bytes and returns the events that are complete now; empty if there are none.
     pub fn push(&mut self, data: &[u8]) -> Bytes {
-        self.remainder.extend_from_slice(data);
-        let end = end_of_last_event(&self.remainder);
+        let end = append(&mut self.remainder, data);
         let complete = self.remainder.split_to(end).freeze();
         self.has_passed |= !complete.is_empty();
         if let Some(id) = last_id(&complete) {
@@ -60,6 +62,19 @@
     }
 }
 
+/// Bytes at the end of an incomplete event that may belong to the empty line after it.
+const MAX_EMPTY_LINE_PART: usize = 2;
+
+/// Appends bytes to an incomplete event. Returns the end of the last event that is complete now; 0 if there is none.
+pub(super) fn append(partial: &mut BytesMut, data: &[u8]) -> usize {
+    let searched = partial.len().saturating_sub(MAX_EMPTY_LINE_PART);
+    partial.extend_from_slice(data);
+    match end_of_last_event(&partial[searched..]) {
+        0 => 0,
+        end => searched + end,
+    }
+}
+
 /// Returns the end of the last empty line; 0 if there is none.
 pub(super) fn end_of_last_event(buf: &[u8]) -> usize {
     let mut end = buf.len();
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -7,7 +7,7 @@
 
 use super::admit::AdmittedRequest;
 use super::attempt_outcome::{Doubt, OpenStream, SILENT, StreamSource};
-use super::events::{EventSplitter, count_events};
+use super::events::{EventSplitter, OVERLONG_EVENT, count_events};
 use super::handover::Handover;
 use super::incomplete::{EndReason, IncompleteResponse};
 use super::progress::{Progress, may_rerun};
@@ -505,9 +505,7 @@
     };
     let complete = events.push(&data);
     match events.is_overlong() {
-        true => Err(RelayEnd::Broken(
-            "event exceeds the maximum length".to_owned(),
-        )),
+        true => Err(RelayEnd::Broken(OVERLONG_EVENT.to_owned())),
         false => Ok(complete),
     }
 }
--- a/crates/sillpin-gateway/src/front/stream_body.rs
+++ b/crates/sillpin-gateway/src/front/stream_body.rs
@@ -1,6 +1,6 @@
 //! The body of a stream, of which the beginning can be read ahead.
 
-use super::events::end_of_last_event;
+use super::events::{MAX_EVENT_LEN, OVERLONG_EVENT, append, end_of_last_event};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use sillpin_http::IncomingBody;
@@ -61,9 +61,13 @@
     /// Reads ahead until the first event is complete, and returns how the stream begins. Loses nothing if it is dropped
     /// while it waits.
     pub async fn begin(&mut self) -> Begun {
-        while end_of_last_event(&self.ahead) == 0 {
+        let mut is_begun = end_of_last_event(&self.ahead) > 0;
+        while !is_begun {
+            if self.ahead.len() > MAX_EVENT_LEN {
+                return Begun::Broken(OVERLONG_EVENT.to_owned());
+            }
             match self.read().await {
-                Some(Ok(data)) => self.ahead.extend_from_slice(&data),
+                Some(Ok(data)) => is_begun = append(&mut self.ahead, &data) > 0,
                 None if self.ahead.is_empty() => {
                     self.end = Some(None);
                     return Begun::Ended;
--- a/crates/sillpin-gateway/tests/events.rs
+++ b/crates/sillpin-gateway/tests/events.rs
@@ -1,7 +1,8 @@
 //! Splitting of streams into complete events.
 
 use proptest::prelude::*;
-use sillpin_gateway::front::events::EventSplitter;
+use sillpin_gateway::front::events::{EventSplitter, MAX_EVENT_LEN};
+use std::time::{Duration, Instant};
 
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(200))]
@@ -35,3 +36,26 @@
         prop_assert_eq!(splitter.last_id(), Some(last.as_str()));
     }
 }
+
+#[test]
+fn an_event_that_arrives_by_the_byte_is_searched_anew_for_each_byte() {
+    const LIMIT: Duration = Duration::from_secs(5);
+    let began = Instant::now();
+    let mut splitter = EventSplitter::default();
+    let mut len = 0;
+    while !splitter.is_overlong() && began.elapsed() < LIMIT {
+        splitter.push(b"x");
+        len += 1;
+    }
+    assert!(len > MAX_EVENT_LEN, "{len} bytes in {LIMIT:?}");
+}
+
+#[test]
+fn an_empty_line_that_arrives_in_parts_ends_an_event() {
+    for text in ["data: a\n\n", "data: a\r\n\r\n"] {
+        let mut splitter = EventSplitter::default();
+        let events = text.bytes().map(|byte| splitter.push(&[byte]));
+        let complete: Vec<_> = events.filter(|event| !event.is_empty()).collect();
+        assert_eq!(complete, [text]);
+    }
+}
--- a/crates/sillpin-http/src/lines.rs
+++ b/crates/sillpin-http/src/lines.rs
@@ -27,6 +27,8 @@
 pub struct Lines {
     body: IncomingBody,
     buf: BytesMut,
+    /// Number of bytes at the start of the buffer that hold no line feed.
+    searched: usize,
 }
 
 impl Lines {
@@ -35,6 +37,7 @@
         Self {
             body,
             buf: BytesMut::new(),
+            searched: 0,
         }
     }
 
@@ -64,9 +67,14 @@
     }
 
     fn take_line(&mut self) -> Option<BytesMut> {
-        let end = self.buf.iter().position(|b| *b == b'\n')?;
-        let line = self.buf.split_to(end);
+        let unsearched = &self.buf[self.searched..];
+        let Some(end) = unsearched.iter().position(|b| *b == b'\n') else {
+            self.searched = self.buf.len();
+            return None;
+        };
+        let line = self.buf.split_to(self.searched + end);
         self.buf.advance(1);
+        self.searched = 0;
         Some(line)
     }
 }
