--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -22,8 +22,8 @@
 use crate::pool::{Conn, ConnectionPool, SendError};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, Uri};
+use sillpin_http::IncomingBody;
 use std::hash::Hash;
 use std::pin::pin;
 use std::sync::Arc;
@@ -33,6 +33,11 @@
 /// Maximum length of a response that is buffered until it is complete, in bytes.
 const MAX_COMPLETE_RESPONSE: usize = 8 << 20;
 
+/// Maximum length of the body of a rejection, in bytes, and longest time for reading it. Another connection costs less than
+/// a longer one.
+const MAX_REJECTION: usize = 64 << 10;
+const REJECTION_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Maximum idle time of a connection that carries a request which may run only once. A target may drop an idle
 /// connection without closing it, and then it cannot be determined whether the request ran.
 const MAX_IDLE_ONCE: Duration = Duration::from_secs(2);
@@ -53,7 +58,7 @@
 /// How waiting for the head of a response ended.
 enum HeadWait {
     /// The head arrived, or the connection failed.
-    Done(Result<Response<Incoming>, SendError>),
+    Done(Result<Response<IncomingBody>, SendError>),
     /// The request timed out.
     Abandoned,
     /// The request's weights were replaced too long ago for it to start.
@@ -219,7 +224,7 @@
         &self,
         attempt: Attempt<'_>,
         conn: Conn,
-        resp: Response<Incoming>,
+        resp: Response<IncomingBody>,
         sent: Instant,
     ) -> AttemptOutcome {
         let (parts, body) = resp.into_parts();
@@ -314,7 +319,7 @@
     pub(super) async fn read_body(
         &self,
         request: &AdmittedRequest,
-        body: Incoming,
+        body: IncomingBody,
     ) -> Result<BufferedBody, AttemptOutcome> {
         let reading = self.body_memory.read(body, MAX_COMPLETE_RESPONSE);
         match timeout_at(request.deadline, reading).await {
@@ -356,7 +361,7 @@
     pool: ConnectionPool<K>,
     key: K,
     conn: Conn,
-    body: Incoming,
+    body: IncomingBody,
     head: &ResponseHead,
     keep_idle: Option<Duration>,
 ) where
@@ -364,8 +369,9 @@
 {
     let closes = head.closes;
     tokio::spawn(async move {
-        let limited = http_body_util::Limited::new(body, MAX_COMPLETE_RESPONSE);
-        if limited.collect().await.is_ok() && !closes {
+        let limited = http_body_util::Limited::new(body, MAX_REJECTION);
+        let read = tokio::time::timeout(REJECTION_TIMEOUT, limited.collect()).await;
+        if matches!(read, Ok(Ok(_))) && !closes {
             pool.put(key, conn, keep_idle).await;
         }
     });
--- a/crates/sillpin-http/src/lines.rs
+++ b/crates/sillpin-http/src/lines.rs
@@ -1,9 +1,9 @@
 //! Readers of lines, and of JSON documents with one per line, from a streamed body.
 
+use crate::reads::IncomingBody;
 use bytes::{Buf, Bytes, BytesMut};
 use derive_more::{Display, Error};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
 
 /// Maximum length of a line, in bytes.
@@ -25,16 +25,19 @@
 
 /// Reads lines from a body. Dropping it before the end closes the connection.
 pub struct Lines {
-    body: Incoming,
+    body: IncomingBody,
     buf: BytesMut,
+    /// Number of bytes at the start of the buffer that hold no line feed.
+    searched: usize,
 }
 
 impl Lines {
     /// Creates a reader of `body`.
-    pub fn new(body: Incoming) -> Self {
+    pub fn new(body: IncomingBody) -> Self {
         Self {
             body,
             buf: BytesMut::new(),
+            searched: 0,
         }
     }
 
@@ -64,9 +67,14 @@
     }
 
     fn take_line(&mut self) -> Option<BytesMut> {
-        let end = self.buf.iter().position(|b| *b == b'\n')?;
-        let line = self.buf.split_to(end);
+        let unsearched = &self.buf[self.searched..];
+        let Some(end) = unsearched.iter().position(|b| *b == b'\n') else {
+            self.searched = self.buf.len();
+            return None;
+        };
+        let line = self.buf.split_to(self.searched + end);
         self.buf.advance(1);
+        self.searched = 0;
         Some(line)
     }
 }
@@ -78,7 +86,7 @@
 
 impl JsonLines {
     /// Creates a reader of `body`.
-    pub fn new(body: Incoming) -> Self {
+    pub fn new(body: IncomingBody) -> Self {
         let lines = Lines::new(body);
         Self { lines }
     }
