What a target says in an answer that came by way of another box is recorded

The store was down, so that the answers were the only word of it.

Cause: accept_response in front/forward.rs passed answers on without record_signals, which classify_response calls for a target's own answers. Nothing named the target either: answers need not have its id. The class is each signal in an answer; docs/design/review.md lists them.

Change: a box that serves another box's request names the target and its incarnation in sillpin-forward-result (optional field, ignored by former builds; without it the answer's own instance id counts). The first box finds its entry and calls the same record_signals. Rest times stay with the box that was refused: a box never passes such a refusal on.

--- a/crates/sillpin-gateway/src/forward/head.rs
+++ b/crates/sillpin-gateway/src/forward/head.rs
@@ -1,5 +1,6 @@
 //! Headers of a request that one box sends to another, and of its response.
 
+use crate::control::{Life, TargetEntry};
 use crate::peers::wire::FleetKey;
 use crate::streams::VersionHash;
 use derive_more::{Display, Error};
@@ -7,7 +8,7 @@
 use hyper::header::{HeaderName, HeaderValue};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use sillpin_core::{BoxId, Outcome, PoolId};
+use sillpin_core::{BoxId, Outcome, PoolId, TargetId};
 use std::time::Duration;
 
 /// Header of a forwarded request, with a [`ForwardHead`] as JSON.
@@ -69,6 +70,9 @@
     Target {
         /// Version of the target, if the response is a stream that may be resumed.
         version: Option<VersionHash>,
+        /// The target, so that the other box can record its signals; boxes of former builds don't name it.
+        #[serde(default)]
+        target: Option<AnsweringTarget>,
     },
     /// The request did not run; another box may serve it.
     Unavailable(Unavailable),
@@ -83,6 +87,25 @@
     },
 }
 
+/// The incarnation of a target that sent a response.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnsweringTarget {
+    /// Its id.
+    pub id: TargetId,
+    /// Its incarnation, if it reports one.
+    pub life: Option<Life>,
+}
+
+impl AnsweringTarget {
+    /// Returns the incarnation that an entry describes.
+    pub fn of(target: &TargetEntry) -> Self {
+        Self {
+            id: target.id.clone(),
+            life: target.life,
+        }
+    }
+}
+
 /// A header between boxes that cannot be read.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum ForwardHeadError {
--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -266,6 +266,7 @@
             status: parts.status,
             headers: parts.headers,
             body,
+            target: Some(attempt.target),
         };
         match success {
             true => AttemptOutcome::Completed(response),
@@ -275,7 +276,7 @@
 
     /// Records what a target reports about itself. A response that names another target, or states that the request was
     /// misdirected, is ignored: it is about that other target.
-    fn record_signals(
+    pub(super) fn record_signals(
         &self,
         target: &TargetEntry,
         status: StatusCode,
--- a/crates/sillpin-gateway/src/front/attempt_outcome.rs
+++ b/crates/sillpin-gateway/src/front/attempt_outcome.rs
@@ -32,6 +32,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: BufferedBody,
+    /// The target that sent it to this box; `None` if another box passed it on.
+    pub target: Option<Arc<TargetEntry>>,
 }
 
 /// A streaming response whose head has arrived.
--- a/crates/sillpin-gateway/src/front/forward.rs
+++ b/crates/sillpin-gateway/src/front/forward.rs
@@ -12,7 +12,7 @@
 use crate::dialect::{Dialect, ResponseHead};
 use crate::fleet_state::BoxEntry;
 use crate::forward::boxes::{Avoidance, BoxChoice, ForwardGuard, MAX_NAMED, SearchScope};
-use crate::forward::head::{ForwardHead, ForwardResult, NamedBoxes, Unavailable};
+use crate::forward::head::{AnsweringTarget, ForwardHead, ForwardResult, NamedBoxes, Unavailable};
 use crate::pool::{Conn, SendError};
 use crate::streams::VersionHash;
 use bytes::Bytes;
@@ -339,7 +339,7 @@
         let named = NamedBoxes::take(&mut parts.headers);
         let head = self.dialect.read_response(parts.status, &parts.headers);
         match result {
-            Ok(ForwardResult::Target { version }) => {
+            Ok(ForwardResult::Target { version, target }) => {
                 let (id, pool, now) = (&open.entry.id, open.pool, Instant::now());
                 match open.last_resort {
                     true => self.forward_boxes.record_few_paths(id, pool, now),
@@ -350,6 +350,7 @@
                     head,
                     body,
                     version,
+                    target,
                 };
                 Ok(self.accept_response(request, open, response).await)
             }
@@ -405,7 +406,11 @@
             head,
             body,
             version,
+            target,
         } = response;
+        if head.is_for(&request.head.id) {
+            self.record_forwarded_signals(target, parts.status, &head, open.sent);
+        }
         if let Err(reason) = head.check(&request.head.id, parts.status) {
             return AttemptOutcome::Unknown(reason.to_owned());
         }
@@ -438,6 +443,7 @@
             status: parts.status,
             headers: parts.headers,
             body,
+            target: None,
         };
         match success {
             true => AttemptOutcome::Completed(response),
@@ -504,6 +510,7 @@
     head: ResponseHead,
     body: Incoming,
     version: Option<VersionHash>,
+    target: Option<AnsweringTarget>,
 }
 
 /// Turns a denial by another box's configuration into a refusal: this box's configuration allows the request, and one of
--- a/crates/sillpin-gateway/src/front/handler.rs
+++ b/crates/sillpin-gateway/src/front/handler.rs
@@ -5,7 +5,7 @@
 use super::refusal::{Refusal, close_after};
 use super::shared::Shared;
 use crate::dialect::Dialect;
-use crate::forward::head::{FORWARD, ForwardHead, ForwardResult, Unavailable};
+use crate::forward::head::{AnsweringTarget, FORWARD, ForwardHead, ForwardResult, Unavailable};
 use crate::streams::VersionHash;
 use futures::FutureExt;
 use hyper::body::Incoming;
@@ -86,7 +86,8 @@
         let (mut resp, result) = match result {
             Ok(resp) => {
                 let version = resp.extensions().get::<VersionHash>().copied();
-                (resp, ForwardResult::Target { version })
+                let target = resp.extensions().get::<AnsweringTarget>().cloned();
+                (resp, ForwardResult::Target { version, target })
             }
             Err(refusal) => {
                 let mut resp = refusal.response(&self.shared.dialect, None);
--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -41,6 +41,7 @@
 pub mod fair_admission;
 mod fatal;
 mod forward;
+mod forwarded_signals;
 pub mod handler;
 mod handover;
 pub mod idle_timeout;
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -17,6 +17,7 @@
 use super::target_wait::{TargetWait, WaitEnd};
 use crate::control::TargetEntry;
 use crate::dialect::Dialect;
+use crate::forward::head::AnsweringTarget;
 use crate::placement::InFlightGuard;
 use crate::placement::load::Outcome as Health;
 use crate::placement::work::IncarnationHash;
@@ -91,6 +92,11 @@
         // The length of a resumed stream differs from that of its first part.
         resp.headers_mut().remove(CONTENT_LENGTH);
         self.metrics.response_head(request.arrival.elapsed());
+        if request.forwarded.is_some()
+            && let StreamSource::Target { target, .. } = &stream.source
+        {
+            resp.extensions_mut().insert(AnsweringTarget::of(target));
+        }
         let mut progress = progress;
         if request.forwarded.is_some() && request.route.resumable {
             // The box that forwarded the request is told the version before there is an event.
--- a/crates/sillpin-gateway/src/front/response.rs
+++ b/crates/sillpin-gateway/src/front/response.rs
@@ -5,6 +5,7 @@
 use super::refusal::Refusal;
 use super::shared::Shared;
 use crate::dialect::Dialect;
+use crate::forward::head::AnsweringTarget;
 use hyper::Response;
 use sillpin_http::Body;
 use sillpin_telemetry::{event, events};
@@ -47,6 +48,11 @@
         let mut resp = Response::new(body);
         *resp.status_mut() = response.status;
         *resp.headers_mut() = self.dialect.write_response(&response.headers);
+        if request.forwarded.is_some()
+            && let Some(target) = &response.target
+        {
+            resp.extensions_mut().insert(AnsweringTarget::of(target));
+        }
         resp
     }
 
--- a/crates/sillpin-gateway/tests/forward.rs
+++ b/crates/sillpin-gateway/tests/forward.rs
@@ -8,11 +8,12 @@
 use rand::rngs::StdRng;
 use rstest::rstest;
 use sillpin_core::{BoxId, Outcome, PoolId, RegionId, ZoneId};
+use sillpin_gateway::control::Life;
 use sillpin_gateway::fleet_state::BoxEntry;
 use sillpin_gateway::forward::boxes::{Avoidance, BoxChoice, ForwardBoxes, SearchScope};
 use sillpin_gateway::forward::capacity::ForwardCapacity;
 use sillpin_gateway::forward::head::{
-    FORWARD, ForwardHead, ForwardHeadError, ForwardResult, Unavailable,
+    AnsweringTarget, FORWARD, ForwardHead, ForwardHeadError, ForwardResult, Unavailable,
 };
 use sillpin_gateway::peers::wire::FleetKey;
 use sillpin_gateway::placement::residency::{Residency, ZoneRegions};
@@ -239,8 +240,19 @@
         ForwardHead::take(&mut headers, other),
         Err(ForwardHeadError::Foreign)
     );
+    let target = AnsweringTarget {
+        id: "i-1".parse().unwrap(),
+        life: Some(Life(7)),
+    };
     for result in [
-        ForwardResult::Target { version: None },
+        ForwardResult::Target {
+            version: None,
+            target: Some(target),
+        },
+        ForwardResult::Target {
+            version: None,
+            target: None,
+        },
         ForwardResult::Unavailable(Unavailable::Busy),
         ForwardResult::Refused {
             outcome: Outcome::Unknown,
