Boxes tell each other which targets announced that they are leaving

Seen: a box that got no answer of a leaving target itself went on sending to it while the store was down, until the target answered it. A request that another box served for it in its own name, after the target had refused it, told it nothing either.

Cause: what placement/signals/leaving.rs knows stayed at the box that heard it.

Change: a new last variant of the datagrams, Leaving, with the incarnation and the age of the announcement. A box that hears one tells all boxes at once and repeats it to one random box in each round (0.4 s) for 30 s, for those that were out of touch. Updates do not renew an announcement, and time asleep counts, so that a process without an incarnation that starts later at the same address is not taken for the one that left. Boxes of the former build cannot decode the datagram, drop it and log that. E420 tells who was learned of by another box.

Not run: fleets of more than two boxes.

--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -304,8 +304,10 @@
             .loads
             .signals(|signals| signals.record(life, observation, Instant::now()));
         for change in changes {
-            if let SignalChange::Limit(_) = change {
-                self.loads.limit_changed.notify_waiters();
+            match change {
+                SignalChange::Limit(_) => self.loads.limit_changed.notify_waiters(),
+                SignalChange::ShuttingDown => self.loads.leaving_observed.notify_one(),
+                SignalChange::Backoff { .. } => {}
             }
             log_change(&self.log, target.id.as_str(), change);
         }
--- a/crates/sillpin-gateway/src/peers/datagram.rs
+++ b/crates/sillpin-gateway/src/peers/datagram.rs
@@ -9,6 +9,7 @@
 use crate::fatal::CrashReport;
 use crate::fleet_state::desired::DesiredVersionAge;
 use crate::fleet_state::{BoxEntry, Topic};
+use crate::placement::signals::leaving::LeavingUpdate;
 use crate::placement::signals::limit::LimitUpdate;
 use crate::placement::work::{EngineWork, IncarnationHash};
 use crate::releases::ReleaseUpdate;
@@ -95,6 +96,9 @@
     Zone(ZoneSummary),
     /// From a box to all others of its zone when its work at an engine changes.
     EngineUpdate(EngineUpdate),
+    /// Targets that announced that they are leaving; sent to all boxes when a box hears it, then to
+    /// one box in each round. Former builds drop it.
+    Leaving(Vec<LeavingUpdate>),
 }
 
 impl Datagram {
@@ -109,6 +113,7 @@
             Datagram::Bulletin(_) => "bulletin",
             Datagram::Zone(_) => "zone",
             Datagram::EngineUpdate(_) => "engine",
+            Datagram::Leaving(_) => "leaving",
         }
     }
 }
--- a/crates/sillpin-gateway/src/peers/receiver.rs
+++ b/crates/sillpin-gateway/src/peers/receiver.rs
@@ -19,6 +19,7 @@
 };
 use crate::metrics::BoxMetrics;
 use crate::placement::Loads;
+use crate::placement::signals::leaving::LeavingUpdate;
 use crate::placement::signals::limit::{LimitUpdate, log_limit};
 use crate::placement::work::IncarnationHash;
 use crate::releases::evidence::EvidenceSource;
@@ -180,6 +181,7 @@
             Datagram::EngineUpdate(update) => {
                 self.loads.apply_engine_update(update, Instant::now());
             }
+            Datagram::Leaving(updates) => self.apply_leaving(&updates),
         }
     }
 
@@ -222,6 +224,24 @@
         self.fetch_stores(&digest.stores, &digest.from);
     }
 
+    /// Applies what other boxes heard of targets that are leaving.
+    fn apply_leaving(&self, updates: &[LeavingUpdate]) {
+        let new = self
+            .loads
+            .signals(|signals| signals.leaving.apply_update(updates, Instant::now()));
+        for target in new {
+            event!(self.log, events::TARGET_REPORTED_LEAVING, "target" => self.target_name(target));
+        }
+    }
+
+    /// Returns the id of a target; empty if it is not listed yet.
+    fn target_name(&self, target: IncarnationHash) -> String {
+        let view = self.fleet.view();
+        let mut listed = view.targets.values();
+        let found = listed.find(|entry| IncarnationHash::of(entry) == target);
+        found.map_or(String::new(), |entry| entry.id.as_str().to_owned())
+    }
+
     /// Applies rate limits of targets that other boxes observed.
     fn apply_limits(&self, limits: &[LimitUpdate]) {
         if limits.is_empty() {
@@ -233,13 +253,9 @@
         if changes.is_empty() {
             return;
         }
-        let view = self.fleet.view();
         for change in changes {
-            let mut listed = view.targets.values();
-            let target = listed.find(|entry| IncarnationHash::of(entry) == change.target);
-            // A target that is not listed yet has no id here.
-            let name = target.map_or("", |entry| entry.id.as_str());
-            log_limit(&self.log, name, change, "other box");
+            let name = self.target_name(change.target);
+            log_limit(&self.log, &name, change, "other box");
         }
     }
 
--- a/crates/sillpin-gateway/src/peers/sender.rs
+++ b/crates/sillpin-gateway/src/peers/sender.rs
@@ -20,13 +20,14 @@
 use crate::fleet_state::{BoxEntry, FleetHandle, SyncState, View};
 use crate::metrics::BoxMetrics;
 use crate::placement::Loads;
+use crate::placement::signals::leaving::TELL_TIME;
 use crate::placement::work::EngineWork;
 use crate::releases::ReleaseTracker;
 use crate::releases::evidence::EvidenceScope;
 use crate::reload::Settings;
 use crate::streams::StreamVersions;
 use crate::suspend_clock::SuspendClock;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, IteratorRandom};
 use slog::Logger;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -51,6 +52,13 @@
 /// Number of boxes of other zones that a box of a small fleet sends to in each round.
 const FOREIGN_FAN_OUT: usize = 3;
 
+/// Number of boxes that a box repeats to in each round which targets are leaving, for those that were out of touch when all
+/// were told.
+const LEAVING_FAN_OUT: usize = 1;
+
+/// Age up to which all boxes are told at once which targets are leaving.
+const NEW_LEAVING: Duration = Duration::from_secs(1);
+
 /// Number of boxes of each other zone that the [`CROSS_ZONE_SENDER`] sends to in each round.
 const CROSS_ZONE_FAN_OUT: usize = 2;
 
@@ -145,6 +153,7 @@
         let mut zone_state = ZoneSendState::default();
         let urgent = self.zone_gossip.urgent.clone();
         let limit_changed = self.loads.limit_changed.clone();
+        let leaving_observed = self.loads.leaving_observed.clone();
         loop {
             let roster = self.zone_gossip.rosters.of(&views.borrow());
             let large = roster.is_large();
@@ -172,7 +181,11 @@
                 // Until the other boxes receive the limit, they send to the target without one. In
                 // a large zone the next report follows soon enough.
                 () = limit_changed.notified(), if !large => self.round(socket, false).await,
-                _ = rounds.tick() => self.round(socket, large).await,
+                () = leaving_observed.notified() => self.send_leaving(socket, NEW_LEAVING, usize::MAX).await,
+                _ = rounds.tick() => {
+                    self.send_leaving(socket, TELL_TIME, LEAVING_FAN_OUT).await;
+                    self.round(socket, large).await;
+                }
                 Ok(()) = views.changed() => {
                     let content = Content::of(&views.borrow_and_update());
                     if content != sent_content {
@@ -232,6 +245,20 @@
         }
     }
 
+    /// Tells up to `fan_out` boxes which targets announced within `period` that they are leaving.
+    async fn send_leaving(&self, socket: &UdpSocket, period: Duration, fan_out: usize) {
+        let updates = self
+            .loads
+            .signals(|signals| signals.leaving.updates_to_send(period, Instant::now()));
+        if updates.is_empty() {
+            return;
+        }
+        let view = self.fleet.view();
+        let to = view.boxes.iter().sample(&mut rand::rng(), fan_out);
+        let to = to.into_iter().map(|peer| peer.gossip).collect();
+        self.send(socket, &Datagram::Leaving(updates), to).await;
+    }
+
     async fn round(&self, socket: &UdpSocket, large: bool) {
         let view = self.fleet.view();
         let stores = view.config.as_ref().map(|config| config.stores.as_slice());
--- a/crates/sillpin-gateway/src/placement/load.rs
+++ b/crates/sillpin-gateway/src/placement/load.rs
@@ -174,6 +174,8 @@
     reach: Arc<Mutex<Reach>>,
     /// Notified when this box observes that a target's limit has started, changed or ended.
     pub limit_changed: Arc<Notify>,
+    /// Notified when a response to this box announces that a target is leaving.
+    pub leaving_observed: Arc<Notify>,
     /// Changes of this box's work that have not been sent to its zone yet.
     pub work_changes: WorkChanges,
 }
--- a/crates/sillpin-gateway/src/placement/signals/mod.rs
+++ b/crates/sillpin-gateway/src/placement/signals/mod.rs
@@ -133,6 +133,7 @@
         self.suspended = suspended;
         self.limits.age(newly_suspended);
         self.backoffs.age(newly_suspended);
+        self.leaving.age(newly_suspended);
     }
 
     /// Removes what has expired, and incarnations that are gone.
--- a/crates/sillpin-gateway/tests/signals.rs
+++ b/crates/sillpin-gateway/tests/signals.rs
@@ -8,7 +8,12 @@
 use rstest::rstest;
 use sillpin_gateway::control::{Life, TargetEntry};
 use sillpin_gateway::dialect::{ResponseSignals, RetryAfter};
+use sillpin_gateway::peers::datagram::{
+    BoxHash, Datagram, EngineUpdate, EngineUpdateContent, WorkUpdate,
+};
+use sillpin_gateway::peers::wire::{self, FleetKey, WireError};
 use sillpin_gateway::placement::signals::brittle::RefusalLimit;
+use sillpin_gateway::placement::signals::leaving::{LeavingUpdate, TELL_TIME};
 use sillpin_gateway::placement::signals::{SignalChange, SignalObservation, TargetSignals};
 use sillpin_gateway::placement::work::IncarnationHash;
 use std::time::Duration;
@@ -238,3 +243,122 @@
     let wait = signals.refusal_backoff(9, &mut StdRng::seed_from_u64(1));
     assert_eq!(wait, Some(RetryAfter::Wait(SECOND * 20)));
 }
+
+/// What another box knows that got this update, after `wait` since it was sent.
+async fn told_after(update: &[LeavingUpdate], wait: Duration) -> TargetSignals {
+    advance(wait).await;
+    let mut other = TargetSignals::default();
+    other.leaving.apply_update(update, Instant::now());
+    other
+}
+
+#[rstest]
+#[case::at_once(Duration::ZERO, true)]
+#[case::late(TELL_TIME - 2 * SECOND, true)]
+#[case::too_late(TELL_TIME, false)]
+#[tokio::test(start_paused = true)]
+async fn other_boxes_are_told_for_a_while_that_a_target_leaves(
+    #[case] wait: Duration,
+    #[case] is_told: bool,
+) {
+    let mut signals = TargetSignals::default();
+    let target = incarnation("i-1", 1);
+    signals.record(target, leaving(), Instant::now());
+    advance(wait).await;
+    let told = signals.leaving.updates_to_send(TELL_TIME, Instant::now());
+    let other = told_after(&told, SECOND).await;
+    assert_eq!(other.leaving.contains(target), is_told);
+    assert!(signals.leaving.contains(target), "known for longer here");
+}
+
+#[tokio::test(start_paused = true)]
+async fn boxes_that_tell_each_other_do_not_renew_an_announcement() {
+    let (mut one, mut other) = (TargetSignals::default(), TargetSignals::default());
+    one.record(incarnation("i-1", 1), leaving(), Instant::now());
+    let mut elapsed = Duration::ZERO;
+    loop {
+        let to_other = one.leaving.updates_to_send(TELL_TIME, Instant::now());
+        other.leaving.apply_update(&to_other, Instant::now());
+        let to_one = other.leaving.updates_to_send(TELL_TIME, Instant::now());
+        one.leaving.apply_update(&to_one, Instant::now());
+        if to_other.is_empty() && to_one.is_empty() {
+            break;
+        }
+        assert!(elapsed < 2 * TELL_TIME, "told forever");
+        advance(SECOND).await;
+        elapsed += SECOND;
+    }
+    assert_eq!(elapsed, TELL_TIME);
+}
+
+#[tokio::test(start_paused = true)]
+async fn announcements_age_while_the_box_is_suspended() {
+    let mut signals = TargetSignals::default();
+    signals.record(incarnation("i-1", 1), leaving(), Instant::now());
+    advance(TELL_TIME).await;
+    signals.record(incarnation("i-2", 1), leaving(), Instant::now());
+    advance(SECOND).await;
+    signals.add_suspended_time(TELL_TIME / 2);
+    let told = signals.leaving.updates_to_send(TELL_TIME, Instant::now());
+    let age_ms = (TELL_TIME / 2 + SECOND).as_millis() as u32;
+    let target = incarnation("i-2", 1);
+    assert_eq!(told, [LeavingUpdate { target, age_ms }]);
+}
+
+#[rstest]
+#[case::too_old(30_000)]
+#[case::beyond_any_clock(u32::MAX)]
+#[tokio::test(start_paused = true)]
+async fn an_old_announcement_is_not_taken_for_that_of_a_later_process(#[case] age_ms: u32) {
+    let target = incarnation("i-1", 1);
+    let other = told_after(&[LeavingUpdate { target, age_ms }], SECOND).await;
+    assert!(!other.leaving.contains(target));
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_latest_announcements_fit_a_datagram() {
+    let mut signals = TargetSignals::default();
+    for index in 0..1_000 {
+        let target = incarnation(&format!("i-{index}"), 1);
+        signals.record(target, leaving(), Instant::now());
+        advance(Duration::from_millis(1)).await;
+    }
+    let told = signals.leaving.updates_to_send(TELL_TIME, Instant::now());
+    assert_eq!(told.len(), 128);
+    assert_eq!(told[0].target, incarnation("i-999", 1));
+    let fleet = FleetKey::of(([10, 0, 0, 1], 8_744).into());
+    let buf = wire::encode(fleet, &Datagram::Leaving(told.clone())).unwrap();
+    assert!(buf.len() < 1_400, "{} bytes", buf.len());
+    let Ok(Datagram::Leaving(read)) = wire::decode(fleet, &buf) else {
+        panic!("another datagram");
+    };
+    assert_eq!(read, told);
+}
+
+/// Guards against a variant before others, which boxes of the former build would take for another.
+#[test]
+fn boxes_of_the_former_build_take_no_datagram_for_another() {
+    let fleet = FleetKey::of(([10, 0, 0, 1], 8_744).into());
+    let work = WorkUpdate {
+        from: name("b-1"),
+        work: Vec::new(),
+        replaced: Vec::new(),
+    };
+    let update = EngineUpdate {
+        from: BoxHash::unranked_from_id(&name("b-1")),
+        sequence: 1,
+        content: EngineUpdateContent::Hello,
+    };
+    let datagrams = [
+        (3, Datagram::Work(work)),
+        (7, Datagram::EngineUpdate(update)),
+        (8, Datagram::Leaving(Vec::new())),
+    ];
+    for (tag, datagram) in datagrams {
+        let mut buf = wire::encode(fleet, &datagram).unwrap();
+        assert_eq!(buf[8], tag, "{}", datagram.name());
+        buf[8] = 9;
+        let unknown = wire::decode(fleet, &buf);
+        assert!(matches!(unknown, Err(WireError::Unreadable(_))));
+    }
+}
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -137,6 +137,8 @@
     LIMIT_UNREADABLE = 356, Error, "target's limit unreadable", "Correct the target: the limit must be a decimal number; the target gets few requests until then.";
     /// A response of a target states that it is leaving.
     TARGET_SIGNALLED_LEAVING = 358, Info, "target signalled that it is leaving", "Nothing to do: it gets no further requests from this box.";
+    /// Another box heard from a target that it is leaving.
+    TARGET_REPORTED_LEAVING = 420, Info, "other box reported that target is leaving", "Nothing to do: it gets no further requests from this box.";
     /// A target refused a request and sent a time during which it accepts none from this box.
     TARGET_REQUESTED_BACKOFF = 359, Info, "target requested backoff", "Look at what the target lacks if it recurs.";
     /// The platform's store was restored from a backup and lost later writes.
