--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -271,6 +271,7 @@
             status: parts.status,
             headers: parts.headers,
             body,
+            target: Some(attempt.target),
         };
         match success {
             true => AttemptOutcome::Completed(response),
@@ -280,7 +281,7 @@
 
     /// Records what a target reports about itself. A response that names another target, or states that the request was
     /// misdirected, is ignored: it is about that other target.
-    fn record_signals(
+    pub(super) fn record_signals(
         &self,
         target: &TargetEntry,
         status: StatusCode,
@@ -308,8 +309,10 @@
             .loads
             .signals(|signals| signals.record(life, observation, Instant::now()));
         for change in changes {
-            if let SignalChange::Limit(_) = change {
-                self.loads.limit_changed.notify_waiters();
+            match change {
+                SignalChange::Limit(_) => self.loads.limit_changed.notify_waiters(),
+                SignalChange::ShuttingDown => self.loads.leaving_observed.notify_one(),
+                SignalChange::Backoff { .. } => {}
             }
             log_change(&self.log, target.id.as_str(), change);
         }
