Salt of shared parts names the set of isolated organisations

Cause: the salt of parts held model, weight version and the name of an isolated organisation. The common salt was the same before and after an organisation became isolated.

Change: the common salt names the set of isolated organisations, by a hash of their names in the configuration in force. Only organisations outside the set make parts under it, and it is used only while exactly this set is isolated, so boxes that learn of changes late, start anew or were cut off need no messages. An attempt uses the set in force when it is prepared, not that of the configuration that admitted the request, and is not sent if the set has changed since. While nobody is isolated the salt is as before. E430 logs a change.

Ruled out: a mark of the maker (nothing is shared any more), freeing (no box knows makers, no call for engines), a counter in the store (wrong after a restore).

Tests that build salts name the set; their assertions are unchanged.

--- a/crates/sillpin-gateway/benches/decision.rs
+++ b/crates/sillpin-gateway/benches/decision.rs
@@ -12,6 +12,7 @@
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use sillpin_core::{TargetId, Tokens, WeightVersion};
 use sillpin_gateway::cache_stores::CacheStores;
+use sillpin_gateway::cache_stores::isolation::{IsolatedSet, Sharing};
 use sillpin_gateway::config::{EngineSpec, FleetConfig};
 use sillpin_gateway::control::TargetEntry;
 use sillpin_gateway::dialect::{Part, PartId, Prompt};
@@ -134,7 +135,11 @@
                 let version = WeightVersion(1);
                 let plans = [(
                     version,
-                    plan(&prompt, &salt(&prompt, version, None), &inputs),
+                    plan(
+                        &prompt,
+                        &salt(&prompt, version, Sharing::AllBut(IsolatedSet::NONE)),
+                        &inputs,
+                    ),
                 )];
                 let choice = ChoiceInputs {
                     targets: &index,
--- a/crates/sillpin-gateway/src/cache_stores/mod.rs
+++ b/crates/sillpin-gateway/src/cache_stores/mod.rs
@@ -6,7 +6,8 @@
 //!
 //! - [`directory`]: content of each store,
 //! - [`homes`]: choice of the store for a part,
-//! - [`salt`]: model, weight version and isolation that a part's key names,
+//! - [`isolation`]: which organisations share parts,
+//! - [`salt`]: model, weight version and organisations that a part's key names,
 //! - [`retire`]: parts of replaced weights that are no longer fetched or saved,
 //! - [`fetch_shares`]: share of prompts that may fetch from each store,
 //! - [`reader`]: tasks that poll the stores for changes,
@@ -15,6 +16,7 @@
 pub mod directory;
 pub mod fetch_shares;
 pub mod homes;
+pub mod isolation;
 pub mod reader;
 pub mod reclaimer;
 pub mod retire;
--- a/crates/sillpin-gateway/src/cache_stores/salt.rs
+++ b/crates/sillpin-gateway/src/cache_stores/salt.rs
@@ -1,35 +1,46 @@
-//! Cache salts: the model, weight version and isolated organisation that a part belongs to.
+//! Cache salts: the model, weight version and organisations that a part belongs to.
 
+use super::isolation::{IsolatedSet, Sharing};
 use crate::dialect::Salt;
 use derive_more::{Display, Error};
 use sillpin_core::{ModelId, OrgId, WeightVersion};
 use std::str::FromStr;
 
-/// The fields of a salt, written as `model/version` or `model/version/organisation`. No name contains a slash, so parsing is
-/// unambiguous.
+/// The fields of a salt, written as `model/version/organisation` for an isolated organisation, and for the others as
+/// `model/version//set` with the set of those that are isolated, or as `model/version` if none are. No name is empty or
+/// contains a slash, so parsing is unambiguous.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Display)]
-#[display("{model}/{version}{}", self.isolated_org_text())]
+#[display("{model}/{version}{}", self.sharing_text())]
 pub struct SaltParts {
     /// The model.
     pub model: ModelId,
     /// The version of its weights.
     pub version: WeightVersion,
-    /// The organisation, if it is isolated and shares no parts with others.
-    pub isolated_org: Option<OrgId>,
+    /// The organisations that share the part.
+    pub sharing: Sharing,
 }
 
 impl SaltParts {
-    fn isolated_org_text(&self) -> String {
-        let isolated_org = self.isolated_org.as_ref();
-        isolated_org
-            .map(|org| format!("/{org}"))
-            .unwrap_or_default()
+    fn sharing_text(&self) -> String {
+        match &self.sharing {
+            Sharing::AllBut(IsolatedSet::NONE) => String::new(),
+            Sharing::AllBut(set) => format!("//{set}"),
+            Sharing::Only(org) => format!("/{org}"),
+        }
     }
 
     /// Returns the salt as text.
     pub fn salt(&self) -> Salt {
         Salt(self.to_string())
     }
+
+    /// Returns the organisation, if it is isolated and shares no parts with others.
+    pub fn isolated_org(&self) -> Option<&OrgId> {
+        match &self.sharing {
+            Sharing::Only(org) => Some(org),
+            Sharing::AllBut(_) => None,
+        }
+    }
 }
 
 /// Error for a salt that sillpin did not write.
@@ -41,19 +52,23 @@
     type Err = SaltError;
 
     fn from_str(text: &str) -> Result<Self, SaltError> {
-        let mut fields = text.split('/');
-        let model = fields.next().and_then(|field| field.parse().ok());
-        let version = fields.next().and_then(|field| field.parse().ok());
-        let isolated_org = fields
-            .next()
-            .map(|field| field.parse().map_err(|_| SaltError));
-        if fields.next().is_some() {
-            return Err(SaltError);
-        }
+        let fields: Vec<&str> = text.split('/').collect();
+        let (model, version, sharing) = match fields[..] {
+            [model, version] => (model, version, Sharing::AllBut(IsolatedSet::NONE)),
+            [model, version, "", set] => {
+                let set = set.parse().map_err(|_| SaltError)?;
+                (model, version, Sharing::AllBut(set))
+            }
+            [model, version, org] => {
+                let org = org.parse().map_err(|_| SaltError)?;
+                (model, version, Sharing::Only(org))
+            }
+            _ => return Err(SaltError),
+        };
         Ok(Self {
-            model: model.ok_or(SaltError)?,
-            version: version.ok_or(SaltError)?,
-            isolated_org: isolated_org.transpose()?,
+            model: model.parse().map_err(|_| SaltError)?,
+            version: version.parse().map_err(|_| SaltError)?,
+            sharing,
         })
     }
 }
--- a/crates/sillpin-gateway/src/fleet_state/fleet/operators.rs
+++ b/crates/sillpin-gateway/src/fleet_state/fleet/operators.rs
@@ -2,6 +2,7 @@
 
 use super::super::mirror::Change;
 use super::Fleet;
+use crate::cache_stores::isolation::IsolatedOrganisations;
 use crate::config::FleetConfig;
 use crate::control::{DecodeError, PublishedFormat};
 use crate::fleet_state::{DesiredVersion, DesiredVersions, Source};
@@ -77,11 +78,23 @@
             "bytes" => entry.value.as_ref().map_or(0, String::len),
             "before" => in_force.map_or(0, |version| version.0));
         let config = Arc::new(config);
+        self.apply_isolation(&config, in_force.is_some());
         self.config = Some(config.clone());
         self.view.config = Some(config);
         self.view.config_since = Some(Instant::now());
     }
 
+    /// Records the organisations that a configuration isolates.
+    fn apply_isolation(&mut self, config: &FleetConfig, replaces_another: bool) {
+        let isolated = IsolatedOrganisations::of(config);
+        let before = self.view.isolated.set();
+        if replaces_another && isolated.set() != before {
+            event!(self.log, events::ISOLATION_CHANGED, "isolated" => isolated.count(),
+                "set" => isolated.set().to_string(), "before" => before.to_string());
+        }
+        self.view.isolated = Arc::new(isolated);
+    }
+
     /// Records that operators requested a weights version, or an earlier time of the request.
     pub(super) fn record_desired(
         &mut self,
--- a/crates/sillpin-gateway/src/fleet_state/mod.rs
+++ b/crates/sillpin-gateway/src/fleet_state/mod.rs
@@ -19,6 +19,7 @@
 use self::mirror::Mirror;
 pub use self::mirror::STORE_TIMEOUT;
 pub use self::releases::{PhaseUpdate, Release, Releases};
+use crate::cache_stores::isolation::IsolatedOrganisations;
 use crate::config::FleetConfig;
 use crate::control::{Life, TargetEntry};
 use crate::placement::index::TargetIndex;
@@ -110,6 +111,8 @@
     pub config: Option<Arc<FleetConfig>>,
     /// When it came into force here.
     pub config_since: Option<Instant>,
+    /// The organisations that it isolates.
+    pub isolated: Arc<IsolatedOrganisations>,
     /// Sync state of what operators publish.
     pub operators_sync: SyncState,
     /// Targets that are listed, leaving ones included, with the weights that this box found them to
--- a/crates/sillpin-gateway/src/front/attempt.rs
+++ b/crates/sillpin-gateway/src/front/attempt.rs
@@ -6,8 +6,8 @@
 
 use super::admit::AdmittedRequest;
 use super::attempt_outcome::{
-    AttemptOutcome, CompleteResponse, Doubt, NO_ANSWER_IN_TIME, OpenStream, StreamSource,
-    WEIGHTS_OUTDATED,
+    AttemptOutcome, CompleteResponse, Doubt, NO_ANSWER_IN_TIME, OpenStream, SALT_OUTDATED,
+    StreamSource, WEIGHTS_OUTDATED,
 };
 use super::body_memory::BufferedBody;
 use super::shared::Shared;
@@ -115,6 +115,13 @@
                 misdirected: false,
             };
         }
+        if !self.is_salt_in_force(request, &attempt.head) {
+            return AttemptOutcome::NotRun {
+                reason: SALT_OUTDATED.to_owned(),
+                weights: None,
+                misdirected: false,
+            };
+        }
         let req = match self.build_request(request, &attempt.head) {
             Ok(req) => req,
             Err(e) => return AttemptOutcome::Unsent(e.to_string()),
--- a/crates/sillpin-gateway/src/front/attempt_outcome.rs
+++ b/crates/sillpin-gateway/src/front/attempt_outcome.rs
@@ -14,6 +14,9 @@
 use std::sync::Arc;
 use tokio::time::Instant;
 
+/// Why a prompt was not sent to its engine.
+pub(super) const SALT_OUTDATED: &str = "other organisations are isolated than when it was prepared";
+
 /// Why a prompt was cancelled at its engine.
 pub(super) const WEIGHTS_OUTDATED: &str = "its weights were replaced too long ago for it to begin";
 
--- a/crates/sillpin-gateway/src/front/selection.rs
+++ b/crates/sillpin-gateway/src/front/selection.rs
@@ -6,7 +6,7 @@
 use super::refusal::{DEFAULT_RETRY_AFTER, Refusal, spread};
 use super::shared::Shared;
 use crate::config::{EngineSpec, Pool};
-use crate::dialect::{Dialect, Prompt};
+use crate::dialect::{AttemptHead, Dialect, Prompt};
 use crate::fleet_state::View;
 use crate::peers::roles::SMALL_FLEET;
 use crate::placement::allowed::{AllowedWeights, WeightsInputs};
@@ -243,7 +243,7 @@
     ) -> Option<SelectedTarget> {
         let (now, pool) = (base.now, base.pool);
         let desired = view.desired.get(&prompt.model);
-        let org = request.organisation.as_deref();
+        let sharing = view.isolated.sharing(request.organisation.as_deref());
         let inputs = PlanInputs {
             config: &request.config,
             engine,
@@ -261,7 +261,7 @@
         // not used for another.
         let draw = rand::rng().random_range(0.0..1.0);
         let plan_for = |version: WeightVersion| {
-            let mut plan = plan(prompt, &salt(prompt, version, org), &inputs);
+            let mut plan = plan(prompt, &salt(prompt, version, sharing.clone()), &inputs);
             plan.drop_busy_sources(|store| {
                 draw < self.cache_stores.fetch_shares().share(store, now)
             });
@@ -309,6 +309,17 @@
         weights.latest_start(version)
     }
 
+    /// Whether a prompt may be sent under the salt that its directives name: the organisations that share parts may have
+    /// changed since they were prepared.
+    pub fn is_salt_in_force(&self, request: &AdmittedRequest, head: &AttemptHead) -> bool {
+        let (Some(prompt), Some(directives)) = (&request.head.prompt, &head.engine) else {
+            return true;
+        };
+        let isolated = self.fleet.view().isolated.clone();
+        let sharing = isolated.sharing(request.organisation.as_deref());
+        salt(prompt, directives.weights, sharing).salt() == directives.salt
+    }
+
     /// Input for the decision which versions of the weights a prompt may run on.
     fn weights_use<'a>(
         &self,
--- a/crates/sillpin-gateway/src/placement/parts.rs
+++ b/crates/sillpin-gateway/src/placement/parts.rs
@@ -1,10 +1,11 @@
 //! Decides from which cache stores the parts of a prompt are fetched, and in which they are saved.
 
 use crate::cache_stores::homes::{PartPosition, homes};
+use crate::cache_stores::isolation::Sharing;
 use crate::cache_stores::retire::MAX_FETCH_TIME;
 use crate::cache_stores::salt::SaltParts;
 use crate::cache_stores::{CacheStores, Directory};
-use crate::config::{EngineSpec, FleetConfig, Organisation, StoreSpec};
+use crate::config::{EngineSpec, FleetConfig, StoreSpec};
 use crate::control::PartKey;
 use crate::dialect::{EngineDirectives, Prompt, Salt};
 use crate::placement::engine_speed::PoolSpeed;
@@ -87,14 +88,13 @@
     pub speed: PoolSpeed,
 }
 
-/// Returns the salt that separates the stored parts of a weights version, and of an isolated
-/// organisation, from others.
-pub fn salt(prompt: &Prompt, version: WeightVersion, org: Option<&Organisation>) -> SaltParts {
-    let isolated_org = org.filter(|org| org.isolated);
+/// Returns the salt that separates the parts of a weights version, and of the organisations that
+/// share them, from others.
+pub fn salt(prompt: &Prompt, version: WeightVersion, sharing: Sharing) -> SaltParts {
     SaltParts {
         model: prompt.model.clone(),
         version,
-        isolated_org: isolated_org.map(|org| org.id.clone()),
+        sharing,
     }
 }
 
--- a/crates/sillpin-gateway/tests/cache_stores/homes.rs
+++ b/crates/sillpin-gateway/tests/cache_stores/homes.rs
@@ -61,7 +61,7 @@
 ) {
     let read = text.parse::<SaltParts>().ok();
     let seen = read.as_ref().map(|salt| {
-        let isolated_org = salt.isolated_org.as_ref().map(|org| org.as_str());
+        let isolated_org = salt.isolated_org().map(|org| org.as_str());
         (salt.version.0, isolated_org)
     });
     assert_eq!(seen, expected);
--- a/crates/sillpin-gateway/tests/cache_stores/retire.rs
+++ b/crates/sillpin-gateway/tests/cache_stores/retire.rs
@@ -3,6 +3,7 @@
 use crate::common::{engine, name, target};
 use crate::{STORE, key};
 use sillpin_core::WeightVersion;
+use sillpin_gateway::cache_stores::isolation::{IsolatedSet, Sharing};
 use sillpin_gateway::cache_stores::retire::{
     MAX_FETCH_TIME, Retired, Retirements, Weights, retirement_rank,
 };
@@ -304,7 +305,7 @@
     let salt = SaltParts {
         model: name("m"),
         version: WeightVersion(1),
-        isolated_org: None,
+        sharing: Sharing::AllBut(IsolatedSet::NONE),
     };
     assert!(other.is_retired(&salt, &key("a")));
 }
--- a/crates/sillpin-gateway/tests/common/engines.rs
+++ b/crates/sillpin-gateway/tests/common/engines.rs
@@ -6,6 +6,7 @@
 use rand::{RngExt, SeedableRng};
 use sillpin_core::{PoolId, TargetId, Tokens, WeightVersion, ZoneId};
 use sillpin_gateway::cache_stores::CacheStores;
+use sillpin_gateway::cache_stores::isolation::{IsolatedSet, Sharing};
 use sillpin_gateway::config::{EngineSpec, FleetConfig};
 use sillpin_gateway::control::TargetEntry;
 use sillpin_gateway::dialect::{Part, PartId, Prompt};
@@ -421,5 +422,13 @@
         speed,
         now: Instant::now(),
     };
-    plan(&prompt, &salt(&prompt, WeightVersion(1), None), &inputs)
+    plan(
+        &prompt,
+        &salt(
+            &prompt,
+            WeightVersion(1),
+            Sharing::AllBut(IsolatedSet::NONE),
+        ),
+        &inputs,
+    )
 }
--- a/crates/sillpin-gateway/tests/parts.rs
+++ b/crates/sillpin-gateway/tests/parts.rs
@@ -6,6 +6,7 @@
 use rstest::rstest;
 use sillpin_core::{Tokens, WeightVersion, ZoneId};
 use sillpin_gateway::cache_stores::CacheStores;
+use sillpin_gateway::cache_stores::isolation::{IsolatedSet, Sharing};
 use sillpin_gateway::config::{EngineSpec, FleetConfig, StoreSpec};
 use sillpin_gateway::control::{PartKey, StoreListing};
 use sillpin_gateway::dialect::{EngineDirectives, EngineTime, Part, PartId, Prompt};
@@ -44,7 +45,7 @@
 fn directives(in_a: bool, in_b: bool, zone: &str) -> (Plan, EngineDirectives) {
     let (prompt, stores, cache_stores) = (prompt(), stores(), CacheStores::default());
     let now = Instant::now();
-    let salt = salt(&prompt, VERSION, None);
+    let salt = salt(&prompt, VERSION, Sharing::AllBut(IsolatedSet::NONE));
     for (store, holds) in stores.iter().zip([in_a, in_b]) {
         let key = PartKey {
             salt: salt.salt(),
--- a/crates/sillpin-gateway/tests/place.rs
+++ b/crates/sillpin-gateway/tests/place.rs
@@ -6,6 +6,7 @@
 use rstest::rstest;
 use sillpin_core::{ModelId, TargetId, Tokens, WeightVersion, ZoneId};
 use sillpin_gateway::cache_stores::CacheStores;
+use sillpin_gateway::cache_stores::isolation::{IsolatedSet, Sharing};
 use sillpin_gateway::config::Priority;
 use sillpin_gateway::config::{EngineSpec, FleetConfig};
 use sillpin_gateway::control::{PartKey, StoreListing};
@@ -564,7 +565,11 @@
     };
     let store = store("s", 7, zone, 1_722_605, 6);
     let (cache_stores, now) = (CacheStores::default(), Instant::now());
-    let salt = salt(&prompt, WeightVersion(1), None);
+    let salt = salt(
+        &prompt,
+        WeightVersion(1),
+        Sharing::AllBut(IsolatedSet::NONE),
+    );
     let key = PartKey {
         salt: salt.salt(),
         part: PartId("session".to_owned()),
--- a/crates/sillpin-gateway/tests/residency.rs
+++ b/crates/sillpin-gateway/tests/residency.rs
@@ -6,6 +6,7 @@
 use rstest::rstest;
 use sillpin_core::{RegionId, TargetId, Tokens, WeightVersion, ZoneId};
 use sillpin_gateway::cache_stores::CacheStores;
+use sillpin_gateway::cache_stores::isolation::{IsolatedSet, Sharing};
 use sillpin_gateway::config::{EngineSpec, FleetConfig};
 use sillpin_gateway::control::{PartKey, StoreListing, TargetEntry};
 use sillpin_gateway::dialect::{Part, PartId, Prompt};
@@ -129,7 +130,11 @@
         tokens: Tokens(600),
         max_output: Tokens(10),
     };
-    let salt = salt(&prompt, WeightVersion(1), None);
+    let salt = salt(
+        &prompt,
+        WeightVersion(1),
+        Sharing::AllBut(IsolatedSet::NONE),
+    );
     let key = PartKey {
         salt: salt.salt(),
         part: PartId("kept".to_owned()),
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -257,6 +257,8 @@
     POOL_REACHABLE = 377, Info, "targets of a pool reachable again", "Nothing to do.";
     /// The handler of a request panicked.
     HANDLER_PANICKED = 390, Error, "handler of a request panicked", "Report the fault with the record: its caller was told that the request may have run.";
+    /// A configuration isolates other organisations than the one before.
+    ISOLATION_CHANGED = 430, Info, "other organisations are isolated", "Nothing to do: organisations that share parts of prompts do not find what was kept for another set of isolated ones, so engines compute it again.";
     /// A task of the program panicked.
     TASK_PANICKED = 391, Error, "task panicked", "Report the fault with the record (`at` is its place in the code), and restart the program if it serves worse since.";
 }
