Test: parts stored before an organisation was isolated are not fetched

A directory that holds a part under the salt of an earlier set of isolated organisations is no source for a prompt of the others or of the isolated one; the part is saved anew. 10 of 10 tests of parts.rs pass.

--- a/crates/sillpin-gateway/tests/parts.rs
+++ b/crates/sillpin-gateway/tests/parts.rs
@@ -43,12 +43,24 @@
 /// Returns a plan made while the given stores hold `session`, and the instructions for an engine in
 /// `zone`.
 fn directives(in_a: bool, in_b: bool, zone: &str) -> (Plan, EngineDirectives) {
+    let all = Sharing::AllBut(IsolatedSet::NONE);
+    directives_of(all.clone(), all, (in_a, in_b), zone)
+}
+
+/// As [`directives`], for a part that `makers` share and a prompt of one of `users`.
+fn directives_of(
+    makers: Sharing,
+    users: Sharing,
+    (in_a, in_b): (bool, bool),
+    zone: &str,
+) -> (Plan, EngineDirectives) {
     let (prompt, stores, cache_stores) = (prompt(), stores(), CacheStores::default());
     let now = Instant::now();
-    let salt = salt(&prompt, VERSION, Sharing::AllBut(IsolatedSet::NONE));
+    let held = salt(&prompt, VERSION, makers);
+    let salt = salt(&prompt, VERSION, users);
     for (store, holds) in stores.iter().zip([in_a, in_b]) {
         let key = PartKey {
-            salt: salt.salt(),
+            salt: held.salt(),
             part: PartId("session".to_owned()),
         };
         let list = StoreListing {
@@ -108,6 +120,19 @@
     assert_eq!(directives.save[1], None, "it is stored already");
 }
 
+#[rstest]
+#[case::for_the_others(Sharing::AllBut("00000000000000ff".parse().unwrap()))]
+#[case::for_the_isolated_one(Sharing::Only(name("acme")))]
+#[tokio::test(start_paused = true)]
+async fn a_part_was_fetched_that_was_stored_before_an_organisation_was_isolated(
+    #[case] users: Sharing,
+) {
+    let makers = Sharing::AllBut(IsolatedSet::NONE);
+    let (_, directives) = directives_of(makers, users, (true, true), "za");
+    assert_eq!(port(directives.fetch[1]), None);
+    assert_eq!(port(directives.save[1]), Some(7), "it is saved anew");
+}
+
 #[rstest]
 #[case("za", 7)]
 #[case("zb", 8)]
