Bounds numbers from outside where they are decoded

Cause: the decoder accepted what fits a `Duration`, and `now + time` panicked in the task that holds the fleet's state. Other decoders did the same with numbers of the store, of targets, callers, boxes and settings: sums of tokens, of split weights and of counted responses, lengths of heads, products of tokens and bytes, the era in a revision.

Change: `sillpin_core::bounds` has the range of durations (a year), counts, rates and shares, and decoders apply it. `Tokens` are bounded by their own conversion. A number beyond the range counts as the largest, a negative one as zero. Counts of responses saturate when they are added up, since no bound of one message bounds the sum of all boxes.

--- a/crates/sillpin-core/src/lib.rs
+++ b/crates/sillpin-core/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here does I/O, reads a clock or spawns a task. The modules are:
 //!
+//! - [`bounds`]: bounds of numbers that come from outside the process,
 //! - [`ids`]: newtypes for identifiers,
 //! - [`units`]: newtypes for sizes, rates and shares,
 //! - `newtype`: the macros that declare these newtypes,
@@ -12,6 +13,7 @@
 //! - [`switches`]: switches that disable mechanisms in test builds.
 
 pub mod block;
+pub mod bounds;
 pub mod ids;
 mod newtype;
 pub mod outcome;
--- a/crates/sillpin-core/src/units.rs
+++ b/crates/sillpin-core/src/units.rs
@@ -3,14 +3,57 @@
 use crate::number_type;
 use derive_more::{Add, AddAssign, Display, Error, From, FromStr, Sub, Sum};
 use serde::{Deserialize, Serialize};
+use std::num::ParseIntError;
 use std::str::FromStr;
 use std::time::Duration;
 
-number_type!(
-    /// A number of tokens.
-    #[derive(Add, AddAssign, From, FromStr, Sub, Sum)]
-    Tokens
-);
+/// A number of tokens. What is decoded or converted is at most [`Tokens::MAX`], so that sums of it, and its size in bytes, do not
+/// overflow.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Display,
+    Add,
+    AddAssign,
+    Sub,
+    Sum,
+    Serialize,
+    Deserialize,
+)]
+#[serde(from = "u64", into = "u64")]
+pub struct Tokens(pub u64);
+
+impl Tokens {
+    /// Largest number that is accepted, many times the capacity of any store.
+    pub const MAX: Tokens = Tokens(1 << 40);
+}
+
+impl From<u64> for Tokens {
+    fn from(number: u64) -> Self {
+        Self(number).min(Self::MAX)
+    }
+}
+
+impl From<Tokens> for u64 {
+    fn from(tokens: Tokens) -> u64 {
+        tokens.0
+    }
+}
+
+impl FromStr for Tokens {
+    type Err = ParseIntError;
+
+    fn from_str(s: &str) -> Result<Self, ParseIntError> {
+        s.parse().map(u64::into)
+    }
+}
 
 number_type!(
     /// A size in bytes.
--- a/crates/sillpin-gateway/src/cache_stores/retire.rs
+++ b/crates/sillpin-gateway/src/cache_stores/retire.rs
@@ -16,6 +16,7 @@
 use crate::fleet_state::View;
 use crate::fleet_state::fleet::served;
 use serde::{Deserialize, Serialize};
+use sillpin_core::bounds;
 use sillpin_core::{BoxId, ModelId, WeightVersion};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
@@ -63,6 +64,7 @@
     /// The version.
     pub weights: Weights,
     /// The share of its parts, by hash.
+    #[serde(deserialize_with = "bounds::de::share")]
     pub share: f64,
 }
 
--- a/crates/sillpin-gateway/src/fleet_state/desired.rs
+++ b/crates/sillpin-gateway/src/fleet_state/desired.rs
@@ -10,7 +10,7 @@
 //! leader keeps in the platform store. Only if that fails too, the time is unknown.
 
 use serde::{Deserialize, Serialize};
-use sillpin_core::{ModelId, WeightVersion};
+use sillpin_core::{ModelId, WeightVersion, bounds};
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -125,6 +125,7 @@
     /// The version.
     pub version: WeightVersion,
     /// Milliseconds since it was requested.
+    #[serde(deserialize_with = "bounds::de::millis")]
     pub age_ms: u64,
     /// Whether some box was receiving changes when it was requested; if not, it was requested at
     /// least that long ago.
--- a/crates/sillpin-gateway/src/forward/head.rs
+++ b/crates/sillpin-gateway/src/forward/head.rs
@@ -7,7 +7,7 @@
 use hyper::header::{HeaderName, HeaderValue};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use sillpin_core::{BoxId, Outcome, PoolId};
+use sillpin_core::{BoxId, Outcome, PoolId, bounds};
 use std::time::Duration;
 
 /// Header of a forwarded request, with a [`ForwardHead`] as JSON.
@@ -30,8 +30,10 @@
     /// The box that sends it.
     pub from: BoxId,
     /// Milliseconds since the request's head arrived at that box.
+    #[serde(deserialize_with = "bounds::de::millis")]
     pub waited_ms: u64,
     /// Maximum number of targets that may run it.
+    #[serde(deserialize_with = "bounds::de::count")]
     pub max_runs: u32,
     /// Whether the box has counted the request for its retry budget.
     pub counted: bool,
@@ -79,6 +81,7 @@
         /// Reason, for the caller and for logs.
         reason: String,
         /// Milliseconds after which the caller may retry; `None` if it should not.
+        #[serde(default, deserialize_with = "bounds::de::optional_millis")]
         retry_after_ms: Option<u64>,
     },
 }
--- a/crates/sillpin-gateway/src/peers/datagram.rs
+++ b/crates/sillpin-gateway/src/peers/datagram.rs
@@ -13,7 +13,7 @@
 use crate::placement::work::{EngineWork, IncarnationHash};
 use crate::releases::ReleaseUpdate;
 use serde::{Deserialize, Serialize};
-use sillpin_core::{BoxId, ModelId, TargetId, Tokens, WeightVersion, ZoneId};
+use sillpin_core::{BoxId, ModelId, TargetId, Tokens, WeightVersion, ZoneId, bounds};
 use sillpin_platform::{KvEntry, KvRevision};
 use std::net::SocketAddr;
 
@@ -28,6 +28,7 @@
     /// Hash of the known content.
     pub content: u64,
     /// Milliseconds since some box queried the store and found this content.
+    #[serde(deserialize_with = "bounds::de::optional_millis")]
     pub age_ms: Option<u64>,
 }
 
@@ -39,6 +40,7 @@
     /// Position up to which its changes are known.
     pub position: Position,
     /// Milliseconds since some box queried the store and found this position.
+    #[serde(deserialize_with = "bounds::de::millis")]
     pub age_ms: u64,
 }
 
@@ -63,6 +65,7 @@
     /// times in the store.
     pub desired_ages: Vec<DesiredVersionAge>,
     /// Milliseconds for which it has been in contact with the platform store; `None` if it is not.
+    #[serde(deserialize_with = "bounds::de::optional_millis")]
     pub contact_ms: Option<u64>,
     /// Which stored parts it no longer uses.
     pub retired: Vec<Retired>,
@@ -173,6 +176,7 @@
     /// Position from which its changes are to be read.
     pub position: Position,
     /// Milliseconds since the store was queried.
+    #[serde(deserialize_with = "bounds::de::millis")]
     pub age_ms: u64,
     /// Complete stored parts.
     pub complete: Vec<(PartKey, Tokens)>,
@@ -191,6 +195,7 @@
     /// Position after the changes.
     pub next: u64,
     /// Milliseconds since the store was queried.
+    #[serde(deserialize_with = "bounds::de::millis")]
     pub age_ms: u64,
     /// The changes, in order.
     pub changes: Vec<PartChange>,
@@ -326,6 +331,7 @@
     /// Revision up to which nothing is missing.
     pub revision: KvRevision,
     /// Milliseconds since the store was queried.
+    #[serde(deserialize_with = "bounds::de::millis")]
     pub age_ms: u64,
 }
 
--- a/crates/sillpin-gateway/src/peers/link.rs
+++ b/crates/sillpin-gateway/src/peers/link.rs
@@ -9,6 +9,7 @@
 use crate::fleet_state::{Copied, FleetHandle, Topic};
 use serde::{Deserialize, Serialize};
 use sillpin_core::Tokens;
+use sillpin_core::bounds;
 use sillpin_platform::KvRevision;
 use sillpin_rpc::transport;
 use sillpin_telemetry::{event, events};
@@ -26,6 +27,7 @@
     /// What the requesting box lacks.
     pub copied: Copied,
     /// Milliseconds since some box queried the store and found this content.
+    #[serde(deserialize_with = "bounds::de::millis")]
     pub age_ms: u64,
 }
 
@@ -39,6 +41,7 @@
     /// What the requesting box lacks.
     pub content: StoreContent,
     /// Milliseconds since the store was queried.
+    #[serde(deserialize_with = "bounds::de::millis")]
     pub age_ms: u64,
 }
 
--- a/crates/sillpin-gateway/src/peers/packed.rs
+++ b/crates/sillpin-gateway/src/peers/packed.rs
@@ -9,7 +9,7 @@
 use crate::control::{PartChange, PartKey};
 use crate::dialect::{PartId, Salt};
 use serde::{Deserialize, Serialize};
-use sillpin_core::Tokens;
+use sillpin_core::{Tokens, bounds};
 use std::net::SocketAddr;
 
 /// Hexadecimal digits that fit a `u64`.
@@ -60,6 +60,7 @@
     since: u64,
     epoch: u64,
     next: u64,
+    #[serde(deserialize_with = "bounds::de::millis")]
     age_ms: u64,
     salts: Vec<Salt>,
     changes: Vec<PackedChange>,
@@ -109,7 +110,7 @@
                     salt,
                     part: part.into(),
                 },
-                tokens: tokens.checked_sub(1).map(Tokens),
+                tokens: tokens.checked_sub(1).map(Tokens::from),
             }
         };
         Self {
--- a/crates/sillpin-gateway/src/releases/evidence.rs
+++ b/crates/sillpin-gateway/src/releases/evidence.rs
@@ -6,6 +6,7 @@
 use crate::control::ReleasePhase;
 use crate::peers::datagram::BoxHash;
 use serde::{Deserialize, Serialize};
+use sillpin_core::bounds;
 use sillpin_core::{PoolId, ZoneId};
 use sillpin_platform::KvRevision;
 use sillpin_policy::release::RouteComparison;
@@ -49,6 +50,7 @@
     /// Revision of the order.
     pub revision: KvRevision,
     /// Milliseconds since it was written; `None` if the sender does not know.
+    #[serde(deserialize_with = "bounds::de::optional_millis")]
     pub age_ms: Option<u64>,
     /// Phase of the release.
     pub phase: ReleasePhase,
--- a/crates/sillpin-gateway/src/settings.rs
+++ b/crates/sillpin-gateway/src/settings.rs
@@ -1,15 +1,12 @@
 //! Settings of `sillpin-box`.
 
 use crate::placement::residency::{ZoneRegion, ZoneRegions};
-use sillpin_core::{BoxId, ZoneId};
+use sillpin_core::{BoxId, ZoneId, bounds};
 use sillpin_settings::{Faults, Key, Kind, Loaded, Schema, Section};
 use sillpin_telemetry::program::{LOG_SECTION, TRACES_SECTION};
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-/// Replaces durations that are out of range.
-const MAX_DURATION: Duration = Duration::from_secs(86_400);
-
 /// Sections and keys of the settings.
 pub const SCHEMA: Schema = &[
     Section {
@@ -322,7 +319,7 @@
         let collectors: Vec<SocketAddr> = loaded.list("telemetry", "collector")?;
         let time = |key, unit: f64| {
             let number: f64 = loaded.get("promises", key)?;
-            Ok::<_, Faults>(Duration::try_from_secs_f64(number * unit).unwrap_or(MAX_DURATION))
+            Ok::<_, Faults>(bounds::seconds(number * unit))
         };
         let zones: Vec<ZoneRegion> = loaded.list("platform", "zones")?;
         let fleet: String = loaded.get("platform", "fleet")?;
@@ -342,7 +339,7 @@
             platform: loaded.get("platform", "addr")?,
             fleet: Some(fleet).filter(|name| !name.is_empty()),
             zones: zones.into_iter().map(|z| (z.zone, z.region)).collect(),
-            history: Duration::try_from_secs_f64(history).unwrap_or(MAX_DURATION),
+            history: bounds::seconds(history),
             seeds: loaded.list("platform", "seeds")?,
             memory: loaded.get::<u64>("limits", "memory-mb")? << 20,
             descriptors: loaded.get("limits", "descriptors")?,
--- a/crates/sillpin-gateway/src/weights/election.rs
+++ b/crates/sillpin-gateway/src/weights/election.rs
@@ -3,7 +3,7 @@
 use crate::fleet_state::desired::DesiredVersionAge;
 use crate::suspend_clock::SuspendClock;
 use serde::{Deserialize, Serialize};
-use sillpin_core::{BoxId, Fence, TargetId};
+use sillpin_core::{BoxId, Fence, TargetId, bounds};
 use sillpin_platform::{KvRevision, LeaseId, Platform, PlatformError, PlatformFault, StoreEra};
 use sillpin_telemetry::{event, events};
 use slog::Logger;
@@ -85,7 +85,7 @@
     targets: Vec<TargetId>,
     /// Age of the last order to each engine of `targets`, in the same order, in milliseconds when this was written. At least that
     /// much of the wait between two leaders' orders has passed. Empty if a box of an earlier version wrote the record.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "bounds::de::all_millis")]
     ages_ms: Vec<u64>,
     /// Age of the operators' requests for weights when this was written. Boxes exchange these; the record survives the loss of all
     /// boxes.
--- a/crates/sillpin-platform/src/lib.rs
+++ b/crates/sillpin-platform/src/lib.rs
@@ -43,13 +43,19 @@
 /// Bits of a revision that hold its number, enough for a thousand changes per second for 30 years.
 const NUMBER_BITS: u32 = 40;
 
+/// Largest number of a revision.
+const MAX_NUMBER: u64 = (1 << NUMBER_BITS) - 1;
+
 impl KvRevision {
     /// Expected revision of a key that does not exist; a write with it creates the key.
     pub const ABSENT: KvRevision = KvRevision(0);
 
     /// Returns the revision of the change `number` in `era`.
+    ///
+    /// Numbers beyond the range become the largest, so that they do not change the era.
     pub fn in_era(era: StoreEra, number: u64) -> Self {
-        Self(era.0 << NUMBER_BITS | number)
+        let era = era.0.min(u64::MAX >> NUMBER_BITS);
+        Self(era << NUMBER_BITS | number.min(MAX_NUMBER))
     }
 
     /// Returns the era of the revision.
@@ -59,7 +65,7 @@
 
     /// Returns the number of the revision within its era.
     pub fn number(self) -> u64 {
-        self.0 & ((1 << NUMBER_BITS) - 1)
+        self.0 & MAX_NUMBER
     }
 }
 
--- a/crates/sillpin-policy/src/release.rs
+++ b/crates/sillpin-policy/src/release.rs
@@ -163,27 +163,28 @@
 
     /// Adds the counts of another box, zone or route.
     pub fn add(&mut self, other: &ResponseCounts) {
-        self.failed += other.failed;
+        self.failed = self.failed.saturating_add(other.failed);
         if self.served.len() < other.served.len() {
             self.served.resize(other.served.len(), 0);
         }
         for (sum, count) in self.served.iter_mut().zip(&other.served) {
-            *sum += count;
+            *sum = sum.saturating_add(*count);
         }
     }
 
     /// Returns the number of responses.
     pub fn total(&self) -> u32 {
-        self.failed + self.complete()
+        self.failed.saturating_add(self.complete())
     }
 
     fn complete(&self) -> u32 {
-        self.served.iter().sum()
+        self.at_least(0)
     }
 
     /// Returns the number of complete responses of `class` and higher ones.
     fn at_least(&self, class: usize) -> u32 {
-        self.served.iter().skip(class).sum()
+        let counts = self.served.iter().skip(class);
+        counts.fold(0, |sum, count| sum.saturating_add(*count))
     }
 
     /// Returns the first class that counts as slow for another version: above that of nearly all responses by a margin
