Supervises the tasks of a box

Cause: `ops` started each task with `tokio::spawn` and dropped its handle.

Change: `tasks.rs` starts and supervises the tasks. One that reads its state again begins anew after 0.1 to 10 s (E400, `sillpin_tasks_ended`), and the ready port says 503 while it waits, unless it only logs. The end of any other, or its panic, cancels the box's stop token: it answers what is in hand as at SIGTERM, and the process ends with an error (E401). An entry whose handling panics counts as unreadable, so that a process that is started anew does not end by the same entry.

`gossip.run` takes the supervisor as an argument; the test work_updates_udp passes one.

Not covered: a panic while a view is published, after all entries were applied, ends each process that reads the same entries.

--- a/crates/sillpin-gateway/src/fatal/persist.rs
+++ b/crates/sillpin-gateway/src/fatal/persist.rs
@@ -93,6 +93,7 @@
 }
 
 /// Persists and restores the crash history.
+#[derive(Clone)]
 pub struct CrashRecordSync<P> {
     /// The platform store.
     pub platform: P,
--- a/crates/sillpin-gateway/src/fleet_state/fleet.rs
+++ b/crates/sillpin-gateway/src/fleet_state/fleet.rs
@@ -352,7 +352,10 @@
                 let changes = self.operators_mirror.apply(reading, requested_at);
                 let changed = !changes.is_empty();
                 for change in changes {
-                    self.apply_operator_change(change, witnessed, source, now);
+                    let key = change.key().to_owned();
+                    self.contained(&key, |fleet| {
+                        fleet.apply_operator_change(change, witnessed, source, now);
+                    });
                 }
                 if changed {
                     let entries = self.operators_mirror.entries();
--- a/crates/sillpin-gateway/src/fleet_state/fleet/operators.rs
+++ b/crates/sillpin-gateway/src/fleet_state/fleet/operators.rs
@@ -5,9 +5,11 @@
 use crate::config::FleetConfig;
 use crate::control::{DecodeError, PublishedFormat};
 use crate::fleet_state::{DesiredVersion, DesiredVersions, Source};
+use crate::tasks::panic_message;
 use sillpin_core::ModelId;
 use sillpin_platform::KvEntry;
 use sillpin_telemetry::{event, events};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::Xxh3;
@@ -61,6 +63,18 @@
         }
     }
 
+    /// Applies one entry. One whose handling panics counts as unreadable: it would panic again in a process that is started anew, and
+    /// the other entries hold. Returns whether it was applied.
+    pub(super) fn contained(&mut self, key: &str, apply: impl FnOnce(&mut Self)) -> bool {
+        let applied = catch_unwind(AssertUnwindSafe(|| apply(self)));
+        if let Err(panic) = &applied {
+            let what = panic_message(&**panic).to_owned();
+            let key = key.to_owned();
+            self.log_unreadable(&DecodeError { key, what });
+        }
+        applied.is_ok()
+    }
+
     pub(super) fn log_unreadable(&self, e: &DecodeError) {
         event!(self.log, events::VALUE_UNREADABLE, "key" => &e.key, "why" => &e.what);
     }
--- a/crates/sillpin-gateway/src/fleet_state/fleet/targets.rs
+++ b/crates/sillpin-gateway/src/fleet_state/fleet/targets.rs
@@ -43,7 +43,13 @@
             .filter(|until| now < *until);
         for change in changes {
             match change {
-                Change::Set(entry) => self.apply_entry(&entry, source, now),
+                Change::Set(entry) => {
+                    let applied =
+                        self.contained(&entry.key, |fleet| fleet.apply_entry(&entry, source, now));
+                    if !applied {
+                        self.remove_entry(&entry.key, None);
+                    }
+                }
                 Change::Deleted(key) => self.remove_entry(&key, may_return),
             }
         }
--- a/crates/sillpin-gateway/src/fleet_state/reader.rs
+++ b/crates/sillpin-gateway/src/fleet_state/reader.rs
@@ -93,6 +93,7 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
 /// Reads one prefix.
+#[derive(Clone)]
 pub struct Reader<P> {
     /// The platform store.
     pub platform: P,
--- a/crates/sillpin-gateway/src/front/handler.rs
+++ b/crates/sillpin-gateway/src/front/handler.rs
@@ -157,7 +157,8 @@
     /// Handles the balancer's readiness check: 200 if this box accepts requests, else 503.
     pub async fn ready(self, req: Request<Incoming>) -> Response<Body> {
         let known = self.shared.dialect.is_ready_check(req.uri().path());
-        match (known, self.shared.is_ready()) {
+        let is_ready = self.shared.is_ready() && self.shared.tasks.are_running();
+        match (known, is_ready) {
             (false, _) => empty_response(StatusCode::NOT_FOUND),
             (true, true) => empty_response(StatusCode::OK),
             (true, false) => empty_response(StatusCode::SERVICE_UNAVAILABLE),
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -20,6 +20,7 @@
 use crate::settings::BoxConfig;
 use crate::streams::StreamVersions;
 use crate::suspend_clock::SuspendClock;
+use crate::tasks::Tasks;
 use sillpin_core::{BoxId, PoolId};
 use slog::Logger;
 use std::sync::{Arc, Mutex};
@@ -57,6 +58,8 @@
     pub prober: Prober,
     /// Requests that wait for targets.
     pub path_waits: PathWaits,
+    /// Supervises the tasks of the box.
+    pub tasks: Tasks,
     /// Engines from which nothing arrives.
     pub silent_engines: SilentEngines,
     /// Counts time in which the box was suspended.
@@ -101,6 +104,8 @@
     pub releases: ReleaseTracker,
     /// Versions that began streams.
     pub streams: StreamVersions,
+    /// Supervises the tasks of the box.
+    pub tasks: Tasks,
 }
 
 impl<D: Dialect> Shared<D> {
@@ -127,6 +132,7 @@
             suspend_clock,
             releases,
             streams,
+            tasks,
         } = handles;
         let pool = ConnectionPool::new(suspend_clock.clone());
         let prober = Prober {
@@ -154,6 +160,7 @@
             suspend_clock,
             releases,
             streams,
+            tasks,
             fatal,
             crash_detector,
             fleet,
--- a/crates/sillpin-gateway/src/lib.rs
+++ b/crates/sillpin-gateway/src/lib.rs
@@ -42,4 +42,5 @@
 pub mod settings;
 pub mod streams;
 pub mod suspend_clock;
+pub mod tasks;
 pub mod weights;
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -40,6 +40,8 @@
 use crate::streams::StreamVersions;
 use crate::streams::register::{self, VersionRegister};
 use crate::suspend_clock::SuspendClock;
+use crate::tasks::{Need, TaskLost, Tasks};
+use derive_more::{Display, Error, From};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response};
 use sillpin_http::server::{BindError, HeadLimits};
@@ -52,7 +54,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -87,15 +89,26 @@
     pub control: C,
 }
 
-/// Runs a box until `stopping` is cancelled and its last request has ended. `started` is called with the addresses
-/// once the listeners are open.
+/// Why a box did not run until it was told to stop.
+#[derive(Debug, Display, Error, From)]
+pub enum RunError {
+    /// A listener could not be opened.
+    #[display("{_0}")]
+    Bind(BindError),
+    /// A task ended that cannot begin anew.
+    #[display("{_0}")]
+    TaskLost(TaskLost),
+}
+
+/// Runs a box until `stopping` is cancelled, or a task is lost, and its last request has ended. `started` is called with the
+/// addresses once the listeners are open.
 pub async fn run<D, K, P, C>(
     settings: Settings,
     telemetry: Telemetry,
     adapter: Adapter<D, K, P, C>,
     stopping: CancellationToken,
     started: impl FnOnce(ListenAddrs),
-) -> Result<(), BindError>
+) -> Result<(), RunError>
 where
     D: Dialect,
     K: PublishedFormat,
@@ -109,12 +122,15 @@
     let Telemetry { log, metrics, .. } = telemetry;
     event!(log, events::BOX_STARTED, "callers" => addrs.callers.to_string(),
         "platform" => cfg.platform.to_string(), "seeds" => cfg.seeds.len());
+    let stopping = stopping.child_token();
+    let tasks = Tasks::new(log.clone(), &metrics.meter(), stopping.clone());
     let (fleet, port) = fleet_state::channel();
     observe_fleet(&metrics.meter(), fleet.clone());
     let suspend_clock = SuspendClock::default();
     let task = Fleet::new(cfg.id.clone(), adapter.keys.clone(), log.clone());
     let task = task.with_suspend_clock(suspend_clock.clone());
-    tokio::spawn(task.run(port));
+    tasks.essential("fleet state", task.run(port));
+    tasks.essential("settings", settings_end(settings.clone()));
     let me = BoxEntry {
         id: cfg.id.clone(),
         zone: cfg.zone.clone(),
@@ -130,7 +146,7 @@
     observe_speeds(&metrics.meter(), loads.clone());
     observe_silence(&metrics.meter(), loads.clone());
     observe_reach(&metrics.meter(), loads.clone());
-    start_readers(&adapter.keys, |topic, prefix| Reader {
+    start_readers(&tasks, &adapter.keys, |topic, prefix| Reader {
         platform: adapter.platform.clone(),
         topic,
         prefix,
@@ -152,7 +168,7 @@
         loads: loads.clone(),
         log: log.clone(),
     };
-    tokio::spawn(versions.run(register_port));
+    tasks.essential("version register", versions.run(register_port));
     let streams = StreamVersions::new(
         FleetKey::new(cfg.fleet.as_deref(), cfg.platform),
         me.clone(),
@@ -163,7 +179,10 @@
         log.clone(),
     );
     observe_streams(&metrics.meter(), streams.clone());
-    tokio::spawn(streams.clone().run(stopping.clone()));
+    let (exchange, until) = (streams.clone(), stopping.clone());
+    tasks.restart("stream versions", Need::ToServe, move || {
+        exchange.clone().run(until.clone())
+    });
     let handles = FleetHandles {
         fleet: fleet.clone(),
         loads,
@@ -172,6 +191,7 @@
         suspend_clock,
         releases: ReleaseTracker::new(cfg.canary_share),
         streams: streams.clone(),
+        tasks: tasks.clone(),
     };
     let shared = Arc::new(Shared::new(
         adapter.dialect.clone(),
@@ -181,7 +201,8 @@
         log.clone(),
         stopping.clone(),
     ));
-    tokio::spawn(cache_stores::reader::run(Readers {
+    // Its readers of single stores would go on beside those of another one.
+    let readers = cache_stores::reader::run(Readers {
         control: adapter.control.clone(),
         me: me.clone(),
         cache_stores: shared.cache_stores.clone(),
@@ -189,7 +210,8 @@
         fleet: fleet.clone(),
         updates: zone_updates_tx,
         log: log.clone(),
-    }));
+    });
+    tasks.essential("cache stores", readers);
     let peers = Peers {
         listener: listeners.peers,
         socket,
@@ -207,10 +229,14 @@
             fleet: fleet.clone(),
             suspend_clock: shared.suspend_clock.clone(),
         };
-        tokio::spawn(watch.run());
+        tasks.restart("silent engines", Need::ToServe, move || watch.clone().run());
     }
-    tokio::spawn(shared.path_waits.clone().run(shared.prober.clone()));
-    tokio::spawn(prune(shared.clone()));
+    let (waits, prober) = (shared.path_waits.clone(), shared.prober.clone());
+    tasks.restart("path waits", Need::ToServe, move || {
+        waits.clone().run(prober.clone())
+    });
+    let pruned = shared.clone();
+    tasks.restart("pruning", Need::ToServe, move || prune(pruned.clone()));
     let end = CancellationToken::new();
     let shared_log = shared.log.clone();
     let shared_metrics = shared.metrics.clone();
@@ -218,22 +244,22 @@
     let front = Front::new(shared);
     let ready = front.clone();
     let answer_ready = move |req| ready.clone().ready(req);
-    tokio::spawn(Server::on(listeners.ready).run(end.clone(), answer_ready));
+    let checks = Server::on(listeners.ready).run(end.clone(), answer_ready);
+    tasks.essential("readiness checks", checks);
     let meter = metrics.meter();
     if let Some(listener) = listeners.metrics {
-        serve_metrics(listener, metrics, &end);
+        serve_metrics(listener, metrics, &end, &tasks);
     }
-    tokio::spawn(log_traffic(
-        adapter.counts.clone(),
-        shared_metrics,
-        shared_log,
-    ));
+    let counts = adapter.counts.clone();
+    tasks.restart("log of traffic", Need::Upkeep, move || {
+        log_traffic(counts.clone(), shared_metrics.clone(), shared_log.clone())
+    });
     let limits_of = fleet.clone();
     let limits = move || head_limits(&limits_of);
     let for_boxes = front.clone();
     let closed = CancellationToken::new();
     let callers_connections = connections::bound(cfg.memory, cfg.descriptors);
-    connections::watch(&callers_connections, &meter, log.clone());
+    connections::watch(&callers_connections, &meter, log.clone(), &tasks);
     let callers = Server::on(listeners.callers)
         .http1_only()
         .bounded_by(callers_connections)
@@ -249,14 +275,24 @@
         .run(closed.clone(), move |req| {
             for_boxes.clone().serve_forwarded(req)
         });
-    let serving = tokio::spawn(async move {
+    let (served, serving) = oneshot::channel();
+    tasks.essential("requests", async move {
         tokio::join!(callers, forwarded);
+        let _ = served.send(());
     });
     stopping.cancelled().await;
     stop(&cfg, &log, closed, aborting, serving).await;
     end.cancel();
     event!(log, events::BOX_STOPPED);
-    Ok(())
+    match tasks.lost() {
+        Some(lost) => Err(lost.clone().into()),
+        None => Ok(()),
+    }
+}
+
+/// Resolves when the task that reads the settings has ended.
+async fn settings_end(mut settings: Settings) {
+    while settings.changed().await.is_ok() {}
 }
 
 /// Keeps accepting connections until the balancer has removed the box, then waits for requests in flight to end. Those that
@@ -266,7 +302,7 @@
     log: &Logger,
     closed: CancellationToken,
     aborting: CancellationToken,
-    mut serving: tokio::task::JoinHandle<()>,
+    mut serving: oneshot::Receiver<()>,
 ) {
     let began = Instant::now();
     event!(log, events::BOX_DRAINING, "grace_ms" => cfg.grace.as_millis());
@@ -283,17 +319,22 @@
 }
 
 /// Starts a reader for each prefix of the platform store; `of` creates one.
-fn start_readers<K, P>(keys: &K, of: impl Fn(Topic, &'static str) -> Reader<P>)
+fn start_readers<K, P>(tasks: &Tasks, keys: &K, of: impl Fn(Topic, &'static str) -> Reader<P>)
 where
     K: PublishedFormat,
     P: Platform,
 {
     let topics = [
-        (Topic::Operators, keys.operator_prefix()),
-        (Topic::Targets, keys.target_prefix()),
+        (
+            "reader of operators",
+            Topic::Operators,
+            keys.operator_prefix(),
+        ),
+        ("reader of targets", Topic::Targets, keys.target_prefix()),
     ];
-    for (topic, prefix) in topics {
-        tokio::spawn(of(topic, prefix).run());
+    for (name, topic, prefix) in topics {
+        let reader = of(topic, prefix);
+        tasks.restart(name, Need::ToServe, move || reader.clone().run());
     }
 }
 
@@ -313,7 +354,7 @@
     }
 }
 
-fn serve_metrics(listener: TcpListener, metrics: Metrics, end: &CancellationToken) {
+fn serve_metrics(listener: TcpListener, metrics: Metrics, end: &CancellationToken, tasks: &Tasks) {
     let metrics = Arc::new(metrics);
     let page = move |_: Request<_>| {
         let metrics = metrics.clone();
@@ -324,5 +365,5 @@
             resp
         }
     };
-    tokio::spawn(Server::on(listener).run(end.clone(), page));
+    tasks.essential("metrics page", Server::on(listener).run(end.clone(), page));
 }
--- a/crates/sillpin-gateway/src/ops/connections.rs
+++ b/crates/sillpin-gateway/src/ops/connections.rs
@@ -4,6 +4,7 @@
 //! memory and descriptors bear are closed unread, so that their callers try other boxes.
 
 use crate::metrics::observe_connections;
+use crate::tasks::{Need, Tasks};
 use opentelemetry::metrics::Meter;
 use sillpin_http::Connections;
 use sillpin_telemetry::{event, events};
@@ -31,9 +32,12 @@
 }
 
 /// Counts callers' connections, and logs when some are closed for want of room.
-pub(super) fn watch(connections: &Connections, meter: &Meter, log: Logger) {
+pub(super) fn watch(connections: &Connections, meter: &Meter, log: Logger, tasks: &Tasks) {
     observe_connections(meter, connections.clone());
-    tokio::spawn(log_closed(connections.clone(), log));
+    let connections = connections.clone();
+    tasks.restart("log of connections", Need::Upkeep, move || {
+        log_closed(connections.clone(), log.clone())
+    });
 }
 
 async fn log_closed(connections: Connections, log: Logger) {
--- a/crates/sillpin-gateway/src/ops/peers.rs
+++ b/crates/sillpin-gateway/src/ops/peers.rs
@@ -18,6 +18,7 @@
 use crate::peers::zone_sender::ZoneGossip;
 use crate::releases::supervisor::ReleaseSupervisor;
 use crate::reload::Settings;
+use crate::tasks::Need;
 use crate::weights::election::Election;
 use crate::weights::rollout::{DISCOVERY_TIMEOUT, Rollout};
 use sillpin_platform::Platform;
@@ -66,7 +67,9 @@
         cache_stores: shared.cache_stores.clone(),
         log: log.clone(),
     };
-    tokio::spawn(link::serve(listener, answerer, CancellationToken::new()));
+    let tasks = &shared.tasks;
+    let serving = link::serve(listener, answerer, CancellationToken::new());
+    tasks.essential("calls of boxes", serving);
     let registry = Registry {
         platform: adapter.platform.clone(),
         me: me.clone(),
@@ -74,7 +77,7 @@
         stopping: stopping.clone(),
         log: log.clone(),
     };
-    tokio::spawn(registry.run());
+    tasks.restart("registry", Need::ToServe, move || registry.clone().run());
     let supervisor = ReleaseSupervisor {
         platform: adapter.platform.clone(),
         keys: adapter.keys.clone(),
@@ -84,14 +87,16 @@
         stopping: stopping.clone(),
         log: log.clone(),
     };
-    tokio::spawn(supervisor.run());
+    tasks.restart("releases", Need::ToServe, move || supervisor.clone().run());
     let persist = CrashRecordSync {
         platform: adapter.platform.clone(),
         fatal: shared.fatal.clone(),
         fleet: fleet.clone(),
         log: log.clone(),
     };
-    tokio::spawn(persist.run());
+    tasks.restart("crash records", Need::ToServe, move || {
+        persist.clone().run()
+    });
     let name = BoxHash::of(&me);
     let gossip = GossipSender {
         fleet_key,
@@ -113,7 +118,7 @@
         metrics: shared.metrics.clone(),
         log: log.clone(),
     };
-    tokio::spawn(gossip.run(socket));
+    tasks.essential("gossip", gossip.run(socket, tasks.clone()));
     let rollout = Rollout {
         me: candidate,
         discovery_timeout: match shared.cfg.seeds.is_empty() {
@@ -136,5 +141,5 @@
         stopping,
         log,
     };
-    tokio::spawn(rollout.run());
+    tasks.restart("weights", Need::ToServe, move || rollout.clone().run());
 }
--- a/crates/sillpin-gateway/src/peers/registry.rs
+++ b/crates/sillpin-gateway/src/peers/registry.rs
@@ -45,6 +45,7 @@
 }
 
 /// Registers this box and reads which other boxes are registered.
+#[derive(Clone)]
 pub struct Registry<P> {
     /// The platform store.
     pub platform: P,
--- a/crates/sillpin-gateway/src/peers/sender.rs
+++ b/crates/sillpin-gateway/src/peers/sender.rs
@@ -26,6 +26,7 @@
 use crate::reload::Settings;
 use crate::streams::StreamVersions;
 use crate::suspend_clock::SuspendClock;
+use crate::tasks::Tasks;
 use rand::seq::IndexedRandom;
 use slog::Logger;
 use std::net::SocketAddr;
@@ -100,7 +101,7 @@
 
 impl GossipSender {
     /// Runs until the process ends.
-    pub async fn run(self, socket: Arc<UdpSocket>) {
+    pub async fn run(self, socket: Arc<UdpSocket>, tasks: Tasks) {
         let update_limit = SharedLimit::default();
         let receiver = GossipReceiver {
             fleet_key: self.fleet_key,
@@ -118,7 +119,7 @@
             },
             lag: Arc::default(),
             transfers: self.transfers.clone(),
-            stall: StallDetector::start(self.suspend_clock.clone()),
+            stall: StallDetector::start(self.suspend_clock.clone(), &tasks),
             metrics: self.metrics.clone(),
             name: self.name,
             zone: self.me.zone.clone(),
@@ -127,10 +128,10 @@
             streams: self.streams.clone(),
             log: self.log.clone(),
         };
-        tokio::spawn(receiver.run(socket.clone()));
+        tasks.essential("gossip receiver", receiver.run(socket.clone()));
         if self.settings.borrow().scheduling.immediate_updates {
             let updates = UpdateSender::new(&self, socket.clone(), update_limit);
-            tokio::spawn(updates.run());
+            tasks.essential("work updates", updates.run());
         }
         self.run_sender(&socket).await;
     }
--- a/crates/sillpin-gateway/src/peers/stall.rs
+++ b/crates/sillpin-gateway/src/peers/stall.rs
@@ -4,6 +4,7 @@
 //! them are too small. After a stall, queued datagrams are discarded.
 
 use crate::suspend_clock::SuspendClock;
+use crate::tasks::{Need, Tasks};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -44,7 +45,7 @@
 
 impl StallDetector {
     /// Creates a detector and starts its ticks.
-    pub fn start(suspend_clock: SuspendClock) -> Self {
+    pub fn start(suspend_clock: SuspendClock, tasks: &Tasks) -> Self {
         let state = State {
             last_tick: Instant::now(),
             suspended: suspend_clock.suspended(),
@@ -54,7 +55,10 @@
             suspend_clock,
             state: Arc::new(Mutex::new(state)),
         };
-        tokio::spawn(detector.clone().tick());
+        let ticking = detector.clone();
+        tasks.restart("stall detector", Need::ToServe, move || {
+            ticking.clone().tick()
+        });
         detector
     }
 
--- a/crates/sillpin-gateway/src/placement/silence_watch.rs
+++ b/crates/sillpin-gateway/src/placement/silence_watch.rs
@@ -214,6 +214,7 @@
 }
 
 /// The task that watches engines.
+#[derive(Clone)]
 pub struct SilenceWatch<C> {
     /// Id of this box.
     pub me: BoxId,
--- a/crates/sillpin-gateway/src/releases/supervisor.rs
+++ b/crates/sillpin-gateway/src/releases/supervisor.rs
@@ -42,6 +42,7 @@
 const RECORDER: &str = "release-recorder";
 
 /// Supervises releases.
+#[derive(Clone)]
 pub struct ReleaseSupervisor<P, K> {
     /// The platform store.
     pub platform: P,
--- a/crates/sillpin-gateway/src/weights/rollout.rs
+++ b/crates/sillpin-gateway/src/weights/rollout.rs
@@ -67,6 +67,7 @@
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Stands for election, and rolls out weights and frees parts while this box is the leader.
+#[derive(Clone)]
 pub struct Rollout<P, C> {
     /// This box.
     pub me: BoxEntry,
--- a/crates/sillpin-gateway/tests/work_updates_udp.rs
+++ b/crates/sillpin-gateway/tests/work_updates_udp.rs
@@ -30,6 +30,7 @@
 use sillpin_gateway::settings::{BoxConfig, SCHEMA};
 use sillpin_gateway::streams::{StreamVersions, register};
 use sillpin_gateway::suspend_clock::SuspendClock;
+use sillpin_gateway::tasks::Tasks;
 use sillpin_platform::call::CallCounts;
 use sillpin_platform::{KvRevision, Snapshot};
 use sillpin_settings::{Sources, load};
@@ -162,6 +163,7 @@
         let (fleet, port) = fleet_state::channel();
         runtime.spawn(Fleet::new(entry.id.clone(), EngineKeys, log.clone()).run(port));
         let metrics = Metrics::new("sillpin-box", "b").unwrap();
+        let tasks = Tasks::new(log.clone(), &metrics.meter(), Default::default());
         let metrics = BoxMetrics::new(&metrics.meter(), CallCounts::default());
         let loads = Loads::default();
         let hash = BoxHash::of(&entry);
@@ -203,7 +205,7 @@
         };
         runtime.spawn(async move {
             let _senders = (settings_tx, updates_tx, zone_updates_tx);
-            gossip.run(socket).await;
+            gossip.run(socket, tasks).await;
         });
         Self {
             entry,
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -258,5 +258,9 @@
     /// The handler of a request panicked.
     HANDLER_PANICKED = 390, Error, "handler of a request panicked", "Report the fault with the record: its caller was told that the request may have run.";
     /// A task of the program panicked.
-    TASK_PANICKED = 391, Error, "task panicked", "Report the fault with the record (`at` is its place in the code), and restart the program if it serves worse since.";
+    TASK_PANICKED = 391, Error, "task panicked", "Report the fault with the record (`at` is its place in the code). For a box, E400 or E401 tells what follows; restart any other program if it serves worse since.";
+    /// A task of the box ended, and begins anew.
+    TASK_RESTARTED = 400, Error, "task begins anew", "Report the fault with the E391 before it. If it recurs, the box is not ready while the task waits; `why` is the panic's message.";
+    /// A task of the box ended that cannot begin anew, and the process ends.
+    TASK_LOST = 401, Error, "task lost, process ends", "Report the fault with the E391 before it. The box answers what is in hand and ends; the platform starts it again.";
 }
