--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -262,5 +262,9 @@
     /// A configuration isolates other organisations than the one before.
     ISOLATION_CHANGED = 430, Info, "other organisations are isolated", "Nothing to do: organisations that share parts of prompts do not find what was kept for another set of isolated ones, so engines compute it again.";
     /// A task of the program panicked.
-    TASK_PANICKED = 391, Error, "task panicked", "Report the fault with the record (`at` is its place in the code), and restart the program if it serves worse since.";
+    TASK_PANICKED = 391, Error, "task panicked", "Report the fault with the record (`at` is its place in the code). For a box, E400 or E401 tells what follows; restart any other program if it serves worse since.";
+    /// A task of the box ended, and begins anew.
+    TASK_RESTARTED = 400, Error, "task begins anew", "Report the fault with the E391 before it. If it recurs, the box is not ready while the task waits; `why` is the panic's message.";
+    /// A task of the box ended that cannot begin anew, and the process ends.
+    TASK_LOST = 401, Error, "task lost, process ends", "Report the fault with the E391 before it. The box answers what is in hand and ends; the platform starts it again.";
 }
