Streams of a split route go on after their box was lost

What callers saw: streams of a route that is split between two pools, each with one version, were refused (503, version unknown) by all other boxes once the box that began them was killed.

Cause: a box kept a stream to itself while its pool had one version, since others know it by the pool. But a caller names no pool, and a split route has several, so only a record tells which of them began the stream, and the record was gone with the box.

Change: of a stream that began at a pool which is not the only one of its route, all four holders are told before its first event goes out, as in a pool with two versions. Nothing changes on the wire.

After the loss of all boxes streams of a split route are refused still: nobody knows the pool.

--- a/crates/sillpin-gateway/src/front/stream_version.rs
+++ b/crates/sillpin-gateway/src/front/stream_version.rs
@@ -90,7 +90,10 @@
         let timeout = request.head.timeout.unwrap_or_default();
         let life = resumable_for(request.route.timeout.max(timeout)).min(MAX_LIFE);
         let record = StreamRecord::new(stream_key(request), version, life);
-        self.streams.record(pool, record);
+        match only_pool(request) == Some(pool) {
+            true => self.streams.record(pool, record),
+            false => self.streams.record_of_split_route(record),
+        }
     }
 
     /// Returns the versions that may serve the next attempt of a request; `None` if there are none. `held` are the versions
@@ -202,16 +205,19 @@
     StreamKey::new(caller(request), resumes.unwrap_or(&request.head.id))
 }
 
+/// Returns the pool of a request's route if it has only one.
+fn only_pool(request: &AdmittedRequest) -> Option<&PoolId> {
+    let shares = request.route.shares.iter();
+    let mut pools = shares.filter(|share| share.weight > 0);
+    let pool = &pools.next()?.pool;
+    pools.next().is_none().then_some(pool)
+}
+
 fn resumed_stream(request: &AdmittedRequest) -> ResumedStream {
     let attempt = request.head.resumes.as_deref().unwrap_or(NO_ATTEMPT);
-    let shares = request.route.shares.iter().filter(|share| share.weight > 0);
-    let pools: Vec<&PoolId> = shares.map(|share| &share.pool).collect();
     ResumedStream {
         key: StreamKey::new(caller(request), attempt),
-        pool: match pools.as_slice() {
-            [pool] => Some((*pool).clone()),
-            _ => None,
-        },
+        pool: only_pool(request).cloned(),
         window: resumable_for(request.route.timeout),
     }
 }
--- a/crates/sillpin-gateway/src/streams/exchange.rs
+++ b/crates/sillpin-gateway/src/streams/exchange.rs
@@ -120,8 +120,15 @@
         self.inner.records.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Records that targets of a version began a stream, before its first event goes to the caller, and tells other boxes
-    /// unless they know it by the pool's versions.
+    /// Records that targets of a version began a stream of a route with several pools, before its first event goes to the
+    /// caller. Pools' versions do not tell other boxes which pool began it, so its holders are told at once.
+    pub fn record_of_split_route(&self, record: StreamRecord) {
+        self.records().insert(&record, Instant::now());
+        self.tell(&[record]);
+    }
+
+    /// Records that targets of a version began a stream of a route whose only pool is `pool`, before its first event goes
+    /// to the caller, and tells other boxes unless they know it by the pool's versions.
     pub fn record(&self, pool: &PoolId, record: StreamRecord) {
         let now = Instant::now();
         self.records().insert(&record, now);
