Streams go on if a second version appears while their box is lost

What callers saw: a box that was frozen or killed just before a second version of a pool's software appeared left streams that other boxes refused (503, version unknown), although all of them had begun at the first version. The same if the route was split in that time.

Cause: while its pool had one version a box kept to itself which streams it began, and told the others within 0.2 s of a second one, if it still ran.

Change: two boxes (the first holder of the own zone, and of the others) are told of each such stream before its first event goes out; all four once a second version appears, as before. Nothing changes on the wire, nothing is concluded from times or silence.

Cost, reckoned: 136 bytes a stream, 1.5 KB/s of a box's 28 at the design size, where a pool with one version cost nothing before.

--- a/crates/sillpin-gateway/src/streams/exchange.rs
+++ b/crates/sillpin-gateway/src/streams/exchange.rs
@@ -1,6 +1,6 @@
 //! Tells other boxes which versions began streams, and asks them.
 
-use super::holders::{asked, holders};
+use super::holders::{asked, holders, spare_holders};
 use super::message::{Known, MAX_RECORDS, StreamMessage, StreamQuery};
 use super::records::{RecordTable, StreamRecord};
 use super::register::RegisterHandle;
@@ -9,7 +9,7 @@
 use crate::metrics::BoxMetrics;
 use crate::peers::wire::{self, FleetKey};
 use derive_more::Display;
-use sillpin_core::PoolId;
+use sillpin_core::{PoolId, ZoneId};
 use sillpin_telemetry::{event, events};
 use slog::Logger;
 use std::collections::{HashMap, HashSet};
@@ -60,6 +60,9 @@
     Forwarded,
 }
 
+/// Returns the boxes that a box in a zone tells of a stream.
+type Holders = for<'a> fn(&'a [BoxEntry], &ZoneId, StreamKey) -> Vec<&'a BoxEntry>;
+
 /// Records of streams, shared with other boxes; clones share the state.
 #[derive(Clone)]
 pub struct StreamVersions {
@@ -124,19 +127,20 @@
     /// caller. Pools' versions do not tell other boxes which pool began it, so its holders are told at once.
     pub fn record_of_split_route(&self, record: StreamRecord) {
         self.records().insert(&record, Instant::now());
-        self.tell(&[record]);
+        self.tell(&[record], holders);
     }
 
     /// Records that targets of a version began a stream of a route whose only pool is `pool`, before its first event goes
-    /// to the caller, and tells other boxes unless they know it by the pool's versions.
+    /// to the caller, and tells its holders; fewer of them if other boxes know it by the pool's versions.
     pub fn record(&self, pool: &PoolId, record: StreamRecord) {
         let now = Instant::now();
         self.records().insert(&record, now);
         let life = Duration::from_millis(record.life_ms.into());
         if self.sole(pool, life).is_some() {
+            self.tell(&[record], spare_holders);
             return self.records().keep_untold(record, pool.clone(), now);
         }
-        self.tell(&[record]);
+        self.tell(&[record], holders);
         self.request_stored(pool, life);
     }
 
@@ -166,7 +170,7 @@
     }
 
     /// Tells the holders of these streams.
-    fn tell(&self, records: &[StreamRecord]) {
+    fn tell(&self, records: &[StreamRecord], holders: Holders) {
         let view = self.inner.fleet.view();
         let zone = &self.inner.me.zone;
         let mut by_box: HashMap<SocketAddr, Vec<StreamRecord>> = HashMap::new();
@@ -291,7 +295,7 @@
         }
     }
 
-    /// Tells other boxes of streams that began while the pool had one version, once it has more, or this box is stopping or
+    /// Tells all holders of streams that began while the pool had one version, once it has more, or this box is stopping or
     /// not in contact with the store any longer.
     pub async fn run(self, stopping: CancellationToken) {
         let mut ticks = tokio::time::interval(CHECK_INTERVAL);
@@ -301,7 +305,7 @@
             let is_stopping = stopping.is_cancelled();
             let must_tell = |pool: &PoolId, life| is_stopping || self.sole(pool, life).is_none();
             let untold = self.records().take_untold(must_tell, Instant::now());
-            self.tell(&untold);
+            self.tell(&untold, holders);
         }
     }
 
--- a/crates/sillpin-gateway/src/streams/holders.rs
+++ b/crates/sillpin-gateway/src/streams/holders.rs
@@ -12,6 +12,9 @@
 /// Number of holders in the own zone, and in the others.
 const HOLDERS: usize = 2;
 
+/// The same while boxes know a stream's version by its pool's versions.
+const SPARE_HOLDERS: usize = 1;
+
 /// Number of further boxes that are asked if the holders do not know a stream.
 const FURTHER: usize = 8;
 
@@ -55,6 +58,17 @@
     own.into_iter().chain(others).collect()
 }
 
+/// Returns the boxes that a box in `zone` tells of a stream whose version others know by the pool's versions: they need the
+/// record only if this box does not answer once the pool has another version, or the route other pools.
+pub fn spare_holders<'a>(
+    boxes: &'a [BoxEntry],
+    zone: &ZoneId,
+    key: StreamKey,
+) -> Vec<&'a BoxEntry> {
+    let (own, others) = first_of_both(boxes, zone, key, SPARE_HOLDERS);
+    own.into_iter().chain(others).collect()
+}
+
 /// Returns the boxes that a box in `zone` asks about a stream, and those that it asks next.
 pub fn asked<'a>(
     boxes: &'a [BoxEntry],
--- a/crates/sillpin-gateway/src/streams/mod.rs
+++ b/crates/sillpin-gateway/src/streams/mod.rs
@@ -3,9 +3,9 @@
 //! What targets of two versions write does not fit together, and targets do not check it. Within a response the box
 //! knows the version itself. A caller that resumes a stream may come to any box, when the one that began the stream is
 //! gone; it names the attempt that brought the stream's first event. While a pool has had one version for as long as
-//! any caller may have waited, that version began all of its streams ([`history`]), and nothing is recorded elsewhere.
-//! Otherwise a box tells a few others, found by a hash of the attempt ([`holders`]), before the first event goes to the
-//! caller, and a box that lacks the record asks them ([`exchange`]). A version that nobody knows is never guessed.
+//! any caller may have waited, that version began all of its streams ([`history`]), and nobody is asked, unless a route
+//! has several pools. A box tells a few others, found by a hash of the attempt ([`holders`]), before the first event goes
+//! to the caller, and a box that lacks the record asks them ([`exchange`]). A version that nobody knows is never guessed.
 //!
 //! A version that appears gets no new streams for [`history::HOLD_TIME`]: by then all boxes in contact with the store
 //! know that the pool has two, and have told others of the streams that began before.
--- a/crates/sillpin-gateway/tests/stream_versions.rs
+++ b/crates/sillpin-gateway/tests/stream_versions.rs
@@ -3,6 +3,9 @@
 mod common;
 
 use common::{TestKeys, engine, name};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
 use rstest::rstest;
 use sillpin_core::{PoolId, ZoneId};
 use sillpin_gateway::control::{SoftwareVersion, TargetEntry};
@@ -12,7 +15,7 @@
 use sillpin_gateway::peers::wire::FleetKey;
 use sillpin_gateway::streams::exchange::ResumedStream;
 use sillpin_gateway::streams::history::{HOLD_TIME, PoolVersions};
-use sillpin_gateway::streams::holders::{asked, holders};
+use sillpin_gateway::streams::holders::{asked, holders, spare_holders};
 use sillpin_gateway::streams::message::{MAX_RECORDS, StreamMessage};
 use sillpin_gateway::streams::records::{RecordTable, StreamRecord};
 use sillpin_gateway::streams::{StreamKey, StreamVersions, VersionHash, register};
@@ -223,6 +226,64 @@
     }
 }
 
+/// Returns the share of streams, begun at the first of some boxes, whose spare holders are found by boxes that ask, once those
+/// that `lost` draws for a round are gone.
+fn share_known(boxes: &[BoxEntry], lost: impl Fn(usize) -> HashSet<usize>) -> f64 {
+    const ROUNDS: usize = 500;
+    let index = |entry: &BoxEntry| usize::from(entry.gossip.port());
+    let mut known = 0;
+    for round in 0..ROUNDS {
+        let (key, lost) = (StreamKey::new("acme", &format!("r-{round}")), lost(round));
+        let told = spare_holders(&boxes[1..], &boxes[0].zone, key);
+        let told: HashSet<usize> = told.into_iter().map(index).collect();
+        let alive = (1..boxes.len()).filter(|at| !lost.contains(at));
+        let alive: Vec<usize> = alive.collect();
+        let asks = alive[round % alive.len()];
+        let others = boxes.iter().filter(|entry| index(entry) != asks);
+        let others: Vec<BoxEntry> = others.cloned().collect();
+        let (first, next) = asked(&others, &boxes[asks].zone, key);
+        let mut reached = first.into_iter().chain(next).map(index);
+        let knows = |at: usize| told.contains(&at) && !lost.contains(&at);
+        known += usize::from(knows(asks) || reached.any(knows));
+    }
+    known as f64 / ROUNDS as f64
+}
+
+#[rstest]
+#[case::three_of_nine(3, 3, 2)]
+#[case::sixteen_of_the_design_size(6, 63, 15)]
+#[test]
+fn spare_holders_know_nearly_all_streams_of_a_box_that_is_killed_with_others(
+    #[case] zones: usize,
+    #[case] of_zone: usize,
+    #[case] others: usize,
+) {
+    let boxes = boxes(zones, of_zone);
+    let share = share_known(&boxes, |round| {
+        let mut drawn: Vec<usize> = (1..boxes.len()).collect();
+        drawn.shuffle(&mut StdRng::seed_from_u64(round as u64));
+        drawn.into_iter().take(others).collect()
+    });
+    println!("{share}");
+    assert!(share >= 0.95, "{share}");
+}
+
+#[rstest]
+#[case::small_site(3, 3)]
+#[case::design_size(6, 63)]
+#[test]
+fn spare_holders_know_nearly_all_streams_of_a_zone_that_is_lost(
+    #[case] zones: usize,
+    #[case] of_zone: usize,
+) {
+    let boxes = boxes(zones, of_zone);
+    let share = share_known(&boxes, |_| {
+        (1..boxes.len()).filter(|at| at % zones == 0).collect()
+    });
+    println!("{share}");
+    assert!(share >= 0.95, "{share}");
+}
+
 #[test]
 fn few_boxes_are_asked_in_a_large_fleet_and_all_in_a_small_one() {
     let key = StreamKey::new("acme", "r-1");
