Server: a connection is in use until its response has ended

Cause: a connection counted as idle from the head of its response on. On a box at its bound on open connections, the connection of a stream of over a second could be chosen to be closed for a new one. It was closed, without notice, when the stream ended, and the caller's next request over it got no response; no room was gained before.

Change: the guard that marks a connection as in use is kept by the body of the response. A connection beyond the bound is closed unread while all others have requests or streams.

That this is what the users saw is not shown.

--- a/crates/sillpin-http/src/connections.rs
+++ b/crates/sillpin-http/src/connections.rs
@@ -18,7 +18,7 @@
 
 #[derive(Debug)]
 struct Open {
-    /// When it was opened, or its last response was ready; `None` while a request waits for its response.
+    /// When it was opened, or its last response ended; `None` while a request waits for its response or the response is sent.
     idle_since: Option<Instant>,
     close: CancellationToken,
 }
@@ -124,7 +124,7 @@
 }
 
 impl Connection {
-    /// Records that a request waits for its response until the guard is dropped.
+    /// Records that a request is in hand until the guard is dropped.
     pub(crate) fn begin_request(&self) -> RequestGuard {
         self.connections.set_idle_since(self.id, None);
         RequestGuard {
@@ -148,7 +148,7 @@
     }
 }
 
-/// A request that waits for its response.
+/// A request whose response has not ended.
 #[derive(Debug)]
 pub(crate) struct RequestGuard {
     connections: Connections,
--- a/crates/sillpin-http/src/lib.rs
+++ b/crates/sillpin-http/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod client;
 pub mod connections;
 pub mod evictable;
+mod guarded;
 pub mod lines;
 pub mod server;
 
--- a/crates/sillpin-http/src/server.rs
+++ b/crates/sillpin-http/src/server.rs
@@ -4,6 +4,7 @@
 use crate::arrival::Arrivals;
 use crate::body::Body;
 use crate::connections::{Connection, Connections};
+use crate::guarded::GuardedBody;
 use derive_more::{Display, Error};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -205,13 +206,13 @@
         let response = handler(req);
         async move {
             let mut response = response.await;
-            drop(waiting);
             arrivals.clear();
             if is_http1 && (stop.is_cancelled() || close.is_cancelled()) {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            Ok::<_, Infallible>(response)
+            // The connection is in use until the response has ended.
+            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, waiting)))
         }
     });
     let mut conn = pin!(builder.serve_connection(arrivals.watch(tcp), service));
