Server: a box near its bound on open connections announces that it closes those of callers that pause

Cause: at the bound, the connection that had been idle longest was closed for a new one without notice. Its caller may send at that moment; the request crosses the close and gets no response.

Connections that are closing count as free, so that no more than an eighth are closed in this way at a time. Callers that send more often keep their connections. Connections that went idle before the box was crowded are still closed without notice when the eighth is used up.

That this is what the users saw is not shown.

--- a/crates/sillpin-http/src/connections.rs
+++ b/crates/sillpin-http/src/connections.rs
@@ -2,6 +2,9 @@
 //!
 //! Each connection takes memory and a descriptor. Once as many are open as a process bears, one that has had no request for a while is
 //! closed for a new one; if there is none, the new one is closed unread, so that its caller can try another server.
+//!
+//! A caller may be sending a request just when its idle connection is closed, and gets no response then. So when the bound is near,
+//! responses to callers that pause between requests announce the close, which makes room beforehand.
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -16,10 +19,15 @@
 /// Part of the limit by which it may be exceeded while connections close that still send a response.
 const CLOSING_SHARE: usize = 8;
 
+/// Part of the limit that is kept free by announced closes.
+const SPARE_SHARE: usize = 8;
+
 #[derive(Debug)]
 struct Open {
     /// When it was opened, or its last response ended; `None` while a request waits for its response or the response is sent.
     idle_since: Option<Instant>,
+    /// Whether it might have been closed for a new one before its last request.
+    pauses: bool,
     close: CancellationToken,
 }
 
@@ -91,6 +99,7 @@
         let close = CancellationToken::new();
         let open = Open {
             idle_since: Some(now),
+            pauses: false,
             close: close.clone(),
         };
         state.open.insert(id, open);
@@ -102,13 +111,35 @@
     }
 }
 
+impl Open {
+    /// Whether it has been idle long enough to be closed for a new one.
+    fn may_be_closed(&self, now: Instant) -> bool {
+        self.idle_since.is_some_and(|at| now - at >= MIN_IDLE)
+    }
+}
+
 impl State {
+    /// Closes a connection after the response that is ready, if its caller pauses between requests and less than the spare part of `max`
+    /// is free.
+    fn close_if_crowded(&self, id: u64, max: usize) {
+        let max_staying = max - max / SPARE_SHARE;
+        if self.open.len() <= max_staying {
+            return;
+        }
+        let is_staying = |open: &&Open| !open.close.is_cancelled();
+        let staying = self.open.values().filter(is_staying).count();
+        let pausing = self.open.get(&id).filter(|open| open.pauses);
+        if let Some(open) = pausing.filter(|_| staying > max_staying) {
+            open.close.cancel();
+        }
+    }
+
     /// Closes the connection that has been idle longest. Returns whether there was one.
     fn close_idle(&mut self, now: Instant) -> bool {
-        let idle = self.open.values_mut().filter(|open| {
-            let idle_since = open.idle_since;
-            idle_since.is_some_and(|at| now - at >= MIN_IDLE) && !open.close.is_cancelled()
-        });
+        let idle = self
+            .open
+            .values()
+            .filter(|open| open.may_be_closed(now) && !open.close.is_cancelled());
         let longest = idle.min_by_key(|open| open.idle_since);
         longest.map(|open| open.close.cancel()).is_some()
     }
@@ -126,7 +157,7 @@
 impl Connection {
     /// Records that a request is in hand until the guard is dropped.
     pub(crate) fn begin_request(&self) -> RequestGuard {
-        self.connections.set_idle_since(self.id, None);
+        self.connections.begin_request(self.id, Instant::now());
         RequestGuard {
             connections: self.connections.clone(),
             id: self.id,
@@ -135,9 +166,16 @@
 }
 
 impl Connections {
-    fn set_idle_since(&self, id: u64, idle_since: Option<Instant>) {
+    fn begin_request(&self, id: u64, now: Instant) {
+        if let Some(open) = self.lock().open.get_mut(&id) {
+            open.pauses = open.may_be_closed(now);
+            open.idle_since = None;
+        }
+    }
+
+    fn end_request(&self, id: u64, now: Instant) {
         if let Some(open) = self.lock().open.get_mut(&id) {
-            open.idle_since = idle_since;
+            open.idle_since = Some(now);
         }
     }
 }
@@ -155,9 +193,16 @@
     id: u64,
 }
 
+impl RequestGuard {
+    /// Called when the response is ready. Cancels the connection's token if the connection is to be closed after it.
+    pub(crate) fn close_if_crowded(&self) {
+        let max = self.connections.max;
+        self.connections.lock().close_if_crowded(self.id, max);
+    }
+}
+
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.connections
-            .set_idle_since(self.id, Some(Instant::now()));
+        self.connections.end_request(self.id, Instant::now());
     }
 }
--- a/crates/sillpin-http/src/server.rs
+++ b/crates/sillpin-http/src/server.rs
@@ -207,6 +207,7 @@
         async move {
             let mut response = response.await;
             arrivals.clear();
+            waiting.close_if_crowded();
             if is_http1 && (stop.is_cancelled() || close.is_cancelled()) {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
