--- a/crates/sillpin-http/src/lib.rs
+++ b/crates/sillpin-http/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod connections;
 mod connector;
 pub mod evictable;
+mod guarded;
 pub mod lines;
 pub mod reads;
 pub mod server;
--- a/crates/sillpin-http/src/server.rs
+++ b/crates/sillpin-http/src/server.rs
@@ -4,6 +4,7 @@
 use crate::arrival::Arrivals;
 use crate::body::Body;
 use crate::connections::{Connection, Connections};
+use crate::guarded::GuardedBody;
 use crate::reads::{BoundedReads, IncomingBody, MAX_HEAD_LEN, ReadMeter};
 use derive_more::{Display, Error};
 use hyper::body::Incoming;
@@ -73,6 +74,10 @@
 /// Number of the longest heads that may arrive before one of them is read.
 const HEADS_ALLOWED: usize = 2;
 
+/// How long a connection that is to be closed waits for the next request after a response whose head was sent before, so that it could not
+/// announce the close.
+const NEXT_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// A server with its bound listener.
 pub struct Server<L = fn() -> HeadLimits> {
     listener: TcpListener,
@@ -214,13 +219,14 @@
         let response = handler(req.map(|body| IncomingBody::new(body, meter.clone())));
         async move {
             let mut response = response.await;
-            drop(waiting);
             arrivals.clear();
+            waiting.close_if_crowded();
             if is_http1 && (stop.is_cancelled() || close.is_cancelled()) {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            Ok::<_, Infallible>(response)
+            // The connection is in use until the response has ended.
+            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, waiting)))
         }
     });
     let io = TokioIo::new(BoundedReads::new(arrivals.watch(tcp), meter.clone()));
@@ -230,6 +236,21 @@
         () = stop.cancelled() => {}
         () = admitted.close.cancelled() => {}
     }
+    // With HTTP/2, the close is announced at any time.
+    if http1_only && admitted.has_request() {
+        let response_ended = poll_fn(|cx| match conn.as_mut().poll(cx) {
+            Poll::Pending if admitted.has_request() => Poll::Pending,
+            polled => Poll::Ready(polled.is_ready()),
+        });
+        // The connection ends by itself after a response that announces it.
+        if response_ended.await
+            || tokio::time::timeout(NEXT_REQUEST_TIMEOUT, conn.as_mut())
+                .await
+                .is_ok()
+        {
+            return;
+        }
+    }
     arrivals.ask_kernel();
     let arrived = poll_fn(|cx| match conn.as_mut().poll(cx) {
         Poll::Pending if arrivals.has_partial() => Poll::Pending,
