Probes, surveys and checks that panicked begin anew

Callers saw: after a panic in the survey of a pool's paths, a box stayed cut off from the pool for good: its callers were served by way of other boxes only, or not at all if these were lost too, although its paths had been back for long.

A probe, a survey and a check whether a target crashed mark what they work on, and take the mark off as their last step. They were started with tokio::spawn; after a panic the mark stayed, and no other one of the same target or pool ever began.

Change: Tasks::job supervises a task that ends by itself; after a panic it begins anew (E400, 0.1 to 10 s). The three are started by it.

Not shown by a test: probes and checks, whose panics cannot be caused from outside; they have the same cause and the same supervision.

--- a/crates/sillpin-gateway/src/fatal/crash_detector.rs
+++ b/crates/sillpin-gateway/src/fatal/crash_detector.rs
@@ -10,6 +10,7 @@
 use crate::fleet_state::FleetHandle;
 use crate::placement::work::IncarnationHash;
 use crate::pool::{Conn, ConnectionPool, SendError};
+use crate::tasks::Tasks;
 use rand::seq::IndexedRandom;
 use sillpin_telemetry::{event, events};
 use slog::Logger;
@@ -76,6 +77,8 @@
     pub fleet: FleetHandle,
     /// History that detected crashes are added to.
     pub fatal: FatalRequests,
+    /// Supervises the checks.
+    pub tasks: Tasks,
     /// Logger.
     pub log: Logger,
     pending: Arc<Mutex<HashMap<IncarnationHash, PendingCheck>>>,
@@ -87,12 +90,14 @@
         pool: ConnectionPool,
         fleet: FleetHandle,
         fatal: FatalRequests,
+        tasks: Tasks,
         log: Logger,
     ) -> Self {
         Self {
             pool,
             fleet,
             fatal,
+            tasks,
             log,
             pending: Arc::default(),
         }
@@ -124,7 +129,9 @@
         let has_room = check.requests.len() < MAX_PENDING;
         check.requests.extend(broken.filter(|_| has_room));
         if !is_running {
-            tokio::spawn(self.clone().check(target.clone()));
+            let (detector, target) = (self.clone(), target.clone());
+            let check = move || detector.clone().check(target.clone());
+            self.tasks.job("check of a target", check);
         }
     }
 
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -141,6 +141,7 @@
             fleet: fleet.clone(),
             log: log.clone(),
             probed: Arc::default(),
+            tasks: tasks.clone(),
         };
         let silent_engines = SilentEngines::new(
             loads.clone(),
@@ -148,8 +149,13 @@
             cfg.scheduling.silent_engines,
             log.clone(),
         );
-        let crash_detector =
-            CrashDetector::new(pool.clone(), fleet.clone(), fatal.clone(), log.clone());
+        let crash_detector = CrashDetector::new(
+            pool.clone(),
+            fleet.clone(),
+            fatal.clone(),
+            tasks.clone(),
+            log.clone(),
+        );
         Self {
             path_waits: PathWaits::new(loads.clone()),
             dialect,
--- a/crates/sillpin-gateway/src/placement/probe.rs
+++ b/crates/sillpin-gateway/src/placement/probe.rs
@@ -8,6 +8,7 @@
 use crate::control::{Presence, TargetEntry};
 use crate::fleet_state::{FleetHandle, View};
 use crate::pool::{Conn, ConnectionPool, SendError};
+use crate::tasks::Tasks;
 use futures::future::{join, join_all};
 use rand::seq::IndexedRandom;
 use sillpin_core::{PoolId, TargetId};
@@ -45,6 +46,8 @@
     pub log: Logger,
     /// Targets that are being probed.
     pub probed: Arc<Mutex<HashSet<TargetId>>>,
+    /// Supervises probes and surveys.
+    pub tasks: Tasks,
 }
 
 impl Prober {
@@ -59,7 +62,9 @@
         self.loads.record(&target.id, Outcome::Unreachable);
         let needs_survey = self.loads.reach().record_failure(&target.pool, &target.id);
         self.update_reach(&target.pool);
-        tokio::spawn(self.clone().probe(target.clone()));
+        let (prober, probed) = (self.clone(), target.clone());
+        let probe = move || prober.clone().probe(probed.clone());
+        self.tasks.job("probe of a target", probe);
         if needs_survey {
             self.survey(&target.pool);
         }
@@ -75,7 +80,9 @@
     /// Surveys whether a pool's targets can be reached, repeatedly while this box is cut off from it.
     pub fn survey(&self, pool: &PoolId) {
         if self.loads.reach().begin_survey(pool, Instant::now()) {
-            tokio::spawn(self.clone().run_survey(pool.clone()));
+            let (prober, pool) = (self.clone(), pool.clone());
+            let survey = move || prober.clone().run_survey(pool.clone());
+            self.tasks.job("survey of a pool", survey);
         }
     }
 
--- a/crates/sillpin-gateway/src/tasks.rs
+++ b/crates/sillpin-gateway/src/tasks.rs
@@ -1,7 +1,7 @@
 //! Supervises the tasks of a box, so that none ends unnoticed.
 //!
-//! A task that reads its state again begins anew after it has ended. The end of any other ends the process, after the requests in
-//! flight, so that the platform starts it again.
+//! A task that reads its state again begins anew after it has ended, and a job that others wait for after a panic. The end of any
+//! other ends the process, after the requests in flight, so that the platform starts it again.
 
 use crate::backoff::backoff;
 use derive_more::{Display, Error};
@@ -117,6 +117,29 @@
         begin: impl Fn() -> F + Send + Sync + 'static,
     ) where
         F: Future<Output = ()> + Send + 'static,
+    {
+        let stopping = self.state.stopping.clone();
+        self.repeat(name, need, begin, move || stopping.is_cancelled());
+    }
+
+    /// Starts a task that returns once its work is done; `begin` creates it. After a panic it begins anew, since others wait for
+    /// its end.
+    pub fn job<F>(&self, name: &'static str, begin: impl Fn() -> F + Send + Sync + 'static)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.repeat(name, Need::Upkeep, begin, || true);
+    }
+
+    /// Runs a task again and again until it returns while it `may_return`.
+    fn repeat<F>(
+        &self,
+        name: &'static str,
+        need: Need,
+        begin: impl Fn() -> F + Send + Sync + 'static,
+        may_return: impl Fn() -> bool + Send + 'static,
+    ) where
+        F: Future<Output = ()> + Send + 'static,
     {
         let (tasks, begin) = (self.clone(), Arc::new(begin));
         tokio::spawn(async move {
@@ -124,7 +147,7 @@
             loop {
                 let (began, begin) = (Instant::now(), begin.clone());
                 let panic = panic_of(tokio::spawn(async move { begin().await })).await;
-                if panic.is_none() && tasks.state.stopping.is_cancelled() {
+                if panic.is_none() && may_return() {
                     return;
                 }
                 let was_steady = began.elapsed() >= STEADY_TIME;
--- a/crates/sillpin-gateway/tests/tasks.rs
+++ b/crates/sillpin-gateway/tests/tasks.rs
@@ -166,6 +166,24 @@
     assert_eq!(runs.load(Ordering::Relaxed), 1);
 }
 
+#[rstest]
+#[case::returns(0)]
+#[case::panics_twice(2)]
+#[tokio::test(start_paused = true)]
+async fn a_job_that_panicked_never_ended(#[case] panics: usize) {
+    let supervised = supervised();
+    let runs = Arc::new(AtomicUsize::new(0));
+    let counted = runs.clone();
+    supervised.tasks.job("job", move || {
+        let run = counted.fetch_add(1, Ordering::Relaxed);
+        async move { assert!(run >= panics, "a fault") }
+    });
+    sleep(Duration::from_secs(60)).await;
+    assert_eq!(runs.load(Ordering::Relaxed), panics + 1);
+    assert!(supervised.tasks.are_running());
+    assert_eq!(supervised.counts("job", "begins anew"), panics > 0);
+}
+
 /// Text in a value on which decoding panics.
 const POISON: &str = "poison";
 
