A fetch from another box that panicked is over

Callers saw: a box that had lost the store never learned of an added route from the other boxes once a copy of theirs had made one fetch panic.

Change: the mark is a value that is dropped with the task. The next digest of a box that has newer data begins another fetch, so nothing has to begin anew.

--- a/crates/sillpin-gateway/src/peers/receiver.rs
+++ b/crates/sillpin-gateway/src/peers/receiver.rs
@@ -81,6 +81,33 @@
 /// Calls in progress.
 pub type FetchesInProgress = Arc<Mutex<HashSet<FetchKind>>>;
 
+/// A call that is in progress until this is dropped, also by a panic.
+struct FetchInProgress {
+    all: FetchesInProgress,
+    kind: FetchKind,
+}
+
+impl FetchInProgress {
+    /// Begins a call, unless one of its kind is in progress.
+    fn begin(all: &FetchesInProgress, kind: FetchKind) -> Option<Self> {
+        let begins = lock(all).insert(kind);
+        begins.then(|| Self {
+            all: all.clone(),
+            kind,
+        })
+    }
+}
+
+impl Drop for FetchInProgress {
+    fn drop(&mut self) {
+        lock(&self.all).remove(&self.kind);
+    }
+}
+
+fn lock(fetches: &FetchesInProgress) -> MutexGuard<'_, HashSet<FetchKind>> {
+    fetches.lock().unwrap_or_else(|e| e.into_inner())
+}
+
 /// Processes datagrams from other boxes.
 #[derive(Clone)]
 pub struct GossipReceiver {
@@ -368,16 +395,17 @@
     }
 
     fn fetch_from(&self, from: &BoxEntry, topic: Topic, after: KvRevision) {
-        if !self.begin_fetch(FetchKind::Topic(topic)) {
+        let Some(in_progress) = FetchInProgress::begin(&self.fetches, FetchKind::Topic(topic))
+        else {
             return;
-        }
+        };
         let (receiver, from) = (self.clone(), from.clone());
         tokio::spawn(async move {
             receiver
                 .client
                 .fetch_copy(&from, topic, after, &receiver.fleet)
                 .await;
-            receiver.end_fetch(FetchKind::Topic(topic));
+            drop(in_progress);
         });
     }
 
@@ -442,28 +470,21 @@
             let is_lacking = |theirs: &&StoreSyncSummary| lacks_changes(&mut directory, theirs);
             theirs.iter().filter(is_lacking).map(|of| of.addr).collect()
         };
-        if lacking.is_empty() || !self.begin_fetch(FetchKind::Stores) {
+        if lacking.is_empty() {
             return;
         }
+        let Some(in_progress) = FetchInProgress::begin(&self.fetches, FetchKind::Stores) else {
+            return;
+        };
         let (receiver, from) = (self.clone(), from.clone());
         tokio::spawn(async move {
             receiver
                 .client
                 .fetch_stores(&from, lacking, &receiver.cache_stores)
                 .await;
-            receiver.end_fetch(FetchKind::Stores);
+            drop(in_progress);
         });
     }
-
-    fn begin_fetch(&self, fetch: FetchKind) -> bool {
-        let mut fetches = self.fetches.lock().unwrap_or_else(|e| e.into_inner());
-        fetches.insert(fetch)
-    }
-
-    fn end_fetch(&self, fetch: FetchKind) {
-        let mut fetches = self.fetches.lock().unwrap_or_else(|e| e.into_inner());
-        fetches.remove(&fetch);
-    }
 }
 
 /// Returns whether this box lacks changes of a store that another box knows. A box that lags may
