The leader goes on after a load or a round of freeing parts panicked

Seen by tests: engines that have no order yet got none after three loads of others had panicked, and nothing was freed any more after a round had panicked, until another box became the leader.

The result of a job that panicked was ignored, so its engine kept its load slot; the task that frees parts was not looked at again.

Change: the leader knows each job's engine. One whose job panicked gives its slot back and waits like one whose load failed; its last order counts as returned at that moment, so that the next leader's gap holds. Freeing begins anew after 0.7 s.

--- a/crates/sillpin-gateway/src/cache_stores/reclaimer.rs
+++ b/crates/sillpin-gateway/src/cache_stores/reclaimer.rs
@@ -37,6 +37,7 @@
 const LIST_INTERVAL: Duration = Duration::from_secs(7);
 
 /// Frees parts while this box is the leader.
+#[derive(Clone)]
 pub struct Reclaimer<C> {
     /// Client for calls to stores.
     pub control: C,
--- a/crates/sillpin-gateway/src/weights/rollout.rs
+++ b/crates/sillpin-gateway/src/weights/rollout.rs
@@ -22,7 +22,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
-use tokio::task::JoinSet;
+use tokio::task::{self, JoinError, JoinSet};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -40,7 +40,7 @@
 /// Interval at which the leader checks which engines to order.
 const SCAN_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Delay after a failed attempt to become the leader.
+/// Delay after a failed attempt to become the leader, and before parts are freed again after a panic.
 const RETRY_DELAY: Duration = Duration::from_millis(700);
 
 /// Time during which an engine whose load failed gets no order.
@@ -95,6 +95,8 @@
 #[derive(Default)]
 struct ActiveLoads {
     jobs: JoinSet<LoadResult>,
+    /// The engine of each job.
+    by_job: HashMap<task::Id, TargetId>,
     targets: HashMap<TargetId, LoadSlot>,
     cooldown: HashMap<TargetId, Instant>,
     /// Engines that did not answer at the last attempt.
@@ -108,8 +110,18 @@
         self.targets.values().filter(|p| p.is_occupied()).count()
     }
 
+    /// Records that a job panicked, and returns its engine, which gets other orders later.
+    fn load_panicked(&mut self, e: &JoinError) -> Option<TargetId> {
+        let target = self.by_job.remove(&e.id())?;
+        self.targets.remove(&target);
+        let until = Instant::now() + FAILURE_COOLDOWN;
+        self.cooldown.insert(target.clone(), until);
+        Some(target)
+    }
+
     /// Records the end of a job.
-    fn load_ended(&mut self, result: &LoadResult) {
+    fn load_ended(&mut self, job: task::Id, result: &LoadResult) {
+        self.by_job.remove(&job);
         self.targets.remove(&result.target);
         match result.unresponsive {
             true => self.unresponsive.insert(result.target.clone()),
@@ -199,7 +211,7 @@
         };
         // Dropped, and so aborted, at the end of leadership.
         let mut freeing = JoinSet::new();
-        freeing.spawn(reclaimer.run());
+        freeing.spawn(reclaimer.clone().run());
         loop {
             tokio::select! {
                 _ = renew.tick() => {
@@ -208,11 +220,23 @@
                     }
                     limit.send_replace(leadership.orders_until);
                 }
-                Some(done) = active.jobs.join_next() => {
-                    if let Ok(result) = done {
+                Some(done) = active.jobs.join_next_with_id() => match done {
+                    Ok((job, result)) => {
                         leadership.orders_ended(&result.target, result.last_order);
+                        active.load_ended(job, &result);
                         self.finish_load(result, &mut active).await;
                     }
+                    // Its last order may have returned until now.
+                    Err(e) => if let Some(target) = active.load_panicked(&e) {
+                        leadership.orders_ended(&target, Some(Instant::now()));
+                    },
+                },
+                Some(_) = freeing.join_next() => {
+                    let reclaimer = reclaimer.clone();
+                    freeing.spawn(async move {
+                        tokio::time::sleep(RETRY_DELAY).await;
+                        reclaimer.run().await;
+                    });
                 }
                 _ = scan.tick() => {
                     if self.is_cut_off() {
@@ -252,7 +276,6 @@
     }
 
     async fn finish_load(&self, result: LoadResult, active: &mut ActiveLoads) {
-        active.load_ended(&result);
         let Some(version) = result.version else {
             let until = Instant::now() + FAILURE_COOLDOWN;
             active.cooldown.insert(result.target, until);
@@ -420,7 +443,9 @@
             suspend_clock: self.election.suspend_clock.clone(),
             log: self.log.clone(),
         };
-        active.jobs.spawn(job.run());
+        let target = job.target.id.clone();
+        let job = active.jobs.spawn(job.run());
+        active.by_job.insert(job.id(), target);
     }
 }
 
--- a/crates/sillpin-gateway/tests/rollout.rs
+++ b/crates/sillpin-gateway/tests/rollout.rs
@@ -54,6 +54,8 @@
     /// Versions ordered, and when each order arrived.
     ordered: Vec<(u64, Instant)>,
     reports: u32,
+    /// Number of next calls for its report that panic.
+    panics: u32,
     /// When it first served each version.
     served_at: BTreeMap<u64, Instant>,
     /// Version that it served before its last load ended, and when that load ended.
@@ -99,10 +101,12 @@
     }
 }
 
-/// The engines of a test.
+/// The engines of a test, and a cache store whose first listing panics.
 #[derive(Clone, Default)]
 struct Engines {
     all: Arc<Mutex<BTreeMap<TargetId, Engine>>>,
+    /// Number of listings of the store.
+    listings: Arc<Mutex<u32>>,
 }
 
 impl Engines {
@@ -144,10 +148,13 @@
 
 impl Control for Engines {
     async fn report(&self, _: SocketAddr, id: &TargetId) -> Result<EngineReport, ControlError> {
-        let unresponsive = self.with(id.as_str(), |e| {
+        let (unresponsive, panics) = self.with(id.as_str(), |e| {
             e.reports += 1;
-            e.unresponsive
+            let panics = e.panics > 0;
+            e.panics = e.panics.saturating_sub(1);
+            (e.unresponsive, panics)
         });
+        assert!(!panics, "a fault of the test");
         if unresponsive {
             return Err(self.unanswered().await);
         }
@@ -184,6 +191,12 @@
     }
 
     async fn list_store(&self, _: SocketAddr) -> Result<StoreListing, ControlError> {
+        let number = {
+            let mut listings = self.listings.lock().unwrap();
+            *listings += 1;
+            *listings
+        };
+        assert!(number > 1, "a fault of the test");
         std::future::pending().await
     }
 
@@ -453,3 +466,23 @@
     let took = scene.engines.all_serve(&scene.ids, 2, requested_at).await;
     assert!(took < Duration::from_secs(3), "took {took:?}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn engines_got_no_orders_after_the_loads_of_others_panicked() {
+    let mut scene = Scene::new(6).await;
+    for id in ["e00", "e01", "e02"] {
+        scene.engines.with(id, |e| e.panics = 1);
+    }
+    let requested_at = scene.request_weights(2).await;
+    let took = scene.engines.all_serve(&scene.ids, 2, requested_at).await;
+    assert!(took < Duration::from_millis(4_500), "took {took:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_parts_were_freed_after_a_round_panicked() {
+    let mut scene = Scene::new(1).await;
+    let config = ("ops/config".to_owned(), "3".to_owned());
+    scene.read(Topic::Operators, vec![config]).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(*scene.engines.listings.lock().unwrap(), 2);
+}
