A copy from another box that arrives by the byte does not keep a box from asking others

Callers saw: a box that had lost the store did not learn of an added route from a sound box, while another one sent it a copy by the byte.

Change: after 2 s a document has to arrive at 32 KiB a second, half of what whole pieces bring that each take the limit of a piece, so that slow links finish as before.

--- a/crates/sillpin-gateway/src/peers/peer_client.rs
+++ b/crates/sillpin-gateway/src/peers/peer_client.rs
@@ -29,6 +29,13 @@
 /// slow links would never get a large configuration.
 const PIECE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Slowest rate at which the pieces of a document may arrive once [`RATE_GRACE`] is over, in bytes per second: half of what
+/// whole pieces bring that each take [`PIECE_TIMEOUT`].
+const MIN_RATE: u64 = 32 << 10;
+
+/// Time for which a document may arrive more slowly.
+const RATE_GRACE: Duration = Duration::from_secs(2);
+
 /// Longest document accepted, in bytes: several times the longest value of the platform store.
 const MAX_DOCUMENT: u64 = 8 << 20;
 
@@ -61,6 +68,9 @@
     #[display("document of {_0} bytes exceeds the limit")]
     #[from(skip)]
     TooLong(#[error(not(source))] u64),
+    #[display("only {_0} bytes have arrived in time")]
+    #[from(skip)]
+    TooSlow(#[error(not(source))] u64),
     #[display("the sender has dropped the transfer")]
     TransferDropped,
     #[display("cannot decode the document: {_0}")]
@@ -69,6 +79,15 @@
     TooOld,
 }
 
+/// How a fetch from another box ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FetchEnd {
+    /// A copy arrived, or the box had none, or the call failed.
+    Done,
+    /// The copy arrived too slowly to be waited for.
+    TooSlow,
+}
+
 /// A copy being fetched from another box.
 struct Fetch<'a> {
     client: &'a PeerClient,
@@ -78,6 +97,7 @@
     topic: Option<Topic>,
     began: Instant,
     arrived: u64,
+    end: FetchEnd,
 }
 
 impl PeerClient {
@@ -88,7 +108,7 @@
         topic: Topic,
         after: KvRevision,
         fleet: &FleetHandle,
-    ) {
+    ) -> FetchEnd {
         let mut fetch = self.begin(from, topic.name(), Some(topic));
         let key = self.fleet_key;
         let call = |client: BoxLinkClient| async move {
@@ -97,7 +117,7 @@
         let copy: Option<(TopicCopy, Instant)> =
             fetch.fetch(call, |copy: &TopicCopy| copy.age_ms).await;
         let Some((copy, requested_at)) = copy else {
-            return;
+            return fetch.end;
         };
         let msg = FleetMsg::Read {
             topic,
@@ -106,6 +126,7 @@
             source: Source::Peer(from.id.clone()),
         };
         fleet.send(msg).await;
+        FetchEnd::Done
     }
 
     /// Fetches what a box has of some stores and applies it. One call covers all of them, because
@@ -115,7 +136,7 @@
         from: &BoxEntry,
         stores: Vec<SocketAddr>,
         cache_stores: &CacheStores,
-    ) {
+    ) -> FetchEnd {
         let mut fetch = self.begin(from, "kept parts", None);
         let positions: HashMap<SocketAddr, Option<Position>> = {
             let directory = cache_stores.lock();
@@ -134,7 +155,7 @@
         };
         let copies = fetch.fetch(call, |_: &Vec<StoreCopy>| 0).await;
         let Some((copies, began)) = copies else {
-            return;
+            return fetch.end;
         };
         for copy in copies {
             let after = positions.get(&copy.store).copied().flatten();
@@ -142,6 +163,7 @@
                 apply_store_copy(copy, after, requested_at, cache_stores);
             }
         }
+        FetchEnd::Done
     }
 
     fn begin<'a>(
@@ -157,6 +179,7 @@
             topic,
             began: Instant::now(),
             arrived: 0,
+            end: FetchEnd::Done,
         }
     }
 }
@@ -185,6 +208,9 @@
             }
             Ok(None) => None,
             Err(e) => {
+                if matches!(e, CopyError::TooSlow(_)) {
+                    self.end = FetchEnd::TooSlow;
+                }
                 self.log_failure(&e);
                 None
             }
@@ -235,7 +261,11 @@
         }
         let _in_progress = self.topic.map(|topic| self.client.transfers.begin(topic));
         self.arrived = document.len() as u64;
+        let began = Instant::now();
         while self.arrived < len {
+            if self.arrived < least_arrived(began.elapsed()) {
+                return Err(CopyError::TooSlow(self.arrived));
+            }
             let piece = with_timeout(client.more(call_context(), transfer, self.arrived)).await?;
             let piece = piece.filter(|piece| !piece.is_empty());
             document.extend(piece.ok_or(CopyError::TransferDropped)?);
@@ -316,6 +346,12 @@
     }
 }
 
+/// Returns how many bytes of a document have to have arrived after some time.
+fn least_arrived(elapsed: Duration) -> u64 {
+    let counted = elapsed.saturating_sub(RATE_GRACE);
+    (counted.as_secs_f64() * MIN_RATE as f64) as u64
+}
+
 /// Waits for the result of a call, at most [`PIECE_TIMEOUT`].
 async fn with_timeout<T>(call: impl Future<Output = Result<T, RpcError>>) -> Result<T, CopyError> {
     let reply = tokio::time::timeout(PIECE_TIMEOUT, call).await;
--- a/crates/sillpin-gateway/src/peers/sender.rs
+++ b/crates/sillpin-gateway/src/peers/sender.rs
@@ -6,7 +6,7 @@
 };
 use super::millis;
 use super::peer_client::PeerClient;
-use super::receiver::GossipReceiver;
+use super::receiver::{GossipReceiver, SlowSources};
 use super::roles::{self, SMALL_FLEET};
 use super::stall::StallDetector;
 use super::transmitter::Transmitter;
@@ -119,6 +119,7 @@
             fatal: self.fatal.clone(),
             releases: self.releases.clone(),
             fetches: Arc::default(),
+            slow_sources: SlowSources::default(),
             client: PeerClient {
                 fleet_key: self.fleet_key,
                 transfers: self.transfers.clone(),
