A box that is crowded by new connections says that it is not ready

Memory, descriptors and room at targets are not what is short.

Change: a box whose rate of new connections is four times its usual one, and 20 a second or more, for 0.6 s while its thread is in use for 0.4 of the time fails the readiness check for 15 s and until it is calm. Connections that are open and callers that come all the same are served.

Ruled out: handing requests to other boxes of the zone and refusing early, which cost the same processor; announced closes, since callers come back to the box.

--- a/crates/sillpin-gateway/src/front/handler.rs
+++ b/crates/sillpin-gateway/src/front/handler.rs
@@ -17,6 +17,7 @@
 use std::any::Any;
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use tokio::time::Instant;
 
 /// Responds to callers and to the balancer.
@@ -158,7 +159,8 @@
     /// Handles the balancer's readiness check: 200 if this box accepts requests, else 503.
     pub async fn ready(self, req: Request<IncomingBody>) -> Response<Body> {
         let known = self.shared.dialect.is_ready_check(req.uri().path());
-        let is_ready = self.shared.is_ready() && self.shared.tasks.are_running();
+        let is_crowded = self.shared.is_crowded.load(Ordering::Relaxed);
+        let is_ready = self.shared.is_ready() && self.shared.tasks.are_running() && !is_crowded;
         match (known, is_ready) {
             (false, _) => empty_response(StatusCode::NOT_FOUND),
             (true, true) => empty_response(StatusCode::OK),
--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -35,6 +35,7 @@
 pub mod attempt_outcome;
 pub mod body_memory;
 mod connect;
+pub mod crowding;
 mod discard;
 pub mod dispatch;
 pub mod events;
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -23,6 +23,7 @@
 use crate::tasks::Tasks;
 use sillpin_core::{BoxId, PoolId};
 use slog::Logger;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -80,6 +81,8 @@
     pub metrics: BoxMetrics,
     /// Log.
     pub log: Logger,
+    /// Whether the box gets far more new connections than it can serve.
+    pub is_crowded: Arc<AtomicBool>,
     /// Cancelled when the box is requested to stop.
     pub stopping: CancellationToken,
     /// Cancelled when the box stops without waiting for requests any longer.
@@ -179,6 +182,7 @@
             body_memory: BodyMemory::new(max_len, log.clone()),
             metrics,
             log,
+            is_crowded: Arc::default(),
             stopping,
             aborting: CancellationToken::new(),
             started: Instant::now(),
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -238,6 +238,7 @@
     let pruned = shared.clone();
     tasks.restart("pruning", Need::ToServe, move || prune(pruned.clone()));
     let end = CancellationToken::new();
+    let is_crowded = shared.is_crowded.clone();
     let shared_log = shared.log.clone();
     let shared_metrics = shared.metrics.clone();
     let aborting = shared.aborting.clone();
@@ -260,6 +261,7 @@
     let closed = CancellationToken::new();
     let callers_connections = connections::bound(cfg.memory, cfg.descriptors);
     connections::watch(&callers_connections, &meter, log.clone(), &tasks);
+    connections::watch_crowding(&callers_connections, is_crowded, log.clone(), &tasks);
     let callers = Server::on(listeners.callers)
         .http1_only()
         .bounded_by(callers_connections)
--- a/crates/sillpin-gateway/src/ops/connections.rs
+++ b/crates/sillpin-gateway/src/ops/connections.rs
@@ -1,15 +1,21 @@
 //! How many connections of callers a box holds.
 //!
 //! The platform may hand a box the new connections of a whole zone, many times what it usually gets. Connections beyond what its
-//! memory and descriptors bear are closed unread, so that their callers try other boxes.
+//! memory and descriptors bear are closed unread, so that their callers try other boxes. A box that cannot keep up with them says
+//! that it is not ready until it can.
 
+use crate::front::crowding::{Crowding, Sample};
 use crate::metrics::observe_connections;
 use crate::tasks::{Need, Tasks};
 use opentelemetry::metrics::Meter;
 use sillpin_http::Connections;
 use sillpin_telemetry::{event, events};
 use slog::Logger;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
+use tokio::runtime::Handle;
+use tokio::time::Instant;
 
 /// Callers' connections may take one part in `MEMORY_SHARE` of the process's memory, in bytes.
 const MEMORY_SHARE: u64 = 4;
@@ -24,6 +30,9 @@
 /// Interval at which closed connections are logged.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval at which a box judges whether it is crowded.
+const CROWDING_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Creates the bound on callers' connections of a process with so much memory, in bytes, and so many descriptors.
 pub(super) fn bound(memory: u64, descriptors: usize) -> Connections {
     let by_memory = memory / MEMORY_SHARE / MEMORY_PER_CONNECTION;
@@ -52,3 +61,34 @@
         }
     }
 }
+
+/// Judges whether the box is crowded, and sets `is_crowded`.
+pub(super) fn watch_crowding(
+    connections: &Connections,
+    is_crowded: Arc<AtomicBool>,
+    log: Logger,
+    tasks: &Tasks,
+) {
+    let connections = connections.clone();
+    tasks.restart("crowding", Need::Upkeep, move || {
+        judge_crowding(connections.clone(), is_crowded.clone(), log.clone())
+    });
+}
+
+async fn judge_crowding(connections: Connections, is_crowded: Arc<AtomicBool>, log: Logger) {
+    let runtime = Handle::current().metrics();
+    let mut crowding = Crowding::default();
+    loop {
+        tokio::time::sleep(CROWDING_INTERVAL).await;
+        let sample = Sample {
+            at: Instant::now(),
+            opened: connections.opened(),
+            busy: runtime.worker_total_busy_duration(0),
+        };
+        let crowded = crowding.update(sample);
+        if crowded != is_crowded.swap(crowded, Ordering::Relaxed) {
+            event!(log, events::CROWDED, "crowded" => crowded, "open" => connections.open(),
+                "usual_per_s" => crowding.usual());
+        }
+    }
+}
--- a/crates/sillpin-http/src/connections.rs
+++ b/crates/sillpin-http/src/connections.rs
@@ -73,6 +73,11 @@
         self.replaced.load(Ordering::Relaxed)
     }
 
+    /// Number of connections that were admitted.
+    pub fn opened(&self) -> u64 {
+        self.lock().next_id
+    }
+
     /// Number of open connections.
     pub fn open(&self) -> usize {
         self.lock().open.len()
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -253,6 +253,8 @@
     REQUEST_FORWARDED = 378, Info, "request sent to another box", "Nothing to do; find the request in that box's log by its id. If it recurs, look for E376.";
     /// Connections of callers were closed, since as many are open as the box's memory and descriptors bear.
     CONNECTIONS_CLOSED = 383, Warning, "callers' connections closed for want of room", "Compare with other boxes: if one box has most of the connections, look at the balancer; else add boxes or memory.";
+    /// The box gets far more new connections than it can serve, or no longer does.
+    CROWDED = 386, Warning, "crowded by new connections", "Nothing to do if it ends: the box says that it is not ready meanwhile, so that new connections go to others. If it recurs, look at the balancer.";
     /// Another box did not take a request that this box sent to it.
     FORWARD_NOT_TAKEN = 382, Info, "request not taken by another box", "Nothing to do unless it recurs: `why` is its answer. If all answer that they have no path, look at the targets; if all are busy, add boxes.";
     /// The box can open connections to half of the targets of such a pool again.
