--- a/crates/sillpin-gateway/src/front/crowding.rs
+++ b/crates/sillpin-gateway/src/front/crowding.rs
@@ -45,6 +45,16 @@
     pub busy: Duration,
 }
 
+/// Rates over the window.
+struct Rates {
+    /// New connections a second.
+    opened: f64,
+    /// Share of the thread's time in use.
+    busy: f64,
+    /// Time since the sample before.
+    since_last: Duration,
+}
+
 /// State of one box.
 #[derive(Debug, Default)]
 pub struct Crowding {
@@ -65,31 +75,42 @@
 impl Crowding {
     /// Adds a sample, and returns whether the box is crowded.
     pub fn update(&mut self, sample: Sample) -> bool {
+        if self.started.is_none() && sample.opened > 0 {
+            self.started = Some(sample.at);
+        }
+        if let Some(rates) = self.measure(sample) {
+            self.judge(&rates, sample.at);
+        }
+        self.since.is_some()
+    }
+
+    /// Adds a sample to the window, and returns the rates over it once it is full.
+    fn measure(&mut self, sample: Sample) -> Option<Rates> {
         let now = sample.at;
         while self.window.len() > 1 && now - self.window[1].at >= WINDOW {
             self.window.pop_front();
         }
-        if self.started.is_none() && sample.opened > 0 {
-            self.started = Some(now);
-        }
         let oldest = self.window.front().copied();
         let last = self.window.back().map_or(now, |last| last.at);
         self.window.push_back(sample);
-        let Some(oldest) = oldest.filter(|oldest| now - oldest.at >= WINDOW) else {
-            return self.since.is_some();
-        };
+        let oldest = oldest.filter(|oldest| now - oldest.at >= WINDOW)?;
         let elapsed = (now - oldest.at).as_secs_f64();
-        let rate = (sample.opened - oldest.opened) as f64 / elapsed;
-        let busy = sample.busy.saturating_sub(oldest.busy).as_secs_f64() / elapsed;
+        Some(Rates {
+            opened: (sample.opened - oldest.opened) as f64 / elapsed,
+            busy: sample.busy.saturating_sub(oldest.busy).as_secs_f64() / elapsed,
+            since_last: now - last,
+        })
+    }
+
+    fn judge(&mut self, rates: &Rates, now: Instant) {
         match self.since {
-            Some(since) => self.end_if_calm(busy, since, now),
-            None if self.is_unusual(rate, busy, now) => self.begin_if_sustained(now),
+            Some(since) => self.end_if_calm(rates.busy, since, now),
+            None if self.is_unusual(rates, now) => self.begin_if_sustained(now),
             None => {
                 self.unusual_since = None;
-                self.learn(rate, now - last);
+                self.learn(rates);
             }
         }
-        self.since.is_some()
     }
 
     /// Usual new connections a second.
@@ -97,10 +118,10 @@
         self.usual
     }
 
-    fn is_unusual(&self, rate: f64, busy: f64, now: Instant) -> bool {
+    fn is_unusual(&self, rates: &Rates, now: Instant) -> bool {
         let has_history = self.started.is_some_and(|at| now - at >= MIN_HISTORY);
-        let is_unusual = rate >= UNUSUAL_FACTOR * self.usual.max(MIN_USUAL);
-        has_history && is_unusual && busy >= BUSY_SHARE
+        let is_unusual = rates.opened >= UNUSUAL_FACTOR * self.usual.max(MIN_USUAL);
+        has_history && is_unusual && rates.busy >= BUSY_SHARE
     }
 
     fn begin_if_sustained(&mut self, now: Instant) {
@@ -111,13 +132,14 @@
         }
     }
 
-    fn learn(&mut self, rate: f64, elapsed: Duration) {
+    fn learn(&mut self, rates: &Rates) {
+        let elapsed = rates.since_last;
         if self.started.is_none() || elapsed.is_zero() {
             return;
         }
         self.learned = (self.learned + elapsed).min(USUAL_TIME);
         let part = elapsed.div_duration_f64(self.learned);
-        self.usual += (rate - self.usual) * part;
+        self.usual += (rates.opened - self.usual) * part;
     }
 
     fn end_if_calm(&mut self, busy: f64, since: Instant, now: Instant) {
--- a/crates/sillpin-gateway/src/peers/mod.rs
+++ b/crates/sillpin-gateway/src/peers/mod.rs
@@ -27,6 +27,7 @@
 
 pub mod datagram;
 pub mod documents;
+pub mod fetches;
 pub mod hub;
 pub mod lag;
 pub mod link;
--- a/crates/sillpin-gateway/src/peers/receiver.rs
+++ b/crates/sillpin-gateway/src/peers/receiver.rs
@@ -3,8 +3,9 @@
 mod zone;
 
 use super::datagram::{BoxHash, Datagram, Digest, StoreSyncSummary, SyncSummary};
+use super::fetches::{FetchKind, Fetches};
 use super::lag::{LagStatus, LagTracker};
-use super::peer_client::{FetchEnd, PeerClient};
+use super::peer_client::PeerClient;
 use super::stall::StallDetector;
 use super::wire::{self, FleetKey, MAX_DATAGRAM, WireError};
 use super::work_updates::SharedLimit;
@@ -25,11 +26,10 @@
 use crate::releases::evidence::EvidenceSource;
 use crate::releases::{ReleaseTracker, ReleaseUpdate};
 use crate::streams::StreamVersions;
-use sillpin_core::{BoxId, ZoneId};
+use sillpin_core::ZoneId;
 use sillpin_platform::KvRevision;
 use sillpin_telemetry::{event, events};
 use slog::Logger;
-use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -58,19 +58,6 @@
 /// this. Each box watches the store, which notifies all of them within some ten milliseconds.
 const TIME_TOLERANCE: Duration = Duration::from_millis(100);
 
-/// Time for which nothing is fetched from a box whose last copy arrived too slowly.
-const SLOW_SOURCE_TIME: Duration = Duration::from_secs(10);
-
-/// Data fetched from another box. At most one call for each kind is in progress, however many
-/// digests show newer data.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum FetchKind {
-    /// A prefix.
-    Topic(Topic),
-    /// Cache stores.
-    Stores,
-}
-
 /// Where a box that lags gets the missing changes.
 enum NextStep {
     /// No action: the changes are being transferred.
@@ -81,61 +68,6 @@
     Box,
 }
 
-/// Calls in progress.
-pub type FetchesInProgress = Arc<Mutex<HashSet<FetchKind>>>;
-
-/// A call that is in progress until this is dropped, also by a panic.
-struct FetchInProgress {
-    all: FetchesInProgress,
-    kind: FetchKind,
-}
-
-impl FetchInProgress {
-    /// Begins a call, unless one of its kind is in progress.
-    fn begin(all: &FetchesInProgress, kind: FetchKind) -> Option<Self> {
-        let begins = lock(all).insert(kind);
-        begins.then(|| Self {
-            all: all.clone(),
-            kind,
-        })
-    }
-}
-
-impl Drop for FetchInProgress {
-    fn drop(&mut self) {
-        lock(&self.all).remove(&self.kind);
-    }
-}
-
-fn lock(fetches: &FetchesInProgress) -> MutexGuard<'_, HashSet<FetchKind>> {
-    fetches.lock().unwrap_or_else(|e| e.into_inner())
-}
-
-/// Boxes from which nothing is fetched, and until when; clones share them.
-#[derive(Debug, Clone, Default)]
-pub struct SlowSources {
-    until: Arc<Mutex<HashMap<BoxId, Instant>>>,
-}
-
-impl SlowSources {
-    /// Records how a fetch ended.
-    fn record(&self, from: &BoxId, end: FetchEnd, now: Instant) {
-        let mut until = self.lock();
-        until.retain(|_, at| now < *at);
-        if end == FetchEnd::TooSlow {
-            until.insert(from.clone(), now + SLOW_SOURCE_TIME);
-        }
-    }
-
-    fn contains(&self, of: &BoxId, now: Instant) -> bool {
-        self.lock().get(of).is_some_and(|at| now < *at)
-    }
-
-    fn lock(&self) -> MutexGuard<'_, HashMap<BoxId, Instant>> {
-        self.until.lock().unwrap_or_else(|e| e.into_inner())
-    }
-}
-
 /// Processes datagrams from other boxes.
 #[derive(Clone)]
 pub struct GossipReceiver {
@@ -151,10 +83,8 @@
     pub fatal: FatalRequests,
     /// Releases.
     pub releases: ReleaseTracker,
-    /// Calls in progress.
-    pub fetches: FetchesInProgress,
-    /// Boxes from which nothing is fetched.
-    pub slow_sources: SlowSources,
+    /// Fetches from other boxes.
+    pub fetches: Fetches,
     /// Fetches copies from boxes that have newer data.
     pub client: PeerClient,
     /// Since when other boxes have had newer data.
@@ -425,21 +355,15 @@
     }
 
     fn fetch_from(&self, from: &BoxEntry, topic: Topic, after: KvRevision) {
-        if self.slow_sources.contains(&from.id, Instant::now()) {
-            return;
-        }
-        let Some(in_progress) = FetchInProgress::begin(&self.fetches, FetchKind::Topic(topic))
-        else {
+        let Some(fetch) = self.fetches.begin(FetchKind::Topic(topic), &from.id) else {
             return;
         };
         let (receiver, from) = (self.clone(), from.clone());
         tokio::spawn(async move {
-            let fetch = receiver
+            let copy = receiver
                 .client
                 .fetch_copy(&from, topic, after, &receiver.fleet);
-            let end = fetch.await;
-            receiver.slow_sources.record(&from.id, end, Instant::now());
-            drop(in_progress);
+            fetch.end(copy.await);
         });
     }
 
@@ -504,20 +428,18 @@
             let is_lacking = |theirs: &&StoreSyncSummary| lacks_changes(&mut directory, theirs);
             theirs.iter().filter(is_lacking).map(|of| of.addr).collect()
         };
-        if lacking.is_empty() || self.slow_sources.contains(&from.id, Instant::now()) {
+        if lacking.is_empty() {
             return;
         }
-        let Some(in_progress) = FetchInProgress::begin(&self.fetches, FetchKind::Stores) else {
+        let Some(fetch) = self.fetches.begin(FetchKind::Stores, &from.id) else {
             return;
         };
         let (receiver, from) = (self.clone(), from.clone());
         tokio::spawn(async move {
-            let fetch = receiver
+            let copies = receiver
                 .client
                 .fetch_stores(&from, lacking, &receiver.cache_stores);
-            let end = fetch.await;
-            receiver.slow_sources.record(&from.id, end, Instant::now());
-            drop(in_progress);
+            fetch.end(copies.await);
         });
     }
 }
--- a/crates/sillpin-gateway/src/peers/sender.rs
+++ b/crates/sillpin-gateway/src/peers/sender.rs
@@ -4,9 +4,10 @@
     BoxHash, Datagram, Digest, StoreSyncSummary, SyncSummary, WeightLoadUpdate, WorkUpdate,
     ZoneUpdate,
 };
+use super::fetches::Fetches;
 use super::millis;
 use super::peer_client::PeerClient;
-use super::receiver::{GossipReceiver, SlowSources};
+use super::receiver::GossipReceiver;
 use super::roles::{self, SMALL_FLEET};
 use super::stall::StallDetector;
 use super::transmitter::Transmitter;
@@ -118,8 +119,7 @@
             cache_stores: self.cache_stores.clone(),
             fatal: self.fatal.clone(),
             releases: self.releases.clone(),
-            fetches: Arc::default(),
-            slow_sources: SlowSources::default(),
+            fetches: Fetches::default(),
             client: PeerClient {
                 fleet_key: self.fleet_key,
                 transfers: self.transfers.clone(),
