A line and a counter for each request that ends at a stopping box

Whether requests are taken late, given up for a silence or lost with the process could not be told from the logs: E384 has the reason, but not when the request was read after the signal or what was left of the grace period, and requests that were served or refused had no line.

E387 names both, and how the request ended; `sillpin_stopping_requests` counts by that. The moments of the grace period are kept in `front/drain.rs`. No behaviour changes.

--- a/crates/sillpin-gateway/src/front/admit.rs
+++ b/crates/sillpin-gateway/src/front/admit.rs
@@ -33,7 +33,9 @@
     pub route: Arc<Route>,
     /// Organisation of the caller, unless no key was needed.
     pub organisation: Option<Arc<Organisation>>,
-    /// Time at which its head arrived.
+    /// Time at which its head was read.
+    pub read: Instant,
+    /// Time at which its head arrived at the first box.
     pub arrival: Instant,
     /// Time by which it must have its final response.
     pub deadline: Instant,
@@ -134,6 +136,7 @@
             max_runs,
             forwarded,
             organisation,
+            read: arrival,
             arrival: waited
                 .and_then(|waited| arrival.checked_sub(waited.min(route.timeout)))
                 .unwrap_or(arrival),
--- a/crates/sillpin-gateway/src/front/handler.rs
+++ b/crates/sillpin-gateway/src/front/handler.rs
@@ -2,6 +2,7 @@
 
 use super::admit::Forwarded;
 use super::discard::discard_rest;
+use super::drain::StoppingEnd;
 use super::refusal::{Refusal, close_after};
 use super::shared::Shared;
 use crate::dialect::Dialect;
@@ -180,6 +181,8 @@
             "why" => &refusal.reason, "elapsed_ms" => started.elapsed().as_millis(),
             "config" => view.config.as_ref().map_or(0, |config| config.version.0),
             "config_age_ms" => age.unwrap_or(u128::MAX).min(u128::from(u64::MAX)) as u64);
+        self.shared
+            .record_stopping_end(id, started, StoppingEnd::Refused, &refusal.reason);
     }
 }
 
@@ -228,6 +231,8 @@
             self.shared.metrics.request("", "caller-gone");
             event!(self.shared.log, events::CALLER_DISCONNECTED, "request" => self.id,
                 "target" => "", "elapsed_ms" => self.started.elapsed().as_millis());
+            self.shared
+                .record_stopping_end(self.id, self.started, StoppingEnd::CallerGone, "");
         }
     }
 }
--- a/crates/sillpin-gateway/src/front/incomplete.rs
+++ b/crates/sillpin-gateway/src/front/incomplete.rs
@@ -1,6 +1,7 @@
 //! The record of responses that callers do not get whole.
 
 use super::admit::AdmittedRequest;
+use super::drain::StoppingEnd;
 use super::progress::Progress;
 use super::shared::Shared;
 use crate::dialect::Dialect;
@@ -59,5 +60,7 @@
             "in_force_for_ms" => since.map_or(0, |at| at.elapsed().as_millis()),
             "elapsed_ms" => request.arrival.elapsed().as_millis(),
             "left_ms" => request.time_left().as_millis());
+        let (id, read) = (&request.head.id, request.read);
+        self.record_stopping_end(id, read, StoppingEnd::Incomplete, end.why);
     }
 }
--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -4,6 +4,7 @@
 //! - [`admit`]: route, organisation and body of a request,
 //! - [`body_memory`]: memory for bodies of requests and responses,
 //! - [`discard`]: the rest of a refused request's body,
+//! - [`drain`]: what a box that is told to stop knows of its end,
 //! - [`dispatch`]: attempts until there is a response,
 //! - [`progress`]: state of a request across its attempts,
 //! - [`outcome`]: what the outcome of an attempt tells about its target,
@@ -38,6 +39,7 @@
 pub mod crowding;
 mod discard;
 pub mod dispatch;
+pub mod drain;
 pub mod events;
 pub mod fair_admission;
 mod fatal;
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -7,6 +7,7 @@
 
 use super::admit::AdmittedRequest;
 use super::attempt_outcome::{Doubt, OpenStream, SILENT, StreamSource};
+use super::drain::StoppingEnd;
 use super::events::{EventSplitter, OVERLONG_EVENT, count_events};
 use super::handover::Handover;
 use super::incomplete::{EndReason, IncompleteResponse};
@@ -143,6 +144,7 @@
                     event!(self.log, events::STREAM_COMPLETE, "request" => id,
                         "target" => &target, "head_ms" => waited,
                         "whole_ms" => request.arrival.elapsed().as_millis());
+                    self.record_stopping_end(id, request.read, StoppingEnd::Answered, "");
                     return tx.finish();
                 }
                 RelayEnd::CallerDisconnected => {
@@ -151,6 +153,7 @@
                     event!(self.log, events::CALLER_DISCONNECTED, "request" => id,
                         "target" => &target,
                         "elapsed_ms" => request.arrival.elapsed().as_millis());
+                    self.record_stopping_end(id, request.read, StoppingEnd::CallerGone, "");
                     return;
                 }
                 RelayEnd::DeadlineReached => {
--- a/crates/sillpin-gateway/src/front/response.rs
+++ b/crates/sillpin-gateway/src/front/response.rs
@@ -2,6 +2,7 @@
 
 use super::admit::AdmittedRequest;
 use super::attempt_outcome::CompleteResponse;
+use super::drain::StoppingEnd;
 use super::refusal::Refusal;
 use super::shared::Shared;
 use crate::dialect::Dialect;
@@ -28,6 +29,7 @@
         event!(self.log, events::REQUEST_ANSWERED, "request" => &request.head.id,
             "route" => &request.route.name, "status" => response.status.as_u16(),
             "elapsed_ms" => elapsed.as_millis());
+        self.record_stopping_end(&request.head.id, request.read, StoppingEnd::Answered, "");
     }
 
     /// Records that a request did not crash its target.
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -1,6 +1,7 @@
 //! State shared by all requests of a box.
 
 use super::body_memory::BodyMemory;
+use super::drain::Drain;
 use crate::budget::RetryBudget;
 use crate::cache_stores::CacheStores;
 use crate::dialect::Dialect;
@@ -85,6 +86,8 @@
     pub is_crowded: Arc<AtomicBool>,
     /// Cancelled when the box is requested to stop.
     pub stopping: CancellationToken,
+    /// The grace period of the stop.
+    pub drain: Drain,
     /// Cancelled when the box stops without waiting for requests any longer.
     pub aborting: CancellationToken,
     /// Time at which the box started.
@@ -184,6 +187,7 @@
             log,
             is_crowded: Arc::default(),
             stopping,
+            drain: Drain::default(),
             aborting: CancellationToken::new(),
             started: Instant::now(),
             cfg,
--- a/crates/sillpin-gateway/src/metrics.rs
+++ b/crates/sillpin-gateway/src/metrics.rs
@@ -25,6 +25,7 @@
     forwarded: Counter<u64>,
     resumptions: Counter<u64>,
     incomplete: Counter<u64>,
+    stopping_ends: Counter<u64>,
     prompt_tokens: Counter<u64>,
     prompt_attempts: Counter<u64>,
     copies: Counter<u64>,
@@ -67,6 +68,10 @@
                 "sillpin_incomplete_responses",
                 "Responses that ended before they were complete, by reason",
             ),
+            stopping_ends: counter(
+                "sillpin_stopping_requests",
+                "Requests that ended at a box that was told to stop, by how they ended",
+            ),
             copies: counter(
                 "sillpin_copies",
                 "State copies requested from other boxes by outcome",
@@ -152,6 +157,12 @@
             .add(1, &[KeyValue::new("reason", reason.to_owned())]);
     }
 
+    /// Counts a request that ended at a box that was told to stop.
+    pub fn stopping_end(&self, end: &str) {
+        self.stopping_ends
+            .add(1, &[KeyValue::new("end", end.to_owned())]);
+    }
+
     /// Counts a prompt sent to an engine, by whether its weights are the newest or replaced ones.
     pub fn prompt_attempt(&self, replaced: bool) {
         let weights = if replaced { "replaced" } else { "newest" };
--- a/crates/sillpin-gateway/src/ops.rs
+++ b/crates/sillpin-gateway/src/ops.rs
@@ -25,6 +25,7 @@
 use crate::fleet_state::transfers::Transfers;
 use crate::fleet_state::{self, BoxEntry, FleetHandle, Topic};
 use crate::forward::head::MAX_FORWARD_LEN;
+use crate::front::drain::Drain;
 use crate::front::shared::FleetHandles;
 use crate::front::{Front, Shared};
 use crate::metrics::{
@@ -55,17 +56,9 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-/// How long a stopping box still accepts connections. The balancer checks each second and removes a box after two
-/// failed checks.
-const BALANCER_LAG: Duration = Duration::from_millis(2_600);
-
-/// Requests in flight are aborted this long before the SIGKILL.
-const KILL_MARGIN: Duration = Duration::from_millis(300);
-
-/// How long their callers may take to be told so.
+/// How long the callers of aborted requests may take to be told so.
 const ABORT_TIME: Duration = Duration::from_millis(150);
 
 /// Capacity of the queue of updates for other boxes. The leader orders a quarter of all engines together, and updates
@@ -241,7 +234,7 @@
     let is_crowded = shared.is_crowded.clone();
     let shared_log = shared.log.clone();
     let shared_metrics = shared.metrics.clone();
-    let aborting = shared.aborting.clone();
+    let (drain, aborting) = (shared.drain.clone(), shared.aborting.clone());
     let front = Front::new(shared);
     let ready = front.clone();
     let answer_ready = move |req| ready.clone().ready(req);
@@ -283,7 +276,7 @@
         let _ = served.send(());
     });
     stopping.cancelled().await;
-    stop(&cfg, &log, closed, aborting, serving).await;
+    stop(&cfg, &log, drain, closed, aborting, serving).await;
     end.cancel();
     event!(log, events::BOX_STOPPED);
     match tasks.lost() {
@@ -302,21 +295,21 @@
 async fn stop(
     cfg: &BoxConfig,
     log: &Logger,
+    drain: Drain,
     closed: CancellationToken,
     aborting: CancellationToken,
     mut serving: oneshot::Receiver<()>,
 ) {
-    let began = Instant::now();
+    let period = drain.begin(cfg.grace);
     event!(log, events::BOX_DRAINING, "grace_ms" => cfg.grace.as_millis());
-    tokio::time::sleep(BALANCER_LAG).await;
+    tokio::time::sleep_until(period.listens_until).await;
     closed.cancel();
-    let deadline = began + cfg.grace.saturating_sub(KILL_MARGIN);
-    let ended = tokio::time::timeout_at(deadline, &mut serving).await;
+    let ended = tokio::time::timeout_at(period.last_write, &mut serving).await;
     if ended.is_err() {
         aborting.cancel();
         // Whatever has not ended by then ends with the process.
         let _ = tokio::time::timeout(ABORT_TIME, serving).await;
-        event!(log, events::BOX_STOPPED_EARLY, "after_ms" => began.elapsed().as_millis());
+        event!(log, events::BOX_STOPPED_EARLY, "after_ms" => period.began.elapsed().as_millis());
     }
 }
 
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -191,6 +191,8 @@
     RESPONSE_INCOMPLETE = 384, Info, "response ended incomplete", "Look at the target if the same one recurs: `reason` and `why` tell what it did. If `config` and `config_in_force` differ, compare the two configurations.";
     /// The target of a request is doubted, and others are asked while the request waits there.
     OTHERS_ASKED = 385, Info, "other targets asked", "Nothing to do unless it recurs for one target: then look at it.";
+    /// A request ended at a box that had been told to stop.
+    STOPPING_REQUEST_ENDED = 387, Info, "request ended at a stopping box", "Nothing to do unless `end` is `incomplete`: then compare `read_after_ms` (from the signal until the request was read) and `left_at_read_ms` with the time limit of the route.";
     /// A caller resumes a stream, and the box looked up which version of the targets' software began it.
     STREAM_VERSION = 380, Info, "version of a resumed stream", "Nothing to do unless `version` is often empty: such streams are refused. Then look for boxes that were stopped without draining, and for lost datagrams (E336).";
     /// The versions of the pools could not be read from the platform's store, or written to it.
