A stopping box refuses what it cannot finish

Callers saw streams of a box that had been told to stop end after a few events with status 200, and other requests wait for a 502: the box took each request that arrived on a kept connection, whatever was left of its grace period, and cut it when the period was over. Each stream keeps its connection open until it ends, so such requests come at any time of the drain.

From SIGTERM on the box knows until when it can write. While it still listens, a request is taken if it is likely to end by then (by the median of what its route took of late); later, only if its limit of time is over by then. Anything else gets 503, not run, and `Retry-After: 0` if other boxes are known. The same is asked again when a late body is complete, and before a request is sent to one more target. Requests of other boxes get "not ready", so that these try a third box.

--- a/crates/sillpin-gateway/src/front/admit.rs
+++ b/crates/sillpin-gateway/src/front/admit.rs
@@ -108,6 +108,8 @@
         let (config, route, organisation) = self.authorise(&head, parts.uri.path()).await?;
         let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
         let deadline = arrival + timeout;
+        let is_forwarded = forwarded.is_some();
+        self.check_time_to_stop(&route, deadline, is_forwarded)?;
         let limit = config.limits.body_len;
         let reading = tokio::time::timeout_at(deadline, self.body_memory.read(body, limit)).await;
         let body = match reading {
@@ -119,6 +121,7 @@
                 ));
             }
         };
+        self.check_time_to_stop(&route, deadline, is_forwarded)?;
         let caller = match &organisation {
             Some(org) => org.id.as_str(),
             None => head.key.as_deref().unwrap_or_default(),
--- a/crates/sillpin-gateway/src/front/dispatch.rs
+++ b/crates/sillpin-gateway/src/front/dispatch.rs
@@ -70,7 +70,10 @@
         }
         let mut progress = self.begin(&request, &pool, binding);
         loop {
-            let result = self.next_attempt(&request, &pool, &mut progress).await;
+            let result = match self.end_if_stopping(&request, &mut progress) {
+                Some(end) => Err(end),
+                None => self.next_attempt(&request, &pool, &mut progress).await,
+            };
             let outcome = match result {
                 Ok(outcome) => outcome,
                 Err(NoAttempt::Refused(refusal)) => {
--- a/crates/sillpin-gateway/src/front/drain.rs
+++ b/crates/sillpin-gateway/src/front/drain.rs
@@ -1,8 +1,17 @@
-//! What a box that is told to stop knows of its end.
+//! Which requests a box takes that is told to stop.
+//!
+//! The box knows from then on until when it can write. A request that is not expected to end by then is refused before it runs: another
+//! box serves it within milliseconds, while a response that is cut off loses all that was done for it.
 
+use super::admit::AdmittedRequest;
+use super::progress::{NoAttempt, Progress, end_unserved};
+use super::refusal::{DEFAULT_RETRY_AFTER, Refusal, spread};
 use super::shared::Shared;
+use crate::config::Route;
 use crate::dialect::Dialect;
+use crate::forward::head::Unavailable;
 use derive_more::Display;
+use sillpin_core::Outcome;
 use sillpin_telemetry::{event, events};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -15,6 +24,9 @@
 /// Requests in flight are aborted this long before the SIGKILL.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
 
+/// Refusal of a request that a box cannot finish before it ends.
+pub const STOPPING: &str = "the box stops before the request could end";
+
 /// The grace period of a box that is told to stop.
 #[derive(Debug, Clone, Copy)]
 pub struct GracePeriod {
@@ -36,6 +48,23 @@
             last_write,
         }
     }
+
+    /// Whether a request is taken now that ends by `deadline` at the latest and usually takes `usual`, if that is known. While the box
+    /// listens, callers may still find it like any other box, and what is likely to end in time is taken. Later requests come over
+    /// connections that are about to close, and their callers connect anew anyway: these have to be sure to end in time.
+    pub fn takes(&self, now: Instant, deadline: Instant, usual: Option<Duration>) -> bool {
+        let is_sure = deadline <= self.last_write;
+        is_sure || (now < self.listens_until && self.is_likely(now, usual))
+    }
+
+    /// Whether a request that was taken may be sent to one more target now.
+    pub fn retries(&self, now: Instant, deadline: Instant, usual: Option<Duration>) -> bool {
+        deadline <= self.last_write || self.is_likely(now, usual)
+    }
+
+    fn is_likely(&self, now: Instant, usual: Option<Duration>) -> bool {
+        now + usual.unwrap_or_default() <= self.last_write
+    }
 }
 
 /// The grace period, once the box is told to stop; clones share it.
@@ -73,6 +102,65 @@
 }
 
 impl<D: Dialect> Shared<D> {
+    /// Refuses a request of a route that the box cannot finish, if it is told to stop.
+    pub(super) fn check_time_to_stop(
+        &self,
+        route: &Route,
+        deadline: Instant,
+        is_forwarded: bool,
+    ) -> Result<(), Refusal> {
+        let Some(period) = self.drain.period() else {
+            return Ok(());
+        };
+        let usual = self.service_times.median(&route.name);
+        match period.takes(Instant::now(), deadline, usual) {
+            true => Ok(()),
+            false if is_forwarded => Err(Refusal::unavailable(Unavailable::NotReady)),
+            false => Err(self.refuse_stopping()),
+        }
+    }
+
+    /// Refuses a request that has not run since the box stops. Another box can take it immediately.
+    pub(super) fn refuse_stopping(&self) -> Refusal {
+        let has_others = !self.fleet.view().boxes.is_empty();
+        let wait = match has_others {
+            true => Duration::ZERO,
+            false => spread(DEFAULT_RETRY_AFTER),
+        };
+        Refusal::not_run(STOPPING).with_retry_after(wait)
+    }
+
+    /// Ends a request that was sent to a target in vain, if the box stops before another one could serve it.
+    pub(super) fn end_if_stopping(
+        &self,
+        request: &AdmittedRequest,
+        progress: &mut Progress,
+    ) -> Option<NoAttempt> {
+        let period = self.drain.period()?;
+        if progress.offered.is_empty() && progress.boxes.is_empty() {
+            return None;
+        }
+        let usual = self.service_times.median(&request.route.name);
+        if period.retries(Instant::now(), request.deadline, usual) {
+            return None;
+        }
+        Some(match end_unserved(progress, STOPPING) {
+            NoAttempt::Refused(refusal) if refusal.outcome == Outcome::NotRun => {
+                NoAttempt::Refused(self.refuse_stopping())
+            }
+            end => end,
+        })
+    }
+
+    /// Records how long a request took that was served.
+    pub(super) fn record_service_time(&self, request: &AdmittedRequest) {
+        // What is left of a resumed stream takes less.
+        if request.head.resume_after.is_none() {
+            let time = request.read.elapsed();
+            self.service_times.record(&request.route.name, time);
+        }
+    }
+
     /// Logs and counts the end of a request, read at `read`, if the box is told to stop. `why` is empty if it was answered.
     pub(super) fn record_stopping_end(&self, id: &str, read: Instant, end: StoppingEnd, why: &str) {
         let Some(period) = self.drain.period() else {
--- a/crates/sillpin-gateway/src/front/mod.rs
+++ b/crates/sillpin-gateway/src/front/mod.rs
@@ -3,8 +3,9 @@
 //! - [`shared`]: state shared by all requests,
 //! - [`admit`]: route, organisation and body of a request,
 //! - [`body_memory`]: memory for bodies of requests and responses,
+//! - [`service_times`]: how long requests of each route take,
 //! - [`discard`]: the rest of a refused request's body,
-//! - [`drain`]: what a box that is told to stop knows of its end,
+//! - [`drain`]: which requests a box takes that is told to stop,
 //! - [`dispatch`]: attempts until there is a response,
 //! - [`progress`]: state of a request across its attempts,
 //! - [`outcome`]: what the outcome of an attempt tells about its target,
@@ -60,6 +61,7 @@
 mod search;
 mod search_progress;
 pub mod selection;
+pub mod service_times;
 pub mod shared;
 pub mod stream_body;
 pub mod stream_engines;
--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -139,6 +139,7 @@
             let (reason, why) = match end {
                 RelayEnd::Complete => {
                     self.record_served(&request);
+                    self.record_service_time(&request);
                     self.metrics.response_end(request.arrival.elapsed());
                     self.metrics.request(&request.route.name, "answered");
                     event!(self.log, events::STREAM_COMPLETE, "request" => id,
@@ -158,6 +159,7 @@
                 }
                 RelayEnd::DeadlineReached => {
                     self.record_abandoned(&request, entry.as_ref());
+                    self.record_service_time(&request);
                     let why = "the request's time is over".to_owned();
                     (EndReason::Deadline, why)
                 }
--- a/crates/sillpin-gateway/src/front/response.rs
+++ b/crates/sillpin-gateway/src/front/response.rs
@@ -21,6 +21,7 @@
         };
         if response.status.is_success() {
             self.record_served(request);
+            self.record_service_time(request);
         }
         let elapsed = request.arrival.elapsed();
         self.metrics.request(&request.route.name, outcome);
--- a/crates/sillpin-gateway/src/front/shared.rs
+++ b/crates/sillpin-gateway/src/front/shared.rs
@@ -2,6 +2,7 @@
 
 use super::body_memory::BodyMemory;
 use super::drain::Drain;
+use super::service_times::ServiceTimes;
 use crate::budget::RetryBudget;
 use crate::cache_stores::CacheStores;
 use crate::dialect::Dialect;
@@ -86,6 +87,8 @@
     pub is_crowded: Arc<AtomicBool>,
     /// Cancelled when the box is requested to stop.
     pub stopping: CancellationToken,
+    /// How long requests take.
+    pub service_times: ServiceTimes,
     /// The grace period of the stop.
     pub drain: Drain,
     /// Cancelled when the box stops without waiting for requests any longer.
@@ -187,6 +190,7 @@
             log,
             is_crowded: Arc::default(),
             stopping,
+            service_times: ServiceTimes::default(),
             drain: Drain::default(),
             aborting: CancellationToken::new(),
             started: Instant::now(),
--- a/crates/sillpin-gateway/src/ops/maintenance.rs
+++ b/crates/sillpin-gateway/src/ops/maintenance.rs
@@ -53,6 +53,9 @@
             Ok(()) = views.changed() => false,
         };
         let targets = views.borrow_and_update().targets.clone();
+        if let Some(config) = &shared.fleet.view().config {
+            shared.service_times.prune(config);
+        }
         if due || !Arc::ptr_eq(&known, &targets) {
             shared
                 .pool
