A request that was not admitted when its box stopped has not run

A request whose body was still arriving when the grace period ended got 502, which says that it may have run, so callers could not repeat one that may run once. Admission and attempts are aborted apart now: the first gets 503. The case failed before.

--- a/crates/sillpin-gateway/src/front/handler.rs
+++ b/crates/sillpin-gateway/src/front/handler.rs
@@ -131,10 +131,10 @@
         let awaits_continue = parts.headers.contains_key(EXPECT);
         let guard = DisconnectGuard::new(shared, &id, started);
         let serving = async {
-            let request = shared.admit(parts, &mut body, head, forwarded).await?;
-            shared.dispatch(request).await
-        };
-        let serving = async {
+            let admitting = shared.admit(parts, &mut body, head, forwarded);
+            let admitted = shared.aborting.run_until_cancelled(admitting).await;
+            let request = admitted.unwrap_or_else(|| Err(shared.refuse_stopping()))?;
+            let serving = shared.dispatch(request);
             let served = shared.aborting.run_until_cancelled(serving).await;
             served.unwrap_or_else(|| Err(Refusal::unknown("the box stops")))
         };
