A box with a short grace period stops listening before its end

With a grace period below 2.6 s the box waited for the balancer until it was killed, and never aborted its requests with a status.

--- a/crates/sillpin-gateway/src/front/drain.rs
+++ b/crates/sillpin-gateway/src/front/drain.rs
@@ -44,7 +44,7 @@
         let last_write = began + grace.saturating_sub(KILL_MARGIN);
         Self {
             began,
-            listens_until: began + BALANCER_LAG,
+            listens_until: (began + BALANCER_LAG).min(last_write),
             last_write,
         }
     }
