Streams that began under a longer time limit are not joined with another version

A report of a system like ours: all boxes are killed while two versions serve or the older one has just left, and text is joined from two.

How long callers may come back was taken from the limit in force, so the boxes and the store forgot the older version while streams that began under the longer limit could still be resumed. Now the longest limit that a box has seen counts, and 30 s at least, as a box that has just started knows no earlier limit. Cost: for 30 s instead of twice the limit and 2 s after a version has left, streams whose version nobody knows are refused.

--- a/crates/sillpin-gateway/src/fleet_state/fleet/operators.rs
+++ b/crates/sillpin-gateway/src/fleet_state/fleet/operators.rs
@@ -92,6 +92,8 @@
             "bytes" => entry.value.as_ref().map_or(0, String::len),
             "before" => in_force.map_or(0, |version| version.0));
         let config = Arc::new(config);
+        let before = self.config.as_deref();
+        self.view.routes.record(before, &config, Instant::now());
         self.apply_isolation(&config, in_force.is_some());
         self.config = Some(config.clone());
         self.view.config = Some(config);
--- a/crates/sillpin-gateway/src/fleet_state/mod.rs
+++ b/crates/sillpin-gateway/src/fleet_state/mod.rs
@@ -24,7 +24,7 @@
 use crate::control::{Life, TargetEntry};
 use crate::placement::index::TargetIndex;
 use crate::releases::Cohort;
-use crate::streams::PoolVersions;
+use crate::streams::{PoolVersions, RouteHistory};
 use serde::{Deserialize, Serialize};
 use sillpin_core::{BoxId, ModelId, PoolId, TargetId, WeightVersion, ZoneId};
 use sillpin_platform::{KvEntry, KvRevision, Snapshot, WatchReply};
@@ -111,6 +111,8 @@
     pub config: Option<Arc<FleetConfig>>,
     /// When it came into force here.
     pub config_since: Option<Instant>,
+    /// What earlier configurations said of routes.
+    pub routes: RouteHistory,
     /// The organisations that it isolates.
     pub isolated: Arc<IsolatedOrganisations>,
     /// Sync state of what operators publish.
--- a/crates/sillpin-gateway/src/front/stream_version.rs
+++ b/crates/sillpin-gateway/src/front/stream_version.rs
@@ -52,7 +52,7 @@
         let named = request.forwarded.as_ref().and_then(|of| of.head.version);
         let found = match named {
             Some(version) => Some((version, KnownFrom::Forwarded)),
-            None => self.streams.find(&resumed_stream(request)).await,
+            None => self.streams.find(&self.resumed_stream(request)).await,
         };
         let resumes = request.head.resumes.as_deref().unwrap_or_default();
         let (binding, from) = match found {
@@ -70,6 +70,18 @@
         binding
     }
 
+    fn resumed_stream(&self, request: &AdmittedRequest) -> ResumedStream {
+        let attempt = request.head.resumes.as_deref().unwrap_or(NO_ATTEMPT);
+        let routes = self.fleet.view().routes;
+        let left = request.head.timeout.unwrap_or_default();
+        let window = routes.window(request.route.timeout.max(left));
+        ResumedStream {
+            key: StreamKey::new(caller(request), attempt),
+            pool: only_pool(request).cloned(),
+            window,
+        }
+    }
+
     /// Returns the pool whose targets began a stream, if the request's route still has it.
     pub fn pool_of_stream(&self, request: &AdmittedRequest, binding: Binding) -> Option<PoolId> {
         let Binding::Version(version) = binding else {
@@ -212,12 +224,3 @@
     let pool = &pools.next()?.pool;
     pools.next().is_none().then_some(pool)
 }
-
-fn resumed_stream(request: &AdmittedRequest) -> ResumedStream {
-    let attempt = request.head.resumes.as_deref().unwrap_or(NO_ATTEMPT);
-    ResumedStream {
-        key: StreamKey::new(caller(request), attempt),
-        pool: only_pool(request).cloned(),
-        window: resumable_for(request.route.timeout),
-    }
-}
--- a/crates/sillpin-gateway/src/streams/mod.rs
+++ b/crates/sillpin-gateway/src/streams/mod.rs
@@ -16,6 +16,7 @@
 //! - [`holders`]: which boxes are told,
 //! - [`message`]: datagrams about streams,
 //! - [`register`]: versions of each pool in the platform store,
+//! - [`routes`]: pools and time limits of routes in earlier configurations,
 //! - [`exchange`]: tells and asks other boxes.
 
 pub mod exchange;
@@ -24,10 +25,12 @@
 pub mod message;
 pub mod records;
 pub mod register;
+pub mod routes;
 pub mod version;
 
 pub use exchange::StreamVersions;
 pub use history::PoolVersions;
+pub use routes::RouteHistory;
 pub use version::{StreamKey, VersionHash};
 
 use std::time::Duration;
@@ -35,8 +38,12 @@
 /// Added to the time that callers wait for a stream, since they may come back a little later than they state.
 const WAIT_MARGIN: Duration = Duration::from_secs(2);
 
+/// Shortest time for which callers may come back to a stream. A box that has just started does not know longer time limits of earlier
+/// configurations.
+const MIN_RESUMABLE: Duration = Duration::from_secs(30);
+
 /// Returns how long callers of a route may come back to a stream after it began. A caller may wait for longer than
 /// one response takes.
 pub fn resumable_for(timeout: Duration) -> Duration {
-    timeout * 2 + WAIT_MARGIN
+    MIN_RESUMABLE.max(timeout * 2 + WAIT_MARGIN)
 }
--- a/crates/sillpin-gateway/src/streams/register.rs
+++ b/crates/sillpin-gateway/src/streams/register.rs
@@ -7,7 +7,6 @@
 //! the box sees no other since, that version began all of the pool's streams.
 
 use super::history::PoolVersions;
-use super::resumable_for;
 use crate::control::SoftwareVersion;
 use crate::fleet_state::{BoxEntry, FleetHandle, View};
 use crate::peers::roles;
@@ -264,7 +263,7 @@
     };
     let mut updated = Versions::new();
     for route in config.routes.iter().filter(|route| route.resumable) {
-        let window = resumable_for(route.timeout);
+        let window = view.routes.window(route.timeout);
         for share in &route.shares {
             let kept = stored.get(&share.pool).into_iter().flatten();
             let kept = kept.filter(|version| {
