A stream does not go on at another service after its route moved

A box that had seen one version of a pool alone took it for the one that began a stream, without asking others, also when the route had gone to another pool while the stream was under way: the rest of the text came from another service. For as long as callers may come back to such streams, the box asks the boxes that have records.

--- a/crates/sillpin-gateway/src/front/stream_version.rs
+++ b/crates/sillpin-gateway/src/front/stream_version.rs
@@ -75,9 +75,10 @@
         let routes = self.fleet.view().routes;
         let left = request.head.timeout.unwrap_or_default();
         let window = routes.window(request.route.timeout.max(left));
+        let is_same = !routes.may_have_moved(window, Instant::now());
         ResumedStream {
             key: StreamKey::new(caller(request), attempt),
-            pool: only_pool(request).cloned(),
+            pool: only_pool(request).filter(|_| is_same).cloned(),
             window,
         }
     }
--- a/crates/sillpin-gateway/src/streams/exchange.rs
+++ b/crates/sillpin-gateway/src/streams/exchange.rs
@@ -86,7 +86,7 @@
 pub struct ResumedStream {
     /// The stream.
     pub key: StreamKey,
-    /// The pool, if its route has only one.
+    /// The pool, if its route has had only one.
     pub pool: Option<PoolId>,
     /// For how long the caller may have waited at most.
     pub window: Duration,
