Heads of answers are checked where they are read

The HTTP library accepts such a head, transfer codings that it does not decode, a body with 204, a change of protocol, and statuses up to 999, and the target's length was written to the caller beside a body of another length.

--- a/crates/sillpin-gateway/src/front/relay.rs
+++ b/crates/sillpin-gateway/src/front/relay.rs
@@ -26,7 +26,6 @@
 use crate::streams::VersionHash;
 use bytes::Bytes;
 use hyper::Response;
-use hyper::header::CONTENT_LENGTH;
 use sillpin_core::PoolId;
 use sillpin_http::{Body, BodySender};
 use sillpin_telemetry::{event, events};
@@ -90,8 +89,6 @@
         let mut resp = Response::new(body);
         *resp.status_mut() = stream.status;
         *resp.headers_mut() = self.dialect.write_response(&stream.headers);
-        // The length of a resumed stream differs from that of its first part.
-        resp.headers_mut().remove(CONTENT_LENGTH);
         self.metrics.response_head(request.arrival.elapsed());
         if request.forwarded.is_some()
             && let StreamSource::Target { target, .. } = &stream.source
--- a/crates/sillpin-gateway/src/pool.rs
+++ b/crates/sillpin-gateway/src/pool.rs
@@ -16,6 +16,7 @@
 use sillpin_core::{BoxId, TargetId};
 use sillpin_http::IncomingBody;
 use sillpin_http::reads::{BoundedReads, MAX_HEAD_LEN, ReadMeter};
+use sillpin_http::response_head;
 use socket2::{SockRef, TcpKeepalive};
 use std::collections::HashMap;
 use std::hash::Hash;
@@ -202,7 +203,7 @@
         })
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Sends a request and waits for the head of the response. After an error the connection must not be used again.
     pub async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
@@ -217,6 +218,10 @@
                 false => SendError::Unanswered { peer, what },
             }
         })?;
+        response_head::check(&response).map_err(|e| SendError::Unanswered {
+            peer,
+            what: e.to_string(),
+        })?;
         self.meter.record_head();
         let meter = self.meter.clone();
         Ok(response.map(|body| IncomingBody::new(body, meter)))
--- a/crates/sillpin-http/src/client.rs
+++ b/crates/sillpin-http/src/client.rs
@@ -9,9 +9,11 @@
 use crate::body::{Body, ReadError, read_json_with_idle_timeout};
 use crate::connector::BoundedConnector;
 use crate::reads::{IncomingBody, MAX_HEAD_LEN, ReadMeter};
+use crate::response_head::{self, HeadFault};
 use derive_more::{Display, Error};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, header};
 use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::capture_connection;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -59,6 +61,9 @@
         /// The response headers.
         headers: Box<HeaderMap>,
     },
+    /// The head of the response is not accepted.
+    #[display("answer not accepted: {_0}")]
+    Head(HeadFault),
     /// The body of the response could not be read.
     #[display("answer unreadable: {_0}")]
     Answer(ReadError),
@@ -135,14 +140,26 @@
         &self,
         step: &'static str,
         peer: SocketAddr,
-        req: Request<Body>,
+        mut req: Request<Body>,
     ) -> Result<Response<IncomingBody>, CallError> {
+        let connection = capture_connection(&mut req);
         let response = self.pool.request(req).await.map_err(|e| CallError {
             step,
             peer,
             sent: sent_state(&e),
             fault: CallFault::Connection(describe(&e)),
         })?;
+        if let Err(e) = response_head::check(&response) {
+            if let Some(connection) = connection.connection_metadata().as_ref() {
+                connection.poison();
+            }
+            return Err(CallError {
+                step,
+                peer,
+                sent: Sent::Maybe,
+                fault: CallFault::Head(e),
+            });
+        }
         let meter = response.extensions().get::<ReadMeter>().cloned();
         let meter = meter.unwrap_or_default();
         meter.record_head();
--- a/crates/sillpin-http/src/lib.rs
+++ b/crates/sillpin-http/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`evictable`]: bodies whose memory can be taken back while their reader is slow,
 //! - [`lines`]: readers of lines and of JSON documents from a streamed body,
 //! - [`reads`]: bounds on what a peer can make the reader of its connection do,
+//! - [`response_head`]: what must be true of the head of a response,
 //! - [`server`]: a server that finishes open requests when stopped.
 
 mod arrival;
@@ -17,6 +18,7 @@
 mod guarded;
 pub mod lines;
 pub mod reads;
+pub mod response_head;
 pub mod server;
 
 pub use body::{Body, BodySender, ReadError, read_limited};
