--- a/crates/sillpin-gateway/src/cache_stores/mod.rs
+++ b/crates/sillpin-gateway/src/cache_stores/mod.rs
@@ -20,6 +20,7 @@
 pub mod reader;
 pub mod reclaimer;
 pub mod retire;
+pub mod retired_shares;
 pub mod salt;
 
 pub use directory::{CacheStores, Directory};
--- a/crates/sillpin-gateway/src/cache_stores/retire.rs
+++ b/crates/sillpin-gateway/src/cache_stores/retire.rs
@@ -11,6 +11,7 @@
 //! nothing, unless no box has contact, and then nothing is freed. Fetches are aborted after a known time.
 
 use super::homes::{hash_pair, to_unit_interval};
+use super::retired_shares::RetiredShares;
 use super::salt::SaltParts;
 use crate::control::PartKey;
 use crate::fleet_state::View;
@@ -18,7 +19,7 @@
 use serde::{Deserialize, Serialize};
 use sillpin_core::bounds;
 use sillpin_core::{BoxId, ModelId, WeightVersion};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -58,31 +59,28 @@
     pub version: WeightVersion,
 }
 
-/// Share of a version's parts that is retired.
+/// Share of the parts of a version, and of those before it, that is retired.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Retired {
-    /// The version.
+    /// The newest of the versions.
     pub weights: Weights,
-    /// The share of its parts, by hash.
+    /// The share of their parts, by hash.
     #[serde(deserialize_with = "bounds::de::share")]
     pub share: f64,
 }
 
-/// Retired shares by version.
-type Shares = BTreeMap<Weights, f64>;
-
 /// Shares that were in force on this box at a time.
 #[derive(Debug)]
 struct Sample {
     at: Instant,
-    shares: Shares,
+    shares: RetiredShares,
 }
 
 /// Content of the last digest of another box.
 #[derive(Debug)]
 struct PeerReport {
     at: Instant,
-    shares: Shares,
+    shares: RetiredShares,
     store_contact_age: Duration,
 }
 
@@ -97,7 +95,7 @@
 /// Shares that this box has retired, and those that other boxes reported.
 #[derive(Debug, Default)]
 pub struct Retirements {
-    applied: Shares,
+    applied: RetiredShares,
     history: VecDeque<Sample>,
     others: HashMap<BoxId, PeerReport>,
     /// Total suspended time that the times in `others` are adjusted for.
@@ -131,7 +129,7 @@
                 true => replaced.min(pressure),
                 false => replaced,
             };
-            self.retire(weights, share);
+            self.applied.retire(&weights, share);
         }
         let shares = self.applied.clone();
         self.history.push_back(Sample { at: now, shares });
@@ -141,42 +139,28 @@
         }
     }
 
-    /// Retires a share of a version's parts, unless a larger one is retired.
-    fn retire(&mut self, weights: Weights, share: f64) {
-        let applied = self.applied.entry(weights).or_insert(0.0);
-        *applied = applied.max(share);
-    }
-
     /// Returns whether any part of any version is retired.
     pub fn has_any(&self) -> bool {
-        self.applied.values().any(|share| *share > 0.0)
+        !self.applied.is_empty()
     }
 
     /// Returns the shares that this box reports to others: those applied so long ago that its fetches of these parts
     /// are over.
     pub fn updates_to_send(&self, now: Instant) -> Vec<Retired> {
-        let settled = |weights: &Weights| Retired {
-            weights: weights.clone(),
-            share: self.share_in_force(weights, now, MAX_FETCH_TIME),
-        };
-        self.applied.keys().map(settled).collect()
+        let settled = self.in_force(now, MAX_FETCH_TIME);
+        settled.map_or_else(Vec::new, RetiredShares::to_send)
     }
 
     /// Returns the shares that this box has retired. Hubs deliver them to all boxes within a second: a box receives too few
     /// digests to be sure to get them in time, before parts are freed that no digest reported as used.
     pub fn applied(&self) -> Vec<Retired> {
-        let applied = self.applied.iter().filter(|(_, share)| **share > 0.0);
-        let retired = applied.map(|(weights, share)| Retired {
-            weights: weights.clone(),
-            share: *share,
-        });
-        retired.collect()
+        self.applied.to_send()
     }
 
     /// Retires the shares that other boxes have retired.
     pub fn apply_shares(&mut self, applied: &[Retired]) {
         for retired in applied {
-            self.retire(retired.weights.clone(), retired.share);
+            self.applied.retire(&retired.weights, retired.share);
         }
     }
 
@@ -189,13 +173,10 @@
         store_contact_age: Duration,
         now: Instant,
     ) {
-        let shares: Shares = retired.into_iter().map(|r| (r.weights, r.share)).collect();
-        for (weights, share) in &shares {
-            self.retire(weights.clone(), *share);
-        }
+        self.apply_shares(&retired);
         let report = PeerReport {
             at: now,
-            shares,
+            shares: retired.iter().collect(),
             store_contact_age,
         };
         self.others.insert(from, report);
@@ -222,9 +203,7 @@
 
     /// Returns whether this box no longer fetches or saves a part.
     pub fn is_retired(&self, salt: &SaltParts, key: &PartKey) -> bool {
-        let weights = salt_weights(salt);
-        let share = self.applied.get(&weights).copied().unwrap_or(0.0);
-        retirement_rank(key) < share
+        retirement_rank(key) < self.applied.of(&salt_weights(salt))
     }
 
     /// Returns the share of a version's parts that no box fetches: reported by every box that is in contact, or known for so
@@ -238,21 +217,23 @@
         );
         let reported_by = |id: &BoxId| {
             let report = self.others.get(id).filter(|report| report.is_current(now));
-            report.map_or(long_in_force, |report| {
-                report.shares.get(weights).copied().unwrap_or(0.0)
-            })
+            report.map_or(long_in_force, |report| report.shares.of(weights))
         };
         let reported = view.boxes.iter().map(|peer| reported_by(&peer.id));
         let in_force = self.share_in_force(weights, now, NEW_BOX_DELAY);
         reported.fold(in_force, f64::min)
     }
 
-    /// Returns the share that was in force on this box at least `age` ago.
+    /// Returns the share of a version's parts that was in force on this box at least `age` ago.
     fn share_in_force(&self, weights: &Weights, now: Instant, age: Duration) -> f64 {
+        let in_force = self.in_force(now, age);
+        in_force.map_or(0.0, |shares| shares.of(weights))
+    }
+
+    /// Returns the shares that were in force on this box at least `age` ago.
+    fn in_force(&self, now: Instant, age: Duration) -> Option<&RetiredShares> {
         let mut old = self.history.iter().filter(|sample| now - sample.at >= age);
-        let newest = old.next_back();
-        let share = newest.and_then(|sample| sample.shares.get(weights));
-        share.copied().unwrap_or(0.0)
+        old.next_back().map(|sample| &sample.shares)
     }
 }
 
@@ -269,26 +250,32 @@
     }
 }
 
-/// Returns, for each version older than the desired one, the share of the model's engines whose entries
-/// list newer weights.
+/// Returns the share of each model's engines whose entries list newer weights than a version, for versions older than the
+/// desired one: one for each step of that share.
 fn replaced_shares(view: &View) -> Vec<(Weights, f64)> {
     let mut shares = Vec::new();
     for (model, desired) in view.desired.iter() {
-        let serving: Vec<WeightVersion> = view
+        let mut serving: Vec<WeightVersion> = view
             .entries
             .values()
             .filter_map(|entry| served(entry, model))
             .collect();
-        if serving.is_empty() {
-            continue;
-        }
-        for version in 1..desired.newest().version.0 {
-            let version = WeightVersion(version);
-            let newer = serving.iter().filter(|serves| **serves > version).count();
+        serving.sort();
+        let desired = desired.newest().version;
+        for (index, version) in serving.iter().enumerate() {
+            let is_first = index == 0 || serving[index - 1] != *version;
+            // The versions before the first one are numbered from 1.
+            let Some(before) = version.min(&desired).0.checked_sub(1) else {
+                continue;
+            };
+            if !is_first || before == 0 {
+                continue;
+            }
             let weights = Weights {
                 model: model.clone(),
-                version,
+                version: WeightVersion(before),
             };
+            let newer = serving.len() - index;
             shares.push((weights, newer as f64 / serving.len() as f64));
         }
     }
--- a/crates/sillpin-gateway/src/peers/mod.rs
+++ b/crates/sillpin-gateway/src/peers/mod.rs
@@ -31,6 +31,7 @@
 pub mod hub;
 pub mod lag;
 pub mod link;
+pub mod oversize;
 pub mod packed;
 pub mod peer_client;
 pub mod receiver;
--- a/crates/sillpin-gateway/src/peers/wire.rs
+++ b/crates/sillpin-gateway/src/peers/wire.rs
@@ -75,13 +75,17 @@
 
 /// Encodes a datagram of any type.
 pub fn encode_message<T: Serialize>(fleet: FleetKey, message: &T) -> Result<Vec<u8>, WireError> {
-    let mut buf = fleet.0.to_le_bytes().to_vec();
-    let written = options().serialize_into(&mut buf, message);
-    written.map_err(WireError::Unreadable)?;
-    match buf.len() <= MAX_DATAGRAM {
-        true => Ok(buf),
-        false => Err(WireError::TooLong(buf.len())),
+    let unlimited = || options().with_no_limit();
+    let len = unlimited().serialized_size(message);
+    let len = KEY_LEN + len.map_err(WireError::Unreadable)? as usize;
+    if len > MAX_DATAGRAM {
+        return Err(WireError::TooLong(len));
     }
+    let mut buf = Vec::with_capacity(len);
+    buf.extend_from_slice(&fleet.0.to_le_bytes());
+    let written = unlimited().serialize_into(&mut buf, message);
+    written.map_err(WireError::Unreadable)?;
+    Ok(buf)
 }
 
 /// Decodes a datagram, if it belongs to this fleet.
--- a/crates/sillpin-gateway/tests/cache_stores/main.rs
+++ b/crates/sillpin-gateway/tests/cache_stores/main.rs
@@ -9,6 +9,7 @@
 mod homes;
 mod listing;
 mod retire;
+mod retired_shares;
 
 use sillpin_core::Tokens;
 use sillpin_gateway::control::{PartChange, PartKey, StoreChanges, StoreListing};
--- a/crates/sillpin-platform/src/lib.rs
+++ b/crates/sillpin-platform/src/lib.rs
@@ -41,8 +41,8 @@
 #[serde(transparent)]
 pub struct KvRevision(pub u64);
 
-/// Bits of a revision that hold its number, enough for a thousand changes per second for 30 years.
-const NUMBER_BITS: u32 = 40;
+/// Bits of a revision that hold its number: enough for one that begins at a time in milliseconds and rises by any step.
+const NUMBER_BITS: u32 = 48;
 
 /// Largest number of a revision.
 const MAX_NUMBER: u64 = (1 << NUMBER_BITS) - 1;
