One name or item costs itself, not a configuration

Names are text, encoded where they are written into salts, hashes, queries and headers; items of a configuration are decoded one by one and logged (E431) when unreadable.

--- a/crates/sillpin-core/src/ids.rs
+++ b/crates/sillpin-core/src/ids.rs
@@ -1,7 +1,8 @@
 //! Newtypes for identifiers.
 //!
-//! Names chosen by people ([`BoxId`], [`OrgId`], ...) have a restricted character set, so that they
-//! need no escaping in URLs, metric labels and keys of the platform's service.
+//! The names of machines and targets ([`BoxId`], [`TargetId`], ...) consist of letters, digits and a few other characters.
+//! Other names that people choose ([`OrgId`], [`PoolId`], ...) are text that is compared byte by byte. Whoever writes one into a
+//! URL, a salt or another format with separators encodes it there.
 
 use crate::number_type;
 use derive_more::{Display, Error};
@@ -10,35 +11,60 @@
 use std::sync::Arc;
 use uuid::Uuid;
 
-/// Maximum length of a name, in bytes.
-pub const MAX_NAME_LEN: usize = 64;
+/// Maximum length of a name, in bytes: more than a key of the platform's service has.
+pub const MAX_NAME_LEN: usize = 256;
 
 /// Error for an empty or too long name, or one with other characters.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
-#[display(
-    "invalid {kind} name {name:?}: 1 to {MAX_NAME_LEN} characters of a-z, 0-9, '.', '_' and '-'"
-)]
+#[display("invalid {kind} name {name:?}: {}", alphabet.rule())]
 pub struct InvalidName {
     kind: &'static str,
     name: String,
+    alphabet: Alphabet,
 }
 
-fn check_name(kind: &'static str, name: &str) -> Result<(), InvalidName> {
+/// Which characters names of a kind consist of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Alphabet {
+    /// Letters, digits, '.', '_' and '-'.
+    Identifier,
+    /// Any characters but control characters, without blanks at either end, which a header value would lose.
+    Text,
+}
+
+impl Alphabet {
+    fn rule(self) -> String {
+        let what = match self {
+            Alphabet::Identifier => "letters, digits, '.', '_' and '-'",
+            Alphabet::Text => "text without control characters and without blanks at its ends",
+        };
+        format!("1 to {MAX_NAME_LEN} bytes of {what}")
+    }
+
+    fn allows(self, name: &str) -> bool {
+        match self {
+            Alphabet::Identifier => name
+                .chars()
+                .all(|c| c.is_alphanumeric() || ['.', '_', '-'].contains(&c)),
+            Alphabet::Text => !name.contains(char::is_control) && name.trim() == name,
+        }
+    }
+}
+
+fn check_name(kind: &'static str, alphabet: Alphabet, name: &str) -> Result<(), InvalidName> {
     let valid_len = !name.is_empty() && name.len() <= MAX_NAME_LEN;
-    let valid_chars = name
-        .bytes()
-        .all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b"._-".contains(&b));
-    if valid_len && valid_chars {
+    if valid_len && alphabet.allows(name) {
         return Ok(());
     }
     Err(InvalidName {
         kind,
-        name: name.to_owned(),
+        name: name.chars().take(MAX_NAME_LEN).collect(),
+        alphabet,
     })
 }
 
 macro_rules! name_type {
-    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+    ($(#[$doc:meta])* $name:ident, $kind:literal, $alphabet:ident) => {
         $(#[$doc])*
         #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Display, Serialize, Deserialize)]
         #[serde(try_from = "String", into = "String")]
@@ -55,7 +81,7 @@
             type Err = InvalidName;
 
             fn from_str(s: &str) -> Result<Self, InvalidName> {
-                check_name($kind, s)?;
+                check_name($kind, Alphabet::$alphabet, s)?;
                 Ok(Self(s.into()))
             }
         }
@@ -78,39 +104,39 @@
 
 name_type!(
     /// A box: a machine that runs `sillpin-entry` and `sillpin-keeper`, or `sillpin-box`.
-    BoxId, "box"
+    BoxId, "box", Identifier
 );
 name_type!(
     /// An availability zone.
-    ZoneId, "availability zone"
+    ZoneId, "availability zone", Text
 );
 name_type!(
     /// A region: a group of availability zones near each other.
-    RegionId, "region"
+    RegionId, "region", Text
 );
 name_type!(
     /// An organisation, to which callers belong.
-    OrgId, "organisation"
+    OrgId, "organisation", Text
 );
 name_type!(
     /// A target: a model engine, a plain service, a store box or a weight store.
-    TargetId, "target"
+    TargetId, "target", Identifier
 );
 name_type!(
     /// A pool of interchangeable targets.
-    PoolId, "pool"
+    PoolId, "pool", Text
 );
 name_type!(
     /// A model served by a pool of engines.
-    ModelId, "model"
+    ModelId, "model", Text
 );
 name_type!(
     /// An adapter loaded with a model.
-    AdapterId, "adapter"
+    AdapterId, "adapter", Text
 );
 name_type!(
     /// An arm of a rollout: the control arm or one under comparison.
-    ArmName, "arm"
+    ArmName, "arm", Text
 );
 
 macro_rules! counter_type {
--- a/crates/sillpin-gateway/src/cache_stores/isolation.rs
+++ b/crates/sillpin-gateway/src/cache_stores/isolation.rs
@@ -5,6 +5,7 @@
 //! under it, and it is used only while exactly this set is isolated. The set is read off the configuration in force alone, so
 //! boxes agree on the salt without messages, and also those that start anew.
 
+use super::salt::encoded;
 use crate::config::{FleetConfig, Organisation};
 use derive_more::{Display, Error};
 use sillpin_core::OrgId;
@@ -12,7 +13,7 @@
 use std::str::FromStr;
 use xxhash_rust::xxh3::Xxh3;
 
-/// Separates names in the hash of a set; occurs in no name.
+/// Separates names in the hash of a set; occurs in no encoded name.
 const SEPARATOR: &[u8] = b"/";
 
 /// Base of the number that is a set's text.
@@ -34,7 +35,9 @@
         }
         let mut hash = Xxh3::new();
         for id in ids {
-            hash.update(id.as_str().as_bytes());
+            for text in encoded(id.as_str()) {
+                hash.update(text.as_bytes());
+            }
             hash.update(SEPARATOR);
         }
         Self(hash.digest().max(1))
--- a/crates/sillpin-gateway/src/config.rs
+++ b/crates/sillpin-gateway/src/config.rs
@@ -191,10 +191,41 @@
     pub pools: Vec<Pool>,
     /// Cache stores.
     pub stores: Vec<StoreSpec>,
-    /// Organisations; if empty, callers need no key.
+    /// Organisations; if there are none, callers need no key.
     pub organisations: Vec<Arc<Organisation>>,
     /// Limits on callers.
     pub limits: CallerLimits,
+    /// What could not be read of it, and is not in force.
+    pub unreadable: Vec<UnreadableItem>,
+}
+
+/// A kind of item of a configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum ItemKind {
+    /// A route.
+    #[display("route")]
+    Route,
+    /// A pool of targets or a cache store.
+    #[display("pool")]
+    Pool,
+    /// An organisation.
+    #[display("organisation")]
+    Organisation,
+    /// The limits on callers.
+    #[display("limits")]
+    Limits,
+}
+
+/// An item of a configuration that could not be read, or a whole list of them.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[display("{kind} {name}: {reason}")]
+pub struct UnreadableItem {
+    /// Its kind.
+    pub kind: ItemKind,
+    /// Its name, or its position in the list if it has none.
+    pub name: String,
+    /// Why it could not be read.
+    pub reason: String,
 }
 
 impl FleetConfig {
@@ -205,6 +236,12 @@
         matching.max_by_key(|route| route.prefix.len())
     }
 
+    /// Whether callers need no key: there are no organisations, not even unreadable ones.
+    pub fn is_open(&self) -> bool {
+        let mut unreadable = self.unreadable.iter();
+        self.organisations.is_empty() && !unreadable.any(|item| item.kind == ItemKind::Organisation)
+    }
+
     /// Returns the organisation that `key` belongs to.
     pub fn organisation(&self, key: &str) -> Option<&Arc<Organisation>> {
         let holds = |org: &&Arc<Organisation>| org.keys.iter().any(|k| k == key);
--- a/crates/sillpin-gateway/src/fleet_state/fleet/operators.rs
+++ b/crates/sillpin-gateway/src/fleet_state/fleet/operators.rs
@@ -15,6 +15,9 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::Xxh3;
 
+/// Largest number of unreadable items of a configuration that are logged.
+const MAX_LOGGED_ITEMS: usize = 20;
+
 impl<K: PublishedFormat> Fleet<K> {
     /// Applies a change of what operators publish; `witnessed` if this box was receiving changes
     /// when it took place.
@@ -91,6 +94,7 @@
             "source" => source.to_string(), "routes" => config.routes.len(),
             "bytes" => entry.value.as_ref().map_or(0, String::len),
             "before" => in_force.map_or(0, |version| version.0));
+        self.log_unreadable_items(&config);
         let config = Arc::new(config);
         let before = self.config.as_deref();
         self.view.routes.record(before, &config, Instant::now());
@@ -100,6 +104,17 @@
         self.view.config_since = Some(Instant::now());
     }
 
+    /// Logs what could not be read of a configuration.
+    fn log_unreadable_items(&self, config: &FleetConfig) {
+        let unreadable = &config.unreadable;
+        for item in unreadable.iter().take(MAX_LOGGED_ITEMS) {
+            event!(self.log, events::CONFIG_ITEM_UNREADABLE,
+                "version" => config.version.0, "kind" => item.kind.to_string(),
+                "name" => &item.name, "why" => &item.reason,
+                "count" => unreadable.len());
+        }
+    }
+
     /// Records the organisations that a configuration isolates.
     fn apply_isolation(&mut self, config: &FleetConfig, replaces_another: bool) {
         let isolated = IsolatedOrganisations::of(config);
--- a/crates/sillpin-gateway/src/front/admit.rs
+++ b/crates/sillpin-gateway/src/front/admit.rs
@@ -195,7 +195,7 @@
     let Some(route) = config.route(&head.host, path) else {
         return Access::Denied(StatusCode::NOT_FOUND, "no such route");
     };
-    if route.public || config.organisations.is_empty() {
+    if route.public || config.is_open() {
         return Access::Allowed(route.clone(), None);
     }
     let key = head.key.as_deref().unwrap_or_default();
--- a/crates/sillpin-telemetry/src/events.rs
+++ b/crates/sillpin-telemetry/src/events.rs
@@ -111,6 +111,8 @@
     CONFIG_IN_FORCE = 310, Info, "configuration in force", "Nothing to do.";
     /// A published value cannot be decoded.
     VALUE_UNREADABLE = 311, Error, "published value unreadable", "Find out who wrote it; the previous configuration stays in force, and an unreadable target is not used.";
+    /// A part of a configuration cannot be decoded; the rest is in force.
+    CONFIG_ITEM_UNREADABLE = 431, Error, "part of the configuration unreadable", "Publish it again with what `why` asks for: the item `name` is not in force, the rest is, and what was taken away is gone. Up to 20 of `count` are logged.";
     /// Operators request other weights.
     WEIGHTS_REQUESTED = 312, Info, "weights requested", "Nothing to do.";
     /// The presence in a target's entry changed, or the entry is new.
